Thin whole path: a request is served from one end to the other

Cause: nothing stood yet. Three nodes fold the platform's log, route model requests to stand-in engines over real sockets and claim non-idempotent calls through the log before they run.

--- /dev/null
+++ b/src/claims/types.ts
@@ -0,0 +1,103 @@
+/** Types of claims: who runs a non-idempotent request, and what became of it. */
+import {z} from 'zod';
+import type {Verdict} from '../verdict';
+
+const claimSchema = z.object({
+  kind: z.literal('claim'),
+  /** SHA-256 of client account and idempotency key, shortened. */
+  key: z.string().min(1),
+  node: z.string().min(1),
+  /** Names this attempt; no other attempt has the same name. */
+  attempt: z.string().min(1),
+  /** Hash of the request, so that a key used for another request is refused. */
+  requestHash: z.string().min(1),
+  /** When the key's window ends, in milliseconds since the Unix epoch. */
+  expiresAtMs: z.number(),
+});
+
+const outcomeSchema = z.object({
+  kind: z.literal('claim-outcome'),
+  key: z.string().min(1),
+  attempt: z.string().min(1),
+  verdict: z.enum(['ran', 'may-have-run']),
+  /** Status of the backend server's answer. */
+  status: z.number().int(),
+  contentType: z.string(),
+  /** The answer; absent when it is too long to keep. */
+  body: z.string().optional(),
+});
+
+const releaseSchema = z.object({
+  kind: z.literal('claim-release'),
+  key: z.string().min(1),
+  attempt: z.string().min(1),
+});
+
+/** Schema of the entries of a claims stream. */
+export const claimEntrySchema = z.discriminatedUnion('kind', [
+  claimSchema,
+  outcomeSchema,
+  releaseSchema,
+]);
+
+/** An entry of a claims stream. */
+export type ClaimEntry = z.infer<typeof claimEntrySchema>;
+
+/** The kept answer of a non-idempotent request. */
+export interface ClaimOutcome {
+  readonly verdict: Verdict;
+  readonly status: number;
+  readonly contentType: string;
+  /** Absent when it was too long to keep. */
+  readonly body?: string;
+}
+
+/** A claim as folded. */
+export interface ClaimState {
+  readonly node: string;
+  readonly attempt: string;
+  readonly requestHash: string;
+  readonly expiresAtMs: number;
+  outcome?: ClaimOutcome;
+}
+
+/** The right to run a non-idempotent request, once. */
+export interface ClaimTicket {
+  readonly key: string;
+  readonly attempt: string;
+}
+
+/** A request to claim. */
+export interface ClaimRequest {
+  readonly clientAccount: string;
+  readonly idempotencyKey: string;
+  readonly requestHash: string;
+  /** How long the key is valid, in milliseconds. */
+  readonly windowMs: number;
+  /** Longest wait for the decision, in milliseconds. */
+  readonly timeoutMs: number;
+}
+
+/** What became of a request to claim. */
+export type ClaimResult =
+  /** The caller may run the request; it must settle or release the ticket. */
+  | {readonly kind: 'granted'; readonly ticket: ClaimTicket}
+  /** The request ran before; this is what came of it. */
+  | {readonly kind: 'answered'; readonly outcome: ClaimOutcome}
+  /** Another attempt holds the claim and its outcome is not known in time. */
+  | {readonly kind: 'unresolved'}
+  /** The key was used for another request. */
+  | {readonly kind: 'conflict'}
+  /** The key is older than its window. */
+  | {readonly kind: 'expired'}
+  /** The log did not decide in time; the request will not run. */
+  | {readonly kind: 'unavailable'; readonly retryAfterMs: number};
+
+/** Decides who runs a non-idempotent request. */
+export interface ClaimsLedger {
+  claim(request: ClaimRequest): Promise<ClaimResult>;
+  /** Records the outcome of a granted claim. */
+  settle(ticket: ClaimTicket, outcome: ClaimOutcome): void;
+  /** Gives a granted claim back: the request did not run and will not under this ticket. */
+  release(ticket: ClaimTicket): void;
+}
--- /dev/null
+++ b/src/cli/index.ts
@@ -0,0 +1,1 @@
+export {runCli} from './cli';
--- /dev/null
+++ b/src/demo/standin_fleet.ts
@@ -0,0 +1,117 @@
+/** The platform and the backend servers of the demo, as tasks on loopback sockets. */
+import {type EngineRole} from '../backends';
+import {VmState} from '../platform';
+import {type Clock, type Listener, openListener} from '../runtime';
+import {
+  createEngineApp,
+  createEngineModel,
+  createLogApp,
+  createLogModel,
+  createServiceApp,
+  createServiceModel,
+  createVmListApp,
+  createVmListModel,
+  createWeightStoreApp,
+  createWeightStoreModel,
+  type EngineModel,
+  type LogModel,
+  type ServiceModel,
+  type VmListModel,
+} from '../standins';
+
+/** One engine of the fleet. */
+export interface StandinEngine {
+  readonly id: string;
+  readonly failureDomain: string;
+  readonly role?: EngineRole;
+}
+
+/** Options of the fleet. */
+export interface StandinFleetOptions {
+  readonly clock: Clock;
+  readonly region: string;
+  readonly models: readonly string[];
+  readonly engines: readonly StandinEngine[];
+  /** Name of the plain service. */
+  readonly service: string;
+}
+
+/** The fleet's addresses and models. */
+export interface StandinFleet {
+  readonly logAddress: string;
+  readonly vmListAddress: string;
+  readonly weightStoreAddress: string;
+  readonly log: LogModel;
+  readonly vmList: VmListModel;
+  readonly engines: readonly EngineModel[];
+  readonly service: ServiceModel;
+  close(): Promise<void>;
+}
+
+/** Starts the fleet on free ports. */
+export async function startStandinFleet(
+  options: StandinFleetOptions,
+): Promise<StandinFleet> {
+  const {clock} = options;
+  const listeners: Listener[] = [];
+  const log = createLogModel({clock});
+  const vmList = createVmListModel({clock});
+  const service = createServiceModel();
+  const engines: EngineModel[] = [];
+  const logListener = await openListener({app: createLogApp(log)});
+  const vmListListener = await openListener({app: createVmListApp(vmList)});
+  const weightStoreListener = await openListener({
+    app: createWeightStoreApp(createWeightStoreModel({clock})),
+  });
+  listeners.push(logListener, vmListListener, weightStoreListener);
+  for (const engine of options.engines) await startEngine(engine);
+  await startService();
+  return {
+    logAddress: logListener.address,
+    vmListAddress: vmListListener.address,
+    weightStoreAddress: weightStoreListener.address,
+    log,
+    vmList,
+    engines,
+    service,
+    close: async () => {
+      await Promise.all(listeners.map(listener => listener.destroy()));
+    },
+  };
+
+  async function startEngine(engine: StandinEngine): Promise<void> {
+    const model = createEngineModel({
+      id: engine.id,
+      address: '',
+      clock,
+      role: engine.role,
+      models: options.models,
+    });
+    const listener = await openListener({app: createEngineApp(model)});
+    listeners.push(listener);
+    engines.push(model);
+    vmList.setVm({
+      id: engine.id,
+      purpose: 'model_engine',
+      state: VmState.Live,
+      failureDomain: engine.failureDomain,
+      region: options.region,
+      address: listener.address,
+      checksFencing: true,
+    });
+  }
+
+  async function startService(): Promise<void> {
+    const listener = await openListener({app: createServiceApp(service)});
+    listeners.push(listener);
+    vmList.setVm({
+      id: `${options.service}-1`,
+      purpose: 'service',
+      state: VmState.Live,
+      failureDomain: options.engines[0].failureDomain,
+      region: options.region,
+      address: listener.address,
+      service: options.service,
+    });
+  }
+}
--- /dev/null
+++ b/src/entry/index.ts
@@ -0,0 +1,16 @@
+export {getKeyHash, tryGetAccount} from './authenticate';
+export {createCallerApp} from './caller_app';
+export type {CallerAppOptions} from './caller_app';
+export {getClassification} from './classify';
+export type {Classification, RequestTraits} from './classify';
+export {createOperatorApp} from './operator_app';
+export type {OperatorAppOptions} from './operator_app';
+export {createRequestPipeline} from './pipeline';
+export type {RequestPipelineOptions} from './pipeline';
+export type {
+  CallerOptions,
+  ModelInput,
+  RequestPipeline,
+  ServiceInput,
+  ServiceResult,
+} from './types';
--- /dev/null
+++ b/src/node/fleet_view.ts
@@ -0,0 +1,22 @@
+/** The backend servers as one node knows them, from the platform's VM list. */
+import type {BackendServer} from '../backends';
+import {type Vm, VmState} from '../platform';
+
+/** Returns the backend servers in a VM list. */
+export function getBackendServers(vms: readonly Vm[]): BackendServer[] {
+  return vms.filter(vm => vm.purpose !== 'node').map(createServer);
+}
+
+function createServer(vm: Vm): BackendServer {
+  return {
+    id: vm.id,
+    kind: vm.purpose === 'service' ? 'service' : 'model_engine',
+    address: vm.address,
+    failureDomain: vm.failureDomain,
+    region: vm.region ?? '',
+    building: vm.building ?? '',
+    service: vm.service,
+    checksFencing: vm.checksFencing ?? false,
+    isLeaving: vm.state === VmState.Leaving,
+  };
+}
--- /dev/null
+++ b/src/node/index.ts
@@ -0,0 +1,3 @@
+export {getBackendServers} from './fleet_view';
+export {startNode} from './node';
+export type {AnvilstackNode, NodeOptions} from './node';
--- /dev/null
+++ b/src/standins/index.ts
@@ -0,0 +1,17 @@
+export {createEngineModel} from './engine_model';
+export type {EngineModel, EngineModelOptions} from './engine_model';
+export {createEngineApp} from './engine_server';
+export {createLocalLog} from './local_log';
+export type {LocalLogOptions} from './local_log';
+export {createLogModel} from './log_model';
+export type {LogModel, LogModelOptions} from './log_model';
+export {createLogApp} from './log_server';
+export {createServiceApp, createServiceModel} from './service_server';
+export type {ServiceModel} from './service_server';
+export {createVmListApp, createVmListModel} from './vm_list_server';
+export type {VmListModel, VmListModelOptions} from './vm_list_server';
+export {
+  createWeightStoreApp,
+  createWeightStoreModel,
+} from './weight_store_server';
+export type {WeightStoreModelOptions} from './weight_store_server';
--- /dev/null
+++ b/src/standins/service_server.ts
@@ -0,0 +1,39 @@
+/** A plain service: an order desk that counts how often each booking ran. */
+import {H3} from 'h3';
+
+/** The order desk's books. */
+export interface ServiceModel {
+  /** Returns how often a booking ran, by its reference. */
+  getRuns(reference: string): number;
+  /** Returns the most often that any booking ran. */
+  getMaxRuns(): number;
+  recordRun(reference: string): number;
+}
+
+/** Creates a service without bookings. */
+export function createServiceModel(): ServiceModel {
+  const runs = new Map<string, number>();
+  return {
+    getRuns: reference => runs.get(reference) ?? 0,
+    getMaxRuns: () => Math.max(0, ...runs.values()),
+    recordRun: reference => {
+      const count = (runs.get(reference) ?? 0) + 1;
+      runs.set(reference, count);
+      return count;
+    },
+  };
+}
+
+/** Creates the application: bookings by `POST`, status by `GET`. */
+export function createServiceApp(model: ServiceModel): H3 {
+  const app = new H3();
+  app.post('/bookings', async event => {
+    const {reference} = (await event.req.json()) as {reference: string};
+    return {reference, runs: model.recordRun(reference)};
+  });
+  app.get('/bookings/:reference', event => {
+    const reference = event.context.params?.['reference'] ?? '';
+    return {reference, runs: model.getRuns(reference)};
+  });
+  return app;
+}
--- /dev/null
+++ b/src/standins/vm_list_server.ts
@@ -0,0 +1,53 @@
+/** The platform's lagging list of VMs, in memory and over HTTP. */
+import {H3} from 'h3';
+import {Ok} from 'ts-results';
+import {type Vm, type VmList, VmState} from '../platform';
+import type {Clock} from '../runtime';
+
+/** Options of the list. */
+export interface VmListModelOptions {
+  readonly clock: Clock;
+  /** How late a change shows, in milliseconds. */
+  readonly lagMs?: number;
+}
+
+/** The list, with changes that show late. */
+export interface VmListModel extends VmList {
+  setVm(vm: Vm): void;
+  setLeaving(id: string): void;
+  removeVm(id: string): void;
+  getVms(): readonly Vm[];
+}
+
+/** Creates an empty list. */
+export function createVmListModel(options: VmListModelOptions): VmListModel {
+  const {clock} = options;
+  const lagMs = options.lagMs ?? 0;
+  const vms = new Map<string, Vm>();
+  return {
+    setVm: vm => showLate(() => vms.set(vm.id, vm)),
+    setLeaving,
+    removeVm: id => showLate(() => vms.delete(id)),
+    getVms: () => [...vms.values()],
+    list: () => Promise.resolve(Ok([...vms.values()])),
+  };
+
+  function setLeaving(id: string): void {
+    showLate(() => {
+      const vm = vms.get(id);
+      if (vm !== undefined) vms.set(id, {...vm, state: VmState.Leaving});
+    });
+  }
+
+  function showLate(change: () => void): void {
+    if (lagMs === 0) change();
+    else clock.schedule(lagMs, change);
+  }
+}
+
+/** Creates the application: `GET /vms`. */
+export function createVmListApp(model: VmListModel): H3 {
+  const app = new H3();
+  app.get('/vms', () => model.getVms());
+  return app;
+}
--- /dev/null
+++ b/src/state/codec.ts
@@ -0,0 +1,53 @@
+/** Translates envelopes to and from the log's record bodies. */
+import {z} from 'zod';
+import {ENVELOPE_VERSION, type Envelope} from './types';
+
+/** Short keys keep records small; each holds the envelope field of the same initial. */
+const wireSchema = z.object({
+  v: z.number().int(),
+  w: z.string().min(1),
+  s: z.number().int().positive(),
+  e: z.array(z.unknown()),
+});
+
+/** The result of decoding a record body. */
+export type Decoded =
+  | {readonly kind: 'envelope'; readonly envelope: Envelope}
+  | {readonly kind: 'unknown-version'}
+  | {readonly kind: 'malformed'};
+
+/** Returns the record body of an envelope. */
+export function encodeEnvelope(envelope: Envelope): string {
+  return JSON.stringify({
+    v: envelope.version,
+    w: envelope.writer,
+    s: envelope.sequence,
+    e: envelope.entries,
+  });
+}
+
+/** Decodes a record body. Never throws. */
+export function decodeEnvelope(body: string): Decoded {
+  const value = tryParseJson(body);
+  const parsed = wireSchema.safeParse(value);
+  if (!parsed.success) return {kind: 'malformed'};
+  const wire = parsed.data;
+  if (wire.v !== ENVELOPE_VERSION) return {kind: 'unknown-version'};
+  return {
+    kind: 'envelope',
+    envelope: {
+      version: wire.v,
+      writer: wire.w,
+      sequence: wire.s,
+      entries: wire.e,
+    },
+  };
+}
+
+function tryParseJson(body: string): unknown {
+  try {
+    return JSON.parse(body) as unknown;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/state/stream_fold.ts
@@ -0,0 +1,168 @@
+/** Folds the records of one stream into its state. */
+import type {LogRecord} from '../platform';
+import {decodeEnvelope} from './codec';
+import type {
+  EntryContext,
+  EntryOutcome,
+  FoldCounts,
+  FoldSnapshot,
+  StreamDefinition,
+} from './types';
+
+/** How long a writer's last sequence is remembered after its last record, in milliseconds. */
+const WRITER_RETENTION_MS = 2 * 24 * 3_600_000;
+/** How many records pass between two searches for writers to forget. */
+const WRITER_SWEEP_RECORDS = 4_096;
+
+/** One entry that has been applied, with what became of it. */
+export interface AppliedEntry<Entry> {
+  readonly entry: Entry;
+  readonly outcome: EntryOutcome;
+  readonly context: EntryContext;
+}
+
+/** The fold of one stream. */
+export interface StreamFold<State, Entry> {
+  getState(): State;
+  getNextOffset(): number;
+  getCounts(): Readonly<FoldCounts>;
+  /** Applies the record; returns its entries, or none when it was skipped. */
+  applyRecord(record: LogRecord): ReadonlyArray<AppliedEntry<Entry>>;
+  /** Goes on at `offset`: what lies before has expired. */
+  skipTo(offset: number): void;
+  exportSnapshot(): FoldSnapshot;
+  importSnapshot(snapshot: FoldSnapshot): boolean;
+}
+
+interface WriterMark {
+  sequence: number;
+  appendedAtMs: number;
+}
+
+/** Creates the fold of a stream, at offset 0. */
+export function createStreamFold<State, Entry>(
+  definition: StreamDefinition<State, Entry>,
+): StreamFold<State, Entry> {
+  let state = definition.createState();
+  let nextOffset = 0;
+  let writers = new Map<string, WriterMark>();
+  const counts: FoldCounts = {
+    applied: 0,
+    duplicates: 0,
+    malformed: 0,
+    unknownVersion: 0,
+    unknownEntries: 0,
+  };
+  return {
+    getState: () => state,
+    getNextOffset: () => nextOffset,
+    getCounts: () => counts,
+    applyRecord,
+    skipTo,
+    exportSnapshot,
+    importSnapshot,
+  };
+
+  function applyRecord(record: LogRecord): Array<AppliedEntry<Entry>> {
+    if (record.offset < nextOffset) return [];
+    nextOffset = record.offset + 1;
+    const decoded = decodeEnvelope(record.body);
+    if (decoded.kind === 'malformed') {
+      counts.malformed++;
+      return [];
+    }
+    if (decoded.kind === 'unknown-version') {
+      counts.unknownVersion++;
+      return [];
+    }
+    const {writer, sequence, entries} = decoded.envelope;
+    if (!markWriter(writer, sequence, record.appendedAtMs)) {
+      counts.duplicates++;
+      return [];
+    }
+    counts.applied++;
+    sweepWriters(record);
+    return applyEntries(entries, {
+      offset: record.offset,
+      writer,
+      sequence,
+      appendedAtMs: record.appendedAtMs,
+    });
+  }
+
+  function applyEntries(
+    entries: readonly unknown[],
+    origin: Omit<EntryContext, 'index'>,
+  ): Array<AppliedEntry<Entry>> {
+    const applied: Array<AppliedEntry<Entry>> = [];
+    entries.forEach((value, index) => {
+      const entry = definition.tryParseEntry(value);
+      if (entry === undefined) {
+        counts.unknownEntries++;
+        return;
+      }
+      const context = {...origin, index};
+      const outcome = definition.applyEntry(state, entry, context);
+      applied.push({entry, outcome, context});
+    });
+    return applied;
+  }
+
+  /** Returns false for a record that repeats or precedes one already applied. */
+  function markWriter(
+    writer: string,
+    sequence: number,
+    appendedAtMs: number,
+  ): boolean {
+    const mark = writers.get(writer);
+    if (mark === undefined) {
+      writers.set(writer, {sequence, appendedAtMs});
+      return true;
+    }
+    if (sequence <= mark.sequence) return false;
+    mark.sequence = sequence;
+    mark.appendedAtMs = appendedAtMs;
+    return true;
+  }
+
+  function sweepWriters(record: LogRecord): void {
+    if (record.offset % WRITER_SWEEP_RECORDS !== 0) return;
+    const horizonMs = record.appendedAtMs - WRITER_RETENTION_MS;
+    for (const [writer, mark] of writers) {
+      if (mark.appendedAtMs < horizonMs) writers.delete(writer);
+    }
+  }
+
+  function skipTo(offset: number): void {
+    nextOffset = Math.max(nextOffset, offset);
+  }
+
+  function exportSnapshot(): FoldSnapshot {
+    return {
+      stream: definition.stream,
+      nextOffset,
+      writers: [...writers].map(([writer, mark]) => [
+        writer,
+        mark.sequence,
+        mark.appendedAtMs,
+      ]),
+      state: definition.exportState(state),
+    };
+  }
+
+  function importSnapshot(snapshot: FoldSnapshot): boolean {
+    if (snapshot.stream !== definition.stream) return false;
+    if (snapshot.nextOffset <= nextOffset) return false;
+    const restored = definition.tryRestoreState(snapshot.state);
+    if (restored === undefined) return false;
+    state = restored;
+    nextOffset = snapshot.nextOffset;
+    writers = new Map(
+      snapshot.writers.map(([writer, sequence, appendedAtMs]) => [
+        writer,
+        {sequence, appendedAtMs},
+      ]),
+    );
+    return true;
+  }
+}
--- /dev/null
+++ b/src/state/stream_writer.ts
@@ -0,0 +1,182 @@
+/** Writes entries to a stream in groups and reports what the fold made of each. */
+import {Err, Ok, type Result} from 'ts-results';
+import {
+  type LogService,
+  type PlatformFailure,
+  PlatformFailureKind,
+} from '../platform';
+import type {Clock, Timer} from '../runtime';
+import {encodeEnvelope} from './codec';
+import {
+  ENVELOPE_VERSION,
+  type EntryContext,
+  type EntryOutcome,
+  type StreamFollower,
+  type StreamWriter,
+} from './types';
+
+/** Options of a writer. */
+export interface StreamWriterOptions<State, Entry> {
+  readonly follower: StreamFollower<State, Entry>;
+  readonly log: LogService;
+  readonly clock: Clock;
+  /** Names this process incarnation; never used by another. */
+  readonly writer: string;
+  /** How long the first entry of a group waits for others, in milliseconds. */
+  readonly groupDelayMs?: number;
+  readonly maxGroupEntries?: number;
+  readonly maxBackoffMs?: number;
+}
+
+const DEFAULT_GROUP_DELAY_MS = 2;
+const DEFAULT_MAX_GROUP_ENTRIES = 256;
+const DEFAULT_MAX_BACKOFF_MS = 500;
+const MIN_BACKOFF_MS = 10;
+
+interface PendingEntry<Entry> {
+  readonly entry: Entry;
+  resolve(result: Result<EntryOutcome, PlatformFailure>): void;
+  timer: Timer | undefined;
+  isSettled: boolean;
+}
+
+interface Group<Entry> {
+  readonly sequence: number;
+  readonly entries: ReadonlyArray<PendingEntry<Entry>>;
+  readonly body: string;
+  mayHaveTakenEffect: boolean;
+}
+
+/** Creates a writer. One append is in flight at a time, so that sequences reach the log in order. */
+export function createStreamWriter<State, Entry>(
+  options: StreamWriterOptions<State, Entry>,
+): StreamWriter<Entry> {
+  const {follower, log, clock, writer} = options;
+  const groupDelayMs = options.groupDelayMs ?? DEFAULT_GROUP_DELAY_MS;
+  const maxGroupEntries = options.maxGroupEntries ?? DEFAULT_MAX_GROUP_ENTRIES;
+  const maxBackoffMs = options.maxBackoffMs ?? DEFAULT_MAX_BACKOFF_MS;
+  let queue: Array<PendingEntry<Entry>> = [];
+  const unconfirmed = new Map<number, Group<Entry>>();
+  let nextSequence = 1;
+  let appendCount = 0;
+  let isSending = false;
+  let isStopped = false;
+  const unsubscribe = follower.subscribe(onEntryApplied);
+  return {writer, write, getAppendCount: () => appendCount, stop};
+
+  function write(
+    entry: Entry,
+    timeoutMs: number,
+  ): Promise<Result<EntryOutcome, PlatformFailure>> {
+    return new Promise(resolve => {
+      const pending: PendingEntry<Entry> = {
+        entry,
+        resolve,
+        timer: undefined,
+        isSettled: false,
+      };
+      pending.timer = clock.schedule(timeoutMs, () => expireEntry(pending));
+      queue.push(pending);
+      void sendGroups();
+    });
+  }
+
+  function stop(): void {
+    isStopped = true;
+    unsubscribe();
+    for (const pending of queue)
+      settleEntry(pending, Err(createTimeout(false)));
+    queue = [];
+  }
+
+  function expireEntry(pending: PendingEntry<Entry>): void {
+    const queuedAt = queue.indexOf(pending);
+    if (queuedAt >= 0) queue.splice(queuedAt, 1);
+    settleEntry(pending, Err(createTimeout(queuedAt < 0)));
+  }
+
+  async function sendGroups(): Promise<void> {
+    if (isSending) return;
+    isSending = true;
+    await clock.sleep(groupDelayMs);
+    while (queue.length > 0 && !isStopped) await sendGroup(takeGroup());
+    isSending = false;
+  }
+
+  function takeGroup(): Group<Entry> {
+    const entries = queue.splice(0, maxGroupEntries);
+    const sequence = nextSequence++;
+    const body = encodeEnvelope({
+      version: ENVELOPE_VERSION,
+      writer,
+      sequence,
+      entries: entries.map(pending => pending.entry),
+    });
+    const group = {sequence, entries, body, mayHaveTakenEffect: false};
+    unconfirmed.set(sequence, group);
+    return group;
+  }
+
+  /** Repeats the append until the log confirms it or the fold shows it. */
+  async function sendGroup(group: Group<Entry>): Promise<void> {
+    let backoffMs = MIN_BACKOFF_MS;
+    while (!isStopped && unconfirmed.has(group.sequence)) {
+      if (isAbandoned(group)) {
+        unconfirmed.delete(group.sequence);
+        return;
+      }
+      appendCount++;
+      const answer = await log.append(follower.stream, group.body);
+      if (answer.ok) return;
+      if (answer.val.kind === PlatformFailureKind.Rejected) {
+        failGroup(group, answer.val);
+        return;
+      }
+      if (answer.val.mayHaveTakenEffect) group.mayHaveTakenEffect = true;
+      await clock.sleep(backoffMs);
+      backoffMs = Math.min(maxBackoffMs, backoffMs * 2);
+    }
+  }
+
+  /** True when nobody waits for the group and it surely has not reached the log. */
+  function isAbandoned(group: Group<Entry>): boolean {
+    if (group.mayHaveTakenEffect) return false;
+    return group.entries.every(pending => pending.isSettled);
+  }
+
+  function failGroup(group: Group<Entry>, failure: PlatformFailure): void {
+    unconfirmed.delete(group.sequence);
+    for (const pending of group.entries) settleEntry(pending, Err(failure));
+  }
+
+  function onEntryApplied(
+    _entry: Entry,
+    outcome: EntryOutcome,
+    context: EntryContext,
+  ): void {
+    if (context.writer !== writer) return;
+    const group = unconfirmed.get(context.sequence);
+    if (group === undefined) return;
+    settleEntry(group.entries[context.index], Ok(outcome));
+    const isLast = context.index === group.entries.length - 1;
+    if (isLast) unconfirmed.delete(group.sequence);
+  }
+
+  function settleEntry(
+    pending: PendingEntry<Entry>,
+    result: Result<EntryOutcome, PlatformFailure>,
+  ): void {
+    if (pending.isSettled) return;
+    pending.isSettled = true;
+    pending.timer?.cancel();
+    pending.resolve(result);
+  }
+}
+
+function createTimeout(mayHaveTakenEffect: boolean): PlatformFailure {
+  return {
+    kind: PlatformFailureKind.Timeout,
+    mayHaveTakenEffect,
+    message: 'the log did not confirm the entry in time',
+  };
+}
--- /dev/null
+++ b/src/verdict/index.ts
@@ -0,0 +1,2 @@
+export {createFailure, FailureKind, Verdict} from './verdict';
+export type {RequestFailure} from './verdict';
