Let a source import a file's text for self-contained pages

Cause: reports and the time line are to be one HTML file each, drawn by uplot and vis-timeline. Their texts are put in by esbuild, so the one binary needs no files beside it.

--- a/scripts/build_binary.mjs
+++ b/scripts/build_binary.mjs
@@ -8,6 +8,7 @@
   writeFileSync,
 } from 'node:fs';
 import {build} from 'esbuild';
+import {textImports} from './text_imports.mjs';
 
 const SENTINEL_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 const BUNDLE = 'build/anvilstack.cjs';
@@ -35,6 +36,7 @@
   target: 'node20',
   mainFields: ['module', 'main'],
   logLevel: 'warning',
+  plugins: [textImports],
   define: {
     ANVILSTACK_VERSION: JSON.stringify(version),
     ANVILSTACK_COMMIT: JSON.stringify(getCommit()),
--- a/scripts/transpile.mjs
+++ b/scripts/transpile.mjs
@@ -2,6 +2,7 @@
 import {readdirSync, rmSync} from 'node:fs';
 import {join} from 'node:path';
 import {build} from 'esbuild';
+import {textImports} from './text_imports.mjs';
 
 // ts-results has no ES module that Node.js can import by name, so it is bundled.
 const BUNDLED_PACKAGES = ['ts-results'];
@@ -11,6 +12,7 @@
   setup(pluginBuild) {
     pluginBuild.onResolve({filter: /^[^./]/}, args => {
       if (args.kind === 'entry-point') return undefined;
+      if (args.path.endsWith('?text')) return undefined;
       if (BUNDLED_PACKAGES.includes(args.path)) return undefined;
       return {path: args.path, external: true};
     });
@@ -40,5 +42,5 @@
   mainFields: ['module', 'main'],
   sourcemap: 'linked',
   logLevel: 'warning',
-  plugins: [keepPackagesExternal],
+  plugins: [textImports, keepPackagesExternal],
 });
