--- a/scripts/transpile.mjs
+++ b/scripts/transpile.mjs
@@ -1,5 +1,5 @@
 /** Translates the sources, tests and benchmarks to build/js with esbuild. */
-import {readdirSync, rmSync} from 'node:fs';
+import {existsSync, readdirSync, rmSync} from 'node:fs';
 import {join} from 'node:path';
 import {build} from 'esbuild';
 import {textImports} from './text_imports.mjs';
@@ -20,6 +20,7 @@
 };
 
 function collectFiles(directory, suffix) {
+  if (!existsSync(directory)) return [];
   return readdirSync(directory, {recursive: true})
     .filter(name => name.endsWith(suffix))
     .map(name => join(directory, name));
