Split the node and the pipeline into parts with one job

Now the deadline is fixed on arrival (admitted_request.ts), claims, summary and open requests are files of their own, a draining node refuses what is new as not-run with a time to come back, and a caller who goes away does not cancel a claimed request.

--- /dev/null
+++ b/src/entry/admitted_request.ts
@@ -0,0 +1,64 @@
+/** A request with its class, deadline and servers, as the pipeline passes it on. */
+import type {Clock} from '../runtime';
+import type {ServerSelector} from '../state';
+import {type Classification, getClassification} from './classify';
+import type {RequestInput, SelectServers} from './types';
+
+/** Priority that urgent requests are raised by. */
+const URGENT_PRIORITY = 100;
+
+/** A request that the client account may make. */
+export interface AdmittedRequest<Input extends RequestInput> {
+  readonly input: Input;
+  readonly classification: Classification;
+  /** When it arrived, on the node's monotonic clock. */
+  readonly receivedAtMs: number;
+  readonly deadlineMs: number;
+  /** When the answer must be complete, on the node's monotonic clock. */
+  readonly deadlineAtMs: number;
+  readonly priority: number;
+  readonly servers: ServerSelector;
+  /** True when it runs at most once and needs a claim. */
+  readonly needsClaim: boolean;
+}
+
+/** Options of `createAdmittedRequest`. */
+export interface AdmittedRequestOptions {
+  readonly clock: Clock;
+  readonly selectServers: SelectServers;
+}
+
+/** Classifies a request; its deadline counts from now. */
+export function createAdmittedRequest<Input extends RequestInput>(
+  input: Input,
+  options: AdmittedRequestOptions,
+): AdmittedRequest<Input> {
+  const classification = getClassification(input.template, {
+    kind: input.kind,
+    target: getTarget(input),
+  });
+  const receivedAtMs = options.clock.getMonotonicMs();
+  const deadlineMs = input.options.deadlineMs ?? classification.deadlineMs;
+  const asked = Math.max(0, input.options.priority ?? 0);
+  const priority = Math.min(URGENT_PRIORITY - 1, asked);
+  return {
+    input,
+    classification,
+    receivedAtMs,
+    deadlineMs,
+    deadlineAtMs: receivedAtMs + deadlineMs,
+    priority: classification.urgent ? URGENT_PRIORITY + priority : priority,
+    servers: options.selectServers(input.template, input.options.requestId),
+    needsClaim: !classification.idempotent && !isRead(input),
+  };
+}
+
+/** Returns the name of the model or of the service. */
+export function getTarget(input: RequestInput): string {
+  return input.kind === 'model' ? input.model : input.service;
+}
+
+function isRead(input: RequestInput): boolean {
+  if (input.kind === 'model') return false;
+  return input.method === 'GET' || input.method === 'HEAD';
+}
--- a/src/entry/caller_app.ts
+++ b/src/entry/caller_app.ts
@@ -14,8 +14,10 @@
 export interface CallerAppOptions {
   readonly clock: Clock;
   readonly pipeline: RequestPipeline;
-  /** Returns the templates in force, or undefined while they are not known. */
-  readonly tryGetConfig: () => ConfigState | undefined;
+  /** True while the state in force is known and the node does not drain. */
+  readonly isReady: () => boolean;
+  /** Returns the templates in force. */
+  readonly getConfig: () => ConfigState;
   /** Longest body, in bytes. */
   readonly maxBodyBytes?: number;
   /** Returns the text for `/metrics`. */
@@ -23,6 +25,8 @@
 }
 
 const DEFAULT_MAX_BODY_BYTES = 8 * 1_024 * 1_024;
+/** When a caller refused by a node that is not ready should try again, in milliseconds. */
+const NOT_READY_RETRY_AFTER_MS = 500;
 const MAX_KEY_LENGTH = 255;
 const MAX_DEADLINE_MS = 3_600_000;
 /** Characters of a prompt that one token stands for, as an estimate. */
@@ -32,14 +36,14 @@
 
 /** Creates the application. */
 export function createCallerApp(options: CallerAppOptions): H3 {
-  const {clock, pipeline, tryGetConfig} = options;
+  const {clock, pipeline, isReady, getConfig} = options;
   const maxBodyBytes = options.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
   const app = new H3();
   app.get('/healthz', () => ({status: 'ok'}));
   app.get('/readyz', () =>
-    tryGetConfig() === undefined
-      ? new Response('{"status":"starting"}', {status: 503})
-      : {status: 'ready'},
+    isReady()
+      ? {status: 'ready'}
+      : new Response('{"status":"not ready"}', {status: 503}),
   );
   app.get('/metrics', () => options.renderMetrics?.() ?? '');
   app.post('/v1/chat/completions', event => handleCompletion(event, 'chat'));
@@ -77,6 +81,7 @@
       start: sink =>
         pipeline.runModel(
           {
+            kind: 'model',
             template: account.template,
             options: caller,
             model: completion.model,
@@ -104,6 +109,7 @@
     const service = event.context.params?.['service'] ?? '';
     const answer = await pipeline.runService(
       {
+        kind: 'service',
         template: account.template,
         options: caller,
         service,
@@ -126,16 +132,16 @@
   }
 
   function getAccount(event: H3Event): TemplateState | Response {
-    const config = tryGetConfig();
-    if (config === undefined) {
-      return refuse(
+    if (!isReady()) {
+      const failure = createFailure(
         FailureKind.Unavailable,
-        'the node is starting',
-        createRequestId(),
+        'the node is not ready',
+        {retryAfterMs: NOT_READY_RETRY_AFTER_MS},
       );
+      return createErrorResponse(failure, createRequestId());
     }
     const account = tryGetAccount(
-      config,
+      getConfig(),
       event.req.headers.get('authorization'),
     );
     return (
--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -10,7 +10,10 @@
 export type {
   CallerOptions,
   ModelInput,
+  RequestInput,
   RequestPipeline,
+  RequestSummary,
+  SelectServers,
   ServiceInput,
   ServiceResult,
 } from './types';
--- a/src/entry/pipeline.ts
+++ b/src/entry/pipeline.ts
@@ -1,25 +1,25 @@
 /** Answers requests: class, rights, claim, then routing. The same core runs in a replay. */
-import {createHash} from 'node:crypto';
 import {Err, Ok, type Result} from 'ts-results';
-import type {ClaimsLedger, ClaimTicket} from '../claims';
+import type {ClaimsLedger} from '../claims';
 import type {
-  AnswerEnd,
   AnswerSink,
   Dispatcher,
   RequestHandle,
   ServiceDispatcher,
 } from '../routing';
 import type {Clock} from '../runtime';
-import {
-  createFailure,
-  FailureKind,
-  type RequestFailure,
-  Verdict,
-} from '../verdict';
-import {type Classification, getClassification} from './classify';
+import {createFailure, FailureKind, type RequestFailure} from '../verdict';
+import {type AdmittedRequest, createAdmittedRequest} from './admitted_request';
+import {claimRequest, settleFailure} from './claim_request';
+import {createClaimedModelRun} from './claimed_model';
+import {createOpenRequests} from './open_requests';
+import {createSummarySink, summariseService} from './summary';
 import type {
   ModelInput,
+  RequestInput,
   RequestPipeline,
+  RequestSummary,
+  SelectServers,
   ServiceInput,
   ServiceResult,
 } from './types';
@@ -30,193 +30,143 @@
   readonly dispatcher: Dispatcher;
   readonly services: ServiceDispatcher;
   readonly claims: ClaimsLedger;
+  /** The template's own selector when omitted. */
+  readonly selectServers?: SelectServers;
+  /** Called once for each request, when it has ended. */
+  readonly onSummary?: (summary: RequestSummary) => void;
 }
 
-/** Part of the time to the deadline that a claim may take. */
-const CLAIM_TIME_FRACTION = 0.5;
-const URGENT_PRIORITY = 100;
+/** When a caller refused by a draining node should try again, in milliseconds. */
+const DRAIN_RETRY_AFTER_MS = 100;
 
 /** Creates the pipeline of one node. */
 export function createRequestPipeline(
   options: RequestPipelineOptions,
 ): RequestPipeline {
   const {clock, dispatcher, services, claims} = options;
-  return {runModel, runService};
+  const selectServers = options.selectServers ?? (template => template.engines);
+  const onSummary = options.onSummary ?? (() => undefined);
+  const open = createOpenRequests();
+  return {
+    runModel,
+    runService,
+    getOpenCount: open.getCount,
+    drain: open.drain,
+  };
 
-  function runModel(input: ModelInput, sink: AnswerSink): RequestHandle {
-    const {template} = input;
-    if (!template.models.includes(input.model)) {
-      return failAtOnce(sink, `model ${input.model} is not in the template`);
+  function runModel(input: ModelInput, callerSink: AnswerSink): RequestHandle {
+    const request = createAdmittedRequest(input, {clock, selectServers});
+    const close = open.add();
+    const sink = createSummarySink({
+      clock,
+      request,
+      sink: callerSink,
+      onEnd: summary => {
+        close();
+        onSummary(summary);
+      },
+    });
+    const refusal = tryGetRefusal(input, input.template.models, input.model);
+    if (refusal !== undefined) {
+      sink.onFailure(refusal);
+      return createClosedHandle();
     }
-    const traits = {kind: 'model' as const, target: input.model};
-    const classification = getClassification(template, traits);
-    if (classification.idempotent) {
-      return submitModel(input, classification, sink);
+    if (request.needsClaim) {
+      return createClaimedModelRun({
+        clock,
+        claims,
+        request,
+        sink,
+        submit: claimedSink => submitModel(request, claimedSink),
+      });
     }
-    return runClaimedModel(input, classification, sink);
+    const handle = submitModel(request, sink);
+    return {
+      ...handle,
+      cancel: () => {
+        handle.cancel();
+        sink.cancel();
+      },
+    };
   }
 
   function submitModel(
-    input: ModelInput,
-    classification: Classification,
+    request: AdmittedRequest<ModelInput>,
     sink: AnswerSink,
   ): RequestHandle {
-    const {template} = input;
+    const {input, classification} = request;
     return dispatcher.submit(
       {
         requestId: input.options.requestId,
-        clientAccount: template.client_account,
+        clientAccount: input.template.client_account,
         model: input.model,
         prompt: input.prompt,
         promptTokens: input.promptTokens,
         maxTokens: input.maxTokens,
-        deadlineAtMs: getDeadlineAtMs(input, classification),
+        deadlineAtMs: request.deadlineAtMs,
         urgent: classification.urgent,
-        priority: getPriority(input, classification),
+        priority: request.priority,
         idempotent: classification.idempotent,
         prefixHashes: input.prefixHashes,
         prefixTokens: input.prefixTokens,
-        engines: template.engines,
-        weight: template.limits.weight,
+        engines: request.servers,
+        weight: input.template.limits.weight,
       },
       sink,
     );
   }
 
-  /** Claims the request first; its answer is kept for a repeated key. */
-  function runClaimedModel(
-    input: ModelInput,
-    classification: Classification,
-    sink: AnswerSink,
-  ): RequestHandle {
-    let handle: RequestHandle | undefined;
-    let isCancelled = false;
-    let isPaused = false;
-    void start();
-    return {
-      cancel: () => {
-        isCancelled = true;
-        handle?.cancel();
-      },
-      setPaused: value => {
-        isPaused = value;
-        handle?.setPaused(value);
-      },
-      tryGetEngine: () => handle?.tryGetEngine(),
-    };
-
-    async function start(): Promise<void> {
-      const request = `${input.model}\n${input.prompt ?? ''}\n${input.maxTokens}`;
-      const claimed = await claimRequest(input, classification, request);
-      if (claimed.err) return sink.onFailure(claimed.val);
-      const claim = claimed.val;
-      if (claim.kind === 'answered') return repeatAnswer(claim.result, sink);
-      if (isCancelled) return claims.release(claim.ticket);
-      handle = submitModel(
-        input,
-        classification,
-        createSettlingSink(claim.ticket, sink),
-      );
-      if (isPaused) handle.setPaused(true);
-    }
-  }
-
-  function createSettlingSink(
-    ticket: ClaimTicket,
-    sink: AnswerSink,
-  ): AnswerSink {
-    let text = '';
-    return {
-      onTokens: batch => {
-        text += batch.text;
-        sink.onTokens(batch);
-      },
-      onEnd: end => {
-        settleModel(ticket, text, end);
-        sink.onEnd(end);
-      },
-      onFailure: failure => {
-        settleFailure(ticket, failure);
-        sink.onFailure(failure);
-      },
-    };
-  }
-
-  function settleModel(
-    ticket: ClaimTicket,
-    text: string,
-    end: AnswerEnd,
-  ): void {
-    claims.settle(ticket, {
-      verdict: Verdict.Ran,
-      status: 200,
-      contentType: 'application/json',
-      body: JSON.stringify({text, end}),
-    });
-  }
-
-  function settleFailure(ticket: ClaimTicket, failure: RequestFailure): void {
-    if (failure.verdict === Verdict.NotRun) {
-      claims.release(ticket);
-      return;
-    }
-    claims.settle(ticket, {
-      verdict: failure.verdict,
-      status: 502,
-      contentType: 'text/plain',
-      body: failure.message,
-    });
-  }
-
   async function runService(
     input: ServiceInput,
     signal?: AbortSignal,
   ): Promise<Result<ServiceResult, RequestFailure>> {
-    const {template, service} = input;
-    if (!template.services.includes(service)) {
-      return Err(
-        createFailure(
-          FailureKind.Forbidden,
-          `service ${service} is not in the template`,
-        ),
-      );
-    }
-    const traits = {kind: 'service' as const, target: service};
-    const classification = getClassification(template, traits);
-    const isRead = input.method === 'GET' || input.method === 'HEAD';
-    if (classification.idempotent || isRead) {
-      const answer = await callService(input, classification, true, signal);
-      return answer.map(value => ({...value, verdict: Verdict.Ran}));
+    const request = createAdmittedRequest(input, {clock, selectServers});
+    const close = open.add();
+    try {
+      const answer = await answerService(request, signal);
+      onSummary(summariseService(request, clock.getMonotonicMs(), answer));
+      return answer;
+    } finally {
+      close();
     }
-    return runClaimedService(input, classification);
   }
 
+  async function answerService(
+    request: AdmittedRequest<ServiceInput>,
+    signal?: AbortSignal,
+  ): Promise<Result<ServiceResult, RequestFailure>> {
+    const {input} = request;
+    const refusal = tryGetRefusal(
+      input,
+      input.template.services,
+      input.service,
+    );
+    if (refusal !== undefined) return Err(refusal);
+    if (request.needsClaim) return runClaimedService(request);
+    return callService(request, true, signal);
+  }
+
+  /** A caller who goes away does not stop what may take effect. */
   async function runClaimedService(
-    input: ServiceInput,
-    classification: Classification,
+    request: AdmittedRequest<ServiceInput>,
   ): Promise<Result<ServiceResult, RequestFailure>> {
-    const request = `${input.method}\n${input.path}\n${input.body}`;
-    const claimed = await claimRequest(input, classification, request);
+    const claimed = await claimRequest(request, {clock, claims});
     if (claimed.err) return claimed;
     const claim = claimed.val;
     if (claim.kind === 'answered') return Ok(claim.result);
-    // A caller who goes away does not stop what may take effect.
-    const answer = await callService(input, classification, false);
-    if (answer.err) {
-      settleFailure(claim.ticket, answer.val);
-      return answer;
-    }
-    claims.settle(claim.ticket, {...answer.val, verdict: Verdict.Ran});
-    return Ok({...answer.val, verdict: Verdict.Ran});
+    const answer = await callService(request, false);
+    if (answer.ok) claims.settle(claim.ticket, answer.val);
+    else settleFailure(claims, claim.ticket, answer.val);
+    return answer;
   }
 
-  function callService(
-    input: ServiceInput,
-    classification: Classification,
+  async function callService(
+    request: AdmittedRequest<ServiceInput>,
     idempotent: boolean,
     signal?: AbortSignal,
-  ): ReturnType<ServiceDispatcher['call']> {
-    return services.call(
+  ): Promise<Result<ServiceResult, RequestFailure>> {
+    const {input} = request;
+    const answer = await services.call(
       {
         requestId: input.options.requestId,
         service: input.service,
@@ -225,132 +175,33 @@
         headers: input.headers,
         body: input.body,
         idempotent,
-        deadlineAtMs: getDeadlineAtMs(input, classification),
-        servers: input.template.engines,
+        deadlineAtMs: request.deadlineAtMs,
+        servers: request.servers,
       },
       signal,
     );
+    return answer.map(value => ({...value, verdict: 'ran' as const}));
   }
 
-  async function claimRequest(
-    input: ModelInput | ServiceInput,
-    classification: Classification,
-    request: string,
-  ): Promise<Result<ClaimedRequest, RequestFailure>> {
-    const key = input.options.idempotencyKey;
-    if (key === undefined) {
-      return Err(
-        createFailure(
-          FailureKind.BadRequest,
-          `request class ${classification.name} runs at most once and needs an Idempotency-Key header`,
-        ),
-      );
+  function tryGetRefusal(
+    input: RequestInput,
+    allowed: readonly string[],
+    target: string,
+  ): RequestFailure | undefined {
+    if (open.isDraining()) {
+      return createFailure(FailureKind.Unavailable, 'the node is draining', {
+        retryAfterMs: DRAIN_RETRY_AFTER_MS,
+      });
     }
-    const leftMs = getDeadlineAtMs(input, classification) - getNowMs();
-    const result = await claims.claim({
-      clientAccount: input.template.client_account,
-      idempotencyKey: key,
-      requestHash: createHash('sha256').update(request).digest('hex'),
-      windowMs: input.template.key_window_s * 1_000,
-      timeoutMs: leftMs * CLAIM_TIME_FRACTION,
-    });
-    switch (result.kind) {
-      case 'granted':
-        return Ok({kind: 'granted', ticket: result.ticket});
-      case 'answered':
-        return getKeptAnswer(result.outcome);
-      case 'unresolved':
-        return Err(
-          createFailure(
-            FailureKind.BackendFailed,
-            'the request with this key may have run; its outcome is not known',
-            {verdict: Verdict.MayHaveRun},
-          ),
-        );
-      case 'conflict':
-        return Err(
-          createFailure(
-            FailureKind.KeyConflict,
-            'the idempotency key was used for another request',
-          ),
-        );
-      case 'expired':
-        return Err(
-          createFailure(
-            FailureKind.BadRequest,
-            'the idempotency key is older than its window',
-          ),
-        );
-      case 'unavailable':
-        return Err(
-          createFailure(
-            FailureKind.LogUnavailable,
-            "the platform's log did not decide in time; the request will not run",
-            {retryAfterMs: result.retryAfterMs},
-          ),
-        );
-    }
-  }
-
-  function getDeadlineAtMs(
-    input: ModelInput | ServiceInput,
-    classification: Classification,
-  ): number {
-    const wantedMs = input.options.deadlineMs ?? classification.deadlineMs;
-    return getNowMs() + wantedMs;
-  }
-
-  function getNowMs(): number {
-    return clock.getMonotonicMs();
-  }
-}
-
-type ClaimedRequest =
-  | {readonly kind: 'granted'; readonly ticket: ClaimTicket}
-  | {readonly kind: 'answered'; readonly result: ServiceResult};
-
-function getKeptAnswer(outcome: {
-  verdict: Verdict;
-  status: number;
-  contentType: string;
-  body?: string;
-}): Result<ClaimedRequest, RequestFailure> {
-  const {verdict, body} = outcome;
-  if (verdict === Verdict.Ran && body !== undefined) {
-    return Ok({kind: 'answered', result: {...outcome, body}});
+    if (allowed.includes(target)) return undefined;
+    return createFailure(
+      FailureKind.Forbidden,
+      `client account ${input.template.client_account} may not use ${input.kind} ${target}`,
+    );
   }
-  const text =
-    verdict === Verdict.Ran
-      ? 'the request with this key ran; its answer was too long to keep'
-      : 'the request with this key may have run';
-  return Err(createFailure(FailureKind.BackendFailed, text, {verdict}));
-}
-
-function repeatAnswer(result: ServiceResult, sink: AnswerSink): void {
-  const {text, end} = JSON.parse(result.body) as {text: string; end: AnswerEnd};
-  sink.onTokens({
-    firstIndex: 0,
-    count: end.generatedTokens,
-    text,
-    firstAtMs: 0,
-    lastAtMs: 0,
-  });
-  sink.onEnd(end);
-}
-
-function getPriority(
-  input: ModelInput,
-  classification: Classification,
-): number {
-  const asked = Math.min(
-    URGENT_PRIORITY - 1,
-    Math.max(0, input.options.priority ?? 0),
-  );
-  return classification.urgent ? URGENT_PRIORITY + asked : asked;
 }
 
-function failAtOnce(sink: AnswerSink, message: string): RequestHandle {
-  sink.onFailure(createFailure(FailureKind.Forbidden, message));
+function createClosedHandle(): RequestHandle {
   return {
     cancel: () => undefined,
     setPaused: () => undefined,
--- /dev/null
+++ b/src/entry/summary.ts
@@ -0,0 +1,135 @@
+/** Sums up what became of a request. */
+import type {Result} from 'ts-results';
+import type {AnswerEnd, AnswerSink} from '../routing';
+import type {Clock} from '../runtime';
+import {
+  createFailure,
+  FailureKind,
+  type RequestFailure,
+  Verdict,
+} from '../verdict';
+import {type AdmittedRequest, getTarget} from './admitted_request';
+import type {
+  ModelInput,
+  RequestInput,
+  RequestSummary,
+  ServiceInput,
+  ServiceResult,
+} from './types';
+
+/** A sink that sums the request up at its end. */
+export interface SummarySink extends AnswerSink {
+  /** The caller went away: the summary says so, and the caller's sink hears nothing more. */
+  cancel(): void;
+}
+
+/** Options of `createSummarySink`. */
+export interface SummarySinkOptions {
+  readonly clock: Clock;
+  readonly request: AdmittedRequest<ModelInput>;
+  /** The caller's sink. */
+  readonly sink: AnswerSink;
+  /** Called once. */
+  readonly onEnd: (summary: RequestSummary) => void;
+}
+
+/** Creates a sink before the caller's. */
+export function createSummarySink(options: SummarySinkOptions): SummarySink {
+  const {clock, request, sink} = options;
+  let firstAtMs: number | undefined;
+  let lastAtMs = 0;
+  let tokens = 0;
+  let isClosed = false;
+  return {onTokens, onEnd, onFailure, cancel};
+
+  function onTokens(batch: Parameters<AnswerSink['onTokens']>[0]): void {
+    if (isClosed) return;
+    firstAtMs ??= batch.firstAtMs;
+    lastAtMs = batch.lastAtMs;
+    tokens += batch.count;
+    sink.onTokens(batch);
+  }
+
+  function onEnd(end: AnswerEnd): void {
+    if (isClosed) return;
+    finish(end.engine, undefined);
+    sink.onEnd(end);
+  }
+
+  function onFailure(failure: RequestFailure): void {
+    if (isClosed) return;
+    finish(undefined, failure);
+    sink.onFailure(failure);
+  }
+
+  function cancel(): void {
+    if (isClosed) return;
+    const verdict = tokens > 0 ? Verdict.Ran : Verdict.MayHaveRun;
+    finish(
+      undefined,
+      createFailure(FailureKind.Cancelled, 'the caller went away', {verdict}),
+    );
+  }
+
+  function finish(
+    engine: string | undefined,
+    failure: RequestFailure | undefined,
+  ): void {
+    isClosed = true;
+    const nowMs = clock.getMonotonicMs();
+    options.onEnd({
+      ...createBase(request, nowMs, failure),
+      promptTokens: request.input.promptTokens,
+      generatedTokens: tokens,
+      prefixHashes: request.input.prefixHashes,
+      prefixTokens: request.input.prefixTokens,
+      engine,
+      firstTokenMs:
+        firstAtMs === undefined ? undefined : firstAtMs - request.receivedAtMs,
+      betweenTokensMs:
+        firstAtMs === undefined || tokens < 2
+          ? undefined
+          : (lastAtMs - firstAtMs) / (tokens - 1),
+    });
+  }
+}
+
+/** Sums up a call of a plain service. */
+export function summariseService(
+  request: AdmittedRequest<ServiceInput>,
+  nowMs: number,
+  answer: Result<ServiceResult, RequestFailure>,
+): RequestSummary {
+  return {
+    ...createBase(request, nowMs, answer.err ? answer.val : undefined),
+    promptTokens: 0,
+    generatedTokens: 0,
+    prefixHashes: [],
+    prefixTokens: 0,
+  };
+}
+
+function createBase(
+  request: AdmittedRequest<RequestInput>,
+  nowMs: number,
+  failure: RequestFailure | undefined,
+): Omit<
+  RequestSummary,
+  'promptTokens' | 'generatedTokens' | 'prefixHashes' | 'prefixTokens'
+> {
+  const {input, classification} = request;
+  return {
+    requestId: input.options.requestId,
+    clientAccount: input.template.client_account,
+    kind: input.kind,
+    target: getTarget(input),
+    className: classification.name,
+    urgent: classification.urgent,
+    idempotent: classification.idempotent,
+    receivedAtMs: request.receivedAtMs,
+    deadlineMs: request.deadlineMs,
+    durationMs: nowMs - request.receivedAtMs,
+    failure,
+    isInDeadline: failure === undefined && nowMs <= request.deadlineAtMs,
+  };
+}
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -2,7 +2,7 @@
 import type {Result} from 'ts-results';
 import type {ServiceAnswer} from '../backends';
 import type {AnswerSink, RequestHandle} from '../routing';
-import type {Template} from '../state';
+import type {ServerSelector, Template} from '../state';
 import type {RequestFailure, Verdict} from '../verdict';
 
 /** What the request headers say. */
@@ -16,6 +16,7 @@
 
 /** A model request of a client account. */
 export interface ModelInput {
+  readonly kind: 'model';
   readonly template: Template;
   readonly options: CallerOptions;
   readonly model: string;
@@ -29,6 +30,7 @@
 
 /** A call of a plain service by a client account. */
 export interface ServiceInput {
+  readonly kind: 'service';
   readonly template: Template;
   readonly options: CallerOptions;
   readonly service: string;
@@ -38,11 +40,50 @@
   readonly body: string;
 }
 
+/** A request of either kind. */
+export type RequestInput = ModelInput | ServiceInput;
+
 /** The answer of a plain service, with its verdict. */
 export interface ServiceResult extends ServiceAnswer {
   readonly verdict: Verdict;
 }
 
+/** What became of one request, for metrics, gates of a move and recorded traces. */
+export interface RequestSummary {
+  readonly requestId: string;
+  readonly clientAccount: string;
+  readonly kind: 'model' | 'service';
+  /** Name of the model or of the service. */
+  readonly target: string;
+  readonly className: string;
+  readonly urgent: boolean;
+  readonly idempotent: boolean;
+  /** When it arrived, on the node's monotonic clock. */
+  readonly receivedAtMs: number;
+  readonly deadlineMs: number;
+  /** From arrival to the end, in milliseconds. */
+  readonly durationMs: number;
+  /** From arrival to the first token, in milliseconds; absent when there was none. */
+  readonly firstTokenMs?: number;
+  /** Mean time between tokens, in milliseconds; absent below two tokens. */
+  readonly betweenTokensMs?: number;
+  readonly promptTokens: number;
+  readonly generatedTokens: number;
+  readonly prefixHashes: readonly string[];
+  readonly prefixTokens: number;
+  readonly engine?: string;
+  /** Absent when the request was answered. */
+  readonly failure?: RequestFailure;
+  /** True when the whole answer came within the deadline. */
+  readonly isInDeadline: boolean;
+}
+
+/** Chooses the backend servers that may serve a request of a client account. */
+export type SelectServers = (
+  template: Template,
+  requestId: string,
+) => ServerSelector;
+
 /** Answers requests: classes, limits, claims, then routing. */
 export interface RequestPipeline {
   runModel(input: ModelInput, sink: AnswerSink): RequestHandle;
@@ -50,4 +91,8 @@
     input: ServiceInput,
     signal?: AbortSignal,
   ): Promise<Result<ServiceResult, RequestFailure>>;
+  /** Returns the number of requests in progress. */
+  getOpenCount(): number;
+  /** Refuses everything new; resolves when nothing is in progress. */
+  drain(): Promise<void>;
 }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -1,23 +1,19 @@
-/** Puts one node together: followers, writers, routing and listeners. */
+/** Puts one node together: streams, fleet, routing and listeners. */
 import {randomUUID} from 'node:crypto';
-import {
-  createHttpEngineClient,
-  createHttpServiceClient,
-  type EngineClient,
-} from '../backends';
-import {createClaimsLedger, createClaimsStream} from '../claims';
+import {createHttpServiceClient} from '../backends';
+import {createClaimsLedger} from '../claims';
 import {createEventRing, type Logger} from '../diagnostics';
 import {
   createCallerApp,
   createOperatorApp,
   createRequestPipeline,
 } from '../entry';
-import {createHttpLogService, createHttpVmList, type Vm} from '../platform';
+import {createHttpLogService, createHttpVmList} from '../platform';
 import {createDispatcher, createServiceDispatcher} from '../routing';
 import {type Clock, openListener} from '../runtime';
 import type {Settings} from '../settings';
-import {configStream, createStreamFollower, createStreamWriter} from '../state';
-import {getBackendServers} from './fleet_view';
+import {createFleetWatch} from './fleet_watch';
+import {createNodeStreams} from './node_streams';
 
 /** Options of a node. */
 export interface NodeOptions {
@@ -32,7 +28,7 @@
   /** Base addresses of its listeners. */
   readonly callerAddress: string;
   readonly operatorAddress: string;
-  /** True once the state in force is known. */
+  /** True once the state in force is known and until the node drains. */
   isReady(): boolean;
   /** Graceful shutdown: finishes what is open, then closes. */
   drain(): Promise<void>;
@@ -40,47 +36,32 @@
   kill(): Promise<void>;
 }
 
-const CLAIMS_STREAM = 'claims-0';
-
 /** Starts a node. */
 export async function startNode(options: NodeOptions): Promise<AnvilstackNode> {
   const {settings, clock, logger} = options;
   const id = settings.node.id;
   const writerId = `${id}.${randomUUID().slice(0, 8)}`;
   const events = createEventRing({clock, node: id});
-  const log = createHttpLogService({address: settings.platform.log_address});
-  const vmList = createHttpVmList({
-    address: settings.platform.vm_list_address,
-  });
-  const config = createStreamFollower({
-    definition: configStream,
-    log,
-    clock,
-    onHealthChange: reportLogHealth,
-  });
-  const claimsFollower = createStreamFollower({
-    definition: createClaimsStream(CLAIMS_STREAM),
-    log,
+  const streams = createNodeStreams({
     clock,
+    log: createHttpLogService({address: settings.platform.log_address}),
+    writerId,
+    events,
   });
-  const configWriter = createStreamWriter({
-    follower: config,
-    log,
+  const fleet = createFleetWatch({
     clock,
-    writer: writerId,
-  });
-  const claimsWriter = createStreamWriter({
-    follower: claimsFollower,
-    log,
-    clock,
-    writer: writerId,
+    vmList: createHttpVmList({address: settings.platform.vm_list_address}),
+    events,
+    intervalMs: settings.routing.report_interval_ms,
+    onServers: servers => {
+      dispatcher.updateServers(servers);
+      services.updateServers(servers);
+    },
+    onReport: report => dispatcher.updateReport(report),
   });
-  const engineClients = new Map<string, EngineClient>();
-  let vms: readonly Vm[] = [];
-  let isRunning = true;
   const dispatcher = createDispatcher({
     clock,
-    getEngineClient,
+    getEngineClient: fleet.getEngineClient,
     getRandom: Math.random,
     emitEvent: events.emit,
   });
@@ -95,15 +76,17 @@
     claims: createClaimsLedger({
       node: id,
       clock,
-      follower: claimsFollower,
-      writer: claimsWriter,
+      follower: streams.claims.follower,
+      writer: streams.claims.writer,
     }),
   });
+  let isDraining = false;
   const callers = await openListener({
     app: createCallerApp({
       clock,
       pipeline,
-      tryGetConfig: () => (isReady() ? config.getState() : undefined),
+      isReady,
+      getConfig: () => streams.config.follower.getState(),
     }),
     ...parseListenAddress(settings.listen.callers),
   });
@@ -114,16 +97,16 @@
         name: operator.name,
         tokenSha256: operator.token_sha256,
       })),
-      config,
-      configWriter,
+      config: streams.config.follower,
+      configWriter: streams.config.writer,
       events,
-      getFleet: () => ({node: id, vms}),
+      getFleet: () => ({node: id, vms: fleet.getVms()}),
     }),
     ...parseListenAddress(settings.listen.operators),
   });
-  config.start();
-  claimsFollower.start();
-  void watchFleet();
+  streams.start();
+  fleet.start();
+  events.emit({kind: 'node-started', cause: `process ${writerId}`});
   logger.log('info', 'node started', {callers: callers.address});
   return {
     id,
@@ -135,51 +118,16 @@
   };
 
   function isReady(): boolean {
-    return config.isCaughtUp() && claimsFollower.isCaughtUp() && vms.length > 0;
-  }
-
-  function reportLogHealth(isHealthy: boolean, message: string): void {
-    events.emit({
-      kind: isHealthy ? 'log-back' : 'log-out',
-      cause: isHealthy ? 'the log answers again' : message,
-    });
-  }
-
-  function getEngineClient(engine: string): EngineClient {
-    const known = engineClients.get(engine);
-    if (known !== undefined) return known;
-    const server = getBackendServers(vms).find(item => item.id === engine);
-    if (server === undefined) throw new Error(`no engine ${engine}`);
-    const client = createHttpEngineClient({server, clock});
-    engineClients.set(engine, client);
-    return client;
-  }
-
-  async function watchFleet(): Promise<void> {
-    while (isRunning) {
-      const answer = await vmList.list();
-      if (answer.ok) vms = answer.val;
-      const servers = getBackendServers(vms);
-      dispatcher.updateServers(servers);
-      services.updateServers(servers);
-      await Promise.all(
-        servers
-          .filter(server => server.kind === 'model_engine')
-          .map(server => readReport(server.id)),
-      );
-      await clock.sleep(settings.routing.report_interval_ms);
-    }
-  }
-
-  async function readReport(engine: string): Promise<void> {
-    const report = await getEngineClient(engine).getReport();
-    if (report.ok) dispatcher.updateReport(report.val);
+    return !isDraining && streams.isCaughtUp() && fleet.getVms().length > 0;
   }
 
   async function drain(): Promise<void> {
-    await dispatcher.drain();
+    isDraining = true;
+    events.emit({kind: 'node-draining', cause: 'graceful shutdown'});
+    await pipeline.drain();
     await Promise.all([callers.close(), operators.close()]);
     stopTasks();
+    logger.log('info', 'node stopped');
   }
 
   async function kill(): Promise<void> {
@@ -188,12 +136,8 @@
   }
 
   function stopTasks(): void {
-    isRunning = false;
-    config.stop();
-    claimsFollower.stop();
-    configWriter.stop();
-    claimsWriter.stop();
-    for (const client of engineClients.values()) client.close();
+    fleet.stop();
+    streams.stop();
   }
 }
 
--- /dev/null
+++ b/src/node/node_streams.ts
@@ -0,0 +1,80 @@
+/** The log's streams as one node follows and writes them. */
+import {type ClaimEntry, type ClaimsState, createClaimsStream} from '../claims';
+import type {EventRing} from '../diagnostics';
+import type {LogService} from '../platform';
+import type {Clock} from '../runtime';
+import {
+  type ConfigEntry,
+  type ConfigState,
+  configStream,
+  createStreamFollower,
+  createStreamWriter,
+  type StreamDefinition,
+  type StreamFollower,
+  type StreamWriter,
+} from '../state';
+
+/** Name of the stream that holds the claims. */
+export const CLAIMS_STREAM = 'claims-0';
+
+/** Options of the streams. */
+export interface NodeStreamsOptions {
+  readonly clock: Clock;
+  readonly log: LogService;
+  /** Names this process incarnation. */
+  readonly writerId: string;
+  readonly events: EventRing;
+}
+
+/** A stream's follower and writer. */
+export interface StreamPair<State, Entry> {
+  readonly follower: StreamFollower<State, Entry>;
+  readonly writer: StreamWriter<Entry>;
+}
+
+/** Every stream of a node. */
+export interface NodeStreams {
+  readonly config: StreamPair<ConfigState, ConfigEntry>;
+  readonly claims: StreamPair<ClaimsState, ClaimEntry>;
+  isCaughtUp(): boolean;
+  start(): void;
+  stop(): void;
+}
+
+/** Creates the streams; nothing is read before `start`. */
+export function createNodeStreams(options: NodeStreamsOptions): NodeStreams {
+  const {clock, log, writerId, events} = options;
+  const config = createPair(configStream);
+  const claims = createPair(createClaimsStream(CLAIMS_STREAM));
+  const followers = [config.follower, claims.follower];
+  const writers = [config.writer, claims.writer];
+  return {
+    config,
+    claims,
+    isCaughtUp: () => followers.every(follower => follower.isCaughtUp()),
+    start: () => followers.forEach(follower => follower.start()),
+    stop: () => {
+      followers.forEach(follower => follower.stop());
+      writers.forEach(writer => writer.stop());
+    },
+  };
+
+  function createPair<State, Entry>(
+    definition: StreamDefinition<State, Entry>,
+  ): StreamPair<State, Entry> {
+    const follower = createStreamFollower({
+      definition,
+      log,
+      clock,
+      onHealthChange: (isHealthy, message) =>
+        events.emit({
+          kind: isHealthy ? 'log-back' : 'log-out',
+          cause: isHealthy
+            ? `stream ${definition.stream} is read again`
+            : `stream ${definition.stream}: ${message}`,
+        }),
+    });
+    const writer = createStreamWriter({follower, log, clock, writer: writerId});
+    return {follower, writer};
+  }
+}
