Check verbs of functions and names of files with a lint rule

The house style asks for a short list of verbs and nothing checked it. docs/STYLE.md holds the list and the precedence of the guides; the rule reads the list from that page, so the two cannot differ.

Ruled out: the naming-convention rule of typescript-eslint (it takes a pattern per selector, but the list would stand twice).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,5 +1,6 @@
 import {createRequire} from 'node:module';
 import {defineConfig} from 'eslint/config';
+import {namingPlugin} from './scripts/eslint_naming.mjs';
 
 const require = createRequire(import.meta.url);
 const gts = require('gts');
@@ -12,7 +13,10 @@
     languageOptions: {
       parserOptions: {project: './tsconfig.json', sourceType: 'module'},
     },
+    plugins: {naming: namingPlugin},
     rules: {
+      'naming/function-verb': 'error',
+      'naming/file-name': 'error',
       '@typescript-eslint/no-explicit-any': 'error',
       'n/no-unpublished-import': 'off',
       'n/no-missing-import': 'off',
--- a/src/backends/http_engine_client.ts
+++ b/src/backends/http_engine_client.ts
@@ -102,7 +102,7 @@
       abort.abort();
       void cancelAtEngine(requestId);
     });
-    void streamAnswer(options, sink, abort.signal, call.getResumed);
+    void readAnswer(options, sink, abort.signal, call.getResumed);
     return call;
   }
 
@@ -120,7 +120,7 @@
     }
   }
 
-  async function streamAnswer(
+  async function readAnswer(
     options: Dispatcher.RequestOptions,
     sink: EngineSink,
     signal: AbortSignal,
--- a/src/claims/ledger.ts
+++ b/src/claims/ledger.ts
@@ -76,11 +76,11 @@
 
   function waitForOutcome(known: ClaimState, timeoutMs: number): Promise<void> {
     return new Promise(resolve => {
-      const timer = clock.schedule(timeoutMs, finish);
+      const timer = clock.schedule(timeoutMs, settleWaiter);
       const unsubscribe = follower.subscribe(() => {
-        if (known.outcome !== undefined) finish();
+        if (known.outcome !== undefined) settleWaiter();
       });
-      function finish(): void {
+      function settleWaiter(): void {
         timer.cancel();
         unsubscribe();
         resolve();
--- a/src/demo/demo.ts
+++ b/src/demo/demo.ts
@@ -142,7 +142,7 @@
   print: (line: string) => void,
 ): Promise<boolean> {
   const headers = {authorization: `Bearer ${demo.apiKey}`};
-  const text = await streamCompletion(demo);
+  const text = await runCompletion(demo);
   print(`streamed chat completion: ${text}`);
   const bookings = await Promise.all(
     demo.nodes.map(node =>
@@ -166,7 +166,7 @@
   return text !== '' && runs === 1;
 }
 
-async function streamCompletion(demo: Demo): Promise<string> {
+async function runCompletion(demo: Demo): Promise<string> {
   const client = new OpenAI({
     baseURL: `${demo.nodes[0].callerAddress}/v1`,
     apiKey: demo.apiKey,
--- a/src/entry/claimed_model.ts
+++ b/src/entry/claimed_model.ts
@@ -55,7 +55,7 @@
     }
     const claim = claimed.val;
     if (claim.kind === 'answered') {
-      repeatAnswer(claim.result, sink, clock.getMonotonicMs());
+      replayAnswer(claim.result, sink, clock.getMonotonicMs());
       return;
     }
     if (isCancelled) {
@@ -95,7 +95,7 @@
   };
 }
 
-function repeatAnswer(
+function replayAnswer(
   result: ServiceResult,
   sink: AnswerSink,
   nowMs: number,
--- a/src/entry/completion_response.ts
+++ b/src/entry/completion_response.ts
@@ -61,11 +61,11 @@
     let isAnswered = false;
     const handle = options.start({
       onTokens: batch => {
-        answerOnce();
+        sendOnce();
         stream.sendTokens(batch);
       },
       onEnd: end => {
-        answerOnce();
+        sendOnce();
         stream.sendEnd(end);
       },
       onFailure: failure => {
@@ -75,7 +75,7 @@
     });
     stream.setHandle(handle);
 
-    function answerOnce(): void {
+    function sendOnce(): void {
       if (isAnswered) return;
       isAnswered = true;
       const headers = getHeaders(options.requestId, 'text/event-stream');
--- a/src/entry/operator_app.ts
+++ b/src/entry/operator_app.ts
@@ -48,7 +48,7 @@
     });
   });
   app.get('/operators/templates', () => listTemplates());
-  app.post('/operators/templates', changeTemplate);
+  app.post('/operators/templates', handleChange);
   app.get('/operators/templates/:account', event => {
     const account = event.context.params?.['account'] ?? '';
     const known = config.getState().templates.get(account);
@@ -75,7 +75,7 @@
     }));
   }
 
-  async function changeTemplate(event: H3Event): Promise<Response> {
+  async function handleChange(event: H3Event): Promise<Response> {
     const operator = tryGetOperator(event)?.name ?? '';
     const change = changeSchema.safeParse(await readJson(event));
     if (!change.success) return createAnswer(400, {error: 'malformed change'});
--- a/src/entry/pipeline.ts
+++ b/src/entry/pipeline.ts
@@ -13,7 +13,7 @@
 import {claimRequest, settleFailure} from './claim_request';
 import {createClaimedModelRun} from './claimed_model';
 import {createOpenRequests} from './open_requests';
-import {createSummarySink, summariseService} from './summary';
+import {createSummarySink, createServiceSummary} from './summary';
 import type {
   ModelInput,
   RequestInput,
@@ -123,15 +123,15 @@
     const request = createAdmittedRequest(input, {clock, selectServers});
     const close = open.add();
     try {
-      const answer = await answerService(request, signal);
-      onSummary(summariseService(request, clock.getMonotonicMs(), answer));
+      const answer = await callServiceWithClaim(request, signal);
+      onSummary(createServiceSummary(request, clock.getMonotonicMs(), answer));
       return answer;
     } finally {
       close();
     }
   }
 
-  async function answerService(
+  async function callServiceWithClaim(
     request: AdmittedRequest<ServiceInput>,
     signal?: AbortSignal,
   ): Promise<Result<ServiceResult, RequestFailure>> {
--- a/src/entry/summary.ts
+++ b/src/entry/summary.ts
@@ -52,26 +52,26 @@
 
   function onEnd(end: AnswerEnd): void {
     if (isClosed) return;
-    finish(end.engine, undefined);
+    emitSummary(end.engine, undefined);
     sink.onEnd(end);
   }
 
   function onFailure(failure: RequestFailure): void {
     if (isClosed) return;
-    finish(undefined, failure);
+    emitSummary(undefined, failure);
     sink.onFailure(failure);
   }
 
   function cancel(): void {
     if (isClosed) return;
     const verdict = tokens > 0 ? Verdict.Ran : Verdict.MayHaveRun;
-    finish(
+    emitSummary(
       undefined,
       createFailure(FailureKind.Cancelled, 'the caller went away', {verdict}),
     );
   }
 
-  function finish(
+  function emitSummary(
     engine: string | undefined,
     failure: RequestFailure | undefined,
   ): void {
@@ -95,7 +95,7 @@
 }
 
 /** Sums up a call of a plain service. */
-export function summariseService(
+export function createServiceSummary(
   request: AdmittedRequest<ServiceInput>,
   nowMs: number,
   answer: Result<ServiceResult, RequestFailure>,
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -105,8 +105,8 @@
         prefixTokens: request.prefixTokens,
       },
       {
-        onTokens: batch => deliverTokens(entry, batch),
-        onEnd: end => endRequest(entry, end),
+        onTokens: batch => handleTokens(entry, batch),
+        onEnd: end => settleRequest(entry, end),
         onFailure: failure => retryRequest(entry, failure),
       },
     );
@@ -130,14 +130,14 @@
     return engine.report.models.includes(entry.request.model);
   }
 
-  function deliverTokens(entry: OpenRequest, batch: TokenBatch): void {
+  function handleTokens(entry: OpenRequest, batch: TokenBatch): void {
     if (entry.isClosed || batch.firstIndex !== entry.nextTokenIndex) return;
     entry.nextTokenIndex += batch.count;
     entry.deliveredText += batch.text;
     entry.sink.onTokens(batch);
   }
 
-  function endRequest(entry: OpenRequest, end: EngineEnd): void {
+  function settleRequest(entry: OpenRequest, end: EngineEnd): void {
     if (entry.isClosed) return;
     const engine = entry.engine?.server.id ?? '';
     closeRequest(entry);
--- a/src/standins/engine_model.ts
+++ b/src/standins/engine_model.ts
@@ -208,13 +208,13 @@
     const prefilling = batch.find(running => running.prefillLeft > 0);
     if (prefilling !== undefined) {
       prefilling.prefillLeft = 0;
-      generateToken(prefilling);
+      runDecodeStep(prefilling);
       return;
     }
-    for (const running of batch) generateToken(running);
+    for (const running of batch) runDecodeStep(running);
   }
 
-  function generateToken(running: RunningRequest): void {
+  function runDecodeStep(running: RunningRequest): void {
     if (!requests.has(running.request.requestId)) return;
     const index = running.generated++;
     emitToken(running, index);
@@ -290,7 +290,7 @@
     const {order} = command;
     switch (order.kind) {
       case 'set-role':
-        changeRole(order.role);
+        setRole(order.role);
         return;
       case 'load-model':
         models.add(order.model);
@@ -312,7 +312,7 @@
     }
   }
 
-  function changeRole(next: EngineRole): void {
+  function setRole(next: EngineRole): void {
     if (next === role) return;
     state = EngineState.ChangingRole;
     clock.schedule(roleChangeMs, () => {
--- a/src/standins/log_model.ts
+++ b/src/standins/log_model.ts
@@ -121,10 +121,10 @@
     ) {
       expired++;
     }
-    dropRecords(stream, expired);
+    removeRecords(stream, expired);
   }
 
-  function dropRecords(stream: Stream, count: number): void {
+  function removeRecords(stream: Stream, count: number): void {
     if (count === 0) return;
     stream.records.splice(0, count);
     stream.firstOffset += count;
@@ -188,7 +188,7 @@
 
   function trim(name: string, offset: number): void {
     const stream = getStream(name);
-    dropRecords(
+    removeRecords(
       stream,
       Math.min(stream.records.length, Math.max(0, offset - stream.firstOffset)),
     );
--- a/src/standins/log_server.ts
+++ b/src/standins/log_server.ts
@@ -14,7 +14,7 @@
     if (answer === 'throttled') return createStatus(429);
     // A caller whose answer is lost sees its connection end without one.
     if (model.takeLostReply()) return new Promise<never>(() => undefined);
-    await delayAnswer(model);
+    await waitForDelay(model);
     return {offset: answer};
   });
   app.get('/streams/:stream', async event => {
@@ -25,7 +25,7 @@
     await new Promise<void>(resolve =>
       model.waitForRecord(stream, fromOffset, waitMs, resolve),
     );
-    await delayAnswer(model);
+    await waitForDelay(model);
     const maxRecords = Number(query.get('max') ?? DEFAULT_MAX_RECORDS);
     const answer = model.read(stream, fromOffset, maxRecords);
     if (answer === 'down') return createStatus(503);
@@ -39,7 +39,7 @@
   return new Response('', {status});
 }
 
-async function delayAnswer(model: LogModel): Promise<void> {
+async function waitForDelay(model: LogModel): Promise<void> {
   const delayMs = model.getDelayMs();
   if (delayMs === 0) return;
   await new Promise(resolve => setTimeout(resolve, delayMs));
--- a/src/standins/vm_list_server.ts
+++ b/src/standins/vm_list_server.ts
@@ -25,21 +25,21 @@
   const lagMs = options.lagMs ?? 0;
   const vms = new Map<string, Vm>();
   return {
-    setVm: vm => showLate(() => vms.set(vm.id, vm)),
+    setVm: vm => applyLate(() => vms.set(vm.id, vm)),
     setLeaving,
-    removeVm: id => showLate(() => vms.delete(id)),
+    removeVm: id => applyLate(() => vms.delete(id)),
     getVms: () => [...vms.values()],
     list: () => Promise.resolve(Ok([...vms.values()])),
   };
 
   function setLeaving(id: string): void {
-    showLate(() => {
+    applyLate(() => {
       const vm = vms.get(id);
       if (vm !== undefined) vms.set(id, {...vm, state: VmState.Leaving});
     });
   }
 
-  function showLate(change: () => void): void {
+  function applyLate(change: () => void): void {
     if (lagMs === 0) change();
     else clock.schedule(lagMs, change);
   }
--- a/src/state/config_fold.ts
+++ b/src/state/config_fold.ts
@@ -78,33 +78,33 @@
   switch (entry.kind) {
     case 'template-publish':
       if (known !== undefined) {
-        return rejectEntry(
+        return refuseEntry(
           context,
           `published by ${known.current.operator} as version ${known.current.version}`,
         );
       }
-      return acceptTemplate(state, entry, context, 0);
+      return applyTemplate(state, entry, context, 0);
     case 'template-amend':
-      if (known === undefined) return rejectEntry(context, 'not published');
+      if (known === undefined) return refuseEntry(context, 'not published');
       if (known.current.version !== entry.baseVersion) {
-        return rejectEntry(
+        return refuseEntry(
           context,
           `amended by ${known.current.operator}: version ${known.current.version} is in force, not ${entry.baseVersion}`,
         );
       }
       if (!known.template.operators.includes(entry.operator)) {
-        return rejectEntry(
+        return refuseEntry(
           context,
           `operator ${entry.operator} may not amend it`,
         );
       }
-      return acceptTemplate(state, entry, context, entry.baseVersion);
+      return applyTemplate(state, entry, context, entry.baseVersion);
     default:
       return assertNever(entry);
   }
 }
 
-function acceptTemplate(
+function applyTemplate(
   state: ConfigState,
   entry: ConfigEntry,
   context: EntryContext,
@@ -119,12 +119,12 @@
     acceptedAtMs: context.appendedAtMs,
   };
   const history = [...(known?.history ?? []), current].slice(-MAX_HISTORY);
-  forgetKeys(state, known);
-  storeTemplate(state, {template: entry.template, current, history});
+  removeKeys(state, known);
+  addTemplate(state, {template: entry.template, current, history});
   return {kind: 'accepted', position: getPosition(context)};
 }
 
-function forgetKeys(
+function removeKeys(
   state: ConfigState,
   known: TemplateState | undefined,
 ): void {
@@ -136,7 +136,7 @@
   }
 }
 
-function storeTemplate(state: ConfigState, entry: TemplateState): void {
+function addTemplate(state: ConfigState, entry: TemplateState): void {
   const account = entry.template.client_account;
   state.templates.set(account, entry);
   for (const hash of entry.template.api_key_sha256) {
@@ -146,7 +146,7 @@
   }
 }
 
-function rejectEntry(context: EntryContext, reason: string): EntryOutcome {
+function refuseEntry(context: EntryContext, reason: string): EntryOutcome {
   return {kind: 'rejected', position: getPosition(context), reason};
 }
 
@@ -160,7 +160,7 @@
   for (const item of data as TemplateState[]) {
     const parsed = templateSchema.safeParse(item.template);
     if (!parsed.success) return undefined;
-    storeTemplate(state, {...item, template: parsed.data});
+    addTemplate(state, {...item, template: parsed.data});
   }
   return state;
 }
--- a/src/state/stream_fold.ts
+++ b/src/state/stream_fold.ts
@@ -29,7 +29,7 @@
   /** Applies the record; returns its entries, or none when it was skipped. */
   applyRecord(record: LogRecord): ReadonlyArray<AppliedEntry<Entry>>;
   /** Goes on at `offset`: what lies before has expired. */
-  skipTo(offset: number): void;
+  advanceTo(offset: number): void;
   exportSnapshot(): FoldSnapshot;
   importSnapshot(snapshot: FoldSnapshot): boolean;
 }
@@ -58,7 +58,7 @@
     getNextOffset: () => nextOffset,
     getCounts: () => counts,
     applyRecord,
-    skipTo,
+    advanceTo,
     exportSnapshot,
     importSnapshot,
   };
@@ -76,7 +76,7 @@
       return [];
     }
     const {writer, sequence, entries} = decoded.envelope;
-    if (!markWriter(writer, sequence, record.appendedAtMs)) {
+    if (!recordWriter(writer, sequence, record.appendedAtMs)) {
       counts.duplicates++;
       return [];
     }
@@ -109,7 +109,7 @@
   }
 
   /** Returns false for a record that repeats or precedes one already applied. */
-  function markWriter(
+  function recordWriter(
     writer: string,
     sequence: number,
     appendedAtMs: number,
@@ -133,7 +133,7 @@
     }
   }
 
-  function skipTo(offset: number): void {
+  function advanceTo(offset: number): void {
     nextOffset = Math.max(nextOffset, offset);
   }
 
--- a/src/state/stream_follower.ts
+++ b/src/state/stream_follower.ts
@@ -88,7 +88,7 @@
     if (!isRunning) return;
     if (answer.err) {
       if (answer.val.kind === PlatformFailureKind.Expired) {
-        fold.skipTo(answer.val.firstOffset ?? fold.getNextOffset());
+        fold.advanceTo(answer.val.firstOffset ?? fold.getNextOffset());
         updateHealth(true, '');
         return;
       }
--- /dev/null
+++ b/test/lint/naming.test.ts
@@ -0,0 +1,29 @@
+/** The naming rules find a wrong name. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {Linter} from 'eslint';
+import {namingPlugin} from '../../scripts/eslint_naming.mjs';
+
+function listFaults(code: string, filename: string): string[] {
+  const linter = new Linter();
+  const config = {
+    files: ['**/*.ts'],
+    plugins: {naming: namingPlugin as never},
+    rules: {'naming/function-verb': 'error', 'naming/file-name': 'error'},
+  } as const;
+  return linter
+    .verify(code, config as never, {filename})
+    .map(message => message.message);
+}
+
+test('a nested function without a listed verb is refused', () => {
+  const code = 'export function getA() { function whatever() {} whatever(); }';
+  const faults = listFaults(code, 'src/good_name.ts');
+  assert.equal(faults.length, 1);
+  assert.match(faults[0], /"whatever"/);
+});
+
+test('a file that is not snake_case is refused', () => {
+  const faults = listFaults('export function getA() {}', 'src/BadName.ts');
+  assert.deepEqual(faults, ['File name "BadName.ts" is not snake_case.']);
+});
