Bound the callers' bodies and name what is wrong with a request

Cause: a body was read whole before its length was checked, so a caller without Content-Length could fill the node's memory; a header of several words was taken as a key; an answer that was not streamed went on when its caller left.

Now bodies are read up to the limit and refused with 413, headers are parsed in caller_options.ts, strangers are refused before their body is read, and a caller's disconnect cancels.

--- a/src/entry/caller_app.ts
+++ b/src/entry/caller_app.ts
@@ -1,14 +1,17 @@
 /** The callers' HTTP: completions in the shape of the OpenAI API, and plain services. */
 import {randomUUID} from 'node:crypto';
 import {H3, type H3Event} from 'h3';
+import {Err, Ok, type Result} from 'ts-results';
 import type {Clock} from '../runtime';
-import type {ConfigState, TemplateState} from '../state';
-import {createFailure, FailureKind, Verdict} from '../verdict';
+import type {ConfigState, Template} from '../state';
+import {createFailure, FailureKind, type RequestFailure} from '../verdict';
 import {tryGetAccount} from './authenticate';
+import {parseCallerOptions} from './caller_options';
 import {createCompletionResponse} from './completion_response';
-import {parseCompletion} from './completion_schema';
+import {type CompletionRequest, parseCompletion} from './completion_schema';
 import {createErrorResponse} from './error_response';
-import type {CallerOptions, RequestPipeline} from './types';
+import {tryReadBody} from './read_body';
+import type {CallerOptions, ModelInput, RequestPipeline} from './types';
 
 /** Options of the callers' application. */
 export interface CallerAppOptions {
@@ -27,25 +30,37 @@
 const DEFAULT_MAX_BODY_BYTES = 8 * 1_024 * 1_024;
 /** When a caller refused by a node that is not ready should try again, in milliseconds. */
 const NOT_READY_RETRY_AFTER_MS = 500;
-const MAX_KEY_LENGTH = 255;
-const MAX_DEADLINE_MS = 3_600_000;
 /** Characters of a prompt that one token stands for, as an estimate. */
 const CHARACTERS_PER_TOKEN = 4;
 /** Request headers that plain services get. */
 const FORWARDED_HEADERS = ['content-type', 'accept'];
 
+/** What every authenticated request has. */
+interface CallerRequest {
+  readonly template: Template;
+  readonly options: CallerOptions;
+  readonly body: string;
+}
+
 /** Creates the application. */
 export function createCallerApp(options: CallerAppOptions): H3 {
   const {clock, pipeline, isReady, getConfig} = options;
   const maxBodyBytes = options.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-  const app = new H3();
+  const app = new H3({onError: error => createUnhandledResponse(error.status)});
   app.get('/healthz', () => ({status: 'ok'}));
   app.get('/readyz', () =>
     isReady()
       ? {status: 'ready'}
       : new Response('{"status":"not ready"}', {status: 503}),
   );
-  app.get('/metrics', () => options.renderMetrics?.() ?? '');
+  app.get(
+    '/metrics',
+    () =>
+      new Response(options.renderMetrics?.() ?? '', {
+        headers: {'content-type': 'text/plain; version=0.0.4'},
+      }),
+  );
+  app.get('/v1/models', handleModels);
   app.post('/v1/chat/completions', event => handleCompletion(event, 'chat'));
   app.post('/v1/completions', event => handleCompletion(event, 'text'));
   app.all('/services/:service/**', handleService);
@@ -58,171 +73,146 @@
   );
   return app;
 
+  async function handleModels(event: H3Event): Promise<Response> {
+    const requestId = createRequestId();
+    const request = await readRequest(event, requestId);
+    if (request.err) return createErrorResponse(request.val, requestId);
+    const data = request.val.template.models.map(id => ({
+      id,
+      object: 'model',
+      created: 0,
+      owned_by: 'anvilstack',
+    }));
+    return Response.json({object: 'list', data});
+  }
+
   async function handleCompletion(
     event: H3Event,
     shape: 'chat' | 'text',
   ): Promise<Response> {
     const requestId = createRequestId();
-    const account = getAccount(event);
-    if (account instanceof Response) return account;
-    const caller = parseCallerOptions(event, requestId);
-    if (caller instanceof Response) return caller;
-    const body = await readBody(event, requestId, maxBodyBytes);
-    if (body instanceof Response) return body;
-    const parsed = parseCompletion(shape, body);
+    const request = await readRequest(event, requestId);
+    if (request.err) return createErrorResponse(request.val, requestId);
+    const parsed = parseCompletion(shape, request.val.body);
     if (parsed.kind === 'malformed') {
-      return refuse(FailureKind.BadRequest, parsed.message, requestId);
+      const failure = createFailure(FailureKind.BadRequest, parsed.message);
+      return createErrorResponse(failure, requestId);
     }
-    const {completion} = parsed;
+    const input = createModelInput(request.val, parsed.completion);
     return createCompletionResponse({
-      completion,
+      completion: parsed.completion,
       requestId,
       createdAtS: Math.floor(clock.getWallMs() / 1_000),
-      start: sink =>
-        pipeline.runModel(
-          {
-            kind: 'model',
-            template: account.template,
-            options: caller,
-            model: completion.model,
-            prompt: completion.prompt,
-            promptTokens: Math.ceil(
-              completion.prompt.length / CHARACTERS_PER_TOKEN,
-            ),
-            maxTokens: completion.maxTokens,
-            prefixHashes: [],
-            prefixTokens: 0,
-          },
-          sink,
-        ),
+      signal: event.req.signal,
+      start: sink => pipeline.runModel(input, sink),
     });
   }
 
   async function handleService(event: H3Event): Promise<Response> {
     const requestId = createRequestId();
-    const account = getAccount(event);
-    if (account instanceof Response) return account;
-    const caller = parseCallerOptions(event, requestId);
-    if (caller instanceof Response) return caller;
-    const body = await readBody(event, requestId, maxBodyBytes);
-    if (body instanceof Response) return body;
+    const request = await readRequest(event, requestId);
+    if (request.err) return createErrorResponse(request.val, requestId);
     const service = event.context.params?.['service'] ?? '';
     const answer = await pipeline.runService(
       {
         kind: 'service',
-        template: account.template,
-        options: caller,
+        ...request.val,
         service,
         method: event.req.method,
         path: getServicePath(event.url, service),
-        headers: getForwardedHeaders(event),
-        body,
+        headers: getForwardedHeaders(event.req.headers),
       },
       event.req.signal,
     );
     if (answer.err) return createErrorResponse(answer.val, requestId);
-    return new Response(answer.val.body, {
-      status: answer.val.status,
-      headers: {
-        'content-type': answer.val.contentType,
-        'anvilstack-request-id': requestId,
-        'anvilstack-verdict': answer.val.verdict,
+    return new Response(
+      canHaveBody(answer.val.status) ? answer.val.body : null,
+      {
+        status: answer.val.status,
+        headers: {
+          'content-type': answer.val.contentType,
+          'anvilstack-request-id': requestId,
+          'anvilstack-verdict': answer.val.verdict,
+        },
       },
-    });
+    );
   }
 
-  function getAccount(event: H3Event): TemplateState | Response {
+  /** Authenticates before the body is read, so that strangers cost little. */
+  async function readRequest(
+    event: H3Event,
+    requestId: string,
+  ): Promise<Result<CallerRequest, RequestFailure>> {
     if (!isReady()) {
-      const failure = createFailure(
-        FailureKind.Unavailable,
-        'the node is not ready',
-        {retryAfterMs: NOT_READY_RETRY_AFTER_MS},
-      );
-      return createErrorResponse(failure, createRequestId());
+      return fail(FailureKind.Unavailable, 'the node is not ready', {
+        retryAfterMs: NOT_READY_RETRY_AFTER_MS,
+      });
     }
-    const account = tryGetAccount(
-      getConfig(),
-      event.req.headers.get('authorization'),
-    );
-    return (
-      account ??
-      refuse(
+    const {headers} = event.req;
+    const account = tryGetAccount(getConfig(), headers.get('authorization'));
+    if (account === undefined) {
+      return fail(
         FailureKind.Unauthorized,
         'the API key is missing or unknown',
-        createRequestId(),
-      )
-    );
+      );
+    }
+    const callerOptions = parseCallerOptions(headers, requestId);
+    if (callerOptions.err) {
+      return fail(FailureKind.BadRequest, callerOptions.val);
+    }
+    const body = await tryReadBody(event, maxBodyBytes);
+    if (body === undefined) {
+      return fail(
+        FailureKind.TooLarge,
+        `the body is longer than ${maxBodyBytes} bytes`,
+      );
+    }
+    return Ok({template: account.template, options: callerOptions.val, body});
   }
 }
 
+function createModelInput(
+  request: CallerRequest,
+  completion: CompletionRequest,
+): ModelInput {
+  const {prompt} = completion;
+  return {
+    kind: 'model',
+    template: request.template,
+    options: request.options,
+    model: completion.model,
+    prompt,
+    promptTokens: Math.ceil(prompt.length / CHARACTERS_PER_TOKEN),
+    maxTokens: completion.maxTokens,
+    prefixHashes: [],
+    prefixTokens: 0,
+  };
+}
+
 function createRequestId(): string {
   return `req-${randomUUID()}`;
 }
 
-function refuse(
+function fail(
   kind: FailureKind,
   message: string,
-  requestId: string,
-): Response {
-  return createErrorResponse(
-    createFailure(kind, message, {verdict: Verdict.NotRun}),
-    requestId,
-  );
-}
-
-function parseCallerOptions(
-  event: H3Event,
-  requestId: string,
-): CallerOptions | Response {
-  const {headers} = event.req;
-  const key = headers.get('idempotency-key') ?? undefined;
-  if (key !== undefined && (key === '' || key.length > MAX_KEY_LENGTH)) {
-    return refuse(
-      FailureKind.BadRequest,
-      `Idempotency-Key has 1 to ${MAX_KEY_LENGTH} characters`,
-      requestId,
-    );
-  }
-  const deadlineMs = parseNumber(headers.get('anvilstack-deadline-ms'));
-  if (
-    deadlineMs !== undefined &&
-    !(deadlineMs > 0 && deadlineMs <= MAX_DEADLINE_MS)
-  ) {
-    return refuse(
-      FailureKind.BadRequest,
-      `Anvilstack-Deadline-Ms is a number from 1 to ${MAX_DEADLINE_MS}`,
-      requestId,
-    );
-  }
-  const priority = parseNumber(headers.get('anvilstack-priority'));
-  if (priority !== undefined && !(priority >= 0 && priority <= 99)) {
-    return refuse(
-      FailureKind.BadRequest,
-      'Anvilstack-Priority is a number from 0 to 99',
-      requestId,
-    );
-  }
-  return {requestId, idempotencyKey: key, deadlineMs, priority};
+  options: {retryAfterMs?: number} = {},
+): Err<RequestFailure> {
+  return Err(createFailure(kind, message, options));
 }
 
-function parseNumber(text: string | null): number | undefined {
-  if (text === null) return undefined;
-  return text.trim() === '' ? Number.NaN : Number(text);
+/** A fault of this program: the text of the error stays in the log. */
+function createUnhandledResponse(status: number | undefined): Response {
+  const kind =
+    status !== undefined && status < 500
+      ? FailureKind.BadRequest
+      : FailureKind.Internal;
+  const failure = createFailure(kind, 'the request could not be handled');
+  return createErrorResponse(failure, createRequestId());
 }
 
-async function readBody(
-  event: H3Event,
-  requestId: string,
-  maxBytes: number,
-): Promise<string | Response> {
-  const declared = Number(event.req.headers.get('content-length') ?? 0);
-  const body = declared > maxBytes ? '' : await event.req.text();
-  if (declared <= maxBytes && Buffer.byteLength(body) <= maxBytes) return body;
-  return refuse(
-    FailureKind.BadRequest,
-    `the body is longer than ${maxBytes} bytes`,
-    requestId,
-  );
+function canHaveBody(status: number): boolean {
+  return status !== 204 && status !== 205 && status !== 304;
 }
 
 function getServicePath(url: URL, service: string): string {
@@ -230,10 +220,10 @@
   return `${path === '' ? '/' : path}${url.search}`;
 }
 
-function getForwardedHeaders(event: H3Event): Record<string, string> {
+function getForwardedHeaders(headers: Headers): Record<string, string> {
   const forwarded: Record<string, string> = {};
   for (const name of FORWARDED_HEADERS) {
-    const value = event.req.headers.get(name);
+    const value = headers.get(name);
     if (value !== null) forwarded[name] = value;
   }
   return forwarded;
--- a/src/entry/completion_response.ts
+++ b/src/entry/completion_response.ts
@@ -17,6 +17,8 @@
   readonly requestId: string;
   /** Seconds since the Unix epoch. */
   readonly createdAtS: number;
+  /** Aborted when the caller goes away. */
+  readonly signal: AbortSignal;
   readonly start: (sink: AnswerSink) => RequestHandle;
 }
 
@@ -37,7 +39,7 @@
 ): Promise<Response> {
   return new Promise(resolve => {
     let text = '';
-    options.start({
+    const handle = options.start({
       onTokens: batch => {
         text += batch.text;
       },
@@ -50,6 +52,7 @@
       onFailure: failure =>
         resolve(createErrorResponse(failure, options.requestId)),
     });
+    options.signal.addEventListener('abort', handle.cancel, {once: true});
   });
 }
 
@@ -74,6 +77,7 @@
       },
     });
     stream.setHandle(handle);
+    options.signal.addEventListener('abort', handle.cancel, {once: true});
 
     function sendOnce(): void {
       if (isAnswered) return;
--- a/src/entry/error_response.ts
+++ b/src/entry/error_response.ts
@@ -3,6 +3,7 @@
 
 const STATUS_OF_KIND: Readonly<Record<FailureKind, number>> = {
   [FailureKind.BadRequest]: 400,
+  [FailureKind.TooLarge]: 413,
   [FailureKind.Unauthorized]: 401,
   [FailureKind.Forbidden]: 403,
   [FailureKind.NotFound]: 404,
@@ -13,11 +14,13 @@
   [FailureKind.Unavailable]: 503,
   [FailureKind.BackendFailed]: 502,
   [FailureKind.LogUnavailable]: 503,
+  [FailureKind.Internal]: 500,
   [FailureKind.Cancelled]: 499,
 };
 
 const TYPE_OF_KIND: Readonly<Record<FailureKind, string>> = {
   [FailureKind.BadRequest]: 'invalid_request_error',
+  [FailureKind.TooLarge]: 'invalid_request_error',
   [FailureKind.Unauthorized]: 'authentication_error',
   [FailureKind.Forbidden]: 'permission_error',
   [FailureKind.NotFound]: 'not_found_error',
@@ -28,6 +31,7 @@
   [FailureKind.Unavailable]: 'server_error',
   [FailureKind.BackendFailed]: 'server_error',
   [FailureKind.LogUnavailable]: 'server_error',
+  [FailureKind.Internal]: 'server_error',
   [FailureKind.Cancelled]: 'cancelled',
 };
 
--- a/src/verdict/verdict.ts
+++ b/src/verdict/verdict.ts
@@ -15,6 +15,8 @@
 export const FailureKind = {
   /** The request is malformed or not allowed. */
   BadRequest: 'bad-request',
+  /** The request's body is longer than allowed. */
+  TooLarge: 'too-large',
   /** The caller could not be authenticated. */
   Unauthorized: 'unauthorized',
   /** The caller may not use this model, service or stream. */
@@ -35,6 +37,8 @@
   BackendFailed: 'backend-failed',
   /** The platform's log is out, so a non-idempotent request cannot be claimed. */
   LogUnavailable: 'log-unavailable',
+  /** A fault of this program; nothing was sent. */
+  Internal: 'internal',
   /** The caller went away. */
   Cancelled: 'cancelled',
 } as const;
--- /dev/null
+++ b/test/support/template.ts
@@ -0,0 +1,26 @@
+/** Templates for tests. */
+import {getKeyHash} from '../../src/entry';
+import {type Template, templateSchema} from '../../src/state';
+
+/** Returns a template with defaults, changed by `changes`. */
+export function createTestTemplate(
+  changes: Partial<Record<keyof Template, unknown>> = {},
+): Template {
+  return templateSchema.parse({
+    client_account: 'studio',
+    api_key_sha256: [getKeyHash('key-of-studio')],
+    operators: ['anna'],
+    models: ['small'],
+    services: ['order-desk'],
+    request_class: [
+      {
+        name: 'booking',
+        kind: 'service',
+        service: 'order-desk',
+        idempotent: false,
+        deadline_ms: 5_000,
+      },
+    ],
+    ...changes,
+  });
+}
