Abandon appends nobody waits for, stop writers at once, bound records

Cause: the writer repeated an append whose entries had all timed out until it landed, possibly minutes after the caller had been told that it may have taken effect; stop() left sent entries waiting for their time-outs; write() after stop() waited too; a group had no bound in bytes; retries had no jitter. Ruled out: keeping the retry and writing a void record, which costs an append and gives the same certainty as the next group's higher sequence. Follower: a stop followed by a start while a read was open gave two loops; a gap left by expired records is now counted and reported to the stream definition. Conclusion: once a later entry is read back, an abandoned one never has effect.

--- a/src/state/stream_fold.ts
+++ b/src/state/stream_fold.ts
@@ -30,6 +30,8 @@
   applyRecord(record: LogRecord): ReadonlyArray<AppliedEntry<Entry>>;
   /** Goes on at `offset`: what lies before has expired. */
   advanceTo(offset: number): void;
+  /** False while expired records may hide what is in force. */
+  isComplete(): boolean;
   exportSnapshot(): FoldSnapshot;
   importSnapshot(snapshot: FoldSnapshot): boolean;
 }
@@ -52,6 +54,7 @@
     malformed: 0,
     unknownVersion: 0,
     unknownEntries: 0,
+    gaps: 0,
   };
   return {
     getState: () => state,
@@ -59,6 +62,7 @@
     getCounts: () => counts,
     applyRecord,
     advanceTo,
+    isComplete: () => definition.isComplete?.(state) ?? true,
     exportSnapshot,
     importSnapshot,
   };
@@ -134,7 +138,10 @@
   }
 
   function advanceTo(offset: number): void {
-    nextOffset = Math.max(nextOffset, offset);
+    if (offset <= nextOffset) return;
+    nextOffset = offset;
+    counts.gaps++;
+    definition.applyGap?.(state, offset);
   }
 
   function exportSnapshot(): FoldSnapshot {
--- a/src/state/stream_follower.ts
+++ b/src/state/stream_follower.ts
@@ -1,5 +1,9 @@
 /** The task that reads one stream of the log and folds it. */
-import {type LogService, PlatformFailureKind} from '../platform';
+import {
+  type LogService,
+  type PlatformFailure,
+  PlatformFailureKind,
+} from '../platform';
 import type {Clock} from '../runtime';
 import {createStreamFold} from './stream_fold';
 import type {
@@ -18,6 +22,8 @@
   readonly waitMs?: number;
   /** Longest pause after a failed read, in milliseconds. */
   readonly maxBackoffMs?: number;
+  /** Returns a number from 0 to 1 that spreads the retries of several processes. */
+  readonly getRandom?: () => number;
   /** Called when the log's answers stop or come back. */
   readonly onHealthChange?: (isHealthy: boolean, message: string) => void;
 }
@@ -34,10 +40,12 @@
   const {definition, log, clock} = options;
   const waitMs = options.waitMs ?? DEFAULT_WAIT_MS;
   const maxBackoffMs = options.maxBackoffMs ?? DEFAULT_MAX_BACKOFF_MS;
+  const getRandom = options.getRandom ?? (() => 0.5);
   const fold = createStreamFold(definition);
   const listeners = new Set<EntryListener<Entry>>();
+  let run = 0;
   let isRunning = false;
-  let isCaughtUp = false;
+  let hasReachedEnd = false;
   let isHealthy = true;
   let lastAnswerAtMs = clock.getMonotonicMs();
   let backoffMs = MIN_BACKOFF_MS;
@@ -47,7 +55,7 @@
     getNextOffset: fold.getNextOffset,
     getCounts: fold.getCounts,
     getSilenceMs: () => clock.getMonotonicMs() - lastAnswerAtMs,
-    isCaughtUp: () => isCaughtUp,
+    isCaughtUp: () => hasReachedEnd && fold.isComplete(),
     subscribe,
     exportSnapshot: fold.exportSnapshot,
     importSnapshot,
@@ -62,39 +70,32 @@
 
   function importSnapshot(snapshot: FoldSnapshot): boolean {
     const isTaken = fold.importSnapshot(snapshot);
-    if (isTaken) isCaughtUp = true;
+    if (isTaken) hasReachedEnd = true;
     return isTaken;
   }
 
   function start(): void {
     if (isRunning) return;
     isRunning = true;
-    void followStream();
+    void followStream(++run);
   }
 
   function stop(): void {
     isRunning = false;
   }
 
-  async function followStream(): Promise<void> {
-    while (isRunning) await readPage();
+  async function followStream(ownRun: number): Promise<void> {
+    while (isRunning && run === ownRun) await readPage(ownRun);
   }
 
-  async function readPage(): Promise<void> {
+  async function readPage(ownRun: number): Promise<void> {
     const answer = await log.read(definition.stream, fold.getNextOffset(), {
       maxRecords: PAGE_RECORDS,
       waitMs,
     });
-    if (!isRunning) return;
+    if (!isRunning || run !== ownRun) return;
     if (answer.err) {
-      if (answer.val.kind === PlatformFailureKind.Expired) {
-        fold.advanceTo(answer.val.firstOffset ?? fold.getNextOffset());
-        updateHealth(true, '');
-        return;
-      }
-      updateHealth(false, answer.val.message);
-      await clock.sleep(backoffMs);
-      backoffMs = Math.min(maxBackoffMs, backoffMs * 2);
+      await handleFailure(answer.val);
       return;
     }
     updateHealth(true, '');
@@ -103,7 +104,20 @@
         for (const listener of listeners) listener(entry, outcome, context);
       }
     }
-    if (fold.getNextOffset() >= answer.val.endOffset) isCaughtUp = true;
+    if (fold.getNextOffset() >= answer.val.endOffset) hasReachedEnd = true;
+  }
+
+  async function handleFailure(failure: PlatformFailure): Promise<void> {
+    const {firstOffset} = failure;
+    const hasExpired = failure.kind === PlatformFailureKind.Expired;
+    if (hasExpired && firstOffset !== undefined) {
+      fold.advanceTo(firstOffset);
+      updateHealth(true, '');
+      return;
+    }
+    updateHealth(false, failure.message);
+    await clock.sleep(backoffMs * (0.5 + getRandom()));
+    backoffMs = Math.min(maxBackoffMs, backoffMs * 2);
   }
 
   function updateHealth(isHealthyNow: boolean, message: string): void {
--- a/src/state/stream_writer.ts
+++ b/src/state/stream_writer.ts
@@ -25,18 +25,25 @@
   /** How long the first entry of a group waits for others, in milliseconds. */
   readonly groupDelayMs?: number;
   readonly maxGroupEntries?: number;
+  /** Most bytes of entries in one record; a single larger entry goes alone. */
+  readonly maxGroupBytes?: number;
   readonly maxBackoffMs?: number;
+  /** Returns a number from 0 to 1 that spreads the retries of several writers. */
+  readonly getRandom?: () => number;
 }
 
 const DEFAULT_GROUP_DELAY_MS = 2;
 const DEFAULT_MAX_GROUP_ENTRIES = 256;
+const DEFAULT_MAX_GROUP_BYTES = 256 * 1_024;
 const DEFAULT_MAX_BACKOFF_MS = 500;
 const MIN_BACKOFF_MS = 10;
 
 interface PendingEntry<Entry> {
   readonly entry: Entry;
+  readonly sizeBytes: number;
   resolve(result: Result<EntryOutcome, PlatformFailure>): void;
   timer: Timer | undefined;
+  group: Group<Entry> | undefined;
   isSettled: boolean;
 }
 
@@ -44,17 +51,22 @@
   readonly sequence: number;
   readonly entries: ReadonlyArray<PendingEntry<Entry>>;
   readonly body: string;
-  mayHaveTakenEffect: boolean;
 }
 
-/** Creates a writer. One append is in flight at a time, so that sequences reach the log in order. */
+/**
+ * Creates a writer. One append is in flight at a time, so that sequences reach the log in order.
+ * A group whose entries have all timed out is abandoned: the next group's higher sequence makes
+ * the fold ignore the abandoned one, should it still reach the log.
+ */
 export function createStreamWriter<State, Entry>(
   options: StreamWriterOptions<State, Entry>,
 ): StreamWriter<Entry> {
   const {follower, log, clock, writer} = options;
   const groupDelayMs = options.groupDelayMs ?? DEFAULT_GROUP_DELAY_MS;
   const maxGroupEntries = options.maxGroupEntries ?? DEFAULT_MAX_GROUP_ENTRIES;
+  const maxGroupBytes = options.maxGroupBytes ?? DEFAULT_MAX_GROUP_BYTES;
   const maxBackoffMs = options.maxBackoffMs ?? DEFAULT_MAX_BACKOFF_MS;
+  const getRandom = options.getRandom ?? (() => 0.5);
   let queue: Array<PendingEntry<Entry>> = [];
   const unconfirmed = new Map<number, Group<Entry>>();
   let nextSequence = 1;
@@ -68,11 +80,14 @@
     entry: Entry,
     timeoutMs: number,
   ): Promise<Result<EntryOutcome, PlatformFailure>> {
+    if (isStopped) return Promise.resolve(Err(createStopped(false)));
     return new Promise(resolve => {
       const pending: PendingEntry<Entry> = {
         entry,
+        sizeBytes: JSON.stringify(entry).length,
         resolve,
         timer: undefined,
+        group: undefined,
         isSettled: false,
       };
       pending.timer = clock.schedule(timeoutMs, () => expireEntry(pending));
@@ -85,14 +100,20 @@
     isStopped = true;
     unsubscribe();
     for (const pending of queue)
-      settleEntry(pending, Err(createTimeout(false)));
+      settleEntry(pending, Err(createStopped(false)));
     queue = [];
+    for (const group of [...unconfirmed.values()]) {
+      failGroup(group, createStopped(true));
+    }
   }
 
   function expireEntry(pending: PendingEntry<Entry>): void {
-    const queuedAt = queue.indexOf(pending);
-    if (queuedAt >= 0) queue.splice(queuedAt, 1);
-    settleEntry(pending, Err(createTimeout(queuedAt < 0)));
+    const {group} = pending;
+    if (group === undefined) queue.splice(queue.indexOf(pending), 1);
+    settleEntry(pending, Err(createTimeout(group !== undefined)));
+    if (group?.entries.every(item => item.isSettled)) {
+      unconfirmed.delete(group.sequence);
+    }
   }
 
   async function sendGroups(): Promise<void> {
@@ -104,7 +125,7 @@
   }
 
   function takeGroup(): Group<Entry> {
-    const entries = queue.splice(0, maxGroupEntries);
+    const entries = queue.splice(0, countGroupEntries());
     const sequence = nextSequence++;
     const body = encodeEnvelope({
       version: ENVELOPE_VERSION,
@@ -112,19 +133,28 @@
       sequence,
       entries: entries.map(pending => pending.entry),
     });
-    const group = {sequence, entries, body, mayHaveTakenEffect: false};
+    const group = {sequence, entries, body};
+    for (const pending of entries) pending.group = group;
     unconfirmed.set(sequence, group);
     return group;
   }
 
-  /** Repeats the append until the log confirms it or the fold shows it. */
+  /** Counts the queued entries that fit into one record; at least one does. */
+  function countGroupEntries(): number {
+    let count = 0;
+    let sizeBytes = 0;
+    for (const pending of queue.slice(0, maxGroupEntries)) {
+      sizeBytes += pending.sizeBytes;
+      if (count > 0 && sizeBytes > maxGroupBytes) break;
+      count++;
+    }
+    return count;
+  }
+
+  /** Repeats the append until the log takes it, the fold shows it, or nobody waits for it. */
   async function sendGroup(group: Group<Entry>): Promise<void> {
     let backoffMs = MIN_BACKOFF_MS;
     while (!isStopped && unconfirmed.has(group.sequence)) {
-      if (isAbandoned(group)) {
-        unconfirmed.delete(group.sequence);
-        return;
-      }
       appendCount++;
       const answer = await log.append(follower.stream, group.body);
       if (answer.ok) return;
@@ -132,18 +162,11 @@
         failGroup(group, answer.val);
         return;
       }
-      if (answer.val.mayHaveTakenEffect) group.mayHaveTakenEffect = true;
-      await clock.sleep(backoffMs);
+      await clock.sleep(backoffMs * (0.5 + getRandom()));
       backoffMs = Math.min(maxBackoffMs, backoffMs * 2);
     }
   }
 
-  /** True when nobody waits for the group and it surely has not reached the log. */
-  function isAbandoned(group: Group<Entry>): boolean {
-    if (group.mayHaveTakenEffect) return false;
-    return group.entries.every(pending => pending.isSettled);
-  }
-
   function failGroup(group: Group<Entry>, failure: PlatformFailure): void {
     unconfirmed.delete(group.sequence);
     for (const pending of group.entries) settleEntry(pending, Err(failure));
@@ -180,3 +203,11 @@
     message: 'the log did not confirm the entry in time',
   };
 }
+
+function createStopped(mayHaveTakenEffect: boolean): PlatformFailure {
+  return {
+    kind: PlatformFailureKind.Unavailable,
+    mayHaveTakenEffect,
+    message: 'the writer has stopped',
+  };
+}
--- a/src/state/types.ts
+++ b/src/state/types.ts
@@ -53,6 +53,10 @@
   exportState(state: State): unknown;
   /** Returns undefined when the data is malformed. */
   tryRestoreState(data: unknown): State | undefined;
+  /** Called when the records before `offset` have expired unread. */
+  applyGap?(state: State, offset: number): void;
+  /** False while records that expired unread may hide what is in force. True when absent. */
+  isComplete?(state: State): boolean;
 }
 
 /** Counts of what a fold has skipped. */
@@ -62,6 +66,8 @@
   malformed: number;
   unknownVersion: number;
   unknownEntries: number;
+  /** Times that records expired before they were read. */
+  gaps: number;
 }
 
 /** A fold's state with its offset, as plain data. */
@@ -89,7 +95,7 @@
   getCounts(): Readonly<FoldCounts>;
   /** Returns how long ago the log last answered a read, in milliseconds. */
   getSilenceMs(): number;
-  /** True once the fold has reached the log's end, or a peer's snapshot, after the start. */
+  /** True once the fold has reached the log's end, or a peer's snapshot, and nothing is missing. */
   isCaughtUp(): boolean;
   /** Calls `listener` for each entry applied from now on; returns a function that stops it. */
   subscribe(listener: EntryListener<Entry>): () => void;
