Model engines with chunked prefill, KV memory, prefix cache and KV transfer

The engine stand-in prefilled a whole prompt in one step, had no KV limit and no prefix cache, and emitted one event per token: replays over it would say nothing about roles and would need a timer per token. It now batches continuously with chunks shared between prefill and decode, hands out KV memory in pieces (admission, growth, preemption of the last in order), keeps a chained prefix cache with late and lossy events, honours priorities, exports and imports KV cache, and drains before a role change. Between changes of the batch it jumps over equal steps; a test shows the same token times as stepping one by one.

Ruled out: a timer for each step (100,000 requests of 200 tokens would be 20 million timers), and sharing pieces between the cache and running requests (one more invariant for little gain; the cache has memory of its own).

Properties with fast-check: never more pieces than it has, every request ends exactly once, no timer left.

--- a/src/standins/engine_model.ts
+++ b/src/standins/engine_model.ts
@@ -1,134 +1,127 @@
 /**
- * A small model engine: continuous batching with a cost for prefill and decode.
- * It stands in for the platform's engines in the demo, in tests and in replays.
+ * A small model engine: continuous batching with chunked prefill, KV memory in
+ * pieces, a prefix cache and priorities. It stands in for the platform's engines
+ * in the demo, in tests and in replays. Between changes of the batch it jumps
+ * ahead over equal steps, so that a replay needs few timers.
  */
-import {Err, Ok, type Result} from 'ts-results';
+import {Err, type Result} from 'ts-results';
 import {
   type BackendFailure,
-  type CacheEvent,
   type EngineCall,
   type EngineCommand,
-  type EngineEnd,
   type EngineReport,
   type EngineRequest,
   EngineRole,
   type EngineSink,
   EngineState,
-  TOKENS_PER_PIECE,
 } from '../backends';
-import {assertNever, type Clock, type Timer} from '../runtime';
+import type {Timer} from '../runtime';
 import {Verdict} from '../verdict';
+import {
+  countPieces,
+  getContextTokens,
+  planStepRun,
+  type StepRun,
+} from './engine_model_batch';
+import {createPrefixCache} from './engine_model_cache';
+import {createEngineControl} from './engine_model_control';
+import {
+  compareQueued,
+  createQueued,
+  emitTokens,
+  endAnswer,
+  type Queued,
+  restartPrefill,
+} from './engine_model_request';
+import {
+  ENGINE_DEFAULTS,
+  type EngineModel,
+  type EngineModelOptions,
+  IMPORT_SETUP_MS,
+  IMPORT_TOKENS_PER_S,
+  KEEP_ENDED_MS,
+  KEEP_EXPORT_MS,
+  QUEUE_FACTOR,
+} from './engine_model_types';
+import {createReportHistory} from './report_history';
 
-/** Options of an engine model. */
-export interface EngineModelOptions {
-  readonly id: string;
-  readonly address: string;
-  readonly clock: Clock;
-  readonly role?: EngineRole;
-  readonly models?: readonly string[];
-  /** Prompt tokens prefilled a second. */
-  readonly prefillTokensPerS?: number;
-  /** Time of one decode step with an empty batch, in milliseconds. */
-  readonly decodeStepMs?: number;
-  /** What each running request adds to a decode step, in milliseconds. */
-  readonly decodeStepMsPerRequest?: number;
-  readonly maxRunning?: number;
-  /** KV memory in pieces of 2,048 tokens. */
-  readonly totalPieces?: number;
-  /** How long a role change takes the engine away, in milliseconds. */
-  readonly roleChangeMs?: number;
-  readonly checksFencing?: boolean;
-}
-
-/** A model engine with faults that can be ordered. */
-export interface EngineModel {
-  readonly id: string;
-  start(request: EngineRequest, sink: EngineSink): EngineCall;
-  resume(
-    requestId: string,
-    firstTokenIndex: number,
-    sink: EngineSink,
-  ): EngineCall;
-  cancel(requestId: string): void;
-  getReport(): EngineReport;
-  sendCommand(command: EngineCommand): Result<void, BackendFailure>;
-  listCacheEvents(afterSequence: number): readonly CacheEvent[];
-  /** Breaks every answer; the engine comes back empty, with its starting role. */
-  crash(downMs: number): void;
-  setLeaving(isLeaving: boolean): void;
-}
+export type {EngineModel, EngineModelOptions} from './engine_model_types';
 
-const DEFAULTS = {
-  prefillTokensPerS: 8_000,
-  decodeStepMs: 12,
-  decodeStepMsPerRequest: 0.4,
-  maxRunning: 64,
-  totalPieces: 256,
-  roleChangeMs: 4_000,
+const NO_CALL: EngineCall = {
+  cancel: () => undefined,
+  setPaused: () => undefined,
 };
-/** How long an ended answer can be resumed, in milliseconds. */
-const KEEP_ENDED_MS = 30_000;
-
-interface RunningRequest {
-  readonly request: EngineRequest;
-  sink: EngineSink | undefined;
-  prefillLeft: number;
-  generated: number;
-  end: EngineEnd | undefined;
-}
+const TOKENS_PER_CACHE_PIECE = 2_048;
 
 /** Creates an engine model that is ready at once. */
 export function createEngineModel(options: EngineModelOptions): EngineModel {
   const {id, clock} = options;
-  const startRole = options.role ?? EngineRole.Mixed;
-  const checksFencing = options.checksFencing ?? true;
-  const roleChangeMs = options.roleChangeMs ?? DEFAULTS.roleChangeMs;
-  const prefillTokensPerS =
-    options.prefillTokensPerS ?? DEFAULTS.prefillTokensPerS;
-  const decodeStepMs = options.decodeStepMs ?? DEFAULTS.decodeStepMs;
-  const decodeStepMsPerRequest =
-    options.decodeStepMsPerRequest ?? DEFAULTS.decodeStepMsPerRequest;
-  const maxRunning = options.maxRunning ?? DEFAULTS.maxRunning;
-  const totalPieces = options.totalPieces ?? DEFAULTS.totalPieces;
-  let models = new Set(options.models ?? ['small']);
-  const adapters = new Set<string>();
-  let role: EngineRole = startRole;
-  let state: EngineState = EngineState.Ready;
-  let version = '1';
-  let incarnation = 1;
-  let fencingNumber = 0;
-  let reportSequence = 0;
+  const costs = {...ENGINE_DEFAULTS, ...removeUndefined(options)};
+  const observer = options.observer ?? {};
+  const getRandom = options.getRandom ?? (() => 0);
+  const requests = new Map<string, Queued>();
+  const ended: Array<{readonly request: Queued; readonly untilMs: number}> = [];
+  const held = new Map<string, {readonly pieces: number; timer: Timer}>();
+  const history = createReportHistory(clock, options.reportLagMs ?? 0);
+  let waiting: Queued[] = [];
+  let running: Queued[] = [];
+  let usedPieces = 0;
+  let nextOrder = 0;
+  let nextHandle = 0;
   let isDown = false;
-  let stepTimer: Timer | undefined;
-  const requests = new Map<string, RunningRequest>();
+  let run:
+    {readonly plan: StepRun<Queued>; readonly startMs: number} | undefined;
+  let runTimer: Timer | undefined;
+  /** True while sinks hear of a run's end: what they start joins the next run. */
+  let isFinishing = false;
+  const cache = createPrefixCache({
+    clock,
+    capacityTokens: costs.cachePieces * TOKENS_PER_CACHE_PIECE,
+    eventLagMs: options.cacheEventLagMs ?? 0,
+    eventLoss: options.cacheEventLoss ?? 0,
+    getRandom,
+  });
+  const control = createEngineControl({
+    clock,
+    startRole: options.role ?? EngineRole.Mixed,
+    models: options.models ?? ['small'],
+    roleChangeMs: costs.roleChangeMs,
+    loadMs: costs.loadMs,
+    checksFencing: options.checksFencing ?? true,
+    observer,
+    getRandom,
+    isBusy: () => waiting.length + running.length + held.size > 0,
+    onRoleChange: cache.clear,
+  });
   return {
     id,
     start,
     resume,
     cancel,
-    getReport,
+    getReport: () => history.record(createReport()),
     sendCommand,
-    listCacheEvents: () => [],
+    listCacheEvents: cache.listEvents,
+    exportKv,
     crash,
-    setLeaving: isLeaving => {
-      state = isLeaving ? EngineState.Leaving : EngineState.Ready;
-    },
+    setLeaving: control.setLeaving,
+    isUp: () => !isDown,
   };
 
   function start(request: EngineRequest, sink: EngineSink): EngineCall {
+    observer.onOffered?.(request, control.isLeaving());
     const refusal = tryGetRefusal(request);
     if (refusal !== undefined) {
       clock.schedule(0, () => sink.onFailure(refusal));
-      return {cancel: () => undefined, setPaused: () => undefined};
+      return NO_CALL;
+    }
+    const queued = createQueued(request, sink, nextOrder++);
+    requests.set(request.requestId, queued);
+    enqueue(queued);
+    if (request.phase === 'decode' && request.kv !== undefined) {
+      importKv(queued);
+    } else {
+      changeBatch();
     }
-    requests.set(request.requestId, {
-      request,
-      sink,
-      prefillLeft: request.promptTokens + request.firstTokenIndex,
-      generated: request.firstTokenIndex,
-      end: undefined,
-    });
-    scheduleStep();
     return createCall(request.requestId);
   }
 
@@ -136,200 +129,336 @@
     return {cancel: () => cancel(requestId), setPaused: () => undefined};
   }
 
+  function enqueue(queued: Queued): void {
+    let index = waiting.length;
+    while (index > 0 && compareQueued(queued, waiting[index - 1]) < 0) index--;
+    waiting.splice(index, 0, queued);
+  }
+
   function tryGetRefusal(request: EngineRequest): BackendFailure | undefined {
     if (isDown) return createRefusal('unavailable', 'the engine is down');
+    const state = control.getState();
     if (state !== EngineState.Ready) {
       return createRefusal('refused', `the engine is ${state}`);
     }
-    if (!models.has(request.model)) {
+    if (!control.hasModel(request.model)) {
       return createRefusal('refused', `model ${request.model} is not loaded`);
     }
-    if (requests.size >= 4 * maxRunning) {
+    if (requests.has(request.requestId)) {
+      return createRefusal('refused', 'the engine has this request already');
+    }
+    const role = control.getRole();
+    if (!isPhaseServed(role, request.phase)) {
+      return createRefusal(
+        'refused',
+        `a ${role} engine does no ${request.phase}`,
+      );
+    }
+    if (waiting.length + running.length >= QUEUE_FACTOR * costs.maxRunning) {
       return createRefusal('overloaded', 'the queue is full');
     }
+    if (getWholePieces(request) > costs.totalPieces) {
+      return createRefusal('refused', 'the request needs more KV memory');
+    }
     return undefined;
   }
 
+  /** The KV cache moves while the request waits; without it the prompt is prefilled again. */
+  function importKv(queued: Queued): void {
+    const handle = queued.request.kv;
+    if (handle === undefined) return;
+    queued.isImporting = true;
+    const transferMs = (handle.tokens / IMPORT_TOKENS_PER_S) * 1_000;
+    clock.schedule(IMPORT_SETUP_MS + transferMs, () => {
+      queued.isImporting = false;
+      if (requests.get(queued.request.requestId) !== queued) return;
+      const isThere = options.importKv?.(handle) ?? true;
+      if (isThere) queued.prefillLeft = 0;
+      changeBatch();
+    });
+  }
+
+  function exportKv(handleId: string): boolean {
+    const entry = held.get(handleId);
+    if (entry === undefined || isDown) return false;
+    dropExport(handleId);
+    return true;
+  }
+
+  function dropExport(handleId: string): void {
+    const entry = held.get(handleId);
+    if (entry === undefined) return;
+    entry.timer.cancel();
+    held.delete(handleId);
+    usedPieces -= entry.pieces;
+    changeBatch();
+  }
+
   function resume(
     requestId: string,
     firstTokenIndex: number,
     sink: EngineSink,
   ): EngineCall {
-    const running = requests.get(requestId);
-    if (running === undefined || isDown) {
+    sweepEnded();
+    const queued = requests.get(requestId);
+    if (queued === undefined || isDown) {
       clock.schedule(0, () =>
         sink.onFailure(createRefusal('refused', 'no such answer is held')),
       );
-      return {cancel: () => undefined, setPaused: () => undefined};
+      return NO_CALL;
     }
-    running.sink = sink;
-    clock.schedule(0, () => replayTokens(running, firstTokenIndex));
+    queued.sink = undefined;
+    clock.schedule(0, () => {
+      queued.sink = sink;
+      const count = queued.generated - firstTokenIndex;
+      const nowMs = clock.getMonotonicMs();
+      if (count > 0) emitTokens(queued, firstTokenIndex, count, nowMs, nowMs);
+      if (queued.end !== undefined) sink.onEnd(queued.end);
+    });
     return createCall(requestId);
   }
 
-  function replayTokens(running: RunningRequest, firstIndex: number): void {
-    for (let index = firstIndex; index < running.generated; index++) {
-      emitToken(running, index);
+  function cancel(requestId: string): void {
+    const queued = requests.get(requestId);
+    if (queued === undefined) return;
+    requests.delete(requestId);
+    if (queued.end !== undefined) return;
+    queued.isCancelled = true;
+    if (waiting.includes(queued)) {
+      waiting = waiting.filter(item => item !== queued);
     }
-    if (running.end !== undefined) running.sink?.onEnd(running.end);
+    changeBatch();
   }
 
-  function cancel(requestId: string): void {
-    requests.delete(requestId);
+  /** Ends the present run of steps at the end of the step in progress. */
+  function changeBatch(): void {
+    if (isDown || isFinishing) return;
+    if (run === undefined) {
+      startRun();
+      return;
+    }
+    const {plan, startMs} = run;
+    const elapsedMs = clock.getMonotonicMs() - startMs;
+    const steps = Math.max(1, Math.ceil(elapsedMs / plan.stepMs - 1e-9));
+    if (steps >= plan.steps) return;
+    runTimer?.cancel();
+    run = {plan: {...plan, steps}, startMs};
+    runTimer = clock.schedule(steps * plan.stepMs - elapsedMs, finishRun);
   }
 
-  function scheduleStep(): void {
-    if (stepTimer !== undefined || isDown) return;
-    const batch = getBatch();
-    if (batch.length === 0) return;
-    stepTimer = clock.schedule(getStepMs(batch), () => {
-      stepTimer = undefined;
-      runStep(batch);
-      scheduleStep();
-    });
+  function startRun(): void {
+    admitWaiting();
+    growRunning();
+    if (running.length === 0) {
+      control.onIdle();
+      return;
+    }
+    const plan = planStepRun(
+      running,
+      control.getRole(),
+      costs,
+      costs.tokensPerEvent,
+    );
+    run = {plan, startMs: clock.getMonotonicMs()};
+    runTimer = clock.schedule(plan.steps * plan.stepMs, finishRun);
   }
 
-  function getBatch(): readonly RunningRequest[] {
-    return [...requests.values()]
-      .filter(running => running.end === undefined)
-      .sort((left, right) => right.request.priority - left.request.priority)
-      .slice(0, maxRunning);
+  /** Moves waiting requests into the batch while there is a place and memory. */
+  function admitWaiting(): void {
+    let index = 0;
+    while (index < waiting.length && running.length < costs.maxRunning) {
+      const queued = waiting[index];
+      if (queued.isImporting) {
+        index++;
+        continue;
+      }
+      const pieces = countPieces(getContextTokens(queued) + 1);
+      if (usedPieces + pieces > costs.totalPieces) return;
+      waiting.splice(index, 1);
+      queued.pieces = pieces;
+      usedPieces += pieces;
+      takeCachedPrefix(queued);
+      running.push(queued);
+      running.sort(compareQueued);
+      if (!queued.hasRun) observer.onRun?.(queued.request);
+      queued.hasRun = true;
+    }
+  }
+
+  function takeCachedPrefix(queued: Queued): void {
+    if (queued.prefillLeft === 0) return;
+    const {prefixHashes, prefixTokens} = queued.request;
+    const cached = cache.findCachedTokens(prefixHashes, prefixTokens);
+    // The last token of a prompt is always computed: it gives the first answer token.
+    const useful = Math.min(cached, queued.prefillLeft - 1);
+    queued.cachedTokens = useful;
+    queued.prefillLeft -= useful;
   }
 
-  function getStepMs(batch: readonly RunningRequest[]): number {
-    const prefilling = batch.find(running => running.prefillLeft > 0);
-    if (prefilling !== undefined) {
-      return (prefilling.prefillLeft / prefillTokensPerS) * 1_000;
+  /** Gives each decoding request room for its next token; the last in order makes way. */
+  function growRunning(): void {
+    for (const queued of [...running]) {
+      if (!running.includes(queued)) continue;
+      const needed = countPieces(getContextTokens(queued) + 1) - queued.pieces;
+      if (needed <= 0) continue;
+      while (usedPieces + needed > costs.totalPieces) {
+        const last = running[running.length - 1];
+        preempt(last);
+        if (last === queued) break;
+      }
+      if (!running.includes(queued)) continue;
+      queued.pieces += needed;
+      usedPieces += needed;
     }
-    return decodeStepMs + decodeStepMsPerRequest * batch.length;
   }
 
-  function runStep(batch: readonly RunningRequest[]): void {
-    const prefilling = batch.find(running => running.prefillLeft > 0);
-    if (prefilling !== undefined) {
-      prefilling.prefillLeft = 0;
-      runDecodeStep(prefilling);
-      return;
+  function preempt(queued: Queued): void {
+    releasePieces(queued);
+    running = running.filter(item => item !== queued);
+    restartPrefill(queued);
+    enqueue(queued);
+  }
+
+  function releasePieces(queued: Queued): void {
+    usedPieces -= queued.pieces;
+    queued.pieces = 0;
+  }
+
+  function finishRun(): void {
+    if (run === undefined) return;
+    const {plan, startMs} = run;
+    const nowMs = clock.getMonotonicMs();
+    run = undefined;
+    runTimer = undefined;
+    isFinishing = true;
+    for (const {item, tokens} of plan.chunks) {
+      item.prefillLeft -= tokens * plan.steps;
+    }
+    for (const item of plan.decoding) {
+      generateTokens(item, plan.steps, startMs + plan.stepMs, nowMs);
     }
-    for (const running of batch) runDecodeStep(running);
+    for (const {item} of plan.chunks) {
+      if (item.prefillLeft > 0) continue;
+      cache.store(item.request.prefixHashes, item.request.prefixTokens);
+      generateTokens(item, 1, nowMs, nowMs);
+    }
+    removeFinished();
+    isFinishing = false;
+    startRun();
+  }
+
+  function generateTokens(
+    queued: Queued,
+    count: number,
+    firstAtMs: number,
+    lastAtMs: number,
+  ): void {
+    if (queued.isCancelled) return;
+    const firstIndex = queued.generated;
+    queued.generated += count;
+    emitTokens(queued, firstIndex, count, firstAtMs, lastAtMs);
   }
 
-  function runDecodeStep(running: RunningRequest): void {
-    if (!requests.has(running.request.requestId)) return;
-    const index = running.generated++;
-    emitToken(running, index);
-    if (running.generated < running.request.maxTokens) return;
-    running.end = {
-      finishReason: 'stop',
-      promptTokens: running.request.promptTokens,
-      cachedTokens: 0,
-      generatedTokens: running.generated,
+  function removeFinished(): void {
+    for (const queued of running) {
+      const isDone = queued.generated >= queued.lastToken;
+      if (!isDone && !queued.isCancelled) continue;
+      if (queued.isCancelled || queued.request.phase !== 'prefill') {
+        releasePieces(queued);
+      }
+    }
+    const finished = running.filter(
+      queued => queued.generated >= queued.lastToken && !queued.isCancelled,
+    );
+    running = running.filter(
+      queued => queued.generated < queued.lastToken && !queued.isCancelled,
+    );
+    for (const queued of finished) finish(queued);
+  }
+
+  function finish(queued: Queued): void {
+    const untilMs = clock.getMonotonicMs() + KEEP_ENDED_MS;
+    ended.push({request: queued, untilMs});
+    sweepEnded();
+    const kv =
+      queued.request.phase === 'prefill' ? holdExport(queued) : undefined;
+    endAnswer(queued, kv);
+  }
+
+  function holdExport(queued: Queued) {
+    const handleId = `${id}.${control.getIncarnation()}.${++nextHandle}`;
+    const timer = clock.schedule(KEEP_EXPORT_MS, () => dropExport(handleId));
+    held.set(handleId, {pieces: queued.pieces, timer});
+    queued.pieces = 0;
+    return {
+      engine: id,
+      address: options.address,
+      id: handleId,
+      tokens: queued.promptTokens,
     };
-    running.sink?.onEnd(running.end);
-    clock.schedule(KEEP_ENDED_MS, () => cancel(running.request.requestId));
   }
 
-  function emitToken(running: RunningRequest, index: number): void {
+  function sweepEnded(): void {
     const nowMs = clock.getMonotonicMs();
-    running.sink?.onTokens({
-      firstIndex: index,
-      count: 1,
-      text: `${index === 0 ? '' : ' '}w${index}`,
-      firstAtMs: nowMs,
-      lastAtMs: nowMs,
-    });
+    while (ended.length > 0 && ended[0].untilMs <= nowMs) {
+      const {request} = ended.shift() ?? ended[0];
+      const {requestId} = request.request;
+      if (requests.get(requestId) === request) requests.delete(requestId);
+    }
   }
 
-  function getReport(): EngineReport {
-    const live = [...requests.values()].filter(
-      running => running.end === undefined,
-    );
-    const running = Math.min(live.length, maxRunning);
+  function createReport(): Omit<EngineReport, 'sequence'> {
+    const live = [...running, ...waiting];
     return {
       engine: id,
-      sequence: ++reportSequence,
-      incarnation: `${id}.${incarnation}`,
-      role,
-      state,
-      models: [...models],
-      adapters: [...adapters],
-      version,
-      running,
-      waiting: live.length - running,
+      incarnation: `${id}.${control.getIncarnation()}`,
+      role: control.getRole(),
+      state: control.getState(),
+      models: control.listModels(),
+      adapters: control.listAdapters(),
+      version: control.getVersion(),
+      running: running.length,
+      waiting: waiting.length,
       prefillTokens: live.reduce((sum, item) => sum + item.prefillLeft, 0),
       decodeTokens: live.reduce(
-        (sum, item) => sum + item.request.maxTokens - item.generated,
+        (sum, item) => sum + item.lastToken - item.generated,
         0,
       ),
-      freePieces: totalPieces - live.reduce(countPieces, 0),
-      totalPieces,
-      prefillTokensPerS,
-      decodeStepMs,
-      decodeStepMsPerRequest,
-      maxRunning,
-      fencingNumber,
+      freePieces: costs.totalPieces - usedPieces,
+      totalPieces: costs.totalPieces,
+      prefillTokensPerS: costs.prefillTokensPerS,
+      decodeStepMs: costs.decodeStepMs,
+      decodeStepMsPerRequest: costs.decodeStepMsPerRequest,
+      maxRunning: costs.maxRunning,
+      fencingNumber: control.getFencingNumber(),
     };
   }
 
   function sendCommand(command: EngineCommand): Result<void, BackendFailure> {
-    if (isDown) return Err(createRefusal('unavailable', 'the engine is down'));
-    if (checksFencing && command.fencingNumber < fencingNumber) {
-      return Err(
-        createRefusal(
-          'stale-command',
-          `fencing number ${command.fencingNumber} is below ${fencingNumber}`,
-        ),
-      );
-    }
-    fencingNumber = Math.max(fencingNumber, command.fencingNumber);
-    applyOrder(command);
-    return Ok(undefined);
-  }
-
-  function applyOrder(command: EngineCommand): void {
-    const {order} = command;
-    switch (order.kind) {
-      case 'set-role':
-        setRole(order.role);
-        return;
-      case 'load-model':
-        models.add(order.model);
-        return;
-      case 'unload-model':
-        models.delete(order.model);
-        return;
-      case 'load-adapter':
-        adapters.add(order.adapter);
-        return;
-      case 'set-version':
-        version = order.version;
-        return;
-      case 'set-draining':
-        state = order.isDraining ? EngineState.Draining : EngineState.Ready;
-        return;
-      default:
-        assertNever(order);
+    if (isDown) {
+      return Err(createRefusal('unavailable', 'the engine is down'));
     }
-  }
-
-  function setRole(next: EngineRole): void {
-    if (next === role) return;
-    state = EngineState.ChangingRole;
-    clock.schedule(roleChangeMs, () => {
-      role = next;
-      state = EngineState.Ready;
-    });
+    return control.sendCommand(command);
   }
 
   function crash(downMs: number): void {
     isDown = true;
-    stepTimer?.cancel();
-    stepTimer = undefined;
-    const broken = [...requests.values()];
+    runTimer?.cancel();
+    run = undefined;
+    runTimer = undefined;
+    const broken = [...running, ...waiting];
+    for (const entry of held.values()) entry.timer.cancel();
+    held.clear();
     requests.clear();
-    for (const running of broken) {
-      if (running.end !== undefined) continue;
-      running.sink?.onFailure({
+    ended.length = 0;
+    running = [];
+    waiting = [];
+    usedPieces = 0;
+    cache.clear();
+    for (const queued of broken) {
+      if (queued.isCancelled) continue;
+      queued.isCancelled = true;
+      queued.sink?.onFailure({
         kind: 'broken',
         verdict: Verdict.MayHaveRun,
         message: 'the engine crashed',
@@ -337,19 +466,21 @@
     }
     clock.schedule(downMs, () => {
       isDown = false;
-      incarnation++;
-      role = startRole;
-      state = EngineState.Ready;
-      models = new Set(options.models ?? ['small']);
-      adapters.clear();
-      fencingNumber = 0;
+      control.restart();
     });
   }
 }
 
-function countPieces(sum: number, running: RunningRequest): number {
-  const tokens = running.request.promptTokens + running.generated;
-  return sum + Math.ceil(tokens / TOKENS_PER_PIECE);
+function isPhaseServed(
+  role: EngineRole,
+  phase: EngineRequest['phase'],
+): boolean {
+  if (phase === 'full' || role === EngineRole.Mixed) return true;
+  return role === phase;
+}
+
+function getWholePieces(request: EngineRequest): number {
+  return countPieces(request.promptTokens + request.maxTokens);
 }
 
 function createRefusal(
@@ -358,3 +489,9 @@
 ): BackendFailure {
   return {kind, verdict: Verdict.NotRun, message};
 }
+
+function removeUndefined<T extends object>(options: T): Partial<T> {
+  return Object.fromEntries(
+    Object.entries(options).filter(([, value]) => value !== undefined),
+  ) as Partial<T>;
+}
--- /dev/null
+++ b/src/standins/engine_model_request.ts
@@ -0,0 +1,88 @@
+/** A request at the engine model: its progress and what its sink hears. */
+import type {EngineEnd, EngineRequest, EngineSink, KvHandle} from '../backends';
+import type {BatchItem} from './engine_model_batch';
+
+/** A request that waits, runs or has ended. */
+export interface Queued extends BatchItem {
+  readonly request: EngineRequest;
+  /** Order of arrival at the engine. */
+  readonly order: number;
+  sink: EngineSink | undefined;
+  cachedTokens: number;
+  isImporting: boolean;
+  isCancelled: boolean;
+  /** True once it has been in the batch. */
+  hasRun: boolean;
+  end: EngineEnd | undefined;
+}
+
+/** Creates a request that waits. */
+export function createQueued(
+  request: EngineRequest,
+  sink: EngineSink,
+  order: number,
+): Queued {
+  const isPrefill = request.phase === 'prefill';
+  return {
+    request,
+    order,
+    sink,
+    prefillLeft: request.promptTokens + request.firstTokenIndex,
+    generated: request.firstTokenIndex,
+    lastToken: isPrefill ? request.firstTokenIndex + 1 : request.maxTokens,
+    promptTokens: request.promptTokens,
+    pieces: 0,
+    cachedTokens: 0,
+    isImporting: false,
+    isCancelled: false,
+    hasRun: false,
+    end: undefined,
+  };
+}
+
+/** Orders requests: the higher priority first, then the earlier arrival. */
+export function compareQueued(left: Queued, right: Queued): number {
+  return (
+    right.request.priority - left.request.priority || left.order - right.order
+  );
+}
+
+/** Puts a request back to its prompt: its KV cache is gone, its answer so far is not. */
+export function restartPrefill(queued: Queued): void {
+  queued.prefillLeft = queued.promptTokens + queued.generated;
+}
+
+/** Sends tokens to the sink. */
+export function emitTokens(
+  queued: Queued,
+  firstIndex: number,
+  count: number,
+  firstAtMs: number,
+  lastAtMs: number,
+): void {
+  // A replay sends no prompt and needs no text.
+  const text =
+    queued.request.prompt === undefined ? '' : getText(firstIndex, count);
+  queued.sink?.onTokens({firstIndex, count, text, firstAtMs, lastAtMs});
+}
+
+/** Ends an answer. */
+export function endAnswer(queued: Queued, kv: KvHandle | undefined): void {
+  const {phase, promptTokens} = queued.request;
+  queued.end = {
+    finishReason: phase === 'prefill' ? 'prefilled' : 'stop',
+    promptTokens,
+    cachedTokens: queued.cachedTokens,
+    generatedTokens: queued.generated,
+    kv,
+  };
+  queued.sink?.onEnd(queued.end);
+}
+
+function getText(firstIndex: number, count: number): string {
+  let text = '';
+  for (let index = firstIndex; index < firstIndex + count; index++) {
+    text += `${index === 0 ? '' : ' '}w${index}`;
+  }
+  return text;
+}
--- a/src/standins/index.ts
+++ b/src/standins/index.ts
@@ -1,5 +1,10 @@
 export {createEngineModel} from './engine_model';
-export type {EngineModel, EngineModelOptions} from './engine_model';
+export {ENGINE_DEFAULTS} from './engine_model_types';
+export type {
+  EngineModel,
+  EngineModelOptions,
+  EngineObserver,
+} from './engine_model_types';
 export {createEngineApp} from './engine_server';
 export {createLocalLog} from './local_log';
 export type {LocalLogOptions} from './local_log';
