--- a/src/standins/engine_model.ts
+++ b/src/standins/engine_model.ts
@@ -29,9 +29,9 @@
   compareQueued,
   createQueued,
   emitTokens,
-  endAnswer,
+  emitEnd,
   type Queued,
-  restartPrefill,
+  setUnprefilled,
 } from './engine_model_request';
 import {
   ENGINE_DEFAULTS,
@@ -91,7 +91,7 @@
     observer,
     getRandom,
     isBusy: () => waiting.length + running.length + held.size > 0,
-    onRoleChange: cache.clear,
+    onRoleChange: cache.removeAll,
   });
   return {
     id,
@@ -116,11 +116,11 @@
     }
     const queued = createQueued(request, sink, nextOrder++);
     requests.set(request.requestId, queued);
-    enqueue(queued);
+    addWaiting(queued);
     if (request.phase === 'decode' && request.kv !== undefined) {
       importKv(queued);
     } else {
-      changeBatch();
+      updateBatch();
     }
     return createCall(request.requestId);
   }
@@ -129,7 +129,7 @@
     return {cancel: () => cancel(requestId), setPaused: () => undefined};
   }
 
-  function enqueue(queued: Queued): void {
+  function addWaiting(queued: Queued): void {
     let index = waiting.length;
     while (index > 0 && compareQueued(queued, waiting[index - 1]) < 0) index--;
     waiting.splice(index, 0, queued);
@@ -174,24 +174,24 @@
       if (requests.get(queued.request.requestId) !== queued) return;
       const isThere = options.importKv?.(handle) ?? true;
       if (isThere) queued.prefillLeft = 0;
-      changeBatch();
+      updateBatch();
     });
   }
 
   function exportKv(handleId: string): boolean {
     const entry = held.get(handleId);
     if (entry === undefined || isDown) return false;
-    dropExport(handleId);
+    releaseExport(handleId);
     return true;
   }
 
-  function dropExport(handleId: string): void {
+  function releaseExport(handleId: string): void {
     const entry = held.get(handleId);
     if (entry === undefined) return;
     entry.timer.cancel();
     held.delete(handleId);
     usedPieces -= entry.pieces;
-    changeBatch();
+    updateBatch();
   }
 
   function resume(
@@ -227,11 +227,11 @@
     if (waiting.includes(queued)) {
       waiting = waiting.filter(item => item !== queued);
     }
-    changeBatch();
+    updateBatch();
   }
 
   /** Ends the present run of steps at the end of the step in progress. */
-  function changeBatch(): void {
+  function updateBatch(): void {
     if (isDown || isFinishing) return;
     if (run === undefined) {
       startRun();
@@ -243,12 +243,12 @@
     if (steps >= plan.steps) return;
     runTimer?.cancel();
     run = {plan: {...plan, steps}, startMs};
-    runTimer = clock.schedule(steps * plan.stepMs - elapsedMs, finishRun);
+    runTimer = clock.schedule(steps * plan.stepMs - elapsedMs, settleRun);
   }
 
   function startRun(): void {
     admitWaiting();
-    growRunning();
+    grantGrowth();
     if (running.length === 0) {
       control.onIdle();
       return;
@@ -260,7 +260,7 @@
       costs.tokensPerEvent,
     );
     run = {plan, startMs: clock.getMonotonicMs()};
-    runTimer = clock.schedule(plan.steps * plan.stepMs, finishRun);
+    runTimer = clock.schedule(plan.steps * plan.stepMs, settleRun);
   }
 
   /** Moves waiting requests into the batch while there is a place and memory. */
@@ -296,14 +296,14 @@
   }
 
   /** Gives each decoding request room for its next token; the last in order makes way. */
-  function growRunning(): void {
+  function grantGrowth(): void {
     for (const queued of [...running]) {
       if (!running.includes(queued)) continue;
       const needed = countPieces(getContextTokens(queued) + 1) - queued.pieces;
       if (needed <= 0) continue;
       while (usedPieces + needed > costs.totalPieces) {
         const last = running[running.length - 1];
-        preempt(last);
+        retryLater(last);
         if (last === queued) break;
       }
       if (!running.includes(queued)) continue;
@@ -312,11 +312,11 @@
     }
   }
 
-  function preempt(queued: Queued): void {
+  function retryLater(queued: Queued): void {
     releasePieces(queued);
     running = running.filter(item => item !== queued);
-    restartPrefill(queued);
-    enqueue(queued);
+    setUnprefilled(queued);
+    addWaiting(queued);
   }
 
   function releasePieces(queued: Queued): void {
@@ -324,7 +324,7 @@
     queued.pieces = 0;
   }
 
-  function finishRun(): void {
+  function settleRun(): void {
     if (run === undefined) return;
     const {plan, startMs} = run;
     const nowMs = clock.getMonotonicMs();
@@ -335,19 +335,19 @@
       item.prefillLeft -= tokens * plan.steps;
     }
     for (const item of plan.decoding) {
-      generateTokens(item, plan.steps, startMs + plan.stepMs, nowMs);
+      recordTokens(item, plan.steps, startMs + plan.stepMs, nowMs);
     }
     for (const {item} of plan.chunks) {
       if (item.prefillLeft > 0) continue;
-      cache.store(item.request.prefixHashes, item.request.prefixTokens);
-      generateTokens(item, 1, nowMs, nowMs);
+      cache.add(item.request.prefixHashes, item.request.prefixTokens);
+      recordTokens(item, 1, nowMs, nowMs);
     }
     removeFinished();
     isFinishing = false;
     startRun();
   }
 
-  function generateTokens(
+  function recordTokens(
     queued: Queued,
     count: number,
     firstAtMs: number,
@@ -373,21 +373,21 @@
     running = running.filter(
       queued => queued.generated < queued.lastToken && !queued.isCancelled,
     );
-    for (const queued of finished) finish(queued);
+    for (const queued of finished) settleRequest(queued);
   }
 
-  function finish(queued: Queued): void {
+  function settleRequest(queued: Queued): void {
     const untilMs = clock.getMonotonicMs() + KEEP_ENDED_MS;
     ended.push({request: queued, untilMs});
     sweepEnded();
     const kv =
-      queued.request.phase === 'prefill' ? holdExport(queued) : undefined;
-    endAnswer(queued, kv);
+      queued.request.phase === 'prefill' ? addExport(queued) : undefined;
+    emitEnd(queued, kv);
   }
 
-  function holdExport(queued: Queued) {
+  function addExport(queued: Queued) {
     const handleId = `${id}.${control.getIncarnation()}.${++nextHandle}`;
-    const timer = clock.schedule(KEEP_EXPORT_MS, () => dropExport(handleId));
+    const timer = clock.schedule(KEEP_EXPORT_MS, () => releaseExport(handleId));
     held.set(handleId, {pieces: queued.pieces, timer});
     queued.pieces = 0;
     return {
@@ -454,7 +454,7 @@
     running = [];
     waiting = [];
     usedPieces = 0;
-    cache.clear();
+    cache.removeAll();
     for (const queued of broken) {
       if (queued.isCancelled) continue;
       queued.isCancelled = true;
@@ -466,7 +466,7 @@
     }
     clock.schedule(downMs, () => {
       isDown = false;
-      control.restart();
+      control.setRestarted();
     });
   }
 }
--- a/src/standins/engine_model_cache.ts
+++ b/src/standins/engine_model_cache.ts
@@ -19,8 +19,8 @@
   /** Returns how many of the prompt's leading tokens are cached, and marks them as used. */
   findCachedTokens(hashes: readonly string[], prefixTokens: number): number;
   /** Stores a prompt's leading blocks. */
-  store(hashes: readonly string[], prefixTokens: number): void;
-  clear(): void;
+  add(hashes: readonly string[], prefixTokens: number): void;
+  removeAll(): void;
   listEvents(afterSequence: number): readonly CacheEvent[];
   getUsedTokens(): number;
 }
@@ -38,8 +38,8 @@
   let sequence = 0;
   return {
     findCachedTokens,
-    store,
-    clear,
+    add,
+    removeAll,
     listEvents,
     getUsedTokens: () => usedTokens,
   };
@@ -50,21 +50,21 @@
   ): number {
     let found = 0;
     while (found < hashes.length && blocks.has(hashes[found])) found++;
-    for (const hash of hashes.slice(0, found).reverse()) touch(hash);
+    for (const hash of hashes.slice(0, found).reverse()) setUsed(hash);
     if (found === 0) return 0;
     return Math.floor((prefixTokens * found) / hashes.length);
   }
 
-  function store(hashes: readonly string[], prefixTokens: number): void {
+  function add(hashes: readonly string[], prefixTokens: number): void {
     if (hashes.length === 0 || prefixTokens > capacityTokens) return;
     const blockTokens = Math.ceil(prefixTokens / hashes.length);
     const added = hashes.filter(hash => !blocks.has(hash));
     for (const hash of [...hashes].reverse()) {
-      if (blocks.has(hash)) touch(hash);
+      if (blocks.has(hash)) setUsed(hash);
       else addBlock(hash, blockTokens);
     }
     if (added.length > 0) addEvent('stored', added);
-    evict();
+    removeOldest();
   }
 
   function addBlock(hash: string, tokens: number): void {
@@ -72,14 +72,14 @@
     usedTokens += tokens;
   }
 
-  function touch(hash: string): void {
+  function setUsed(hash: string): void {
     const tokens = blocks.get(hash);
     if (tokens === undefined) return;
     blocks.delete(hash);
     blocks.set(hash, tokens);
   }
 
-  function evict(): void {
+  function removeOldest(): void {
     const evicted: string[] = [];
     for (const [hash, tokens] of blocks) {
       if (usedTokens <= capacityTokens) break;
@@ -90,7 +90,7 @@
     if (evicted.length > 0) addEvent('evicted', evicted);
   }
 
-  function clear(): void {
+  function removeAll(): void {
     if (blocks.size === 0) return;
     blocks.clear();
     usedTokens = 0;
--- a/src/standins/engine_model_control.ts
+++ b/src/standins/engine_model_control.ts
@@ -43,7 +43,7 @@
   /** Starts a role change that waited for the engine's work to end. */
   onIdle(): void;
   /** Comes back after a crash, in the first or the last role. */
-  restart(): void;
+  setRestarted(): void;
 }
 
 /** Creates the control state of an engine that is ready. */
@@ -78,7 +78,7 @@
     },
     isLeaving: () => isLeaving,
     onIdle: startRoleChange,
-    restart,
+    setRestarted,
   };
 
   function getState(): EngineState {
@@ -153,7 +153,7 @@
     });
   }
 
-  function restart(): void {
+  function setRestarted(): void {
     incarnation++;
     role = options.getRandom() < 0.5 ? options.startRole : role;
     models = new Set(options.models);
--- a/src/standins/engine_model_request.ts
+++ b/src/standins/engine_model_request.ts
@@ -48,7 +48,7 @@
 }
 
 /** Puts a request back to its prompt: its KV cache is gone, its answer so far is not. */
-export function restartPrefill(queued: Queued): void {
+export function setUnprefilled(queued: Queued): void {
   queued.prefillLeft = queued.promptTokens + queued.generated;
 }
 
@@ -67,7 +67,7 @@
 }
 
 /** Ends an answer. */
-export function endAnswer(queued: Queued, kv: KvHandle | undefined): void {
+export function emitEnd(queued: Queued, kv: KvHandle | undefined): void {
   const {phase, promptTokens} = queued.request;
   queued.end = {
     finishReason: phase === 'prefill' ? 'prefilled' : 'stop',
