Decide claims by the log's clock, within windows that the log can hold

Cause, each shown by a test that failed on the old ledger: - the key's window was counted on the claiming node's wall clock, so a node two windows behind let the same key run again; - claims were never dropped from the fold, and a process that started after records had expired decided otherwise than the running ones; - a key with a time stamp could run again after its window; - a claim was held to its deadline while the log was known to be out; - an outcome was given up after ten minutes of outage.

Ruled out: carrying claims forward. A window within 0.9 of the log's retention needs none, and carried records raced with releases.

--- /dev/null
+++ b/src/claims/claim_key.ts
@@ -0,0 +1,46 @@
+/** Keys of claims: their name in the log, and the time stamp that some of them carry. */
+import {createHash} from 'node:crypto';
+
+/** How far a key's time stamp may be ahead of the log's clock, in milliseconds. */
+export const MAX_KEY_SKEW_MS = 300_000;
+
+/** Length of a claim's key in the log, in bytes. */
+const KEY_BYTES = 16;
+const UUID_V7 =
+  /^([0-9a-f]{8})-([0-9a-f]{4})-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/i;
+
+/** Returns a claim's key in the log: client accounts cannot reach one another's keys. */
+export function getClaimKey(
+  clientAccount: string,
+  idempotencyKey: string,
+): string {
+  return getShortHash(`${clientAccount}\n${idempotencyKey}`);
+}
+
+/** Returns a hash of 128 bits in base64url. */
+export function getShortHash(text: string): string {
+  return createHash('sha256')
+    .update(text)
+    .digest()
+    .subarray(0, KEY_BYTES)
+    .toString('base64url');
+}
+
+/**
+ * Returns the time stamp of a UUID of version 7, in milliseconds since the Unix epoch.
+ * Any other key is opaque and has none.
+ */
+export function tryGetKeyTimeMs(idempotencyKey: string): number | undefined {
+  const match = UUID_V7.exec(idempotencyKey);
+  if (match === null) return undefined;
+  return parseInt(match[1] + match[2], 16);
+}
+
+/** Returns whether a time stamp is outside a key's window at `nowMs` of the log's clock. */
+export function isOutsideWindow(
+  keyAtMs: number,
+  windowMs: number,
+  nowMs: number,
+): boolean {
+  return keyAtMs + windowMs <= nowMs || keyAtMs > nowMs + MAX_KEY_SKEW_MS;
+}
--- a/src/claims/claims_fold.ts
+++ b/src/claims/claims_fold.ts
@@ -1,35 +1,92 @@
 /** The claims stream: the first claim of a key in the log's order is granted. */
+import {z} from 'zod';
 import {assertNever} from '../runtime';
-import type {EntryContext, EntryOutcome, StreamDefinition} from '../state';
-import {type ClaimEntry, claimEntrySchema, type ClaimState} from './types';
+import type {
+  EntryContext,
+  EntryOutcome,
+  Position,
+  StreamDefinition,
+} from '../state';
+import {isOutsideWindow} from './claim_key';
+import {
+  type ClaimEntry,
+  claimEntrySchema,
+  ClaimRefusal,
+  type ClaimState,
+  claimStateSchema,
+} from './types';
 
-/** State of a claims stream: claims by key, in the order of their records. */
+/** State of a claims stream. */
 export interface ClaimsState {
   readonly claims: Map<string, ClaimState>;
+  /** Keys by the bucket of time in which their windows end. */
+  readonly expiry: Map<number, string[]>;
+  /** Characters of the kept answer by key, oldest outcome first. */
+  readonly kept: Map<string, number>;
+  keptChars: number;
   /** When the log took the last record, in milliseconds since the Unix epoch. */
   nowMs: number;
 }
 
-/** Returns the definition of a claims stream of the given name. */
+/** Options of a claims stream. */
+export interface ClaimsStreamOptions {
+  readonly stream: string;
+  /** Bound of all kept answers, in characters; the oldest are dropped first. */
+  readonly maxKeptChars?: number;
+}
+
+const DEFAULT_MAX_KEPT_CHARS = 4 * 1_024 * 1_024;
+const EXPIRY_BUCKET_MS = 10_000;
+
+const exportedSchema = z.object({
+  nowMs: z.number(),
+  claims: z.array(z.tuple([z.string(), claimStateSchema])),
+  /** Keys of the kept answers, oldest outcome first. */
+  kept: z.array(z.string()),
+});
+type ExportedClaims = z.infer<typeof exportedSchema>;
+
+type EntryOf<Kind extends ClaimEntry['kind']> = Extract<
+  ClaimEntry,
+  {kind: Kind}
+>;
+
+/** Returns the definition of a claims stream. */
 export function createClaimsStream(
-  stream: string,
+  options: ClaimsStreamOptions,
 ): StreamDefinition<ClaimsState, ClaimEntry> {
+  const maxKeptChars = options.maxKeptChars ?? DEFAULT_MAX_KEPT_CHARS;
   return {
-    stream,
-    createState: () => ({claims: new Map(), nowMs: 0}),
+    stream: options.stream,
+    createState,
     tryParseEntry: value => {
       const parsed = claimEntrySchema.safeParse(value);
       return parsed.success ? parsed.data : undefined;
     },
-    applyEntry,
-    exportState: state => ({nowMs: state.nowMs, claims: [...state.claims]}),
-    tryRestoreState: data => {
-      const {nowMs, claims} = data as {
-        nowMs: number;
-        claims: Array<[string, ClaimState]>;
-      };
-      return {nowMs, claims: new Map(claims)};
-    },
+    applyEntry: (state, entry, context) =>
+      applyEntry(state, entry, context, maxKeptChars),
+    exportState: exportClaims,
+    tryRestoreState,
+  };
+}
+
+/** Returns the claim of a key whose window has not ended, if any. */
+export function tryGetLiveClaim(
+  state: ClaimsState,
+  key: string,
+): ClaimState | undefined {
+  const known = state.claims.get(key);
+  if (known === undefined || known.expiresAtMs <= state.nowMs) return undefined;
+  return known;
+}
+
+function createState(): ClaimsState {
+  return {
+    claims: new Map(),
+    expiry: new Map(),
+    kept: new Map(),
+    keptChars: 0,
+    nowMs: 0,
   };
 }
 
@@ -37,48 +94,137 @@
   state: ClaimsState,
   entry: ClaimEntry,
   context: EntryContext,
+  maxKeptChars: number,
 ): EntryOutcome {
-  state.nowMs = Math.max(state.nowMs, context.appendedAtMs);
+  sweepExpired(state, context.appendedAtMs);
   const position = {offset: context.offset, index: context.index};
-  const known = getLiveClaim(state, entry.key);
+  const refusal = tryApply(state, entry, maxKeptChars);
+  return refusal === undefined
+    ? {kind: 'accepted', position}
+    : createRejection(position, refusal);
+}
+
+function tryApply(
+  state: ClaimsState,
+  entry: ClaimEntry,
+  maxKeptChars: number,
+): ClaimRefusal | undefined {
+  const known = tryGetLiveClaim(state, entry.key);
   switch (entry.kind) {
     case 'claim':
-      if (known !== undefined) {
-        return {kind: 'rejected', position, reason: 'claimed before'};
-      }
-      state.claims.set(entry.key, {
-        node: entry.node,
-        attempt: entry.attempt,
-        requestHash: entry.requestHash,
-        expiresAtMs: entry.expiresAtMs,
-      });
-      return {kind: 'accepted', position};
+      if (known !== undefined) return ClaimRefusal.Held;
+      return grantClaim(state, entry);
     case 'claim-outcome':
-      if (known?.attempt !== entry.attempt) {
-        return {kind: 'rejected', position, reason: 'not the holder'};
-      }
-      known.outcome = {
-        verdict: entry.verdict,
-        status: entry.status,
-        contentType: entry.contentType,
-        body: entry.body,
-      };
-      return {kind: 'accepted', position};
+      if (known?.attempt !== entry.attempt) return ClaimRefusal.NotHolder;
+      if (known.outcome !== undefined) return ClaimRefusal.NotHolder;
+      recordOutcome(state, known, entry, maxKeptChars);
+      return undefined;
     case 'claim-release':
-      if (known?.attempt !== entry.attempt || known.outcome !== undefined) {
-        return {kind: 'rejected', position, reason: 'not the holder'};
-      }
+      if (known?.attempt !== entry.attempt) return ClaimRefusal.NotHolder;
+      if (known.outcome !== undefined) return ClaimRefusal.NotHolder;
       state.claims.delete(entry.key);
-      return {kind: 'accepted', position};
+      return undefined;
     default:
       return assertNever(entry);
   }
 }
 
-function getLiveClaim(state: ClaimsState, key: string): ClaimState | undefined {
-  const known = state.claims.get(key);
-  if (known === undefined) return undefined;
-  if (known.expiresAtMs > state.nowMs) return known;
-  state.claims.delete(key);
+function grantClaim(
+  state: ClaimsState,
+  entry: EntryOf<'claim'>,
+): ClaimRefusal | undefined {
+  const {keyAtMs, windowMs} = entry;
+  if (keyAtMs !== undefined && isOutsideWindow(keyAtMs, windowMs, state.nowMs))
+    return ClaimRefusal.Expired;
+  addClaim(state, entry.key, {
+    node: entry.node,
+    attempt: entry.attempt,
+    requestHash: entry.requestHash,
+    expiresAtMs: (keyAtMs ?? state.nowMs) + windowMs,
+  });
   return undefined;
 }
+
+function addClaim(state: ClaimsState, key: string, claim: ClaimState): void {
+  removeAnswer(state, key);
+  state.claims.set(key, claim);
+  const bucket = Math.floor(claim.expiresAtMs / EXPIRY_BUCKET_MS);
+  const keys = state.expiry.get(bucket);
+  if (keys === undefined) state.expiry.set(bucket, [key]);
+  else keys.push(key);
+}
+
+function recordOutcome(
+  state: ClaimsState,
+  claim: ClaimState,
+  entry: EntryOf<'claim-outcome'>,
+  maxKeptChars: number,
+): void {
+  const {verdict, status, contentType, body} = entry;
+  claim.outcome = {verdict, status, contentType, body};
+  if (body === undefined) return;
+  state.kept.set(entry.key, body.length);
+  state.keptChars += body.length;
+  for (const key of state.kept.keys()) {
+    if (state.keptChars <= maxKeptChars) return;
+    removeAnswer(state, key);
+  }
+}
+
+/** Drops the kept answer of a key; its verdict stays. */
+function removeAnswer(state: ClaimsState, key: string): void {
+  const chars = state.kept.get(key);
+  if (chars === undefined) return;
+  state.kept.delete(key);
+  state.keptChars -= chars;
+  const claim = state.claims.get(key);
+  if (claim?.outcome === undefined) return;
+  claim.outcome = {...claim.outcome, body: undefined};
+}
+
+/** Drops the claims in the buckets that have ended, by the log's clock alone. */
+function sweepExpired(state: ClaimsState, appendedAtMs: number): void {
+  const fromBucket = Math.floor(state.nowMs / EXPIRY_BUCKET_MS);
+  state.nowMs = Math.max(state.nowMs, appendedAtMs);
+  const toBucket = Math.floor(state.nowMs / EXPIRY_BUCKET_MS);
+  if (toBucket === fromBucket) return;
+  for (const [bucket, keys] of state.expiry) {
+    if (bucket >= toBucket) continue;
+    state.expiry.delete(bucket);
+    for (const key of keys) removeExpired(state, key);
+  }
+}
+
+function removeExpired(state: ClaimsState, key: string): void {
+  const claim = state.claims.get(key);
+  if (claim === undefined || claim.expiresAtMs > state.nowMs) return;
+  removeAnswer(state, key);
+  state.claims.delete(key);
+}
+
+function exportClaims(state: ClaimsState): ExportedClaims {
+  return {
+    nowMs: state.nowMs,
+    claims: [...state.claims],
+    kept: [...state.kept.keys()],
+  };
+}
+
+function tryRestoreState(data: unknown): ClaimsState | undefined {
+  const parsed = exportedSchema.safeParse(data);
+  if (!parsed.success) return undefined;
+  const state = createState();
+  state.nowMs = parsed.data.nowMs;
+  for (const [key, claim] of parsed.data.claims) addClaim(state, key, claim);
+  for (const key of parsed.data.kept) {
+    const chars = state.claims.get(key)?.outcome?.body?.length;
+    if (chars === undefined) continue;
+    state.kept.set(key, chars);
+    state.keptChars += chars;
+  }
+  return state;
+}
+
+function createRejection(position: Position, reason: string): EntryOutcome {
+  return {kind: 'rejected', position, reason};
+}
--- a/src/claims/index.ts
+++ b/src/claims/index.ts
@@ -1,7 +1,9 @@
-export {createClaimsStream} from './claims_fold';
-export type {ClaimsState} from './claims_fold';
-export {createClaimsLedger, getClaimKey} from './ledger';
+export {getClaimKey, MAX_KEY_SKEW_MS, tryGetKeyTimeMs} from './claim_key';
+export {createClaimsStream, tryGetLiveClaim} from './claims_fold';
+export type {ClaimsState, ClaimsStreamOptions} from './claims_fold';
+export {createClaimsLedger, getMaxWindowMs} from './ledger';
 export type {ClaimsLedgerOptions} from './ledger';
+export {ClaimRefusal} from './types';
 export type {
   ClaimEntry,
   ClaimOutcome,
--- a/src/claims/ledger.ts
+++ b/src/claims/ledger.ts
@@ -1,120 +1,232 @@
 /** Claims non-idempotent requests through the log. */
-import {createHash, randomUUID} from 'node:crypto';
+import {randomUUID} from 'node:crypto';
+import {PlatformFailureKind} from '../platform';
 import type {Clock} from '../runtime';
 import type {StreamFollower, StreamWriter} from '../state';
-import type {ClaimsState} from './claims_fold';
-import type {
-  ClaimEntry,
-  ClaimOutcome,
-  ClaimRequest,
-  ClaimResult,
-  ClaimsLedger,
-  ClaimState,
-  ClaimTicket,
+import {
+  getClaimKey,
+  getShortHash,
+  MAX_KEY_SKEW_MS,
+  tryGetKeyTimeMs,
+} from './claim_key';
+import {type ClaimsState, tryGetLiveClaim} from './claims_fold';
+import {createKeyWaiters} from './key_waiters';
+import {
+  type ClaimEntry,
+  type ClaimOutcome,
+  ClaimRefusal,
+  type ClaimRequest,
+  type ClaimResult,
+  type ClaimsLedger,
+  type ClaimState,
+  type ClaimTicket,
 } from './types';
 
 /** Options of the ledger. */
 export interface ClaimsLedgerOptions {
+  /** Names this process incarnation; never used by another. */
   readonly node: string;
   readonly clock: Clock;
   readonly follower: StreamFollower<ClaimsState, ClaimEntry>;
   readonly writer: StreamWriter<ClaimEntry>;
+  /** How long the log keeps a record, in milliseconds; no key is valid for longer. */
+  readonly logRetentionMs?: number;
+  /** Returns whether the log is known not to answer. */
+  readonly isLogOut?: () => boolean;
+  /** Returns whether a process incarnation is known to have ended. */
+  readonly isNodeGone?: (node: string) => boolean;
   /** Longest answer that is kept in the log, in characters. */
   readonly maxKeptBody?: number;
+  /** Returns a name that no other attempt has. */
+  readonly createAttempt?: () => string;
 }
 
+const DEFAULT_LOG_RETENTION_MS = 86_400_000;
+/** Part of the log's retention that a key's window may use. */
+const RETENTION_FRACTION = 0.9;
 const DEFAULT_MAX_KEPT_BODY = 8_192;
-const OUTCOME_TIMEOUT_MS = 600_000;
 const RETRY_AFTER_MS = 1_000;
-/** Length of a claim's key in the log, in hexadecimal digits. */
-const KEY_DIGITS = 32;
+/** How often a waiting request looks whether waiting still makes sense, in milliseconds. */
+const WAIT_CHECK_MS = 250;
+/** Part of a key's window in which a grant must have been read back. */
+const GRANT_WINDOW_FRACTION = 0.5;
+
+/** Returns the longest window that a key can have, in milliseconds. */
+export function getMaxWindowMs(logRetentionMs: number): number {
+  return Math.max(1, logRetentionMs * RETENTION_FRACTION - MAX_KEY_SKEW_MS);
+}
+
+interface Attempt extends ClaimTicket {
+  readonly requestHash: string;
+  readonly windowMs: number;
+  readonly keyAtMs: number | undefined;
+  /** A grant that is read later than this is given back, on the monotonic clock. */
+  readonly deadlineAtMs: number;
+}
 
 /** Creates the ledger of one node. */
 export function createClaimsLedger(options: ClaimsLedgerOptions): ClaimsLedger {
   const {node, clock, follower, writer} = options;
   const maxKeptBody = options.maxKeptBody ?? DEFAULT_MAX_KEPT_BODY;
+  const maxWindowMs = getMaxWindowMs(
+    options.logRetentionMs ?? DEFAULT_LOG_RETENTION_MS,
+  );
+  const isLogOut = options.isLogOut ?? (() => false);
+  const isNodeGone = options.isNodeGone ?? (() => false);
+  const createAttempt = options.createAttempt ?? randomUUID;
+  const waiters = createKeyWaiters(clock);
+  /** Outcomes that have not been read back, by attempt. */
+  const unconfirmedOutcomes = new Map<string, ClaimOutcome>();
+  /** Attempts that never ran and never will, until their release has been read back. */
+  const releasing = new Set<string>();
+  let claimsInFlight = 0;
+  let hasTimedOut = false;
+  follower.subscribe(entry => waiters.notify(entry.key));
   return {claim, settle, release};
 
   async function claim(request: ClaimRequest): Promise<ClaimResult> {
-    const startedAtMs = clock.getMonotonicMs();
     const key = getClaimKey(request.clientAccount, request.idempotencyKey);
-    const known = follower.getState().claims.get(key);
-    if (known !== undefined) return resolveKnown(known, request, startedAtMs);
-    const ticket = {key, attempt: randomUUID()};
+    const deadlineAtMs = clock.getMonotonicMs() + request.timeoutMs;
+    for (;;) {
+      const known = tryGetLiveClaim(follower.getState(), key);
+      const result =
+        known === undefined
+          ? await tryClaim(createAttemptOf(key, request, deadlineAtMs))
+          : await resolveKnown(key, known, request, deadlineAtMs);
+      if (result !== undefined) return result;
+    }
+  }
+
+  function createAttemptOf(
+    key: string,
+    request: ClaimRequest,
+    deadlineAtMs: number,
+  ): Attempt {
+    const windowMs = Math.min(request.windowMs, maxWindowMs);
+    const grantAtMs = clock.getMonotonicMs() + windowMs * GRANT_WINDOW_FRACTION;
+    return {
+      key,
+      attempt: createAttempt(),
+      requestHash: getShortHash(request.requestHash),
+      windowMs,
+      keyAtMs: tryGetKeyTimeMs(request.idempotencyKey),
+      deadlineAtMs: Math.min(deadlineAtMs, grantAtMs),
+    };
+  }
+
+  /** Returns undefined when another attempt holds the key. */
+  async function tryClaim(attempt: Attempt): Promise<ClaimResult | undefined> {
+    const {key, windowMs, keyAtMs, requestHash, deadlineAtMs} = attempt;
+    const {nowMs} = follower.getState();
+    const isStale = keyAtMs !== undefined && keyAtMs + windowMs <= nowMs;
+    if (isStale) return {kind: 'expired'};
+    const leftMs = deadlineAtMs - clock.getMonotonicMs();
+    if (leftMs <= 0 || isRefusing()) return createUnavailable();
+    claimsInFlight++;
     const answer = await writer.write(
       {
         kind: 'claim',
-        ...ticket,
+        key,
         node,
-        requestHash: request.requestHash,
-        expiresAtMs: clock.getWallMs() + request.windowMs,
+        attempt: attempt.attempt,
+        requestHash,
+        windowMs,
+        keyAtMs,
       },
-      request.timeoutMs,
+      leftMs,
     );
+    claimsInFlight--;
+    hasTimedOut = answer.err;
     if (answer.err) {
-      if (answer.val.mayHaveTakenEffect) release(ticket);
-      return {kind: 'unavailable', retryAfterMs: RETRY_AFTER_MS};
+      if (answer.val.mayHaveTakenEffect) release(attempt);
+      return createUnavailable();
+    }
+    if (answer.val.kind === 'rejected') {
+      const isExpired = answer.val.reason === ClaimRefusal.Expired;
+      return isExpired ? {kind: 'expired'} : undefined;
+    }
+    // A process that was paused may read its grant when the window is over.
+    if (clock.getMonotonicMs() > deadlineAtMs) {
+      release(attempt);
+      return createUnavailable();
     }
-    if (answer.val.kind === 'accepted') return {kind: 'granted', ticket};
-    const holder = follower.getState().claims.get(key);
-    if (holder === undefined) return {kind: 'unresolved'};
-    return resolveKnown(holder, request, startedAtMs);
+    return {kind: 'granted', ticket: {key, attempt: attempt.attempt}};
   }
 
-  /** Waits for the outcome of another attempt while there is time. */
+  /** After a timeout one claim at a time finds out whether the log takes records again. */
+  function isRefusing(): boolean {
+    return isLogOut() || (hasTimedOut && claimsInFlight > 0);
+  }
+
+  /** Returns undefined when the claim may have changed. */
   async function resolveKnown(
+    key: string,
     known: ClaimState,
     request: ClaimRequest,
-    startedAtMs: number,
-  ): Promise<ClaimResult> {
-    if (known.requestHash !== request.requestHash) return {kind: 'conflict'};
-    const leftMs = startedAtMs + request.timeoutMs - clock.getMonotonicMs();
-    if (known.outcome === undefined) await waitForOutcome(known, leftMs);
-    if (known.outcome === undefined) return {kind: 'unresolved'};
-    return {kind: 'answered', outcome: known.outcome};
+    deadlineAtMs: number,
+  ): Promise<ClaimResult | undefined> {
+    const requestHash = getShortHash(request.requestHash);
+    if (known.requestHash !== requestHash) return {kind: 'conflict'};
+    const outcome = known.outcome ?? unconfirmedOutcomes.get(known.attempt);
+    if (outcome !== undefined) return {kind: 'answered', outcome};
+    const leftMs = deadlineAtMs - clock.getMonotonicMs();
+    const isHopeless = leftMs <= 0 || isLogOut();
+    if (releasing.has(known.attempt) && isHopeless) return createUnavailable();
+    if (leftMs <= 0 || isOutcomeFar(known)) {
+      return {kind: 'unresolved', retryAfterMs: RETRY_AFTER_MS};
+    }
+    await waiters.wait(key, Math.min(leftMs, WAIT_CHECK_MS));
+    return undefined;
   }
 
-  function waitForOutcome(known: ClaimState, timeoutMs: number): Promise<void> {
-    return new Promise(resolve => {
-      const timer = clock.schedule(timeoutMs, settleWaiter);
-      const unsubscribe = follower.subscribe(() => {
-        if (known.outcome !== undefined) settleWaiter();
-      });
-      function settleWaiter(): void {
-        timer.cancel();
-        unsubscribe();
-        resolve();
-      }
-    });
+  /** True when the outcome of another node's attempt cannot come soon. */
+  function isOutcomeFar(known: ClaimState): boolean {
+    if (known.node === node) return false;
+    return isLogOut() || isNodeGone(known.node);
   }
 
   function settle(ticket: ClaimTicket, outcome: ClaimOutcome): void {
     const isKept = (outcome.body ?? '').length <= maxKeptBody;
-    void writer.write(
-      {
-        kind: 'claim-outcome',
-        ...ticket,
-        verdict: outcome.verdict === 'ran' ? 'ran' : 'may-have-run',
-        status: outcome.status,
-        contentType: outcome.contentType,
-        body: isKept ? outcome.body : undefined,
-      },
-      OUTCOME_TIMEOUT_MS,
+    const {status, contentType} = outcome;
+    const verdict = outcome.verdict === 'ran' ? 'ran' : 'may-have-run';
+    const body = isKept ? outcome.body : undefined;
+    unconfirmedOutcomes.set(ticket.attempt, {
+      verdict,
+      status,
+      contentType,
+      body,
+    });
+    waiters.notify(ticket.key);
+    void writeOutcome(ticket, {verdict, status, contentType, body});
+  }
+
+  async function writeOutcome(
+    ticket: ClaimTicket,
+    outcome: Omit<ClaimOutcome, 'verdict'> & {verdict: 'ran' | 'may-have-run'},
+  ): Promise<void> {
+    const {key, attempt} = ticket;
+    const answer = await writer.write(
+      {kind: 'claim-outcome', key, attempt, ...outcome},
+      maxWindowMs,
     );
+    const isRefused =
+      answer.err && answer.val.kind === PlatformFailureKind.Rejected;
+    if (isRefused && outcome.body !== undefined) {
+      // A record that the log finds too large must not cost the verdict.
+      return writeOutcome(ticket, {...outcome, body: undefined});
+    }
+    unconfirmedOutcomes.delete(attempt);
   }
 
   function release(ticket: ClaimTicket): void {
-    void writer.write({kind: 'claim-release', ...ticket}, OUTCOME_TIMEOUT_MS);
+    const {key, attempt} = ticket;
+    releasing.add(attempt);
+    void writer
+      .write({kind: 'claim-release', key, attempt}, maxWindowMs)
+      .then(() => releasing.delete(attempt));
   }
 }
 
-/** Returns a claim's key in the log: client accounts cannot reach one another's keys. */
-export function getClaimKey(
-  clientAccount: string,
-  idempotencyKey: string,
-): string {
-  return createHash('sha256')
-    .update(`${clientAccount}\n${idempotencyKey}`)
-    .digest('hex')
-    .slice(0, KEY_DIGITS);
+function createUnavailable(): ClaimResult {
+  return {kind: 'unavailable', retryAfterMs: RETRY_AFTER_MS};
 }
--- a/src/claims/types.ts
+++ b/src/claims/types.ts
@@ -4,15 +4,18 @@
 
 const claimSchema = z.object({
   kind: z.literal('claim'),
-  /** SHA-256 of client account and idempotency key, shortened. */
+  /** Hash of client account and idempotency key. */
   key: z.string().min(1),
+  /** Process incarnation that claims. */
   node: z.string().min(1),
   /** Names this attempt; no other attempt has the same name. */
   attempt: z.string().min(1),
   /** Hash of the request, so that a key used for another request is refused. */
   requestHash: z.string().min(1),
-  /** When the key's window ends, in milliseconds since the Unix epoch. */
-  expiresAtMs: z.number(),
+  /** How long the key is valid, in milliseconds. */
+  windowMs: z.number().positive(),
+  /** Time stamp in the key, in milliseconds since the Unix epoch; absent for an opaque key. */
+  keyAtMs: z.number().optional(),
 });
 
 const outcomeSchema = z.object({
@@ -43,6 +46,34 @@
 /** An entry of a claims stream. */
 export type ClaimEntry = z.infer<typeof claimEntrySchema>;
 
+/** Why the fold refuses an entry. */
+export const ClaimRefusal = {
+  /** Another attempt holds the key. */
+  Held: 'claimed before',
+  /** The key's time stamp is outside its window. */
+  Expired: 'outside the key window',
+  /** The entry's attempt does not hold the key. */
+  NotHolder: 'not the holder',
+} as const;
+export type ClaimRefusal = (typeof ClaimRefusal)[keyof typeof ClaimRefusal];
+
+const keptOutcomeSchema = z.object({
+  verdict: z.enum(['ran', 'may-have-run']),
+  status: z.number().int(),
+  contentType: z.string(),
+  body: z.string().optional(),
+});
+
+/** Schema of a claim in a snapshot. */
+export const claimStateSchema = z.object({
+  node: z.string(),
+  attempt: z.string(),
+  requestHash: z.string(),
+  /** When the key's window ends, in milliseconds since the Unix epoch on the log's clock. */
+  expiresAtMs: z.number(),
+  outcome: keptOutcomeSchema.optional(),
+});
+
 /** The kept answer of a non-idempotent request. */
 export interface ClaimOutcome {
   readonly verdict: Verdict;
@@ -53,13 +84,7 @@
 }
 
 /** A claim as folded. */
-export interface ClaimState {
-  readonly node: string;
-  readonly attempt: string;
-  readonly requestHash: string;
-  readonly expiresAtMs: number;
-  outcome?: ClaimOutcome;
-}
+export type ClaimState = z.infer<typeof claimStateSchema>;
 
 /** The right to run a non-idempotent request, once. */
 export interface ClaimTicket {
@@ -80,15 +105,15 @@
 
 /** What became of a request to claim. */
 export type ClaimResult =
-  /** The caller may run the request; it must settle or release the ticket. */
+  /** The caller may run the request at once; it must settle or release the ticket. */
   | {readonly kind: 'granted'; readonly ticket: ClaimTicket}
   /** The request ran before; this is what came of it. */
   | {readonly kind: 'answered'; readonly outcome: ClaimOutcome}
   /** Another attempt holds the claim and its outcome is not known in time. */
-  | {readonly kind: 'unresolved'}
+  | {readonly kind: 'unresolved'; readonly retryAfterMs: number}
   /** The key was used for another request. */
   | {readonly kind: 'conflict'}
-  /** The key is older than its window. */
+  /** The key's time stamp is outside its window. */
   | {readonly kind: 'expired'}
   /** The log did not decide in time; the request will not run. */
   | {readonly kind: 'unavailable'; readonly retryAfterMs: number};
--- a/src/entry/claim_request.ts
+++ b/src/entry/claim_request.ts
@@ -85,7 +85,7 @@
       return fail(
         FailureKind.BackendFailed,
         'the request with this key may have run; its outcome is not known',
-        {verdict: Verdict.MayHaveRun},
+        {verdict: Verdict.MayHaveRun, retryAfterMs: result.retryAfterMs},
       );
     case 'conflict':
       return fail(
@@ -95,7 +95,7 @@
     case 'expired':
       return fail(
         FailureKind.BadRequest,
-        'the idempotency key is older than its window',
+        'the time stamp of the idempotency key is outside the key window',
       );
     case 'unavailable':
       return fail(
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -74,7 +74,9 @@
     dispatcher,
     services,
     claims: createClaimsLedger({
-      node: id,
+      node: writerId,
+      logRetentionMs: settings.platform.log_retention_s * 1_000,
+      isLogOut: streams.isClaimsLogOut,
       clock,
       follower: streams.claims.follower,
       writer: streams.claims.writer,
--- a/src/node/node_streams.ts
+++ b/src/node/node_streams.ts
@@ -17,6 +17,9 @@
 /** Name of the stream that holds the claims. */
 export const CLAIMS_STREAM = 'claims-0';
 
+/** A log that has answered no read for so long does not answer, in milliseconds. */
+const LOG_SILENCE_MS = 2_500;
+
 /** Options of the streams. */
 export interface NodeStreamsOptions {
   readonly clock: Clock;
@@ -30,12 +33,16 @@
 export interface StreamPair<State, Entry> {
   readonly follower: StreamFollower<State, Entry>;
   readonly writer: StreamWriter<Entry>;
+  /** Returns whether the log answered the last read. */
+  isHealthy(): boolean;
 }
 
 /** Every stream of a node. */
 export interface NodeStreams {
   readonly config: StreamPair<ConfigState, ConfigEntry>;
   readonly claims: StreamPair<ClaimsState, ClaimEntry>;
+  /** Returns whether the claims stream is known not to answer. */
+  isClaimsLogOut(): boolean;
   isCaughtUp(): boolean;
   start(): void;
   stop(): void;
@@ -45,12 +52,14 @@
 export function createNodeStreams(options: NodeStreamsOptions): NodeStreams {
   const {clock, log, writerId, events} = options;
   const config = createPair(configStream);
-  const claims = createPair(createClaimsStream(CLAIMS_STREAM));
+  const claims = createPair(createClaimsStream({stream: CLAIMS_STREAM}));
   const followers = [config.follower, claims.follower];
   const writers = [config.writer, claims.writer];
   return {
     config,
     claims,
+    isClaimsLogOut: () =>
+      !claims.isHealthy() || claims.follower.getSilenceMs() > LOG_SILENCE_MS,
     isCaughtUp: () => followers.every(follower => follower.isCaughtUp()),
     start: () => followers.forEach(follower => follower.start()),
     stop: () => {
@@ -62,19 +71,22 @@
   function createPair<State, Entry>(
     definition: StreamDefinition<State, Entry>,
   ): StreamPair<State, Entry> {
+    let isHealthy = true;
     const follower = createStreamFollower({
       definition,
       log,
       clock,
-      onHealthChange: (isHealthy, message) =>
+      onHealthChange: (isHealthyNow, message) => {
+        isHealthy = isHealthyNow;
         events.emit({
           kind: isHealthy ? 'log-back' : 'log-out',
           cause: isHealthy
             ? `stream ${definition.stream} is read again`
             : `stream ${definition.stream}: ${message}`,
-        }),
+        });
+      },
     });
     const writer = createStreamWriter({follower, log, clock, writer: writerId});
-    return {follower, writer};
+    return {follower, writer, isHealthy: () => isHealthy};
   }
 }
--- /dev/null
+++ b/test/support/claims_cluster.ts
@@ -0,0 +1,275 @@
+/** Nodes that claim and run bookings on virtual time, with faults that can be scheduled. */
+import type {LogService} from '../../src/platform';
+import {createVirtualClock, type VirtualClock} from '../../src/runtime';
+import {
+  createLocalLog,
+  createLogModel,
+  type LogModel,
+} from '../../src/standins';
+import {createStreamFollower, createStreamWriter} from '../../src/state';
+import {
+  type ClaimResult,
+  type ClaimsLedger,
+  type ClaimsState,
+  createClaimsLedger,
+  createClaimsStream,
+} from '../../src/claims';
+import {createProcessControl, type ProcessControl} from './process_control';
+
+/** What a caller was told. */
+export interface BookingAnswer {
+  readonly request: string;
+  readonly key: string;
+  readonly atMs: number;
+  readonly kind: ClaimResult['kind'] | 'ran' | 'refused';
+  /** Names the run, with `ran` and `answered`. */
+  readonly body?: string;
+}
+
+/** A booking as a caller sends it. */
+export interface Booking {
+  readonly key: string;
+  readonly content?: string;
+  readonly timeoutMs?: number;
+  readonly windowMs?: number;
+  /** The backend server refuses it as not run. */
+  readonly isRefused?: boolean;
+}
+
+/** One run at the backend server. */
+export interface BackendRun {
+  readonly request: string;
+  readonly key: string;
+  readonly atMs: number;
+}
+
+/** A fault at a time of the schedule. */
+export type Fault =
+  | {readonly kind: 'pause'; readonly node: number; readonly forMs: number}
+  | {readonly kind: 'kill'; readonly node: number}
+  | {readonly kind: 'cut'; readonly node: number; readonly forMs: number}
+  | {readonly kind: 'log-outage'; readonly forMs: number}
+  | {
+      readonly kind: 'log-delay';
+      readonly delayMs: number;
+      readonly forMs: number;
+    }
+  | {readonly kind: 'lost-replies'; readonly count: number};
+
+/** A node of the cluster. */
+export interface ClaimsNode {
+  readonly control: ProcessControl;
+  readonly ledger: ClaimsLedger;
+  getState(): ClaimsState;
+  book(booking: Booking): Promise<BookingAnswer>;
+}
+
+/** The cluster. */
+export interface ClaimsCluster {
+  readonly clock: VirtualClock;
+  readonly log: LogModel;
+  readonly answers: readonly BookingAnswer[];
+  readonly runs: readonly BackendRun[];
+  getNode(index: number): ClaimsNode;
+  applyFault(fault: Fault): void;
+  /** Starts a further process; returns its index. */
+  addNode(): number;
+  stop(): void;
+}
+
+/** Options of the cluster. */
+export interface ClaimsClusterOptions {
+  readonly nodes?: number;
+  readonly logRetentionMs?: number;
+  /** Time that the backend server takes, in milliseconds. */
+  readonly serviceMs?: number;
+  /** Stands in for clocks of nodes that are wrong by so much, in milliseconds. */
+  readonly wallSkewMs?: (node: number) => number;
+}
+
+const WALL_START_MS = Date.UTC(2026, 0, 1);
+const ONE_WAY_MS = 1;
+const DEFAULT_WINDOW_MS = 3_600_000;
+const DEFAULT_TIMEOUT_MS = 2_000;
+
+/** Starts a cluster. */
+export function startClaimsCluster(
+  options: ClaimsClusterOptions = {},
+): ClaimsCluster {
+  const clock = createVirtualClock({wallStartMs: WALL_START_MS});
+  const log = createLogModel({clock, retentionMs: options.logRetentionMs});
+  const nodes: Array<ClaimsNode & {stop(): void}> = [];
+  const cutUntilMs: number[] = [];
+  const answers: BookingAnswer[] = [];
+  const runs: BackendRun[] = [];
+  let nextRequest = 1;
+  let outageUntilMs = 0;
+  for (let index = 0; index < (options.nodes ?? 3); index++) addNode();
+  return {
+    clock,
+    log,
+    answers,
+    runs,
+    getNode: index => nodes[index],
+    applyFault,
+    addNode,
+    stop: () => nodes.forEach(node => node.stop()),
+  };
+
+  function addNode(): number {
+    const index = nodes.length;
+    cutUntilMs.push(0);
+    const control = createProcessControl(clock);
+    const node = `node-${index}.1`;
+    const nodeLog = createPausableLog(control, index);
+    const skewMs = options.wallSkewMs?.(index) ?? 0;
+    const nodeClock = {
+      ...control.clock,
+      getWallMs: () => clock.getWallMs() + skewMs,
+    };
+    let isLogOut = false;
+    const follower = createStreamFollower({
+      definition: createClaimsStream({stream: 'claims-0'}),
+      log: nodeLog,
+      clock: nodeClock,
+      onHealthChange: isHealthy => {
+        isLogOut = !isHealthy;
+      },
+    });
+    const writer = createStreamWriter({
+      follower,
+      log: nodeLog,
+      clock: nodeClock,
+      writer: node,
+    });
+    let attempts = 0;
+    const ledger = createClaimsLedger({
+      node,
+      clock: nodeClock,
+      follower,
+      writer,
+      logRetentionMs: options.logRetentionMs,
+      isLogOut: () => isLogOut,
+      createAttempt: () => `${node}.${++attempts}`,
+    });
+    follower.start();
+    nodes.push({
+      control,
+      ledger,
+      getState: follower.getState,
+      book: booking => runBooking(control, ledger, booking),
+      stop: () => {
+        follower.stop();
+        writer.stop();
+      },
+    });
+    return index;
+  }
+
+  /** What the network carries goes on while the process is paused or killed. */
+  function createPausableLog(
+    control: ProcessControl,
+    index: number,
+  ): LogService {
+    const network = createLocalLog({
+      model: log,
+      clock,
+      oneWayMs: ONE_WAY_MS,
+      isReachable: () => clock.getMonotonicMs() >= cutUntilMs[index],
+    });
+    return {
+      append: async (stream, body) => {
+        await control.waitUntilRunning();
+        const answer = await network.append(stream, body);
+        await control.waitUntilRunning();
+        return answer;
+      },
+      read: async (stream, fromOffset, readOptions) => {
+        await control.waitUntilRunning();
+        const answer = await network.read(stream, fromOffset, readOptions);
+        await control.waitUntilRunning();
+        return answer;
+      },
+    };
+  }
+
+  async function runBooking(
+    control: ProcessControl,
+    ledger: ClaimsLedger,
+    booking: Booking,
+  ): Promise<BookingAnswer> {
+    const request = `request-${nextRequest++}`;
+    const {key} = booking;
+    await control.waitUntilRunning();
+    const result = await ledger.claim({
+      clientAccount: 'studio',
+      idempotencyKey: key,
+      requestHash: booking.content ?? key,
+      windowMs: booking.windowMs ?? DEFAULT_WINDOW_MS,
+      timeoutMs: booking.timeoutMs ?? DEFAULT_TIMEOUT_MS,
+    });
+    if (result.kind === 'answered') {
+      return addAnswer(request, key, 'answered', result.outcome.body);
+    }
+    if (result.kind !== 'granted') return addAnswer(request, key, result.kind);
+    await control.waitUntilRunning();
+    await clock.sleep(ONE_WAY_MS);
+    if (booking.isRefused === true) {
+      await control.waitUntilRunning();
+      ledger.release(result.ticket);
+      return addAnswer(request, key, 'refused');
+    }
+    runs.push({request, key, atMs: clock.getMonotonicMs()});
+    const body = `run ${request}`;
+    await clock.sleep((options.serviceMs ?? 20) + ONE_WAY_MS);
+    await control.waitUntilRunning();
+    ledger.settle(result.ticket, {
+      verdict: 'ran',
+      status: 200,
+      contentType: 'text/plain',
+      body,
+    });
+    return addAnswer(request, key, 'ran', body);
+  }
+
+  function addAnswer(
+    request: string,
+    key: string,
+    kind: BookingAnswer['kind'],
+    body?: string,
+  ): BookingAnswer {
+    const answer = {request, key, kind, body, atMs: clock.getMonotonicMs()};
+    answers.push(answer);
+    return answer;
+  }
+
+  function applyFault(fault: Fault): void {
+    const nowMs = clock.getMonotonicMs();
+    switch (fault.kind) {
+      case 'pause':
+        nodes[fault.node].control.setPause(fault.forMs);
+        return;
+      case 'kill':
+        nodes[fault.node].control.kill();
+        return;
+      case 'cut':
+        cutUntilMs[fault.node] = nowMs + fault.forMs;
+        return;
+      case 'log-outage':
+        outageUntilMs = Math.max(outageUntilMs, nowMs + fault.forMs);
+        log.setDown(true);
+        clock.schedule(fault.forMs, stopOutage);
+        return;
+      case 'log-delay':
+        log.setDelay(fault.delayMs);
+        clock.schedule(fault.forMs, () => log.setDelay(0));
+        return;
+      case 'lost-replies':
+        log.loseReplies(fault.count);
+    }
+  }
+
+  function stopOutage(): void {
+    if (clock.getMonotonicMs() >= outageUntilMs) log.setDown(false);
+  }
+}
