Plan a client account's move stage by stage

Weighed: a stage machine in the holder's memory (lost with it), and a schedule by time alone (moves on while answers fail). While requests shift, one whose building has no server goes to the other one; it was not run.

--- a/src/entry/admitted_request.ts
+++ b/src/entry/admitted_request.ts
@@ -1,8 +1,7 @@
 /** A request with its class, deadline and servers, as the pipeline passes it on. */
 import type {Clock} from '../runtime';
-import type {ServerSelector} from '../state';
 import {type Classification, getClassification} from './classify';
-import type {RequestInput, SelectServers} from './types';
+import type {RequestInput, SelectServers, ServerChoice} from './types';
 
 /** Priority that urgent requests are raised by. */
 const URGENT_PRIORITY = 100;
@@ -17,7 +16,7 @@
   /** When the answer must be complete, on the node's monotonic clock. */
   readonly deadlineAtMs: number;
   readonly priority: number;
-  readonly servers: ServerSelector;
+  readonly choice: ServerChoice;
   /** True when it runs at most once and needs a claim. */
   readonly needsClaim: boolean;
 }
@@ -48,7 +47,7 @@
     deadlineMs,
     deadlineAtMs: receivedAtMs + deadlineMs,
     priority: classification.urgent ? URGENT_PRIORITY + priority : priority,
-    servers: options.selectServers(input.template, input.options.requestId),
+    choice: options.selectServers(input.template),
     needsClaim: !classification.idempotent && !isRead(input),
   };
 }
--- a/src/entry/pipeline.ts
+++ b/src/entry/pipeline.ts
@@ -8,10 +8,12 @@
   ServiceDispatcher,
 } from '../routing';
 import type {Clock} from '../runtime';
+import type {ServerSelector} from '../state';
 import {createFailure, FailureKind, type RequestFailure} from '../verdict';
 import {type AdmittedRequest, createAdmittedRequest} from './admitted_request';
 import {claimRequest, settleFailure} from './claim_request';
 import {createClaimedModelRun} from './claimed_model';
+import {createFallbackRun, isUnserved} from './fallback';
 import {createOpenRequests} from './open_requests';
 import {createSummarySink, createServiceSummary} from './summary';
 import type {
@@ -44,7 +46,8 @@
   options: RequestPipelineOptions,
 ): RequestPipeline {
   const {clock, dispatcher, services, claims} = options;
-  const selectServers = options.selectServers ?? (template => template.engines);
+  const selectServers =
+    options.selectServers ?? (template => ({servers: template.engines}));
   const onSummary = options.onSummary ?? (() => undefined);
   const open = createOpenRequests();
   return {
@@ -90,9 +93,24 @@
     };
   }
 
+  /** Goes to the fallback when no server of the first choice is available. */
   function submitModel(
     request: AdmittedRequest<ModelInput>,
     sink: AnswerSink,
+  ): RequestHandle {
+    const {servers, fallback} = request.choice;
+    if (fallback === undefined) return submitTo(servers, request, sink);
+    return createFallbackRun({
+      sink,
+      submit: next => submitTo(servers, request, next),
+      submitFallback: next => submitTo(fallback, request, next),
+    });
+  }
+
+  function submitTo(
+    engines: ServerSelector,
+    request: AdmittedRequest<ModelInput>,
+    sink: AnswerSink,
   ): RequestHandle {
     const {input, classification} = request;
     return dispatcher.submit(
@@ -109,7 +127,7 @@
         idempotent: classification.idempotent,
         prefixHashes: input.prefixHashes,
         prefixTokens: input.prefixTokens,
-        engines: request.servers,
+        engines,
         weight: input.template.limits.weight,
       },
       sink,
@@ -164,6 +182,20 @@
     request: AdmittedRequest<ServiceInput>,
     idempotent: boolean,
     signal?: AbortSignal,
+  ): Promise<Result<ServiceResult, RequestFailure>> {
+    const {servers, fallback} = request.choice;
+    const answer = await callServers(servers, request, idempotent, signal);
+    if (answer.ok || fallback === undefined || !isUnserved(answer.val)) {
+      return answer;
+    }
+    return callServers(fallback, request, idempotent, signal);
+  }
+
+  async function callServers(
+    servers: ServerSelector,
+    request: AdmittedRequest<ServiceInput>,
+    idempotent: boolean,
+    signal?: AbortSignal,
   ): Promise<Result<ServiceResult, RequestFailure>> {
     const {input} = request;
     const answer = await services.call(
@@ -176,7 +208,7 @@
         body: input.body,
         idempotent,
         deadlineAtMs: request.deadlineAtMs,
-        servers: request.servers,
+        servers,
       },
       signal,
     );
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -78,11 +78,14 @@
   readonly isInDeadline: boolean;
 }
 
+/** The servers for a request, and those to use when none of them is available. */
+export interface ServerChoice {
+  readonly servers: ServerSelector;
+  readonly fallback?: ServerSelector;
+}
+
 /** Chooses the backend servers that may serve a request of a client account. */
-export type SelectServers = (
-  template: Template,
-  requestId: string,
-) => ServerSelector;
+export type SelectServers = (template: Template) => ServerChoice;
 
 /** Answers requests: classes, limits, claims, then routing. */
 export interface RequestPipeline {
--- /dev/null
+++ b/src/planning/move/account_windows.ts
@@ -0,0 +1,91 @@
+/** Counts what the requests of each client account came to, over a sliding window. */
+import type {Clock} from '../../runtime';
+import type {AccountWindow} from './types';
+
+/** Length of one count, in milliseconds. */
+const SLOT_MS = 5_000;
+/** Longest window that can be asked for, in milliseconds. */
+const MAX_WINDOW_MS = 3_600_000;
+
+/** Options of the counts. */
+export interface AccountWindowsOptions {
+  readonly clock: Clock;
+  /** Returns whether an account's requests are counted: only those that move. */
+  readonly isCounted: (clientAccount: string) => boolean;
+}
+
+/** One request that has ended. */
+export interface CountedRequest {
+  readonly clientAccount: string;
+  readonly isInDeadline: boolean;
+  readonly isFailed: boolean;
+}
+
+/** The counts of one node. */
+export interface AccountWindows {
+  add(request: CountedRequest): void;
+  getWindow(clientAccount: string, windowMs: number): AccountWindow;
+}
+
+interface Slot {
+  readonly startMs: number;
+  requests: number;
+  inDeadline: number;
+  failed: number;
+}
+
+/** Creates counts of none. */
+export function createAccountWindows(
+  options: AccountWindowsOptions,
+): AccountWindows {
+  const {clock, isCounted} = options;
+  const slotsByAccount = new Map<string, Slot[]>();
+  return {add, getWindow};
+
+  function add(request: CountedRequest): void {
+    if (!isCounted(request.clientAccount)) {
+      slotsByAccount.delete(request.clientAccount);
+      return;
+    }
+    const slot = getSlot(request.clientAccount);
+    slot.requests++;
+    if (request.isInDeadline) slot.inDeadline++;
+    if (request.isFailed) slot.failed++;
+  }
+
+  function getSlot(clientAccount: string): Slot {
+    const nowMs = clock.getMonotonicMs();
+    const startMs = Math.floor(nowMs / SLOT_MS) * SLOT_MS;
+    const slots = slotsByAccount.get(clientAccount) ?? [];
+    slotsByAccount.set(clientAccount, slots);
+    while (slots.length > 0 && slots[0].startMs < nowMs - MAX_WINDOW_MS) {
+      slots.shift();
+    }
+    const last = slots.at(-1);
+    if (last?.startMs === startMs) return last;
+    const slot = {startMs, requests: 0, inDeadline: 0, failed: 0};
+    slots.push(slot);
+    return slot;
+  }
+
+  function getWindow(clientAccount: string, windowMs: number): AccountWindow {
+    const sinceMs = clock.getMonotonicMs() - windowMs;
+    const window = {requests: 0, inDeadline: 0, failed: 0};
+    for (const slot of slotsByAccount.get(clientAccount) ?? []) {
+      if (slot.startMs < sinceMs) continue;
+      window.requests += slot.requests;
+      window.inDeadline += slot.inDeadline;
+      window.failed += slot.failed;
+    }
+    return window;
+  }
+}
+
+/** Returns the sum of several nodes' windows. */
+export function mergeWindows(windows: readonly AccountWindow[]): AccountWindow {
+  return {
+    requests: windows.reduce((sum, item) => sum + item.requests, 0),
+    inDeadline: windows.reduce((sum, item) => sum + item.inDeadline, 0),
+    failed: windows.reduce((sum, item) => sum + item.failed, 0),
+  };
+}
--- /dev/null
+++ b/src/planning/move/select_servers.ts
@@ -0,0 +1,64 @@
+/** Chooses the building that serves a request while its client account moves. */
+import {assertNever} from '../../runtime';
+import type {ServerSelector, Template} from '../../state';
+import {tryGetStageInForce} from './stage';
+import type {MoveProgress, MoveServers} from './types';
+
+/** Options of `selectMoveServers`. */
+export interface SelectMoveServersOptions {
+  readonly template: Template;
+  /** Absent while no stage has been entered. */
+  readonly progress: MoveProgress | undefined;
+  /** A number from 0 up to and without 1 that is fixed for the request. */
+  readonly draw: number;
+}
+
+/** Returns the servers of the origin or of the destination, by the stage's share. */
+export function selectMoveServers(
+  options: SelectMoveServersOptions,
+): MoveServers {
+  const {template, progress, draw} = options;
+  const {move, engines} = template;
+  if (move === undefined) return {servers: engines};
+  const stage = tryGetStageInForce(move, progress);
+  if (stage === undefined) {
+    return {servers: mergeSelectors(engines, move.stages[0].from)};
+  }
+  const origin = mergeSelectors(engines, stage.from);
+  const destination = mergeSelectors(engines, stage.to);
+  switch (stage.kind) {
+    case 'prepare_weights':
+      return {servers: origin};
+    case 'warm':
+    case 'shift':
+      return draw < stage.share
+        ? {servers: destination, fallback: origin}
+        : {servers: origin, fallback: destination};
+    case 'drain':
+    case 'done':
+      return {servers: destination};
+    default:
+      return assertNever(stage.kind);
+  }
+}
+
+/** Returns the selector of the servers that both select. */
+export function mergeSelectors(
+  left: ServerSelector,
+  right: ServerSelector,
+): ServerSelector {
+  return {
+    buildings: mergeLists(left.buildings, right.buildings),
+    failure_domains: mergeLists(left.failure_domains, right.failure_domains),
+    ids: mergeLists(left.ids, right.ids),
+  };
+}
+
+function mergeLists(
+  left: string[] | undefined,
+  right: string[] | undefined,
+): string[] | undefined {
+  if (left === undefined) return right;
+  if (right === undefined) return left;
+  return left.filter(item => right.includes(item));
+}
