Report every fault of a settings file with its place, key and what was expected

The thin schema named a key and a message, without a place, and knew few keys. Now: the whole schema with descriptions and units, faults as file:line:column with a code from one table, unknown keys with the nearest known one, checks over several keys at once beside the others, secrets from files or the environment that print as [secret], a reference page and a page of messages generated from the sources (npm run docs), example files of both deployments.

Places come from a scan of the text, since smol-toml gives places for syntax only; a property test compares them with the text of 200 generated files. Ruled out: a TOML parser with a syntax tree (none installed).

Seen on the way: a misspelt key that has no default was reported twice, as unknown and as missing; the second is left out when the first names it.

--- a/src/cli/serve_command.ts
+++ b/src/cli/serve_command.ts
@@ -1,6 +1,6 @@
 /** `anvilstack serve`. */
 import {Command, Option} from 'clipanion';
-import {createLogger} from '../diagnostics';
+import {createLogger, formatMessage} from '../diagnostics';
 import {startNode} from '../node';
 import {createSystemClock} from '../runtime';
 import {loadSettings} from '../settings';
@@ -22,9 +22,7 @@
     const loaded = loadSettings(this.settings);
     if (loaded.err) {
       for (const fault of loaded.val) {
-        this.context.stderr.write(
-          `${fault.file}: ${fault.key}: ${fault.message}\n`,
-        );
+        this.context.stderr.write(`${formatMessage(fault)}\n`);
       }
       return 2;
     }
--- a/src/demo/demo.ts
+++ b/src/demo/demo.ts
@@ -4,7 +4,7 @@
 import {getKeyHash} from '../entry';
 import {type AnvilstackNode, startNode} from '../node';
 import type {Clock} from '../runtime';
-import type {Settings} from '../settings';
+import {createSettings, type Settings} from '../settings';
 import {type StandinFleet, startStandinFleet} from './standin_fleet';
 
 /** Options of the demo. */
@@ -61,7 +61,7 @@
 }
 
 function createNodeSettings(fleet: StandinFleet, index: number): Settings {
-  return {
+  return createSettings({
     deployment: 'demo',
     node: {
       id: `node-${index + 1}`,
@@ -82,7 +82,7 @@
     operator: [{name: 'demo', token_sha256: getKeyHash(OPERATOR_TOKEN)}],
     routing: {report_interval_ms: 100},
     logging: {level: 'error', format: 'text'},
-  };
+  });
 }
 
 /** Publishes a template, sends requests of each kind and prints what came of them. */
--- a/src/diagnostics/index.ts
+++ b/src/diagnostics/index.ts
@@ -8,3 +8,12 @@
 } from './events';
 export {createLogger, LOG_LEVELS} from './log';
 export type {Logger, LoggerOptions, LogLevel} from './log';
+export {
+  createMessage,
+  formatMessage,
+  getMessageText,
+  renderMessagesPage,
+} from './message_format';
+export {MessageCategory} from './message_types';
+export type {FilePlace, Message, MessageDefinition} from './message_types';
+export {messages} from './messages';
--- /dev/null
+++ b/src/diagnostics/message_format.ts
@@ -0,0 +1,59 @@
+/** Writes messages out for people, and the page that lists them. */
+import type {FilePlace, Message, MessageDefinition} from './message_types';
+
+/** Options of a message beyond its arguments. */
+export interface MessageOptions {
+  readonly place?: FilePlace;
+  readonly key?: string;
+}
+
+/** Creates a message. */
+export function createMessage(
+  definition: MessageDefinition,
+  args: readonly string[] = [],
+  options: MessageOptions = {},
+): Message {
+  return {definition, args, ...options};
+}
+
+/** Returns the text of a message without its place and code. */
+export function getMessageText(message: Message): string {
+  return message.definition.template.replace(
+    /\{(\d+)\}/g,
+    (_, index: string) => message.args[Number(index)] ?? '',
+  );
+}
+
+/** Returns one line, such as `node.toml:3:1 - error AS1101: unknown key 'nod'`. */
+export function formatMessage(message: Message): string {
+  const {definition, place} = message;
+  const text = `${definition.category} ${definition.code}: ${getMessageText(message)}`;
+  if (place === undefined) return text;
+  return `${place.file}:${place.line}:${place.column} - ${text}`;
+}
+
+/** Renders the page docs/operators/messages.md. */
+export function renderMessagesPage(
+  definitions: readonly MessageDefinition[],
+): string {
+  const lines = [
+    '# Messages',
+    '',
+    'Generated from `src/diagnostics/messages.ts` by `npm run docs`. In the texts `{0}`, `{1}` stand for the particulars.',
+  ];
+  const sorted = [...definitions].sort((left, right) =>
+    left.code < right.code ? -1 : 1,
+  );
+  for (const item of sorted) {
+    lines.push(
+      '',
+      `## ${item.code}`,
+      '',
+      `${item.category}: \`${item.template}\``,
+      '',
+      `- Cause: ${item.cause}`,
+      `- Remedy: ${item.remedy}`,
+    );
+  }
+  return `${lines.join('\n')}\n`;
+}
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -1,4 +1,18 @@
-export {loadSettings, parseSettings} from './load';
-export type {SettingsFault} from './load';
+export {
+  createSettings,
+  loadAnySettings,
+  loadSettings,
+  loadStandinsSettings,
+  parseSettings,
+  readText,
+} from './load';
+export type {AnySettings, SettingsFault} from './load';
+export {renderSettingsReference} from './reference';
 export {settingsSchema} from './schema';
-export type {Settings} from './schema';
+export type {Settings, SettingsInput} from './schema';
+export {createSecret, loadSecrets} from './secrets';
+export type {Secret, Secrets, SecretSources} from './secrets';
+export {standinsSchema} from './standins_schema';
+export type {StandinsSettings} from './standins_schema';
+export {checkToml, createFaultAt, parseToml} from './toml_check';
+export type {TomlDocument} from './toml_check';
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -1,49 +1,114 @@
-/** Reads and checks a settings file. */
+/** Reads and checks settings files. */
 import {readFileSync} from 'node:fs';
-import {parse} from 'smol-toml';
 import {Err, Ok, type Result} from 'ts-results';
-import {type Settings, settingsSchema} from './schema';
+import type {z} from 'zod';
+import {createMessage, type Message, messages} from '../diagnostics';
+import {collectSettingsFaults, collectStandinsFaults} from './cross_checks';
+import {type Settings, type SettingsInput, settingsSchema} from './schema';
+import {type StandinsSettings, standinsSchema} from './standins_schema';
+import {
+  checkToml,
+  compareByPlace,
+  parseToml,
+  type TomlDocument,
+} from './toml_check';
 
-/** One fault of a settings file. */
-export interface SettingsFault {
-  readonly file: string;
-  readonly key: string;
-  readonly message: string;
-}
+/** One fault of a settings file, with its place. */
+export type SettingsFault = Message;
+
+/** Either kind of settings file. */
+export type AnySettings =
+  | {readonly kind: 'node'; readonly settings: Settings}
+  | {readonly kind: 'standins'; readonly settings: StandinsSettings};
 
-/** Reads and checks a file; returns all of its faults. */
+/** Reads and checks a node's file; returns all of its faults. */
 export function loadSettings(
   file: string,
 ): Result<Settings, readonly SettingsFault[]> {
-  try {
-    return parseSettings(file, readFileSync(file, 'utf8'));
-  } catch (error) {
-    return Err([{file, key: '', message: getMessage(error)}]);
-  }
+  return readText(file).andThen(text => parseSettings(file, text));
 }
 
-/** Checks the text of a settings file. */
+/** Checks the text of a node's settings. */
 export function parseSettings(
   file: string,
   text: string,
 ): Result<Settings, readonly SettingsFault[]> {
-  let value: unknown;
+  return parseToml(file, text).andThen(checkNodeDocument);
+}
+
+/** Reads and checks a stand-ins' file; returns all of its faults. */
+export function loadStandinsSettings(
+  file: string,
+): Result<StandinsSettings, readonly SettingsFault[]> {
+  return readText(file)
+    .andThen(text => parseToml(file, text))
+    .andThen(checkStandinsDocument);
+}
+
+/** Reads and checks a file of either kind; one with a table `standins` is for stand-ins. */
+export function loadAnySettings(
+  file: string,
+): Result<AnySettings, readonly SettingsFault[]> {
+  return readText(file)
+    .andThen(text => parseToml(file, text))
+    .andThen((document): Result<AnySettings, readonly SettingsFault[]> => {
+      if ('standins' in document.value) {
+        return checkStandinsDocument(document).map(settings => ({
+          kind: 'standins',
+          settings,
+        }));
+      }
+      return checkNodeDocument(document).map(settings => ({
+        kind: 'node',
+        settings,
+      }));
+    });
+}
+
+/** Fills in the defaults of settings made by a program. Throws when they are faulty. */
+export function createSettings(input: SettingsInput): Settings {
+  return settingsSchema.parse(input);
+}
+
+/** Reads a file's text; the fault says why it cannot be read. */
+export function readText(
+  file: string,
+): Result<string, readonly SettingsFault[]> {
   try {
-    value = parse(text);
+    return Ok(readFileSync(file, 'utf8'));
   } catch (error) {
-    return Err([{file, key: '', message: getMessage(error)}]);
+    const reason = (error as NodeJS.ErrnoException).code ?? String(error);
+    return Err([createMessage(messages.FileUnreadable, [file, reason])]);
   }
-  const parsed = settingsSchema.safeParse(value);
-  if (parsed.success) return Ok(parsed.data);
-  return Err(
-    parsed.error.issues.map(issue => ({
-      file,
-      key: issue.path.join('.'),
-      message: issue.message,
-    })),
+}
+
+function checkNodeDocument(
+  document: TomlDocument,
+): Result<Settings, readonly SettingsFault[]> {
+  return checkDocument(
+    document,
+    settingsSchema,
+    collectSettingsFaults(document),
+  );
+}
+
+function checkStandinsDocument(
+  document: TomlDocument,
+): Result<StandinsSettings, readonly SettingsFault[]> {
+  return checkDocument(
+    document,
+    standinsSchema,
+    collectStandinsFaults(document),
   );
 }
 
-function getMessage(error: unknown): string {
-  return error instanceof Error ? error.message : String(error);
+function checkDocument<T extends z.ZodType>(
+  document: TomlDocument,
+  schema: T,
+  crossFaults: readonly Message[],
+): Result<z.infer<T>, readonly Message[]> {
+  const checked = checkToml(document, schema);
+  const faults = [...(checked.err ? checked.val : []), ...crossFaults];
+  if (checked.ok && faults.length === 0) return Ok(checked.val);
+  return Err(faults.sort(compareByPlace));
 }
--- /dev/null
+++ b/src/settings/secrets.ts
@@ -0,0 +1,92 @@
+/** Secrets from files or the environment, kept out of logs and output. */
+import {readFileSync} from 'node:fs';
+import {inspect} from 'node:util';
+import {Err, Ok, type Result} from 'ts-results';
+import {createMessage, type Message, messages} from '../diagnostics';
+import type {Settings} from './schema';
+
+const HIDDEN_TEXT = '[secret]';
+
+/** A secret that prints as `[secret]`. */
+export interface Secret {
+  /** Returns the text itself; for the one place that needs it. */
+  getText(): string;
+  toString(): string;
+  toJSON(): string;
+}
+
+/** The secrets of a node; those without a source are absent. */
+export interface Secrets {
+  readonly peerSecret?: Secret;
+  readonly resumeSecret?: Secret;
+}
+
+/** Where secrets are read from. */
+export interface SecretSources {
+  readonly environment?: Readonly<Record<string, string | undefined>>;
+  readonly readFile?: (file: string) => string;
+}
+
+/** Creates a secret. */
+export function createSecret(text: string): Secret {
+  const secret = {
+    getText: () => text,
+    toString: () => HIDDEN_TEXT,
+    toJSON: () => HIDDEN_TEXT,
+    [inspect.custom]: () => HIDDEN_TEXT,
+  };
+  return secret;
+}
+
+/** Reads the secrets that the settings name; the faults name the key and never the value. */
+export function loadSecrets(
+  settings: Settings,
+  sources: SecretSources = {},
+): Result<Secrets, readonly Message[]> {
+  const faults: Message[] = [];
+  const {secrets} = settings;
+  const peerSecret = tryLoad(
+    'peer_secret',
+    secrets.peer_secret_file,
+    secrets.peer_secret_env,
+  );
+  const resumeSecret = tryLoad(
+    'resume_secret',
+    secrets.resume_secret_file,
+    secrets.resume_secret_env,
+  );
+  if (faults.length > 0) return Err(faults);
+  return Ok({peerSecret, resumeSecret});
+
+  function tryLoad(
+    name: string,
+    file: string | undefined,
+    variable: string | undefined,
+  ): Secret | undefined {
+    if (file === undefined && variable === undefined) return undefined;
+    const text =
+      file === undefined
+        ? (sources.environment ?? process.env)[variable ?? '']
+        : tryReadFile(file, sources.readFile);
+    if (text !== undefined && text.trim() !== '') {
+      return createSecret(text.trim());
+    }
+    const source =
+      file === undefined
+        ? `the environment variable ${variable}`
+        : `the file ${file}`;
+    faults.push(createMessage(messages.SecretUnavailable, [name, source]));
+    return undefined;
+  }
+}
+
+function tryReadFile(
+  file: string,
+  readFile: (file: string) => string = name => readFileSync(name, 'utf8'),
+): string | undefined {
+  try {
+    return readFile(file);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/settings/toml_check.ts
@@ -0,0 +1,280 @@
+/** Checks a TOML text against a schema and reports every fault with its place. */
+import {parse, TomlError} from 'smol-toml';
+import {Err, Ok, type Result} from 'ts-results';
+import {z} from 'zod';
+import {createMessage, type Message, messages} from '../diagnostics';
+import {listKnownKeys} from './schema_keys';
+import {tryGetNearestName} from './nearest_name';
+import {
+  collectKeyPositions,
+  getKeyPosition,
+  type KeyPositions,
+} from './toml_positions';
+
+/** A TOML text that has been parsed, with the places of its keys. */
+export interface TomlDocument {
+  readonly file: string;
+  readonly value: Readonly<Record<string, unknown>>;
+  readonly positions: KeyPositions;
+}
+
+/** Parses a text; the fault says where the syntax breaks. */
+export function parseToml(
+  file: string,
+  text: string,
+): Result<TomlDocument, readonly Message[]> {
+  try {
+    const value = parse(text);
+    return Ok({file, value, positions: collectKeyPositions(text)});
+  } catch (error) {
+    return Err([createSyntaxFault(file, error)]);
+  }
+}
+
+/** Checks a parsed text; returns the value with its defaults, or all faults. */
+export function checkToml<T extends z.ZodType>(
+  document: TomlDocument,
+  schema: T,
+): Result<z.infer<T>, readonly Message[]> {
+  const parsed = schema.safeParse(document.value);
+  if (parsed.success) return Ok(parsed.data);
+  const issues = parsed.error.issues as z.core.$ZodIssue[];
+  const misspelt = listMisspeltKeys(schema, issues);
+  return Err(
+    issues
+      .filter(issue => !misspelt.has(formatKey(issue.path)))
+      .flatMap(issue => createFaults(document, schema, issue)),
+  );
+}
+
+/** Lists the known keys that unknown ones stand for: they are not reported as missing too. */
+function listMisspeltKeys(
+  schema: z.ZodType,
+  issues: readonly z.core.$ZodIssue[],
+): Set<string> {
+  const names = new Set<string>();
+  for (const issue of issues) {
+    if (issue.code !== 'unrecognized_keys') continue;
+    for (const name of issue.keys) {
+      const known = listKnownKeys(schema, issue.path);
+      const nearest = tryGetNearestName(name, known);
+      if (nearest !== undefined) names.add(formatKey([...issue.path, nearest]));
+    }
+  }
+  return names;
+}
+
+/** Creates a message at a key's place. */
+export function createFaultAt(
+  document: TomlDocument,
+  path: readonly PropertyKey[],
+  definition: Message['definition'],
+  args: readonly string[],
+): Message {
+  const position = getKeyPosition(document.positions, path);
+  return createMessage(definition, args, {
+    place: {file: document.file, ...position},
+    key: formatKey(path),
+  });
+}
+
+/** Writes a path as it stands in the documents: `operator[0].name`. */
+export function formatKey(path: readonly PropertyKey[]): string {
+  let text = '';
+  for (const part of path) {
+    if (typeof part === 'number') text += `[${part}]`;
+    else text += text === '' ? String(part) : `.${String(part)}`;
+  }
+  return text;
+}
+
+/** Orders messages by line and column. */
+export function compareByPlace(left: Message, right: Message): number {
+  if (left.place === undefined || right.place === undefined) return 0;
+  return (
+    left.place.line - right.place.line || left.place.column - right.place.column
+  );
+}
+
+function createSyntaxFault(file: string, error: unknown): Message {
+  const isSyntax = error instanceof TomlError;
+  const text = error instanceof Error ? error.message : String(error);
+  const place = {
+    file,
+    line: isSyntax ? error.line : 1,
+    column: isSyntax ? error.column : 1,
+  };
+  const summary = text.split('\n')[0].replace('Invalid TOML document: ', '');
+  return createMessage(messages.SyntaxFault, [summary], {place});
+}
+
+function createFaults(
+  document: TomlDocument,
+  schema: z.ZodType,
+  issue: z.core.$ZodIssue,
+): Message[] {
+  const {path} = issue;
+  const key = formatKey(path);
+  switch (issue.code) {
+    case 'unrecognized_keys':
+      return issue.keys.map(name =>
+        createUnknownKeyFault(document, schema, path, name),
+      );
+    case 'invalid_type':
+      return [createTypeFault(document, path, issue.expected)];
+    case 'too_small':
+      return [
+        createRangeFault(document, path, `at least ${String(issue.minimum)}`, {
+          isExclusive: issue.inclusive === false,
+          origin: issue.origin,
+          bound: `more than ${String(issue.minimum)}`,
+        }),
+      ];
+    case 'too_big':
+      return [
+        createRangeFault(document, path, `at most ${String(issue.maximum)}`, {
+          isExclusive: issue.inclusive === false,
+          origin: issue.origin,
+          bound: `less than ${String(issue.maximum)}`,
+        }),
+      ];
+    case 'invalid_value':
+      return [createChoiceFault(document, path, issue.values.map(String))];
+    case 'invalid_format':
+      return [
+        createFaultAt(document, path, messages.BadFormat, [
+          key,
+          getFormatText(issue.format, issue.message),
+        ]),
+      ];
+    default:
+      return [
+        createFaultAt(document, path, messages.InvalidValue, [
+          key,
+          issue.message,
+        ]),
+      ];
+  }
+}
+
+function createUnknownKeyFault(
+  document: TomlDocument,
+  schema: z.ZodType,
+  path: readonly PropertyKey[],
+  name: string,
+): Message {
+  const nearest = tryGetNearestName(name, listKnownKeys(schema, path));
+  const hint = nearest === undefined ? '' : `; did you mean '${nearest}'?`;
+  const full = [...path, name];
+  return createFaultAt(document, full, messages.UnknownKey, [
+    formatKey(full),
+    hint,
+  ]);
+}
+
+function createTypeFault(
+  document: TomlDocument,
+  path: readonly PropertyKey[],
+  expected: string,
+): Message {
+  const found = getValueAt(document.value, path);
+  const key = formatKey(path);
+  if (found === undefined) {
+    return createFaultAt(document, path, messages.MissingKey, [
+      key,
+      getTypeText(expected),
+    ]);
+  }
+  return createFaultAt(document, path, messages.WrongType, [
+    key,
+    getTypeText(expected),
+    getFoundText(found),
+  ]);
+}
+
+interface RangeBound {
+  readonly isExclusive: boolean;
+  readonly origin: string;
+  readonly bound: string;
+}
+
+function createRangeFault(
+  document: TomlDocument,
+  path: readonly PropertyKey[],
+  inclusive: string,
+  range: RangeBound,
+): Message {
+  const text = range.isExclusive ? range.bound : inclusive;
+  const unit =
+    range.origin === 'string'
+      ? ' characters'
+      : range.origin === 'array'
+        ? ' elements'
+        : '';
+  return createFaultAt(document, path, messages.OutOfRange, [
+    formatKey(path),
+    `${text}${unit}`,
+  ]);
+}
+
+function createChoiceFault(
+  document: TomlDocument,
+  path: readonly PropertyKey[],
+  choices: readonly string[],
+): Message {
+  const found = getValueAt(document.value, path);
+  const key = formatKey(path);
+  const list = choices.map(choice => `"${choice}"`).join(', ');
+  if (found === undefined) {
+    return createFaultAt(document, path, messages.MissingKey, [
+      key,
+      `one of ${list}`,
+    ]);
+  }
+  const nearest =
+    typeof found === 'string' ? tryGetNearestName(found, choices) : undefined;
+  const hint = nearest === undefined ? '' : `; did you mean "${nearest}"?`;
+  return createFaultAt(document, path, messages.NotOneOf, [key, list, hint]);
+}
+
+function getValueAt(value: unknown, path: readonly PropertyKey[]): unknown {
+  let current = value;
+  for (const part of path) {
+    if (typeof current !== 'object' || current === null) return undefined;
+    current = (current as Record<PropertyKey, unknown>)[part];
+  }
+  return current;
+}
+
+const TYPE_TEXTS: Readonly<Record<string, string>> = {
+  string: 'a text in quotes',
+  number: 'a number',
+  int: 'a whole number',
+  boolean: 'true or false',
+  array: 'a list',
+  object: 'a table',
+};
+
+function getTypeText(type: string): string {
+  return TYPE_TEXTS[type] ?? type;
+}
+
+/** Names the type found and never the value, which may be a secret in the wrong place. */
+function getFoundText(value: unknown): string {
+  if (Array.isArray(value)) return TYPE_TEXTS['array'];
+  if (value instanceof Date) return 'a date without quotes';
+  if (typeof value === 'number' && !Number.isInteger(value)) {
+    return 'a number with a fraction';
+  }
+  return getTypeText(typeof value);
+}
+
+const FORMAT_TEXTS: Readonly<Record<string, string>> = {
+  url: 'an address such as http://127.0.0.1:7001',
+  datetime: 'a time such as 2026-12-04T18:00:00+01:00',
+};
+
+/** Schemas give their pattern a text of its own as the message. */
+function getFormatText(format: string, message: string): string {
+  return FORMAT_TEXTS[format] ?? message;
+}
