Prove the promises end to end on real sockets

A cluster of three nodes and stand-ins in one process is now shared by the demo and the tests; the stand-in engine repeats a word that the prompt names, so that a crossed answer shows.

Seen to hold: 60 crossed streams, an engine crash in mid-answer (12 answers without a seam), one booking sent nine times to three nodes (1 run), a log outage (bookings not-run, streams untouched, the same key runs once after), a leaving engine, a node that drains under 8 streams.

--- a/src/demo/index.ts
+++ b/src/demo/index.ts
@@ -1,5 +1,7 @@
-export {runDemo, startDemo} from './demo';
-export type {Demo, DemoOptions} from './demo';
+export {startCluster} from './cluster';
+export type {Cluster, ClusterOptions} from './cluster';
+export {runDemo} from './demo';
+export type {DemoOptions} from './demo';
 export {startStandinFleet} from './standin_fleet';
 export type {
   StandinEngine,
--- a/src/standins/engine_model_request.ts
+++ b/src/standins/engine_model_request.ts
@@ -60,9 +60,7 @@
   firstAtMs: number,
   lastAtMs: number,
 ): void {
-  // A replay sends no prompt and needs no text.
-  const text =
-    queued.request.prompt === undefined ? '' : getText(firstIndex, count);
+  const text = getText(queued.request.prompt, firstIndex, count);
   queued.sink?.onTokens({firstIndex, count, text, firstAtMs, lastAtMs});
 }
 
@@ -79,10 +77,20 @@
   queued.sink?.onEnd(queued.end);
 }
 
-function getText(firstIndex: number, count: number): string {
+/** Marks the word that an answer repeats, so that a test can tell whose answer it is. */
+const WORD_PATTERN = /\[word:([a-z0-9-]+)\]/;
+
+/** A replay sends no prompt and needs no text. */
+function getText(
+  prompt: string | undefined,
+  firstIndex: number,
+  count: number,
+): string {
+  if (prompt === undefined) return '';
+  const word = WORD_PATTERN.exec(prompt)?.[1] ?? 'w';
   let text = '';
   for (let index = firstIndex; index < firstIndex + count; index++) {
-    text += `${index === 0 ? '' : ' '}w${index}`;
+    text += `${index === 0 ? '' : ' '}${word}${index}`;
   }
   return text;
 }
--- /dev/null
+++ b/test/node/promises.test.ts
@@ -0,0 +1,134 @@
+/** What must always hold, brought about end to end on real sockets. */
+import assert from 'node:assert/strict';
+import {after, before, test} from 'node:test';
+import type {Cluster} from '../../src/demo';
+import {
+  createTestClient,
+  getExpectedText,
+  sendBooking,
+  startTestCluster,
+  readStreamedText,
+} from '../support/cluster';
+
+let cluster: Cluster;
+
+before(async () => {
+  cluster = await startTestCluster();
+});
+
+after(() => cluster.close());
+
+test('crossed answers reach the callers who asked', async () => {
+  const words = Array.from({length: 60}, (_, index) => `word-${index}-`);
+  const texts = await Promise.all(
+    words.map((word, index) =>
+      readStreamedText(
+        createTestClient(cluster.nodes[index % 3].callerAddress),
+        word,
+        5 + (index % 7),
+      ),
+    ),
+  );
+  const expected = words.map((word, index) =>
+    getExpectedText(word, 5 + (index % 7)),
+  );
+  assert.deepEqual(texts, expected);
+});
+
+test('an engine that crashes in mid-answer is replaced without a seam', async () => {
+  const client = createTestClient(cluster.nodes[0].callerAddress);
+  let isCrashed = false;
+  const answers = Array.from({length: 12}, (_, index) =>
+    readStreamedText(client, `seam-${index}-`, 30, text => {
+      if (isCrashed || text.length < 60) return;
+      isCrashed = true;
+      cluster.fleet.engines[0].crash(300);
+    }),
+  );
+  const texts = await Promise.all(answers);
+  assert.ok(isCrashed);
+  texts.forEach((text, index) =>
+    assert.equal(text, getExpectedText(`seam-${index}-`, 30)),
+  );
+  await cluster.waitUntil(() => cluster.fleet.engines[0].isUp());
+});
+
+test('one booking sent to every node at once runs once, and all hear the same', async () => {
+  const answers = await Promise.all(
+    cluster.nodes.flatMap(node =>
+      [1, 2, 3].map(() => sendBooking(node.callerAddress, 'tape-1')),
+    ),
+  );
+  for (const answer of answers) {
+    assert.equal(answer.headers.get('anvilstack-verdict'), 'ran');
+    assert.deepEqual(await answer.json(), {reference: 'tape-1', runs: 1});
+  }
+  assert.equal(cluster.fleet.service.getRuns('tape-1'), 1);
+});
+
+test('a log outage stops bookings as not run and nothing else', async () => {
+  const [node] = cluster.nodes;
+  cluster.fleet.log.setDown(true);
+  const refused = await sendBooking(node.callerAddress, 'tape-2', 'key-2', {
+    'anvilstack-deadline-ms': '600',
+  });
+  const text = await readStreamedText(
+    createTestClient(node.callerAddress),
+    'calm-',
+    6,
+  );
+  cluster.fleet.log.setDown(false);
+  assert.equal(text, getExpectedText('calm-', 6));
+  assert.equal(refused.status, 503);
+  assert.equal(refused.headers.get('anvilstack-verdict'), 'not-run');
+  assert.ok(Number(refused.headers.get('retry-after-ms')) > 0);
+  assert.equal(cluster.fleet.service.getRuns('tape-2'), 0);
+  let again = await sendBooking(node.callerAddress, 'tape-2', 'key-2');
+  await cluster.waitUntil(async () => {
+    if (again.status === 200) return true;
+    assert.equal(again.headers.get('anvilstack-verdict'), 'not-run');
+    again = await sendBooking(node.callerAddress, 'tape-2', 'key-2');
+    return again.status === 200;
+  });
+  assert.equal(cluster.fleet.service.getRuns('tape-2'), 1);
+});
+
+test('a leaving engine finishes its work and gets no more', async () => {
+  const client = createTestClient(cluster.nodes[1].callerAddress);
+  const leaving = cluster.fleet.engines[2];
+  const open = Array.from({length: 9}, (_, index) =>
+    readStreamedText(client, `stay-${index}-`, 40),
+  );
+  await cluster.waitUntil(() => leaving.getReport().running > 0);
+  cluster.fleet.vmList.setLeaving('engine-3');
+  const texts = await Promise.all(open);
+  texts.forEach((text, index) =>
+    assert.equal(text, getExpectedText(`stay-${index}-`, 40)),
+  );
+  await cluster.waitUntil(() => leaving.getReport().running === 0);
+  for (let index = 0; index < 12; index++) {
+    await readStreamedText(client, `after-${index}-`, 1);
+    assert.equal(leaving.getReport().running, 0);
+  }
+});
+
+test('a node that drains cuts nothing, then refuses as not run', async () => {
+  const node = cluster.nodes[2];
+  const client = createTestClient(node.callerAddress);
+  const open = Array.from({length: 8}, (_, index) =>
+    readStreamedText(client, `drain-${index}-`, 30),
+  );
+  const first = readStreamedText(client, 'first-', 2);
+  await first;
+  const drained = node.drain();
+  const refused = await fetch(`${node.callerAddress}/v1/models`, {
+    headers: {authorization: 'Bearer key-of-studio'},
+  }).catch(() => undefined);
+  if (refused !== undefined) assert.equal(refused.status, 503);
+  const texts = await Promise.all(open);
+  texts.forEach((text, index) =>
+    assert.equal(text, getExpectedText(`drain-${index}-`, 30)),
+  );
+  await drained;
+  assert.equal(node.isReady(), false);
+});
