--- /dev/null
+++ b/src/routing/attempts.ts
@@ -0,0 +1,239 @@
+/** Runs attempts: sends a request to an engine and passes on what belongs to the answer. */
+import type {
+  BackendFailure,
+  EngineClient,
+  EngineEnd,
+  EngineSink,
+  KvHandle,
+  TokenBatch,
+} from '../backends';
+import type {Clock} from '../runtime';
+import {Verdict} from '../verdict';
+import type {Choice} from './choice';
+import {
+  addWork,
+  type AttemptWork,
+  getPieces,
+  recordProgress,
+  removeWork,
+} from './engine_load';
+import type {EngineEntry} from './engine_table';
+import {getStepMs} from './estimate';
+import type {Attempt, OpenRequest, Phase} from './open_request';
+
+/** What the runner calls. */
+export interface AttemptHost {
+  readonly clock: Clock;
+  getEngineClient(engine: string): EngineClient;
+  /** The prefill of an attempt is done. */
+  onFirstToken(entry: OpenRequest, attempt: Attempt): void;
+  /** Every token up to the end has been delivered. The attempt is over. */
+  onEnd(entry: OpenRequest, attempt: Attempt, end: EngineEnd): void;
+  /** The attempt is over. */
+  onFailure(
+    entry: OpenRequest,
+    attempt: Attempt,
+    failure: BackendFailure,
+  ): void;
+}
+
+/** Counts of engine events that belonged to no running attempt. */
+export interface AttemptCounts {
+  /** Events that came after their attempt was over. */
+  late: number;
+  /** Answers whose missing tokens were asked for again. */
+  resumed: number;
+}
+
+/** What to send where. */
+export interface AttemptPlan {
+  readonly phase: Phase;
+  readonly choice: Choice;
+  readonly kv?: KvHandle;
+}
+
+/** Runs attempts. */
+export interface AttemptRunner {
+  start(entry: OpenRequest, plan: AttemptPlan): void;
+  /** Stops the running attempt, if any, and tells the engine. */
+  cancel(entry: OpenRequest): void;
+  getCounts(): Readonly<AttemptCounts>;
+}
+
+/** Creates a runner. */
+export function createAttemptRunner(host: AttemptHost): AttemptRunner {
+  const {clock} = host;
+  const counts: AttemptCounts = {late: 0, resumed: 0};
+  return {start, cancel, getCounts: () => counts};
+
+  function start(entry: OpenRequest, plan: AttemptPlan): void {
+    const attempt = createAttempt(entry, plan, clock.getMonotonicMs());
+    entry.attempt = attempt;
+    entry.attemptCount++;
+    entry.gate.startAttempt();
+    addWork(attempt.engine.load, attempt.work, attempt.startedAtMs);
+    const call = getClient(attempt).start(
+      createEngineRequest(entry, plan),
+      createSink(entry, attempt),
+    );
+    setCall(entry, attempt, call);
+  }
+
+  function setCall(
+    entry: OpenRequest,
+    attempt: Attempt,
+    call: Attempt['call'],
+  ): void {
+    // An engine client may fail before `start` returns.
+    if (entry.attempt !== attempt) return;
+    attempt.call = call;
+    if (entry.isPaused) call?.setPaused(true);
+  }
+
+  function createSink(entry: OpenRequest, attempt: Attempt): EngineSink {
+    return {
+      onTokens: batch => {
+        if (isRunning(entry, attempt)) handleTokens(entry, attempt, batch);
+      },
+      onEnd: end => {
+        if (isRunning(entry, attempt)) handleEnd(entry, attempt, end);
+      },
+      onFailure: failure => {
+        if (!isRunning(entry, attempt)) return;
+        release(entry);
+        host.onFailure(entry, attempt, failure);
+      },
+    };
+  }
+
+  function isRunning(entry: OpenRequest, attempt: Attempt): boolean {
+    if (entry.attempt === attempt) return true;
+    counts.late++;
+    return false;
+  }
+
+  function handleTokens(
+    entry: OpenRequest,
+    attempt: Attempt,
+    batch: TokenBatch,
+  ): void {
+    const isFirst = attempt.firstTokenAtMs < 0;
+    const nowMs = clock.getMonotonicMs();
+    if (isFirst) attempt.firstTokenAtMs = nowMs;
+    recordProgress(attempt.engine.load, attempt.work, batch.count, nowMs);
+    for (const ready of entry.gate.takeReady(batch)) entry.sink.onTokens(ready);
+    if (isFirst && entry.attempt === attempt) host.onFirstToken(entry, attempt);
+  }
+
+  function handleEnd(
+    entry: OpenRequest,
+    attempt: Attempt,
+    end: EngineEnd,
+  ): void {
+    if (entry.gate.getNextIndex() < end.generatedTokens) {
+      resumeMissing(entry, attempt);
+      return;
+    }
+    release(entry);
+    host.onEnd(entry, attempt, end);
+  }
+
+  /** Tokens before the end are missing: asks for them once, else the attempt has failed. */
+  function resumeMissing(entry: OpenRequest, attempt: Attempt): void {
+    if (attempt.isResumed) {
+      cancel(entry);
+      host.onFailure(entry, attempt, {
+        kind: 'broken',
+        verdict: Verdict.MayHaveRun,
+        message: 'tokens of the answer are missing',
+      });
+      return;
+    }
+    attempt.isResumed = true;
+    counts.resumed++;
+    const call = getClient(attempt).resume(
+      entry.request.requestId,
+      entry.gate.getNextIndex(),
+      createSink(entry, attempt),
+    );
+    setCall(entry, attempt, call);
+  }
+
+  function cancel(entry: OpenRequest): void {
+    const {attempt} = entry;
+    if (attempt === undefined) return;
+    release(entry);
+    attempt.call?.cancel();
+  }
+
+  function release(entry: OpenRequest): void {
+    const {attempt} = entry;
+    if (attempt === undefined) return;
+    entry.attempt = undefined;
+    removeWork(attempt.engine.load, attempt.work, clock.getMonotonicMs());
+  }
+
+  function getClient(attempt: Attempt): EngineClient {
+    return host.getEngineClient(attempt.engine.server.id);
+  }
+}
+
+function createAttempt(
+  entry: OpenRequest,
+  plan: AttemptPlan,
+  nowMs: number,
+): Attempt {
+  const {engine, prediction} = plan.choice;
+  return {
+    engine,
+    phase: plan.phase,
+    work: createWork(entry, plan),
+    startedAtMs: nowMs,
+    expectedFirstTokenMs: prediction.firstTokenMs,
+    expectedStepMs: getExpectedStepMs(engine),
+    firstIndex: entry.gate.getNextIndex(),
+    firstTokenAtMs: -1,
+    call: undefined,
+    isResumed: false,
+  };
+}
+
+function createWork(entry: OpenRequest, plan: AttemptPlan): AttemptWork {
+  const {request, gate} = entry;
+  const done = gate.getNextIndex();
+  const isDecode = plan.phase === 'decode';
+  const prompt = request.promptTokens + done - plan.choice.cachedTokens;
+  return {
+    prefillTokens: isDecode ? 0 : Math.max(1, prompt),
+    decodeTokens:
+      plan.phase === 'prefill' ? 1 : Math.max(0, request.maxTokens - done),
+    pieces: getPieces(request.promptTokens + entry.job.outputTokens),
+  };
+}
+
+function createEngineRequest(
+  entry: OpenRequest,
+  plan: AttemptPlan,
+): Parameters<EngineClient['start']>[0] {
+  const {request, gate} = entry;
+  return {
+    requestId: request.requestId,
+    model: request.model,
+    prompt: request.prompt,
+    promptTokens: request.promptTokens,
+    maxTokens: request.maxTokens,
+    priority: request.priority,
+    phase: plan.phase,
+    kv: plan.kv,
+    firstTokenIndex: gate.getNextIndex(),
+    deliveredText: gate.getText(),
+    prefixHashes: request.prefixHashes,
+    prefixTokens: request.prefixTokens,
+  };
+}
+
+function getExpectedStepMs(engine: EngineEntry): number {
+  const {report, own, others} = engine.load;
+  if (report === undefined) return 1;
+  return getStepMs(report, own.requests + others.requests + 1);
+}
--- /dev/null
+++ b/src/routing/choice.ts
@@ -0,0 +1,202 @@
+/** Chooses an engine for a request: by prediction, or by one of the baselines. */
+import type {EngineEntry} from './engine_table';
+import {
+  getRequestCount,
+  type Job,
+  type OthersWork,
+  type Prediction,
+  predictTimes,
+} from './estimate';
+
+/** An engine that probably holds leading blocks of the prompt. */
+export interface PrefixHolder {
+  readonly engine: EngineEntry;
+  /** Prompt tokens expected in its prefix cache. */
+  readonly cachedTokens: number;
+}
+
+/** What a choice is made from. */
+export interface ChoiceContext {
+  /** Engines of the pool and role wanted. */
+  readonly engines: readonly EngineEntry[];
+  /** Engines outside `engines` are ignored by the caller's `canUse`. */
+  readonly holders: readonly PrefixHolder[];
+  readonly job: Job;
+  readonly nowMs: number;
+  /** Time to the deadline, in milliseconds. */
+  readonly slackMs: number;
+  getRandom(): number;
+  /** Returns whether the request may go to the engine now. */
+  canUse(engine: EngineEntry): boolean;
+  tryGetDigest(engine: EngineEntry): OthersWork | undefined;
+}
+
+/** The engine chosen, and why. */
+export interface Choice {
+  readonly engine: EngineEntry;
+  readonly cachedTokens: number;
+  readonly prediction: Prediction;
+  /** Why this engine, for a person. */
+  readonly cause: string;
+}
+
+/** Chooses an engine, or none. */
+export type ChooseEngine = (context: ChoiceContext) => Choice | undefined;
+
+/** Options of the choice by prediction. */
+export interface PredictedChoiceOptions {
+  /** Engines compared for each request, beside those that hold its prefix. */
+  readonly sampleSize?: number;
+  /** What each millisecond past the deadline counts, against one of completion. */
+  readonly lateWeight?: number;
+  /** What each millisecond of engine time for prefill counts. */
+  readonly costWeight?: number;
+  /** Random part of a score, so that nodes with the same picture spread. */
+  readonly jitter?: number;
+}
+
+const PREDICTED_DEFAULTS = {
+  sampleSize: 4,
+  lateWeight: 4,
+  costWeight: 1,
+  jitter: 0.05,
+};
+/** Engines drawn at random before the sample counts as exhausted, for each one wanted. */
+const DRAWS_PER_SAMPLE = 3;
+
+/** Creates the choice by predicted completion over a random sample and the prefix holders. */
+export function createPredictedChoice(
+  options: PredictedChoiceOptions = {},
+): ChooseEngine {
+  const {sampleSize, lateWeight, costWeight, jitter} = {
+    ...PREDICTED_DEFAULTS,
+    ...options,
+  };
+  return context => {
+    let best: Choice | undefined;
+    let bestScore = Infinity;
+    let compared = 0;
+    for (const holder of context.holders) {
+      if (context.canUse(holder.engine)) {
+        compare(holder.engine, holder.cachedTokens);
+      }
+    }
+    forEachSampled(context, sampleSize, engine => {
+      if (!context.holders.some(holder => holder.engine === engine)) {
+        compare(engine, 0);
+      }
+    });
+    return best;
+
+    function compare(engine: EngineEntry, cachedTokens: number): void {
+      const prediction = tryPredict(context, engine, cachedTokens);
+      if (prediction === undefined) return;
+      compared++;
+      const lateMs = Math.max(0, prediction.completionMs - context.slackMs);
+      const score =
+        (prediction.completionMs +
+          lateWeight * lateMs +
+          costWeight * prediction.prefillMs) *
+        (1 + jitter * context.getRandom());
+      if (score >= bestScore) return;
+      bestScore = score;
+      const cause = getCause(prediction, cachedTokens, compared);
+      best = {engine, cachedTokens, prediction, cause};
+    }
+  };
+}
+
+/** Creates the baseline that takes the usable engines in turn. */
+export function createRoundRobinChoice(): ChooseEngine {
+  let turn = 0;
+  return context => {
+    const {engines} = context;
+    for (let tries = 0; tries < engines.length; tries++) {
+      const engine = engines[turn++ % engines.length];
+      if (!context.canUse(engine)) continue;
+      return createChoice(context, engine, 'its turn');
+    }
+    return undefined;
+  };
+}
+
+/** Creates the baseline that takes the engine with the fewest requests known. */
+export function createLeastLoadedChoice(): ChooseEngine {
+  return context => {
+    let best: EngineEntry | undefined;
+    let fewest = Infinity;
+    for (const engine of context.engines) {
+      if (!context.canUse(engine)) continue;
+      const count = getRequestCount(engine.load, context.nowMs);
+      if (count >= fewest) continue;
+      fewest = count;
+      best = engine;
+    }
+    if (best === undefined) return undefined;
+    return createChoice(context, best, `fewest requests (${fewest})`);
+  };
+}
+
+/** Predicts the times of the job at an engine. */
+export function tryPredict(
+  context: Pick<ChoiceContext, 'job' | 'nowMs' | 'tryGetDigest'>,
+  engine: EngineEntry,
+  cachedTokens: number,
+): Prediction | undefined {
+  const {report} = engine.load;
+  if (report === undefined) return undefined;
+  return predictTimes(engine.load, report, context.job, {
+    nowMs: context.nowMs,
+    cachedTokens,
+    slowdown: engine.health.slowdown,
+    digest: context.tryGetDigest(engine),
+  });
+}
+
+/** Visits usable engines: all of a small pool, else some drawn at random. */
+function forEachSampled(
+  context: ChoiceContext,
+  sampleSize: number,
+  visit: (engine: EngineEntry) => void,
+): void {
+  const {engines} = context;
+  const count = engines.length;
+  let found = 0;
+  if (count <= sampleSize * DRAWS_PER_SAMPLE) {
+    // Starts anywhere, so that a part of a small pool is as random as a draw.
+    const start = Math.floor(context.getRandom() * count);
+    for (let step = 0; step < count && found < sampleSize; step++) {
+      const engine = engines[(start + step) % count];
+      if (!context.canUse(engine)) continue;
+      found++;
+      visit(engine);
+    }
+    return;
+  }
+  for (let draw = 0; draw < sampleSize * DRAWS_PER_SAMPLE; draw++) {
+    const engine = engines[Math.floor(context.getRandom() * count)];
+    if (!context.canUse(engine)) continue;
+    visit(engine);
+    if (++found === sampleSize) return;
+  }
+}
+
+function createChoice(
+  context: ChoiceContext,
+  engine: EngineEntry,
+  cause: string,
+): Choice | undefined {
+  const prediction = tryPredict(context, engine, 0);
+  if (prediction === undefined) return undefined;
+  return {engine, cachedTokens: 0, prediction, cause};
+}
+
+function getCause(
+  prediction: Prediction,
+  cachedTokens: number,
+  compared: number,
+): string {
+  const completionMs = Math.round(prediction.completionMs);
+  const cached = cachedTokens > 0 ? `, ${cachedTokens} tokens cached` : '';
+  return `done in ${completionMs} ms, best of ${compared}${cached}`;
+}
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -1,229 +1,316 @@
-/** Sends each model request to an engine, and on to another while that is safe. */
-import type {
-  BackendFailure,
-  BackendServer,
-  EngineCall,
-  EngineEnd,
-  EngineReport,
-  TokenBatch,
-} from '../backends';
-import {createFailure, FailureKind, Verdict} from '../verdict';
-import {isSelected} from './selector';
+/** Ties admission, waiting, choice, attempts and retries together for the requests of one node. */
+import type {BackendFailure, BackendServer, EngineEnd} from '../backends';
+import {
+  createFailure,
+  FailureKind,
+  type RequestFailure,
+  Verdict,
+} from '../verdict';
+import {getRetryAfterMs} from './admission';
+import {createAttemptRunner} from './attempts';
+import {type DispatcherOptions, resolveOptions} from './dispatcher_options';
+import {createEngineTable, type EngineEntry} from './engine_table';
+import {createFleetWatch} from './fleet_watch';
+import {
+  type Attempt,
+  createOpenRequest,
+  getOutputKey,
+  type OpenRequest,
+} from './open_request';
+import {createOutputEstimate} from './output_estimate';
+import {createPlacement, type PlacedPlan} from './placement';
+import {createPrefixIndex} from './prefix_index';
+import {createQueueing} from './queueing';
+import {createRequestBook} from './request_book';
+import {createRetryBudget} from './retry_budget';
+import {applyAttemptFailure} from './retrying';
 import type {
   AnswerSink,
   Dispatcher,
+  DispatcherCounts,
   DispatcherHost,
   ModelRequest,
   RequestHandle,
 } from './types';
 
-/** Most engines that one request is sent to. */
-const MAX_ATTEMPTS = 3;
-const RETRY_AFTER_MS = 1_000;
-
-interface EngineEntry {
-  readonly server: BackendServer;
-  report: EngineReport | undefined;
-  inFlight: number;
-}
-
-interface OpenRequest {
-  readonly request: ModelRequest;
-  readonly sink: AnswerSink;
-  readonly tried: Set<string>;
-  nextTokenIndex: number;
-  deliveredText: string;
-  engine: EngineEntry | undefined;
-  call: EngineCall | undefined;
-  isClosed: boolean;
-}
+/** When a caller should come back to a node that drains: another node answers. */
+const DRAINING_RETRY_AFTER_MS = 100;
+const UNAVAILABLE_RETRY_AFTER_MS = 2_000;
 
 /** Creates a dispatcher without engines. */
-export function createDispatcher(host: DispatcherHost): Dispatcher {
-  const engines = new Map<string, EngineEntry>();
-  const open = new Set<OpenRequest>();
+export function createDispatcher(
+  host: DispatcherHost,
+  options: DispatcherOptions = {},
+): Dispatcher {
+  const resolved = resolveOptions(options);
+  const {clock} = host;
+  const table = createEngineTable();
+  const prefixes = createPrefixIndex();
+  const outputs = createOutputEstimate();
+  const budget = createRetryBudget(resolved.retries);
+  const book = createRequestBook();
+  const watch = createFleetWatch(host, table, prefixes, resolved);
+  const runner = createAttemptRunner({
+    clock,
+    getEngineClient: host.getEngineClient,
+    onFirstToken: handleFirstToken,
+    onEnd: handleEnd,
+    onFailure: handleFailure,
+  });
+  const placement = createPlacement({
+    host,
+    table,
+    prefixes,
+    ejector: watch.ejector,
+    choose: resolved.choose,
+    limits: resolved.room,
+    kvTransferMsPerToken: resolved.kvTransferMsPerToken,
+    kvTransferCostWeight: resolved.kvTransferCostWeight,
+  });
+  const queueing = createQueueing(
+    {
+      clock,
+      table,
+      placement,
+      startAttempt,
+      refuse,
+      onWait: (entry, waitMs) =>
+        emit(entry, 'request-waits', `some ${Math.round(waitMs)} ms`),
+    },
+    resolved,
+  );
+  const counts = {requests: 0, attempts: 0, retries: 0, refused: 0};
   let isDraining = false;
-  let finishDrain: (() => void) | undefined;
   return {
     submit,
     updateServers,
-    updateReport,
-    getOpenCount: () => open.size,
+    updateReport: report => {
+      const engine = watch.applyReport(report);
+      if (engine !== undefined) queueing.onRoom(engine);
+    },
+    updateCacheEvents: watch.applyCacheEvents,
+    getCacheSequence: prefixes.getLastSequence,
+    getCounts,
+    getWaitingCount: queueing.getWaitingCount,
+    getOpenCount: book.getSize,
     drain,
   };
 
   function submit(request: ModelRequest, sink: AnswerSink): RequestHandle {
-    const entry: OpenRequest = {
-      request,
-      sink,
-      tried: new Set(),
-      nextTokenIndex: 0,
-      deliveredText: '',
-      engine: undefined,
-      call: undefined,
-      isClosed: false,
-    };
-    open.add(entry);
-    if (isDraining) failRequest(entry, FailureKind.Unavailable, 'node drains');
-    else startAttempt(entry);
+    const nowMs = clock.getMonotonicMs();
+    const {model, maxTokens} = request;
+    const entry = createOpenRequest(request, sink, {
+      pool: table.getPool(model, request.engines),
+      outputTokens: outputs.getTokens(getOutputKey(request), model, maxTokens),
+      nowMs,
+    });
+    book.add(entry);
+    counts.requests++;
+    budget.recordRequest();
+    const refusal = tryGetSubmitRefusal(entry, nowMs);
+    if (refusal === undefined) queueing.submit(entry);
+    else refuse(entry, refusal);
+    return createHandle(entry);
+  }
+
+  function createHandle(entry: OpenRequest): RequestHandle {
     return {
-      cancel: () => cancelRequest(entry),
-      setPaused: isPaused => entry.call?.setPaused(isPaused),
-      tryGetEngine: () => entry.engine?.server.id,
+      cancel: () => cancel(entry),
+      setPaused: isPaused => {
+        entry.isPaused = isPaused;
+        entry.wasPaused ||= isPaused;
+        entry.attempt?.call?.setPaused(isPaused);
+      },
+      tryGetEngine: () => entry.attempt?.engine.server.id,
     };
   }
 
-  function startAttempt(entry: OpenRequest): void {
-    const engine = chooseEngine(entry);
-    if (engine === undefined) {
-      failRequest(entry, FailureKind.Unavailable, 'no engine is available');
-      return;
+  function tryGetSubmitRefusal(
+    entry: OpenRequest,
+    nowMs: number,
+  ): RequestFailure | undefined {
+    const {request, pool} = entry;
+    if (isDraining) {
+      return createFailure(FailureKind.Unavailable, 'the node is stopping', {
+        retryAfterMs: DRAINING_RETRY_AFTER_MS,
+      });
     }
-    const {request} = entry;
-    entry.tried.add(engine.server.id);
-    entry.engine = engine;
-    engine.inFlight++;
-    host.emitEvent({
-      kind: 'request-sent',
-      requestId: request.requestId,
-      clientAccount: request.clientAccount,
-      engine: engine.server.id,
-      cause: `fewest requests (${engine.inFlight})`,
-    });
-    entry.call = host.getEngineClient(engine.server.id).start(
-      {
-        requestId: request.requestId,
-        model: request.model,
-        prompt: request.prompt,
-        promptTokens: request.promptTokens,
-        maxTokens: request.maxTokens,
-        priority: request.priority,
-        phase: 'full',
-        firstTokenIndex: entry.nextTokenIndex,
-        deliveredText: entry.deliveredText,
-        prefixHashes: request.prefixHashes,
-        prefixTokens: request.prefixTokens,
-      },
-      {
-        onTokens: batch => handleTokens(entry, batch),
-        onEnd: end => settleRequest(entry, end),
-        onFailure: failure => retryRequest(entry, failure),
-      },
-    );
+    if (request.deadlineAtMs <= nowMs) return createDeadlineFailure(entry);
+    if (pool.all.length === 0 && !pool.hasAbsent) {
+      return createFailure(
+        FailureKind.Unavailable,
+        `no engine with model ${request.model} is available`,
+        {retryAfterMs: UNAVAILABLE_RETRY_AFTER_MS},
+      );
+    }
+    return tryTakeLimits(entry, nowMs);
   }
 
-  function chooseEngine(entry: OpenRequest): EngineEntry | undefined {
-    let best: EngineEntry | undefined;
-    for (const engine of engines.values()) {
-      if (!isEligible(engine, entry)) continue;
-      if (best === undefined || engine.inFlight < best.inFlight) best = engine;
+  function tryTakeLimits(
+    entry: OpenRequest,
+    nowMs: number,
+  ): RequestFailure | undefined {
+    const {clientAccount, limits} = entry.request;
+    if (limits === undefined || resolved.limiter === undefined) {
+      return undefined;
+    }
+    const admission = resolved.limiter.tryAdmit(clientAccount, limits, nowMs);
+    if (admission.kind === 'refused') {
+      return createFailure(FailureKind.LimitExceeded, admission.reason, {
+        retryAfterMs: getRetryAfterMs(admission.retryAfterMs),
+      });
     }
-    return best;
+    entry.releaseLimits = admission.release;
+    return undefined;
   }
 
-  function isEligible(engine: EngineEntry, entry: OpenRequest): boolean {
-    if (engine.server.isLeaving) return false;
-    if (entry.tried.has(engine.server.id)) return false;
-    if (!isSelected(engine.server, entry.request.engines)) return false;
-    if (engine.report === undefined) return false;
-    if (engine.report.state !== 'ready') return false;
-    return engine.report.models.includes(entry.request.model);
+  function startAttempt(entry: OpenRequest, plan: PlacedPlan): void {
+    setDeadlineTimer(entry);
+    counts.attempts++;
+    const {engine, cause} = plan.choice;
+    const phase = plan.phase === 'full' ? '' : `${plan.phase}: `;
+    emit(entry, 'request-sent', `${phase}${cause}`, engine.server.id);
+    runner.start(entry, plan);
   }
 
-  function handleTokens(entry: OpenRequest, batch: TokenBatch): void {
-    if (entry.isClosed || batch.firstIndex !== entry.nextTokenIndex) return;
-    entry.nextTokenIndex += batch.count;
-    entry.deliveredText += batch.text;
-    entry.sink.onTokens(batch);
+  function setDeadlineTimer(entry: OpenRequest): void {
+    entry.timer?.cancel();
+    const leftMs = entry.request.deadlineAtMs - clock.getMonotonicMs();
+    entry.timer = clock.schedule(Math.max(0, leftMs), () => expire(entry));
   }
 
-  function settleRequest(entry: OpenRequest, end: EngineEnd): void {
-    if (entry.isClosed) return;
-    const engine = entry.engine?.server.id ?? '';
-    closeRequest(entry);
-    entry.sink.onEnd({...end, engine});
+  /** The answer is too late for its caller: the engine is told to stop. */
+  function expire(entry: OpenRequest): void {
+    const engine = entry.attempt?.engine;
+    if (engine !== undefined) entry.mayHaveRun = true;
+    runner.cancel(entry);
+    refuse(entry, createDeadlineFailure(entry));
+    if (engine !== undefined) queueing.onRoom(engine);
   }
 
-  function retryRequest(entry: OpenRequest, failure: BackendFailure): void {
-    if (entry.isClosed) return;
-    host.emitEvent({
-      kind: 'attempt-failed',
-      requestId: entry.request.requestId,
-      engine: entry.engine?.server.id,
-      cause: `${failure.kind}: ${failure.message}`,
-    });
-    releaseEngine(entry);
-    const isSafe =
-      entry.request.idempotent || failure.verdict === Verdict.NotRun;
-    if (isSafe && entry.tried.size < MAX_ATTEMPTS) {
-      startAttempt(entry);
-      return;
+  function handleFirstToken(entry: OpenRequest, attempt: Attempt): void {
+    entry.mayHaveRun = true;
+    const {engine, phase} = attempt;
+    if (phase !== 'decode') {
+      prefixes.recordPrefilled(engine.server.id, entry.request.prefixHashes);
     }
-    closeRequest(entry);
-    entry.sink.onFailure(
-      createFailure(FailureKind.BackendFailed, failure.message, {
-        verdict: failure.verdict,
-      }),
-    );
+    queueing.onRoom(engine);
   }
 
-  function cancelRequest(entry: OpenRequest): void {
-    if (entry.isClosed) return;
-    entry.call?.cancel();
-    closeRequest(entry);
+  function handleEnd(
+    entry: OpenRequest,
+    attempt: Attempt,
+    end: EngineEnd,
+  ): void {
+    const {engine} = attempt;
+    watch.recordSuccess(entry, attempt);
+    const isComplete = entry.gate.getNextIndex() >= entry.request.maxTokens;
+    if (end.finishReason === 'prefilled' && !isComplete) {
+      entry.mayHaveRun = true;
+      entry.kv = end.kv;
+      submitDecode(entry);
+    } else {
+      const {request, gate} = entry;
+      const key = getOutputKey(request);
+      outputs.record(key, request.model, gate.getNextIndex());
+      book.settle(entry, {...end, engine: engine.server.id});
+    }
+    queueing.onRoom(engine);
   }
 
-  function failRequest(
+  function submitDecode(entry: OpenRequest): void {
+    const plan = entry.kv && placement.tryPlanDecode(entry);
+    if (plan === undefined) {
+      entry.kv = undefined;
+      submitAgain(entry);
+      return;
+    }
+    setDeadlineTimer(entry);
+    const {engine, cause} = plan.choice;
+    emit(entry, 'request-sent', `decode: ${cause}`, engine.server.id);
+    runner.start(entry, plan);
+  }
+
+  function handleFailure(
     entry: OpenRequest,
-    kind: FailureKind,
-    message: string,
+    attempt: Attempt,
+    failure: BackendFailure,
   ): void {
-    closeRequest(entry);
-    const verdict =
-      entry.nextTokenIndex > 0 ? Verdict.MayHaveRun : Verdict.NotRun;
-    entry.sink.onFailure(
-      createFailure(kind, message, {verdict, retryAfterMs: RETRY_AFTER_MS}),
-    );
+    const {engine} = attempt;
+    const cause = `${failure.kind}: ${failure.message}`;
+    emit(entry, 'attempt-failed', cause, engine.server.id);
+    watch.recordFailure(attempt, failure);
+    const nowMs = clock.getMonotonicMs();
+    const decision = applyAttemptFailure(entry, attempt, failure, {
+      budget,
+      nowMs,
+    });
+    if (decision.kind === 'fail') {
+      refuse(entry, decision.failure);
+    } else {
+      counts.retries++;
+      if (entry.kv === undefined) submitAgain(entry);
+      else submitDecode(entry);
+    }
+    queueing.onRoom(engine);
   }
 
-  function closeRequest(entry: OpenRequest): void {
-    if (entry.isClosed) return;
-    entry.isClosed = true;
-    releaseEngine(entry);
-    open.delete(entry);
-    if (open.size === 0) finishDrain?.();
+  /** Goes on elsewhere from what was delivered, where the request may run again. */
+  function submitAgain(entry: OpenRequest): void {
+    if (entry.mayHaveRun && !entry.request.idempotent) {
+      const message = 'the engine that should go on with the answer is gone';
+      refuse(entry, createFailure(FailureKind.BackendFailed, message));
+      return;
+    }
+    queueing.submit(entry);
   }
 
-  function releaseEngine(entry: OpenRequest): void {
-    if (entry.engine !== undefined) entry.engine.inFlight--;
-    entry.engine = undefined;
-    entry.call = undefined;
+  function cancel(entry: OpenRequest): void {
+    if (entry.isClosed) return;
+    const engine = entry.attempt?.engine;
+    queueing.remove(entry);
+    runner.cancel(entry);
+    emit(entry, 'request-cancelled', 'the caller went away', engine?.server.id);
+    book.close(entry);
+    if (engine !== undefined) queueing.onRoom(engine);
   }
 
-  function updateServers(servers: readonly BackendServer[]): void {
-    const known = new Map(engines);
-    engines.clear();
-    for (const server of servers) {
-      if (server.kind !== 'model_engine') continue;
-      const old = known.get(server.id);
-      engines.set(server.id, {
-        server,
-        report: old?.report,
-        inFlight: old?.inFlight ?? 0,
-      });
-    }
+  function refuse(entry: OpenRequest, failure: RequestFailure): void {
+    counts.refused++;
+    emit(entry, 'request-refused', `${failure.kind}: ${failure.message}`);
+    book.fail(entry, failure);
   }
 
-  function updateReport(report: EngineReport): void {
-    const engine = engines.get(report.engine);
-    if (engine !== undefined) engine.report = report;
+  function updateServers(servers: readonly BackendServer[]): void {
+    table.updateServers(servers);
   }
 
   function drain(): Promise<void> {
     isDraining = true;
-    if (open.size === 0) return Promise.resolve();
-    return new Promise(resolve => {
-      finishDrain = resolve;
-    });
+    return book.waitEmpty();
+  }
+
+  function getCounts(): DispatcherCounts {
+    const {late, resumed} = runner.getCounts();
+    const ejections = watch.getEjectionCount();
+    return {...counts, ejections, lateEvents: late, resumed};
   }
+
+  function emit(
+    entry: OpenRequest,
+    kind: string,
+    cause: string,
+    engine?: EngineEntry['server']['id'],
+  ): void {
+    const {requestId, clientAccount} = entry.request;
+    host.emitEvent({kind, requestId, clientAccount, engine, cause});
+  }
+}
+
+function createDeadlineFailure(entry: OpenRequest): RequestFailure {
+  return createFailure(
+    FailureKind.DeadlineExceeded,
+    'the deadline passed before the answer was complete',
+    {verdict: entry.mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun},
+  );
 }
--- /dev/null
+++ b/src/routing/dispatcher_options.ts
@@ -0,0 +1,83 @@
+/** Options of a dispatcher, and the policies that replays compare. */
+import type {AccountLimiter} from './account_limiter';
+import {
+  type ChooseEngine,
+  createLeastLoadedChoice,
+  createPredictedChoice,
+  createRoundRobinChoice,
+} from './choice';
+import type {EjectionOptions} from './ejection';
+import type {RoomLimits} from './estimate';
+import type {RetryBudgetOptions} from './retry_budget';
+import type {WaitingRoomOptions} from './waiting_room';
+
+/** Options of a dispatcher. */
+export interface DispatcherOptions {
+  /** Chooses the engine of an attempt. */
+  readonly choose?: ChooseEngine;
+  /** False sends everything at once and refuses nothing early, as a plain balancer does. */
+  readonly isQueueing?: boolean;
+  /** Usual age of an engine's report when it arrives, in milliseconds. */
+  readonly reportLagMs?: number;
+  readonly room?: Partial<RoomLimits>;
+  readonly waiting?: WaitingRoomOptions;
+  readonly retries?: RetryBudgetOptions;
+  readonly ejection?: EjectionOptions;
+  /** Limits of client accounts; requests without limits pass. */
+  readonly limiter?: AccountLimiter;
+  /** Time to move the KV cache of one token between engines, in milliseconds. */
+  readonly kvTransferMsPerToken?: number;
+  /** What a millisecond of transfer costs beyond its delay. */
+  readonly kvTransferCostWeight?: number;
+}
+
+/** Names of the policies that can be asked for. */
+export const RoutingPolicy = {
+  Predicted: 'predicted',
+  RoundRobin: 'round-robin',
+  LeastLoaded: 'least-loaded',
+} as const;
+export type RoutingPolicy = (typeof RoutingPolicy)[keyof typeof RoutingPolicy];
+
+/** Options with every default filled in. */
+export interface ResolvedOptions extends Required<
+  Omit<DispatcherOptions, 'room' | 'limiter'>
+> {
+  readonly room: RoomLimits;
+  readonly limiter: AccountLimiter | undefined;
+}
+
+const DEFAULT_REPORT_LAG_MS = 500;
+const DEFAULT_KV_TRANSFER_MS_PER_TOKEN = 0.01;
+const DEFAULT_KV_TRANSFER_COST_WEIGHT = 1;
+const DEFAULT_ROOM: RoomLimits = {maxPrefillBacklogMs: 400, urgentFactor: 1.5};
+
+/** Returns the options with defaults. */
+export function resolveOptions(options: DispatcherOptions): ResolvedOptions {
+  return {
+    choose: options.choose ?? createPredictedChoice(),
+    isQueueing: options.isQueueing ?? true,
+    reportLagMs: options.reportLagMs ?? DEFAULT_REPORT_LAG_MS,
+    room: {...DEFAULT_ROOM, ...options.room},
+    waiting: options.waiting ?? {},
+    retries: options.retries ?? {},
+    ejection: options.ejection ?? {},
+    limiter: options.limiter,
+    kvTransferMsPerToken:
+      options.kvTransferMsPerToken ?? DEFAULT_KV_TRANSFER_MS_PER_TOKEN,
+    kvTransferCostWeight:
+      options.kvTransferCostWeight ?? DEFAULT_KV_TRANSFER_COST_WEIGHT,
+  };
+}
+
+/** Creates the options of a named policy. */
+export function createPolicyOptions(policy: RoutingPolicy): DispatcherOptions {
+  switch (policy) {
+    case RoutingPolicy.Predicted:
+      return {choose: createPredictedChoice()};
+    case RoutingPolicy.RoundRobin:
+      return {choose: createRoundRobinChoice(), isQueueing: false};
+    case RoutingPolicy.LeastLoaded:
+      return {choose: createLeastLoadedChoice(), isQueueing: false};
+  }
+}
--- /dev/null
+++ b/src/routing/engine_table.ts
@@ -0,0 +1,216 @@
+/** The engines that a node knows, indexed by model, selector and role. */
+import {
+  type BackendServer,
+  type EngineReport,
+  EngineRole,
+  EngineState,
+} from '../backends';
+import type {ServerSelector} from '../state';
+import {createEngineLoad, type EngineLoad} from './engine_load';
+import {createServerHealth, type ServerHealth} from './ejection';
+import {isSelected} from './selector';
+
+/** An engine as routing knows it. */
+export interface EngineEntry {
+  server: BackendServer;
+  readonly load: EngineLoad;
+  readonly health: ServerHealth;
+  /** False once the platform's list has it no more. */
+  isListed: boolean;
+  /** Until when it is spared after it refused a request, on the node's clock. */
+  refusedUntilMs: number;
+}
+
+/** Engines that may serve a model for a selector. */
+export interface EnginePool {
+  readonly model: string;
+  readonly selector: ServerSelector;
+  /** Every ready engine of the pool. */
+  all: readonly EngineEntry[];
+  mixed: readonly EngineEntry[];
+  prefill: readonly EngineEntry[];
+  decode: readonly EngineEntry[];
+  /** True when an engine that is away for a while will serve it again. */
+  hasAbsent: boolean;
+  /** Version of the table that the lists were made from. */
+  version: number;
+}
+
+/** The table of engines. */
+export interface EngineTable {
+  /** Returns the pool with lists that are up to date. */
+  getPool(model: string, selector: ServerSelector): EnginePool;
+  /** Brings the lists of a pool up to date. */
+  updatePool(pool: EnginePool): EnginePool;
+  /** Returns whether the engine may serve the pool now. */
+  isMember(pool: EnginePool, engine: EngineEntry): boolean;
+  tryGet(engine: string): EngineEntry | undefined;
+  list(): IterableIterator<EngineEntry>;
+  getSize(): number;
+  /** Replaces the set of servers. */
+  updateServers(servers: readonly BackendServer[]): void;
+  /** Notes that a report has replaced `before`, so that pools follow. */
+  checkReport(before: EngineReport | undefined, after: EngineReport): void;
+}
+
+/** Most pools held; all are dropped when there would be more. */
+const MAX_POOLS = 4_096;
+
+/** Creates an empty table. */
+export function createEngineTable(): EngineTable {
+  const engines = new Map<string, EngineEntry>();
+  const pools = new Map<string, EnginePool>();
+  const keys = new WeakMap<ServerSelector, string>();
+  let version = 1;
+  return {
+    getPool,
+    updatePool,
+    isMember: (pool, engine) => isEligible(engine, pool),
+    tryGet: engine => engines.get(engine),
+    list: () => engines.values(),
+    getSize: () => engines.size,
+    updateServers,
+    checkReport,
+  };
+
+  function getPool(model: string, selector: ServerSelector): EnginePool {
+    const key = `${model}\n${getSelectorKey(selector)}`;
+    const known = pools.get(key);
+    if (known !== undefined) return updatePool(known);
+    if (pools.size >= MAX_POOLS) pools.clear();
+    const pool = createPool(model, selector);
+    pools.set(key, pool);
+    return updatePool(pool);
+  }
+
+  function getSelectorKey(selector: ServerSelector): string {
+    const known = keys.get(selector);
+    if (known !== undefined) return known;
+    const {buildings, failure_domains, ids} = selector;
+    const key = JSON.stringify([buildings, failure_domains, ids]);
+    keys.set(selector, key);
+    return key;
+  }
+
+  function updatePool(pool: EnginePool): EnginePool {
+    if (pool.version === version) return pool;
+    pool.all = [...engines.values()].filter(entry => isEligible(entry, pool));
+    pool.mixed = selectRole(pool.all, EngineRole.Mixed);
+    pool.prefill = selectRole(pool.all, EngineRole.Prefill);
+    pool.decode = selectRole(pool.all, EngineRole.Decode);
+    pool.hasAbsent = pool.all.length === 0 && hasAbsentEngine(pool);
+    pool.version = version;
+    return pool;
+  }
+
+  function hasAbsentEngine(pool: EnginePool): boolean {
+    for (const entry of engines.values()) {
+      if (isAbsent(entry, pool)) return true;
+    }
+    return false;
+  }
+
+  function updateServers(servers: readonly BackendServer[]): void {
+    const listed = new Set<string>();
+    for (const server of servers) {
+      if (server.kind !== 'model_engine') continue;
+      listed.add(server.id);
+      updateServer(server);
+    }
+    for (const entry of engines.values()) {
+      if (listed.has(entry.server.id)) continue;
+      if (entry.isListed) version++;
+      entry.isListed = false;
+      if (entry.load.own.requests === 0) engines.delete(entry.server.id);
+    }
+  }
+
+  function updateServer(server: BackendServer): void {
+    const known = engines.get(server.id);
+    if (known === undefined) {
+      engines.set(server.id, createEntry(server));
+      version++;
+      return;
+    }
+    if (!known.isListed || !isSameServer(known.server, server)) version++;
+    known.isListed = true;
+    known.server = server;
+  }
+
+  function checkReport(
+    before: EngineReport | undefined,
+    after: EngineReport,
+  ): void {
+    if (before === undefined || !isSameCapability(before, after)) version++;
+  }
+}
+
+function createEntry(server: BackendServer): EngineEntry {
+  return {
+    server,
+    load: createEngineLoad(),
+    health: createServerHealth(),
+    isListed: true,
+    refusedUntilMs: 0,
+  };
+}
+
+function createPool(model: string, selector: ServerSelector): EnginePool {
+  return {
+    model,
+    selector,
+    all: [],
+    mixed: [],
+    prefill: [],
+    decode: [],
+    hasAbsent: false,
+    version: 0,
+  };
+}
+
+function isEligible(entry: EngineEntry, pool: EnginePool): boolean {
+  return (
+    entry.load.report?.state === EngineState.Ready && isSuitable(entry, pool)
+  );
+}
+
+/** An engine that changes its role or loads will take requests again. */
+function isAbsent(entry: EngineEntry, pool: EnginePool): boolean {
+  const state = entry.load.report?.state;
+  if (state !== EngineState.ChangingRole && state !== EngineState.Loading) {
+    return false;
+  }
+  return isSuitable(entry, pool);
+}
+
+function isSuitable(entry: EngineEntry, pool: EnginePool): boolean {
+  const {report} = entry.load;
+  if (!entry.isListed || entry.server.isLeaving) return false;
+  if (report === undefined || !report.models.includes(pool.model)) return false;
+  return isSelected(entry.server, pool.selector);
+}
+
+function selectRole(
+  entries: readonly EngineEntry[],
+  role: EngineRole,
+): readonly EngineEntry[] {
+  return entries.filter(entry => entry.load.report?.role === role);
+}
+
+function isSameServer(left: BackendServer, right: BackendServer): boolean {
+  return (
+    left.isLeaving === right.isLeaving &&
+    left.address === right.address &&
+    left.failureDomain === right.failureDomain &&
+    left.building === right.building
+  );
+}
+
+function isSameCapability(left: EngineReport, right: EngineReport): boolean {
+  return (
+    left.state === right.state &&
+    left.role === right.role &&
+    left.models.length === right.models.length &&
+    left.models.every((model, index) => model === right.models[index])
+  );
+}
--- /dev/null
+++ b/src/routing/estimate.ts
@@ -0,0 +1,151 @@
+/** Predicts when an engine would give the first token and the whole answer of a request. */
+import type {EngineReport} from '../backends';
+import {type EngineLoad, getPieces, type WorkAmounts} from './engine_load';
+
+/** A request as the prediction sees it. */
+export interface Job {
+  readonly promptTokens: number;
+  /** Tokens expected to be generated. */
+  readonly outputTokens: number;
+  readonly isUrgent: boolean;
+}
+
+/** What is predicted of a job at an engine, in milliseconds from now. */
+export interface Prediction {
+  /** Engine time that the job's own prefill takes. */
+  readonly prefillMs: number;
+  readonly firstTokenMs: number;
+  readonly completionMs: number;
+}
+
+/** Work of other nodes known from their digests; replaces smaller reported amounts. */
+export type OthersWork = Readonly<
+  Pick<WorkAmounts, 'requests' | 'prefillTokens'>
+>;
+
+/** Limits of what one engine is given at a time. */
+export interface RoomLimits {
+  /** Most prefill work that waits at an engine, in milliseconds of its time. */
+  readonly maxPrefillBacklogMs: number;
+  /** Factor of the limits for urgent requests. */
+  readonly urgentFactor: number;
+}
+
+/** Prefill work that an urgent request waits for, since it has begun already, in tokens. */
+const STARTED_PREFILL_TOKENS = 2_048;
+/** A report older than this says nothing of other nodes' work, in milliseconds. */
+const REPORT_EXPIRY_MS = 15_000;
+
+const NO_OTHERS: OthersWork = {requests: 0, prefillTokens: 0};
+
+/** Returns the requests at the engine, this node's and the others'. */
+export function getRequestCount(
+  load: EngineLoad,
+  nowMs: number,
+  digest: OthersWork = NO_OTHERS,
+): number {
+  const reported = isFresh(load, nowMs) ? load.others.requests : 0;
+  return load.own.requests + Math.max(reported, digest.requests);
+}
+
+/** Returns the prompt tokens that wait for prefill at the engine. */
+export function getPrefillBacklog(
+  load: EngineLoad,
+  nowMs: number,
+  digest: OthersWork = NO_OTHERS,
+): number {
+  const reported = isFresh(load, nowMs) ? load.others.prefillTokens : 0;
+  return load.own.prefillTokens + Math.max(reported, digest.prefillTokens);
+}
+
+/**
+ * Predicts the times of a job at an engine that has reported.
+ * `cachedTokens` of the prompt are expected in its prefix cache, and `slowdown` is
+ * the factor by which its decode steps were lately slower than reported.
+ */
+export function predictTimes(
+  load: EngineLoad,
+  report: EngineReport,
+  job: Job,
+  options: {
+    nowMs: number;
+    cachedTokens?: number;
+    slowdown?: number;
+    digest?: OthersWork;
+  },
+): Prediction {
+  const {nowMs, digest} = options;
+  const uncached = Math.max(1, job.promptTokens - (options.cachedTokens ?? 0));
+  const backlog = getPrefillBacklog(load, nowMs, digest);
+  const ahead = job.isUrgent
+    ? Math.min(backlog, STARTED_PREFILL_TOKENS)
+    : backlog;
+  const msPerPrefillToken = 1_000 / report.prefillTokensPerS;
+  const requests = getRequestCount(load, nowMs, digest);
+  const stepMs = getStepMs(report, requests + 1) * (options.slowdown ?? 1);
+  const placeMs = getPlaceWaitMs(load, report, requests, stepMs);
+  const prefillMs = uncached * msPerPrefillToken;
+  const firstTokenMs = placeMs + ahead * msPerPrefillToken + prefillMs;
+  return {
+    prefillMs,
+    firstTokenMs,
+    completionMs: firstTokenMs + Math.max(0, job.outputTokens - 1) * stepMs,
+  };
+}
+
+/** Returns the time of a decode step with `requests` in the batch, in milliseconds. */
+export function getStepMs(report: EngineReport, requests: number): number {
+  const running = Math.min(requests, report.maxRunning);
+  return report.decodeStepMs + report.decodeStepMsPerRequest * running;
+}
+
+/** Returns whether the engine can take the job without a long queue of its own. */
+export function hasRoom(
+  load: EngineLoad,
+  report: EngineReport,
+  job: Job,
+  options: {nowMs: number; limits: RoomLimits; digest?: OthersWork},
+): boolean {
+  const {nowMs, limits, digest} = options;
+  const requests = getRequestCount(load, nowMs, digest);
+  if (requests === 0) return true;
+  if (load.own.requests === 0 && !isFresh(load, nowMs)) return true;
+  const factor = job.isUrgent ? limits.urgentFactor : 1;
+  if (requests >= report.maxRunning * factor) return false;
+  if (getFreePieces(load, report, nowMs) < getJobPieces(job)) return false;
+  const backlogMs =
+    (getPrefillBacklog(load, nowMs, digest) * 1_000) / report.prefillTokensPerS;
+  return backlogMs < limits.maxPrefillBacklogMs * factor;
+}
+
+/** Returns the pieces of KV memory that a job is expected to need. */
+export function getJobPieces(job: Job): number {
+  return getPieces(job.promptTokens + job.outputTokens);
+}
+
+function getFreePieces(
+  load: EngineLoad,
+  report: EngineReport,
+  nowMs: number,
+): number {
+  const others = isFresh(load, nowMs) ? load.others.pieces : 0;
+  return report.totalPieces - others - load.own.pieces;
+}
+
+/** Time until a place in a full batch comes free: requests leave it evenly. */
+function getPlaceWaitMs(
+  load: EngineLoad,
+  report: EngineReport,
+  requests: number,
+  stepMs: number,
+): number {
+  const waiting = requests + 1 - report.maxRunning;
+  if (waiting <= 0) return 0;
+  const decodeTokens = load.own.decodeTokens + load.others.decodeTokens;
+  const stepsLeft = decodeTokens / Math.max(1, requests);
+  return (waiting * stepsLeft * stepMs) / report.maxRunning;
+}
+
+function isFresh(load: EngineLoad, nowMs: number): boolean {
+  return nowMs - load.reportAtMs <= REPORT_EXPIRY_MS;
+}
--- /dev/null
+++ b/src/routing/fleet_watch.ts
@@ -0,0 +1,97 @@
+/** Takes in what is heard of engines: servers, reports, cache events, failures and successes. */
+import type {BackendFailure, CacheEvent, EngineReport} from '../backends';
+import {createEjector, type EjectionCause, type Ejector} from './ejection';
+import {applyReport} from './engine_load';
+import type {EngineEntry, EngineTable} from './engine_table';
+import type {ResolvedOptions} from './dispatcher_options';
+import {type Attempt, type OpenRequest, tryGetSlowdown} from './open_request';
+import type {PrefixIndex} from './prefix_index';
+import {isHealthFailure} from './retrying';
+import type {DispatcherHost} from './types';
+
+/** Keeps the picture of the engines. */
+export interface FleetWatch {
+  readonly ejector: Ejector;
+  /** Takes a report; returns the engine, unless the report is an old one. */
+  applyReport(report: EngineReport): EngineEntry | undefined;
+  applyCacheEvents(engine: string, events: readonly CacheEvent[]): void;
+  recordSuccess(entry: OpenRequest, attempt: Attempt): void;
+  recordFailure(attempt: Attempt, failure: BackendFailure): void;
+  getEjectionCount(): number;
+}
+
+/** Creates the watch over a table. */
+export function createFleetWatch(
+  host: DispatcherHost,
+  table: EngineTable,
+  prefixes: PrefixIndex,
+  options: ResolvedOptions,
+): FleetWatch {
+  const ejector = createEjector(
+    listHealth,
+    () => host.getRandom(),
+    options.ejection,
+  );
+  let ejections = 0;
+  return {
+    ejector,
+    applyReport: takeReport,
+    applyCacheEvents: prefixes.applyEvents,
+    recordSuccess,
+    recordFailure,
+    getEjectionCount: () => ejections,
+  };
+
+  function* listHealth(): Generator<EngineEntry['health']> {
+    for (const engine of table.list()) yield engine.health;
+  }
+
+  function takeReport(report: EngineReport): EngineEntry | undefined {
+    const engine = table.tryGet(report.engine);
+    if (engine === undefined) return undefined;
+    const before = engine.load.report;
+    if (before !== undefined && before.incarnation === report.incarnation) {
+      if (report.sequence <= before.sequence) return undefined;
+    } else if (before !== undefined) {
+      prefixes.removeEngine(report.engine);
+      emit(engine, 'engine-restarted', `incarnation ${report.incarnation}`);
+    }
+    const nowMs = host.clock.getMonotonicMs();
+    applyReport(engine.load, report, nowMs, options.reportLagMs);
+    table.checkReport(before, report);
+    return engine;
+  }
+
+  function recordSuccess(entry: OpenRequest, attempt: Attempt): void {
+    const nowMs = host.clock.getMonotonicMs();
+    const {engine} = attempt;
+    const ratio =
+      tryGetSlowdown(entry, attempt, nowMs) ?? engine.health.slowdown;
+    recordEjection(engine, ejector.recordSuccess(engine.health, ratio, nowMs));
+  }
+
+  function recordFailure(attempt: Attempt, failure: BackendFailure): void {
+    if (!isHealthFailure(failure)) return;
+    const {engine} = attempt;
+    const nowMs = host.clock.getMonotonicMs();
+    recordEjection(engine, ejector.recordFailure(engine.health, nowMs));
+  }
+
+  function recordEjection(
+    engine: EngineEntry,
+    cause: EjectionCause | undefined,
+  ): void {
+    if (cause === undefined) return;
+    ejections++;
+    const leftMs = engine.health.ejectedUntilMs - host.clock.getMonotonicMs();
+    const reason =
+      cause === 'failures'
+        ? `${engine.health.consecutiveFailures} failures in a row`
+        : `${engine.health.slowdown.toFixed(1)} times its reported step time`;
+    emit(engine, 'engine-ejected', `${reason}; for ${Math.round(leftMs)} ms`);
+  }
+
+  function emit(engine: EngineEntry, kind: string, cause: string): void {
+    host.emitEvent({kind, engine: engine.server.id, cause});
+  }
+}
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -1,9 +1,30 @@
+export {createAccountLimiter} from './account_limiter';
+export type {
+  AccountLimiter,
+  AccountLimiterOptions,
+  AccountUse,
+  Admission,
+  FleetLimits,
+  OthersUse,
+} from './account_limiter';
+export {
+  createLeastLoadedChoice,
+  createPredictedChoice,
+  createRoundRobinChoice,
+} from './choice';
+export type {Choice, ChoiceContext, ChooseEngine} from './choice';
 export {createDispatcher} from './dispatcher';
+export {createPolicyOptions, RoutingPolicy} from './dispatcher_options';
+export type {DispatcherOptions} from './dispatcher_options';
+export type {OthersWork} from './estimate';
+export {createPrefixHasher} from './prefix_hash';
+export type {PrefixHasher, PrefixHashes} from './prefix_hash';
 export {isSelected} from './selector';
 export type {
   AnswerEnd,
   AnswerSink,
   Dispatcher,
+  DispatcherCounts,
   DispatcherHost,
   ModelRequest,
   RequestHandle,
--- /dev/null
+++ b/src/routing/prefix_index.ts
@@ -0,0 +1,203 @@
+/** Remembers, within bounds, which engine probably holds which prompt prefix in its cache. */
+import type {CacheEvent} from '../backends';
+
+/** An engine that probably holds leading blocks of a prompt. */
+export interface PrefixMatch {
+  readonly engine: string;
+  /** Prompt tokens expected in the cache; halved when events of the engine were missed. */
+  readonly cachedTokens: number;
+}
+
+/** Counts of cache events. */
+export interface PrefixCounts {
+  applied: number;
+  /** Events that came twice or behind a later one. */
+  stale: number;
+  /** Breaks in an engine's sequence. */
+  gaps: number;
+}
+
+/** The index. */
+export interface PrefixIndex {
+  /** Lists holders, those of the longest prefix first. `hashes` cover `prefixTokens` tokens in equal blocks. */
+  listMatches(
+    hashes: readonly string[],
+    prefixTokens: number,
+  ): readonly PrefixMatch[];
+  /** Notes that an engine has just prefilled a prompt. */
+  recordPrefilled(engine: string, hashes: readonly string[]): void;
+  applyEvents(engine: string, events: readonly CacheEvent[]): void;
+  /** Forgets an engine that has started again, and the sequence of its events. */
+  removeEngine(engine: string): void;
+  /** Returns the sequence of the last event applied; 0 when none. */
+  getLastSequence(engine: string): number;
+  getSize(): number;
+  getCounts(): Readonly<PrefixCounts>;
+}
+
+/** Options of an index. */
+export interface PrefixIndexOptions {
+  /** Most hashes held; the one unused for longest goes first. */
+  readonly capacity?: number;
+}
+
+interface Holder {
+  readonly engine: string;
+  epoch: number;
+}
+
+interface EngineEpoch {
+  lastSequence: number;
+  /** Raised when events were missed: older entries are trusted by half. */
+  epoch: number;
+  /** Entries of earlier epochs are gone. */
+  clearedEpoch: number;
+}
+
+const DEFAULT_CAPACITY = 50_000;
+const MAX_HOLDERS_PER_HASH = 4;
+const MAX_MATCHES = 4;
+/** Longest part of a chain that is looked up or stored. */
+const MAX_BLOCKS = 64;
+const DISTRUSTED_FACTOR = 0.5;
+
+const NO_MATCHES: readonly PrefixMatch[] = [];
+
+/** Creates an empty index. */
+export function createPrefixIndex(
+  options: PrefixIndexOptions = {},
+): PrefixIndex {
+  const capacity = options.capacity ?? DEFAULT_CAPACITY;
+  const holders = new Map<string, Holder[]>();
+  const epochs = new Map<string, EngineEpoch>();
+  const counts: PrefixCounts = {applied: 0, stale: 0, gaps: 0};
+  return {
+    listMatches,
+    recordPrefilled,
+    applyEvents,
+    removeEngine,
+    getLastSequence: engine => epochs.get(engine)?.lastSequence ?? 0,
+    getSize: () => holders.size,
+    getCounts: () => counts,
+  };
+
+  function listMatches(
+    hashes: readonly string[],
+    prefixTokens: number,
+  ): readonly PrefixMatch[] {
+    if (hashes.length === 0) return NO_MATCHES;
+    const blockTokens = prefixTokens / hashes.length;
+    const matches: PrefixMatch[] = [];
+    const last = Math.min(hashes.length, MAX_BLOCKS) - 1;
+    for (let block = last; block >= 0; block--) {
+      for (const holder of holders.get(hashes[block]) ?? []) {
+        const trust = getTrust(holder);
+        if (trust === 0) continue;
+        if (matches.some(match => match.engine === holder.engine)) continue;
+        const cachedTokens = Math.floor((block + 1) * blockTokens * trust);
+        matches.push({engine: holder.engine, cachedTokens});
+        if (matches.length === MAX_MATCHES) return matches;
+      }
+    }
+    return matches;
+  }
+
+  function getTrust(holder: Holder): number {
+    const state = epochs.get(holder.engine);
+    if (state === undefined || holder.epoch === state.epoch) return 1;
+    return holder.epoch < state.clearedEpoch ? 0 : DISTRUSTED_FACTOR;
+  }
+
+  function recordPrefilled(engine: string, hashes: readonly string[]): void {
+    const {epoch} = getState(engine);
+    const count = Math.min(hashes.length, MAX_BLOCKS);
+    for (let block = 0; block < count; block++) {
+      addHolder(hashes[block], engine, epoch);
+    }
+  }
+
+  function addHolder(hash: string, engine: string, epoch: number): void {
+    const list = holders.get(hash);
+    if (list === undefined) {
+      holders.set(hash, [{engine, epoch}]);
+      if (holders.size > capacity) removeOldest();
+      return;
+    }
+    // Moves the hash to the end, which is kept longest.
+    holders.delete(hash);
+    holders.set(hash, list);
+    const known = list.find(holder => holder.engine === engine);
+    if (known !== undefined) {
+      known.epoch = epoch;
+      return;
+    }
+    list.push({engine, epoch});
+    if (list.length > MAX_HOLDERS_PER_HASH) list.shift();
+  }
+
+  function removeOldest(): void {
+    const oldest = holders.keys().next();
+    if (!oldest.done) holders.delete(oldest.value);
+  }
+
+  function applyEvents(engine: string, events: readonly CacheEvent[]): void {
+    const state = getState(engine);
+    for (const event of events) {
+      if (event.sequence <= state.lastSequence) {
+        counts.stale++;
+        continue;
+      }
+      const isGap =
+        state.lastSequence > 0 && event.sequence > state.lastSequence + 1;
+      if (isGap) {
+        counts.gaps++;
+        state.epoch++;
+      }
+      state.lastSequence = event.sequence;
+      counts.applied++;
+      applyEvent(engine, state, event);
+    }
+  }
+
+  function applyEvent(
+    engine: string,
+    state: EngineEpoch,
+    event: CacheEvent,
+  ): void {
+    switch (event.kind) {
+      case 'stored':
+        for (const hash of event.hashes) addHolder(hash, engine, state.epoch);
+        return;
+      case 'evicted':
+        for (const hash of event.hashes) removeHolder(hash, engine);
+        return;
+      case 'cleared':
+        state.epoch++;
+        state.clearedEpoch = state.epoch;
+        return;
+    }
+  }
+
+  function removeHolder(hash: string, engine: string): void {
+    const list = holders.get(hash);
+    const index = list?.findIndex(holder => holder.engine === engine) ?? -1;
+    if (list === undefined || index < 0) return;
+    list.splice(index, 1);
+    if (list.length === 0) holders.delete(hash);
+  }
+
+  function removeEngine(engine: string): void {
+    const state = getState(engine);
+    state.lastSequence = 0;
+    state.epoch++;
+    state.clearedEpoch = state.epoch;
+  }
+
+  function getState(engine: string): EngineEpoch {
+    const known = epochs.get(engine);
+    if (known !== undefined) return known;
+    const created = {lastSequence: 0, epoch: 0, clearedEpoch: 0};
+    epochs.set(engine, created);
+    return created;
+  }
+}
--- /dev/null
+++ b/src/routing/retrying.ts
@@ -0,0 +1,72 @@
+/** Decides what follows a failed attempt: another one, or the failure for the caller. */
+import type {BackendFailure} from '../backends';
+import {
+  createFailure,
+  FailureKind,
+  type RequestFailure,
+  Verdict,
+} from '../verdict';
+import type {Attempt, OpenRequest} from './open_request';
+import type {RetryBudget} from './retry_budget';
+
+/** What follows a failed attempt. */
+export type RetryDecision =
+  | {readonly kind: 'retry'}
+  | {readonly kind: 'fail'; readonly failure: RequestFailure};
+
+/** Most engines that one request is sent to because others failed it. */
+const MAX_FAILED_ENGINES = 3;
+/** How long an engine that refused a request is spared, in milliseconds. */
+const REFUSED_PAUSE_MS = 500;
+const RETRY_AFTER_MS = 1_000;
+
+/** Updates the request for a failed attempt and decides what follows. */
+export function applyAttemptFailure(
+  entry: OpenRequest,
+  attempt: Attempt,
+  failure: BackendFailure,
+  options: {budget: RetryBudget; nowMs: number},
+): RetryDecision {
+  if (failure.verdict !== Verdict.NotRun) entry.mayHaveRun = true;
+  entry.tried ??= new Set();
+  entry.tried.add(attempt.engine.server.id);
+  if (isRefusal(failure)) {
+    attempt.engine.refusedUntilMs = options.nowMs + REFUSED_PAUSE_MS;
+  }
+  const isUntouchedDecode =
+    attempt.phase === 'decode' && failure.verdict === Verdict.NotRun;
+  if (!isUntouchedDecode) entry.kv = undefined;
+  const isSafe =
+    entry.request.idempotent || !entry.mayHaveRun || isUntouchedDecode;
+  if (!isSafe) return createFail(failure, failure.message);
+  if (entry.tried.size >= MAX_FAILED_ENGINES) {
+    return createFail(failure, failure.message);
+  }
+  if (!options.budget.tryTake()) {
+    return createFail(failure, `${failure.message}; no retry is left`);
+  }
+  return {kind: 'retry'};
+}
+
+/** Returns whether a failure speaks against the engine's health, not just against its load. */
+export function isHealthFailure(failure: BackendFailure): boolean {
+  return (
+    failure.kind === 'unavailable' ||
+    failure.kind === 'broken' ||
+    failure.kind === 'timeout'
+  );
+}
+
+function isRefusal(failure: BackendFailure): boolean {
+  return failure.kind === 'refused' || failure.kind === 'overloaded';
+}
+
+function createFail(failure: BackendFailure, message: string): RetryDecision {
+  return {
+    kind: 'fail',
+    failure: createFailure(FailureKind.BackendFailed, message, {
+      verdict: failure.verdict,
+      retryAfterMs: RETRY_AFTER_MS,
+    }),
+  };
+}
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -1,6 +1,7 @@
 /** Types of routing: from a request admitted to the backend calls that answer it. */
 import type {
   BackendServer,
+  CacheEvent,
   EngineClient,
   EngineEnd,
   EngineReport,
@@ -9,6 +10,8 @@
 import type {Clock} from '../runtime';
 import type {ServerSelector} from '../state';
 import type {RequestFailure} from '../verdict';
+import type {FleetLimits} from './account_limiter';
+import type {OthersWork} from './estimate';
 
 /** A model request on its way to an engine. */
 export interface ModelRequest {
@@ -32,6 +35,8 @@
   readonly engines: ServerSelector;
   /** Share of the client account under overload, against the other weights. */
   readonly weight: number;
+  /** Limits of the client account over the whole fleet; none when omitted. */
+  readonly limits?: FleetLimits;
 }
 
 /** Receives the answer. Nothing comes after `onEnd` or `onFailure`. */
@@ -75,6 +80,22 @@
   /** Returns a number from 0 up to and without 1. */
   getRandom(): number;
   emitEvent(event: RoutingEvent): void;
+  /** Returns the work that other nodes' digests show at an engine. */
+  tryGetOthersWork?(engine: string): OthersWork | undefined;
+}
+
+/** Counts of what a dispatcher has done since it started. */
+export interface DispatcherCounts {
+  readonly requests: number;
+  /** Sendings of whole requests or of their first part to an engine. */
+  readonly attempts: number;
+  readonly retries: number;
+  readonly refused: number;
+  readonly ejections: number;
+  /** Engine events that belonged to no running attempt. */
+  readonly lateEvents: number;
+  /** Answers whose missing tokens were asked for again. */
+  readonly resumed: number;
 }
 
 /** Sends model requests to engines. */
@@ -84,6 +105,13 @@
   updateServers(servers: readonly BackendServer[]): void;
   /** Takes a load report. */
   updateReport(report: EngineReport): void;
+  /** Takes prefix-cache events of an engine, in any order and with gaps. */
+  updateCacheEvents(engine: string, events: readonly CacheEvent[]): void;
+  /** Returns the sequence after which cache events of an engine are wanted. */
+  getCacheSequence(engine: string): number;
+  getCounts(): DispatcherCounts;
+  /** Returns the number of requests that wait. */
+  getWaitingCount(): number;
   /** Returns the number of requests that wait or run. */
   getOpenCount(): number;
   /** Refuses everything new; resolves when nothing is open. */
--- /dev/null
+++ b/src/routing/waiting_room.ts
@@ -0,0 +1,154 @@
+/** The requests of a node that wait for an engine: bounded, one fair queue for each pool. */
+import {createFairQueue, type FairQueue, type QueueItem} from './fair_queue';
+import type {EnginePool} from './engine_table';
+
+/** A waiting request with the pool it waits for. */
+export interface WaitingItem extends QueueItem {
+  readonly pool: EnginePool;
+}
+
+/** The queue of one pool. */
+export interface PoolQueue<T extends WaitingItem> {
+  readonly pool: EnginePool;
+  readonly queue: FairQueue<T>;
+  /** Work that leaves the queue, in milliseconds of engine time for each millisecond. */
+  drainRate: number;
+  /** Start of the time over which the rate is measured, and the work that left in it. */
+  measuredFromMs: number;
+  drainedMs: number;
+}
+
+/** Options of a waiting room. */
+export interface WaitingRoomOptions {
+  readonly maxRequests?: number;
+  readonly maxTokens?: number;
+}
+
+/** What became of a request that came to wait. */
+export type AddResult<T> =
+  | {readonly kind: 'added'}
+  /** Another request, of the client account that takes the most room, has to go. */
+  | {readonly kind: 'replaced'; readonly evicted: T}
+  | {readonly kind: 'full'};
+
+/** The waiting requests of a node. */
+export interface WaitingRoom<T extends WaitingItem> {
+  add(item: T, nowMs: number): AddResult<T>;
+  /** Removes a request because it starts. */
+  take(item: T, nowMs: number): void;
+  /** Removes a request that is answered otherwise. */
+  remove(item: T): void;
+  listQueues(): Iterable<PoolQueue<T>>;
+  tryGetQueue(pool: EnginePool): PoolQueue<T> | undefined;
+  /** Predicts how long a new request would wait, in milliseconds. */
+  predictWaitMs(item: WaitingItem): number;
+  getSize(): number;
+}
+
+const DEFAULTS = {maxRequests: 1_024, maxTokens: 4_000_000};
+/** Time over which the drain rate is measured, in milliseconds. */
+const MEASURE_MS = 500;
+const RATE_WEIGHT = 0.5;
+
+/** Creates an empty waiting room. */
+export function createWaitingRoom<T extends WaitingItem>(
+  options: WaitingRoomOptions = {},
+): WaitingRoom<T> {
+  const {maxRequests, maxTokens} = {...DEFAULTS, ...options};
+  const queues = new Map<EnginePool, PoolQueue<T>>();
+  let size = 0;
+  let tokens = 0;
+  return {
+    add,
+    take,
+    remove,
+    listQueues: () => queues.values(),
+    tryGetQueue: pool => queues.get(pool),
+    predictWaitMs,
+    getSize: () => size,
+  };
+
+  function add(item: T, nowMs: number): AddResult<T> {
+    if (size < maxRequests && tokens + item.tokens <= maxTokens) {
+      addItem(item, nowMs);
+      return {kind: 'added'};
+    }
+    const evicted = tryFindEvicted(item);
+    if (evicted === undefined) return {kind: 'full'};
+    remove(evicted);
+    addItem(item, nowMs);
+    return {kind: 'replaced', evicted};
+  }
+
+  /** The client account with the most waiting for its weight gives way, never one with less. */
+  function tryFindEvicted(item: T): T | undefined {
+    let evicted: T | undefined;
+    let most = item.tokens / item.weight;
+    for (const {queue} of queues.values()) {
+      const largest = queue.tryFindLargest();
+      if (largest === undefined || largest.tokensPerWeight <= most) continue;
+      if (largest.item.clientAccount === item.clientAccount) {
+        if (!item.isUrgent || largest.item.isUrgent) return undefined;
+      }
+      most = largest.tokensPerWeight;
+      evicted = largest.item;
+    }
+    return evicted;
+  }
+
+  function addItem(item: T, nowMs: number): void {
+    getQueue(item.pool, nowMs).queue.add(item);
+    size++;
+    tokens += item.tokens;
+  }
+
+  function getQueue(pool: EnginePool, nowMs: number): PoolQueue<T> {
+    const known = queues.get(pool);
+    if (known !== undefined) return known;
+    const created: PoolQueue<T> = {
+      pool,
+      queue: createFairQueue<T>(),
+      drainRate: 0,
+      measuredFromMs: nowMs,
+      drainedMs: 0,
+    };
+    queues.set(pool, created);
+    return created;
+  }
+
+  function take(item: T, nowMs: number): void {
+    const found = queues.get(item.pool);
+    if (found === undefined) return;
+    found.queue.take(item);
+    found.drainedMs += item.costMs;
+    updateRate(found, nowMs);
+    settleItem(found, item);
+  }
+
+  function updateRate(found: PoolQueue<T>, nowMs: number): void {
+    const elapsedMs = nowMs - found.measuredFromMs;
+    if (elapsedMs < MEASURE_MS) return;
+    const rate = found.drainedMs / elapsedMs;
+    found.drainRate +=
+      found.drainRate === 0 ? rate : RATE_WEIGHT * (rate - found.drainRate);
+    found.measuredFromMs = nowMs;
+    found.drainedMs = 0;
+  }
+
+  function remove(item: T): void {
+    const found = queues.get(item.pool);
+    if (found?.queue.remove(item)) settleItem(found, item);
+  }
+
+  function settleItem(found: PoolQueue<T>, item: T): void {
+    size--;
+    tokens -= item.tokens;
+    if (found.queue.getSize() === 0) queues.delete(found.pool);
+  }
+
+  function predictWaitMs(item: WaitingItem): number {
+    const found = queues.get(item.pool);
+    if (found === undefined || found.drainRate === 0) return 0;
+    return found.queue.getCostAhead(item) / found.drainRate;
+  }
+}
--- /dev/null
+++ b/test/routing/estimate.test.ts
@@ -0,0 +1,106 @@
+/** The picture of an engine under lagging reports. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {EngineReport} from '../../src/backends';
+import {
+  addWork,
+  applyReport,
+  createEngineLoad,
+  recordProgress,
+  removeWork,
+} from '../../src/routing/engine_load';
+import {
+  getPrefillBacklog,
+  getRequestCount,
+  hasRoom,
+  predictTimes,
+} from '../../src/routing/estimate';
+import {createOutputEstimate} from '../../src/routing/output_estimate';
+
+function createReport(given: Partial<EngineReport> = {}): EngineReport {
+  return {
+    engine: 'engine-0',
+    sequence: 1,
+    incarnation: 'one',
+    role: 'mixed',
+    state: 'ready',
+    models: ['small'],
+    adapters: [],
+    version: '1',
+    running: 0,
+    waiting: 0,
+    prefillTokens: 0,
+    decodeTokens: 0,
+    freePieces: 256,
+    totalPieces: 256,
+    prefillTokensPerS: 10_000,
+    decodeStepMs: 10,
+    decodeStepMsPerRequest: 1,
+    maxRunning: 8,
+    fencingNumber: 0,
+    ...given,
+  };
+}
+
+test('a report that lags neither counts own work twice nor forgets it', () => {
+  const load = createEngineLoad();
+  const early = {prefillTokens: 1_000, decodeTokens: 100, pieces: 1};
+  addWork(load, early, 1_000);
+  const late = {prefillTokens: 3_000, decodeTokens: 100, pieces: 2};
+  addWork(load, late, 5_000);
+  // Shows the engine as it was at 3,000: this node's first request and 2 of other nodes.
+  const report = createReport({
+    running: 3,
+    prefillTokens: 2_500,
+    decodeTokens: 300,
+    freePieces: 252,
+  });
+  applyReport(load, report, 6_000, 3_000);
+  assert.equal(getRequestCount(load, 6_000), 4);
+  assert.equal(getPrefillBacklog(load, 6_000), 1_500 + 1_000 + 3_000);
+  recordProgress(load, early, 1, 6_100);
+  removeWork(load, early, 6_200);
+  assert.equal(getRequestCount(load, 6_200), 3);
+  assert.equal(getPrefillBacklog(load, 6_200), 1_500 + 3_000);
+});
+
+test('urgent requests see a short queue and get in where others do not', () => {
+  const load = createEngineLoad();
+  const report = createReport({running: 2, prefillTokens: 9_000});
+  applyReport(load, report, 0, 0);
+  const job = {promptTokens: 1_000, outputTokens: 11, isUrgent: false};
+  const urgent = {...job, isUrgent: true};
+  const usual = predictTimes(load, report, job, {nowMs: 0});
+  assert.equal(usual.firstTokenMs, 1_000);
+  assert.equal(usual.completionMs, 1_000 + 10 * 13);
+  const fast = predictTimes(load, report, urgent, {nowMs: 0});
+  assert.ok(fast.firstTokenMs < usual.firstTokenMs / 2);
+  const limits = {maxPrefillBacklogMs: 700, urgentFactor: 2};
+  assert.equal(hasRoom(load, report, job, {nowMs: 0, limits}), false);
+  assert.equal(hasRoom(load, report, urgent, {nowMs: 0, limits}), true);
+});
+
+test('a full engine memory is no room, and an expired report says nothing', () => {
+  const load = createEngineLoad();
+  const report = createReport({running: 1, freePieces: 1});
+  applyReport(load, report, 0, 0);
+  const limits = {maxPrefillBacklogMs: 700, urgentFactor: 2};
+  const job = {promptTokens: 4_000, outputTokens: 200, isUrgent: false};
+  assert.equal(hasRoom(load, report, job, {nowMs: 0, limits}), false);
+  assert.equal(hasRoom(load, report, job, {nowMs: 60_000, limits}), true);
+});
+
+test('lengths of answers are learned for each client account, within bounds', () => {
+  const estimate = createOutputEstimate({capacity: 100});
+  for (let round = 0; round < 200; round++) {
+    estimate.record('short', 'small', 20);
+    estimate.record('long', 'small', 1_000);
+  }
+  const short = estimate.getTokens('short', 'small', 2_000);
+  assert.ok(short >= 15 && short <= 30, `${short}`);
+  const long = estimate.getTokens('long', 'small', 2_000);
+  assert.ok(long >= 700 && long <= 1_400, `${long}`);
+  assert.equal(estimate.getTokens('long', 'small', 50), 50);
+  for (let key = 0; key < 1_000; key++) estimate.record(`${key}`, 'small', 5);
+  assert.equal(estimate.getSize(), 100);
+});
