Membership: probes, suspicions and rumours over a narrow transport

Cause: no node knew the others, so a leaving backend server was known only to those that had read the list, and a dead node to nobody.

The core runs on a host interface (exchange, indirect probe, clock, random), so that the tests run it on virtual time with a seed: a dead node, a drain, pauses, a lost failure domain, a region cut off for five minutes, a stale VM list, lost messages, a leaving server within 3 s at 3, 14 and 50 nodes.

--- /dev/null
+++ b/src/membership/member_table.ts
@@ -0,0 +1,107 @@
+/** The table of nodes: which news about a node wins. */
+import type {ListedNode, Member, MemberRumour, MemberStatus} from './types';
+
+/** How long a dead node that no list names is remembered, in milliseconds. */
+const DEAD_RETENTION_MS = 600_000;
+/** Most nodes in the table; a stranger beyond that is not added. */
+const MAX_MEMBERS = 4_096;
+const STATUS_RANK: Readonly<Record<MemberStatus, number>> = {
+  alive: 0,
+  suspect: 1,
+  dead: 2,
+  left: 3,
+};
+
+/** The nodes that this one knows, itself excepted. */
+export interface MemberTable {
+  list(): readonly Member[];
+  tryGet(node: string): Member | undefined;
+  /** Applies news; returns the member when the news changed it. */
+  apply(news: MemberRumour, nowMs: number): Member | undefined;
+  /** Adds nodes of the VM list that are not known. */
+  addListed(nodes: readonly ListedNode[], nowMs: number): void;
+  /** Drops nodes that ended long ago and are not listed. */
+  sweep(nowMs: number): void;
+  isListed(node: string): boolean;
+}
+
+/** Creates an empty table. */
+export function createMemberTable(self: string): MemberTable {
+  const members = new Map<string, Member>();
+  let listed = new Set<string>();
+  let cache: readonly Member[] | undefined;
+  return {
+    list,
+    tryGet: node => members.get(node),
+    apply,
+    addListed,
+    sweep,
+    isListed: node => listed.has(node),
+  };
+
+  function list(): readonly Member[] {
+    cache ??= [...members.values()];
+    return cache;
+  }
+
+  function setMember(member: Member): void {
+    members.set(member.node, member);
+    cache = undefined;
+  }
+
+  function apply(news: MemberRumour, nowMs: number): Member | undefined {
+    if (news.node === self) return undefined;
+    const known = members.get(news.node);
+    if (known === undefined && members.size >= MAX_MEMBERS) return undefined;
+    if (known !== undefined && !isNewer(news, known)) return undefined;
+    const {node, address, incarnation, status} = news;
+    const isSame = known?.status === status;
+    const member: Member = {
+      node,
+      address: address === '' ? (known?.address ?? '') : address,
+      incarnation,
+      status,
+      sinceMs: isSame ? known.sinceMs : nowMs,
+      process: news.process ?? known?.process,
+    };
+    setMember(member);
+    return member;
+  }
+
+  function addListed(nodes: readonly ListedNode[], nowMs: number): void {
+    listed = new Set(nodes.map(item => item.node));
+    for (const {node, address} of nodes) {
+      const known = members.get(node);
+      if (node === self || address === '') continue;
+      if (known === undefined) {
+        setMember({
+          node,
+          address,
+          incarnation: 0,
+          status: 'alive',
+          sinceMs: nowMs,
+        });
+      } else if (known.status !== 'alive' && known.address !== address) {
+        setMember({...known, address});
+      }
+    }
+  }
+
+  function sweep(nowMs: number): void {
+    for (const member of members.values()) {
+      const isEnded = member.status === 'dead' || member.status === 'left';
+      if (!isEnded || listed.has(member.node)) continue;
+      if (nowMs - member.sinceMs < DEAD_RETENTION_MS) continue;
+      members.delete(member.node);
+      cache = undefined;
+    }
+  }
+}
+
+/** A higher incarnation wins; at equal ones the worse status does. */
+function isNewer(news: MemberRumour, known: Member): boolean {
+  if (news.incarnation !== known.incarnation) {
+    return news.incarnation > known.incarnation;
+  }
+  return STATUS_RANK[news.status] > STATUS_RANK[known.status];
+}
--- /dev/null
+++ b/src/membership/membership.ts
@@ -0,0 +1,230 @@
+/** The membership task of one node: probes, suspicions and the spread of news. */
+import {createMembershipView} from './membership_view';
+import {choosePeers, createProbeOrder} from './peer_choice';
+import {createSendAllowance} from './send_allowance';
+import type {
+  Exchange,
+  IndirectProbe,
+  Member,
+  Membership,
+  MembershipCounts,
+  MembershipHost,
+} from './types';
+
+/** Options of membership. */
+export interface MembershipOptions {
+  readonly host: MembershipHost;
+  readonly node: string;
+  /** Base address of this node's listener for peers. */
+  readonly address: string;
+  /** Names this process: the node, a dot, and what tells its processes apart. */
+  readonly process: string;
+  /** Higher than that of any earlier process of this node; its start in wall time will do. */
+  readonly incarnation: number;
+  /** Time between two probes, in milliseconds. */
+  readonly probeIntervalMs?: number;
+  /** Time between two rounds of passing on news, in milliseconds. */
+  readonly gossipIntervalMs?: number;
+  /** Peers that one round of news goes to. */
+  readonly gossipFanout?: number;
+  /** How long a suspect has to say that it lives, in milliseconds. */
+  readonly suspicionMs?: number;
+  /** Most bytes of news sent and received a second; probes go first. */
+  readonly maxGossipBytesPerS?: number;
+  /** Most digests of peers that are kept. */
+  readonly maxDigests?: number;
+}
+
+const DEFAULT_PROBE_INTERVAL_MS = 1_000;
+const DEFAULT_GOSSIP_INTERVAL_MS = 200;
+const DEFAULT_GOSSIP_FANOUT = 3;
+const DEFAULT_SUSPICION_MS = 4_000;
+const DEFAULT_MAX_GOSSIP_BYTES_PER_S = 12_000;
+const DEFAULT_MAX_DIGESTS = 64;
+const INDIRECT_PROBES = 3;
+const DRAIN_PEERS = 4;
+const SWEEP_INTERVAL_MS = 1_000;
+/** Jitter of each interval, in parts of it, so that nodes do not act in step. */
+const INTERVAL_JITTER = 0.2;
+/** A timer that is late by more than this shows that the process was paused, in milliseconds. */
+const PAUSE_LATENESS_MS = 1_000;
+
+/** Creates the task; it sends nothing before `start`. */
+export function createMembership(options: MembershipOptions): Membership {
+  const {host} = options;
+  const {clock, getRandom} = host;
+  const probeIntervalMs = options.probeIntervalMs ?? DEFAULT_PROBE_INTERVAL_MS;
+  const gossipIntervalMs =
+    options.gossipIntervalMs ?? DEFAULT_GOSSIP_INTERVAL_MS;
+  const gossipFanout = options.gossipFanout ?? DEFAULT_GOSSIP_FANOUT;
+  const suspicionMs = options.suspicionMs ?? DEFAULT_SUSPICION_MS;
+  const maxDigests = options.maxDigests ?? DEFAULT_MAX_DIGESTS;
+  const view = createMembershipView({...options, maxDigests});
+  const {table, marks} = view;
+  const order = createProbeOrder(getRandom);
+  const allowance = createSendAllowance(
+    clock,
+    options.maxGossipBytesPerS ?? DEFAULT_MAX_GOSSIP_BYTES_PER_S,
+  );
+  const counts: MembershipCounts = {
+    exchangesSent: 0,
+    exchangesAnswered: 0,
+    indirectProbes: 0,
+    gossipsHeldBack: 0,
+  };
+  let isRunning = false;
+  /** When this process last woke from a pause. */
+  let wokenAtMs = 0;
+  return {
+    listMembers: table.list,
+    tryGetMember: table.tryGet,
+    listDigests: view.listDigests,
+    isServerLeaving: marks.has,
+    listLeavingServers: marks.list,
+    isProcessGone: view.isProcessGone,
+    updateListed: view.updateListed,
+    reportLeaving: view.reportLeaving,
+    handleExchange,
+    handleIndirectProbe,
+    subscribe: view.subscribe,
+    getCounts: () => counts,
+    getRefutationCount: view.getRefutationCount,
+    start,
+    drain,
+    stop,
+  };
+
+  function start(): void {
+    isRunning = true;
+    view.addSelf();
+    scheduleStep(probeIntervalMs, runProbe);
+    scheduleStep(gossipIntervalMs, sendNews);
+    scheduleStep(SWEEP_INTERVAL_MS, sweep);
+  }
+
+  function stop(): void {
+    isRunning = false;
+  }
+
+  /** Runs `step` again and again. */
+  function scheduleStep(intervalMs: number, step: () => void): void {
+    const jitter = (getRandom() - 0.5) * INTERVAL_JITTER;
+    const delayMs = intervalMs * (1 + jitter);
+    const dueMs = clock.getMonotonicMs() + delayMs;
+    clock.schedule(delayMs, () => {
+      if (!isRunning) return;
+      const nowMs = clock.getMonotonicMs();
+      if (nowMs - dueMs > PAUSE_LATENESS_MS) wokenAtMs = nowMs;
+      step();
+      scheduleStep(intervalMs, step);
+    });
+  }
+
+  function runProbe(): void {
+    const members = table.list();
+    const target = order.takeNext(members, isInTouch);
+    if (target !== undefined) void checkMember(target);
+    // A node cut off for a while is found again by one of its peers.
+    const lost = members.filter(canReturn);
+    for (const member of choosePeers(lost, 1, getRandom)) {
+      void sendExchange(member);
+    }
+  }
+
+  function canReturn(member: Member): boolean {
+    if (member.status === 'dead') return true;
+    return member.status === 'left' && table.isListed(member.node);
+  }
+
+  async function checkMember(target: Member): Promise<void> {
+    const startedAtMs = clock.getMonotonicMs();
+    if (await sendExchange(target)) return;
+    if (await sendIndirectProbes(target)) return;
+    // What timed out during this process's own pause says nothing of a peer.
+    if (!isRunning || wokenAtMs > startedAtMs) return;
+    const known = table.tryGet(target.node);
+    if (known?.incarnation !== target.incarnation) return;
+    if (known.status === 'alive') view.setStatus(known, 'suspect');
+  }
+
+  async function sendIndirectProbes(target: Member): Promise<boolean> {
+    const others = table
+      .list()
+      .filter(member => member.status === 'alive' && member !== target);
+    const helpers = choosePeers(others, INDIRECT_PROBES, getRandom);
+    counts.indirectProbes += helpers.length;
+    const probe = {node: target.node, address: target.address};
+    const answers = await Promise.all(
+      helpers.map(helper => host.sendIndirectProbe(helper.address, probe)),
+    );
+    return answers.some(isReached => isReached);
+  }
+
+  /** Returns whether the member answered. */
+  async function sendExchange(
+    member: Pick<Member, 'node' | 'address'>,
+  ): Promise<boolean> {
+    const exchange = view.createExchange(table.tryGet(member.node));
+    counts.exchangesSent++;
+    const answer = await host.sendExchange(member.address, exchange);
+    if (answer?.digest.node !== member.node) return false;
+    if (isRunning) view.applyExchange(answer);
+    return true;
+  }
+
+  function handleExchange(exchange: Exchange): Exchange {
+    counts.exchangesAnswered++;
+    allowance.record(exchange);
+    view.applyExchange(exchange);
+    return view.createExchange(table.tryGet(exchange.digest.node));
+  }
+
+  function handleIndirectProbe(probe: IndirectProbe): Promise<boolean> {
+    return sendExchange(probe);
+  }
+
+  function sendNews(): void {
+    if (!view.hasNews()) return;
+    const peers = table.list().filter(member => member.status === 'alive');
+    for (const peer of choosePeers(peers, gossipFanout, getRandom)) {
+      if (!view.hasNews()) return;
+      if (!allowance.isOpen()) {
+        counts.gossipsHeldBack++;
+        return;
+      }
+      void sendPeerNews(peer);
+    }
+  }
+
+  async function sendPeerNews(peer: Member): Promise<void> {
+    const exchange = view.createExchange(peer);
+    allowance.record(exchange);
+    counts.exchangesSent++;
+    const answer = await host.sendExchange(peer.address, exchange);
+    if (answer === undefined || !isRunning) return;
+    allowance.record(answer);
+    view.applyExchange(answer);
+  }
+
+  function sweep(): void {
+    const nowMs = clock.getMonotonicMs();
+    for (const member of table.list()) {
+      if (member.status !== 'suspect') continue;
+      const sinceMs = Math.max(member.sinceMs, wokenAtMs);
+      if (nowMs - sinceMs >= suspicionMs) view.setStatus(member, 'dead');
+    }
+    view.sweep(nowMs);
+  }
+
+  async function drain(): Promise<void> {
+    view.setLeaving();
+    const peers = table.list().filter(isInTouch);
+    const chosen = choosePeers(peers, DRAIN_PEERS, getRandom);
+    await Promise.all(chosen.map(sendExchange));
+    isRunning = false;
+  }
+}
+
+function isInTouch(member: Member): boolean {
+  return member.status === 'alive' || member.status === 'suspect';
+}
--- /dev/null
+++ b/src/membership/membership_view.ts
@@ -0,0 +1,233 @@
+/** What a node knows of the others: applies news, and makes the exchanges that spread it. */
+import type {LeavingMarks} from './leaving_marks';
+import {createLeavingMarks} from './leaving_marks';
+import {createMemberTable, type MemberTable} from './member_table';
+import {createRumourQueue} from './rumour_queue';
+import {
+  type Digest,
+  type Exchange,
+  type ListedNode,
+  MAX_MESSAGE_RUMOURS,
+  type Member,
+  type MemberRumour,
+  type MembershipChange,
+  type MembershipHost,
+  type MemberStatus,
+  type Rumour,
+} from './types';
+
+/** Options of a view. */
+export interface MembershipViewOptions {
+  readonly host: MembershipHost;
+  readonly node: string;
+  readonly address: string;
+  readonly process: string;
+  readonly incarnation: number;
+  readonly maxDigests: number;
+}
+
+/** The view of one node. */
+export interface MembershipView {
+  readonly table: MemberTable;
+  readonly marks: LeavingMarks;
+  listDigests(): readonly Digest[];
+  hasNews(): boolean;
+  getRefutationCount(): number;
+  isProcessGone(process: string): boolean;
+  updateListed(nodes: readonly ListedNode[]): void;
+  reportLeaving(server: string): void;
+  /** Creates an exchange for a member, with the news that it should have. */
+  createExchange(member: Member | undefined): Exchange;
+  applyExchange(exchange: Exchange): void;
+  /** Sets the status that this node believes a member to have. */
+  setStatus(member: Member, status: MemberStatus): void;
+  /** Spreads that this node has started. */
+  addSelf(): void;
+  /** Says to peers from now on that this node ends. */
+  setLeaving(): void;
+  /** Drops what has expired. */
+  sweep(nowMs: number): void;
+  subscribe(listener: (change: MembershipChange) => void): () => void;
+}
+
+/** Creates a view that knows nothing. */
+export function createMembershipView(
+  options: MembershipViewOptions,
+): MembershipView {
+  const {host, node, address, maxDigests} = options;
+  const {clock} = host;
+  const table = createMemberTable(node);
+  const rumours = createRumourQueue();
+  const marks = createLeavingMarks();
+  const digests = new Map<string, Digest>();
+  const listeners = new Set<(change: MembershipChange) => void>();
+  let {incarnation} = options;
+  let refutations = 0;
+  let sequence = 0;
+  let state: Digest['state'] = 'live';
+  return {
+    table,
+    marks,
+    listDigests: () => [...digests.values()],
+    hasNews: () => !rumours.isEmpty(),
+    getRefutationCount: () => refutations,
+    isProcessGone,
+    updateListed,
+    reportLeaving,
+    createExchange,
+    applyExchange,
+    setStatus: (member, status) => applyMember(createRumour(member, status)),
+    addSelf: () => rumours.add(createOwnRumour('alive')),
+    setLeaving,
+    sweep,
+    subscribe,
+  };
+
+  /** A member that is believed lost is told so first, that it may refute. */
+  function createExchange(member: Member | undefined): Exchange {
+    const taken = rumours.take(table.list().length);
+    const isLost = member !== undefined && member.status !== 'alive';
+    const news = isLost
+      ? [
+          createRumour(member, member.status),
+          ...taken.slice(0, MAX_MESSAGE_RUMOURS - 1),
+        ]
+      : taken;
+    return {digest: createDigest(), rumours: [...news]};
+  }
+
+  function createDigest(): Digest {
+    sequence++;
+    return {
+      node,
+      address,
+      incarnation,
+      process: options.process,
+      sequence,
+      state,
+      ...host.getLocalLoad(),
+    };
+  }
+
+  function applyExchange(exchange: Exchange): void {
+    const {digest} = exchange;
+    if (digest.node !== node) applyDigest(digest);
+    for (const rumour of exchange.rumours) applyRumour(rumour);
+  }
+
+  function applyDigest(digest: Digest): void {
+    const known = digests.get(digest.node);
+    const isOld =
+      known !== undefined &&
+      (digest.incarnation < known.incarnation ||
+        (digest.incarnation === known.incarnation &&
+          digest.sequence <= known.sequence));
+    if (!isOld) {
+      digests.delete(digest.node);
+      digests.set(digest.node, digest);
+      if (digests.size > maxDigests) removeOldestDigest();
+    }
+    applyMember({
+      kind: 'member',
+      node: digest.node,
+      address: digest.address,
+      incarnation: digest.incarnation,
+      status: digest.state === 'leaving' ? 'left' : 'alive',
+      process: digest.process,
+    });
+  }
+
+  function removeOldestDigest(): void {
+    const [oldest] = digests.keys();
+    digests.delete(oldest);
+  }
+
+  function applyRumour(rumour: Rumour): void {
+    if (rumour.kind === 'server-leaving') {
+      const nowMs = clock.getMonotonicMs();
+      const isNew = !marks.has(rumour.server);
+      if (!marks.apply(rumour.server, rumour.version, nowMs)) return;
+      rumours.add(rumour);
+      if (isNew) notify({kind: 'server-leaving', server: rumour.server});
+      return;
+    }
+    if (rumour.node !== node) applyMember(rumour);
+    else if (rumour.status !== 'alive' && state === 'live')
+      settleSuspicion(rumour);
+  }
+
+  /** Says with a higher incarnation that this node lives. */
+  function settleSuspicion(rumour: MemberRumour): void {
+    if (rumour.incarnation < incarnation) return;
+    incarnation = rumour.incarnation + 1;
+    refutations++;
+    rumours.add(createOwnRumour('alive'));
+  }
+
+  function applyMember(news: MemberRumour): void {
+    const before = table.tryGet(news.node);
+    const member = table.apply(news, clock.getMonotonicMs());
+    if (member === undefined) return;
+    const isChanged = before?.status !== member.status;
+    const isFirstContact = before?.incarnation === 0 && !isChanged;
+    if (!isFirstContact) rumours.add(createRumour(member, member.status));
+    if (isChanged) notify({kind: 'member', member});
+  }
+
+  function setLeaving(): void {
+    state = 'leaving';
+    rumours.add(createOwnRumour('left'));
+  }
+
+  function createOwnRumour(status: MemberStatus): MemberRumour {
+    const {process} = options;
+    return {kind: 'member', node, address, incarnation, status, process};
+  }
+
+  function sweep(nowMs: number): void {
+    table.sweep(nowMs);
+    for (const server of marks.sweep(nowMs)) {
+      notify({kind: 'server-back', server});
+    }
+  }
+
+  function updateListed(nodes: readonly ListedNode[]): void {
+    table.addListed(nodes, clock.getMonotonicMs());
+  }
+
+  function reportLeaving(server: string): void {
+    const isNew = !marks.has(server);
+    const version = marks.report(server, clock.getMonotonicMs());
+    if (version === undefined) return;
+    rumours.add({kind: 'server-leaving', server, version});
+    if (isNew) notify({kind: 'server-leaving', server});
+  }
+
+  function isProcessGone(process: string): boolean {
+    const nodeOfProcess = process.slice(0, process.lastIndexOf('.'));
+    const member = table.tryGet(nodeOfProcess);
+    if (member?.process === undefined) return false;
+    if (member.process !== process) return member.status === 'alive';
+    return member.status === 'dead' || member.status === 'left';
+  }
+
+  function subscribe(listener: (change: MembershipChange) => void): () => void {
+    listeners.add(listener);
+    return () => listeners.delete(listener);
+  }
+
+  function notify(change: MembershipChange): void {
+    for (const listener of listeners) listener(change);
+  }
+}
+
+function createRumour(member: Member, status: MemberStatus): MemberRumour {
+  return {
+    kind: 'member',
+    node: member.node,
+    address: member.address,
+    incarnation: member.incarnation,
+    status,
+    process: member.process,
+  };
+}
--- /dev/null
+++ b/src/membership/peer_choice.ts
@@ -0,0 +1,54 @@
+/** Chooses peers at random, so that no node is probed or told more than the others. */
+import type {Member} from './types';
+
+/** Returns up to `count` members chosen at random, without repetition. */
+export function choosePeers(
+  members: readonly Member[],
+  count: number,
+  getRandom: () => number,
+): readonly Member[] {
+  if (members.length <= count) return members;
+  const chosen = new Set<Member>();
+  while (chosen.size < count) {
+    chosen.add(members[Math.floor(getRandom() * members.length)]);
+  }
+  return [...chosen];
+}
+
+/** The order of probing: every member once in each round, in a random order. */
+export interface ProbeOrder {
+  /** Takes the next node that `tryGetTarget` accepts, if any. */
+  takeNext(
+    members: readonly Member[],
+    canProbe: (member: Member) => boolean,
+  ): Member | undefined;
+}
+
+/** Creates an order that begins a round at its first use. */
+export function createProbeOrder(getRandom: () => number): ProbeOrder {
+  let round: string[] = [];
+  return {takeNext};
+
+  function takeNext(
+    members: readonly Member[],
+    canProbe: (member: Member) => boolean,
+  ): Member | undefined {
+    const byName = new Map(members.map(member => [member.node, member]));
+    for (let tries = 0; tries <= members.length; tries++) {
+      if (round.length === 0) round = createRound(members);
+      const node = round.pop();
+      const member = node === undefined ? undefined : byName.get(node);
+      if (member !== undefined && canProbe(member)) return member;
+    }
+    return undefined;
+  }
+
+  function createRound(members: readonly Member[]): string[] {
+    const names = members.map(member => member.node);
+    for (let index = names.length - 1; index > 0; index--) {
+      const other = Math.floor(getRandom() * (index + 1));
+      [names[index], names[other]] = [names[other], names[index]];
+    }
+    return names;
+  }
+}
--- /dev/null
+++ b/test/membership/membership.test.ts
@@ -0,0 +1,228 @@
+/** Membership under the losses that it is for. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {MemberStatus} from '../../src/membership';
+import {
+  createListedNode,
+  type MembershipCluster,
+  type MembershipNode,
+  startMembershipCluster,
+} from '../support/membership_cluster';
+
+/** A leaving backend server is known everywhere within this time. */
+const LEAVING_LIMIT_MS = 3_000;
+const DEAD_LIMIT_MS = 12_000;
+const RETURN_LIMIT_MS = 30_000;
+const WARM_UP_MS = 5_000;
+const NODE_BYTES_PER_S = 28_000;
+
+test('a dead node is noticed by every node', async () => {
+  const cluster = startMembershipCluster({nodes: 14, seed: 3});
+  await cluster.clock.advance(WARM_UP_MS);
+  cluster.nodes[4].control.kill();
+  const noticedMs = await cluster.waitForAll(
+    node => getStatus(node, 'node-4') === 'dead',
+    DEAD_LIMIT_MS,
+  );
+  assert.notEqual(noticedMs, undefined);
+  assert.ok(cluster.nodes[0].membership.isProcessGone('node-4.1'));
+  checkAlive(cluster, cluster.nodes.slice(0, 4));
+  cluster.stop();
+});
+
+for (const count of [3, 14, 50]) {
+  test(`${count} nodes know in time that a backend server leaves`, async () => {
+    const cluster = startMembershipCluster({nodes: count, seed: count});
+    await cluster.clock.advance(WARM_UP_MS);
+    cluster.nodes[1].membership.reportLeaving('engine-7');
+    const knownMs = await cluster.waitForAll(
+      node => node.membership.isServerLeaving('engine-7'),
+      LEAVING_LIMIT_MS,
+    );
+    assert.notEqual(knownMs, undefined);
+    cluster.stop();
+  });
+}
+
+test('a mark of a leaving server ends when nobody sees the sign any more', async () => {
+  const cluster = startMembershipCluster({nodes: 5});
+  for (let second = 0; second < 90; second++) {
+    cluster.nodes[0].membership.reportLeaving('engine-7');
+    await cluster.clock.advance(1_000);
+  }
+  assert.ok(cluster.nodes[4].membership.isServerLeaving('engine-7'));
+  await cluster.clock.advance(90_000);
+  for (const {membership} of cluster.nodes) {
+    assert.deepEqual(membership.listLeavingServers(), []);
+  }
+  cluster.stop();
+});
+
+test('a node that drains is known to have left and is never suspected', async () => {
+  const cluster = startMembershipCluster({nodes: 14, seed: 5});
+  await cluster.clock.advance(WARM_UP_MS);
+  const seen: MemberStatus[] = [];
+  cluster.nodes[0].membership.subscribe(change => {
+    if (change.kind === 'member') seen.push(change.member.status);
+  });
+  const drained = cluster.nodes[9].membership.drain();
+  await cluster.clock.advance(100);
+  await drained;
+  cluster.nodes[9].control.kill();
+  const leftMs = await cluster.waitForAll(
+    node => getStatus(node, 'node-9') === 'left',
+    LEAVING_LIMIT_MS,
+  );
+  assert.notEqual(leftMs, undefined);
+  await cluster.clock.advance(20_000);
+  assert.deepEqual(seen, ['left']);
+  cluster.stop();
+});
+
+test('a pause shorter than the suspicion time loses no node', async () => {
+  const cluster = startMembershipCluster({nodes: 14, seed: 7});
+  await cluster.clock.advance(WARM_UP_MS);
+  const dead = collectDead(cluster);
+  for (let round = 0; round < 6; round++) {
+    cluster.nodes[round].control.setPause(3_000);
+    await cluster.clock.advance(10_000);
+  }
+  assert.deepEqual(dead, []);
+  checkAlive(cluster, cluster.nodes);
+  const refutations = cluster.nodes.map(node =>
+    node.membership.getRefutationCount(),
+  );
+  assert.ok(Math.max(...refutations) > 0, 'no pause was suspected');
+  cluster.stop();
+});
+
+test('a node that was paused for long returns and blames nobody', async () => {
+  const cluster = startMembershipCluster({nodes: 14, seed: 9});
+  await cluster.clock.advance(WARM_UP_MS);
+  const sleeper = cluster.nodes[2];
+  const blamed: string[] = [];
+  sleeper.membership.subscribe(change => {
+    if (change.kind === 'member' && change.member.status === 'dead') {
+      blamed.push(change.member.node);
+    }
+  });
+  sleeper.control.setPause(30_000);
+  await cluster.clock.advance(20_000);
+  assert.equal(getStatus(cluster.nodes[0], sleeper.name), 'dead');
+  await cluster.clock.advance(10_000);
+  const backMs = await cluster.waitForAll(
+    node => node === sleeper || getStatus(node, sleeper.name) === 'alive',
+    RETURN_LIMIT_MS,
+  );
+  assert.notEqual(backMs, undefined);
+  assert.deepEqual(blamed, []);
+  cluster.stop();
+});
+
+test('the loss of a failure domain is noticed and costs nobody else', async () => {
+  const cluster = startMembershipCluster({nodes: 48, seed: 11});
+  await cluster.clock.advance(WARM_UP_MS);
+  const lost = cluster.nodes.slice(0, 16);
+  const kept = cluster.nodes.slice(16);
+  lost.forEach(node => node.control.kill());
+  const bytesBefore = kept.map(node => node.bytes);
+  const startMs = cluster.clock.getMonotonicMs();
+  const noticedMs = await cluster.waitForAll(
+    node => lost.every(item => getStatus(node, item.name) === 'dead'),
+    2 * DEAD_LIMIT_MS,
+  );
+  assert.notEqual(noticedMs, undefined);
+  checkAlive(cluster, kept);
+  const seconds = (cluster.clock.getMonotonicMs() - startMs) / 1_000;
+  kept.forEach((node, index) => {
+    const bytesPerS = (node.bytes - bytesBefore[index]) / seconds;
+    assert.ok(bytesPerS < NODE_BYTES_PER_S, `${bytesPerS} bytes a second`);
+  });
+  cluster.stop();
+});
+
+test('a region cut off for five minutes is whole again after it returns', async () => {
+  const cluster = startMembershipCluster({nodes: 30, seed: 13});
+  await cluster.clock.advance(WARM_UP_MS);
+  const isFar = (name: string): boolean => Number(name.slice(5)) < 8;
+  cluster.setReachable((from, to) => isFar(from) === isFar(to));
+  await cluster.clock.advance(300_000);
+  assert.equal(getStatus(cluster.nodes[20], 'node-3'), 'dead');
+  assert.equal(getStatus(cluster.nodes[3], 'node-20'), 'dead');
+  assert.equal(getStatus(cluster.nodes[3], 'node-4'), 'alive');
+  cluster.nodes[3].membership.reportLeaving('engine-1');
+  await cluster.clock.advance(LEAVING_LIMIT_MS);
+  assert.ok(cluster.nodes[7].membership.isServerLeaving('engine-1'));
+  assert.ok(!cluster.nodes[20].membership.isServerLeaving('engine-1'));
+  cluster.setReachable(() => true);
+  const wholeMs = await cluster.waitForAll(
+    node => countAlive(node) === cluster.nodes.length - 1,
+    RETURN_LIMIT_MS,
+  );
+  assert.notEqual(wholeMs, undefined);
+  cluster.stop();
+});
+
+test('a stale VM list delays nobody: strangers are learned, ghosts are dropped', async () => {
+  const ghost = createListedNode('node-ghost');
+  const cluster = startMembershipCluster({
+    nodes: 10,
+    seed: 15,
+    listed: nodes => [...nodes.slice(0, 3), ghost],
+  });
+  // Nobody lists this node; it knows one seed.
+  cluster.addNode('node-new', [createListedNode('node-2')]);
+  const knownMs = await cluster.waitForAll(
+    node => countAlive(node) === 10 && getStatus(node, ghost.node) !== 'alive',
+    RETURN_LIMIT_MS,
+  );
+  assert.notEqual(knownMs, undefined);
+  cluster.stop();
+});
+
+test('the loss of one message in ten kills no node', async () => {
+  const cluster = startMembershipCluster({nodes: 20, seed: 17, loss: 0.1});
+  const dead = collectDead(cluster);
+  await cluster.clock.advance(120_000);
+  assert.deepEqual(dead, []);
+  cluster.stop();
+});
+
+function getStatus(
+  node: MembershipNode,
+  other: string,
+): MemberStatus | undefined {
+  return node.name === other
+    ? undefined
+    : node.membership.tryGetMember(other)?.status;
+}
+
+function countAlive(node: MembershipNode): number {
+  const members = node.membership.listMembers();
+  return members.filter(member => member.status === 'alive').length;
+}
+
+function checkAlive(
+  cluster: MembershipCluster,
+  expected: readonly MembershipNode[],
+): void {
+  for (const node of cluster.nodes) {
+    if (node.control.isKilled()) continue;
+    for (const other of expected) {
+      if (other === node) continue;
+      const status = getStatus(node, other.name);
+      assert.notEqual(status, 'dead', `${node.name} of ${other.name}`);
+    }
+  }
+}
+
+function collectDead(cluster: MembershipCluster): string[] {
+  const dead: string[] = [];
+  for (const {membership} of cluster.nodes) {
+    membership.subscribe(change => {
+      if (change.kind !== 'member' || change.member.status !== 'dead') return;
+      dead.push(change.member.node);
+    });
+  }
+  return dead;
+}
