Carry templates through the log's retention, record who changed what, check them

Cause: a template was lost once its record expired; a process that started on a trimmed log folded amendments against bases it had never seen; rights were not checked on publication; a racing operator was not told what had changed; a template with a key of a newer program was skipped by an older one, which then refused every amendment based on it. Rolling records with hashed due times were taken. A process that starts after a gap keeps each account's entries until a carried record covers the gap, then applies them again on top. It is caught up only when a carry period (a third of the retention) has been read, or with a peer's copy. Found by the property test and mended: carried copies made by a lagging process. Ruled out: promoting provisional templates after a time; a later carried record settles them, so no promotion is needed.

--- a/src/entry/operator_app.ts
+++ b/src/entry/operator_app.ts
@@ -52,8 +52,10 @@
   app.get('/operators/templates/:account', event => {
     const account = event.context.params?.['account'] ?? '';
     const known = config.getState().templates.get(account);
-    return known ?? createAnswer(404, {error: `no client account ${account}`});
+    if (known !== undefined) return known.toJSON();
+    return createAnswer(404, {error: `no client account ${account}`});
   });
+  app.delete('/operators/templates/:account', handleRetirement);
   app.get('/operators/events', () => ({
     node: options.node,
     dropped: events.getDroppedCount(),
@@ -93,6 +95,29 @@
             baseVersion,
             template: template.data,
           };
+    return writeEntry(entry);
+  }
+
+  async function handleRetirement(event: H3Event): Promise<Response> {
+    const baseVersion = Number(event.url.searchParams.get('base') ?? NaN);
+    if (!Number.isInteger(baseVersion)) {
+      return createAnswer(400, {error: 'base=VERSION is missing'});
+    }
+    return writeEntry({
+      kind: 'template-retire',
+      operator: tryGetOperator(event)?.name ?? '',
+      baseVersion,
+      clientAccount: event.context.params?.['account'] ?? '',
+    });
+  }
+
+  async function writeEntry(entry: ConfigEntry): Promise<Response> {
+    if (!config.isCaughtUp()) {
+      return createAnswer(503, {
+        error: 'this node does not know what is in force yet; try another',
+        mayHaveTakenEffect: false,
+      });
+    }
     const answer = await configWriter.write(entry, ACCEPT_TIMEOUT_MS);
     if (answer.err) {
       return createAnswer(503, {
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -47,6 +47,8 @@
     log: createHttpLogService({address: settings.platform.log_address}),
     writerId,
     events,
+    node: id,
+    retentionMs: settings.platform.log_retention_s * 1_000,
   });
   const fleet = createFleetWatch({
     clock,
--- a/src/node/node_streams.ts
+++ b/src/node/node_streams.ts
@@ -6,9 +6,10 @@
 import {
   type ConfigEntry,
   type ConfigState,
-  configStream,
+  createConfigStream,
   createStreamFollower,
   createStreamWriter,
+  createTemplateCarrier,
   type StreamDefinition,
   type StreamFollower,
   type StreamWriter,
@@ -27,6 +28,10 @@
   /** Names this process incarnation. */
   readonly writerId: string;
   readonly events: EventRing;
+  /** Name of the node. */
+  readonly node: string;
+  /** How long the log keeps a record, in milliseconds. */
+  readonly retentionMs: number;
 }
 
 /** A stream's follower and writer. */
@@ -50,19 +55,24 @@
 
 /** Creates the streams; nothing is read before `start`. */
 export function createNodeStreams(options: NodeStreamsOptions): NodeStreams {
-  const {clock, log, writerId, events} = options;
-  const config = createPair(configStream);
+  const {clock, log, writerId, events, node, retentionMs} = options;
+  const config = createPair(createConfigStream({retentionMs}));
   const claims = createPair(createClaimsStream({stream: CLAIMS_STREAM}));
   const followers = [config.follower, claims.follower];
   const writers = [config.writer, claims.writer];
+  const carrier = createTemplateCarrier({...config, node, clock, retentionMs});
   return {
     config,
     claims,
     isClaimsLogOut: () =>
       !claims.isHealthy() || claims.follower.getSilenceMs() > LOG_SILENCE_MS,
     isCaughtUp: () => followers.every(follower => follower.isCaughtUp()),
-    start: () => followers.forEach(follower => follower.start()),
+    start: () => {
+      followers.forEach(follower => follower.start());
+      carrier.start();
+    },
     stop: () => {
+      carrier.stop();
       followers.forEach(follower => follower.stop());
       writers.forEach(writer => writer.stop());
     },
--- a/src/state/config_fold.ts
+++ b/src/state/config_fold.ts
@@ -1,166 +1,187 @@
-/** The stream `config`: templates of client accounts, published and amended by operators. */
+/** The stream `config`: the fold over templates of client accounts, with and without a gap. */
 import {z} from 'zod';
-import {assertNever} from '../runtime';
-import {type Template, templateSchema} from './template_schema';
+import {applyChange, getEntryAccount, restoreCarried} from './config_changes';
+import {
+  type CarriedTemplate,
+  carriedTemplateSchema,
+  CONFIG_STREAM,
+  type ConfigEntry,
+  type ConfigState,
+  configWireSchema,
+  type JournalItem,
+} from './config_types';
+import {tryParseTemplate} from './template_parse';
 import type {EntryContext, EntryOutcome, StreamDefinition} from './types';
 
-/** Name of the stream that holds the templates. */
-export const CONFIG_STREAM = 'config';
-/** How many versions of a template the history keeps. */
-const MAX_HISTORY = 32;
-
-const publishSchema = z.object({
-  kind: z.literal('template-publish'),
-  operator: z.string().min(1),
-  template: templateSchema,
-});
-
-const amendSchema = z.object({
-  kind: z.literal('template-amend'),
-  operator: z.string().min(1),
-  /** Version that the amendment is based on. */
-  baseVersion: z.number().int().nonnegative(),
-  template: templateSchema,
-});
-
-const configEntrySchema = z.discriminatedUnion('kind', [
-  publishSchema,
-  amendSchema,
-]);
+/** Options of the stream `config`. */
+export interface ConfigStreamOptions {
+  /** How long the log keeps a record, in milliseconds. */
+  readonly retentionMs?: number;
+}
 
-/** An entry of the stream `config`. */
-export type ConfigEntry = z.infer<typeof configEntrySchema>;
+const DEFAULT_RETENTION_MS = 24 * 3_600_000;
+/** Part of the retention within which every template is carried forward once. */
+const CARRY_PERIOD_PART = 1 / 3;
 
-/** One accepted version of a template. */
-export interface TemplateVersion {
-  /** Offset of the record that brought it in. */
-  readonly version: number;
-  readonly baseVersion: number;
-  readonly operator: string;
-  /** When the log took it, in milliseconds since the Unix epoch. */
-  readonly acceptedAtMs: number;
+/** Returns the time within which every template is carried forward once, in milliseconds. */
+export function getCarryPeriodMs(retentionMs: number): number {
+  return retentionMs * CARRY_PERIOD_PART;
 }
 
-/** A client account's template in force, with its history. */
-export interface TemplateState {
-  readonly template: Template;
-  readonly current: TemplateVersion;
-  /** Accepted versions, oldest first, the current one last. */
-  readonly history: readonly TemplateVersion[];
+/** Returns the definition of the stream. */
+export function createConfigStream(
+  options: ConfigStreamOptions = {},
+): StreamDefinition<ConfigState, ConfigEntry> {
+  const retentionMs = options.retentionMs ?? DEFAULT_RETENTION_MS;
+  const carryPeriodMs = getCarryPeriodMs(retentionMs);
+  return {
+    stream: CONFIG_STREAM,
+    createState: createConfigState,
+    tryParseEntry: tryParseConfigEntry,
+    applyEntry: (state, entry, context) => {
+      state.nowMs = Math.max(state.nowMs, context.appendedAtMs);
+      if (state.startOffset === 0) return applyChange(state, entry, context);
+      state.completeAtMs ??= context.appendedAtMs + carryPeriodMs;
+      return applyAfterGap(state, entry, context);
+    },
+    exportState,
+    tryRestoreState,
+    applyGap: (state, offset) => {
+      state.startOffset = offset;
+      state.completeAtMs = undefined;
+      state.journals.clear();
+      state.settled.clear();
+    },
+    isComplete: state =>
+      state.startOffset === 0 ||
+      (state.completeAtMs !== undefined && state.nowMs >= state.completeAtMs),
+  };
 }
 
-/** State of the stream `config`. */
-export interface ConfigState {
-  readonly templates: Map<string, TemplateState>;
-  /** Client account of each API key, by the key's SHA-256. */
-  readonly accountByKeyHash: Map<string, string>;
+/** The stream `config` for a log that keeps records for a day. */
+export const configStream = createConfigStream();
+
+function createConfigState(): ConfigState {
+  return {
+    templates: new Map(),
+    retired: new Map(),
+    accountByKeyHash: new Map(),
+    sharedKeys: new Map(),
+    startOffset: 0,
+    completeAtMs: undefined,
+    nowMs: 0,
+    journals: new Map(),
+    settled: new Set(),
+  };
 }
 
-/** The stream `config`: schema and fold. */
-export const configStream: StreamDefinition<ConfigState, ConfigEntry> = {
-  stream: CONFIG_STREAM,
-  createState: () => ({templates: new Map(), accountByKeyHash: new Map()}),
-  tryParseEntry: value => {
-    const parsed = configEntrySchema.safeParse(value);
-    return parsed.success ? parsed.data : undefined;
-  },
-  applyEntry,
-  exportState: state => [...state.templates.values()],
-  tryRestoreState,
-};
-
-function applyEntry(
-  state: ConfigState,
-  entry: ConfigEntry,
-  context: EntryContext,
-): EntryOutcome {
-  const known = state.templates.get(entry.template.client_account);
-  switch (entry.kind) {
-    case 'template-publish':
-      if (known !== undefined) {
-        return refuseEntry(
-          context,
-          `published by ${known.current.operator} as version ${known.current.version}`,
-        );
-      }
-      return applyTemplate(state, entry, context, 0);
-    case 'template-amend':
-      if (known === undefined) return refuseEntry(context, 'not published');
-      if (known.current.version !== entry.baseVersion) {
-        return refuseEntry(
-          context,
-          `amended by ${known.current.operator}: version ${known.current.version} is in force, not ${entry.baseVersion}`,
-        );
-      }
-      if (!known.template.operators.includes(entry.operator)) {
-        return refuseEntry(
-          context,
-          `operator ${entry.operator} may not amend it`,
-        );
-      }
-      return applyTemplate(state, entry, context, entry.baseVersion);
-    default:
-      return assertNever(entry);
-  }
+function tryParseConfigEntry(value: unknown): ConfigEntry | undefined {
+  const parsed = configWireSchema.safeParse(value);
+  if (!parsed.success) return undefined;
+  const entry = parsed.data;
+  if (entry.kind === 'template-retire') return entry;
+  if (entry.kind === 'template-carry') return entry;
+  const template = tryParseTemplate(entry.template);
+  if (template === undefined) return undefined;
+  return {...entry, template, source: entry.template};
 }
 
-function applyTemplate(
+/**
+ * Applies an entry when records before `startOffset` have expired unread. What a client account
+ * had then is unknown, so its entries are kept until a carried record that covers the gap comes;
+ * they are then applied again on top of it. Until then the outcome is provisional.
+ */
+function applyAfterGap(
   state: ConfigState,
   entry: ConfigEntry,
   context: EntryContext,
-  baseVersion: number,
 ): EntryOutcome {
-  const account = entry.template.client_account;
-  const known = state.templates.get(account);
-  const current: TemplateVersion = {
-    version: context.offset,
-    baseVersion,
-    operator: entry.operator,
-    acceptedAtMs: context.appendedAtMs,
-  };
-  const history = [...(known?.history ?? []), current].slice(-MAX_HISTORY);
-  removeKeys(state, known);
-  addTemplate(state, {template: entry.template, current, history});
-  return {kind: 'accepted', position: getPosition(context)};
-}
-
-function removeKeys(
-  state: ConfigState,
-  known: TemplateState | undefined,
-): void {
-  if (known === undefined) return;
-  for (const hash of known.template.api_key_sha256) {
-    if (state.accountByKeyHash.get(hash) === known.template.client_account) {
-      state.accountByKeyHash.delete(hash);
-    }
+  const account = getEntryAccount(entry);
+  if (state.settled.has(account)) return applyChange(state, entry, context);
+  const journal = state.journals.get(account) ?? [];
+  const coversGap =
+    entry.kind === 'template-carry' && entry.asOfOffset >= state.startOffset;
+  if (!coversGap) {
+    state.journals.set(account, [...journal, {entry, context}]);
+    return applyChange(state, entry, context);
   }
-}
-
-function addTemplate(state: ConfigState, entry: TemplateState): void {
-  const account = entry.template.client_account;
-  state.templates.set(account, entry);
-  for (const hash of entry.template.api_key_sha256) {
-    if (!state.accountByKeyHash.has(hash)) {
-      state.accountByKeyHash.set(hash, account);
-    }
+  if (!restoreCarried(state, entry.carried, context.appendedAtMs)) {
+    return applyChange(state, entry, context);
+  }
+  state.settled.add(account);
+  state.journals.delete(account);
+  for (const item of journal) {
+    if (item.context.offset < entry.asOfOffset) continue;
+    applyChange(state, item.entry, item.context);
   }
+  return {
+    kind: 'accepted',
+    position: {offset: context.offset, index: context.index},
+  };
 }
 
-function refuseEntry(context: EntryContext, reason: string): EntryOutcome {
-  return {kind: 'rejected', position: getPosition(context), reason};
+const snapshotSchema = z.object({
+  templates: z.array(carriedTemplateSchema.extend({carriedAtMs: z.number()})),
+  startOffset: z.number(),
+  completeAtMs: z.number().optional(),
+  nowMs: z.number(),
+  journals: z.array(z.tuple([z.string(), z.array(z.unknown())])),
+  settled: z.array(z.string()),
+});
+
+function exportState(state: ConfigState): z.infer<typeof snapshotSchema> {
+  return {
+    templates: [
+      ...[...state.templates].map(([clientAccount, stored]) => ({
+        ...exportCarried(state, clientAccount),
+        carriedAtMs: stored.carriedAtMs,
+      })),
+      ...[...state.retired].map(([clientAccount, retired]) => ({
+        ...exportCarried(state, clientAccount),
+        carriedAtMs: retired.carriedAtMs,
+      })),
+    ],
+    startOffset: state.startOffset,
+    completeAtMs: state.completeAtMs,
+    nowMs: state.nowMs,
+    journals: [...state.journals],
+    settled: [...state.settled],
+  };
 }
 
-function getPosition(context: EntryContext): {offset: number; index: number} {
-  return {offset: context.offset, index: context.index};
+/** Returns what a carried record keeps of a client account that is known. */
+export function exportCarried(
+  state: ConfigState,
+  clientAccount: string,
+): CarriedTemplate {
+  const stored = state.templates.get(clientAccount);
+  const known = stored ?? state.retired.get(clientAccount);
+  return {
+    clientAccount,
+    publishedVersion: known?.publishedVersion ?? 0,
+    history: [...(known?.history ?? [])].map(version => ({
+      ...version,
+      changes: [...version.changes],
+    })),
+    template:
+      stored === undefined ? undefined : (JSON.parse(stored.text) as unknown),
+  };
 }
 
 function tryRestoreState(data: unknown): ConfigState | undefined {
-  if (!Array.isArray(data)) return undefined;
-  const state = configStream.createState();
-  for (const item of data as TemplateState[]) {
-    const parsed = templateSchema.safeParse(item.template);
-    if (!parsed.success) return undefined;
-    addTemplate(state, {...item, template: parsed.data});
+  const parsed = snapshotSchema.safeParse(data);
+  if (!parsed.success) return undefined;
+  const {templates, journals, settled, ...marks} = parsed.data;
+  const state = createConfigState();
+  state.startOffset = marks.startOffset;
+  state.completeAtMs = marks.completeAtMs;
+  state.nowMs = marks.nowMs;
+  for (const item of templates) {
+    if (!restoreCarried(state, item, item.carriedAtMs)) return undefined;
+  }
+  for (const [account, items] of journals) {
+    state.journals.set(account, items as JournalItem[]);
   }
+  for (const account of settled) state.settled.add(account);
   return state;
 }
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -1,18 +1,32 @@
 export {decodeEnvelope, encodeEnvelope} from './codec';
 export type {Decoded} from './codec';
-export {CONFIG_STREAM, configStream} from './config_fold';
+export {
+  configStream,
+  createConfigStream,
+  exportCarried,
+  getCarryPeriodMs,
+} from './config_fold';
+export type {ConfigStreamOptions} from './config_fold';
+export {CONFIG_STREAM} from './config_types';
 export type {
+  CarriedTemplate,
   ConfigEntry,
   ConfigState,
+  RetiredTemplate,
   TemplateState,
   TemplateVersion,
-} from './config_fold';
+} from './config_types';
 export {createStreamFold} from './stream_fold';
 export type {AppliedEntry, StreamFold} from './stream_fold';
 export {createStreamFollower} from './stream_follower';
 export type {StreamFollowerOptions} from './stream_follower';
 export {createStreamWriter} from './stream_writer';
 export type {StreamWriterOptions} from './stream_writer';
+export {createTemplateCarrier, getCarryDueAtMs} from './template_carrier';
+export type {TemplateCarrier, TemplateCarrierOptions} from './template_carrier';
+export {checkTemplate} from './template_check';
+export type {TemplateProblem} from './template_check';
+export {listTemplateChanges} from './template_diff';
 export {templateSchema} from './template_schema';
 export type {
   AccountLimits,
--- a/src/state/stream_fold.ts
+++ b/src/state/stream_fold.ts
@@ -62,7 +62,7 @@
     getCounts: () => counts,
     applyRecord,
     advanceTo,
-    isComplete: () => definition.isComplete?.(state) ?? true,
+    isComplete,
     exportSnapshot,
     importSnapshot,
   };
@@ -144,6 +144,10 @@
     definition.applyGap?.(state, offset);
   }
 
+  function isComplete(): boolean {
+    return definition.isComplete?.(state) ?? true;
+  }
+
   function exportSnapshot(): FoldSnapshot {
     return {
       stream: definition.stream,
@@ -159,9 +163,11 @@
 
   function importSnapshot(snapshot: FoldSnapshot): boolean {
     if (snapshot.stream !== definition.stream) return false;
-    if (snapshot.nextOffset <= nextOffset) return false;
+    const isAhead = snapshot.nextOffset > nextOffset;
+    if (!isAhead && isComplete()) return false;
     const restored = definition.tryRestoreState(snapshot.state);
     if (restored === undefined) return false;
+    if (definition.isComplete?.(restored) === false) return false;
     state = restored;
     nextOffset = snapshot.nextOffset;
     writers = new Map(
--- /dev/null
+++ b/test/state/template_carrier.test.ts
@@ -0,0 +1,180 @@
+/** Templates outlive the log's retention, whoever stops and starts meanwhile. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createVirtualClock, type VirtualClock} from '../../src/runtime';
+import {
+  type ConfigEntry,
+  type ConfigState,
+  createConfigStream,
+  createStreamFollower,
+  createStreamWriter,
+  createTemplateCarrier,
+  getCarryPeriodMs,
+  type StreamFollower,
+  type StreamWriter,
+  type TemplateCarrier,
+} from '../../src/state';
+import {
+  createLocalLog,
+  createLogModel,
+  type LogModel,
+} from '../../src/standins';
+import {createTemplate} from '../support/templates';
+
+const RETENTION_MS = 30 * 60_000;
+const TEMPLATES = 30;
+
+interface ConfigNode {
+  readonly follower: StreamFollower<ConfigState, ConfigEntry>;
+  readonly writer: StreamWriter<ConfigEntry>;
+  readonly carrier: TemplateCarrier;
+  stop(): void;
+}
+
+function startConfigNode(
+  name: string,
+  clock: VirtualClock,
+  model: LogModel,
+): ConfigNode {
+  const log = createLocalLog({model, clock});
+  const follower = createStreamFollower({
+    definition: createConfigStream({retentionMs: RETENTION_MS}),
+    log,
+    clock,
+    waitMs: 30_000,
+  });
+  const writer = createStreamWriter({follower, log, clock, writer: name});
+  const carrier = createTemplateCarrier({
+    node: name,
+    clock,
+    follower,
+    writer,
+    retentionMs: RETENTION_MS,
+  });
+  follower.start();
+  carrier.start();
+  return {follower, writer, carrier, stop};
+
+  function stop(): void {
+    carrier.stop();
+    writer.stop();
+    follower.stop();
+  }
+}
+
+function getVersions(node: ConfigNode): Array<[string, number]> {
+  return [...node.follower.getState().templates]
+    .map(([account, stored]): [string, number] => [
+      account,
+      stored.current.version,
+    ])
+    .sort(([left], [right]) => (left < right ? -1 : 1));
+}
+
+async function publishTemplates(
+  node: ConfigNode,
+  clock: VirtualClock,
+): Promise<void> {
+  for (let index = 0; index < TEMPLATES; index++) {
+    void node.writer.write(
+      {
+        kind: 'template-publish',
+        operator: 'petra',
+        template: createTemplate(`account-${index}`),
+      },
+      5_000,
+    );
+    await clock.advance(1_000);
+  }
+}
+
+test('templates outlive the retention, an outage and the loss of every first node', async () => {
+  const clock = createVirtualClock({wallStartMs: 1_700_000_000_000});
+  const model = createLogModel({clock, retentionMs: RETENTION_MS});
+  const first = ['n1', 'n2', 'n3'].map(name =>
+    startConfigNode(name, clock, model),
+  );
+  await publishTemplates(first[0], clock);
+  const versions = getVersions(first[0]);
+  assert.equal(versions.length, TEMPLATES);
+  await clock.advance(RETENTION_MS);
+  model.setDown(true);
+  await clock.advance(RETENTION_MS / 3);
+  model.setDown(false);
+  await clock.advance(RETENTION_MS / 2);
+  for (const node of first) node.stop();
+  await clock.advance(RETENTION_MS / 4);
+  const second = ['n4', 'n5'].map(name => startConfigNode(name, clock, model));
+  await clock.advance(1_000);
+  for (const node of second) {
+    assert.equal(node.follower.getCounts().gaps, 1, 'started on a trimmed log');
+    assert.equal(node.follower.isCaughtUp(), true);
+    assert.deepEqual(getVersions(node), versions);
+  }
+  await clock.advance(2 * RETENTION_MS);
+  assert.deepEqual(getVersions(second[1]), versions);
+  for (const node of second) node.stop();
+  await clock.advance(60_000);
+});
+
+test('each template is carried once or twice a period, spread over it, whatever the number of nodes', async () => {
+  const clock = createVirtualClock({wallStartMs: 1_700_000_000_000});
+  const model = createLogModel({clock, retentionMs: RETENTION_MS});
+  const nodes = Array.from({length: 8}, (_, index) =>
+    startConfigNode(`n${index}`, clock, model),
+  );
+  const carriedAtMs = new Map<string, number[]>();
+  nodes[0].follower.subscribe((entry, _outcome, context) => {
+    if (entry.kind !== 'template-carry') return;
+    const {clientAccount} = entry.carried;
+    const times = carriedAtMs.get(clientAccount) ?? [];
+    times.push(context.appendedAtMs);
+    carriedAtMs.set(clientAccount, times);
+  });
+  await publishTemplates(nodes[0], clock);
+  const periodMs = getCarryPeriodMs(RETENTION_MS);
+  await clock.advance(6 * periodMs);
+  assert.equal(carriedAtMs.size, TEMPLATES);
+  let carried = 0;
+  for (const times of carriedAtMs.values()) {
+    carried += times.length;
+    for (let index = 1; index < times.length; index++) {
+      assert.ok(times[index] - times[index - 1] <= periodMs, 'in time');
+    }
+  }
+  const least = (TEMPLATES * 6) / 0.95;
+  assert.ok(carried >= TEMPLATES * 6, `carried ${carried}`);
+  assert.ok(carried <= least * 2.2, `carried ${carried}`);
+  const firsts = [...carriedAtMs.values()].map(([time]) => time);
+  const spreadMs = Math.max(...firsts) - Math.min(...firsts);
+  assert.ok(spreadMs > periodMs / 4, `spread over ${spreadMs} ms`);
+  for (const node of nodes) node.stop();
+  await clock.advance(60_000);
+});
+
+test('a process on a trimmed log is not caught up before a whole carry period has been read', async () => {
+  const clock = createVirtualClock({wallStartMs: 1_700_000_000_000});
+  const model = createLogModel({clock, retentionMs: RETENTION_MS});
+  const old = startConfigNode('old', clock, model);
+  await publishTemplates(old, clock);
+  model.trim('config', 10);
+  const late = startConfigNode('late', clock, model);
+  await clock.advance(60_000);
+  assert.equal(late.follower.isCaughtUp(), false);
+  assert.equal(
+    old.follower.importSnapshot(late.follower.exportSnapshot()),
+    false,
+    'an incomplete state is not taken over',
+  );
+  const other = startConfigNode('other', clock, model);
+  await clock.advance(1_000);
+  const snapshot = old.follower.exportSnapshot();
+  assert.equal(other.follower.importSnapshot(snapshot), true);
+  assert.equal(other.follower.isCaughtUp(), true);
+  await clock.advance(getCarryPeriodMs(RETENTION_MS));
+  assert.equal(late.follower.isCaughtUp(), true);
+  assert.deepEqual(getVersions(late), getVersions(old));
+  assert.deepEqual(getVersions(other), getVersions(old));
+  for (const node of [old, late, other]) node.stop();
+  await clock.advance(60_000);
+});
