--- /dev/null
+++ b/src/planning/index.ts
@@ -0,0 +1,24 @@
+export {createDemandMeter, mergeDemands} from './demand_meter';
+export type {
+  AdmittedWork,
+  DemandMeter,
+  DemandMeterOptions,
+  EndedWork,
+} from './demand_meter';
+export {createPlannerState} from './plan_roles';
+export {planPredictively} from './predictive';
+export {planBySkiRental} from './ski_rental';
+export {planByThresholds} from './thresholds';
+export {FEW_CHANGES_WEIGHTS, GOODPUT_WEIGHTS} from './weights';
+export type {
+  DeclinedChange,
+  Demand,
+  Observation,
+  PlanEvent,
+  PlannerState,
+  PlannerWeights,
+  PlanRoles,
+  RoleChange,
+  RoleCounts,
+  RolePlan,
+} from './types';
--- /dev/null
+++ b/src/planning/plan_roles.ts
@@ -0,0 +1,183 @@
+/** Plans role changes: reads the fleet, predicts the demand, decides, selects engines. Pure. */
+import {
+  computeRates,
+  computeWork,
+  type EngineRates,
+  type Work,
+} from './capacity';
+import {
+  type FleetRoles,
+  formatCounts,
+  getFleetRoles,
+  listStepsUnderWay,
+} from './fleet_roles';
+import {
+  chooseTarget,
+  computeRating,
+  type RatedCounts,
+  selectChanges,
+} from './targets';
+import type {
+  Demand,
+  Observation,
+  PlannerState,
+  PlannerWeights,
+  PlanRoles,
+  RolePlan,
+} from './types';
+
+/** What a way of deciding sees. */
+export interface Decision {
+  readonly state: PlannerState;
+  readonly nowMs: number;
+  readonly weights: PlannerWeights;
+  readonly fleet: FleetRoles;
+  readonly work: Work;
+  readonly rates: EngineRates;
+  /** The planned roles as they are. */
+  readonly present: RatedCounts;
+  /** The roles that fit best, each change charged over the horizon. */
+  readonly best: RatedCounts;
+  /** What one change costs, in engine seconds. */
+  readonly changeCost: number;
+  readonly roleChangeMs: number;
+}
+
+/** What a way of deciding answers. */
+export interface RoleDecision {
+  readonly isChange: boolean;
+  /** Why, or why not yet. */
+  readonly cause: string;
+  readonly state: PlannerState;
+}
+
+/** Typical time that an engine drains before it changes, in milliseconds. */
+const TYPICAL_DRAIN_MS = 3_000;
+/** Time in which a backlog of prompts should be gone, in seconds. */
+const BACKLOG_S = 5;
+
+/** Returns the state of a planner that knows nothing yet. */
+export function createPlannerState(nowMs: number): PlannerState {
+  return {
+    regret: 0,
+    target: undefined,
+    targetSinceMs: nowMs,
+    atMs: nowMs,
+    changedAtMs: new Map(),
+    demand: undefined,
+  };
+}
+
+/** Creates a planner with a way of deciding when the best roles are worth their changes. */
+export function createPlanRoles(
+  decide: (decision: Decision) => RoleDecision,
+): PlanRoles {
+  return planRoles;
+
+  function planRoles(
+    state: PlannerState,
+    observation: Observation,
+    nowMs: number,
+    weights: PlannerWeights,
+  ): RolePlan {
+    const fleet = getFleetRoles(observation);
+    const rates = computeRates(observation.reports);
+    const demand = predictDemand(observation);
+    const work = computeWork(demand, rates);
+    const changeCost = computeChangeCost(observation.roleChangeMs, weights);
+    const present = computeRating(fleet.planned, work, rates, weights);
+    const best = chooseTarget(
+      fleet.planned,
+      work,
+      rates,
+      weights,
+      changeCost / (weights.horizonMs / 1_000),
+    );
+    const decision: Decision = {
+      state,
+      nowMs,
+      weights,
+      fleet,
+      work,
+      rates,
+      present,
+      best,
+      changeCost,
+      roleChangeMs: observation.roleChangeMs,
+    };
+    const decided = decide(decision);
+    return createPlan(observation, decision, decided, demand);
+  }
+}
+
+function createPlan(
+  observation: Observation,
+  decision: Decision,
+  decided: RoleDecision,
+  demand: Demand,
+): RolePlan {
+  const {fleet, best, present, work, rates, weights, nowMs} = decision;
+  const steps = listStepsUnderWay(observation);
+  const explanation = formatExplanation(decision, demand);
+  const base = {...decided.state, atMs: nowMs, demand};
+  const from = present.counts;
+  const to = best.counts;
+  if (from === to) {
+    return {state: base, changes: steps, declined: [], explanation};
+  }
+  if (!decided.isChange) {
+    const declined = [{from, to, cause: decided.cause}];
+    return {state: base, changes: steps, declined, explanation};
+  }
+  const {changes, held} = selectChanges({
+    fleet,
+    target: to,
+    work,
+    rates,
+    weights,
+    state: decision.state,
+    nowMs,
+    cause: `${explanation}; ${decided.cause}`,
+  });
+  const changedAtMs = new Map(decision.state.changedAtMs);
+  for (const change of changes) changedAtMs.set(change.engine, nowMs);
+  const isStarted = changes.length > 0;
+  return {
+    state: {...base, changedAtMs, regret: isStarted ? 0 : base.regret},
+    changes: [...steps, ...changes],
+    declined: held === undefined ? [] : [{from, to, cause: held}],
+    explanation,
+  };
+}
+
+/** The near mix: what arrives, and the prompts that wait, which should be gone in seconds. */
+function predictDemand(observation: Observation): Demand {
+  const {arrivals, reports} = observation;
+  const backlog = reports.reduce(
+    (sum, report) => sum + report.prefillTokens,
+    0,
+  );
+  return {
+    prefillTokensPerS: arrivals.prefillTokensPerS + backlog / BACKLOG_S,
+    decodeTokensPerS: arrivals.decodeTokensPerS,
+  };
+}
+
+function computeChangeCost(
+  roleChangeMs: number,
+  weights: PlannerWeights,
+): number {
+  const awayS = (roleChangeMs + TYPICAL_DRAIN_MS) / 1_000;
+  return awayS * weights.lostSecondCost + weights.changeCost;
+}
+
+function formatExplanation(decision: Decision, demand: Demand): string {
+  const {present, best} = decision;
+  const prefill = Math.round(demand.prefillTokensPerS);
+  const decode = Math.round(demand.decodeTokensPerS);
+  const describe = (rated: RatedCounts): string =>
+    `${formatCounts(rated.counts)} at ${Math.round(rated.utilization * 100)}%`;
+  const rates = `prefill ${prefill} and decode ${decode} tokens a second`;
+  if (best.counts === present.counts) return `${rates}: ${describe(present)}`;
+  return `${rates}: ${describe(present)}, best ${describe(best)}`;
+}
--- /dev/null
+++ b/src/planning/targets.ts
@@ -0,0 +1,179 @@
+/** Chooses the roles that fit the demand best, and the engines that change first. */
+import {type EngineReport, EngineRole} from '../backends';
+import {computeUtilization, type EngineRates, type Work} from './capacity';
+import {
+  addEngines,
+  countChanges,
+  type FleetRoles,
+  formatCounts,
+} from './fleet_roles';
+import type {
+  PlannerState,
+  PlannerWeights,
+  RoleChange,
+  RoleCounts,
+} from './types';
+
+/** Part of the fleet that always serves. */
+const MIN_SERVING_PART = 0.7;
+/** How much higher the utilization may be while an engine is away, when it is above the safe one anyway. */
+const WORSE_MARGIN = 0.02;
+
+/** Roles with what they cost. */
+export interface RatedCounts {
+  readonly counts: RoleCounts;
+  readonly utilization: number;
+  /** Engines short of the target utilization. */
+  readonly overload: number;
+}
+
+/** Rates one set of roles. */
+export function computeRating(
+  counts: RoleCounts,
+  work: Work,
+  rates: EngineRates,
+  weights: PlannerWeights,
+): RatedCounts {
+  const utilization = computeUtilization(counts, work, rates);
+  const size = counts.prefill + counts.decode + counts.mixed;
+  const overload = Math.max(0, utilization - weights.targetUtilization) * size;
+  return {counts, utilization, overload};
+}
+
+/** Returns the roles with the least overload; among equals the nearest to the planned ones. */
+export function chooseTarget(
+  planned: RoleCounts,
+  work: Work,
+  rates: EngineRates,
+  weights: PlannerWeights,
+  changePenalty: number,
+): RatedCounts {
+  const size = planned.prefill + planned.decode + planned.mixed;
+  let best = computeRating(planned, work, rates, weights);
+  let bestCost = best.overload;
+  for (let prefill = 0; prefill <= size; prefill++) {
+    for (let decode = 0; prefill + decode <= size; decode++) {
+      const counts = {prefill, decode, mixed: size - prefill - decode};
+      const changes = countChanges(planned, counts);
+      if (changes === 0) continue;
+      const rated = computeRating(counts, work, rates, weights);
+      const cost = rated.overload + changes * changePenalty;
+      if (cost < bestCost - 1e-9) {
+        best = rated;
+        bestCost = cost;
+      }
+    }
+  }
+  return best;
+}
+
+/** What `selectChanges` needs. */
+export interface SelectOptions {
+  readonly fleet: FleetRoles;
+  readonly target: RoleCounts;
+  readonly work: Work;
+  readonly rates: EngineRates;
+  readonly weights: PlannerWeights;
+  readonly state: PlannerState;
+  readonly nowMs: number;
+  readonly cause: string;
+}
+
+/** The changes that may begin now, and why no more do. */
+export interface SelectedChanges {
+  readonly changes: readonly RoleChange[];
+  /** Why a wanted change waits; undefined when none does. */
+  readonly held: string | undefined;
+}
+
+/** Selects the engines that begin to change, within the safe capacity. */
+export function selectChanges(options: SelectOptions): SelectedChanges {
+  const {fleet, target, weights} = options;
+  const changes: RoleChange[] = [];
+  let {planned, serving} = fleet;
+  let free = fleet.free.filter(report => isRested(report, options));
+  let held: string | undefined;
+  while (countChanges(planned, target) > 0) {
+    if (fleet.changing + changes.length >= weights.maxAtOnce) {
+      held = `${weights.maxAtOnce} engines change at once at most`;
+      break;
+    }
+    const engine = tryFindEngine(free, planned, target);
+    if (engine === undefined) {
+      held = 'every engine of the role changed a short time ago or is away';
+      break;
+    }
+    const left = addEngines(serving, engine.role, -1);
+    const unsafe = tryGetUnsafe(left, serving, options);
+    if (unsafe !== undefined) {
+      held = unsafe;
+      break;
+    }
+    const to = getMissingRole(planned, target);
+    const {cause} = options;
+    changes.push({
+      kind: 'drain',
+      engine: engine.engine,
+      from: engine.role,
+      to,
+      cause,
+    });
+    planned = addEngines(addEngines(planned, engine.role, -1), to, 1);
+    serving = left;
+    free = free.filter(report => report !== engine);
+  }
+  return {changes, held};
+}
+
+function isRested(report: EngineReport, options: SelectOptions): boolean {
+  const changedAtMs = options.state.changedAtMs.get(report.engine);
+  if (changedAtMs === undefined) return true;
+  return options.nowMs - changedAtMs >= options.weights.restMs;
+}
+
+/** The engine of a role in surplus with the least to drain. */
+function tryFindEngine(
+  free: readonly EngineReport[],
+  planned: RoleCounts,
+  target: RoleCounts,
+): EngineReport | undefined {
+  let best: EngineReport | undefined;
+  for (const report of free) {
+    if (planned[report.role] <= target[report.role]) continue;
+    if (best === undefined || getDrainCost(report) < getDrainCost(best)) {
+      best = report;
+    }
+  }
+  return best;
+}
+
+function getDrainCost(report: EngineReport): number {
+  return report.running + report.waiting + report.decodeTokens / 1_000;
+}
+
+function getMissingRole(planned: RoleCounts, target: RoleCounts): EngineRole {
+  for (const role of Object.values(EngineRole)) {
+    if (planned[role] < target[role]) return role;
+  }
+  return EngineRole.Mixed;
+}
+
+/** Returns why an engine may not be taken away, or undefined when it may. */
+function tryGetUnsafe(
+  left: RoleCounts,
+  serving: RoleCounts,
+  options: SelectOptions,
+): string | undefined {
+  const {fleet, work, rates, weights} = options;
+  const count = left.prefill + left.decode + left.mixed;
+  const least = Math.ceil(fleet.size * MIN_SERVING_PART);
+  if (count < least) return `${least} of ${fleet.size} engines serve at least`;
+  if (left.prefill + left.mixed === 0) return 'no engine would prefill';
+  if (left.decode + left.mixed === 0) return 'no engine would decode';
+  const now = computeUtilization(serving, work, rates);
+  const then = computeUtilization(left, work, rates);
+  if (then <= Math.max(weights.safeUtilization, now + WORSE_MARGIN)) {
+    return undefined;
+  }
+  return `${formatCounts(left)} would be used at ${Math.round(then * 100)}%`;
+}
--- /dev/null
+++ b/src/planning/weights.ts
@@ -0,0 +1,24 @@
+/** The weights of each kind of deployment. */
+import type {PlannerWeights} from './types';
+
+/** Weighs goodput most: deadlines are many and varied. */
+export const GOODPUT_WEIGHTS: PlannerWeights = {
+  lostSecondCost: 1,
+  changeCost: 0,
+  targetUtilization: 0.8,
+  safeUtilization: 0.95,
+  maxAtOnce: 3,
+  restMs: 15_000,
+  horizonMs: 60_000,
+};
+
+/** Weighs few role changes most: every second an engine is away is a caller waiting. */
+export const FEW_CHANGES_WEIGHTS: PlannerWeights = {
+  ...GOODPUT_WEIGHTS,
+  lostSecondCost: 1.5,
+  changeCost: 4,
+  targetUtilization: 0.85,
+  maxAtOnce: 2,
+  restMs: 60_000,
+  horizonMs: 120_000,
+};
--- /dev/null
+++ b/src/replay/caller.ts
@@ -0,0 +1,219 @@
+/** The callers of a replay: each sends its request, and once more through another node while that is safe. */
+import type {TokenBatch} from '../backends';
+import type {AnswerEnd} from '../routing';
+import type {Clock} from '../runtime';
+import {type RequestFailure, Verdict} from '../verdict';
+import type {EntryNode} from './entry_node';
+import type {Recorder, RequestResult} from './recorder';
+import type {InputFactory} from './request_input';
+import type {Truth} from './truth';
+import type {TraceRequest} from './types';
+
+/** Options of the callers. */
+export interface CallersOptions {
+  readonly clock: Clock;
+  readonly inputs: InputFactory;
+  readonly recorder: Recorder;
+  readonly truth: Truth;
+  /** The platform's balancer: a node that looks healthy, another than `except` if there is one. */
+  readonly chooseNode: (except?: EntryNode) => EntryNode | undefined;
+  /** Calls back when a node dies; returns a function that stops it. */
+  readonly watchNode: (node: EntryNode, onDeath: () => void) => () => void;
+}
+
+/** The callers. */
+export interface Callers {
+  send(request: TraceRequest, index: number): void;
+  /** Ends what is still open as never answered. */
+  close(): void;
+  getOpenCount(): number;
+}
+
+/** Most times that a caller asks. */
+const MAX_ATTEMPTS = 2;
+/** How soon a caller asks again after its connection broke, in milliseconds. */
+const RECONNECT_MS = 50;
+
+interface OpenCall {
+  readonly request: TraceRequest;
+  readonly index: number;
+  attempt: number;
+  requestId: string;
+  node: EntryNode | undefined;
+  unwatch: () => void;
+  tokens: number;
+  lastTokenAtMs: number | undefined;
+  hasFirstToken: boolean;
+  isDone: boolean;
+}
+
+/** Creates the callers. */
+export function createCallers(options: CallersOptions): Callers {
+  const {clock, inputs, recorder, truth} = options;
+  const open = new Set<OpenCall>();
+  return {send, close, getOpenCount: () => open.size};
+
+  function send(request: TraceRequest, index: number): void {
+    recorder.recordArrival(request);
+    const call: OpenCall = {
+      request,
+      index,
+      attempt: 0,
+      requestId: '',
+      node: undefined,
+      unwatch: () => undefined,
+      tokens: 0,
+      lastTokenAtMs: undefined,
+      hasFirstToken: false,
+      isDone: false,
+    };
+    open.add(call);
+    startAttempt(call);
+  }
+
+  function startAttempt(call: OpenCall): void {
+    const {request} = call;
+    const attempt = ++call.attempt;
+    call.requestId = `r${call.index}.${attempt}`;
+    call.tokens = 0;
+    call.lastTokenAtMs = undefined;
+    if (request.key !== undefined && !request.idempotent) {
+      truth.setKey(call.requestId, `${request.client_account}\n${request.key}`);
+    }
+    const node = options.chooseNode(call.node);
+    if (node === undefined || !node.process.isAlive()) {
+      // The connection is refused: nothing has reached the system.
+      call.node = node;
+      retryLater(call, {kind: 'refused'}, RECONNECT_MS);
+      return;
+    }
+    call.node = node;
+    call.unwatch = options.watchNode(node, () => {
+      if (isCurrent()) onNodeDeath(call);
+    });
+    node.process.run(() => runRequest(call, node, isCurrent));
+
+    function isCurrent(): boolean {
+      return !call.isDone && call.attempt === attempt;
+    }
+  }
+
+  function runRequest(
+    call: OpenCall,
+    node: EntryNode,
+    isCurrent: () => boolean,
+  ): void {
+    const {request, requestId} = call;
+    if (request.kind === 'service') {
+      const input = inputs.createServiceInput(request, requestId);
+      void node.pipeline.runService(input).then(answer => {
+        if (!isCurrent()) return;
+        if (answer.ok) settleDelivered(call);
+        else onFailure(call, answer.val);
+      });
+      return;
+    }
+    node.pipeline.runModel(inputs.createModelInput(request, requestId), {
+      onTokens: batch => {
+        if (isCurrent()) onTokens(call, batch);
+      },
+      onEnd: end => {
+        if (isCurrent()) onEnd(call, end);
+      },
+      onFailure: failure => {
+        if (isCurrent()) onFailure(call, failure);
+      },
+    });
+  }
+
+  function onTokens(call: OpenCall, batch: TokenBatch): void {
+    if (batch.firstIndex !== call.tokens) return;
+    const nowMs = clock.getMonotonicMs();
+    // A kept answer that is repeated carries no times of its own.
+    const isRepeat = batch.firstAtMs < call.request.at_ms;
+    const timed = isRepeat
+      ? {...batch, firstAtMs: nowMs, lastAtMs: nowMs}
+      : batch;
+    if (!call.hasFirstToken) {
+      call.hasFirstToken = true;
+      recorder.recordFirstToken(
+        call.request,
+        timed.firstAtMs - call.request.at_ms,
+      );
+    }
+    recorder.recordTokens(timed, call.lastTokenAtMs);
+    call.lastTokenAtMs = timed.lastAtMs;
+    call.tokens += batch.count;
+  }
+
+  function onEnd(call: OpenCall, end: AnswerEnd): void {
+    const isWhole = call.tokens === end.generatedTokens;
+    if (isWhole) settleDelivered(call);
+    else settle(call, {kind: 'may-have-run', isCut: true});
+  }
+
+  function settleDelivered(call: OpenCall): void {
+    const atMs = clock.getMonotonicMs();
+    settle(call, {kind: 'delivered', atMs, tokens: call.tokens});
+  }
+
+  function onFailure(call: OpenCall, failure: RequestFailure): void {
+    if (failure.verdict !== Verdict.NotRun) {
+      const isCut = call.tokens > 0 && !isPastDeadline(call);
+      settle(call, {kind: 'may-have-run', isCut});
+      return;
+    }
+    if (truth.hasRun(call.requestId)) recorder.recordNotRunButRan();
+    if (failure.retryAfterMs === undefined) settle(call, {kind: 'refused'});
+    else retryLater(call, {kind: 'refused'}, failure.retryAfterMs);
+  }
+
+  /** The same key makes it safe to ask again for what may have run. */
+  function onNodeDeath(call: OpenCall): void {
+    const isSafe = call.request.idempotent || call.request.key !== undefined;
+    const result: RequestResult = {
+      kind: 'may-have-run',
+      isCut: call.tokens > 0,
+    };
+    if (isSafe) retryLater(call, result, RECONNECT_MS);
+    else settle(call, result);
+  }
+
+  function retryLater(
+    call: OpenCall,
+    result: RequestResult,
+    delayMs: number,
+  ): void {
+    const {request} = call;
+    call.unwatch();
+    const atMs = clock.getMonotonicMs() + delayMs;
+    const isInTime = atMs < request.at_ms + request.deadline_ms;
+    if (call.attempt >= MAX_ATTEMPTS || !isInTime) {
+      settle(call, result);
+      return;
+    }
+    const {attempt} = call;
+    clock.schedule(delayMs, () => {
+      if (!call.isDone && call.attempt === attempt) startAttempt(call);
+    });
+  }
+
+  function settle(call: OpenCall, result: RequestResult): void {
+    if (call.isDone) return;
+    call.isDone = true;
+    call.unwatch();
+    open.delete(call);
+    recorder.recordResult(call.request, result);
+  }
+
+  function close(): void {
+    for (const call of [...open]) {
+      settle(call, {kind: 'may-have-run', isCut: call.tokens > 0});
+    }
+  }
+
+  function isPastDeadline(call: OpenCall): boolean {
+    const {at_ms, deadline_ms} = call.request;
+    return clock.getMonotonicMs() >= at_ms + deadline_ms;
+  }
+}
--- /dev/null
+++ b/src/replay/check.ts
@@ -0,0 +1,40 @@
+/** Compares an outcome with the bounds stated beside its trace. */
+import {Err, Ok, type Result} from 'ts-results';
+import {z} from 'zod';
+import type {MissedBound, Outcome, OutcomeBounds} from './types';
+
+const boundsSchema = z.record(
+  z.string(),
+  z.strictObject({min: z.number().optional(), max: z.number().optional()}),
+);
+
+/** Parses the text of a `NAME.outcome.json`; names what is wrong with it. */
+export function parseOutcomeBounds(
+  text: string,
+): Result<OutcomeBounds, string> {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch {
+    return Err('not a JSON object');
+  }
+  const parsed = boundsSchema.safeParse(value);
+  if (parsed.success) return Ok(parsed.data);
+  const [issue] = parsed.error.issues;
+  return Err(`${issue.path.join('.')}: ${issue.message}`);
+}
+
+/** Returns the bounds that the outcome misses; a field that it has not is missed. */
+export function checkOutcome(
+  outcome: Outcome,
+  bounds: OutcomeBounds,
+): readonly MissedBound[] {
+  const missed: MissedBound[] = [];
+  for (const [field, bound] of Object.entries(bounds)) {
+    const value = Number(outcome[field as keyof Outcome]);
+    const isMet =
+      value >= (bound.min ?? -Infinity) && value <= (bound.max ?? Infinity);
+    if (!isMet) missed.push({field, value, ...bound});
+  }
+  return missed;
+}
--- /dev/null
+++ b/src/replay/entry_node.ts
@@ -0,0 +1,77 @@
+/** One replayed entry node: the real claims, routing and pipeline on a process that can fail. */
+import {createClaimsLedger, createClaimsStream} from '../claims';
+import {createRequestPipeline, type RequestPipeline} from '../entry';
+import type {LogService} from '../platform';
+import {
+  createServiceDispatcher,
+  type Dispatcher,
+  type DispatcherHost,
+  type ServiceDispatcher,
+} from '../routing';
+import type {ServiceClient} from '../backends';
+import {createStreamFollower, createStreamWriter} from '../state';
+import type {NodeProcess} from './node_world';
+
+/** Options of a replayed node. */
+export interface EntryNodeOptions {
+  readonly id: string;
+  /** Names the process incarnation. */
+  readonly writerId: string;
+  readonly process: NodeProcess;
+  readonly log: LogService;
+  readonly serviceClient: ServiceClient;
+  readonly host: Omit<DispatcherHost, 'clock'>;
+  readonly createDispatcher: (host: DispatcherHost) => Dispatcher;
+}
+
+/** A replayed node. */
+export interface EntryNode {
+  readonly id: string;
+  readonly process: NodeProcess;
+  readonly pipeline: RequestPipeline;
+  readonly dispatcher: Dispatcher;
+  readonly services: ServiceDispatcher;
+  /** Ends at once, as a crash would. */
+  kill(): void;
+}
+
+/** How long a read of the log waits for a record: long, so that an idle hour needs few timers. */
+const LOG_WAIT_MS = 30_000;
+const CLAIMS_STREAM = 'claims-0';
+
+/** Starts a replayed node. */
+export function startEntryNode(options: EntryNodeOptions): EntryNode {
+  const {id, process, log} = options;
+  const {clock} = process;
+  const follower = createStreamFollower({
+    definition: createClaimsStream(CLAIMS_STREAM),
+    log,
+    clock,
+    waitMs: LOG_WAIT_MS,
+  });
+  const writer = createStreamWriter({
+    follower,
+    log,
+    clock,
+    writer: options.writerId,
+  });
+  const dispatcher = options.createDispatcher({...options.host, clock});
+  const services = createServiceDispatcher({
+    clock,
+    client: options.serviceClient,
+  });
+  const pipeline = createRequestPipeline({
+    clock,
+    dispatcher,
+    services,
+    claims: createClaimsLedger({node: id, clock, follower, writer}),
+  });
+  follower.start();
+  return {id, process, pipeline, dispatcher, services, kill};
+
+  function kill(): void {
+    process.kill();
+    follower.stop();
+    writer.stop();
+  }
+}
--- /dev/null
+++ b/src/replay/generate.ts
@@ -0,0 +1,143 @@
+/** Generates traces from a seed: phases, each with a load and a mix of request classes. */
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {ENGINE_DEFAULTS} from '../standins';
+import type {Trace, TraceHeader, TraceRequest} from './types';
+import type {Range, WorkloadClass} from './workloads';
+
+/** A part of a trace with one load and one mix. */
+export interface TracePhase {
+  readonly forMs: number;
+  /** Work as part of what the fleet's engines can do in the best roles; above 1 is overload. */
+  readonly load: number;
+  /** Share of each class among the requests; the shares need not add up to 1. */
+  readonly mix: Readonly<Record<string, number>>;
+}
+
+/** What a trace is generated from. */
+export interface TraceSpec {
+  readonly header: Omit<TraceHeader, 'generated'>;
+  readonly seed: number;
+  readonly classes: Readonly<Record<string, WorkloadClass>>;
+  readonly phases: readonly TracePhase[];
+  /** Makes the load swing at random by this part around its mean, 0 to 1. */
+  readonly burstiness?: number;
+  /** Part of the keyed requests whose caller sends the same key twice, 0 to 1. */
+  readonly repeatedKeys?: number;
+}
+
+/** How long one burst or lull lasts, in milliseconds. */
+const BURST_MS = 3_000;
+/** How soon a caller repeats a key, in milliseconds. */
+const REPEAT_AFTER_MS: Range = [5, 1_500];
+/** Longest step of the batch that the target allows, in milliseconds. */
+const TARGET_STEP_MS = 42;
+const GENERATOR = 'anvilstack';
+
+/** Generates a trace; the same spec gives the same trace. */
+export function createTrace(spec: TraceSpec): Trace {
+  const generator = xoroshiro128plus(spec.seed);
+  const requests: TraceRequest[] = [];
+  let startMs = 0;
+  let keyCount = 0;
+  for (const phase of spec.phases) {
+    addPhase(phase, startMs);
+    startMs += phase.forMs;
+  }
+  requests.sort((left, right) => left.at_ms - right.at_ms);
+  const generated = {by: GENERATOR, seed: spec.seed};
+  return {header: {...spec.header, generated}, requests};
+
+  function addPhase(phase: TracePhase, fromMs: number): void {
+    const perMs = computeRequestsPerMs(spec, phase);
+    let atMs = fromMs;
+    let burstEndMs = fromMs;
+    let factor = 1;
+    for (;;) {
+      if (atMs >= burstEndMs) {
+        burstEndMs += BURST_MS;
+        factor = 1 + (2 * getFloat() - 1) * (spec.burstiness ?? 0);
+      }
+      atMs += -Math.log(1 - getFloat()) / (perMs * factor);
+      if (atMs >= fromMs + phase.forMs) return;
+      addRequest(phase, Math.round(atMs));
+    }
+  }
+
+  function addRequest(phase: TracePhase, atMs: number): void {
+    const item = spec.classes[chooseClass(phase)];
+    const request = createRequest(item, atMs);
+    requests.push(request);
+    const isRepeated =
+      request.key !== undefined && getFloat() < (spec.repeatedKeys ?? 0);
+    if (!isRepeated) return;
+    const repeatAtMs = atMs + getInt(REPEAT_AFTER_MS);
+    requests.push({...request, at_ms: repeatAtMs});
+  }
+
+  function chooseClass(phase: TracePhase): string {
+    const entries = Object.entries(phase.mix);
+    const total = entries.reduce((sum, [, share]) => sum + share, 0);
+    let point = getFloat() * total;
+    for (const [name, share] of entries) {
+      point -= share;
+      if (point < 0) return name;
+    }
+    return entries[0][0];
+  }
+
+  function createRequest(item: WorkloadClass, atMs: number): TraceRequest {
+    const {prefixes} = item;
+    const account = item.accounts[getInt([0, item.accounts.length - 1])];
+    return {
+      at_ms: atMs,
+      client_account: account,
+      kind: item.kind,
+      service: item.service,
+      prompt_tokens: getInt(item.promptTokens),
+      output_tokens: getInt(item.outputTokens),
+      deadline_ms: item.deadlineMs,
+      urgent: item.urgent,
+      idempotent: item.idempotent,
+      key: item.idempotent ? undefined : `k${++keyCount}`,
+      prefix:
+        prefixes === undefined ? undefined : `p${getInt([1, prefixes.count])}`,
+      prefix_tokens: prefixes?.tokens ?? 0,
+    };
+  }
+
+  function getFloat(): number {
+    return uniformFloat64(generator);
+  }
+
+  function getInt([low, high]: Range): number {
+    return uniformInt(generator, low, high);
+  }
+}
+
+/** Engine seconds that a class takes at best; a shared prefix counts as cached. */
+function computeEngineSeconds(item: WorkloadClass): number {
+  const {prefillTokensPerS, decodeStepMs, decodeStepMsPerRequest} =
+    ENGINE_DEFAULTS;
+  const prompt = getMean(item.promptTokens) - (item.prefixes?.tokens ?? 0);
+  const useful = 1 - decodeStepMs / TARGET_STEP_MS;
+  const decodeS =
+    (getMean(item.outputTokens) * decodeStepMsPerRequest) / 1_000 / useful;
+  return prompt / prefillTokensPerS + decodeS;
+}
+
+function computeRequestsPerMs(spec: TraceSpec, phase: TracePhase): number {
+  let total = 0;
+  let seconds = 0;
+  for (const [name, share] of Object.entries(phase.mix)) {
+    total += share;
+    seconds += share * computeEngineSeconds(spec.classes[name]);
+  }
+  const engines = spec.header.engines.length;
+  return (phase.load * engines) / (seconds / total) / 1_000;
+}
+
+function getMean([low, high]: Range): number {
+  return (low + high) / 2;
+}
--- /dev/null
+++ b/src/replay/node_world.ts
@@ -0,0 +1,283 @@
+/** The world as one replayed node sees it: it can be killed, paused and cut off. */
+import {Err, Ok} from 'ts-results';
+import type {
+  BackendFailure,
+  BackendServer,
+  EngineCall,
+  EngineClient,
+  EngineRequest,
+  EngineSink,
+  ServiceClient,
+} from '../backends';
+import type {Clock, Timer} from '../runtime';
+import type {EngineModel} from '../standins';
+import {Verdict} from '../verdict';
+import type {ReplayService} from './service_standin';
+
+/** A node's process: whether it lives, and what it will hear when it runs again. */
+export interface NodeProcess {
+  /** The node's clock: its timers wait while it is paused and end when it is killed. */
+  readonly clock: Clock;
+  /** Runs `callback` in the process: now, when it runs again, or never. */
+  run(callback: () => void): void;
+  kill(): void;
+  setPaused(isPaused: boolean): void;
+  isAlive(): boolean;
+  isPaused(): boolean;
+}
+
+/** Creates a process that runs. */
+export function createNodeProcess(world: Clock): NodeProcess {
+  let isAlive = true;
+  let isPaused = false;
+  let held: Array<() => void> = [];
+  const clock: Clock = {
+    getMonotonicMs: world.getMonotonicMs,
+    getWallMs: world.getWallMs,
+    schedule,
+    sleep: delayMs => new Promise(resolve => schedule(delayMs, resolve)),
+  };
+  return {
+    clock,
+    run,
+    kill: () => {
+      isAlive = false;
+      held = [];
+    },
+    setPaused,
+    isAlive: () => isAlive,
+    isPaused: () => isPaused,
+  };
+
+  function schedule(delayMs: number, callback: () => void): Timer {
+    let isCancelled = false;
+    const timer = world.schedule(delayMs, () =>
+      run(() => {
+        if (!isCancelled) callback();
+      }),
+    );
+    return {
+      cancel: () => {
+        isCancelled = true;
+        timer.cancel();
+      },
+    };
+  }
+
+  function run(callback: () => void): void {
+    if (!isAlive) return;
+    if (isPaused) held.push(callback);
+    else callback();
+  }
+
+  function setPaused(value: boolean): void {
+    isPaused = value;
+    if (isPaused) return;
+    const late = held;
+    held = [];
+    for (const callback of late) callback();
+  }
+}
+
+/** A way between two processes. */
+export interface Link {
+  isOpen(): boolean;
+  /** Delivers in order: now, or when the way is open again. */
+  send(callback: () => void): void;
+}
+
+/** Ways that partitions cut; held deliveries go on when a way opens. */
+export interface Network {
+  getLink(from: string, to: string): Link;
+  /** Cuts members off from all others for a time. */
+  setPartition(members: ReadonlySet<string>, isCut: boolean): void;
+}
+
+/** Creates a network without partitions. */
+export function createNetwork(): Network {
+  const partitions = new Set<ReadonlySet<string>>();
+  let held: Array<{readonly link: Link; readonly callback: () => void}> = [];
+  const links = new Map<string, Link>();
+  return {getLink, setPartition};
+
+  function getLink(from: string, to: string): Link {
+    const key = `${from}\n${to}`;
+    const known = links.get(key);
+    if (known !== undefined) return known;
+    const link: Link = {isOpen, send};
+    links.set(key, link);
+    return link;
+
+    function isOpen(): boolean {
+      for (const members of partitions) {
+        if (members.has(from) !== members.has(to)) return false;
+      }
+      return true;
+    }
+
+    function send(callback: () => void): void {
+      if (isOpen()) callback();
+      else held.push({link, callback});
+    }
+  }
+
+  function setPartition(members: ReadonlySet<string>, isCut: boolean): void {
+    if (isCut) partitions.add(members);
+    else partitions.delete(members);
+    const late = held;
+    held = [];
+    for (const {link, callback} of late) link.send(callback);
+  }
+}
+
+/** Options of a client of one engine in a replay. */
+export interface ReplayEngineClientOptions {
+  readonly process: NodeProcess;
+  readonly link: Link;
+  readonly model: EngineModel;
+  readonly oneWayMs: number;
+  /** Returns how many tokens the answer has, which the caller of the engine does not know. */
+  readonly getOutputTokens: (request: EngineRequest) => number;
+  readonly onTokens: (requestId: string, count: number) => void;
+}
+
+/** How long a connection attempt takes to fail, in milliseconds. */
+const CONNECT_FAIL_MS = 100;
+
+/** Creates an engine client without sockets. */
+export function createReplayEngineClient(
+  options: ReplayEngineClientOptions,
+): EngineClient {
+  const {process, link, model, oneWayMs} = options;
+  return {
+    start: (request, sink) => {
+      const answered = {
+        ...request,
+        maxTokens: Math.min(
+          request.maxTokens,
+          options.getOutputTokens(request),
+        ),
+      };
+      return callEngine(request.requestId, sink, inner =>
+        model.start(answered, inner),
+      );
+    },
+    resume: (requestId, firstTokenIndex, sink) =>
+      callEngine(requestId, sink, inner =>
+        model.resume(requestId, firstTokenIndex, inner),
+      ),
+    getReport: async () => {
+      await process.clock.sleep(2 * oneWayMs);
+      if (!link.isOpen() || !model.isUp()) return Err(createUnreachable());
+      return Ok(model.getReport());
+    },
+    sendCommand: async command => {
+      await process.clock.sleep(oneWayMs);
+      if (!link.isOpen()) return Err(createUnreachable());
+      const answer = model.sendCommand(command);
+      await process.clock.sleep(oneWayMs);
+      return answer;
+    },
+    listCacheEvents: async afterSequence => {
+      await process.clock.sleep(2 * oneWayMs);
+      if (!link.isOpen() || !model.isUp()) return Err(createUnreachable());
+      return Ok(model.listCacheEvents(afterSequence));
+    },
+    close: () => undefined,
+  };
+
+  function callEngine(
+    requestId: string,
+    sink: EngineSink,
+    start: (inner: EngineSink) => EngineCall,
+  ): EngineCall {
+    let isCancelled = false;
+    if (!link.isOpen() || !model.isUp()) {
+      process.clock.schedule(CONNECT_FAIL_MS, () => {
+        if (!isCancelled) sink.onFailure(createUnreachable());
+      });
+      return {
+        cancel: () => {
+          isCancelled = true;
+        },
+        setPaused: () => undefined,
+      };
+    }
+    start(createRemoteSink(requestId, sink, () => isCancelled));
+    return {
+      cancel: () => {
+        isCancelled = true;
+        link.send(() => model.cancel(requestId));
+      },
+      setPaused: () => undefined,
+    };
+  }
+
+  function createRemoteSink(
+    requestId: string,
+    sink: EngineSink,
+    isCancelled: () => boolean,
+  ): EngineSink {
+    const send = (callback: () => void): void =>
+      link.send(() =>
+        process.run(() => {
+          if (!isCancelled()) callback();
+        }),
+      );
+    return {
+      onTokens: batch => {
+        options.onTokens(requestId, batch.count);
+        send(() => sink.onTokens(batch));
+      },
+      onEnd: end => send(() => sink.onEnd(end)),
+      onFailure: failure => send(() => sink.onFailure(failure)),
+    };
+  }
+}
+
+/** Options of a client of the plain services in a replay. */
+export interface ReplayServiceClientOptions {
+  readonly process: NodeProcess;
+  readonly getLink: (server: string) => Link;
+  readonly getService: (server: string) => ReplayService | undefined;
+  readonly oneWayMs: number;
+}
+
+/** Creates a client of plain services without sockets. */
+export function createReplayServiceClient(
+  options: ReplayServiceClientOptions,
+): ServiceClient {
+  const {process, oneWayMs} = options;
+  return {call};
+
+  async function call(
+    server: BackendServer,
+    request: Parameters<ServiceClient['call']>[1],
+  ): ReturnType<ServiceClient['call']> {
+    const link = options.getLink(server.id);
+    const service = options.getService(server.id);
+    await process.clock.sleep(oneWayMs);
+    if (service === undefined || !link.isOpen()) {
+      await process.clock.sleep(CONNECT_FAIL_MS);
+      return Err(createUnreachable());
+    }
+    const body = service.run(request.requestId, request.body);
+    await process.clock.sleep(service.durationMs + oneWayMs);
+    if (!link.isOpen() || request.timeoutMs < service.durationMs) {
+      return Err({
+        kind: 'timeout',
+        verdict: Verdict.MayHaveRun,
+        message: 'no answer in time',
+      });
+    }
+    return Ok({status: 200, contentType: 'application/json', body});
+  }
+}
+
+function createUnreachable(): BackendFailure {
+  return {
+    kind: 'unavailable',
+    verdict: Verdict.NotRun,
+    message: 'the backend server cannot be reached',
+  };
+}
--- /dev/null
+++ b/src/replay/plan_host.ts
@@ -0,0 +1,134 @@
+/** Runs the role planner of a replay on one node at a time, and sends its commands. */
+import type {EngineClient, EngineReport, EngineRole} from '../backends';
+import {
+  createPlannerState,
+  type Demand,
+  FEW_CHANGES_WEIGHTS,
+  GOODPUT_WEIGHTS,
+  mergeDemands,
+  type PlanEvent,
+  type PlannerState,
+  type PlannerWeights,
+  type PlanRoles,
+  type RoleChange,
+} from '../planning';
+import type {Clock} from '../runtime';
+import type {EntryNode} from './entry_node';
+import type {TraceHeader} from './types';
+
+/** Options of the host. */
+export interface PlanHostOptions {
+  readonly clock: Clock;
+  readonly header: TraceHeader;
+  readonly planRoles: PlanRoles;
+  /** Live nodes that run, in order: the first holds control. */
+  readonly listNodes: () => readonly EntryNode[];
+  readonly getDemand: (node: EntryNode) => Demand;
+  /** Reports that the holder can have. */
+  readonly listReports: (holder: EntryNode) => readonly EngineReport[];
+  readonly getEngineClient: (holder: EntryNode, engine: string) => EngineClient;
+}
+
+/** The host. */
+export interface PlanHost {
+  /** Plans once and sends what the plan says. */
+  runPlan(): void;
+  listEvents(): readonly PlanEvent[];
+}
+
+/** Declined changes are noted once in this time, in milliseconds. */
+const DECLINED_EVERY_MS = 5_000;
+
+/** Returns the weights of a trace's deployment. */
+export function getWeights(header: TraceHeader): PlannerWeights {
+  return header.weight === 'few_changes'
+    ? FEW_CHANGES_WEIGHTS
+    : GOODPUT_WEIGHTS;
+}
+
+/** Creates the host. */
+export function createPlanHost(options: PlanHostOptions): PlanHost {
+  const {clock, header} = options;
+  const weights = getWeights(header);
+  const events: PlanEvent[] = [];
+  /** Stands for the intents in the control stream: they outlive their holder. */
+  const intents = new Map<string, EngineRole>();
+  let term = 0;
+  let holder: EntryNode | undefined;
+  let state: PlannerState = createPlannerState(0);
+  let lastDemands: readonly Demand[] = [];
+  let lastDeclinedAtMs = -DECLINED_EVERY_MS;
+  let nextCommand = 0;
+  return {runPlan, listEvents: () => events};
+
+  function runPlan(): void {
+    const nodes = options.listNodes();
+    const next = nodes[0];
+    if (next === undefined) return;
+    const nowMs = clock.getMonotonicMs();
+    if (next !== holder) {
+      holder = next;
+      term++;
+      state = createPlannerState(nowMs);
+    }
+    // Digests of the nodes' demand are one interval old when the holder has them.
+    const demands = lastDemands;
+    lastDemands = nodes.map(options.getDemand);
+    const reports = options.listReports(holder);
+    removeDoneIntents(reports);
+    const plan = options.planRoles(
+      state,
+      {
+        reports,
+        arrivals: mergeDemands(demands),
+        intents,
+        roleChangeMs: header.role_change_ms,
+      },
+      nowMs,
+      weights,
+    );
+    state = plan.state;
+    for (const change of plan.changes) sendChange(holder, change);
+    for (const declined of plan.declined)
+      recordDeclined(holder, declined.cause);
+  }
+
+  function removeDoneIntents(reports: readonly EngineReport[]): void {
+    for (const report of reports) {
+      const isDone = intents.get(report.engine) === report.role;
+      if (isDone && report.state === 'ready') intents.delete(report.engine);
+    }
+  }
+
+  /** The intent comes before the command, so that another holder can finish it. */
+  function sendChange(node: EntryNode, change: RoleChange): void {
+    const {engine, kind, to, cause} = change;
+    const isNew = intents.get(engine) !== to;
+    if (kind === 'drain') intents.set(engine, to);
+    if (kind !== 'drain' || isNew) {
+      events.push({
+        atMs: clock.getMonotonicMs(),
+        node: node.id,
+        kind,
+        engine,
+        cause,
+      });
+    }
+    const order =
+      kind === 'set-role'
+        ? {kind: 'set-role' as const, role: to}
+        : {kind: 'set-draining' as const, isDraining: kind === 'drain'};
+    void options.getEngineClient(node, engine).sendCommand({
+      id: `plan-${++nextCommand}`,
+      fencingNumber: term,
+      order,
+    });
+  }
+
+  function recordDeclined(node: EntryNode, cause: string): void {
+    const atMs = clock.getMonotonicMs();
+    if (atMs - lastDeclinedAtMs < DECLINED_EVERY_MS) return;
+    lastDeclinedAtMs = atMs;
+    events.push({atMs, node: node.id, kind: 'declined', cause});
+  }
+}
--- /dev/null
+++ b/src/replay/recorder.ts
@@ -0,0 +1,197 @@
+/** Records what callers received, and sums it up as outcome and series. */
+import * as hdr from 'hdr-histogram-js';
+import type {TokenBatch} from '../backends';
+import type {Outcome, ReplayPolicy, SeriesPoint, TraceRequest} from './types';
+import type {TruthCounts} from './truth';
+
+/** How a trace request ended for its caller. */
+export type RequestResult =
+  | {readonly kind: 'delivered'; readonly atMs: number; readonly tokens: number}
+  | {readonly kind: 'refused'}
+  | {readonly kind: 'may-have-run'; readonly isCut: boolean};
+
+/** Records results. */
+export interface Recorder {
+  recordArrival(request: TraceRequest): void;
+  recordFirstToken(request: TraceRequest, firstTokenMs: number): void;
+  /** Records the gaps in front of and between the tokens of a batch. */
+  recordTokens(batch: TokenBatch, previousAtMs: number | undefined): void;
+  recordResult(request: TraceRequest, result: RequestResult): void;
+  recordNotRunButRan(): void;
+  /** Closes the present point of the series with the fleet's state. */
+  closePoint(fleet: FleetPoint): void;
+  getOutcome(options: OutcomeOptions): Outcome;
+  listSeries(): readonly SeriesPoint[];
+}
+
+/** The fleet at the end of a point. */
+export interface FleetPoint {
+  readonly waiting: number;
+  readonly running: number;
+  readonly roles: readonly string[];
+}
+
+/** What the outcome needs besides the results. */
+export interface OutcomeOptions {
+  readonly truth: TruthCounts;
+  readonly seed: number;
+  readonly policy: ReplayPolicy;
+}
+
+/** Histogram units in a millisecond. */
+const UNITS_PER_MS = 100;
+const MAX_MS = 3_600_000;
+
+/** Creates a recorder whose points last `bucketMs`. */
+export function createRecorder(bucketMs: number): Recorder {
+  const firstTokens = createHistogram();
+  const betweenTokens = createHistogram();
+  const pointFirstTokens: number[][] = [];
+  const arrived: Array<{count: number; prompt: number; output: number}> = [];
+  const inDeadlineByPoint: number[] = [];
+  const fleetPoints: FleetPoint[] = [];
+  const counts = {
+    requests: 0,
+    delivered: 0,
+    inDeadline: 0,
+    refused: 0,
+    mayHaveRun: 0,
+    cut: 0,
+    notRunButRan: 0,
+    deliveredTokens: 0,
+  };
+  return {
+    recordArrival,
+    recordFirstToken,
+    recordTokens,
+    recordResult,
+    recordNotRunButRan: () => {
+      counts.notRunButRan++;
+    },
+    closePoint: fleet => void fleetPoints.push(fleet),
+    getOutcome,
+    listSeries,
+  };
+
+  function getPoint(request: TraceRequest): number {
+    return Math.floor(request.at_ms / bucketMs);
+  }
+
+  function recordArrival(request: TraceRequest): void {
+    counts.requests++;
+    const point = getPoint(request);
+    const entry = (arrived[point] ??= {count: 0, prompt: 0, output: 0});
+    entry.count++;
+    entry.prompt += request.prompt_tokens;
+    entry.output += request.output_tokens;
+  }
+
+  function recordFirstToken(request: TraceRequest, firstTokenMs: number): void {
+    recordMs(firstTokens, firstTokenMs, 1);
+    (pointFirstTokens[getPoint(request)] ??= []).push(firstTokenMs);
+  }
+
+  function recordTokens(
+    batch: TokenBatch,
+    previousAtMs: number | undefined,
+  ): void {
+    if (previousAtMs !== undefined) {
+      recordMs(betweenTokens, batch.firstAtMs - previousAtMs, 1);
+    }
+    if (batch.count < 2) return;
+    const gaps = batch.count - 1;
+    recordMs(betweenTokens, (batch.lastAtMs - batch.firstAtMs) / gaps, gaps);
+  }
+
+  function recordResult(request: TraceRequest, result: RequestResult): void {
+    switch (result.kind) {
+      case 'delivered': {
+        counts.delivered++;
+        counts.deliveredTokens += result.tokens;
+        if (result.atMs > request.at_ms + request.deadline_ms) return;
+        counts.inDeadline++;
+        const point = getPoint(request);
+        inDeadlineByPoint[point] = (inDeadlineByPoint[point] ?? 0) + 1;
+        return;
+      }
+      case 'refused':
+        counts.refused++;
+        return;
+      case 'may-have-run':
+        counts.mayHaveRun++;
+        if (result.isCut) counts.cut++;
+    }
+  }
+
+  function getOutcome(options: OutcomeOptions): Outcome {
+    const {truth} = options;
+    return {
+      requests: counts.requests,
+      delivered: counts.delivered,
+      in_deadline: counts.inDeadline,
+      late: counts.delivered - counts.inDeadline,
+      refused: counts.refused,
+      may_have_run: counts.mayHaveRun,
+      cut: counts.cut,
+      run_twice: truth.runTwice,
+      not_run_but_ran: counts.notRunButRan,
+      goodput: toDigits(counts.inDeadline / Math.max(1, counts.requests), 5),
+      role_changes: truth.roleChanges,
+      command_conflicts: truth.commandConflicts,
+      stale_commands_effective: truth.staleCommandsEffective,
+      new_work_after_leaving: truth.newWorkAfterLeaving,
+      wasted_tokens: Math.max(
+        0,
+        truth.generatedTokens - counts.deliveredTokens,
+      ),
+      p95_first_token_ms: getPercentile(firstTokens),
+      p95_between_tokens_ms: getPercentile(betweenTokens),
+      seed: options.seed,
+      policy: options.policy,
+    };
+  }
+
+  function listSeries(): readonly SeriesPoint[] {
+    const length = Math.max(arrived.length, fleetPoints.length);
+    return Array.from({length}, (_, index) => ({
+      atMs: index * bucketMs,
+      arrived: arrived[index]?.count ?? 0,
+      inDeadline: inDeadlineByPoint[index] ?? 0,
+      promptTokens: arrived[index]?.prompt ?? 0,
+      outputTokens: arrived[index]?.output ?? 0,
+      waiting: fleetPoints[index]?.waiting ?? 0,
+      running: fleetPoints[index]?.running ?? 0,
+      p95FirstTokenMs: computeP95(pointFirstTokens[index] ?? []),
+      roles: fleetPoints[index]?.roles ?? [],
+    }));
+  }
+}
+
+function createHistogram(): hdr.Histogram {
+  return hdr.build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: MAX_MS * UNITS_PER_MS,
+    numberOfSignificantValueDigits: 3,
+    useWebAssembly: false,
+  });
+}
+
+function recordMs(histogram: hdr.Histogram, ms: number, count: number): void {
+  const units = Math.round(Math.min(MAX_MS, Math.max(0, ms)) * UNITS_PER_MS);
+  histogram.recordValueWithCount(units, count);
+}
+
+function getPercentile(histogram: hdr.Histogram): number {
+  if (histogram.totalCount === 0) return 0;
+  return toDigits(histogram.getValueAtPercentile(95) / UNITS_PER_MS, 1);
+}
+
+function computeP95(values: readonly number[]): number {
+  if (values.length === 0) return 0;
+  const sorted = [...values].sort((left, right) => left - right);
+  return toDigits(sorted[Math.ceil(sorted.length * 0.95) - 1], 1);
+}
+
+function toDigits(value: number, digits: number): number {
+  return Number(value.toFixed(digits));
+}
--- /dev/null
+++ b/src/replay/replay.ts
@@ -0,0 +1,335 @@
+/**
+ * Replays a trace on virtual time. The pipeline, the claims, the routing and the
+ * planner are the real ones; only backend servers, the log and the clock are
+ * stand-ins. The same trace, policy and seed give the same result, byte for byte.
+ */
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import type {EngineReport} from '../backends';
+import {
+  createDemandMeter,
+  type DemandMeter,
+  planBySkiRental,
+} from '../planning';
+import {createDispatcher, type Dispatcher} from '../routing';
+import {createVirtualClock} from '../runtime';
+import {createLocalLog, createLogModel} from '../standins';
+import {
+  createBaselineDispatcher,
+  createLeastLoaded,
+  createRoundRobin,
+} from './baselines';
+import {createCallers} from './caller';
+import {type EntryNode, startEntryNode} from './entry_node';
+import {scheduleFaults} from './faults';
+import {createReplayFleet} from './fleet';
+import {createMeteredDispatcher} from './metered_dispatcher';
+import {
+  createNetwork,
+  createNodeProcess,
+  createReplayEngineClient,
+  createReplayServiceClient,
+} from './node_world';
+import {createNodeSet} from './node_set';
+import {createPlanHost} from './plan_host';
+import {createRecorder} from './recorder';
+import {createInputFactory} from './request_input';
+import {createTruth} from './truth';
+import {
+  type ReplayEvent,
+  type ReplayOptions,
+  ReplayPolicy,
+  type ReplayResult,
+  type ReplaySettings,
+  type Trace,
+} from './types';
+
+const DEFAULT_SETTINGS: ReplaySettings = {
+  reportIntervalMs: 500,
+  planIntervalMs: 500,
+  vmListLagMs: 1_000,
+  oneWayMs: 1,
+  serviceMs: 20,
+  tokensPerEvent: 64,
+  bucketMs: 0,
+  withTimeline: false,
+};
+/** Virtual time after the last deadline before what is open counts as never answered. */
+const TAIL_MS = 30_000;
+const SERIES_POINTS = 300;
+const MIN_BUCKET_MS = 1_000;
+/** When the first request may come: the nodes have read the log and the reports by then. */
+const WARM_UP_MS = 200;
+/** Wall time at the start of every replay, in milliseconds since the Unix epoch. */
+const WALL_START_MS = Date.UTC(2026, 0, 3);
+
+/** Replays a trace. */
+export async function replayTrace(
+  trace: Trace,
+  options: ReplayOptions = {},
+): Promise<ReplayResult> {
+  const seed = options.seed ?? 1;
+  const policy = options.policy ?? ReplayPolicy.Anvilstack;
+  const settings = {...DEFAULT_SETTINGS, ...options.settings};
+  const {header, requests} = trace;
+  const clock = createVirtualClock({wallStartMs: WALL_START_MS});
+  const getRandom = createRandom(seed);
+  const timeline: ReplayEvent[] = [];
+  const truth = createTruth(clock);
+  const network = createNetwork();
+  const log = createLogModel({clock});
+  const endMs = getEndMs(trace);
+  const bucketMs = settings.bucketMs || getBucketMs(endMs);
+  const recorder = createRecorder(bucketMs);
+  const reports = new Map<string, EngineReport>();
+  const meters = new Map<EntryNode, DemandMeter>();
+  const fleet = createReplayFleet({
+    trace,
+    settings,
+    clock,
+    truth,
+    getRandom,
+    onServers: servers => nodes.forEach(node => updateServers(node, servers)),
+  });
+  const createPolicyDispatcher = getDispatcherFactory(policy);
+  const nodes = createNodeSet({
+    clock,
+    ids: listNodeIds(header.nodes),
+    startNode,
+  });
+  const inputs = createInputFactory(fleet.serviceNames);
+  const callers = createCallers({
+    clock,
+    inputs,
+    recorder,
+    truth,
+    chooseNode: nodes.choose,
+    watchNode: nodes.watchDeath,
+  });
+  const planHost = createPlanHost({
+    clock,
+    header,
+    planRoles: options.planRoles ?? planBySkiRental,
+    listNodes: nodes.listRunning,
+    getDemand: node => getMeter(node).getDemand(),
+    listReports: holder =>
+      [...reports.values()].filter(report =>
+        network.getLink(holder.id, report.engine).isOpen(),
+      ),
+    getEngineClient: (holder, engine) =>
+      createEngineClient(holder.id, holder.process, engine),
+  });
+  scheduleFaults(header.faults, {
+    clock,
+    log,
+    fleet,
+    network,
+    listNodes: target => nodes.listIds().filter(id => isMember(id, target)),
+    killNode: nodes.kill,
+    setNodePaused: nodes.setPaused,
+    onFault: fault =>
+      emitEvent('replay', {
+        kind: `fault-${fault.kind}`,
+        cause: `${fault.target ?? 'log'} for ${fault.for_ms ?? 'ever'} ms`,
+      }),
+  });
+  startReports();
+  if (policy === ReplayPolicy.Anvilstack) startPlans();
+  startSeries();
+  scheduleRequests();
+  await clock.runUntil(endMs);
+  callers.close();
+  return {
+    outcome: recorder.getOutcome({truth: truth.getCounts(), seed, policy}),
+    series: recorder.listSeries(),
+    timeline,
+    plans: planHost.listEvents(),
+  };
+
+  function startNode(id: string, incarnation: number): EntryNode {
+    const process = createNodeProcess(clock);
+    const meter = createDemandMeter({clock});
+    const node = startEntryNode({
+      id,
+      writerId: `${id}.${incarnation}`,
+      process,
+      log: createLocalLog({
+        model: log,
+        clock: process.clock,
+        oneWayMs: settings.oneWayMs,
+        isReachable: () => network.getLink(id, 'log').isOpen(),
+      }),
+      serviceClient: createReplayServiceClient({
+        process,
+        getLink: server => network.getLink(id, server),
+        getService: server => fleet.services.get(server),
+        oneWayMs: settings.oneWayMs,
+      }),
+      host: {
+        getEngineClient: engine => createEngineClient(id, process, engine),
+        getRandom,
+        emitEvent: event => emitEvent(id, event),
+      },
+      createDispatcher: host =>
+        createMeteredDispatcher(createPolicyDispatcher(host), meter),
+    });
+    meters.set(node, meter);
+    updateServers(node, fleet.listServers());
+    for (const report of reports.values()) node.dispatcher.updateReport(report);
+    return node;
+  }
+
+  function createEngineClient(
+    node: string,
+    process: EntryNode['process'],
+    engine: string,
+  ) {
+    const model = fleet.engines.get(engine);
+    if (model === undefined) throw new Error(`no engine ${engine}`);
+    return createReplayEngineClient({
+      process,
+      model,
+      link: network.getLink(node, engine),
+      oneWayMs: settings.oneWayMs,
+      getOutputTokens: request => getOutputTokens(trace, request.requestId),
+      onTokens: (_requestId, count) => truth.recordTokens(count),
+    });
+  }
+
+  function emitEvent(
+    node: string,
+    event: Omit<ReplayEvent, 'atMs' | 'node'>,
+  ): void {
+    if (!settings.withTimeline) return;
+    const {kind, requestId, engine, cause} = event;
+    timeline.push({
+      atMs: clock.getMonotonicMs(),
+      node,
+      kind,
+      requestId,
+      engine,
+      cause,
+    });
+  }
+
+  function getMeter(node: EntryNode): DemandMeter {
+    return meters.get(node) ?? createDemandMeter({clock});
+  }
+
+  function updateServers(
+    node: EntryNode,
+    servers: Parameters<Dispatcher['updateServers']>[0],
+  ): void {
+    node.process.run(() => {
+      node.dispatcher.updateServers(servers);
+      node.services.updateServers(servers);
+    });
+  }
+
+  /** One timer reads every engine's report for every node. */
+  function startReports(): void {
+    readReports();
+    runEvery(settings.reportIntervalMs, readReports);
+  }
+
+  function readReports(): void {
+    for (const [id, engine] of fleet.engines) {
+      if (!engine.isUp()) continue;
+      const report = engine.getReport();
+      reports.set(id, report);
+      nodes.forEach(node => {
+        if (!network.getLink(node.id, id).isOpen()) return;
+        node.process.run(() => node.dispatcher.updateReport(report));
+      });
+    }
+  }
+
+  function startPlans(): void {
+    runEvery(settings.planIntervalMs, planHost.runPlan);
+  }
+
+  function startSeries(): void {
+    runEvery(bucketMs, () => {
+      const statuses = [...fleet.engines.values()].map(engine =>
+        engine.getStatus(),
+      );
+      recorder.closePoint({
+        waiting: statuses.reduce((sum, status) => sum + status.waiting, 0),
+        running: statuses.reduce((sum, status) => sum + status.running, 0),
+        roles: fleet.listRoles(),
+      });
+    });
+  }
+
+  function runEvery(intervalMs: number, callback: () => void): void {
+    clock.schedule(intervalMs, () => {
+      callback();
+      runEvery(intervalMs, callback);
+    });
+  }
+
+  /** One timer at a time: the next request is scheduled when one is sent. */
+  function scheduleRequests(index = 0): void {
+    if (index >= requests.length) return;
+    const request = requests[index];
+    const delayMs = request.at_ms + WARM_UP_MS - clock.getMonotonicMs();
+    clock.schedule(delayMs, () => {
+      const atMs = clock.getMonotonicMs();
+      callers.send({...request, at_ms: atMs}, index);
+      scheduleRequests(index + 1);
+    });
+  }
+
+  function isMember(node: string, target: string): boolean {
+    return node === target || getNodeDomain(trace, node) === target;
+  }
+}
+
+/** Nodes are spread over the failure domains in turn. */
+function getNodeDomain(trace: Trace, node: string): string {
+  const domains = [
+    ...new Set(trace.header.engines.map(engine => engine.failure_domain)),
+  ];
+  const number = Number(node.slice(node.lastIndexOf('-') + 1));
+  return domains[(number - 1) % domains.length];
+}
+
+function listNodeIds(count: number): readonly string[] {
+  return Array.from({length: count}, (_, index) => `node-${index + 1}`);
+}
+
+function getOutputTokens(trace: Trace, requestId: string): number {
+  const index = /^r(\d+)\./.exec(requestId)?.[1];
+  const request = index === undefined ? undefined : trace.requests[+index];
+  return request?.output_tokens ?? Infinity;
+}
+
+function getEndMs(trace: Trace): number {
+  let endMs = 0;
+  for (const request of trace.requests) {
+    endMs = Math.max(endMs, request.at_ms + request.deadline_ms);
+  }
+  return endMs + TAIL_MS;
+}
+
+function getBucketMs(endMs: number): number {
+  const wanted = endMs / SERIES_POINTS;
+  return Math.max(MIN_BUCKET_MS, Math.ceil(wanted / 1_000) * 1_000);
+}
+
+function createRandom(seed: number): () => number {
+  const generator = xoroshiro128plus(seed);
+  return () => uniformFloat64(generator);
+}
+
+function getDispatcherFactory(policy: ReplayPolicy): typeof createDispatcher {
+  switch (policy) {
+    case ReplayPolicy.Anvilstack:
+    case ReplayPolicy.StaticRoles:
+      return createDispatcher;
+    case ReplayPolicy.RoundRobin:
+      return host => createBaselineDispatcher(host, createRoundRobin());
+    case ReplayPolicy.LeastLoaded:
+      return host => createBaselineDispatcher(host, createLeastLoaded());
+  }
+}
--- /dev/null
+++ b/src/replay/request_input.ts
@@ -0,0 +1,103 @@
+/** Makes the entry's input out of a trace's request. */
+import type {ModelInput, ServiceInput} from '../entry';
+import {type Template, templateSchema} from '../state';
+import type {TraceRequest} from './types';
+
+/** Name of the model that every engine of a replay has. */
+export const REPLAY_MODEL = 'small';
+/** Tokens in one block of a prompt's prefix. */
+const PREFIX_BLOCK_TOKENS = 512;
+const MIN_MAX_TOKENS = 16;
+/** Limits that no replayed client account reaches: a trace is a load, not a quota. */
+const UNLIMITED = {
+  requests_per_s: 100_000,
+  burst: 100_000,
+  max_concurrent: 100_000,
+};
+
+/** Makes inputs; the templates are made once for each kind of request. */
+export interface InputFactory {
+  createModelInput(request: TraceRequest, requestId: string): ModelInput;
+  createServiceInput(request: TraceRequest, requestId: string): ServiceInput;
+}
+
+/** Creates a factory for a replay whose plain services are named. */
+export function createInputFactory(services: readonly string[]): InputFactory {
+  const templates = new Map<string, Template>();
+  return {createModelInput, createServiceInput};
+
+  function createModelInput(
+    request: TraceRequest,
+    requestId: string,
+  ): ModelInput {
+    return {
+      kind: 'model',
+      template: getTemplate(request),
+      options: {
+        requestId,
+        idempotencyKey: request.key,
+        deadlineMs: request.deadline_ms,
+      },
+      model: REPLAY_MODEL,
+      promptTokens: request.prompt_tokens,
+      maxTokens: getMaxTokens(request),
+      prefixHashes: getPrefixHashes(request),
+      prefixTokens: request.prefix === undefined ? 0 : request.prefix_tokens,
+    };
+  }
+
+  function createServiceInput(
+    request: TraceRequest,
+    requestId: string,
+  ): ServiceInput {
+    const isRead = request.idempotent && request.key === undefined;
+    return {
+      kind: 'service',
+      template: getTemplate(request),
+      options: {
+        requestId,
+        idempotencyKey: request.key,
+        deadlineMs: request.deadline_ms,
+      },
+      service: request.service ?? '',
+      method: isRead ? 'GET' : 'POST',
+      path: '/bookings',
+      headers: {},
+      body: request.key ?? '',
+    };
+  }
+
+  function getTemplate(request: TraceRequest): Template {
+    const {client_account, kind, urgent, idempotent} = request;
+    const key = `${client_account}|${kind}|${urgent}|${idempotent}`;
+    const known = templates.get(key);
+    if (known !== undefined) return known;
+    const template = templateSchema.parse({
+      client_account,
+      api_key_sha256: ['0'.repeat(64)],
+      operators: ['replay'],
+      models: [REPLAY_MODEL],
+      services: [...services],
+      limits: UNLIMITED,
+      request_class: [{name: 'replayed', kind, urgent, idempotent}],
+    });
+    templates.set(key, template);
+    return template;
+  }
+}
+
+/** The caller's limit: it does not know how long the answer will be. */
+function getMaxTokens(request: TraceRequest): number {
+  let limit = MIN_MAX_TOKENS;
+  while (limit < request.output_tokens) limit *= 2;
+  return limit;
+}
+
+function getPrefixHashes(request: TraceRequest): string[] {
+  if (request.prefix === undefined || request.prefix_tokens === 0) return [];
+  const blocks = Math.ceil(request.prefix_tokens / PREFIX_BLOCK_TOKENS);
+  return Array.from(
+    {length: blocks},
+    (_, index) => `${request.prefix}/${index}`,
+  );
+}
--- /dev/null
+++ b/src/replay/scenarios.ts
@@ -0,0 +1,360 @@
+/** The generated traces that are committed as examples, and their stated bounds. */
+import type {TracePhase, TraceSpec} from './generate';
+import type {OutcomeBounds, TraceFault, TraceHeader} from './types';
+import {BOEIBOORD_CLASSES, TATRANSKA_CLASSES} from './workloads';
+
+/** A committed trace. */
+export interface Scenario {
+  readonly name: string;
+  readonly spec: TraceSpec;
+  /** Bounds besides those that hold for every trace. */
+  readonly bounds: OutcomeBounds;
+}
+
+type Role = 'prefill' | 'decode' | 'mixed';
+
+const ENGINE_COUNT = 13;
+
+/** Bounds that hold for every trace, whatever fails. */
+export const SAFETY_BOUNDS: OutcomeBounds = {
+  run_twice: {max: 0},
+  not_run_but_ran: {max: 0},
+  cut: {max: 0},
+  command_conflicts: {max: 0},
+  stale_commands_effective: {max: 0},
+  new_work_after_leaving: {max: 0},
+};
+
+/** Bounds of the target where the load is within capacity. */
+const LATENCY_BOUNDS: OutcomeBounds = {
+  p95_first_token_ms: {max: 450},
+  p95_between_tokens_ms: {max: 42},
+};
+
+const TATRANSKA_DOMAINS = ['sk-west-1', 'sk-west-2', 'sk-west-3', 'sk-west-4'];
+const BOEIBOORD_DOMAINS = ['gent', 'brugge', 'kortrijk'];
+
+const CATALOGUES = {
+  catalogue_verdict: 80,
+  label_check: 10,
+  order_status: 8,
+  booking: 4,
+};
+const LETTERS = {
+  quote_letter: 60,
+  order_status: 15,
+  label_check: 10,
+  booking: 5,
+};
+const ORDER_DESK = {
+  tape_summary: 20,
+  label_check: 30,
+  order_status: 30,
+  quote_letter: 10,
+  catalogue_verdict: 10,
+  booking: 8,
+  lookup: 8,
+};
+const PRICE_LISTS = {
+  price_list: 80,
+  price_lookup: 15,
+  fascia_quote: 5,
+  stock_order: 4,
+};
+const OFFERS = {
+  offer_letter: 60,
+  price_lookup: 15,
+  fascia_quote: 10,
+  stock_order: 5,
+};
+const QUOTE_DESK = {
+  fascia_quote: 30,
+  price_lookup: 40,
+  offer_letter: 10,
+  price_list: 8,
+  stock_order: 8,
+  stock_lookup: 6,
+};
+
+/** Lists the committed scenarios. */
+export function listScenarios(): readonly Scenario[] {
+  return [...listTatranska(), ...listBoeiboord()];
+}
+
+function listTatranska(): readonly Scenario[] {
+  return [
+    createTatranska('swing', 11, {
+      phases: [
+        {forMs: 25_000, load: 0.6, mix: ORDER_DESK},
+        {forMs: 40_000, load: 0.72, mix: CATALOGUES},
+        {forMs: 40_000, load: 0.72, mix: LETTERS},
+        {forMs: 25_000, load: 0.72, mix: CATALOGUES},
+      ],
+    }),
+    createTatranska('steady', 12, {
+      phases: [{forMs: 70_000, load: 0.5, mix: ORDER_DESK}],
+      burstiness: 0.4,
+      bounds: {...LATENCY_BOUNDS, role_changes: {max: 0}},
+    }),
+    createTatranska('prefix', 13, {
+      phases: [
+        {forMs: 20_000, load: 0.5, mix: ORDER_DESK},
+        {
+          forMs: 40_000,
+          load: 0.4,
+          mix: {
+            catalogue_shared: 70,
+            label_check: 15,
+            order_status: 10,
+            booking: 4,
+          },
+        },
+      ],
+    }),
+    createTatranska('urgent', 14, {
+      phases: [
+        {
+          forMs: 60_000,
+          load: 0.85,
+          mix: {
+            quote_letter: 40,
+            catalogue_verdict: 20,
+            order_status: 20,
+            tape_summary: 10,
+            booking: 4,
+          },
+        },
+      ],
+    }),
+    createTatranska('overload', 15, {
+      phases: [
+        {forMs: 15_000, load: 0.6, mix: ORDER_DESK},
+        {forMs: 30_000, load: 1.5, mix: ORDER_DESK},
+        {forMs: 20_000, load: 0.5, mix: ORDER_DESK},
+      ],
+    }),
+    createTatranska('faults', 16, {
+      phases: [{forMs: 80_000, load: 0.45, mix: ORDER_DESK}],
+      repeatedKeys: 0.3,
+      faults: [
+        {
+          at_ms: 10_000,
+          kind: 'engine_crash',
+          target: 'engine-02',
+          for_ms: 8_000,
+        },
+        {
+          at_ms: 20_000,
+          kind: 'engine_leave',
+          target: 'engine-05',
+          for_ms: 20_000,
+        },
+        {at_ms: 28_000, kind: 'node_kill', target: 'node-3', for_ms: 10_000},
+        {at_ms: 38_000, kind: 'node_pause', target: 'node-1', for_ms: 6_000},
+        {
+          at_ms: 50_000,
+          kind: 'engine_crash',
+          target: 'sk-west-2',
+          for_ms: 12_000,
+        },
+        {at_ms: 50_000, kind: 'node_kill', target: 'sk-west-2', for_ms: 15_000},
+      ],
+    }),
+    createTatranska('log', 17, {
+      phases: [{forMs: 60_000, load: 0.3, mix: {...ORDER_DESK, booking: 40}}],
+      repeatedKeys: 0.3,
+      faults: [
+        {at_ms: 8_000, kind: 'log_lost_reply', for_ms: 5},
+        {at_ms: 15_000, kind: 'log_outage', for_ms: 12_000},
+        {at_ms: 35_000, kind: 'partition', target: 'node-2', for_ms: 6_000},
+        {at_ms: 40_000, kind: 'log_lost_reply', for_ms: 5},
+        {at_ms: 45_000, kind: 'node_kill', target: 'node-4', for_ms: 8_000},
+      ],
+    }),
+    createTatranska('lag', 18, {
+      phases: [
+        {forMs: 20_000, load: 0.5, mix: ORDER_DESK},
+        {forMs: 35_000, load: 0.65, mix: CATALOGUES},
+        {forMs: 30_000, load: 0.65, mix: LETTERS},
+      ],
+      reportLagMs: 5_000,
+    }),
+  ];
+}
+
+function listBoeiboord(): readonly Scenario[] {
+  return [
+    createBoeiboord('swing', 21, {
+      phases: [
+        {forMs: 25_000, load: 0.6, mix: QUOTE_DESK},
+        {forMs: 40_000, load: 0.72, mix: PRICE_LISTS},
+        {forMs: 40_000, load: 0.72, mix: OFFERS},
+      ],
+    }),
+    createBoeiboord('steady', 22, {
+      phases: [{forMs: 70_000, load: 0.5, mix: QUOTE_DESK}],
+      burstiness: 0.4,
+      bounds: {...LATENCY_BOUNDS, role_changes: {max: 0}},
+    }),
+    createBoeiboord('prefix', 23, {
+      phases: [
+        {
+          forMs: 50_000,
+          load: 0.4,
+          mix: {
+            price_list_shared: 60,
+            price_lookup: 30,
+            fascia_quote: 10,
+            stock_order: 4,
+          },
+        },
+      ],
+    }),
+    createBoeiboord('overload', 24, {
+      phases: [
+        {forMs: 15_000, load: 0.6, mix: QUOTE_DESK},
+        {forMs: 30_000, load: 1.5, mix: QUOTE_DESK},
+        {forMs: 20_000, load: 0.5, mix: QUOTE_DESK},
+      ],
+    }),
+    createBoeiboord('faults', 25, {
+      phases: [{forMs: 80_000, load: 0.45, mix: QUOTE_DESK}],
+      repeatedKeys: 0.3,
+      faults: [
+        {
+          at_ms: 10_000,
+          kind: 'engine_leave',
+          target: 'engine-07',
+          for_ms: 20_000,
+        },
+        {at_ms: 25_000, kind: 'node_kill', target: 'node-2', for_ms: 10_000},
+        {at_ms: 35_000, kind: 'log_outage', for_ms: 8_000},
+        {at_ms: 50_000, kind: 'engine_crash', target: 'brugge', for_ms: 12_000},
+        {at_ms: 55_000, kind: 'node_pause', target: 'node-1', for_ms: 8_000},
+      ],
+    }),
+    createBoeiboord('lag', 26, {
+      phases: [
+        {forMs: 20_000, load: 0.5, mix: QUOTE_DESK},
+        {forMs: 35_000, load: 0.65, mix: PRICE_LISTS},
+        {forMs: 30_000, load: 0.65, mix: OFFERS},
+      ],
+      reportLagMs: 2_000,
+    }),
+  ];
+}
+
+interface ScenarioParts {
+  readonly phases: readonly TracePhase[];
+  readonly faults?: readonly TraceFault[];
+  readonly burstiness?: number;
+  readonly repeatedKeys?: number;
+  readonly reportLagMs?: number;
+  readonly bounds?: OutcomeBounds;
+}
+
+function createTatranska(
+  name: string,
+  seed: number,
+  parts: ScenarioParts,
+): Scenario {
+  const roles: Role[] = [
+    'prefill',
+    'prefill',
+    'prefill',
+    'decode',
+    'decode',
+    'decode',
+  ];
+  return createScenario(`tatranska-${name}`, seed, parts, {
+    deployment: 'Order Desk Routing Acceptance Checklist',
+    domains: TATRANSKA_DOMAINS,
+    roles,
+    service: 'order-desk',
+    serviceCount: 4,
+    classes: TATRANSKA_CLASSES,
+    weight: 'goodput',
+  });
+}
+
+function createBoeiboord(
+  name: string,
+  seed: number,
+  parts: ScenarioParts,
+): Scenario {
+  return createScenario(`boeiboord-${name}`, seed, parts, {
+    deployment: 'Boeiboord quote desk routing fleet',
+    domains: BOEIBOORD_DOMAINS,
+    roles: [],
+    service: 'yard',
+    serviceCount: 3,
+    classes: BOEIBOORD_CLASSES,
+    weight: 'few_changes',
+  });
+}
+
+interface Deployment {
+  readonly deployment: string;
+  readonly domains: readonly string[];
+  /** Roles of the first engines; the others are mixed. */
+  readonly roles: readonly Role[];
+  readonly service: string;
+  readonly serviceCount: number;
+  readonly classes: TraceSpec['classes'];
+  readonly weight: TraceHeader['weight'];
+}
+
+function createScenario(
+  name: string,
+  seed: number,
+  parts: ScenarioParts,
+  deployment: Deployment,
+): Scenario {
+  const {domains} = deployment;
+  const getDomain = (index: number): string => domains[index % domains.length];
+  return {
+    name,
+    bounds: {...SAFETY_BOUNDS, ...parts.bounds},
+    spec: {
+      seed,
+      classes: deployment.classes,
+      phases: parts.phases,
+      burstiness: parts.burstiness,
+      repeatedKeys: parts.repeatedKeys,
+      header: {
+        trace: 1,
+        deployment: deployment.deployment,
+        engines: Array.from({length: ENGINE_COUNT}, (_, index) => ({
+          id: `engine-${String(index + 1).padStart(2, '0')}`,
+          failure_domain: getDomain(index),
+          role: deployment.roles[index] ?? 'mixed',
+          // Every third engine ignores fencing numbers.
+          checks_fencing: index % 3 !== 0,
+        })),
+        services: Array.from({length: deployment.serviceCount}, (_, index) => ({
+          id: `${deployment.service}-${index + 1}`,
+          failure_domain: getDomain(index),
+          service: deployment.service,
+        })),
+        nodes: 13,
+        report_lag_ms: parts.reportLagMs ?? 500,
+        role_change_ms: 4_000,
+        faults: [...(parts.faults ?? [])],
+        weight: deployment.weight,
+      },
+    },
+  };
+}
+
+/** Returns a scenario whose phases last a number of times as long, for measurements. */
+export function createLongScenario(
+  scenario: Scenario,
+  factor: number,
+): Scenario {
+  const {spec} = scenario;
+  const phases = spec.phases.map(phase => ({
+    ...phase,
+    forMs: phase.forMs * factor,
+  }));
+  return {...scenario, spec: {...spec, phases}};
+}
--- /dev/null
+++ b/src/replay/service_standin.ts
@@ -0,0 +1,32 @@
+/** The server of a plain service in a replay: it runs a call at once and answers later. */
+
+/** One server of a plain service. */
+export interface ReplayService {
+  readonly id: string;
+  /** Time of a call, in milliseconds. */
+  readonly durationMs: number;
+  /** Runs a call and returns the answer's body. */
+  run(requestId: string, body: string): string;
+}
+
+/** Options of a server. */
+export interface ReplayServiceOptions {
+  readonly id: string;
+  readonly durationMs: number;
+  readonly onRun: (server: string, requestId: string, body: string) => void;
+}
+
+/** Creates a server. */
+export function createReplayService(
+  options: ReplayServiceOptions,
+): ReplayService {
+  const {id, durationMs} = options;
+  return {
+    id,
+    durationMs,
+    run: (requestId, body) => {
+      options.onRun(id, requestId, body);
+      return '{"done":true}';
+    },
+  };
+}
--- /dev/null
+++ b/src/replay/truth.ts
@@ -0,0 +1,130 @@
+/** What truly happened at the stand-ins, whatever the code under test believes. */
+import type {EngineCommand, EngineRequest} from '../backends';
+import type {Clock} from '../runtime';
+import type {EngineObserver} from '../standins';
+
+/** How long a backend server that is leaving may still be sent new work, in milliseconds. */
+const LEAVE_GRACE_MS = 3_000;
+
+/** Counts at the stand-ins. */
+export interface Truth {
+  createObserver(engine: string): EngineObserver;
+  /** A server of a plain service ran a call. `body` names the booking. */
+  recordServiceRun(server: string, requestId: string, body: string): void;
+  /** Notes that a server began to leave, or that it is back. */
+  setLeaving(server: string, isLeaving: boolean): void;
+  /** Names the booking of a non-idempotent request. */
+  setKey(requestId: string, key: string): void;
+  /** Returns whether a request ran, by the id it was sent under. */
+  hasRun(requestId: string): boolean;
+  recordTokens(count: number): void;
+  getCounts(): TruthCounts;
+}
+
+/** The counts; the names are those of the outcome. */
+export interface TruthCounts {
+  readonly runTwice: number;
+  readonly roleChanges: number;
+  readonly commandConflicts: number;
+  readonly staleCommandsEffective: number;
+  readonly newWorkAfterLeaving: number;
+  readonly generatedTokens: number;
+}
+
+interface OpenOrder {
+  readonly fencingNumber: number;
+  readonly order: string;
+}
+
+/** Creates counts of nothing. */
+export function createTruth(clock: Clock): Truth {
+  const keyOfRequest = new Map<string, string>();
+  const runsOfKey = new Map<string, number>();
+  const ranRequests = new Set<string>();
+  const leavingSince = new Map<string, number>();
+  const openOrders = new Map<string, OpenOrder>();
+  let roleChanges = 0;
+  let commandConflicts = 0;
+  let staleCommandsEffective = 0;
+  let newWorkAfterLeaving = 0;
+  let generatedTokens = 0;
+  return {
+    createObserver,
+    recordServiceRun,
+    setLeaving,
+    setKey: (requestId, key) => void keyOfRequest.set(requestId, key),
+    hasRun: requestId => ranRequests.has(requestId),
+    recordTokens: count => {
+      generatedTokens += count;
+    },
+    getCounts: () => ({
+      runTwice: [...runsOfKey.values()].filter(runs => runs > 1).length,
+      roleChanges,
+      commandConflicts,
+      staleCommandsEffective,
+      newWorkAfterLeaving,
+      generatedTokens,
+    }),
+  };
+
+  function createObserver(engine: string): EngineObserver {
+    return {
+      onOffered: () => checkLeaving(engine),
+      onRun: recordEngineRun,
+      onCommand: (command, highest) => recordCommand(engine, command, highest),
+      onRoleChange: isChanging => recordRole(engine, isChanging),
+    };
+  }
+
+  function checkLeaving(server: string): void {
+    const since = leavingSince.get(server);
+    if (since === undefined) return;
+    if (clock.getMonotonicMs() - since > LEAVE_GRACE_MS) newWorkAfterLeaving++;
+  }
+
+  /** The decode part of a request that was prefilled elsewhere is no second run. */
+  function recordEngineRun(request: EngineRequest): void {
+    const isSecondPart = request.phase === 'decode' && request.kv !== undefined;
+    if (!isSecondPart) recordRun(request.requestId);
+  }
+
+  function recordRun(requestId: string): void {
+    ranRequests.add(requestId);
+    const key = keyOfRequest.get(requestId);
+    if (key === undefined) return;
+    runsOfKey.set(key, (runsOfKey.get(key) ?? 0) + 1);
+  }
+
+  function recordServiceRun(server: string, requestId: string): void {
+    checkLeaving(server);
+    recordRun(requestId);
+  }
+
+  function setLeaving(server: string, isLeaving: boolean): void {
+    if (isLeaving) leavingSince.set(server, clock.getMonotonicMs());
+    else leavingSince.delete(server);
+  }
+
+  function recordRole(engine: string, isChanging: boolean): void {
+    if (isChanging) roleChanges++;
+    else openOrders.delete(engine);
+  }
+
+  /** A conflict is an order of another holder that contradicts one not yet carried out. */
+  function recordCommand(
+    engine: string,
+    command: EngineCommand,
+    highest: number,
+  ): void {
+    if (command.fencingNumber < highest) staleCommandsEffective++;
+    if (command.order.kind !== 'set-role') return;
+    const order = command.order.role;
+    const open = openOrders.get(engine);
+    const isConflict =
+      open !== undefined &&
+      open.order !== order &&
+      open.fencingNumber > command.fencingNumber;
+    if (isConflict) commandConflicts++;
+    openOrders.set(engine, {fencingNumber: command.fencingNumber, order});
+  }
+}
--- a/src/standins/engine_model.ts
+++ b/src/standins/engine_model.ts
@@ -90,7 +90,7 @@
     checksFencing: options.checksFencing ?? true,
     observer,
     getRandom,
-    isBusy: () => waiting.length + running.length + held.size > 0,
+    isBusy,
     onRoleChange: cache.removeAll,
   });
   return {
@@ -105,8 +105,19 @@
     crash,
     setLeaving: control.setLeaving,
     isUp: () => !isDown,
+    getStatus: () => ({
+      role: control.getRole(),
+      state: control.getState(),
+      isBusy: isBusy(),
+      running: running.length,
+      waiting: waiting.length,
+    }),
   };
 
+  function isBusy(): boolean {
+    return waiting.length + running.length + held.size > 0;
+  }
+
   function start(request: EngineRequest, sink: EngineSink): EngineCall {
     observer.onOffered?.(request, control.isLeaving());
     const refusal = tryGetRefusal(request);
--- a/src/standins/engine_model_control.ts
+++ b/src/standins/engine_model_control.ts
@@ -143,6 +143,7 @@
     if (wantedRole === undefined || isChanging || options.isBusy()) return;
     isChanging = true;
     options.onRoleChange();
+    observer.onRoleChange?.(true);
     const changing = incarnation;
     clock.schedule(options.roleChangeMs, () => {
       if (incarnation !== changing) return;
@@ -150,11 +151,13 @@
       role = wantedRole ?? role;
       wantedRole = undefined;
       isDraining = false;
+      observer.onRoleChange?.(false);
     });
   }
 
   function setRestarted(): void {
     incarnation++;
+    if (isChanging) observer.onRoleChange?.(false);
     role = options.getRandom() < 0.5 ? options.startRole : role;
     models = new Set(options.models);
     adapters.clear();
--- a/src/standins/engine_model_types.ts
+++ b/src/standins/engine_model_types.ts
@@ -9,6 +9,7 @@
   type EngineRequest,
   EngineRole,
   type EngineSink,
+  type EngineState,
   type KvHandle,
 } from '../backends';
 import type {Clock} from '../runtime';
@@ -21,6 +22,8 @@
   onRun?(request: EngineRequest): void;
   /** A command took effect. `highest` is the highest fencing number seen before it. */
   onCommand?(command: EngineCommand, highest: number): void;
+  /** A role change took the engine away, or has ended. */
+  onRoleChange?(isChanging: boolean): void;
 }
 
 /** Options of an engine model. Its costs default to `ENGINE_DEFAULTS`. */
@@ -61,6 +64,16 @@
   readonly observer?: EngineObserver;
 }
 
+/** The true state of an engine, for observers. */
+export interface EngineStatus {
+  readonly role: EngineRole;
+  readonly state: EngineState;
+  /** True while any request is waiting, running or held for export. */
+  readonly isBusy: boolean;
+  readonly running: number;
+  readonly waiting: number;
+}
+
 /** A model engine with faults that can be ordered. */
 export interface EngineModel {
   readonly id: string;
@@ -83,6 +96,8 @@
   setLeaving(isLeaving: boolean): void;
   /** False while it is down after a crash. */
   isUp(): boolean;
+  /** Returns its state now, without the lag of a report. */
+  getStatus(): EngineStatus;
 }
 
 /**
@@ -94,8 +109,8 @@
 export const ENGINE_DEFAULTS = {
   prefillTokensPerS: 16_000,
   decodeStepMs: 12,
-  decodeStepMsPerRequest: 0.4,
-  maxRunning: 64,
+  decodeStepMsPerRequest: 0.8,
+  maxRunning: 48,
   totalPieces: 192,
   cachePieces: 64,
   roleChangeMs: 4_000,
--- a/test/standins/engine_model.test.ts
+++ b/test/standins/engine_model.test.ts
@@ -72,7 +72,7 @@
   assert.equal(Math.round(heard.batches[0].firstAtMs), 100);
   assert.equal(heard.batches.length, 20);
   const last = heard.batches[19].lastAtMs;
-  assert.ok(Math.abs(last - (100 + 19 * 12.4)) < 1e-6, `${last}`);
+  assert.ok(Math.abs(last - (100 + 19 * 12.8)) < 1e-6, `${last}`);
 });
 
 test('jumping ahead gives the same times as single tokens', async () => {
@@ -159,7 +159,7 @@
   assert.equal(second.batches[0].firstIndex, 1);
   assert.equal(countTokens(second), 19);
   // 5 ms and 1,000 tokens at 100,000 a second, then the first decode step.
-  assert.ok(Math.abs(second.batches[0].firstAtMs - (100 + 15 + 12.4)) < 1e-6);
+  assert.ok(Math.abs(second.batches[0].firstAtMs - (100 + 15 + 12.8)) < 1e-6);
   assert.equal(prefill.getReport().freePieces, 192);
   const refused = createHeard();
   decode.start(createRequest('b', {phase: 'prefill'}), createSink(refused));
