Replay over the new routing and claims; split prompts onto mixed engines too

Routing and claims landed with new options since the replay was written: cache events are now fed to each node, the claims ledger gets attempt names without randomness, and the baselines are routing's own policies, so that a comparison differs only in the choice and in the roles.

In src/routing/placement.ts one condition is widened: a request is split when a prefill engine and a decode or a mixed engine are there (chooseDecode chose among mixed engines already). Before, prefill engines beside mixed ones got no work.

--- a/src/replay/entry_node.ts
+++ b/src/replay/entry_node.ts
@@ -43,11 +43,16 @@
 export function startEntryNode(options: EntryNodeOptions): EntryNode {
   const {id, process, log} = options;
   const {clock} = process;
+  let isLogOut = false;
+  let attempts = 0;
   const follower = createStreamFollower({
-    definition: createClaimsStream(CLAIMS_STREAM),
+    definition: createClaimsStream({stream: CLAIMS_STREAM}),
     log,
     clock,
     waitMs: LOG_WAIT_MS,
+    onHealthChange: isHealthy => {
+      isLogOut = !isHealthy;
+    },
   });
   const writer = createStreamWriter({
     follower,
@@ -64,7 +69,14 @@
     clock,
     dispatcher,
     services,
-    claims: createClaimsLedger({node: id, clock, follower, writer}),
+    claims: createClaimsLedger({
+      node: options.writerId,
+      clock,
+      follower,
+      writer,
+      isLogOut: () => isLogOut,
+      createAttempt: () => `${options.writerId}.${++attempts}`,
+    }),
   });
   follower.start();
   return {id, process, pipeline, dispatcher, services, kill};
--- a/src/replay/replay.ts
+++ b/src/replay/replay.ts
@@ -11,14 +11,15 @@
   type DemandMeter,
   planBySkiRental,
 } from '../planning';
-import {createDispatcher, type Dispatcher} from '../routing';
-import {createVirtualClock} from '../runtime';
-import {createLocalLog, createLogModel} from '../standins';
 import {
-  createBaselineDispatcher,
-  createLeastLoaded,
-  createRoundRobin,
-} from './baselines';
+  createDispatcher,
+  createPolicyOptions,
+  type Dispatcher,
+  type DispatcherOptions,
+  RoutingPolicy,
+} from '../routing';
+import {createVirtualClock} from '../runtime';
+import {createLocalLog, createLogModel, type EngineModel} from '../standins';
 import {createCallers} from './caller';
 import {type EntryNode, startEntryNode} from './entry_node';
 import {scheduleFaults} from './faults';
@@ -91,7 +92,6 @@
     getRandom,
     onServers: servers => nodes.forEach(node => updateServers(node, servers)),
   });
-  const createPolicyDispatcher = getDispatcherFactory(policy);
   const nodes = createNodeSet({
     clock,
     ids: listNodeIds(header.nodes),
@@ -171,7 +171,13 @@
         emitEvent: event => emitEvent(id, event),
       },
       createDispatcher: host =>
-        createMeteredDispatcher(createPolicyDispatcher(host), meter),
+        createMeteredDispatcher(
+          createDispatcher(host, {
+            ...getDispatcherOptions(policy),
+            reportLagMs: header.report_lag_ms + settings.reportIntervalMs / 2,
+          }),
+          meter,
+        ),
     });
     meters.set(node, meter);
     updateServers(node, fleet.listServers());
@@ -239,11 +245,24 @@
       reports.set(id, report);
       nodes.forEach(node => {
         if (!network.getLink(node.id, id).isOpen()) return;
-        node.process.run(() => node.dispatcher.updateReport(report));
+        node.process.run(() => {
+          node.dispatcher.updateReport(report);
+          updateCacheEvents(node, id, engine);
+        });
       });
     }
   }
 
+  function updateCacheEvents(
+    node: EntryNode,
+    id: string,
+    engine: EngineModel,
+  ): void {
+    const {dispatcher} = node;
+    const events = engine.listCacheEvents(dispatcher.getCacheSequence(id));
+    if (events.length > 0) dispatcher.updateCacheEvents(id, events);
+  }
+
   function startPlans(): void {
     runEvery(settings.planIntervalMs, planHost.runPlan);
   }
@@ -322,14 +341,14 @@
   return () => uniformFloat64(generator);
 }
 
-function getDispatcherFactory(policy: ReplayPolicy): typeof createDispatcher {
+function getDispatcherOptions(policy: ReplayPolicy): DispatcherOptions {
   switch (policy) {
     case ReplayPolicy.Anvilstack:
     case ReplayPolicy.StaticRoles:
-      return createDispatcher;
+      return createPolicyOptions(RoutingPolicy.Predicted);
     case ReplayPolicy.RoundRobin:
-      return host => createBaselineDispatcher(host, createRoundRobin());
+      return createPolicyOptions(RoutingPolicy.RoundRobin);
     case ReplayPolicy.LeastLoaded:
-      return host => createBaselineDispatcher(host, createLeastLoaded());
+      return createPolicyOptions(RoutingPolicy.LeastLoaded);
   }
 }
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -56,7 +56,8 @@
     wishes: PlanWishes,
   ): PlacedPlan | undefined {
     const pool = table.updatePool(entry.pool);
-    const canSplit = pool.prefill.length > 0 && pool.decode.length > 0;
+    const canSplit =
+      pool.prefill.length > 0 && pool.decode.length + pool.mixed.length > 0;
     const engines = getFullEngines(pool, canSplit);
     const holders = listHolders(entry, wishes.hint);
     const full = chooseFrom(entry, engines, holders, entry.job, wishes);
