Bring a stream's state into force from the log or a peer before serving

Cause: a node that started in a log outage could never become ready, and one that took a peer's copy was ready at whatever offset that copy had. createStreamRecovery starts the follower after a random part of a spread, asks peers through SnapshotSource when the log takes longer than a second, and is ready only at the highest offset that a reachable peer reported. Ruled out: asking peers first always, since after a restart of all nodes no peer has a copy.

--- a/src/node/node_streams.ts
+++ b/src/node/node_streams.ts
@@ -8,10 +8,13 @@
   type ConfigState,
   createConfigStream,
   createStreamFollower,
+  createStreamRecovery,
   createStreamWriter,
   createTemplateCarrier,
+  type SnapshotSource,
   type StreamDefinition,
   type StreamFollower,
+  type StreamRecovery,
   type StreamWriter,
 } from '../state';
 
@@ -32,12 +35,16 @@
   readonly node: string;
   /** How long the log keeps a record, in milliseconds. */
   readonly retentionMs: number;
+  /** Asks the other nodes for copies of the folded state; absent without peers. */
+  readonly snapshots?: SnapshotSource;
 }
 
 /** A stream's follower and writer. */
 export interface StreamPair<State, Entry> {
   readonly follower: StreamFollower<State, Entry>;
   readonly writer: StreamWriter<Entry>;
+  /** Starts the follower and tells when the state in force is known. */
+  readonly recovery: StreamRecovery;
   /** Returns whether the log answered the last read. */
   isHealthy(): boolean;
 }
@@ -58,7 +65,7 @@
   const {clock, log, writerId, events, node, retentionMs} = options;
   const config = createPair(createConfigStream({retentionMs}));
   const claims = createPair(createClaimsStream({stream: CLAIMS_STREAM}));
-  const followers = [config.follower, claims.follower];
+  const recoveries = [config.recovery, claims.recovery];
   const writers = [config.writer, claims.writer];
   const carrier = createTemplateCarrier({...config, node, clock, retentionMs});
   return {
@@ -66,14 +73,14 @@
     claims,
     isClaimsLogOut: () =>
       !claims.isHealthy() || claims.follower.getSilenceMs() > LOG_SILENCE_MS,
-    isCaughtUp: () => followers.every(follower => follower.isCaughtUp()),
+    isCaughtUp: () => recoveries.every(recovery => recovery.isReady()),
     start: () => {
-      followers.forEach(follower => follower.start());
+      recoveries.forEach(recovery => recovery.start());
       carrier.start();
     },
     stop: () => {
       carrier.stop();
-      followers.forEach(follower => follower.stop());
+      recoveries.forEach(recovery => recovery.stop());
       writers.forEach(writer => writer.stop());
     },
   };
@@ -86,6 +93,7 @@
       definition,
       log,
       clock,
+      getRandom: Math.random,
       onHealthChange: (isHealthyNow, message) => {
         isHealthy = isHealthyNow;
         events.emit({
@@ -96,7 +104,19 @@
         });
       },
     });
-    const writer = createStreamWriter({follower, log, clock, writer: writerId});
-    return {follower, writer, isHealthy: () => isHealthy};
+    const writer = createStreamWriter({
+      follower,
+      log,
+      clock,
+      writer: writerId,
+      getRandom: Math.random,
+    });
+    const recovery = createStreamRecovery({
+      clock,
+      follower,
+      source: options.snapshots,
+      getRandom: Math.random,
+    });
+    return {follower, writer, recovery, isHealthy: () => isHealthy};
   }
 }
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -20,6 +20,13 @@
 export type {AppliedEntry, StreamFold} from './stream_fold';
 export {createStreamFollower} from './stream_follower';
 export type {StreamFollowerOptions} from './stream_follower';
+export {createStreamRecovery} from './stream_recovery';
+export type {
+  PeerOffset,
+  SnapshotSource,
+  StreamRecovery,
+  StreamRecoveryOptions,
+} from './stream_recovery';
 export {createStreamWriter} from './stream_writer';
 export type {StreamWriterOptions} from './stream_writer';
 export {createTemplateCarrier, getCarryDueAtMs} from './template_carrier';
