--- a/scripts/write_docs.mjs
+++ b/scripts/write_docs.mjs
@@ -1,8 +1,10 @@
 /** Writes the documents that are generated from the sources. */
 import {mkdirSync, writeFileSync} from 'node:fs';
+import {createRequire} from 'node:module';
 import {build} from 'esbuild';
+import {textImports} from './text_imports.mjs';
 
-const MODULE = 'build/docs_pages.mjs';
+const MODULE = 'build/docs_pages.cjs';
 
 await build({
   stdin: {
@@ -15,13 +17,12 @@
   outfile: MODULE,
   bundle: true,
   platform: 'node',
-  format: 'esm',
+  format: 'cjs',
   mainFields: ['module', 'main'],
-  packages: 'external',
-  alias: {'ts-results': './node_modules/ts-results/esm/index.js'},
+  plugins: [textImports],
   logLevel: 'warning',
 });
-const pages = await import(`../${MODULE}`);
+const pages = createRequire(import.meta.url)(`../${MODULE}`);
 mkdirSync('docs/operators', {recursive: true});
 writeFileSync(
   'docs/operators/settings_reference.md',
--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -1,19 +1,60 @@
 /** The command line. */
-import {Builtins, Cli} from 'clipanion';
+import {type BaseContext, Builtins, Cli} from 'clipanion';
 import {DemoCommand} from './demo_command';
+import {ExitCode} from './exit_code';
+import {FleetCommand} from './fleet_command';
+import {ProgressCommand} from './progress_command';
 import {ServeCommand} from './serve_command';
+import {SettingsCheckCommand} from './settings_check_command';
+import {StandinsCommand} from './standins_command';
+import {TemplateAmendCommand} from './template_amend_command';
+import {TemplateHistoryCommand} from './template_history_command';
+import {TemplateListCommand} from './template_list_command';
+import {TemplatePublishCommand} from './template_publish_command';
+import {TemplateShowCommand} from './template_show_command';
+import {TimelineCommand} from './timeline_command';
 import {getVersionText} from './version';
 
-/** Runs the command that the arguments name; returns the exit code. */
-export function runCli(args: readonly string[]): Promise<number> {
+const COMMANDS = [
+  Builtins.HelpCommand,
+  Builtins.VersionCommand,
+  DemoCommand,
+  FleetCommand,
+  ProgressCommand,
+  ServeCommand,
+  SettingsCheckCommand,
+  StandinsCommand,
+  TemplateAmendCommand,
+  TemplateHistoryCommand,
+  TemplateListCommand,
+  TemplatePublishCommand,
+  TemplateShowCommand,
+  TimelineCommand,
+];
+
+/** Creates the command line with all of its commands. */
+export function createCli(): Cli {
   const cli = new Cli({
     binaryLabel: 'anvilstack',
     binaryName: 'anvilstack',
     binaryVersion: getVersionText(),
   });
-  cli.register(Builtins.HelpCommand);
-  cli.register(Builtins.VersionCommand);
-  cli.register(DemoCommand);
-  cli.register(ServeCommand);
-  return cli.run([...args], Cli.defaultContext);
+  for (const command of COMMANDS) cli.register(command);
+  return cli;
+}
+
+/** Runs the command that the arguments name; returns the exit code. */
+export async function runCli(
+  args: readonly string[],
+  context: Partial<BaseContext> = {},
+): Promise<number> {
+  const cli = createCli();
+  const whole = {...Cli.defaultContext, ...context};
+  try {
+    const command = cli.process([...args], whole);
+    return await cli.run(command, whole);
+  } catch (error) {
+    whole.stderr.write(cli.error(error));
+    return ExitCode.Usage;
+  }
 }
--- a/src/cli/demo_command.ts
+++ b/src/cli/demo_command.ts
@@ -1,15 +1,26 @@
 /** `anvilstack demo`. */
-import {Command} from 'clipanion';
+import {Command, Option} from 'clipanion';
 import {runDemo} from '../demo';
 import {createSystemClock} from '../runtime';
+import {ExitCode} from './exit_code';
 
 /** Runs the demo and prints what happened. */
 export class DemoCommand extends Command {
   static override paths = [['demo']];
   static override usage = Command.Usage({
+    category: 'Start',
     description:
       'Starts three nodes and stand-ins, sends requests, prints what happened.',
-    examples: [['Run the demo', 'anvilstack demo']],
+    details:
+      'Needs nothing but this program. With --keep it stays up and prints its addresses.',
+    examples: [
+      ['Run the demo', 'anvilstack demo'],
+      ['Keep it up for trials', 'anvilstack demo --keep'],
+    ],
+  });
+
+  keep = Option.Boolean('--keep', false, {
+    description: 'Stay up until SIGINT and print the addresses',
   });
 
   async execute(): Promise<number> {
@@ -17,6 +28,6 @@
       clock: createSystemClock(),
       print: line => void this.context.stdout.write(`${line}\n`),
     });
-    return isDone ? 0 : 1;
+    return isDone ? ExitCode.Done : ExitCode.Failed;
   }
 }
--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -1,1 +1,1 @@
-export {runCli} from './cli';
+export {createCli, runCli} from './cli';
--- /dev/null
+++ b/src/cli/operator_client.ts
@@ -0,0 +1,124 @@
+/** Calls the operators listener of a node. */
+import {Err, Ok, type Result} from 'ts-results';
+import {request} from 'undici';
+import {z} from 'zod';
+import {createMessage, type Message, messages} from '../diagnostics';
+
+/** Options of a client. */
+export interface OperatorClientOptions {
+  /** Base address of the operators listener. */
+  readonly address: string;
+  readonly token: string;
+  /** Longest wait for an answer, in milliseconds. */
+  readonly timeoutMs?: number;
+}
+
+/** An answer that is not an error of the transport. */
+export interface OperatorAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Calls one node. */
+export interface OperatorClient {
+  readonly address: string;
+  /** Reads a resource; every status but 200 is a failure. */
+  read<T>(path: string, schema: z.ZodType<T>): Promise<Result<T, Message>>;
+  /** Sends a body; statuses other than 401 and 403 are left to the caller. */
+  send(path: string, body: unknown): Promise<Result<OperatorAnswer, Message>>;
+}
+
+const DEFAULT_TIMEOUT_MS = 5_000;
+/** Changes wait for the log; the node gives up before. */
+const SEND_TIMEOUT_MS = 15_000;
+
+const errorSchema = z.looseObject({error: z.string()});
+
+/** Creates a client. */
+export function createOperatorClient(
+  options: OperatorClientOptions,
+): OperatorClient {
+  const {address, token} = options;
+  const timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+  return {address, read, send};
+
+  async function read<T>(
+    path: string,
+    schema: z.ZodType<T>,
+  ): Promise<Result<T, Message>> {
+    const answer = await call('GET', path, undefined, timeoutMs);
+    if (answer.err) return answer;
+    if (answer.val.status !== 200) {
+      return Err(
+        createMessage(messages.RequestRefused, [
+          address,
+          getErrorText(answer.val),
+        ]),
+      );
+    }
+    const parsed = schema.safeParse(answer.val.body);
+    if (parsed.success) return Ok(parsed.data);
+    return Err(
+      createMessage(messages.NodeAnswerUnknown, [
+        address,
+        z.prettifyError(parsed.error).split('\n')[0],
+      ]),
+    );
+  }
+
+  function send(
+    path: string,
+    body: unknown,
+  ): Promise<Result<OperatorAnswer, Message>> {
+    return call('POST', path, JSON.stringify(body), SEND_TIMEOUT_MS);
+  }
+
+  async function call(
+    method: 'GET' | 'POST',
+    path: string,
+    body: string | undefined,
+    limitMs: number,
+  ): Promise<Result<OperatorAnswer, Message>> {
+    try {
+      const response = await request(`${address}${path}`, {
+        method,
+        body,
+        headers: {
+          authorization: `Bearer ${token}`,
+          'content-type': 'application/json',
+        },
+        signal: AbortSignal.timeout(limitMs),
+      });
+      const {statusCode: status} = response;
+      const text = await response.body.text();
+      if (status === 401 || status === 403) {
+        return Err(createMessage(messages.TokenRefused, [address]));
+      }
+      return Ok({status, body: parseBody(text)});
+    } catch (error) {
+      return Err(
+        createMessage(messages.NodeUnreachable, [address, getReason(error)]),
+      );
+    }
+  }
+}
+
+/** Returns the text of an answer that reports an error. */
+export function getErrorText(answer: OperatorAnswer): string {
+  const parsed = errorSchema.safeParse(answer.body);
+  return parsed.success ? parsed.data.error : `status ${answer.status}`;
+}
+
+function parseBody(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+function getReason(error: unknown): string {
+  const code = (error as {code?: unknown}).code;
+  if (typeof code === 'string') return code;
+  return error instanceof Error ? error.message : String(error);
+}
--- /dev/null
+++ b/src/cli/operator_command.ts
@@ -0,0 +1,101 @@
+/** What the commands that ask a running node have in common. */
+import {readFileSync} from 'node:fs';
+import {Command, Option} from 'clipanion';
+import {Err, Ok, type Result} from 'ts-results';
+import {createMessage, type Message, messages} from '../diagnostics';
+import {ExitCode} from './exit_code';
+import {createOperatorClient, type OperatorClient} from './operator_client';
+import {printMessages} from './output';
+
+/** A command that asks one node or several. */
+export abstract class OperatorCommand extends Command {
+  node = Option.String('--node', {
+    env: 'ANVILSTACK_NODE',
+    description:
+      "Address of a node's operators listener; several are parted by commas",
+  });
+
+  tokenFile = Option.String('--token-file', {
+    description: "File with the operator's token; else ANVILSTACK_TOKEN",
+  });
+
+  json = Option.Boolean('--json', false, {
+    description: 'Print JSON for programs',
+  });
+
+  async execute(): Promise<number> {
+    const clients = this.createClients();
+    if (clients.err) {
+      printMessages(this.context.stderr, [clients.val]);
+      return ExitCode.Usage;
+    }
+    return this.run(clients.val);
+  }
+
+  /** Runs the command with a client for each address given, at least one. */
+  protected abstract run(clients: readonly OperatorClient[]): Promise<number>;
+
+  protected fail(...faults: readonly Message[]): number {
+    printMessages(this.context.stderr, faults);
+    return ExitCode.Failed;
+  }
+
+  /** Runs `call` on one node after another until one can be reached. */
+  protected async callFirst<T>(
+    clients: readonly OperatorClient[],
+    call: (client: OperatorClient) => Promise<Result<T, Message>>,
+  ): Promise<Result<T, Message>> {
+    let last: Result<T, Message> = Err(createMessage(messages.NodeMissing));
+    for (const client of clients) {
+      last = await call(client);
+      if (last.ok || last.val.definition !== messages.NodeUnreachable) break;
+    }
+    return last;
+  }
+
+  /** Creates a client of another node with the same token. */
+  protected createClient(address: string): OperatorClient {
+    const token = this.getToken();
+    return createOperatorClient({address, token: token.ok ? token.val : ''});
+  }
+
+  private createClients(): Result<readonly OperatorClient[], Message> {
+    const addresses = (this.node ?? '')
+      .split(',')
+      .map(item => item.trim().replace(/\/$/, ''))
+      .filter(item => item !== '');
+    if (addresses.length === 0) return Err(createMessage(messages.NodeMissing));
+    const invalid = addresses.find(item => !isHttpAddress(item));
+    if (invalid !== undefined) {
+      return Err(
+        createMessage(messages.ArgumentFault, [
+          '--node',
+          `'${invalid}' is not an address such as http://127.0.0.1:8201`,
+        ]),
+      );
+    }
+    return this.getToken().map(token =>
+      addresses.map(address => createOperatorClient({address, token})),
+    );
+  }
+
+  private getToken(): Result<string, Message> {
+    if (this.tokenFile !== undefined) return readTokenFile(this.tokenFile);
+    const token = this.context.env['ANVILSTACK_TOKEN'] ?? '';
+    if (token === '') return Err(createMessage(messages.TokenMissing));
+    return Ok(token);
+  }
+}
+
+function readTokenFile(file: string): Result<string, Message> {
+  try {
+    return Ok(readFileSync(file, 'utf8').trim());
+  } catch (error) {
+    const reason = (error as NodeJS.ErrnoException).code ?? String(error);
+    return Err(createMessage(messages.FileUnreadable, [file, reason]));
+  }
+}
+
+function isHttpAddress(text: string): boolean {
+  return URL.canParse(text) && /^https?:/.test(text);
+}
--- a/src/cli/serve_command.ts
+++ b/src/cli/serve_command.ts
@@ -1,16 +1,27 @@
 /** `anvilstack serve`. */
 import {Command, Option} from 'clipanion';
-import {createLogger, formatMessage} from '../diagnostics';
+import {createLogger, createMessage, messages} from '../diagnostics';
 import {startNode} from '../node';
 import {createSystemClock} from '../runtime';
-import {loadSettings} from '../settings';
+import {loadSettings, type Settings} from '../settings';
+import {ExitCode} from './exit_code';
+import {printMessages} from './output';
+import {waitForSignal} from './signals';
 
 /** Runs a node until SIGTERM or SIGINT. */
 export class ServeCommand extends Command {
   static override paths = [['serve']];
   static override usage = Command.Usage({
+    category: 'Start',
     description: 'Runs a node until SIGTERM or SIGINT, then drains it.',
-    examples: [['Run a node', 'anvilstack serve --settings node.toml']],
+    details:
+      'The node takes callers, operators and other nodes on the listeners of its settings. At a signal it takes no new requests, finishes what is open and exits with 0.',
+    examples: [
+      [
+        'Run a node',
+        'anvilstack serve --settings examples/tatranska/node_1.toml',
+      ],
+    ],
   });
 
   settings = Option.String('--settings', {
@@ -21,31 +32,32 @@
   async execute(): Promise<number> {
     const loaded = loadSettings(this.settings);
     if (loaded.err) {
-      for (const fault of loaded.val) {
-        this.context.stderr.write(`${formatMessage(fault)}\n`);
-      }
-      return 2;
+      printMessages(this.context.stderr, loaded.val);
+      return ExitCode.Usage;
+    }
+    const ended = waitForSignal();
+    try {
+      const node = await startNode(createNodeOptions(loaded.val));
+      await ended;
+      await node.drain();
+      return ExitCode.Done;
+    } catch (error) {
+      const text = error instanceof Error ? error.message : String(error);
+      printMessages(this.context.stderr, [
+        createMessage(messages.StartFailed, [text]),
+      ]);
+      return ExitCode.Failed;
     }
-    const settings = loaded.val;
-    const logger = createLogger({
-      node: settings.node.id,
-      level: settings.logging.level,
-      format: settings.logging.format,
-    });
-    const node = await startNode({
-      settings,
-      clock: createSystemClock(),
-      logger,
-    });
-    await waitForSignal();
-    await node.drain();
-    return 0;
   }
 }
 
-function waitForSignal(): Promise<void> {
-  return new Promise(resolve => {
-    process.once('SIGTERM', () => resolve());
-    process.once('SIGINT', () => resolve());
+function createNodeOptions(
+  settings: Settings,
+): Parameters<typeof startNode>[0] {
+  const logger = createLogger({
+    node: settings.node.id,
+    level: settings.logging.level,
+    format: settings.logging.format,
   });
+  return {settings, clock: createSystemClock(), logger};
 }
--- /dev/null
+++ b/src/cli/timeline_command.ts
@@ -0,0 +1,203 @@
+/** `anvilstack timeline`. */
+import {writeFileSync} from 'node:fs';
+import {Command, Option} from 'clipanion';
+import {
+  createMessage,
+  type EventPage,
+  formatEngineAnswer,
+  formatEventTime,
+  formatLeaseAnswer,
+  formatRequestAnswer,
+  mergeTimeline,
+  messages,
+  renderTimelineHtml,
+  selectEvents,
+  type Timeline,
+  type TimelineEvent,
+  type TimelineGap,
+} from '../diagnostics';
+import {eventsSchema, type Fleet, fleetSchema} from './answers';
+import {ExitCode} from './exit_code';
+import type {OperatorClient} from './operator_client';
+import {OperatorCommand} from './operator_command';
+import {formatTable, printJson} from './output';
+
+/** Merges the events of all nodes that can be reached. */
+export class TimelineCommand extends OperatorCommand {
+  static override paths = [['timeline']];
+  static override usage = Command.Usage({
+    category: 'Fleet',
+    description: 'Shows what happened, in order, over all processes.',
+    details:
+      'Asks the nodes given and the live nodes that they know. Nodes that do not answer are named, with what is missing. With --request, --engine or --lease the question is answered in words as well.',
+    examples: [
+      ['Why was this request refused', 'anvilstack timeline --request req-17'],
+      [
+        'Why did this engine change role',
+        'anvilstack timeline --engine engine-3',
+      ],
+      [
+        'Who held the lease at 02:10',
+        'anvilstack timeline --lease sk-west-1 --at 2026-12-05T02:10:00Z',
+      ],
+      ['Draw it', 'anvilstack timeline --html timeline.html'],
+    ],
+  });
+
+  request = Option.String('--request', {description: 'Only this request'});
+  clientAccount = Option.String('--client-account', {
+    description: 'Only this client account',
+  });
+
+  engine = Option.String('--engine', {description: 'Only this engine'});
+  lease = Option.String('--lease', {
+    description: 'Only the lease of this shard',
+  });
+  at = Option.String('--at', {
+    description:
+      'With --lease: the time asked about, such as 2026-12-05T02:10:00Z',
+  });
+
+  since = Option.String('--since', {
+    description: 'Only events from this time on',
+  });
+
+  html = Option.String('--html', {
+    description: 'Write one self-contained page to this file',
+  });
+
+  protected override async run(
+    clients: readonly OperatorClient[],
+  ): Promise<number> {
+    for (const [name, value] of [
+      ['--at', this.at],
+      ['--since', this.since],
+    ]) {
+      if (value !== undefined && Number.isNaN(Date.parse(value))) {
+        const fault = `'${value}' is not a time such as 2026-12-05T02:10:00Z`;
+        this.fail(createMessage(messages.ArgumentFault, [name ?? '', fault]));
+        return ExitCode.Usage;
+      }
+    }
+    const whole = await this.collectTimeline(clients);
+    if (whole === undefined) return ExitCode.Failed;
+    const timeline = {gaps: whole.gaps, events: this.selectEvents(whole)};
+    if (this.html !== undefined) {
+      writeFileSync(
+        this.html,
+        renderTimelineHtml(timeline, 'anvilstack time line'),
+      );
+      this.context.stdout.write(
+        `${this.html}: ${timeline.events.length} events\n`,
+      );
+      return ExitCode.Done;
+    }
+    if (this.json) printJson(this.context.stdout, timeline);
+    else this.printText(timeline, this.listAnswers(whole));
+    return ExitCode.Done;
+  }
+
+  private selectEvents(timeline: Timeline): TimelineEvent[] {
+    return selectEvents(timeline.events, {
+      requestId: this.request,
+      clientAccount: this.clientAccount,
+      engine: this.engine,
+      shard: this.lease,
+      sinceMs: this.since === undefined ? undefined : Date.parse(this.since),
+    });
+  }
+
+  private listAnswers(timeline: Timeline): string[] {
+    const answers: string[] = [];
+    if (this.request !== undefined) {
+      answers.push(formatRequestAnswer(timeline, this.request));
+    }
+    if (this.engine !== undefined) {
+      answers.push(formatEngineAnswer(timeline, this.engine));
+    }
+    if (this.lease !== undefined) {
+      const atMs = this.at === undefined ? Date.now() : Date.parse(this.at);
+      answers.push(formatLeaseAnswer(timeline, this.lease, atMs));
+    }
+    return answers;
+  }
+
+  private async collectTimeline(
+    clients: readonly OperatorClient[],
+  ): Promise<Timeline | undefined> {
+    const fleet = await this.callFirst(clients, client =>
+      client.read('/operators/fleet', fleetSchema),
+    );
+    if (fleet.err) {
+      this.fail(fleet.val);
+      return undefined;
+    }
+    const pages = new Map<string, EventPage>();
+    const unreachable: TimelineGap[] = [];
+    await Promise.all(clients.map(client => readPage(client, client.address)));
+    const others = listOtherNodes(fleet.val, clients).filter(
+      vm => !pages.has(vm.id),
+    );
+    await Promise.all(
+      others.map(vm => {
+        if (vm.operatorAddress !== undefined) {
+          return readPage(this.createClient(vm.operatorAddress), vm.id);
+        }
+        unreachable.push({
+          node: vm.id,
+          reason: 'the VM list gives no address for operators',
+        });
+        return undefined;
+      }),
+    );
+    return mergeTimeline({pages: [...pages.values()], unreachable});
+
+    async function readPage(
+      client: OperatorClient,
+      name: string,
+    ): Promise<void> {
+      const answer = await client.read('/operators/events', eventsSchema);
+      if (answer.ok) pages.set(answer.val.node, answer.val);
+      else
+        unreachable.push({
+          node: name,
+          reason: 'no answer: its events are missing',
+        });
+    }
+  }
+
+  private printText(timeline: Timeline, answers: readonly string[]): void {
+    const {stdout, stderr} = this.context;
+    const rows = timeline.events.map(event => [
+      formatEventTime(event),
+      event.node,
+      event.kind,
+      event.requestId ?? '',
+      event.engine ?? event.shard ?? event.clientAccount ?? '',
+      event.cause,
+    ]);
+    stdout.write(
+      formatTable(
+        ['TIME', 'PROCESS', 'EVENT', 'REQUEST', 'SUBJECT', 'CAUSE'],
+        rows,
+      ),
+    );
+    for (const answer of answers) stdout.write(`\n${answer}\n`);
+    for (const gap of timeline.gaps) {
+      stderr.write(`missing: ${gap.node}: ${gap.reason}\n`);
+    }
+  }
+}
+
+function listOtherNodes(
+  fleet: Fleet,
+  clients: readonly OperatorClient[],
+): Fleet['vms'] {
+  const given = new Set(clients.map(client => client.address));
+  return fleet.vms.filter(
+    vm =>
+      vm.purpose === 'node' &&
+      vm.id !== fleet.node &&
+      !given.has(vm.operatorAddress ?? ''),
+  );
+}
--- /dev/null
+++ b/src/diagnostics/event_kinds.ts
@@ -0,0 +1,25 @@
+/** Kinds of events that the time line explains. Other kinds are shown as they are. */
+export const EventKind = {
+  NodeStarted: 'node-started',
+  NodeDraining: 'node-draining',
+  RequestSent: 'request-sent',
+  RequestWaits: 'request-waits',
+  RequestRefused: 'request-refused',
+  RequestFailed: 'request-failed',
+  RequestDone: 'request-done',
+  RequestCancelled: 'request-cancelled',
+  AttemptFailed: 'attempt-failed',
+  /** Holds `shard`; `cause` names the holder and the fencing number. */
+  LeaseGranted: 'lease-granted',
+  LeaseReleased: 'lease-released',
+  /** The holder let its own lease lapse. */
+  LeaseLost: 'lease-lost',
+  /** Holds `engine`; `cause` says what is gained and lost. */
+  RoleChangePlanned: 'role-change-planned',
+  RoleChangeDeclined: 'role-change-declined',
+  RoleChanged: 'role-changed',
+  TaskFailed: 'task-failed',
+  TaskRestarted: 'task-restarted',
+  UnhandledError: 'unhandled-error',
+} as const;
+export type EventKind = (typeof EventKind)[keyof typeof EventKind];
--- a/src/diagnostics/events.ts
+++ b/src/diagnostics/events.ts
@@ -16,6 +16,8 @@
   readonly requestId?: string;
   readonly clientAccount?: string;
   readonly engine?: string;
+  /** Shard of backend servers whose lease the event is about. */
+  readonly shard?: string;
   /** Why, for a person. */
   readonly cause: string;
 }
--- a/src/diagnostics/index.ts
+++ b/src/diagnostics/index.ts
@@ -17,3 +17,19 @@
 export {MessageCategory} from './message_types';
 export type {FilePlace, Message, MessageDefinition} from './message_types';
 export {messages} from './messages';
+export {EventKind} from './event_kinds';
+export {mergeTimeline, selectEvents} from './timeline';
+export type {
+  EventPage,
+  MergeOptions,
+  Timeline,
+  TimelineFilter,
+  TimelineGap,
+} from './timeline';
+export {
+  formatEngineAnswer,
+  formatEventTime,
+  formatLeaseAnswer,
+  formatRequestAnswer,
+} from './timeline_explain';
+export {renderTimelineHtml} from './timeline_html';
--- a/src/diagnostics/messages.ts
+++ b/src/diagnostics/messages.ts
@@ -156,9 +156,21 @@
     'The address belongs to another program, or to another version of this one.',
     'Check the address; compare `anvilstack --version` with the node.',
   ),
+  NodeMissing: createError(
+    'AS2010',
+    'no node named: give --node URL or set ANVILSTACK_NODE',
+    'The command asks a running node, and no address was given.',
+    'Give the address of the operators listener of any node, such as http://127.0.0.1:8201; several may be given, parted by commas.',
+  ),
+  ArgumentFault: createError(
+    'AS2011',
+    "option '{0}': {1}",
+    'An option has a value that the command does not take.',
+    'Run the command with --help.',
+  ),
   ExpectationMissed: createError(
     'AS2009',
-    "client account '{0}': expected {1}, found {2}",
+    'not as expected: {0}',
     'The state of the fleet is not the end state that the file states.',
     'Look into `anvilstack progress` and `anvilstack timeline --client-account ACCOUNT`.',
   ),
--- /dev/null
+++ b/src/diagnostics/timeline_explain.ts
@@ -0,0 +1,124 @@
+/** Answers operators' questions in words, from the events of a time line. */
+import {EventKind} from './event_kinds';
+import type {TimelineEvent} from './events';
+import {selectEvents, type Timeline} from './timeline';
+
+const REQUEST_ENDS: ReadonlySet<string> = new Set([
+  EventKind.RequestRefused,
+  EventKind.RequestFailed,
+  EventKind.RequestCancelled,
+  EventKind.RequestDone,
+]);
+const LEASE_ENDS: ReadonlySet<string> = new Set([
+  EventKind.LeaseReleased,
+  EventKind.LeaseLost,
+]);
+
+/** Says what became of a request and why. */
+export function formatRequestAnswer(
+  timeline: Timeline,
+  requestId: string,
+): string {
+  const events = selectEvents(timeline.events, {requestId});
+  if (events.length === 0) {
+    return `Request ${requestId}: no event of it is known.${formatGaps(timeline)}`;
+  }
+  const sent = events.filter(event => event.kind === EventKind.RequestSent);
+  const failed = events.filter(event => event.kind === EventKind.AttemptFailed);
+  const end = events.findLast(event => REQUEST_ENDS.has(event.kind));
+  const parts = [`Request ${requestId}`];
+  if (sent.length > 0) {
+    const engines = [...new Set(sent.map(event => event.engine ?? 'unknown'))];
+    parts.push(`was sent to ${engines.join(', then ')}`);
+  } else {
+    parts.push('was sent to no backend server');
+  }
+  for (const event of failed) {
+    parts.push(
+      `failed at ${event.engine ?? 'a backend server'} (${event.cause})`,
+    );
+  }
+  if (end === undefined) {
+    parts.push('its end is not known');
+  } else {
+    parts.push(`${getEndText(end.kind)} by ${end.node}: ${end.cause}`);
+  }
+  const gaps = end === undefined ? formatGaps(timeline) : '';
+  return `${parts.join('; ')}.${gaps}`;
+}
+
+/** Says which role changes an engine made or was spared, and why. */
+export function formatEngineAnswer(timeline: Timeline, engine: string): string {
+  const events = selectEvents(timeline.events, {engine});
+  const changes = events.filter(
+    event =>
+      event.kind === EventKind.RoleChangePlanned ||
+      event.kind === EventKind.RoleChanged,
+  );
+  const declined = events.findLast(
+    event => event.kind === EventKind.RoleChangeDeclined,
+  );
+  const lines = changes.map(
+    event =>
+      `${formatEventTime(event)} ${engine}: ${event.kind} by ${event.node}: ${event.cause}.`,
+  );
+  if (declined !== undefined) {
+    lines.push(
+      `${formatEventTime(declined)} ${engine}: a change was declined: ${declined.cause}.`,
+    );
+  }
+  if (lines.length > 0) return lines.join('\n');
+  return `Engine ${engine}: no role change is known.${formatGaps(timeline)}`;
+}
+
+/** Says who held the lease of a shard at a time, in milliseconds since the Unix epoch. */
+export function formatLeaseAnswer(
+  timeline: Timeline,
+  shard: string,
+  atMs: number,
+): string {
+  const before = selectEvents(timeline.events, {shard}).filter(
+    event => event.at.wallMs <= atMs,
+  );
+  const granted = before.findLast(
+    event => event.kind === EventKind.LeaseGranted,
+  );
+  const time = formatTimeOfDay(atMs);
+  if (granted === undefined) {
+    return `Lease ${shard} at ${time}: no grant before it is known.${formatGaps(timeline)}`;
+  }
+  const end = before
+    .slice(before.indexOf(granted) + 1)
+    .find(event => LEASE_ENDS.has(event.kind));
+  const since = `granted at ${formatEventTime(granted)}: ${granted.cause}`;
+  if (end === undefined) return `Lease ${shard} at ${time}: ${since}.`;
+  return `Lease ${shard} at ${time}: held by nobody; ${since}; ended at ${formatEventTime(end)}: ${end.cause}.`;
+}
+
+/** Formats an event's time with its counter. */
+export function formatEventTime(event: TimelineEvent): string {
+  return `${formatTimeOfDay(event.at.wallMs)}+${event.at.counter}`;
+}
+
+function formatTimeOfDay(wallMs: number): string {
+  return new Date(wallMs).toISOString();
+}
+
+function formatGaps(timeline: Timeline): string {
+  if (timeline.gaps.length === 0) return '';
+  const parts = timeline.gaps.map(gap => `${gap.node} (${gap.reason})`);
+  return ` Missing: ${parts.join(', ')}.`;
+}
+
+function getEndText(kind: string): string {
+  switch (kind) {
+    case EventKind.RequestRefused:
+      return 'was refused';
+    case EventKind.RequestCancelled:
+      return 'was cancelled';
+    case EventKind.RequestDone:
+      return 'was answered';
+    default:
+      return 'failed';
+  }
+}
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -104,7 +104,11 @@
       config: streams.config.follower,
       configWriter: streams.config.writer,
       events,
-      getFleet: () => ({node: id, vms: fleet.getVms()}),
+      getFleet: () => ({
+        node: id,
+        vms: fleet.getVms(),
+        reports: fleet.listReports(),
+      }),
     }),
     ...parseListenAddress(settings.listen.operators),
   });
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -80,6 +80,8 @@
   readonly address: string;
   /** Base address of its listener for other nodes, with purpose `node`. */
   readonly peerAddress?: string;
+  /** Base address of its listener for operators, with purpose `node`. */
+  readonly operatorAddress?: string;
   readonly region?: string;
   /** The building it stands in; the move of a client account goes from one to another. */
   readonly building?: string;
--- a/src/settings/standins_schema.ts
+++ b/src/settings/standins_schema.ts
@@ -47,6 +47,9 @@
     peer_address: httpAddressSchema
       .optional()
       .describe('Base address of its peers listener'),
+    operator_address: httpAddressSchema
+      .optional()
+      .describe('Base address of its operators listener'),
     failure_domain: nameSchema.describe('Failure domain'),
   })
   .describe('Nodes that the VM list shows');
--- a/src/settings/toml_check.ts
+++ b/src/settings/toml_check.ts
@@ -42,7 +42,11 @@
   const misspelt = listMisspeltKeys(schema, issues);
   return Err(
     issues
-      .filter(issue => !misspelt.has(formatKey(issue.path)))
+      .filter(
+        issue =>
+          !misspelt.has(formatKey(issue.path)) ||
+          getValueAt(document.value, issue.path) !== undefined,
+      )
       .flatMap(issue => createFaults(document, schema, issue)),
   );
 }
--- a/src/standins/index.ts
+++ b/src/standins/index.ts
@@ -20,3 +20,5 @@
   createWeightStoreModel,
 } from './weight_store_server';
 export type {WeightStoreModelOptions} from './weight_store_server';
+export {startStandins} from './start_standins';
+export type {Standins, StandinsOptions} from './start_standins';
--- /dev/null
+++ b/test/diagnostics/timeline.test.ts
@@ -0,0 +1,175 @@
+/** The time line: order over processes whose clocks differ, answers in words, what is missing. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {
+  compareTimes,
+  createEventRing,
+  EventKind,
+  type EventRing,
+  formatEngineAnswer,
+  formatLeaseAnswer,
+  formatRequestAnswer,
+  mergeTimeline,
+  renderTimelineHtml,
+  type TimelineEvent,
+} from '../../src/diagnostics';
+import {createVirtualClock} from '../../src/runtime';
+
+const TWO_TEN_MS = Date.parse('2026-12-05T02:10:00Z');
+
+function createEvent(
+  wallMs: number,
+  kind: string,
+  cause: string,
+  rest: Partial<TimelineEvent> = {},
+): TimelineEvent {
+  return {at: {wallMs, counter: 0}, node: 'node-1', kind, cause, ...rest};
+}
+
+function mergeEvents(events: readonly TimelineEvent[], gaps = false) {
+  return mergeTimeline({
+    pages: [{node: 'node-1', dropped: 0, events}],
+    unreachable: gaps ? [{node: 'node-2', reason: 'no answer'}] : [],
+  });
+}
+
+test('a message never comes before its cause, whatever the clocks say', () => {
+  fc.assert(
+    fc.property(
+      fc.array(fc.integer({min: -5_000, max: 5_000}), {
+        minLength: 3,
+        maxLength: 3,
+      }),
+      fc.array(fc.tuple(fc.nat(2), fc.nat(2), fc.nat(50)), {maxLength: 30}),
+      (skews, sends) => {
+        let nowMs = 100_000;
+        const rings = skews.map((skewMs, index) =>
+          createSkewedRing(`node-${index}`, () => nowMs + skewMs),
+        );
+        for (const [from, to, gapMs] of sends) {
+          nowMs += gapMs;
+          rings[from].emit({kind: 'sent', cause: ''});
+          const stamp = rings[from].getTime();
+          rings[to].observe(stamp);
+          rings[to].emit({kind: 'received', cause: ''});
+          assert.ok(compareTimes(rings[to].getTime(), stamp) > 0);
+        }
+        const {events} = mergeTimeline({
+          pages: rings.map((ring, index) => ({
+            node: `node-${index}`,
+            dropped: 0,
+            events: ring.list(),
+          })),
+        });
+        assert.equal(events.length, 2 * sends.length);
+        for (let index = 1; index < events.length; index++) {
+          assert.ok(compareTimes(events[index - 1].at, events[index].at) <= 0);
+        }
+      },
+    ),
+    {seed: 6, numRuns: 100},
+  );
+});
+
+function createSkewedRing(node: string, getWallMs: () => number): EventRing {
+  const clock = {...createVirtualClock(), getWallMs};
+  return createEventRing({clock, node});
+}
+
+test('why was this request refused', () => {
+  const requestId = 'req-17';
+  const timeline = mergeEvents([
+    createEvent(1, EventKind.RequestSent, 'prefill', {
+      requestId,
+      engine: 'engine-1',
+    }),
+    createEvent(2, EventKind.AttemptFailed, 'connection reset', {
+      requestId,
+      engine: 'engine-1',
+    }),
+    createEvent(3, EventKind.RequestRefused, 'deadline cannot be met', {
+      requestId,
+    }),
+  ]);
+  assert.equal(
+    formatRequestAnswer(timeline, requestId),
+    'Request req-17; was sent to engine-1; failed at engine-1 (connection reset); was refused by node-1: deadline cannot be met.',
+  );
+});
+
+test('an answer that lacks events says which processes are missing', () => {
+  const timeline = mergeEvents([], true);
+  assert.match(
+    formatRequestAnswer(timeline, 'req-1'),
+    /no event of it is known\. Missing: node-2 \(no answer\)\./,
+  );
+});
+
+test('why did this engine change role', () => {
+  const timeline = mergeEvents([
+    createEvent(
+      1,
+      EventKind.RoleChangePlanned,
+      'decode to prefill: gains 0.2',
+      {
+        engine: 'engine-3',
+      },
+    ),
+    createEvent(2, EventKind.RoleChangeDeclined, 'below safe capacity', {
+      engine: 'engine-3',
+    }),
+  ]);
+  const answer = formatEngineAnswer(timeline, 'engine-3');
+  assert.match(answer, /role-change-planned by node-1: decode to prefill/);
+  assert.match(answer, /declined: below safe capacity/);
+});
+
+test('who held the lease at 02:10', () => {
+  const shard = 'sk-west-1';
+  const events = [
+    createEvent(TWO_TEN_MS - 9_000, EventKind.LeaseGranted, 'node-4, term 7', {
+      shard,
+    }),
+    createEvent(TWO_TEN_MS + 1, EventKind.LeaseGranted, 'node-5, term 9', {
+      shard,
+    }),
+  ];
+  assert.match(
+    formatLeaseAnswer(mergeEvents(events), shard, TWO_TEN_MS),
+    /granted at 2026-12-05T02:09:51.000Z\+0: node-4, term 7\.$/,
+  );
+  const lapsed = createEvent(TWO_TEN_MS - 1, EventKind.LeaseLost, 'paused', {
+    shard,
+  });
+  assert.match(
+    formatLeaseAnswer(
+      mergeEvents([events[0], lapsed, events[1]]),
+      shard,
+      TWO_TEN_MS,
+    ),
+    /held by nobody/,
+  );
+});
+
+test('dropped and excess events are named as missing', () => {
+  const events = [1, 2, 3].map(wallMs => createEvent(wallMs, 'x', ''));
+  const timeline = mergeTimeline({
+    pages: [{node: 'node-1', dropped: 4, events}],
+    maxEvents: 2,
+  });
+  assert.deepEqual(
+    timeline.events.map(event => event.at.wallMs),
+    [2, 3],
+  );
+  assert.equal(timeline.gaps.length, 2);
+});
+
+test('the page cannot be broken out of by an event', () => {
+  const page = renderTimelineHtml(
+    mergeEvents([createEvent(1, 'x', '</script><img src=x>')]),
+    'title',
+  );
+  assert.equal(page.includes('</script><img'), false);
+  assert.equal(page.includes('<img src=x>'), false);
+});
--- a/test/settings/load.test.ts
+++ b/test/settings/load.test.ts
@@ -49,6 +49,15 @@
   ]);
 });
 
+test('a misspelt key hides no fault of the key that it is like', () => {
+  const text = stringify({
+    ...INPUT,
+    node: {...INPUT.node, regoin: 'r', region: 1},
+  });
+  const codes = listFaults(text).map(line => /AS\d+/.exec(line)?.[0]);
+  assert.deepEqual(codes.sort(), ['AS1101', 'AS1103']);
+});
+
 test('a fault of syntax names its place', () => {
   const faults = listFaults('deployment = "x"\n[node\nid = 1\n');
   assert.equal(faults.length, 1);
