--- a/src/cli/template_change_command.ts
+++ b/src/cli/template_change_command.ts
@@ -49,8 +49,10 @@
       printMessages(this.context.stderr, loaded.val);
       return ExitCode.Usage;
     }
-    const account = loaded.val.client_account;
-    const change = this.createChange(loaded.val);
+    const {template, warnings} = loaded.val;
+    printMessages(this.context.stderr, warnings);
+    const account = template.client_account;
+    const change = this.createChange(template);
     if (change.err) {
       printMessages(this.context.stderr, [change.val]);
       return ExitCode.Usage;
--- a/src/cli/template_file.ts
+++ b/src/cli/template_file.ts
@@ -1,14 +1,50 @@
 /** Reads a template's TOML file and reports its faults with their places. */
-import type {Result} from 'ts-results';
-import type {Message} from '../diagnostics';
-import {checkToml, parseToml, readText} from '../settings';
-import {type Template, templateSchema} from '../state';
+import {Err, Ok, type Result} from 'ts-results';
+import {type Message, MessageCategory, messages} from '../diagnostics';
+import {
+  checkToml,
+  createFaultAt,
+  parseToml,
+  readText,
+  type TomlDocument,
+} from '../settings';
+import {checkTemplate, type Template, templateSchema} from '../state';
+
+/** A template without errors, with the warnings about it. */
+export interface LoadedTemplate {
+  readonly template: Template;
+  readonly warnings: readonly Message[];
+}
 
 /** Reads and checks a template. */
 export function loadTemplate(
   file: string,
-): Result<Template, readonly Message[]> {
+): Result<LoadedTemplate, readonly Message[]> {
   return readText(file)
     .andThen(text => parseToml(file, text))
-    .andThen(document => checkToml(document, templateSchema));
+    .andThen(document =>
+      checkToml(document, templateSchema).andThen(template =>
+        checkMeaning(document, template),
+      ),
+    );
+}
+
+function checkMeaning(
+  document: TomlDocument,
+  template: Template,
+): Result<LoadedTemplate, readonly Message[]> {
+  const found = checkTemplate(template).map(problem =>
+    createFaultAt(
+      document,
+      problem.path,
+      problem.severity === 'error'
+        ? messages.TemplateFault
+        : messages.TemplateWarning,
+      [template.client_account, problem.message],
+    ),
+  );
+  const hasError = found.some(
+    message => message.definition.category === MessageCategory.Error,
+  );
+  return hasError ? Err(found) : Ok({template, warnings: found});
 }
--- a/src/cli/template_wait.ts
+++ b/src/cli/template_wait.ts
@@ -55,7 +55,10 @@
   for (;;) {
     await Promise.all([...pending.values()].map(checkNode));
     options.onProgress?.(1 - pending.size / nodes.length);
-    if (pending.size === 0 || clock.getMonotonicMs() >= untilMs) break;
+    const canChange = [...pending.values()].some(
+      node => node.client !== undefined,
+    );
+    if (!canChange || clock.getMonotonicMs() >= untilMs) break;
     await clock.sleep(POLL_MS);
   }
   return [...pending.keys()].map(node => ({
--- a/src/demo/cluster.ts
+++ b/src/demo/cluster.ts
@@ -117,6 +117,7 @@
     failureDomain: settings.node.failure_domain,
     region: settings.node.region,
     address: node.callerAddress,
+    operatorAddress: node.operatorAddress,
   });
   return node;
 }
--- a/src/diagnostics/messages.ts
+++ b/src/diagnostics/messages.ts
@@ -84,6 +84,14 @@
     'The template is well-formed, but its parts contradict one another.',
     'Follow the rule in the message; `anvilstack template --help` shows a template.',
   ),
+  TemplateWarning: {
+    code: 'AS1208',
+    category: MessageCategory.Warning,
+    template: "client account '{0}': {1}",
+    cause:
+      'The template can be accepted, but a part of it may not do what is meant.',
+    remedy: 'Read the message again; nothing must be changed.',
+  },
   SecretSourceConflict: createError(
     'AS1204',
     "key '{0}': give either '{0}_file' or '{0}_env', not both",
--- a/test/cli/cli.test.ts
+++ b/test/cli/cli.test.ts
@@ -4,26 +4,43 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {after, before, test} from 'node:test';
-import {type Demo, startDemo} from '../../src/demo';
+import {type Cluster, startCluster} from '../../src/demo';
 import {createSystemClock} from '../../src/runtime';
 import {runCommand} from '../support/cli_run';
 
 const DIRECTORY = mkdtempSync(join(tmpdir(), 'anvilstack-cli-'));
 const TEMPLATE = join(DIRECTORY, 'choir.toml');
 
-let demo: Demo;
+const STAGE = `[[move.stages]]
+name = "warm"
+kind = "warm"
+starts_at = "2027-03-06T10:00:00+01:00"
+to = {buildings = ["new"]}
+from = {buildings = ["old"]}
+`;
+
+let cluster: Cluster;
 let env: Record<string, string>;
 
 before(async () => {
-  demo = await startDemo({clock: createSystemClock(), print: () => undefined});
+  cluster = await startCluster({
+    clock: createSystemClock(),
+    deployment: 'test',
+    region: 'sk-west',
+    failureDomains: ['sk-west-1'],
+    nodeCount: 3,
+    models: ['small'],
+    engines: [{id: 'engine-1', failureDomain: 'sk-west-1'}],
+    service: 'order-desk',
+  });
   env = {
-    ANVILSTACK_NODE: demo.nodes.map(node => node.operatorAddress).join(','),
-    ANVILSTACK_TOKEN: demo.operatorToken,
+    ANVILSTACK_NODE: cluster.nodes.map(node => node.operatorAddress).join(','),
+    ANVILSTACK_TOKEN: cluster.operatorToken,
   };
   writeTemplate('first');
 });
 
-after(() => demo.close());
+after(() => cluster.close());
 
 function writeTemplate(description: string): void {
   writeFileSync(
@@ -83,6 +100,15 @@
   );
 });
 
+test('parts of a template that contradict one another are shown with their places', async () => {
+  const file = join(DIRECTORY, 'contradiction.toml');
+  const text = readFileSync(TEMPLATE, 'utf8');
+  writeFileSync(file, `${text}[move]\nroll_back_to = "lost"\n${STAGE}`);
+  const run = await runCommand(['template', 'publish', file], env);
+  assert.equal(run.code, 2);
+  assert.match(run.stderr, /contradiction\.toml:7:1 - error AS1203: .*'lost'/);
+});
+
 test('waiting names the nodes that do not have the version in force', async () => {
   writeTemplate('third');
   const shown = await runCommand(['template', 'show', 'choir', '--json'], env);
--- a/test/settings/load.test.ts
+++ b/test/settings/load.test.ts
@@ -7,15 +7,13 @@
 import {stringify} from 'smol-toml';
 import {formatMessage} from '../../src/diagnostics';
 import {
-  checkToml,
   createSettings,
   loadAnySettings,
   loadSecrets,
   parseSettings,
-  parseToml,
   type SettingsInput,
 } from '../../src/settings';
-import {templateSchema} from '../../src/state';
+import {loadTemplate} from '../../src/cli/template_file';
 import {collectKeyPositions} from '../../src/settings/toml_positions';
 
 const INPUT: SettingsInput = {
@@ -143,10 +141,9 @@
     }
     for (const name of readdirSync(`${directory}/templates`)) {
       const file = `${directory}/templates/${name}`;
-      const checked = parseToml(file, readFileSync(file, 'utf8')).andThen(
-        document => checkToml(document, templateSchema),
-      );
-      assert.deepEqual(checked.ok ? [] : checked.val.map(formatMessage), []);
+      const loaded = loadTemplate(file);
+      const found = loaded.ok ? loaded.val.warnings : loaded.val;
+      assert.deepEqual(found.map(formatMessage), []);
     }
   });
 }
