Give operators rights, event filters, recorded traces and the log's level

Cause: any operator's token could do everything; the time line had no event for how a request ended, so 'why was this request refused' had no answer at the node; live traffic could not be recorded for a replay.

Now rights from the settings are checked for each route, each request's end is an event with its cause, the node keeps the last 20,000 requests as trace lines without any text, and the log's level changes at run time. The operators' routes for templates have a file of their own.

--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -3,10 +3,18 @@
 export type {CallerAppOptions} from './caller_app';
 export {getClassification} from './classify';
 export type {Classification, RequestTraits} from './classify';
+export {OperatorRight, tryGetOperator} from './operator_access';
+export type {Operator} from './operator_access';
 export {createOperatorApp} from './operator_app';
 export type {OperatorAppOptions} from './operator_app';
 export {createRequestPipeline} from './pipeline';
 export type {RequestPipelineOptions} from './pipeline';
+export {createTraceRecorder} from './trace_recorder';
+export type {
+  RecordedRequest,
+  TraceRecorder,
+  TraceRecorderOptions,
+} from './trace_recorder';
 export type {
   CallerOptions,
   ModelInput,
--- /dev/null
+++ b/src/entry/operator_access.ts
@@ -0,0 +1,36 @@
+/** Tells operators apart and what each may do. */
+import {createHash, timingSafeEqual} from 'node:crypto';
+
+/** What an operator may do. */
+export const OperatorRight = {
+  /** Look at templates, events and the fleet. */
+  Read: 'read',
+  /** Publish and amend templates. */
+  Change: 'change',
+  /** Change the level of the log and record traces. */
+  Administer: 'administer',
+} as const;
+export type OperatorRight = (typeof OperatorRight)[keyof typeof OperatorRight];
+
+/** An operator who may use the operators' listener. */
+export interface Operator {
+  readonly name: string;
+  /** SHA-256 of the operator's token, in hexadecimal. */
+  readonly tokenSha256: string;
+  readonly rights: readonly OperatorRight[];
+}
+
+const BEARER_PATTERN = /^Bearer +([!-~]{1,512})$/i;
+
+/** Returns the operator whose token the header holds, if any. */
+export function tryGetOperator(
+  operators: readonly Operator[],
+  authorization: string | null,
+): Operator | undefined {
+  const token = BEARER_PATTERN.exec(authorization ?? '')?.[1];
+  if (token === undefined) return undefined;
+  const hash = createHash('sha256').update(token).digest();
+  return operators.find(operator =>
+    timingSafeEqual(Buffer.from(operator.tokenSha256, 'hex'), hash),
+  );
+}
--- a/src/entry/operator_app.ts
+++ b/src/entry/operator_app.ts
@@ -1,22 +1,19 @@
-/** The operators' HTTP: templates, events and the state of the fleet. */
-import {createHash, timingSafeEqual} from 'node:crypto';
+/** The operators' HTTP: templates, events, moves and the state of the fleet. */
 import {H3, type H3Event} from 'h3';
 import {z} from 'zod';
-import type {EventRing} from '../diagnostics';
-import {
-  type ConfigEntry,
-  type ConfigState,
-  type StreamFollower,
-  type StreamWriter,
-  templateSchema,
+import {type EventRing, LOG_LEVELS, type LogLevel} from '../diagnostics';
+import type {ProgressRow} from '../planning/move';
+import type {
+  ConfigEntry,
+  ConfigState,
+  StreamFollower,
+  StreamWriter,
 } from '../state';
-
-/** An operator who may use this listener. */
-export interface Operator {
-  readonly name: string;
-  /** SHA-256 of the operator's token, in hexadecimal. */
-  readonly tokenSha256: string;
-}
+import {selectEvents} from './event_filter';
+import {createAnswer, readJson} from './json_answer';
+import {type Operator, OperatorRight, tryGetOperator} from './operator_access';
+import {addTemplateRoutes} from './template_routes';
+import type {TraceRecorder} from './trace_recorder';
 
 /** Options of the operators' application. */
 export interface OperatorAppOptions {
@@ -25,41 +22,34 @@
   readonly config: StreamFollower<ConfigState, ConfigEntry>;
   readonly configWriter: StreamWriter<ConfigEntry>;
   readonly events: EventRing;
+  readonly recorder: TraceRecorder;
   /** Returns what `fleet` shows. */
   readonly getFleet: () => unknown;
+  /** Returns where each client account's move stands. */
+  readonly listProgress: () => readonly ProgressRow[];
+  readonly setLogLevel: (level: LogLevel) => void;
 }
 
-const ACCEPT_TIMEOUT_MS = 10_000;
-
-const changeSchema = z.strictObject({
-  template: z.unknown(),
-  /** Absent to publish a new template. */
-  baseVersion: z.number().int().nonnegative().optional(),
-});
+const logLevelSchema = z.strictObject({level: z.enum(LOG_LEVELS)});
 
 /** Creates the application. */
 export function createOperatorApp(options: OperatorAppOptions): H3 {
-  const {config, configWriter, events} = options;
-  const app = new H3();
-  app.use('/operators/**', event => {
-    if (tryGetOperator(event) !== undefined) return undefined;
-    return createAnswer(401, {
-      error: "the operator's token is missing or unknown",
-    });
+  const {config, events, recorder} = options;
+  const app = new H3({
+    onError: () =>
+      createAnswer(500, {error: 'the request could not be handled'}),
   });
-  app.get('/operators/templates', () => listTemplates());
-  app.post('/operators/templates', handleChange);
-  app.get('/operators/templates/:account', event => {
-    const account = event.context.params?.['account'] ?? '';
-    const known = config.getState().templates.get(account);
-    if (known !== undefined) return known.toJSON();
-    return createAnswer(404, {error: `no client account ${account}`});
+  app.use('/operators/**', checkAccess);
+  addTemplateRoutes(app, {
+    config,
+    writer: options.configWriter,
+    getOperatorName: event => getOperator(event)?.name ?? '',
   });
-  app.delete('/operators/templates/:account', handleRetirement);
-  app.get('/operators/events', () => ({
+  app.get('/operators/events', event => ({
     node: options.node,
+    time: events.getTime(),
     dropped: events.getDroppedCount(),
-    events: events.list(),
+    events: selectEvents(events.list(), event.url.searchParams),
   }));
   app.get('/operators/in_force', () => ({
     node: options.node,
@@ -67,92 +57,52 @@
     isCaughtUp: config.isCaughtUp(),
   }));
   app.get('/operators/fleet', () => options.getFleet());
+  app.get('/operators/progress', () => options.listProgress());
+  app.get('/operators/trace', () => ({
+    node: options.node,
+    dropped: recorder.getDroppedCount(),
+    requests: recorder.list(),
+  }));
+  app.post('/operators/log_level', setLogLevel);
+  app.all('/**', () => createAnswer(404, {error: 'no such route'}));
   return app;
 
-  function listTemplates(): unknown {
-    return [...config.getState().templates.values()].map(item => ({
-      client_account: item.template.client_account,
-      description: item.template.description,
-      ...item.current,
-    }));
-  }
-
-  async function handleChange(event: H3Event): Promise<Response> {
-    const operator = tryGetOperator(event)?.name ?? '';
-    const change = changeSchema.safeParse(await readJson(event));
-    if (!change.success) return createAnswer(400, {error: 'malformed change'});
-    const template = templateSchema.safeParse(change.data.template);
-    if (!template.success) {
-      return createAnswer(400, {error: z.prettifyError(template.error)});
-    }
-    const {baseVersion} = change.data;
-    const entry: ConfigEntry =
-      baseVersion === undefined
-        ? {kind: 'template-publish', operator, template: template.data}
-        : {
-            kind: 'template-amend',
-            operator,
-            baseVersion,
-            template: template.data,
-          };
-    return writeEntry(entry);
-  }
-
-  async function handleRetirement(event: H3Event): Promise<Response> {
-    const baseVersion = Number(event.url.searchParams.get('base') ?? NaN);
-    if (!Number.isInteger(baseVersion)) {
-      return createAnswer(400, {error: 'base=VERSION is missing'});
-    }
-    return writeEntry({
-      kind: 'template-retire',
-      operator: tryGetOperator(event)?.name ?? '',
-      baseVersion,
-      clientAccount: event.context.params?.['account'] ?? '',
-    });
-  }
-
-  async function writeEntry(entry: ConfigEntry): Promise<Response> {
-    if (!config.isCaughtUp()) {
-      return createAnswer(503, {
-        error: 'this node does not know what is in force yet; try another',
-        mayHaveTakenEffect: false,
+  function checkAccess(event: H3Event): Response | undefined {
+    const operator = getOperator(event);
+    if (operator === undefined) {
+      return createAnswer(401, {
+        error: "the operator's token is missing or unknown",
       });
     }
-    const answer = await configWriter.write(entry, ACCEPT_TIMEOUT_MS);
-    if (answer.err) {
-      return createAnswer(503, {
-        error: `not accepted yet: ${answer.val.message}`,
-        mayHaveTakenEffect: answer.val.mayHaveTakenEffect,
-      });
-    }
-    if (answer.val.kind === 'rejected') {
-      return createAnswer(409, {error: answer.val.reason});
-    }
-    return createAnswer(200, {version: answer.val.position.offset});
+    const right = getNeededRight(event);
+    if (operator.rights.includes(right)) return undefined;
+    return createAnswer(403, {
+      error: `operator ${operator.name} has no right to ${right}`,
+    });
   }
 
-  function tryGetOperator(event: H3Event): Operator | undefined {
-    const header = event.req.headers.get('authorization') ?? '';
-    const token = /^Bearer +(\S+)$/i.exec(header)?.[1];
-    if (token === undefined) return undefined;
-    const hash = createHash('sha256').update(token).digest();
-    return options.operators.find(operator =>
-      timingSafeEqual(Buffer.from(operator.tokenSha256, 'hex'), hash),
+  function getOperator(event: H3Event): Operator | undefined {
+    return tryGetOperator(
+      options.operators,
+      event.req.headers.get('authorization'),
     );
   }
-}
 
-async function readJson(event: H3Event): Promise<unknown> {
-  try {
-    return await event.req.json();
-  } catch {
-    return undefined;
+  async function setLogLevel(event: H3Event): Promise<Response> {
+    const parsed = logLevelSchema.safeParse(await readJson(event));
+    if (!parsed.success) {
+      return createAnswer(400, {
+        error: `level is one of ${LOG_LEVELS.join(', ')}`,
+      });
+    }
+    options.setLogLevel(parsed.data.level);
+    return createAnswer(200, parsed.data);
   }
 }
 
-function createAnswer(status: number, body: unknown): Response {
-  return new Response(JSON.stringify(body), {
-    status,
-    headers: {'content-type': 'application/json'},
-  });
+function getNeededRight(event: H3Event): OperatorRight {
+  if (event.req.method === 'GET') return OperatorRight.Read;
+  return event.url.pathname.startsWith('/operators/templates')
+    ? OperatorRight.Change
+    : OperatorRight.Administer;
 }
--- a/src/entry/summary.ts
+++ b/src/entry/summary.ts
@@ -1,4 +1,5 @@
 /** Sums up what became of a request. */
+import {createHash} from 'node:crypto';
 import type {Result} from 'ts-results';
 import type {AnswerEnd, AnswerSink} from '../routing';
 import type {Clock} from '../runtime';
@@ -126,6 +127,7 @@
     className: classification.name,
     urgent: classification.urgent,
     idempotent: classification.idempotent,
+    keyHash: getShortHash(input.options.idempotencyKey),
     receivedAtMs: request.receivedAtMs,
     deadlineMs: request.deadlineMs,
     durationMs: nowMs - request.receivedAtMs,
@@ -133,3 +135,14 @@
     isInDeadline: failure === undefined && nowMs <= request.deadlineAtMs,
   };
 }
+
+/** Length of a key's hash in summaries, in hexadecimal digits. */
+const KEY_HASH_DIGITS = 16;
+
+function getShortHash(key: string | undefined): string | undefined {
+  if (key === undefined) return undefined;
+  return createHash('sha256')
+    .update(key)
+    .digest('hex')
+    .slice(0, KEY_HASH_DIGITS);
+}
--- /dev/null
+++ b/src/entry/template_routes.ts
@@ -0,0 +1,105 @@
+/** The operators' routes for templates. */
+import type {H3, H3Event} from 'h3';
+import {z} from 'zod';
+import {
+  type ConfigEntry,
+  type ConfigState,
+  type StreamFollower,
+  type StreamWriter,
+  templateSchema,
+} from '../state';
+import {createAnswer, readJson} from './json_answer';
+
+/** Options of the routes. */
+export interface TemplateRoutesOptions {
+  readonly config: StreamFollower<ConfigState, ConfigEntry>;
+  readonly writer: StreamWriter<ConfigEntry>;
+  readonly getOperatorName: (event: H3Event) => string;
+}
+
+/** Longest wait for the log to confirm a change, in milliseconds. */
+const ACCEPT_TIMEOUT_MS = 10_000;
+
+const changeSchema = z.strictObject({
+  template: z.unknown(),
+  /** Absent to publish a new template. */
+  baseVersion: z.number().int().nonnegative().optional(),
+});
+
+/** Adds the routes. */
+export function addTemplateRoutes(
+  app: H3,
+  options: TemplateRoutesOptions,
+): void {
+  const {config, writer} = options;
+  app.get('/operators/templates', () => listTemplates(config.getState()));
+  app.post('/operators/templates', handleChange);
+  app.get('/operators/templates/:account', event => {
+    const account = event.context.params?.['account'] ?? '';
+    const known = config.getState().templates.get(account);
+    if (known !== undefined) return known.toJSON();
+    return createAnswer(404, {error: `no client account ${account}`});
+  });
+  app.delete('/operators/templates/:account', handleRetirement);
+
+  async function handleChange(event: H3Event): Promise<Response> {
+    const change = changeSchema.safeParse(await readJson(event));
+    if (!change.success) return createAnswer(400, {error: 'malformed change'});
+    const template = templateSchema.safeParse(change.data.template);
+    if (!template.success) {
+      return createAnswer(400, {error: z.prettifyError(template.error)});
+    }
+    const base = {
+      operator: options.getOperatorName(event),
+      template: template.data,
+    };
+    const {baseVersion} = change.data;
+    return writeChange(
+      baseVersion === undefined
+        ? {kind: 'template-publish', ...base}
+        : {kind: 'template-amend', ...base, baseVersion},
+    );
+  }
+
+  async function handleRetirement(event: H3Event): Promise<Response> {
+    const baseVersion = Number(event.url.searchParams.get('base') ?? NaN);
+    if (!Number.isInteger(baseVersion)) {
+      return createAnswer(400, {error: 'base=VERSION is missing'});
+    }
+    return writeChange({
+      kind: 'template-retire',
+      operator: options.getOperatorName(event),
+      baseVersion,
+      clientAccount: event.context.params?.['account'] ?? '',
+    });
+  }
+
+  /** Accepted means read back from the log. */
+  async function writeChange(entry: ConfigEntry): Promise<Response> {
+    if (!config.isCaughtUp()) {
+      return createAnswer(503, {
+        error: 'this node does not know what is in force yet; try another',
+        mayHaveTakenEffect: false,
+      });
+    }
+    const answer = await writer.write(entry, ACCEPT_TIMEOUT_MS);
+    if (answer.err) {
+      return createAnswer(503, {
+        error: `the log has not confirmed it: ${answer.val.message}`,
+        mayHaveTakenEffect: answer.val.mayHaveTakenEffect,
+      });
+    }
+    if (answer.val.kind === 'rejected') {
+      return createAnswer(409, {error: answer.val.reason});
+    }
+    return createAnswer(200, {version: answer.val.position.offset});
+  }
+}
+
+function listTemplates(state: ConfigState): unknown {
+  return [...state.templates.values()].map(item => ({
+    client_account: item.template.client_account,
+    description: item.template.description,
+    ...item.current,
+  }));
+}
--- /dev/null
+++ b/src/entry/trace_recorder.ts
@@ -0,0 +1,80 @@
+/** Records a trace of live traffic, without any prompt text, in the format that `replay` reads. */
+import type {RequestSummary} from './types';
+
+/** Options of the recorder. */
+export interface TraceRecorderOptions {
+  /** Most requests kept; older ones are dropped. */
+  readonly capacity?: number;
+}
+
+/** One recorded request, with the keys of a trace line. */
+export interface RecordedRequest {
+  readonly at_ms: number;
+  readonly client_account: string;
+  readonly kind: 'model' | 'service';
+  readonly service?: string;
+  readonly prompt_tokens: number;
+  readonly output_tokens: number;
+  readonly deadline_ms: number;
+  readonly urgent: boolean;
+  readonly idempotent: boolean;
+  /** Hash of the idempotency key. */
+  readonly key?: string;
+  /** Hash of the longest leading part of the prompt that has one. */
+  readonly prefix?: string;
+  readonly prefix_tokens: number;
+}
+
+/** The recorder of one node. */
+export interface TraceRecorder {
+  add(summary: RequestSummary): void;
+  /** Returns the requests kept, in the order of their arrival. */
+  list(): readonly RecordedRequest[];
+  /** Returns how many have been dropped for newer ones. */
+  getDroppedCount(): number;
+}
+
+const DEFAULT_CAPACITY = 20_000;
+
+/** Creates a recorder without requests. */
+export function createTraceRecorder(
+  options: TraceRecorderOptions = {},
+): TraceRecorder {
+  const capacity = options.capacity ?? DEFAULT_CAPACITY;
+  const requests: RecordedRequest[] = [];
+  let next = 0;
+  let dropped = 0;
+  return {add, list, getDroppedCount: () => dropped};
+
+  function add(summary: RequestSummary): void {
+    const request = createRecordedRequest(summary);
+    if (requests.length < capacity) {
+      requests.push(request);
+      return;
+    }
+    requests[next] = request;
+    next = (next + 1) % capacity;
+    dropped++;
+  }
+
+  function list(): RecordedRequest[] {
+    return [...requests].sort((left, right) => left.at_ms - right.at_ms);
+  }
+}
+
+function createRecordedRequest(summary: RequestSummary): RecordedRequest {
+  return {
+    at_ms: Math.round(summary.receivedAtMs),
+    client_account: summary.clientAccount,
+    kind: summary.kind,
+    service: summary.kind === 'service' ? summary.target : undefined,
+    prompt_tokens: summary.promptTokens,
+    output_tokens: summary.generatedTokens,
+    deadline_ms: Math.round(summary.deadlineMs),
+    urgent: summary.urgent,
+    idempotent: summary.idempotent,
+    key: summary.keyHash,
+    prefix: summary.prefixHashes.at(-1),
+    prefix_tokens: summary.prefixTokens,
+  };
+}
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -72,6 +72,8 @@
   readonly prefixHashes: readonly string[];
   readonly prefixTokens: number;
   readonly engine?: string;
+  /** Hash of the idempotency key, shortened. */
+  readonly keyHash?: string;
   /** Absent when the request was answered. */
   readonly failure?: RequestFailure;
   /** True when the whole answer came within the deadline. */
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -7,6 +7,7 @@
   createCallerApp,
   createOperatorApp,
   createRequestPipeline,
+  createTraceRecorder,
 } from '../entry';
 import {createHttpLogService, createHttpVmList} from '../platform';
 import {createDispatcher, createServiceDispatcher} from '../routing';
@@ -14,6 +15,7 @@
 import type {Settings} from '../settings';
 import {createFleetWatch} from './fleet_watch';
 import {createNodeStreams} from './node_streams';
+import {createSummaryEvent} from './summary_event';
 
 /** Options of a node. */
 export interface NodeOptions {
@@ -83,7 +85,12 @@
       follower: streams.claims.follower,
       writer: streams.claims.writer,
     }),
+    onSummary: summary => {
+      recorder.add(summary);
+      events.emit(createSummaryEvent(summary));
+    },
   });
+  const recorder = createTraceRecorder();
   let isDraining = false;
   const callers = await openListener({
     app: createCallerApp({
@@ -100,10 +107,14 @@
       operators: settings.operator.map(operator => ({
         name: operator.name,
         tokenSha256: operator.token_sha256,
+        rights: operator.rights,
       })),
       config: streams.config.follower,
       configWriter: streams.config.writer,
       events,
+      recorder,
+      listProgress: () => [],
+      setLogLevel: logger.setLevel,
       getFleet: () => ({
         node: id,
         vms: fleet.getVms(),
--- /dev/null
+++ b/src/node/summary_event.ts
@@ -0,0 +1,28 @@
+/** The event that tells what became of a request. */
+import type {EventInput} from '../diagnostics';
+import type {RequestSummary} from '../entry';
+
+/** Returns the event for a request that has ended. */
+export function createSummaryEvent(summary: RequestSummary): EventInput {
+  const {requestId, clientAccount, engine} = summary;
+  return {
+    kind: getKind(summary),
+    requestId,
+    clientAccount,
+    engine,
+    cause: getCause(summary),
+  };
+}
+
+function getKind({failure}: RequestSummary): string {
+  if (failure === undefined) return 'request-answered';
+  return failure.verdict === 'not-run' ? 'request-refused' : 'request-failed';
+}
+
+function getCause(summary: RequestSummary): string {
+  const {failure, target, className, deadlineMs} = summary;
+  const what = `${summary.kind} ${target}, class ${className}`;
+  const took = `${Math.round(summary.durationMs)} of ${Math.round(deadlineMs)} ms`;
+  if (failure === undefined) return `${what}: answered in ${took}`;
+  return `${what}: ${failure.kind}, ${failure.verdict}: ${failure.message} (${took})`;
+}
