Supervisor with restarts, limits, groups and ordered stop; bounded mailbox

Tasks were started with void promises: one that failed was gone without a word. A task now restarts with doubling delays within a budget; beyond it the supervisor stops the others, the last added first, and says which task failed. A group is a supervisor inside a task, so its parent restarts it whole. All on the clock, tested on virtual time.

Ruled out: one flat list with priorities (a group must fail as one).

--- a/src/runtime/index.ts
+++ b/src/runtime/index.ts
@@ -5,3 +5,18 @@
 export type {Clock, Timer, VirtualClock} from './types';
 export {openListener} from './listener';
 export type {Listener, ListenerOptions} from './listener';
+export {createMailbox} from './mailbox';
+export type {Mailbox, MailboxOptions} from './mailbox';
+export {DEFAULT_RESTART} from './restart_budget';
+export {createSupervisor} from './supervisor';
+export type {
+  RestartPolicy,
+  Supervisor,
+  SupervisorEnd,
+  SupervisorEvent,
+  SupervisorOptions,
+  TaskHandle,
+  TaskSpec,
+  TaskState,
+} from './supervisor_types';
+export {watchUnhandledErrors} from './unhandled_errors';
