Nodes find one another over signed trpc; a drain waits for claim outcomes

Cause: membership had no transport, leaving servers were known only from each node's own list, and a node that drained stopped its writers before the log had taken the outcomes of the claims it had just run (a repeat then heard may-have-run for what had run).

The node marks leaving servers for the dispatchers from its list, the engines' reports and its peers; the fleet view shows members, digests and marks; the ledger takes the claims of ended processes for unresolved without waiting.

Ruled out: the standalone adapter of trpc, which would read the body before it could be authenticated.

--- a/src/claims/ledger.ts
+++ b/src/claims/ledger.ts
@@ -48,6 +48,8 @@
 const RETRY_AFTER_MS = 1_000;
 /** How often a waiting request looks whether waiting still makes sense, in milliseconds. */
 const WAIT_CHECK_MS = 250;
+/** How often a drain looks whether all is read back, in milliseconds. */
+const DRAIN_CHECK_MS = 10;
 /** Part of a key's window in which a grant must have been read back. */
 const GRANT_WINDOW_FRACTION = 0.5;
 
@@ -82,7 +84,7 @@
   let claimsInFlight = 0;
   let hasTimedOut = false;
   follower.subscribe(entry => waiters.notify(entry.key));
-  return {claim, settle, release};
+  return {claim, settle, release, drain};
 
   async function claim(request: ClaimRequest): Promise<ClaimResult> {
     const key = getClaimKey(request.clientAccount, request.idempotencyKey);
@@ -218,6 +220,15 @@
     unconfirmedOutcomes.delete(attempt);
   }
 
+  async function drain(timeoutMs: number): Promise<boolean> {
+    const deadlineAtMs = clock.getMonotonicMs() + timeoutMs;
+    while (unconfirmedOutcomes.size > 0 || releasing.size > 0) {
+      if (clock.getMonotonicMs() >= deadlineAtMs) return false;
+      await clock.sleep(DRAIN_CHECK_MS);
+    }
+    return true;
+  }
+
   function release(ticket: ClaimTicket): void {
     const {key, attempt} = ticket;
     releasing.add(attempt);
--- a/src/claims/types.ts
+++ b/src/claims/types.ts
@@ -125,4 +125,6 @@
   settle(ticket: ClaimTicket, outcome: ClaimOutcome): void;
   /** Gives a granted claim back: the request did not run and will not under this ticket. */
   release(ticket: ClaimTicket): void;
+  /** Resolves with whether every outcome and release was read back within `timeoutMs`. */
+  drain(timeoutMs: number): Promise<boolean>;
 }
--- a/src/cli/serve_command.ts
+++ b/src/cli/serve_command.ts
@@ -3,7 +3,12 @@
 import {createLogger, createMessage, messages} from '../diagnostics';
 import {startNode} from '../node';
 import {createSystemClock} from '../runtime';
-import {loadSettings, type Settings} from '../settings';
+import {
+  loadSecrets,
+  loadSettings,
+  type Secrets,
+  type Settings,
+} from '../settings';
 import {ExitCode} from './exit_code';
 import {printMessages} from './output';
 import {waitForSignal} from './signals';
@@ -35,9 +40,14 @@
       printMessages(this.context.stderr, loaded.val);
       return ExitCode.Usage;
     }
+    const secrets = loadSecrets(loaded.val);
+    if (secrets.err) {
+      printMessages(this.context.stderr, secrets.val);
+      return ExitCode.Usage;
+    }
     const ended = waitForSignal();
     try {
-      const node = await startNode(createNodeOptions(loaded.val));
+      const node = await startNode(createNodeOptions(loaded.val, secrets.val));
       await ended;
       await node.drain();
       return ExitCode.Done;
@@ -53,11 +63,12 @@
 
 function createNodeOptions(
   settings: Settings,
+  secrets: Secrets,
 ): Parameters<typeof startNode>[0] {
   const logger = createLogger({
     node: settings.node.id,
     level: settings.logging.level,
     format: settings.logging.format,
   });
-  return {settings, clock: createSystemClock(), logger};
+  return {settings, clock: createSystemClock(), logger, secrets};
 }
--- a/src/demo/cluster.ts
+++ b/src/demo/cluster.ts
@@ -4,7 +4,7 @@
 import {type AnvilstackNode, startNode} from '../node';
 import {VmState} from '../platform';
 import type {Clock} from '../runtime';
-import {type Settings, settingsSchema} from '../settings';
+import {createSecret, type Settings, settingsSchema} from '../settings';
 import {
   type StandinEngine,
   type StandinFleet,
@@ -38,6 +38,7 @@
   close(): Promise<void>;
 }
 
+const PEER_SECRET = 'demo-peer-secret';
 const OPERATOR_TOKEN = 'demo-operator-token';
 const DEFAULT_REPORT_INTERVAL_MS = 100;
 const POLL_MS = 10;
@@ -109,6 +110,7 @@
     settings,
     clock: options.clock,
     logger: createLogger({node: settings.node.id, level: 'error'}),
+    secrets: {peerSecret: createSecret(PEER_SECRET)},
   });
   fleet.vmList.setVm({
     id: node.id,
@@ -118,6 +120,7 @@
     region: settings.node.region,
     address: node.callerAddress,
     operatorAddress: node.operatorAddress,
+    peerAddress: node.peerAddress,
   });
   return node;
 }
--- /dev/null
+++ b/src/membership/peer_client.ts
@@ -0,0 +1,144 @@
+/** Calls of other nodes: signed trpc over HTTP. */
+import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
+import {Agent, fetch as fetchUrl} from 'undici';
+import type {TimelineEvent} from '../diagnostics';
+import type {Clock} from '../runtime';
+import type {FoldSnapshot} from '../state';
+import {PEER_PATH} from './peer_app';
+import {
+  createSignature,
+  PEER_SIGNATURE_HEADER,
+  PEER_TIME_HEADER,
+} from './peer_auth';
+import type {EventFilter, PeerRouter} from './peer_router';
+import type {Exchange, IndirectProbe} from './types';
+
+/** Options of the client. */
+export interface PeerClientOptions {
+  readonly clock: Clock;
+  /** The secret that all nodes share. */
+  readonly secret: string;
+  /** Longest wait for an exchange, in milliseconds. */
+  readonly timeoutMs?: number;
+  /** Longest wait for a snapshot or events, in milliseconds. */
+  readonly transferTimeoutMs?: number;
+}
+
+/** Calls of peers; each resolves with undefined or false when none answered. */
+export interface PeerClient {
+  sendExchange(
+    address: string,
+    exchange: Exchange,
+  ): Promise<Exchange | undefined>;
+  sendIndirectProbe(address: string, probe: IndirectProbe): Promise<boolean>;
+  readSnapshot(
+    address: string,
+    stream: string,
+  ): Promise<FoldSnapshot | undefined>;
+  readEvents(
+    address: string,
+    filter: EventFilter,
+  ): Promise<readonly TimelineEvent[] | undefined>;
+  close(): Promise<void>;
+}
+
+const DEFAULT_TIMEOUT_MS = 500;
+const DEFAULT_TRANSFER_TIMEOUT_MS = 10_000;
+/** How long an idle connection to a peer is kept, in milliseconds. */
+const IDLE_CONNECTION_MS = 4_000;
+/** Most peers whose clients are kept. */
+const MAX_CLIENTS = 64;
+
+/** Creates the client. */
+export function createPeerClient(options: PeerClientOptions): PeerClient {
+  const {clock, secret} = options;
+  const timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+  const transferTimeoutMs =
+    options.transferTimeoutMs ?? DEFAULT_TRANSFER_TIMEOUT_MS;
+  const agent = new Agent({
+    keepAliveTimeout: IDLE_CONNECTION_MS,
+    connections: 2,
+  });
+  const clients = new Map<string, TRPCClient<PeerRouter>>();
+  return {
+    sendExchange: (address, exchange) =>
+      tryCall(signal => getClient(address).exchange.mutate(exchange, {signal})),
+    sendIndirectProbe: async (address, probe) => {
+      // The peer waits for the third node as long as this one waits for a peer.
+      const answer = await tryCall(
+        signal => getClient(address).indirectProbe.mutate(probe, {signal}),
+        2 * timeoutMs,
+      );
+      return answer ?? false;
+    },
+    readSnapshot: async (address, stream) => {
+      const answer = await tryCall(
+        signal => getClient(address).snapshot.query({stream}, {signal}),
+        transferTimeoutMs,
+      );
+      if (answer === undefined || answer === null) return undefined;
+      return {...answer, state: answer.state};
+    },
+    readEvents: (address, filter) =>
+      tryCall(
+        signal => getClient(address).events.query(filter, {signal}),
+        transferTimeoutMs,
+      ),
+    close: () => agent.destroy(),
+  };
+
+  async function tryCall<Answer>(
+    call: (signal: AbortSignal) => Promise<Answer>,
+    limitMs = timeoutMs,
+  ): Promise<Answer | undefined> {
+    const controller = new AbortController();
+    const timer = clock.schedule(limitMs, () => controller.abort());
+    try {
+      return await call(controller.signal);
+    } catch {
+      return undefined;
+    } finally {
+      timer.cancel();
+    }
+  }
+
+  function getClient(address: string): TRPCClient<PeerRouter> {
+    const known = clients.get(address);
+    if (known !== undefined) return known;
+    const client = createTRPCClient<PeerRouter>({
+      links: [httpLink({url: address + PEER_PATH, fetch: sendSigned})],
+    });
+    clients.set(address, client);
+    if (clients.size > MAX_CLIENTS) clients.delete([...clients.keys()][0]);
+    return client;
+  }
+
+  async function sendSigned(
+    input: string | URL | Request,
+    init?: {
+      method?: string;
+      body?: unknown;
+      headers?: unknown;
+      signal?: AbortSignal | null;
+    },
+  ): Promise<Response> {
+    const url = new URL(input instanceof Request ? input.url : input);
+    const method = init?.method ?? 'GET';
+    const body = typeof init?.body === 'string' ? init.body : '';
+    const sentAtMs = Math.floor(clock.getWallMs());
+    const target = url.pathname + url.search;
+    const signature = createSignature(secret, {method, target, body, sentAtMs});
+    const response = await fetchUrl(url, {
+      method,
+      body: method === 'GET' ? undefined : body,
+      headers: {
+        ...(init?.headers as Record<string, string>),
+        [PEER_TIME_HEADER]: String(sentAtMs),
+        [PEER_SIGNATURE_HEADER]: signature,
+      },
+      signal: init?.signal ?? undefined,
+      dispatcher: agent,
+    });
+    return response as unknown as Response;
+  }
+}
--- /dev/null
+++ b/src/membership/peer_router.ts
@@ -0,0 +1,67 @@
+/** The procedures that a node offers to its peers. */
+import {initTRPC} from '@trpc/server';
+import {z} from 'zod';
+import type {TimelineEvent} from '../diagnostics';
+import type {FoldSnapshot} from '../state';
+import {
+  type Exchange,
+  exchangeSchema,
+  type IndirectProbe,
+  indirectProbeSchema,
+} from './types';
+
+/** What the procedures use of the node. */
+export interface PeerServices {
+  handleExchange(exchange: Exchange): Exchange;
+  handleIndirectProbe(probe: IndirectProbe): Promise<boolean>;
+  /** Returns the folded state of a stream, when this node follows it and is caught up. */
+  tryExportSnapshot(stream: string): FoldSnapshot | undefined;
+  /** Lists this node's events, oldest first. */
+  listEvents(): readonly TimelineEvent[];
+}
+
+/** Most events in one answer; the newest are kept. */
+const MAX_ANSWER_EVENTS = 4_096;
+
+const eventFilterSchema = z.object({
+  /** Only events of this request. */
+  requestId: z.string().min(1).optional(),
+  /** Only events after this wall time, in milliseconds since the Unix epoch. */
+  afterMs: z.number().optional(),
+});
+
+/** Which events to list. */
+export type EventFilter = z.infer<typeof eventFilterSchema>;
+
+/** Creates the router. */
+export function createPeerRouter(services: PeerServices) {
+  const t = initTRPC.create();
+  return t.router({
+    exchange: t.procedure
+      .input(exchangeSchema)
+      .mutation(({input}) => services.handleExchange(input)),
+    indirectProbe: t.procedure
+      .input(indirectProbeSchema)
+      .mutation(({input}) => services.handleIndirectProbe(input)),
+    snapshot: t.procedure
+      .input(z.object({stream: z.string().min(1)}))
+      .query(({input}) => services.tryExportSnapshot(input.stream) ?? null),
+    events: t.procedure
+      .input(eventFilterSchema)
+      .query(({input}) => selectEvents(services.listEvents(), input)),
+  });
+}
+
+/** The router's type, for clients. */
+export type PeerRouter = ReturnType<typeof createPeerRouter>;
+
+function selectEvents(
+  events: readonly TimelineEvent[],
+  filter: EventFilter,
+): TimelineEvent[] {
+  const {requestId, afterMs} = filter;
+  return events
+    .filter(event => requestId === undefined || event.requestId === requestId)
+    .filter(event => afterMs === undefined || event.at.wallMs > afterMs)
+    .slice(-MAX_ANSWER_EVENTS);
+}
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -32,8 +32,10 @@
   offsets: z.record(nameSchema, countSchema),
   /** Requests in flight from this node, by engine; the busiest ones. */
   inFlight: z.record(nameSchema, countSchema),
-  /** Processor time of control, in parts of one core. */
-  controlCores: z.number().nonnegative(),
+  /** Requests that wait or run at this node. */
+  openRequests: countSchema,
+  /** Processor time of the whole process, in parts of one core. */
+  processCores: z.number().nonnegative(),
 });
 
 const rumourSchema = z.discriminatedUnion('kind', [
@@ -118,7 +120,10 @@
 }
 
 /** The part of a digest that comes from the node's other tasks. */
-export type LocalLoad = Pick<Digest, 'offsets' | 'inFlight' | 'controlCores'>;
+export type LocalLoad = Pick<
+  Digest,
+  'offsets' | 'inFlight' | 'openRequests' | 'processCores'
+>;
 
 /** A change that membership has noticed. */
 export type MembershipChange =
--- a/src/node/index.ts
+++ b/src/node/index.ts
@@ -1,3 +1,4 @@
 export {getBackendServers} from './fleet_view';
 export {startNode} from './node';
 export type {AnvilstackNode, NodeOptions} from './node';
+export type {CollectedEvents, FleetOfPeers} from './peer_tasks';
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -12,9 +12,10 @@
 import {createHttpLogService, createHttpVmList} from '../platform';
 import {createDispatcher, createServiceDispatcher} from '../routing';
 import {type Clock, openListener} from '../runtime';
-import type {Settings} from '../settings';
+import type {Secrets, Settings} from '../settings';
 import {createFleetWatch} from './fleet_watch';
 import {createNodeStreams} from './node_streams';
+import {openPeerTasks} from './peer_tasks';
 import {createSummaryEvent} from './summary_event';
 
 /** Options of a node. */
@@ -22,6 +23,7 @@
   readonly settings: Settings;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly secrets?: Secrets;
 }
 
 /** A running node. */
@@ -30,6 +32,8 @@
   /** Base addresses of its listeners. */
   readonly callerAddress: string;
   readonly operatorAddress: string;
+  /** Empty when the node has no secret to share with its peers. */
+  readonly peerAddress: string;
   /** True once the state in force is known and until the node drains. */
   isReady(): boolean;
   /** Graceful shutdown: finishes what is open, then closes. */
@@ -38,6 +42,9 @@
   kill(): Promise<void>;
 }
 
+/** How long a drain waits for the log to take the outcomes of claims, in milliseconds. */
+const CLAIMS_DRAIN_MS = 10_000;
+
 /** Starts a node. */
 export async function startNode(options: NodeOptions): Promise<AnvilstackNode> {
   const {settings, clock, logger} = options;
@@ -58,10 +65,13 @@
     events,
     intervalMs: settings.routing.report_interval_ms,
     onServers: servers => {
-      dispatcher.updateServers(servers);
-      services.updateServers(servers);
+      peers.updateVms(fleet.getVms(), servers);
+      applyServers();
+    },
+    onReport: report => {
+      peers.updateReport(report);
+      dispatcher.updateReport(report);
     },
-    onReport: report => dispatcher.updateReport(report),
   });
   const dispatcher = createDispatcher({
     clock,
@@ -73,18 +83,20 @@
     clock,
     client: createHttpServiceClient(),
   });
+  const claims = createClaimsLedger({
+    node: writerId,
+    logRetentionMs: settings.platform.log_retention_s * 1_000,
+    isLogOut: streams.isClaimsLogOut,
+    isNodeGone: process => peers.membership.isProcessGone(process),
+    clock,
+    follower: streams.claims.follower,
+    writer: streams.claims.writer,
+  });
   const pipeline = createRequestPipeline({
     clock,
     dispatcher,
     services,
-    claims: createClaimsLedger({
-      node: writerId,
-      logRetentionMs: settings.platform.log_retention_s * 1_000,
-      isLogOut: streams.isClaimsLogOut,
-      clock,
-      follower: streams.claims.follower,
-      writer: streams.claims.writer,
-    }),
+    claims,
     onSummary: summary => {
       recorder.add(summary);
       events.emit(createSummaryEvent(summary));
@@ -92,6 +104,18 @@
   });
   const recorder = createTraceRecorder();
   let isDraining = false;
+  const peers = await openPeerTasks({
+    clock,
+    logger,
+    events,
+    node: id,
+    process: writerId,
+    secret: options.secrets?.peerSecret?.getText(),
+    listen: parseListenAddress(settings.listen.peers),
+    streams: [streams.config.follower, streams.claims.follower],
+    getOpenRequests: dispatcher.getOpenCount,
+    onServersChanged: applyServers,
+  });
   const callers = await openListener({
     app: createCallerApp({
       clock,
@@ -119,23 +143,33 @@
         node: id,
         vms: fleet.getVms(),
         reports: fleet.listReports(),
+        ...peers.getFleet(),
       }),
     }),
     ...parseListenAddress(settings.listen.operators),
   });
   streams.start();
   fleet.start();
+  peers.start();
   events.emit({kind: 'node-started', cause: `process ${writerId}`});
   logger.log('info', 'node started', {callers: callers.address});
   return {
     id,
     callerAddress: callers.address,
     operatorAddress: operators.address,
+    peerAddress: peers.address,
     isReady,
     drain,
     kill,
   };
 
+  /** Gives routing the backend servers, with those marked that leave. */
+  function applyServers(): void {
+    const servers = peers.applyMarks(fleet.getServers());
+    dispatcher.updateServers(servers);
+    services.updateServers(servers);
+  }
+
   function isReady(): boolean {
     return !isDraining && streams.isCaughtUp() && fleet.getVms().length > 0;
   }
@@ -144,14 +178,16 @@
     isDraining = true;
     events.emit({kind: 'node-draining', cause: 'graceful shutdown'});
     await pipeline.drain();
-    await Promise.all([callers.close(), operators.close()]);
+    await claims.drain(CLAIMS_DRAIN_MS);
+    await peers.drain();
+    await Promise.all([callers.close(), operators.close(), peers.close()]);
     stopTasks();
     logger.log('info', 'node stopped');
   }
 
   async function kill(): Promise<void> {
     stopTasks();
-    await Promise.all([callers.destroy(), operators.destroy()]);
+    await Promise.all([callers.destroy(), operators.destroy(), peers.close()]);
   }
 
   function stopTasks(): void {
--- /dev/null
+++ b/src/node/peer_tasks.ts
@@ -0,0 +1,247 @@
+/** The peers' listener and the membership task of one node. */
+import type {BackendServer, EngineReport} from '../backends';
+import {EngineState} from '../backends';
+import type {EventRing, Logger, TimelineEvent} from '../diagnostics';
+import {
+  createMembership,
+  createPeerApp,
+  createPeerClient,
+  type Digest,
+  type EventFilter,
+  type Member,
+  type Membership,
+  type MembershipChange,
+} from '../membership';
+import type {Vm} from '../platform';
+import {type Clock, type Listener, openListener} from '../runtime';
+import type {FoldSnapshot, StreamFollower} from '../state';
+import {createProcessorMeter} from './processor_meter';
+
+/** What the tasks use of a stream that the node follows. */
+export type PeerStream = Pick<
+  StreamFollower<unknown, unknown>,
+  'stream' | 'getNextOffset' | 'isCaughtUp' | 'exportSnapshot'
+>;
+
+/** Options of the tasks. */
+export interface PeerTasksOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly events: EventRing;
+  readonly node: string;
+  /** Names this process: the node, a dot, and what tells its processes apart. */
+  readonly process: string;
+  /** The secret that all nodes share. Without it this node stays alone. */
+  readonly secret?: string;
+  readonly listen: {readonly host: string; readonly port: number};
+  readonly streams: readonly PeerStream[];
+  /** Returns the number of requests that wait or run. */
+  readonly getOpenRequests: () => number;
+  /** Called when a backend server has begun to leave, or a mark has ended. */
+  readonly onServersChanged: () => void;
+}
+
+/** The tasks. */
+export interface PeerTasks {
+  /** Base address of the peers' listener, or empty without one. */
+  readonly address: string;
+  readonly membership: Membership;
+  /** Takes the VM list as read. */
+  updateVms(vms: readonly Vm[], servers: readonly BackendServer[]): void;
+  /** Takes an engine's report: it may say that the engine leaves. */
+  updateReport(report: EngineReport): void;
+  /** Returns the servers, with those marked that a peer knows to leave. */
+  applyMarks(servers: readonly BackendServer[]): readonly BackendServer[];
+  /** Reads a stream's folded state from the first of some peers that has it. */
+  readSnapshot(stream: string): Promise<FoldSnapshot | undefined>;
+  /** Collects the events of the peers that answer, and names those that do not. */
+  collectEvents(filter: EventFilter): Promise<CollectedEvents>;
+  /** Returns what `fleet` shows of the nodes. */
+  getFleet(): FleetOfPeers;
+  start(): void;
+  drain(): Promise<void>;
+  close(): Promise<void>;
+}
+
+/** The nodes as this one sees them. */
+export interface FleetOfPeers {
+  readonly members: readonly Member[];
+  readonly leavingServers: readonly string[];
+  readonly digests: readonly Digest[];
+}
+
+/** Events of several nodes. */
+export interface CollectedEvents {
+  readonly events: readonly TimelineEvent[];
+  /** Nodes that did not answer. */
+  readonly missing: readonly string[];
+}
+
+/** Most peers that are asked for a snapshot. */
+const MAX_SNAPSHOT_PEERS = 5;
+/** Peers that are asked for events at a time. */
+const EVENT_PEERS_AT_A_TIME = 16;
+
+/** Opens the listener; membership starts with `start`. */
+export async function openPeerTasks(
+  options: PeerTasksOptions,
+): Promise<PeerTasks> {
+  const {clock, events, node, logger} = options;
+  const secret = options.secret ?? '';
+  const client = createPeerClient({clock, secret});
+  const getProcessCores = createProcessorMeter(clock);
+  const listener = await tryOpenListener();
+  const address = listener?.address ?? '';
+  const membership = createMembership({
+    node,
+    process: options.process,
+    address,
+    incarnation: Math.floor(clock.getWallMs()),
+    host: {
+      clock,
+      getRandom: Math.random,
+      sendExchange: client.sendExchange,
+      sendIndirectProbe: client.sendIndirectProbe,
+      getLocalLoad: () => ({
+        offsets: Object.fromEntries(
+          options.streams.map(item => [item.stream, item.getNextOffset()]),
+        ),
+        inFlight: {},
+        openRequests: options.getOpenRequests(),
+        processCores: getProcessCores(),
+      }),
+    },
+  });
+  membership.subscribe(reportChange);
+  return {
+    address,
+    membership,
+    updateVms,
+    updateReport,
+    applyMarks,
+    readSnapshot,
+    collectEvents,
+    getFleet: () => ({
+      members: membership.listMembers(),
+      leavingServers: membership.listLeavingServers(),
+      digests: membership.listDigests(),
+    }),
+    start: () => {
+      if (listener !== undefined) membership.start();
+    },
+    drain: () => membership.drain(),
+    close,
+  };
+
+  function tryOpenListener(): Promise<Listener> | undefined {
+    if (options.secret === undefined) {
+      logger.log('warn', 'no peer secret in the settings: this node is alone');
+      return undefined;
+    }
+    return openListener({
+      app: createPeerApp({
+        clock,
+        secret,
+        services: {
+          handleExchange: exchange => membership.handleExchange(exchange),
+          handleIndirectProbe: probe => membership.handleIndirectProbe(probe),
+          tryExportSnapshot,
+          listEvents: events.list,
+        },
+      }),
+      ...options.listen,
+    });
+  }
+
+  function tryExportSnapshot(stream: string): FoldSnapshot | undefined {
+    const known = options.streams.find(item => item.stream === stream);
+    return known?.isCaughtUp() === true ? known.exportSnapshot() : undefined;
+  }
+
+  function updateVms(
+    vms: readonly Vm[],
+    servers: readonly BackendServer[],
+  ): void {
+    membership.updateListed(
+      vms
+        .filter(vm => vm.purpose === 'node')
+        .map(vm => ({node: vm.id, address: vm.peerAddress ?? ''})),
+    );
+    for (const server of servers) {
+      if (server.isLeaving) membership.reportLeaving(server.id);
+    }
+  }
+
+  function updateReport(report: EngineReport): void {
+    if (report.state === EngineState.Leaving) {
+      membership.reportLeaving(report.engine);
+    }
+  }
+
+  function applyMarks(
+    servers: readonly BackendServer[],
+  ): readonly BackendServer[] {
+    return servers.map(server =>
+      membership.isServerLeaving(server.id)
+        ? {...server, isLeaving: true}
+        : server,
+    );
+  }
+
+  function reportChange(change: MembershipChange): void {
+    switch (change.kind) {
+      case 'member':
+        events.emit({
+          kind: `peer-${change.member.status}`,
+          cause: `node ${change.member.node} is ${change.member.status}`,
+        });
+        return;
+      case 'server-leaving':
+      case 'server-back':
+        events.emit({
+          kind: change.kind,
+          engine: change.server,
+          cause: 'membership',
+        });
+        options.onServersChanged();
+    }
+  }
+
+  async function readSnapshot(
+    stream: string,
+  ): Promise<FoldSnapshot | undefined> {
+    for (const peer of listLivePeers().slice(0, MAX_SNAPSHOT_PEERS)) {
+      const snapshot = await client.readSnapshot(peer.address, stream);
+      if (snapshot !== undefined) return snapshot;
+    }
+    return undefined;
+  }
+
+  async function collectEvents(filter: EventFilter): Promise<CollectedEvents> {
+    const collected: TimelineEvent[] = [];
+    const missing: string[] = [];
+    const peers = listLivePeers();
+    for (let first = 0; first < peers.length; first += EVENT_PEERS_AT_A_TIME) {
+      const group = peers.slice(first, first + EVENT_PEERS_AT_A_TIME);
+      await Promise.all(
+        group.map(async peer => {
+          const answer = await client.readEvents(peer.address, filter);
+          if (answer === undefined) missing.push(peer.node);
+          else collected.push(...answer);
+        }),
+      );
+    }
+    return {events: collected, missing};
+  }
+
+  function listLivePeers(): readonly Member[] {
+    return membership
+      .listMembers()
+      .filter(member => member.status === 'alive' && member.address !== '');
+  }
+
+  async function close(): Promise<void> {
+    membership.stop();
+    await Promise.all([listener?.destroy(), client.close()]);
+  }
+}
--- a/test/claims/ledger.test.ts
+++ b/test/claims/ledger.test.ts
@@ -181,6 +181,38 @@
   cluster.stop();
 });
 
+test('a node that drains leaves no outcome behind', async () => {
+  const cluster = startClaimsCluster();
+  const {clock} = cluster;
+  await clock.advance(100);
+  const node = cluster.getNode(0);
+  const first = node.book({key: 'k'});
+  const drained = first.then(() => node.ledger.drain(5_000));
+  void drained.then(() => cluster.applyFault({kind: 'kill', node: 0}));
+  await clock.advance(1_000);
+  assert.equal(await drained, true);
+  assert.ok(node.control.isKilled());
+  const again = cluster.getNode(1).book({key: 'k'});
+  await clock.advance(3_000);
+  assert.equal((await again).body, (await first).body);
+  cluster.stop();
+});
+
+test('a drain ends in time when the log is out', async () => {
+  const cluster = startClaimsCluster({serviceMs: 500});
+  const {clock} = cluster;
+  await clock.advance(100);
+  const first = cluster.getNode(0).book({key: 'k'});
+  await clock.advance(50);
+  cluster.applyFault({kind: 'log-outage', forMs: 60_000});
+  await clock.advance(1_000);
+  assert.equal((await first).kind, 'ran');
+  const drained = cluster.getNode(0).ledger.drain(5_000);
+  await clock.advance(6_000);
+  assert.equal(await drained, false);
+  cluster.stop();
+});
+
 test('a key used for another request is refused', async () => {
   const cluster = startClaimsCluster();
   const {clock} = cluster;
--- /dev/null
+++ b/test/node/peers.test.ts
@@ -0,0 +1,48 @@
+/** Nodes find one another over their peers' listeners. */
+import assert from 'node:assert/strict';
+import {after, before, test} from 'node:test';
+import type {Cluster} from '../../src/demo';
+import type {AnvilstackNode, FleetOfPeers} from '../../src/node';
+import {startTestCluster} from '../support/cluster';
+
+let cluster: Cluster;
+
+before(async () => {
+  cluster = await startTestCluster();
+});
+
+after(() => cluster.close());
+
+test('every node sees the others, and all know which server leaves', async () => {
+  await cluster.waitUntil(async () => {
+    const fleets = await Promise.all(cluster.nodes.map(getFleet));
+    return fleets.every(({members, digests}) => {
+      const alive = members.filter(member => member.process !== undefined);
+      return alive.length === 2 && digests.length === 2;
+    });
+  });
+  const [engine] = cluster.fleet.engines;
+  engine.setLeaving(true);
+  await cluster.waitUntil(async () => {
+    const fleets = await Promise.all(cluster.nodes.map(getFleet));
+    return fleets.every(fleet => fleet.leavingServers.includes(engine.id));
+  });
+});
+
+test('a drained node is known to have left', async () => {
+  const [kept, drained] = cluster.nodes;
+  await drained.drain();
+  await cluster.waitUntil(async () => {
+    const {members} = await getFleet(kept);
+    const member = members.find(item => item.node === drained.id);
+    return member?.status === 'left';
+  });
+  assert.notEqual(kept.peerAddress, '');
+});
+
+async function getFleet(node: AnvilstackNode): Promise<FleetOfPeers> {
+  const answer = await fetch(`${node.operatorAddress}/operators/fleet`, {
+    headers: {authorization: `Bearer ${cluster.operatorToken}`},
+  });
+  return (await answer.json()) as FleetOfPeers;
+}
--- a/test/support/membership_cluster.ts
+++ b/test/support/membership_cluster.ts
@@ -3,8 +3,8 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {
   createMembership,
-  type Exchange,
   type ListedNode,
+  type LocalLoad,
   type Membership,
   type MembershipOptions,
 } from '../../src/membership';
@@ -180,9 +180,7 @@
   return {node: name, address: `http://${name}:8103`};
 }
 
-function createLoad(
-  entries: number,
-): Pick<Exchange['digest'], 'offsets' | 'inFlight' | 'controlCores'> {
+function createLoad(entries: number): LocalLoad {
   const inFlight: Record<string, number> = {};
   for (let index = 0; index < entries; index++) {
     inFlight[`engine-${1_000 + index}`] = 3;
@@ -190,7 +188,8 @@
   return {
     offsets: {config: 39_000, 'claims-0': 812_345},
     inFlight,
-    controlCores: 0.004,
+    openRequests: 12,
+    processCores: 0.25,
   };
 }
 
