Grant leases by a fold, count them from what was sent, send commands under them

Cause: nothing decided who may command the engines of a failure domain. The fold of the stream control grants a claim only when it names the term that it replaces and the last renewal of it that the claimant has read. Found by a test and mended: a process with a gap rejected the renewals of a holder whose claim it had seen but could not judge, and would have gone on with no lease known; it now takes the newest term that renews. Ruled out: terms alone in the claim, since a term does not change by renewals.

--- /dev/null
+++ b/src/authority/control_fold.ts
@@ -0,0 +1,233 @@
+/** The stream `control`: grants each shard's lease to at most one holder. */
+import {z} from 'zod';
+import {assertNever} from '../runtime';
+import type {EntryContext, StreamDefinition} from '../state';
+import {
+  CONTROL_STREAM,
+  type ControlEntry,
+  controlEntrySchema,
+  type ControlState,
+  type Intent,
+  type Lease,
+  type MoveRecord,
+} from './types';
+
+/** A lease without a renewal for so long counts as if it had never been, in milliseconds. */
+const LEASE_FORGET_MS = 600_000;
+
+/** The stream `control`: schema and fold. */
+export const controlStream: StreamDefinition<ControlState, ControlEntry> = {
+  stream: CONTROL_STREAM,
+  createState: () => ({
+    leases: new Map(),
+    intents: new Map(),
+    moves: new Map(),
+    nowMs: 0,
+    startOffset: 0,
+    startedAtMs: undefined,
+  }),
+  tryParseEntry: value => {
+    const parsed = controlEntrySchema.safeParse(value);
+    return parsed.success ? parsed.data : undefined;
+  },
+  applyEntry: (state, entry, context) => {
+    state.nowMs = Math.max(state.nowMs, context.appendedAtMs);
+    state.startedAtMs ??= context.appendedAtMs;
+    const reason = tryApply(state, entry, context);
+    const {offset, index} = context;
+    const position = {offset, index};
+    if (reason === undefined) return {kind: 'accepted', position};
+    return {kind: 'rejected', position, reason};
+  },
+  exportState,
+  tryRestoreState,
+  applyGap: (state, offset) => {
+    state.startOffset = offset;
+    state.startedAtMs = undefined;
+  },
+  isComplete,
+};
+
+/** Returns the lease that a claim of this shard has to replace. */
+export function tryGetLease(
+  state: ControlState,
+  shard: string,
+): Lease | undefined {
+  const lease = state.leases.get(shard);
+  if (lease === undefined) return undefined;
+  const isForgotten = state.nowMs - lease.renewedAtMs > LEASE_FORGET_MS;
+  return isForgotten ? undefined : lease;
+}
+
+/** A lease that still counts has had a record in the time that has been read since a gap. */
+function isComplete(state: ControlState): boolean {
+  if (state.startOffset === 0) return true;
+  if (state.startedAtMs === undefined) return false;
+  return state.nowMs - state.startedAtMs > LEASE_FORGET_MS;
+}
+
+/** Returns why the entry has no effect, or undefined when it has. */
+function tryApply(
+  state: ControlState,
+  entry: ControlEntry,
+  context: EntryContext,
+): string | undefined {
+  switch (entry.kind) {
+    case 'lease-claim':
+      return tryGrant(state, entry, context);
+    case 'lease-renew':
+    case 'lease-release':
+    case 'intent':
+    case 'intent-result':
+    case 'move-progress': {
+      const lease = findCurrentLease(state, entry, context);
+      if (lease === undefined) return getStaleReason(state, entry.shard);
+      return tryApplyAsHolder(state, entry, lease, context);
+    }
+    case 'control-mark':
+      return undefined;
+    default:
+      return assertNever(entry);
+  }
+}
+
+function tryGrant(
+  state: ControlState,
+  entry: ControlEntry & {kind: 'lease-claim'},
+  context: EntryContext,
+): string | undefined {
+  const known = tryGetLease(state, entry.shard);
+  const term = known?.term ?? 0;
+  if (entry.replacesTerm !== term) return getStaleReason(state, entry.shard);
+  // A claimant that has not read the last renewal cannot know that the lease has lapsed.
+  const hasMissedRenewal = entry.seenRenewals !== (known?.renewals ?? 0);
+  if (hasMissedRenewal && known?.isReleased !== true) {
+    return `term ${term} was renewed meanwhile`;
+  }
+  state.leases.set(entry.shard, {
+    shard: entry.shard,
+    term: context.offset + 1,
+    holder: entry.holder,
+    renewals: 0,
+    renewedAtMs: context.appendedAtMs,
+    isReleased: false,
+  });
+  return undefined;
+}
+
+/**
+ * Returns the lease when the entry's writer holds it. After a gap in the log the grant may be
+ * unknown; the holder's first entry then stands for it. No process claims while it has a gap, so
+ * whoever renews was granted its term by a fold without one.
+ */
+function findCurrentLease(
+  state: ControlState,
+  entry: {shard: string; term: number; holder: string},
+  context: EntryContext,
+): Lease | undefined {
+  const known = tryGetLease(state, entry.shard);
+  if (known?.term === entry.term && known.holder === entry.holder) {
+    return known.isReleased ? undefined : known;
+  }
+  const isNewer = entry.term > (known?.term ?? 0);
+  if (isComplete(state) || !isNewer) return undefined;
+  return {
+    shard: entry.shard,
+    term: entry.term,
+    holder: entry.holder,
+    renewals: 0,
+    renewedAtMs: context.appendedAtMs,
+    isReleased: false,
+  };
+}
+
+function tryApplyAsHolder(
+  state: ControlState,
+  entry: Exclude<ControlEntry, {kind: 'lease-claim' | 'control-mark'}>,
+  lease: Lease,
+  context: EntryContext,
+): string | undefined {
+  const {appendedAtMs} = context;
+  switch (entry.kind) {
+    case 'lease-renew':
+      state.leases.set(entry.shard, {
+        ...lease,
+        renewals: entry.renewals,
+        renewedAtMs: appendedAtMs,
+      });
+      return undefined;
+    case 'lease-release':
+      state.leases.set(entry.shard, {...lease, isReleased: true});
+      return undefined;
+    case 'intent':
+      state.intents.set(entry.command, {
+        command: entry.command,
+        shard: entry.shard,
+        term: entry.term,
+        engine: entry.engine,
+        order: entry.order,
+        loggedAtMs: appendedAtMs,
+      });
+      return undefined;
+    case 'intent-result':
+      if (state.intents.delete(entry.command)) return undefined;
+      return 'no such intent';
+    case 'move-progress':
+      return tryRecordProgress(state, {
+        ...entry.progress,
+        shard: entry.shard,
+        loggedAtMs: appendedAtMs,
+      });
+    default:
+      return assertNever(entry);
+  }
+}
+
+function tryRecordProgress(
+  state: ControlState,
+  move: MoveRecord,
+): string | undefined {
+  const known = state.moves.get(move.clientAccount);
+  if (known !== undefined && known.templateVersion > move.templateVersion) {
+    return `progress under version ${known.templateVersion} is known`;
+  }
+  state.moves.set(move.clientAccount, move);
+  return undefined;
+}
+
+function getStaleReason(state: ControlState, shard: string): string {
+  const lease = tryGetLease(state, shard);
+  if (lease === undefined) return 'no lease is known';
+  return `term ${lease.term} is held by ${lease.holder}`;
+}
+
+const snapshotSchema = z.object({
+  leases: z.array(z.custom<Lease>()),
+  intents: z.array(z.custom<Intent>()),
+  moves: z.array(z.custom<MoveRecord>()),
+  nowMs: z.number(),
+  startOffset: z.number(),
+  startedAtMs: z.number().optional(),
+});
+
+function exportState(state: ControlState): z.infer<typeof snapshotSchema> {
+  return {
+    ...state,
+    leases: [...state.leases.values()],
+    intents: [...state.intents.values()],
+    moves: [...state.moves.values()],
+  };
+}
+
+function tryRestoreState(data: unknown): ControlState | undefined {
+  const parsed = snapshotSchema.safeParse(data);
+  if (!parsed.success) return undefined;
+  const {leases, intents, moves, ...marks} = parsed.data;
+  return {
+    ...marks,
+    startedAtMs: marks.startedAtMs,
+    leases: new Map(leases.map(lease => [lease.shard, lease])),
+    intents: new Map(intents.map(intent => [intent.command, intent])),
+    moves: new Map(moves.map(move => [move.clientAccount, move])),
+  };
+}
--- /dev/null
+++ b/src/authority/lease_holder.ts
@@ -0,0 +1,200 @@
+/** The task that renews or challenges the lease of one shard. */
+import type {Clock, Timer} from '../runtime';
+import type {StreamFollower, StreamWriter} from '../state';
+import {tryGetLease} from './control_fold';
+import {
+  CANDIDATE_STAGGER_MS,
+  getChallengeWaitMs,
+  LEASE_HOLD_MS,
+  LEASE_RENEW_MS,
+} from './lease_timing';
+import type {
+  Authority,
+  ControlEntry,
+  ControlState,
+  Lease,
+  LeaseHolder,
+} from './types';
+
+/** Options of a lease holder. */
+export interface LeaseHolderOptions {
+  readonly shard: string;
+  readonly clock: Clock;
+  readonly follower: StreamFollower<ControlState, ControlEntry>;
+  readonly writer: StreamWriter<ControlEntry>;
+  /** Returns this process's place among the candidates, from 0, or undefined when it is none. */
+  readonly getRank: () => number | undefined;
+  readonly holdMs?: number;
+  readonly renewMs?: number;
+  /** Called when the authority begins or ends. */
+  readonly onChange?: (authority: Authority | undefined) => void;
+}
+
+/** How often the task looks at the clock, in milliseconds. */
+const TICK_MS = 200;
+/** Longest wait for a release to be read back, in milliseconds. */
+const RELEASE_TIMEOUT_MS = 2_000;
+
+/** Creates the task; it does nothing before `start`. */
+export function createLeaseHolder(options: LeaseHolderOptions): LeaseHolder {
+  const {shard, clock, follower, writer} = options;
+  const holdMs = options.holdMs ?? LEASE_HOLD_MS;
+  const renewMs = options.renewMs ?? LEASE_RENEW_MS;
+  const holder = writer.writer;
+  let timer: Timer | undefined;
+  let lapse: Timer | undefined;
+  let authority: Authority | undefined;
+  let holdsUntilMs = 0;
+  let nextRenewalAtMs = 0;
+  let isWriting = false;
+  let isReleasing = false;
+  /** The lease as last read, and when. */
+  let watched = '';
+  let watchedAtMs = 0;
+  return {
+    shard,
+    tryGetAuthority,
+    start: () => {
+      watchedAtMs = clock.getMonotonicMs();
+      timer = clock.schedule(TICK_MS, runTick);
+    },
+    stop,
+    release,
+  };
+
+  function tryGetAuthority(): Authority | undefined {
+    if (authority === undefined || isReleasing) return undefined;
+    if (clock.getMonotonicMs() >= holdsUntilMs) return undefined;
+    const lease = tryGetLease(follower.getState(), shard);
+    return lease?.term === authority.term ? authority : undefined;
+  }
+
+  function stop(): void {
+    timer?.cancel();
+    timer = undefined;
+    cancelAuthority();
+  }
+
+  async function release(): Promise<void> {
+    const held = tryGetAuthority();
+    isReleasing = true;
+    stop();
+    if (held === undefined) return;
+    const {term} = held;
+    await writer.write(
+      {kind: 'lease-release', shard, term, holder},
+      RELEASE_TIMEOUT_MS,
+    );
+  }
+
+  function runTick(): void {
+    timer = clock.schedule(TICK_MS, runTick);
+    if (!follower.isCaughtUp()) return;
+    const lease = tryGetLease(follower.getState(), shard);
+    watchLease(lease);
+    if (authority !== undefined && tryGetAuthority() === undefined) {
+      cancelAuthority();
+    }
+    if (isWriting) return;
+    const isOwn = lease?.holder === holder && !lease.isReleased;
+    if (isOwn && clock.getMonotonicMs() >= nextRenewalAtMs) {
+      void sendRenewal(lease);
+    }
+    if (!isOwn && isChallengeDue(lease)) void claimLease(lease);
+  }
+
+  function watchLease(lease: Lease | undefined): void {
+    const seen =
+      lease === undefined
+        ? 'none'
+        : `${lease.term}/${lease.renewals}/${lease.isReleased}`;
+    if (seen === watched) return;
+    watched = seen;
+    watchedAtMs = clock.getMonotonicMs();
+  }
+
+  function isChallengeDue(lease: Lease | undefined): boolean {
+    const rank = options.getRank();
+    if (rank === undefined) return false;
+    // A log that is out can neither renew nor grant: control stays as it is.
+    if (follower.getSilenceMs() > holdMs) return false;
+    const isFree = lease === undefined || lease.isReleased;
+    const waitMs = isFree
+      ? rank * CANDIDATE_STAGGER_MS
+      : getChallengeWaitMs(holdMs, rank);
+    return clock.getMonotonicMs() - watchedAtMs >= waitMs;
+  }
+
+  async function claimLease(lease: Lease | undefined): Promise<void> {
+    isWriting = true;
+    const sentAtMs = clock.getMonotonicMs();
+    const answer = await writer.write(
+      {
+        kind: 'lease-claim',
+        shard,
+        holder,
+        replacesTerm: lease?.term ?? 0,
+        seenRenewals: lease?.renewals ?? 0,
+      },
+      holdMs,
+    );
+    isWriting = false;
+    watchedAtMs = clock.getMonotonicMs();
+    if (answer.err || answer.val.kind === 'rejected') return;
+    const isHandedOver = lease === undefined || lease.isReleased;
+    grantAuthority(answer.val.position.offset + 1, sentAtMs, isHandedOver);
+  }
+
+  async function sendRenewal(lease: Lease): Promise<void> {
+    isWriting = true;
+    const sentAtMs = clock.getMonotonicMs();
+    nextRenewalAtMs = sentAtMs + renewMs;
+    const answer = await writer.write(
+      {
+        kind: 'lease-renew',
+        shard,
+        holder,
+        term: lease.term,
+        renewals: lease.renewals + 1,
+      },
+      holdMs,
+    );
+    isWriting = false;
+    if (answer.err || answer.val.kind === 'rejected') return;
+    grantAuthority(lease.term, sentAtMs, false);
+  }
+
+  /** Counts from when the claim or renewal was sent: the challenger read it later than that. */
+  function grantAuthority(
+    term: number,
+    sentAtMs: number,
+    isHandedOver: boolean,
+  ): void {
+    if (timer === undefined) return;
+    holdsUntilMs = Math.max(holdsUntilMs, sentAtMs + holdMs);
+    const leftMs = holdsUntilMs - clock.getMonotonicMs();
+    if (leftMs <= 0) return;
+    lapse?.cancel();
+    lapse = clock.schedule(leftMs, expireAuthority);
+    if (authority?.term === term) return;
+    authority = {
+      shard,
+      term,
+      grantedAtMs: clock.getMonotonicMs(),
+      isHandedOver,
+    };
+    options.onChange?.(authority);
+  }
+
+  function expireAuthority(): void {
+    if (clock.getMonotonicMs() >= holdsUntilMs) cancelAuthority();
+  }
+
+  function cancelAuthority(): void {
+    lapse?.cancel();
+    if (authority === undefined) return;
+    authority = undefined;
+    holdsUntilMs = 0;
+    options.onChange?.(undefined);
+  }
+}
--- /dev/null
+++ b/test/support/control_cluster.ts
@@ -0,0 +1,220 @@
+/** Processes that contend for a shard's lease over one log, each with its own clock. */
+import type {EngineRole} from '../../src/backends';
+import {
+  type CommandSender,
+  type ControlEntry,
+  type ControlHost,
+  type ControlLoop,
+  type ControlState,
+  controlStream,
+  createCommandSender,
+  createControlLoop,
+  createLeaseHolder,
+  type LeaseHolder,
+} from '../../src/authority';
+import {createVirtualClock, type VirtualClock} from '../../src/runtime';
+import {
+  createStreamFollower,
+  createStreamWriter,
+  type StreamFollower,
+} from '../../src/state';
+import {
+  createLocalLog,
+  createLogModel,
+  type LogModel,
+} from '../../src/standins';
+import {
+  createFakeClient,
+  createFakeEngine,
+  type FakeEngine,
+} from './fake_engine';
+import {type AppendFault, createFaultyLog} from './faulty_log';
+import {createProcessClock, type ProcessClock} from './process_clock';
+
+export const SHARD = 'domain-1';
+
+export interface ControlProcess {
+  readonly name: string;
+  readonly clock: ProcessClock;
+  readonly lease: LeaseHolder;
+  readonly sender: CommandSender;
+  readonly loop: ControlLoop;
+  readonly follower: StreamFollower<ControlState, ControlEntry>;
+  readonly faults: Array<AppendFault | undefined>;
+  /** The role that this process wants its engines to have. */
+  wantedRole: EngineRole | undefined;
+  isReachable: boolean;
+  /** While set, the process stands between the check of its authority and the write. */
+  isHeldBeforeWrite: boolean;
+  setPaused(isPaused: boolean): void;
+  kill(): void;
+  getAppendCount(): number;
+}
+
+export interface ControlCluster {
+  readonly clock: VirtualClock;
+  readonly model: LogModel;
+  readonly engines: FakeEngine[];
+  readonly processes: ControlProcess[];
+  startProcess(options: {
+    name: string;
+    rank: number;
+    rate?: number;
+  }): ControlProcess;
+  /** Advances in small steps and calls `check` at each. */
+  advance(durationMs: number, check?: () => void): Promise<void>;
+  listHolders(): string[];
+  stop(): Promise<void>;
+}
+
+const STEP_MS = 50;
+const HELD_POLL_MS = 10;
+
+export function createControlCluster(options: {
+  readonly checksFencing?: boolean;
+  readonly engines?: number;
+  readonly guardMs?: number;
+}): ControlCluster {
+  const clock = createVirtualClock({wallStartMs: 1_700_000_000_000});
+  const model = createLogModel({clock});
+  const checksFencing = options.checksFencing ?? true;
+  const engines = Array.from({length: options.engines ?? 0}, (_, index) =>
+    createFakeEngine({id: `engine-${index}`, clock, checksFencing}),
+  );
+  const processes: ControlProcess[] = [];
+  return {
+    clock,
+    model,
+    engines,
+    processes,
+    startProcess,
+    advance,
+    listHolders: () =>
+      processes
+        .filter(process => process.lease.tryGetAuthority() !== undefined)
+        .map(process => process.name),
+    stop,
+  };
+
+  function startProcess(own: {
+    name: string;
+    rank: number;
+    rate?: number;
+  }): ControlProcess {
+    const processClock = createProcessClock({base: clock, rate: own.rate});
+    const faults: Array<AppendFault | undefined> = [];
+    const local = createLocalLog({
+      model,
+      clock: processClock,
+      isReachable: () => process.isReachable,
+      timeoutMs: 500,
+    });
+    const log = createFaultyLog(local, processClock, () => faults.shift());
+    const follower = createStreamFollower({
+      definition: controlStream,
+      log,
+      clock: processClock,
+      waitMs: 500,
+    });
+    const writer = createStreamWriter({
+      follower,
+      log,
+      clock: processClock,
+      writer: own.name,
+    });
+    const lease = createLeaseHolder({
+      shard: SHARD,
+      clock: processClock,
+      follower,
+      writer,
+      getRank: () => own.rank,
+      onChange: authority => {
+        if (authority === undefined) sender.close();
+      },
+    });
+    const sender = createCommandSender({
+      clock: processClock,
+      lease,
+      follower,
+      writer,
+      checksFencing: () => checksFencing,
+      guardMs: options.guardMs,
+      createClient: engine =>
+        createFakeClient({
+          engine: engines[Number(engine.split('-')[1])],
+          clock: processClock,
+          isReachable: () => process.isReachable,
+          waitBeforeWrite,
+        }),
+    });
+    const host: ControlHost = {
+      decide: (_state, reports) => {
+        const role = process.wantedRole;
+        if (role === undefined) return [];
+        return reports
+          .filter(report => report.role !== role && report.state === 'ready')
+          .map(report => ({
+            engine: report.engine,
+            order: {kind: 'set-role', role},
+            cause: 'test',
+          }));
+      },
+    };
+    const loop = createControlLoop({
+      clock: processClock,
+      lease,
+      sender,
+      follower,
+      writer,
+      host,
+      retentionMs: 24 * 3_600_000,
+      listReports: () =>
+        engines
+          .filter(engine => process.isReachable && !engine.isDown())
+          .map(engine => engine.getReport()),
+    });
+    const process: ControlProcess = {
+      name: own.name,
+      clock: processClock,
+      lease,
+      sender,
+      loop,
+      follower,
+      faults,
+      wantedRole: undefined,
+      isReachable: true,
+      isHeldBeforeWrite: false,
+      setPaused: processClock.setPaused,
+      kill: () => {
+        loop.stop();
+        writer.stop();
+        follower.stop();
+        processClock.setPaused(true);
+      },
+      getAppendCount: writer.getAppendCount,
+    };
+    processes.push(process);
+    follower.start();
+    loop.start();
+    return process;
+
+    async function waitBeforeWrite(): Promise<void> {
+      while (process.isHeldBeforeWrite) await processClock.sleep(HELD_POLL_MS);
+    }
+  }
+
+  async function advance(
+    durationMs: number,
+    check?: () => void,
+  ): Promise<void> {
+    for (let doneMs = 0; doneMs < durationMs; doneMs += STEP_MS) {
+      await clock.advance(STEP_MS);
+      check?.();
+    }
+  }
+
+  async function stop(): Promise<void> {
+    for (const process of processes) process.kill();
+    await clock.advance(5_000);
+  }
+}
--- /dev/null
+++ b/test/support/fake_engine.ts
@@ -0,0 +1,160 @@
+/** An engine that notes which commands took effect, and clients of it that can be held up. */
+import {Err, Ok, type Result} from 'ts-results';
+import type {
+  BackendFailure,
+  EngineClient,
+  EngineCommand,
+  EngineReport,
+  EngineRole,
+  EngineState,
+} from '../../src/backends';
+import type {Clock} from '../../src/runtime';
+import {Verdict} from '../../src/verdict';
+
+export interface Effect {
+  readonly atMs: number;
+  readonly command: EngineCommand;
+}
+
+export interface FakeEngine {
+  readonly id: string;
+  readonly effects: Effect[];
+  getRole(): EngineRole;
+  getReport(): EngineReport;
+  applyCommand(command: EngineCommand): Result<void, BackendFailure>;
+  /** Loses the role and the fencing number; answers nothing for `downMs`. */
+  crash(downMs: number): void;
+  isDown(): boolean;
+}
+
+export function createFakeEngine(options: {
+  readonly id: string;
+  readonly clock: Clock;
+  readonly checksFencing: boolean;
+  readonly changeMs?: number;
+}): FakeEngine {
+  const {id, clock, checksFencing} = options;
+  const changeMs = options.changeMs ?? 1_000;
+  const effects: Effect[] = [];
+  const models = new Set<string>();
+  let role: EngineRole = 'mixed';
+  let state: EngineState = 'ready';
+  let fencingNumber = 0;
+  let incarnation = 1;
+  let isDown = false;
+  return {
+    id,
+    effects,
+    getRole: () => role,
+    getReport,
+    applyCommand,
+    crash,
+    isDown: () => isDown,
+  };
+
+  function getReport(): EngineReport {
+    return {
+      engine: id,
+      sequence: 1,
+      incarnation: String(incarnation),
+      role,
+      state,
+      models: [...models],
+      adapters: [],
+      version: '1',
+      running: 0,
+      waiting: 0,
+      prefillTokens: 0,
+      decodeTokens: 0,
+      freePieces: 1,
+      totalPieces: 1,
+      prefillTokensPerS: 1,
+      decodeStepMs: 1,
+      decodeStepMsPerRequest: 1,
+      maxRunning: 1,
+      fencingNumber,
+    };
+  }
+
+  function applyCommand(command: EngineCommand): Result<void, BackendFailure> {
+    if (checksFencing && command.fencingNumber < fencingNumber) {
+      return Err(createFailure('stale-command'));
+    }
+    if (state === 'changing_role') return Err(createFailure('refused'));
+    fencingNumber = Math.max(fencingNumber, command.fencingNumber);
+    effects.push({atMs: clock.getMonotonicMs(), command});
+    const {order} = command;
+    if (order.kind === 'load-model') models.add(order.model);
+    if (order.kind === 'set-role' && order.role !== role) {
+      state = 'changing_role';
+      const changing = incarnation;
+      clock.schedule(changeMs, () => {
+        if (changing !== incarnation) return;
+        role = order.role;
+        state = 'ready';
+      });
+    }
+    return Ok(undefined);
+  }
+
+  function crash(downMs: number): void {
+    isDown = true;
+    incarnation++;
+    role = 'mixed';
+    state = 'ready';
+    fencingNumber = 0;
+    clock.schedule(downMs, () => {
+      isDown = false;
+    });
+  }
+}
+
+export interface FakeClientOptions {
+  readonly engine: FakeEngine;
+  /** The clock of the process that holds the client. */
+  readonly clock: Clock;
+  /** Resolves when the write goes on: holds the process up between check and write. */
+  readonly waitBeforeWrite?: () => Promise<void>;
+  readonly isReachable?: () => boolean;
+}
+
+const ONE_WAY_MS = 1;
+const TIMEOUT_MS = 500;
+
+export function createFakeClient(options: FakeClientOptions): EngineClient {
+  const {engine, clock} = options;
+  const isReachable = options.isReachable ?? (() => true);
+  let isClosed = false;
+  const unused = (): never => {
+    throw new Error('not used here');
+  };
+  return {
+    start: unused,
+    resume: unused,
+    listCacheEvents: unused,
+    getReport: async () => {
+      await clock.sleep(ONE_WAY_MS);
+      if (isClosed || engine.isDown() || !isReachable()) return failLate();
+      return Ok(engine.getReport());
+    },
+    sendCommand: async command => {
+      await options.waitBeforeWrite?.();
+      // From here the bytes are on their way, whatever becomes of the process.
+      await clock.sleep(ONE_WAY_MS);
+      if (engine.isDown() || !isReachable()) return failLate();
+      return engine.applyCommand(command);
+    },
+    close: () => {
+      isClosed = true;
+    },
+  };
+
+  async function failLate(): Promise<Err<BackendFailure>> {
+    await clock.sleep(TIMEOUT_MS);
+    return Err(createFailure('timeout'));
+  }
+}
+
+function createFailure(kind: BackendFailure['kind']): BackendFailure {
+  return {kind, verdict: Verdict.MayHaveRun, message: kind};
+}
