Believe an old report less: blend in the fleet's mean

Cause: 14 nodes that see the same 5 s old report all take the engine that it shows as free. Urgent work ahead is told apart, prefill is predicted in chunks between decode steps, and the slowdown of decode steps is learned for the fleet until an engine has shown its own. Urgent and other requests have a queue each.

--- a/src/routing/attempts.ts
+++ b/src/routing/attempts.ts
@@ -18,7 +18,7 @@
   removeWork,
 } from './engine_load';
 import type {EngineEntry} from './engine_table';
-import {getStepMs} from './estimate';
+import {getRequestCount, getStepMs} from './estimate';
 import type {Attempt, OpenRequest, Phase} from './open_request';
 
 /** What the runner calls. */
@@ -190,7 +190,7 @@
     work: createWork(entry, plan),
     startedAtMs: nowMs,
     expectedFirstTokenMs: prediction.firstTokenMs,
-    expectedStepMs: getExpectedStepMs(engine),
+    expectedStepMs: getExpectedStepMs(engine, nowMs),
     firstIndex: entry.gate.getNextIndex(),
     firstTokenAtMs: -1,
     call: undefined,
@@ -203,8 +203,10 @@
   const done = gate.getNextIndex();
   const isDecode = plan.phase === 'decode';
   const prompt = request.promptTokens + done - plan.choice.cachedTokens;
+  const prefillTokens = isDecode ? 0 : Math.max(1, prompt);
   return {
-    prefillTokens: isDecode ? 0 : Math.max(1, prompt),
+    prefillTokens,
+    urgentPrefillTokens: request.urgent ? prefillTokens : 0,
     decodeTokens:
       plan.phase === 'prefill' ? 1 : Math.max(0, request.maxTokens - done),
     pieces: getPieces(request.promptTokens + entry.job.outputTokens),
@@ -232,8 +234,8 @@
   };
 }
 
-function getExpectedStepMs(engine: EngineEntry): number {
-  const {report, own, others} = engine.load;
+function getExpectedStepMs(engine: EngineEntry, nowMs: number): number {
+  const {report} = engine.load;
   if (report === undefined) return 1;
-  return getStepMs(report, own.requests + others.requests + 1);
+  return getStepMs(report, getRequestCount(engine.load, nowMs) + 1);
 }
--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -63,6 +63,7 @@
 };
 /** Engines drawn at random before the sample counts as exhausted, for each one wanted. */
 const DRAWS_PER_SAMPLE = 3;
+const MIN_OWN_SAMPLES = 10;
 
 /** Creates the choice by predicted completion over a random sample and the prefix holders. */
 export function createPredictedChoice(
@@ -148,11 +149,18 @@
   return predictTimes(engine.load, report, context.job, {
     nowMs: context.nowMs,
     cachedTokens,
-    slowdown: engine.health.slowdown,
+    slowdown: getSlowdown(engine),
     digest: context.tryGetDigest(engine),
   });
 }
 
+/** An engine's own slowdown once enough answers have shown it, else its fleet's. */
+function getSlowdown(engine: EngineEntry): number {
+  const {health, load} = engine;
+  const hasShown = health.samples >= MIN_OWN_SAMPLES;
+  return hasShown ? health.slowdown : (load.fleet?.slowdown ?? 1);
+}
+
 /** Visits usable engines: all of a small pool, else some drawn at random. */
 function forEachSampled(
   context: ChoiceContext,
--- a/src/routing/engine_load.ts
+++ b/src/routing/engine_load.ts
@@ -6,6 +6,8 @@
   requests: number;
   /** Prompt tokens not yet prefilled. */
   prefillTokens: number;
+  /** Those of them that are of urgent requests. */
+  urgentPrefillTokens: number;
   /** Tokens that may still be generated. */
   decodeTokens: number;
   /** Pieces of KV memory in use. */
@@ -17,22 +19,45 @@
   readonly atMs: number;
 }
 
+/** This node's own work, now and over the last seconds. */
+export interface OwnWork {
+  readonly now: WorkAmounts;
+  /** Oldest first. */
+  readonly history: LoadSample[];
+}
+
+/** What is known of the engines of one role together. */
+export interface FleetLoad {
+  readonly own: OwnWork;
+  /** Sum of the others' work over the engines that have reported. */
+  readonly others: WorkAmounts;
+  engineCount: number;
+  /** Part of this node's prompt tokens that are of urgent requests, averaged. */
+  urgentPart: number;
+  /** Observed over reported time of a decode step, averaged over the last answers. */
+  slowdown: number;
+  /** Live nodes, this one included. */
+  nodeCount: number;
+}
+
 /** What is known of an engine's load. */
 export interface EngineLoad {
   report: EngineReport | undefined;
   /** When the report arrived, on the node's monotonic clock. */
   reportAtMs: number;
-  /** This node's work at the engine now. */
-  readonly own: WorkAmounts;
+  /** Age of the report when it arrived, in milliseconds. */
+  reportLagMs: number;
+  readonly own: OwnWork;
   /** Work of other nodes, as far as the report tells. */
   readonly others: WorkAmounts;
-  /** The node's own work over the last seconds, oldest first. */
-  readonly history: LoadSample[];
+  /** Engines of the same role; absent before the first report. */
+  fleet: FleetLoad | undefined;
 }
 
 /** Work that one attempt adds to an engine. */
 export interface AttemptWork {
   prefillTokens: number;
+  urgentPrefillTokens: number;
   decodeTokens: number;
   readonly pieces: number;
 }
@@ -41,15 +66,34 @@
 const MAX_REPORT_LAG_MS = 6_000;
 /** Changes closer together than this share one sample, in milliseconds. */
 const SAMPLE_INTERVAL_MS = 25;
+/** Time over which an engine's load forgets its past, in milliseconds. */
+const OTHERS_MEMORY_MS = 2_000;
+/** Part of its own growth that a node expects of each other node. */
+const GROWTH_WEIGHT = 0.5;
+/** Weight of one request in the averaged part of urgent ones. */
+const URGENT_WEIGHT = 0.02;
 
 /** Creates the load of an engine that has not reported. */
 export function createEngineLoad(): EngineLoad {
   return {
     report: undefined,
     reportAtMs: 0,
-    own: createAmounts(),
+    reportLagMs: 0,
+    own: createOwnWork(),
+    others: createAmounts(),
+    fleet: undefined,
+  };
+}
+
+/** Creates the load of a fleet without engines. */
+export function createFleetLoad(): FleetLoad {
+  return {
+    own: createOwnWork(),
     others: createAmounts(),
-    history: [],
+    engineCount: 0,
+    urgentPart: 0,
+    slowdown: 1,
+    nodeCount: 1,
   };
 }
 
@@ -64,11 +108,10 @@
   work: AttemptWork,
   nowMs: number,
 ): void {
-  load.own.requests++;
-  load.own.prefillTokens += work.prefillTokens;
-  load.own.decodeTokens += work.decodeTokens;
-  load.own.pieces += work.pieces;
-  recordSample(load, nowMs);
+  applyOwnChange(load, {...work, requests: 1}, 1, nowMs);
+  if (load.fleet === undefined || work.prefillTokens === 0) return;
+  const isUrgent = work.urgentPrefillTokens > 0 ? 1 : 0;
+  load.fleet.urgentPart += URGENT_WEIGHT * (isUrgent - load.fleet.urgentPart);
 }
 
 /** Takes off what `count` generated tokens have shown to be done. */
@@ -78,13 +121,19 @@
   count: number,
   nowMs: number,
 ): void {
-  const decoded = Math.min(work.decodeTokens, count);
-  work.decodeTokens -= decoded;
-  load.own.decodeTokens -= decoded;
-  if (work.prefillTokens === 0) return;
-  load.own.prefillTokens -= work.prefillTokens;
+  const decodeTokens = Math.min(work.decodeTokens, count);
+  const {prefillTokens, urgentPrefillTokens} = work;
+  work.decodeTokens -= decodeTokens;
   work.prefillTokens = 0;
-  recordSample(load, nowMs);
+  work.urgentPrefillTokens = 0;
+  const change = {
+    requests: 0,
+    prefillTokens,
+    urgentPrefillTokens,
+    decodeTokens,
+    pieces: 0,
+  };
+  applyOwnChange(load, change, -1, nowMs);
 }
 
 /** Removes an attempt that is over. */
@@ -93,11 +142,32 @@
   work: AttemptWork,
   nowMs: number,
 ): void {
-  load.own.requests--;
-  load.own.prefillTokens -= work.prefillTokens;
-  load.own.decodeTokens -= work.decodeTokens;
-  load.own.pieces -= work.pieces;
-  recordSample(load, nowMs);
+  applyOwnChange(load, {...work, requests: 1}, -1, nowMs);
+}
+
+function applyOwnChange(
+  load: EngineLoad,
+  change: Readonly<WorkAmounts>,
+  sign: number,
+  nowMs: number,
+): void {
+  applyChange(load.own, change, sign, nowMs);
+  if (load.fleet !== undefined) {
+    applyChange(load.fleet.own, change, sign, nowMs);
+  }
+}
+
+function applyChange(
+  own: OwnWork,
+  change: Readonly<WorkAmounts>,
+  sign: number,
+  nowMs: number,
+): void {
+  addAmounts(own.now, change, sign);
+  // Progress in decoding alone does not need a sample.
+  if (change.requests !== 0 || change.prefillTokens !== 0) {
+    recordSample(own, nowMs);
+  }
 }
 
 /**
@@ -110,44 +180,118 @@
   nowMs: number,
   lagMs: number,
 ): void {
-  const then = getOwnAt(load, nowMs - lagMs);
-  const {others} = load;
+  const then = getOwnAt(load.own, nowMs - lagMs);
+  const {others, fleet} = load;
+  if (fleet !== undefined) addAmounts(fleet.others, others, -1);
   const used = report.totalPieces - report.freePieces;
   others.requests = getRest(report.running + report.waiting, then.requests);
   others.prefillTokens = getRest(report.prefillTokens, then.prefillTokens);
+  // A report does not tell urgent work apart: other nodes' mix is taken to be this node's.
+  others.urgentPrefillTokens = others.prefillTokens * (fleet?.urgentPart ?? 0);
   others.decodeTokens = getRest(report.decodeTokens, then.decodeTokens);
   others.pieces = getRest(used, then.pieces);
+  if (fleet !== undefined) addAmounts(fleet.others, others, 1);
   load.report = report;
   load.reportAtMs = nowMs;
+  load.reportLagMs = lagMs;
+}
+
+/** Moves an engine's load to the fleet of its role. */
+export function setFleet(load: EngineLoad, fleet: FleetLoad | undefined): void {
+  if (load.fleet === fleet) return;
+  if (load.fleet !== undefined) {
+    addAmounts(load.fleet.others, load.others, -1);
+    addAmounts(load.fleet.own.now, load.own.now, -1);
+    load.fleet.engineCount--;
+  }
+  load.fleet = fleet;
+  if (fleet === undefined) return;
+  addAmounts(fleet.others, load.others, 1);
+  addAmounts(fleet.own.now, load.own.now, 1);
+  fleet.engineCount++;
+}
+
+/**
+ * Returns the work of other nodes at an engine now. The older the report, the
+ * more the fleet's mean counts in its place, so that nodes with the same old
+ * report do not all take the engine that it shows as free. The mean follows
+ * what this node has itself added since, as the other nodes will have done.
+ */
+export function getOthersWork(
+  load: EngineLoad,
+  nowMs: number,
+): Readonly<WorkAmounts> {
+  const {fleet, others} = load;
+  if (fleet === undefined || fleet.engineCount < 2) return others;
+  const ageMs = load.reportLagMs + nowMs - load.reportAtMs;
+  const trust = Math.exp(-ageMs / OTHERS_MEMORY_MS);
+  const then = getOwnAt(fleet.own, nowMs - load.reportLagMs);
+  const {now} = fleet.own;
+  return {
+    requests: getBlend('requests'),
+    prefillTokens: getBlend('prefillTokens'),
+    urgentPrefillTokens: getBlend('urgentPrefillTokens'),
+    decodeTokens: getBlend('decodeTokens'),
+    pieces: getBlend('pieces'),
+  };
+
+  function getBlend(key: keyof WorkAmounts): number {
+    const count = fleet?.engineCount ?? 1;
+    const nodes = fleet?.nodeCount ?? 1;
+    const growth = GROWTH_WEIGHT * (nodes - 1) * (now[key] - then[key]);
+    const mean = Math.max(0, (fleet?.others[key] ?? 0) + growth) / count;
+    return trust * others[key] + (1 - trust) * mean;
+  }
 }
 
-function getOwnAt(load: EngineLoad, atMs: number): Readonly<WorkAmounts> {
-  for (let index = load.history.length - 1; index >= 0; index--) {
-    if (load.history[index].atMs <= atMs) return load.history[index];
+function getOwnAt(own: OwnWork, atMs: number): Readonly<WorkAmounts> {
+  for (let index = own.history.length - 1; index >= 0; index--) {
+    if (own.history[index].atMs <= atMs) return own.history[index];
   }
   return NO_WORK;
 }
 
-function recordSample(load: EngineLoad, nowMs: number): void {
-  const {history, own} = load;
+function recordSample(own: OwnWork, nowMs: number): void {
+  const {history, now} = own;
   const last = history[history.length - 1];
   if (last !== undefined && nowMs - last.atMs < SAMPLE_INTERVAL_MS) {
-    history.pop();
-    history.push({...own, atMs: last.atMs});
+    history[history.length - 1] = {...now, atMs: last.atMs};
     return;
   }
-  history.push({...own, atMs: nowMs});
+  history.push({...now, atMs: nowMs});
   while (history.length > 2 && history[1].atMs < nowMs - MAX_REPORT_LAG_MS) {
     history.shift();
   }
 }
 
+function createOwnWork(): OwnWork {
+  return {now: createAmounts(), history: []};
+}
+
 function createAmounts(): WorkAmounts {
-  return {requests: 0, prefillTokens: 0, decodeTokens: 0, pieces: 0};
+  return {
+    requests: 0,
+    prefillTokens: 0,
+    urgentPrefillTokens: 0,
+    decodeTokens: 0,
+    pieces: 0,
+  };
 }
 
 const NO_WORK: Readonly<WorkAmounts> = createAmounts();
 
+function addAmounts(
+  sum: WorkAmounts,
+  part: Readonly<WorkAmounts>,
+  sign: number,
+): void {
+  sum.requests += sign * part.requests;
+  sum.prefillTokens += sign * part.prefillTokens;
+  sum.urgentPrefillTokens += sign * part.urgentPrefillTokens;
+  sum.decodeTokens += sign * part.decodeTokens;
+  sum.pieces += sign * part.pieces;
+}
+
 function getRest(total: number, part: number): number {
   return Math.max(0, total - part);
 }
--- a/src/routing/engine_table.ts
+++ b/src/routing/engine_table.ts
@@ -6,7 +6,13 @@
   EngineState,
 } from '../backends';
 import type {ServerSelector} from '../state';
-import {createEngineLoad, type EngineLoad} from './engine_load';
+import {
+  createEngineLoad,
+  createFleetLoad,
+  type EngineLoad,
+  type FleetLoad,
+  setFleet,
+} from './engine_load';
 import {createServerHealth, type ServerHealth} from './ejection';
 import {isSelected} from './selector';
 
@@ -49,8 +55,10 @@
   getSize(): number;
   /** Replaces the set of servers. */
   updateServers(servers: readonly BackendServer[]): void;
-  /** Notes that a report has replaced `before`, so that pools follow. */
-  checkReport(before: EngineReport | undefined, after: EngineReport): void;
+  /** Follows an engine whose report has replaced `before`. */
+  updateEngine(entry: EngineEntry, before: EngineReport | undefined): void;
+  /** Sets the number of live nodes, this one included. */
+  setNodeCount(count: number): void;
 }
 
 /** Most pools held; all are dropped when there would be more. */
@@ -61,6 +69,11 @@
   const engines = new Map<string, EngineEntry>();
   const pools = new Map<string, EnginePool>();
   const keys = new WeakMap<ServerSelector, string>();
+  const fleets: Readonly<Record<EngineRole, FleetLoad>> = {
+    [EngineRole.Prefill]: createFleetLoad(),
+    [EngineRole.Decode]: createFleetLoad(),
+    [EngineRole.Mixed]: createFleetLoad(),
+  };
   let version = 1;
   return {
     getPool,
@@ -70,7 +83,8 @@
     list: () => engines.values(),
     getSize: () => engines.size,
     updateServers,
-    checkReport,
+    updateEngine,
+    setNodeCount,
   };
 
   function getPool(model: string, selector: ServerSelector): EnginePool {
@@ -121,7 +135,8 @@
       if (listed.has(entry.server.id)) continue;
       if (entry.isListed) version++;
       entry.isListed = false;
-      if (entry.load.own.requests === 0) engines.delete(entry.server.id);
+      setFleet(entry.load, undefined);
+      if (entry.load.own.now.requests === 0) engines.delete(entry.server.id);
     }
   }
 
@@ -137,12 +152,19 @@
     known.server = server;
   }
 
-  function checkReport(
+  function updateEngine(
+    entry: EngineEntry,
     before: EngineReport | undefined,
-    after: EngineReport,
   ): void {
+    const after = entry.load.report;
+    if (after === undefined) return;
+    setFleet(entry.load, fleets[after.role]);
     if (before === undefined || !isSameCapability(before, after)) version++;
   }
+
+  function setNodeCount(count: number): void {
+    for (const fleet of Object.values(fleets)) fleet.nodeCount = count;
+  }
 }
 
 function createEntry(server: BackendServer): EngineEntry {
--- a/src/routing/estimate.ts
+++ b/src/routing/estimate.ts
@@ -1,6 +1,11 @@
 /** Predicts when an engine would give the first token and the whole answer of a request. */
-import type {EngineReport} from '../backends';
-import {type EngineLoad, getPieces, type WorkAmounts} from './engine_load';
+import {type EngineReport, EngineRole} from '../backends';
+import {
+  type EngineLoad,
+  getOthersWork,
+  getPieces,
+  type WorkAmounts,
+} from './engine_load';
 
 /** A request as the prediction sees it. */
 export interface Job {
@@ -31,12 +36,26 @@
   readonly urgentFactor: number;
 }
 
-/** Prefill work that an urgent request waits for, since it has begun already, in tokens. */
-const STARTED_PREFILL_TOKENS = 2_048;
+/** Prefill work of others that an urgent request waits for, since it has begun, in tokens. */
+const STARTED_PREFILL_TOKENS = 256;
 /** A report older than this says nothing of other nodes' work, in milliseconds. */
 const REPORT_EXPIRY_MS = 15_000;
 
-const NO_OTHERS: OthersWork = {requests: 0, prefillTokens: 0};
+/** Prompt tokens that an engine prefills in a step while it decodes, by role. */
+const CHUNK_TOKENS: Readonly<Record<EngineRole, number>> = {
+  [EngineRole.Prefill]: 1_024,
+  [EngineRole.Decode]: 32,
+  [EngineRole.Mixed]: 256,
+};
+
+const NO_WORK: Readonly<WorkAmounts> = {
+  requests: 0,
+  prefillTokens: 0,
+  urgentPrefillTokens: 0,
+  decodeTokens: 0,
+  pieces: 0,
+};
+const NO_OTHERS: OthersWork = NO_WORK;
 
 /** Returns the requests at the engine, this node's and the others'. */
 export function getRequestCount(
@@ -44,8 +63,8 @@
   nowMs: number,
   digest: OthersWork = NO_OTHERS,
 ): number {
-  const reported = isFresh(load, nowMs) ? load.others.requests : 0;
-  return load.own.requests + Math.max(reported, digest.requests);
+  const others = getFreshOthers(load, nowMs);
+  return load.own.now.requests + Math.max(others.requests, digest.requests);
 }
 
 /** Returns the prompt tokens that wait for prefill at the engine. */
@@ -54,8 +73,16 @@
   nowMs: number,
   digest: OthersWork = NO_OTHERS,
 ): number {
-  const reported = isFresh(load, nowMs) ? load.others.prefillTokens : 0;
-  return load.own.prefillTokens + Math.max(reported, digest.prefillTokens);
+  const others = getFreshOthers(load, nowMs);
+  return (
+    load.own.now.prefillTokens +
+    Math.max(others.prefillTokens, digest.prefillTokens)
+  );
+}
+
+function getUrgentBacklog(load: EngineLoad, nowMs: number): number {
+  const others = getFreshOthers(load, nowMs);
+  return load.own.now.urgentPrefillTokens + others.urgentPrefillTokens;
 }
 
 /**
@@ -78,14 +105,14 @@
   const uncached = Math.max(1, job.promptTokens - (options.cachedTokens ?? 0));
   const backlog = getPrefillBacklog(load, nowMs, digest);
   const ahead = job.isUrgent
-    ? Math.min(backlog, STARTED_PREFILL_TOKENS)
+    ? Math.min(backlog, getUrgentBacklog(load, nowMs) + STARTED_PREFILL_TOKENS)
     : backlog;
-  const msPerPrefillToken = 1_000 / report.prefillTokensPerS;
   const requests = getRequestCount(load, nowMs, digest);
   const stepMs = getStepMs(report, requests + 1) * (options.slowdown ?? 1);
-  const placeMs = getPlaceWaitMs(load, report, requests, stepMs);
-  const prefillMs = uncached * msPerPrefillToken;
-  const firstTokenMs = placeMs + ahead * msPerPrefillToken + prefillMs;
+  const tokenMs = getPrefillTokenMs(report, requests);
+  const placeMs = getPlaceWaitMs(load, report, requests, stepMs, nowMs);
+  const prefillMs = uncached * tokenMs;
+  const firstTokenMs = placeMs + ahead * tokenMs + prefillMs;
   return {
     prefillMs,
     firstTokenMs,
@@ -99,6 +126,13 @@
   return report.decodeStepMs + report.decodeStepMsPerRequest * running;
 }
 
+/** Returns the time to prefill a token while `requests` share the steps, in milliseconds. */
+function getPrefillTokenMs(report: EngineReport, requests: number): number {
+  const aloneMs = 1_000 / report.prefillTokensPerS;
+  if (requests < 1) return aloneMs;
+  return aloneMs + getStepMs(report, requests) / CHUNK_TOKENS[report.role];
+}
+
 /** Returns whether the engine can take the job without a long queue of its own. */
 export function hasRoom(
   load: EngineLoad,
@@ -108,11 +142,12 @@
 ): boolean {
   const {nowMs, limits, digest} = options;
   const requests = getRequestCount(load, nowMs, digest);
-  if (requests === 0) return true;
-  if (load.own.requests === 0 && !isFresh(load, nowMs)) return true;
+  if (requests < 1) return true;
   const factor = job.isUrgent ? limits.urgentFactor : 1;
   if (requests >= report.maxRunning * factor) return false;
-  if (getFreePieces(load, report, nowMs) < getJobPieces(job)) return false;
+  const others = getFreshOthers(load, nowMs);
+  const freePieces = report.totalPieces - others.pieces - load.own.now.pieces;
+  if (freePieces < getJobPieces(job)) return false;
   const backlogMs =
     (getPrefillBacklog(load, nowMs, digest) * 1_000) / report.prefillTokensPerS;
   return backlogMs < limits.maxPrefillBacklogMs * factor;
@@ -123,29 +158,26 @@
   return getPieces(job.promptTokens + job.outputTokens);
 }
 
-function getFreePieces(
-  load: EngineLoad,
-  report: EngineReport,
-  nowMs: number,
-): number {
-  const others = isFresh(load, nowMs) ? load.others.pieces : 0;
-  return report.totalPieces - others - load.own.pieces;
-}
-
 /** Time until a place in a full batch comes free: requests leave it evenly. */
 function getPlaceWaitMs(
   load: EngineLoad,
   report: EngineReport,
   requests: number,
   stepMs: number,
+  nowMs: number,
 ): number {
   const waiting = requests + 1 - report.maxRunning;
   if (waiting <= 0) return 0;
-  const decodeTokens = load.own.decodeTokens + load.others.decodeTokens;
+  const others = getFreshOthers(load, nowMs);
+  const decodeTokens = load.own.now.decodeTokens + others.decodeTokens;
   const stepsLeft = decodeTokens / Math.max(1, requests);
   return (waiting * stepsLeft * stepMs) / report.maxRunning;
 }
 
-function isFresh(load: EngineLoad, nowMs: number): boolean {
-  return nowMs - load.reportAtMs <= REPORT_EXPIRY_MS;
+function getFreshOthers(
+  load: EngineLoad,
+  nowMs: number,
+): Readonly<WorkAmounts> {
+  const isFresh = nowMs - load.reportAtMs <= REPORT_EXPIRY_MS;
+  return isFresh ? getOthersWork(load, nowMs) : NO_WORK;
 }
--- a/src/routing/fair_queue.ts
+++ b/src/routing/fair_queue.ts
@@ -1,7 +1,6 @@
 /**
- * The requests that wait for the engines of one pool. Client accounts take turns by
- * start-time fair queueing; among those whose turn it is, urgency, priority and
- * the time left decide.
+ * Waiting requests of equal urgency. Client accounts take turns by start-time fair
+ * queueing; among those whose turn it is, priority and the time left decide.
  */
 
 /** What the queue needs to know of a waiting request. */
@@ -150,7 +149,6 @@
     let costMs = 0;
     for (const queue of accounts.values()) {
       const head = queue.items[0];
-      if (item.isUrgent && !head.isUrgent) continue;
       const share = (ownPart + FAIR_WINDOW_MS) * head.weight;
       costMs += queue === own ? queue.costMs : Math.min(queue.costMs, share);
     }
--- a/src/routing/fleet_watch.ts
+++ b/src/routing/fleet_watch.ts
@@ -9,6 +9,9 @@
 import {isHealthFailure} from './retrying';
 import type {DispatcherHost} from './types';
 
+/** Weight of one answer in the fleet's average slowdown. */
+const FLEET_SLOWDOWN_WEIGHT = 0.05;
+
 /** Keeps the picture of the engines. */
 export interface FleetWatch {
   readonly ejector: Ejector;
@@ -57,16 +60,21 @@
       emit(engine, 'engine-restarted', `incarnation ${report.incarnation}`);
     }
     const nowMs = host.clock.getMonotonicMs();
+    table.setNodeCount(host.getNodeCount?.() ?? 1);
     applyReport(engine.load, report, nowMs, options.reportLagMs);
-    table.checkReport(before, report);
+    table.updateEngine(engine, before);
     return engine;
   }
 
   function recordSuccess(entry: OpenRequest, attempt: Attempt): void {
     const nowMs = host.clock.getMonotonicMs();
     const {engine} = attempt;
-    const ratio =
-      tryGetSlowdown(entry, attempt, nowMs) ?? engine.health.slowdown;
+    const observed = tryGetSlowdown(entry, attempt, nowMs);
+    const ratio = observed ?? engine.health.slowdown;
+    const {fleet} = engine.load;
+    if (observed !== undefined && fleet !== undefined) {
+      fleet.slowdown += FLEET_SLOWDOWN_WEIGHT * (observed - fleet.slowdown);
+    }
     recordEjection(engine, ejector.recordSuccess(engine.health, ratio, nowMs));
   }
 
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -80,6 +80,8 @@
   /** Returns a number from 0 up to and without 1. */
   getRandom(): number;
   emitEvent(event: RoutingEvent): void;
+  /** Returns the number of live nodes, this one included; 1 when omitted. */
+  getNodeCount?(): number;
   /** Returns the work that other nodes' digests show at an engine. */
   tryGetOthersWork?(engine: string): OthersWork | undefined;
 }
--- a/src/routing/waiting_room.ts
+++ b/src/routing/waiting_room.ts
@@ -1,6 +1,7 @@
-/** The requests of a node that wait for an engine: bounded, one fair queue for each pool. */
-import {createFairQueue, type FairQueue, type QueueItem} from './fair_queue';
+/** The requests of a node that wait for an engine: bounded, one queue for each pool. */
 import type {EnginePool} from './engine_table';
+import type {FairQueue, QueueItem} from './fair_queue';
+import {createLaneQueue} from './lane_queue';
 
 /** A waiting request with the pool it waits for. */
 export interface WaitingItem extends QueueItem {
@@ -107,7 +108,7 @@
     if (known !== undefined) return known;
     const created: PoolQueue<T> = {
       pool,
-      queue: createFairQueue<T>(),
+      queue: createLaneQueue<T>(),
       drainRate: 0,
       measuredFromMs: nowMs,
       drainedMs: 0,
--- a/test/support/routing_fleet.ts
+++ b/test/support/routing_fleet.ts
@@ -22,6 +22,7 @@
 /** What became of a request. */
 export interface Outcome {
   readonly request: ModelRequest;
+  readonly submittedAtMs: number;
   tokens: number;
   text: string;
   firstTokenAtMs: number;
@@ -147,6 +148,7 @@
         clock,
         getEngineClient,
         getRandom,
+        getNodeCount: () => options.nodes ?? 1,
         emitEvent: event => void events.push(event),
       },
       {reportLagMs: lagMs, ...options.createOptions?.()},
@@ -225,6 +227,7 @@
     const request = createRequest(`req-${outcomes.length}`, nowMs, given);
     const outcome: Outcome = {
       request,
+      submittedAtMs: nowMs,
       tokens: 0,
       text: '',
       firstTokenAtMs: -1,
