Compare two engines and let an engine's queue last out the report's age

Cause: with 400 ms of prefill as an engine's limit, requests waited in 14 nodes while engines ran dry, since a node hears of free room only by its next report; and four candidates out of 13 still herd.

Conclusion: d = 2, jitter 0.1, 2,000 ms.

--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -56,10 +56,10 @@
 }
 
 const PREDICTED_DEFAULTS = {
-  sampleSize: 4,
+  sampleSize: 2,
   lateWeight: 4,
   costWeight: 1,
-  jitter: 0.05,
+  jitter: 0.1,
 };
 /** Engines drawn at random before the sample counts as exhausted, for each one wanted. */
 const DRAWS_PER_SAMPLE = 3;
--- a/src/routing/dispatcher_options.ts
+++ b/src/routing/dispatcher_options.ts
@@ -50,7 +50,10 @@
 const DEFAULT_REPORT_LAG_MS = 500;
 const DEFAULT_KV_TRANSFER_MS_PER_TOKEN = 0.01;
 const DEFAULT_KV_TRANSFER_COST_WEIGHT = 1;
-const DEFAULT_ROOM: RoomLimits = {maxPrefillBacklogMs: 400, urgentFactor: 1.5};
+const DEFAULT_ROOM: RoomLimits = {
+  maxPrefillBacklogMs: 2_000,
+  urgentFactor: 1.5,
+};
 
 /** Returns the options with defaults. */
 export function resolveOptions(options: DispatcherOptions): ResolvedOptions {
