Plan with roles that routing can use, change in the order that helps most

The planner counted on prefill engines beside mixed ones and on any order of changes. Each step takes the change with the lowest utilization after it, targets lie within reach of a few changes, and an engine may be taken away above the safe utilization only if the horizon pays it back.

A goodput bound is computed apart (src/replay/bound.ts).

--- a/src/planning/capacity.ts
+++ b/src/planning/capacity.ts
@@ -45,8 +45,10 @@
 
 /**
  * Returns the part of the roles' capacity that the work takes; above 1 it is too much.
- * A prefill engine does prefill alone and at full rate. A decode or a mixed engine
- * spends a fixed time on each step, and a mixed one prefills only a chunk in it.
+ * A request goes whole to a mixed engine, or its prompt to a prefill engine and the
+ * rest to a decode engine, so that one without the other has no work. A prefill engine
+ * prefills at full rate; the others spend a fixed time on each step, and a mixed one
+ * prefills only a chunk in it.
  */
 export function computeUtilization(
   counts: RoleCounts,
@@ -70,14 +72,24 @@
 
 function isServed(counts: RoleCounts, work: Work, rates: EngineRates): boolean {
   const useful = 1 - rates.decodeStepMs / TARGET_STEP_MS;
-  const chunkMs = (MIXED_CHUNK_TOKENS / rates.prefillTokensPerS) * 1_000;
-  const prefillOnMixed = Math.max(0, work.prefill - counts.prefill);
-  const decodeOnMixed = Math.max(0, work.decode - counts.decode * useful);
-  if (decodeOnMixed === 0) return prefillOnMixed <= counts.mixed;
+  const split = getSplitPart(counts, work, useful);
+  const whole = 1 - split;
+  const prefill = whole * work.prefill;
+  const decode = whole * work.decode;
+  if (decode === 0) return prefill <= counts.mixed;
   // A step with a chunk lasts (decodeStepMs + chunkMs) and what its requests add.
+  const chunkMs = (MIXED_CHUNK_TOKENS / rates.prefillTokensPerS) * 1_000;
   const chunkCost = (rates.decodeStepMs + chunkMs) / chunkMs;
-  const isWithinSteps = prefillOnMixed + decodeOnMixed <= counts.mixed * useful;
-  const isWithinChunks =
-    prefillOnMixed * chunkCost + decodeOnMixed <= counts.mixed;
+  const isWithinSteps = prefill + decode <= counts.mixed * useful;
+  const isWithinChunks = prefill * chunkCost + decode <= counts.mixed;
   return isWithinSteps && isWithinChunks;
 }
+
+/** The part of the requests that prefill and decode engines can share between them. */
+function getSplitPart(counts: RoleCounts, work: Work, useful: number): number {
+  if (counts.prefill === 0 || counts.decode === 0) return 0;
+  const byPrefill = work.prefill === 0 ? 1 : counts.prefill / work.prefill;
+  const byDecode =
+    work.decode === 0 ? 1 : (counts.decode * useful) / work.decode;
+  return Math.min(1, byPrefill, byDecode);
+}
--- a/src/planning/plan_roles.ts
+++ b/src/planning/plan_roles.ts
@@ -54,7 +54,7 @@
 /** Typical time that an engine drains before it changes, in milliseconds. */
 const TYPICAL_DRAIN_MS = 3_000;
 /** Time in which a backlog of prompts should be gone, in seconds. */
-const BACKLOG_S = 5;
+const BACKLOG_S = 10;
 
 /** Returns the state of a planner that knows nothing yet. */
 export function createPlannerState(nowMs: number): PlannerState {
@@ -137,6 +137,7 @@
     weights,
     state: decision.state,
     nowMs,
+    roleChangeMs: decision.roleChangeMs,
     cause: `${explanation}; ${decided.cause}`,
   });
   const changedAtMs = new Map(decision.state.changedAtMs);
--- a/src/planning/targets.ts
+++ b/src/planning/targets.ts
@@ -16,8 +16,8 @@
 
 /** Part of the fleet that always serves. */
 const MIN_SERVING_PART = 0.7;
-/** How much higher the utilization may be while an engine is away, when it is above the safe one anyway. */
-const WORSE_MARGIN = 0.02;
+/** Typical time that an engine drains before it changes, in milliseconds. */
+const TYPICAL_DRAIN_MS = 3_000;
 
 /** Roles with what they cost. */
 export interface RatedCounts {
@@ -40,7 +40,7 @@
   return {counts, utilization, overload};
 }
 
-/** Returns the roles with the least overload; among equals the nearest to the planned ones. */
+/** Returns the roles within reach with the least overload, each change charged. */
 export function chooseTarget(
   planned: RoleCounts,
   work: Work,
@@ -55,7 +55,7 @@
     for (let decode = 0; prefill + decode <= size; decode++) {
       const counts = {prefill, decode, mixed: size - prefill - decode};
       const changes = countChanges(planned, counts);
-      if (changes === 0) continue;
+      if (changes === 0 || changes > weights.maxReach) continue;
       const rated = computeRating(counts, work, rates, weights);
       const cost = rated.overload + changes * changePenalty;
       if (cost < bestCost - 1e-9) {
@@ -76,6 +76,7 @@
   readonly weights: PlannerWeights;
   readonly state: PlannerState;
   readonly nowMs: number;
+  readonly roleChangeMs: number;
   readonly cause: string;
 }
 
@@ -98,18 +99,15 @@
       held = `${weights.maxAtOnce} engines change at once at most`;
       break;
     }
-    const engine = tryFindEngine(free, planned, target);
-    if (engine === undefined) {
+    const step = tryFindStep(free, planned, options);
+    if (step === undefined) {
       held = 'every engine of the role changed a short time ago or is away';
       break;
     }
+    const {engine, to} = step;
     const left = addEngines(serving, engine.role, -1);
-    const unsafe = tryGetUnsafe(left, serving, options);
-    if (unsafe !== undefined) {
-      held = unsafe;
-      break;
-    }
-    const to = getMissingRole(planned, target);
+    held = tryGetUnsafe(left, serving, options);
+    if (held !== undefined) break;
     const {cause} = options;
     changes.push({
       kind: 'drain',
@@ -118,7 +116,7 @@
       to,
       cause,
     });
-    planned = addEngines(addEngines(planned, engine.role, -1), to, 1);
+    planned = step.counts;
     serving = left;
     free = free.filter(report => report !== engine);
   }
@@ -131,15 +129,44 @@
   return options.nowMs - changedAtMs >= options.weights.restMs;
 }
 
-/** The engine of a role in surplus with the least to drain. */
-function tryFindEngine(
+/** The role pair whose change helps most now, with the engine that has least to drain. */
+function tryFindStep(
   free: readonly EngineReport[],
   planned: RoleCounts,
-  target: RoleCounts,
+  options: SelectOptions,
+): Step | undefined {
+  const {target, work, rates} = options;
+  let best: Step | undefined;
+  for (const from of Object.values(EngineRole)) {
+    if (planned[from] <= target[from]) continue;
+    const engine = tryFindEngine(free, from);
+    if (engine === undefined) continue;
+    for (const to of Object.values(EngineRole)) {
+      if (planned[to] >= target[to]) continue;
+      const counts = addEngines(addEngines(planned, from, -1), to, 1);
+      const utilization = computeUtilization(counts, work, rates);
+      if (best !== undefined && utilization >= best.utilization) continue;
+      best = {engine, to, counts, utilization};
+    }
+  }
+  return best;
+}
+
+interface Step {
+  readonly engine: EngineReport;
+  readonly to: EngineRole;
+  /** Planned roles with the change. */
+  readonly counts: RoleCounts;
+  readonly utilization: number;
+}
+
+function tryFindEngine(
+  free: readonly EngineReport[],
+  role: EngineRole,
 ): EngineReport | undefined {
   let best: EngineReport | undefined;
   for (const report of free) {
-    if (planned[report.role] <= target[report.role]) continue;
+    if (report.role !== role) continue;
     if (best === undefined || getDrainCost(report) < getDrainCost(best)) {
       best = report;
     }
@@ -151,13 +178,6 @@
   return report.running + report.waiting + report.decodeTokens / 1_000;
 }
 
-function getMissingRole(planned: RoleCounts, target: RoleCounts): EngineRole {
-  for (const role of Object.values(EngineRole)) {
-    if (planned[role] < target[role]) return role;
-  }
-  return EngineRole.Mixed;
-}
-
 /** Returns why an engine may not be taken away, or undefined when it may. */
 function tryGetUnsafe(
   left: RoleCounts,
@@ -170,10 +190,25 @@
   if (count < least) return `${least} of ${fleet.size} engines serve at least`;
   if (left.prefill + left.mixed === 0) return 'no engine would prefill';
   if (left.decode + left.mixed === 0) return 'no engine would decode';
-  const now = computeUtilization(serving, work, rates);
   const then = computeUtilization(left, work, rates);
-  if (then <= Math.max(weights.safeUtilization, now + WORSE_MARGIN)) {
-    return undefined;
-  }
+  if (then <= weights.safeUtilization) return undefined;
+  if (isPaidBack(then, serving, options)) return undefined;
   return `${formatCounts(left)} would be used at ${Math.round(then * 100)}%`;
 }
+
+/** Above the safe utilization, what an absence costs must come back within the horizon. */
+function isPaidBack(
+  then: number,
+  serving: RoleCounts,
+  options: SelectOptions,
+): boolean {
+  const {target, work, rates, weights, fleet} = options;
+  const now = computeUtilization(serving, work, rates);
+  const planned = computeUtilization(fleet.planned, work, rates);
+  const after = computeUtilization(target, work, rates);
+  const changes = Math.max(1, countChanges(fleet.planned, target));
+  const awayMs = options.roleChangeMs + TYPICAL_DRAIN_MS;
+  const lost = (then - now) * awayMs;
+  const gained = ((planned - after) / changes) * weights.horizonMs;
+  return lost <= gained;
+}
--- a/src/planning/types.ts
+++ b/src/planning/types.ts
@@ -11,6 +11,8 @@
   readonly targetUtilization: number;
   /** Utilization below which an engine may be taken away for seconds, 0 to 1. */
   readonly safeUtilization: number;
+  /** Most changes that one target is away from the planned roles. */
+  readonly maxReach: number;
   /** Most engines that change at once. */
   readonly maxAtOnce: number;
   /** Time that an engine is left alone after a change, in milliseconds. */
--- a/src/planning/weights.ts
+++ b/src/planning/weights.ts
@@ -5,8 +5,9 @@
 export const GOODPUT_WEIGHTS: PlannerWeights = {
   lostSecondCost: 1,
   changeCost: 0,
-  targetUtilization: 0.8,
+  targetUtilization: 0.95,
   safeUtilization: 0.95,
+  maxReach: 4,
   maxAtOnce: 3,
   restMs: 15_000,
   horizonMs: 60_000,
@@ -16,9 +17,9 @@
 export const FEW_CHANGES_WEIGHTS: PlannerWeights = {
   ...GOODPUT_WEIGHTS,
   lostSecondCost: 1.5,
-  changeCost: 4,
-  targetUtilization: 0.85,
+  changeCost: 5,
+  maxReach: 5,
   maxAtOnce: 2,
   restMs: 60_000,
-  horizonMs: 120_000,
+  horizonMs: 90_000,
 };
--- /dev/null
+++ b/src/replay/bound.ts
@@ -0,0 +1,203 @@
+/**
+ * An upper bound on the goodput of a trace that no policy can pass, whatever roles
+ * it gives the engines and however much it knows. Every step only relaxes:
+ *
+ * 1. Each request takes at least its best-case engine time: its prompt at the full
+ *    prefill rate, without a prefix that any earlier request had, and each token at
+ *    the share of a full batch. Roles, role changes, KV transfer, queues, memory and
+ *    routing cost nothing.
+ * 2. All engines that are up form one server whose time can be cut and shared at will.
+ * 3. A request that is in time has all its engine time between its arrival and its
+ *    deadline. Of the requests whose whole window lies in an interval, no more can
+ *    be in time than the cheapest ones that fit the interval's engine time; the
+ *    others are missed. Misses of disjoint intervals add up, and the bound takes the
+ *    set of disjoint intervals with the most.
+ * 4. A request that cannot be in time even alone on an empty engine is missed too.
+ */
+import {ENGINE_DEFAULTS} from '../standins';
+import type {Trace, TraceFault, TraceRequest} from './types';
+
+/** The bound and where it comes from. */
+export interface GoodputBound {
+  /** No policy has a higher goodput. */
+  readonly goodput: number;
+  readonly requests: number;
+  /** Fewest requests that any policy misses. */
+  readonly missed: number;
+}
+
+/** Costs of an engine, as in `ENGINE_DEFAULTS`. */
+export type EngineCosts = Pick<
+  typeof ENGINE_DEFAULTS,
+  'prefillTokensPerS' | 'decodeStepMs' | 'decodeStepMsPerRequest' | 'maxRunning'
+>;
+
+/** Most points of time between which intervals are tried. */
+const MAX_POINTS = 160;
+
+interface Job {
+  readonly startMs: number;
+  readonly endMs: number;
+  /** Least engine time, in milliseconds; Infinity when it cannot be in time at all. */
+  readonly engineMs: number;
+}
+
+/** Computes the bound of a trace. */
+export function computeGoodputBound(
+  trace: Trace,
+  costs: EngineCosts = ENGINE_DEFAULTS,
+): GoodputBound {
+  const jobs = listJobs(trace.requests, costs);
+  const missed = countMissed(trace, jobs);
+  const requests = trace.requests.length;
+  const goodput = requests === 0 ? 1 : (requests - missed) / requests;
+  return {goodput, requests, missed};
+}
+
+/** Returns the least engine time of a request, in milliseconds. */
+export function computeLeastEngineMs(
+  request: Pick<TraceRequest, 'prompt_tokens' | 'output_tokens'>,
+  cachedTokens: number,
+  costs: EngineCosts,
+): number {
+  const prompt = Math.max(1, request.prompt_tokens - cachedTokens);
+  const prefillMs = (prompt / costs.prefillTokensPerS) * 1_000;
+  const tokenMs =
+    costs.decodeStepMs / costs.maxRunning + costs.decodeStepMsPerRequest;
+  return prefillMs + (request.output_tokens - 1) * tokenMs;
+}
+
+function listJobs(
+  requests: readonly TraceRequest[],
+  costs: EngineCosts,
+): readonly Job[] {
+  const seen = new Map<string, number>();
+  const jobs: Job[] = [];
+  for (const request of requests) {
+    if (request.kind !== 'model') continue;
+    const {prefix, prefix_tokens, at_ms, deadline_ms} = request;
+    let cached = 0;
+    if (prefix !== undefined) {
+      cached = Math.min(prefix_tokens, seen.get(prefix) ?? 0);
+      seen.set(prefix, Math.max(prefix_tokens, seen.get(prefix) ?? 0));
+    }
+    const engineMs = computeLeastEngineMs(request, cached, costs);
+    const isPossible = getLeastLatencyMs(request, cached, costs) <= deadline_ms;
+    jobs.push({
+      startMs: at_ms,
+      endMs: at_ms + deadline_ms,
+      engineMs: isPossible ? engineMs : Infinity,
+    });
+  }
+  return jobs;
+}
+
+/** Time of a request alone on an empty engine, in milliseconds. */
+function getLeastLatencyMs(
+  request: TraceRequest,
+  cached: number,
+  costs: EngineCosts,
+): number {
+  const prompt = Math.max(1, request.prompt_tokens - cached);
+  const stepMs = costs.decodeStepMs + costs.decodeStepMsPerRequest;
+  const prefillMs = (prompt / costs.prefillTokensPerS) * 1_000;
+  return prefillMs + (request.output_tokens - 1) * stepMs;
+}
+
+/** The most misses over sets of disjoint intervals, by dynamic programming over points of time. */
+function countMissed(trace: Trace, jobs: readonly Job[]): number {
+  const points = listPoints(jobs);
+  const best = new Array<number>(points.length).fill(0);
+  const sorted = [...jobs].sort(
+    (left, right) => left.engineMs - right.engineMs,
+  );
+  const windows = sorted.map(job => ({
+    job,
+    from: findLast(points, job.startMs),
+    to: findFirst(points, job.endMs),
+  }));
+  for (let end = 1; end < points.length; end++) {
+    best[end] = best[end - 1];
+    for (let start = 0; start < end; start++) {
+      const capacityMs = computeCapacityMs(trace, points[start], points[end]);
+      const missed = countMissedWithin(windows, start, end, capacityMs);
+      best[end] = Math.max(best[end], best[start] + missed);
+    }
+  }
+  return best[points.length - 1] ?? 0;
+}
+
+function countMissedWithin(
+  windows: ReadonlyArray<{job: Job; from: number; to: number}>,
+  start: number,
+  end: number,
+  capacityMs: number,
+): number {
+  let usedMs = 0;
+  let missed = 0;
+  for (const {job, from, to} of windows) {
+    if (from < start || to > end) continue;
+    usedMs += job.engineMs;
+    if (usedMs > capacityMs + 1e-6) missed++;
+  }
+  return missed;
+}
+
+/** Points of time that cover every window. */
+function listPoints(jobs: readonly Job[]): readonly number[] {
+  if (jobs.length === 0) return [0];
+  const startMs = Math.min(...jobs.map(job => job.startMs));
+  const endMs = Math.max(...jobs.map(job => job.endMs));
+  const count = Math.min(MAX_POINTS, Math.ceil(endMs - startMs) + 1);
+  const stepMs = (endMs - startMs) / Math.max(1, count - 1);
+  return Array.from({length: count}, (_, index) =>
+    index === count - 1 ? endMs : startMs + index * stepMs,
+  );
+}
+
+/** Index of the last point at or before a time. */
+function findLast(points: readonly number[], ms: number): number {
+  const first = findFirst(points, ms);
+  return points[first] > ms ? first - 1 : first;
+}
+
+/** Index of the first point at or after a time. */
+function findFirst(points: readonly number[], ms: number): number {
+  let low = 0;
+  let high = points.length - 1;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if (points[middle] >= ms) high = middle;
+    else low = middle + 1;
+  }
+  return low;
+}
+
+/** Engine time of the engines that no fault takes away in the interval, in milliseconds. */
+function computeCapacityMs(
+  trace: Trace,
+  startMs: number,
+  endMs: number,
+): number {
+  const {engines, faults} = trace.header;
+  let capacityMs = 0;
+  for (const engine of engines) {
+    const downMs = faults
+      .filter(fault => isCrashOf(fault, engine))
+      .reduce((longest, fault) => {
+        const from = Math.max(startMs, fault.at_ms);
+        const to = Math.min(endMs, fault.at_ms + (fault.for_ms ?? 0));
+        return Math.max(longest, to - from);
+      }, 0);
+    capacityMs += endMs - startMs - downMs;
+  }
+  return capacityMs;
+}
+
+function isCrashOf(
+  fault: TraceFault,
+  engine: {readonly id: string; readonly failure_domain: string},
+): boolean {
+  if (fault.kind !== 'engine_crash') return false;
+  return fault.target === engine.id || fault.target === engine.failure_domain;
+}
--- a/src/replay/index.ts
+++ b/src/replay/index.ts
@@ -1,3 +1,5 @@
+export {computeGoodputBound} from './bound';
+export type {GoodputBound} from './bound';
 export {checkOutcome, parseOutcomeBounds} from './check';
 export {createTrace} from './generate';
 export type {TracePhase, TraceSpec} from './generate';
--- a/src/replay/plan_host.ts
+++ b/src/replay/plan_host.ts
@@ -36,6 +36,8 @@
   listEvents(): readonly PlanEvent[];
 }
 
+/** How long after a report's lag a step without effect is sent again, in milliseconds. */
+const RESEND_MARGIN_MS = 2_000;
 /** Declined changes are noted once in this time, in milliseconds. */
 const DECLINED_EVERY_MS = 5_000;
 
@@ -50,6 +52,7 @@
 export function createPlanHost(options: PlanHostOptions): PlanHost {
   const {clock, header} = options;
   const weights = getWeights(header);
+  const resendMs = header.report_lag_ms + RESEND_MARGIN_MS;
   const events: PlanEvent[] = [];
   /** Stands for the intents in the control stream: they outlive their holder. */
   const intents = new Map<string, EngineRole>();
@@ -57,6 +60,11 @@
   let holder: EntryNode | undefined;
   let state: PlannerState = createPlannerState(0);
   let lastDemands: readonly Demand[] = [];
+  /** When each engine was last sent a step, and which. */
+  const lastSteps = new Map<
+    string,
+    {readonly step: string; readonly atMs: number}
+  >();
   let lastDeclinedAtMs = -DECLINED_EVERY_MS;
   let nextCommand = 0;
   return {runPlan, listEvents: () => events};
@@ -103,17 +111,15 @@
   /** The intent comes before the command, so that another holder can finish it. */
   function sendChange(node: EntryNode, change: RoleChange): void {
     const {engine, kind, to, cause} = change;
-    const isNew = intents.get(engine) !== to;
+    const atMs = clock.getMonotonicMs();
+    const step = `${kind} ${to}`;
+    const last = lastSteps.get(engine);
+    // A report shows the effect of a step only after its lag.
+    const isShown = atMs - (last?.atMs ?? 0) > resendMs;
+    if (last?.step === step && !isShown) return;
+    lastSteps.set(engine, {step, atMs});
     if (kind === 'drain') intents.set(engine, to);
-    if (kind !== 'drain' || isNew) {
-      events.push({
-        atMs: clock.getMonotonicMs(),
-        node: node.id,
-        kind,
-        engine,
-        cause,
-      });
-    }
+    events.push({atMs, node: node.id, kind, engine, cause});
     const order =
       kind === 'set-role'
         ? {kind: 'set-role' as const, role: to}
