Metrics in the usual text form, logs without callers' text or keys

/metrics was empty, and a log line wrote whatever it was given. Each log line and its fields pass through a filter by field name and by credentials in texts; child loggers carry the request id and follow the level set at run time.

--- a/src/diagnostics/event_kinds.ts
+++ b/src/diagnostics/event_kinds.ts
@@ -6,7 +6,7 @@
   RequestWaits: 'request-waits',
   RequestRefused: 'request-refused',
   RequestFailed: 'request-failed',
-  RequestDone: 'request-done',
+  RequestAnswered: 'request-answered',
   RequestCancelled: 'request-cancelled',
   AttemptFailed: 'attempt-failed',
   /** Holds `shard`; `cause` names the holder and the fencing number. */
--- a/src/diagnostics/index.ts
+++ b/src/diagnostics/index.ts
@@ -7,7 +7,7 @@
   TimelineEvent,
 } from './events';
 export {createLogger, LOG_LEVELS} from './log';
-export type {Logger, LoggerOptions, LogLevel} from './log';
+export type {LogFields, Logger, LoggerOptions, LogLevel} from './log';
 export {
   createMessage,
   formatMessage,
@@ -33,3 +33,19 @@
   formatRequestAnswer,
 } from './timeline_explain';
 export {renderTimelineHtml} from './timeline_html';
+export {createMetrics} from './metrics';
+export type {
+  Counter,
+  Distribution,
+  GaugeSpec,
+  Labels,
+  Metrics,
+  MetricSpec,
+} from './metrics_types';
+export {createNodeMetrics} from './node_metrics';
+export type {
+  NodeMetrics,
+  NodeMetricsOptions,
+  RequestSample,
+} from './node_metrics';
+export {createRedacted, formatRedacted} from './redaction';
--- a/src/diagnostics/log.ts
+++ b/src/diagnostics/log.ts
@@ -1,51 +1,91 @@
 /** Structured logs. */
+import {Writable} from 'node:stream';
 import winston from 'winston';
+import {createRedacted, formatRedacted} from './redaction';
 
 /** Levels of the log, from the most to the least severe. */
 export const LOG_LEVELS = ['error', 'warn', 'info', 'debug'] as const;
 export type LogLevel = (typeof LOG_LEVELS)[number];
 
+/** Fields of a line beside its message. */
+export type LogFields = Readonly<Record<string, unknown>>;
+
 /** Options of a logger. */
 export interface LoggerOptions {
   readonly node: string;
   readonly level?: LogLevel;
   readonly format?: 'json' | 'text';
+  /** Takes each line, without its end; standard error when omitted. */
+  readonly write?: (line: string) => void;
 }
 
-/** Writes log lines to standard error. Values never hold callers' text or keys. */
+/** Writes log lines. Values never hold callers' text or keys. */
 export interface Logger {
-  log(
-    level: LogLevel,
-    message: string,
-    fields?: Readonly<Record<string, unknown>>,
-  ): void;
+  log(level: LogLevel, message: string, fields?: LogFields): void;
+  /** Changes the least severe level that is written, also of loggers made from this one. */
   setLevel(level: LogLevel): void;
+  getLevel(): LogLevel;
+  /** Creates a logger that adds fields to each line, such as `requestId`. */
+  createChild(fields: LogFields): Logger;
 }
 
 /** Creates a logger. */
 export function createLogger(options: LoggerOptions): Logger {
-  const {format} = winston;
-  const text = format.printf(info => {
-    const {level, message, timestamp, node, ...fields} = info;
-    const rest =
-      Object.keys(fields).length === 0 ? '' : ` ${JSON.stringify(fields)}`;
-    return `${String(timestamp)} ${String(node)} ${level}: ${String(message)}${rest}`;
-  });
   const logger = winston.createLogger({
     level: options.level ?? 'info',
-    defaultMeta: {node: options.node},
-    format: format.combine(
-      format.timestamp(),
-      options.format === 'text' ? text : format.json(),
-    ),
-    transports: [
-      new winston.transports.Console({stderrLevels: [...LOG_LEVELS]}),
-    ],
+    format: createFormat(options.format ?? 'json'),
+    transports: [createTransport(options.write)],
   });
-  return {
-    log: (level, message, fields) => void logger.log(level, message, fields),
-    setLevel: level => {
-      logger.level = level;
+  return createChild({node: options.node});
+
+  function createChild(fields: LogFields): Logger {
+    return {
+      log: (level, message, more) => {
+        const clean = createRedacted({...fields, ...more}) as LogFields;
+        logger.log(level, formatRedacted(message), clean);
+      },
+      setLevel: level => {
+        logger.level = level;
+      },
+      getLevel: () => logger.level as LogLevel,
+      createChild: more => createChild({...fields, ...more}),
+    };
+  }
+}
+
+function createFormat(kind: 'json' | 'text'): winston.Logform.Format {
+  const {format} = winston;
+  const lines = kind === 'text' ? format.printf(formatText) : format.json();
+  return format.combine(format.timestamp(), lines);
+}
+
+function formatText(info: winston.Logform.TransformableInfo): string {
+  const {level, message, timestamp, node, ...fields} = info;
+  const rest =
+    Object.keys(fields).length === 0 ? '' : ` ${JSON.stringify(fields)}`;
+  return `${String(timestamp)} ${String(node)} ${level}: ${String(message)}${rest}`;
+}
+
+function createTransport(
+  write: ((line: string) => void) | undefined,
+): winston.transport {
+  if (write === undefined) {
+    return new winston.transports.Console({stderrLevels: [...LOG_LEVELS]});
+  }
+  return new winston.transports.Stream({
+    stream: createLineStream(write),
+    eol: '',
+  });
+}
+
+function createLineStream(
+  write: (line: string) => void,
+): NodeJS.WritableStream {
+  return new Writable({
+    decodeStrings: false,
+    write: (chunk: string, _encoding, callback) => {
+      write(chunk);
+      callback();
     },
-  };
+  });
 }
--- a/src/diagnostics/timeline_explain.ts
+++ b/src/diagnostics/timeline_explain.ts
@@ -7,7 +7,7 @@
   EventKind.RequestRefused,
   EventKind.RequestFailed,
   EventKind.RequestCancelled,
-  EventKind.RequestDone,
+  EventKind.RequestAnswered,
 ]);
 const LEASE_ENDS: ReadonlySet<string> = new Set([
   EventKind.LeaseReleased,
@@ -116,7 +116,7 @@
       return 'was refused';
     case EventKind.RequestCancelled:
       return 'was cancelled';
-    case EventKind.RequestDone:
+    case EventKind.RequestAnswered:
       return 'was answered';
     default:
       return 'failed';
