Replay a trace from the command line; count requests at /metrics

The replay stood without a command. It prints a table or JSON, checks the bounds beside the trace, and names a bad line by file and line. The node records each request's summary in its metrics.

--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -4,6 +4,7 @@
 import {ExitCode} from './exit_code';
 import {FleetCommand} from './fleet_command';
 import {ProgressCommand} from './progress_command';
+import {ReplayCommand} from './replay_command';
 import {ServeCommand} from './serve_command';
 import {SettingsCheckCommand} from './settings_check_command';
 import {StandinsCommand} from './standins_command';
@@ -21,6 +22,7 @@
   DemoCommand,
   FleetCommand,
   ProgressCommand,
+  ReplayCommand,
   ServeCommand,
   SettingsCheckCommand,
   StandinsCommand,
--- /dev/null
+++ b/src/cli/replay_command.ts
@@ -0,0 +1,165 @@
+/** `anvilstack replay`. */
+import {basename, dirname, join} from 'node:path';
+import {Command, Option} from 'clipanion';
+import {Err, Ok, type Result} from 'ts-results';
+import {createMessage, type Message, messages} from '../diagnostics';
+import {
+  checkOutcome,
+  type Outcome,
+  parseOutcomeBounds,
+  parseTrace,
+  ReplayPolicy,
+  type ReplayResult,
+  type ReplaySettings,
+  replayTrace,
+} from '../replay';
+import {loadSettings, readText} from '../settings';
+import {ExitCode} from './exit_code';
+import {formatTable, printJson, printMessages} from './output';
+
+const DEFAULT_SEED = '1';
+const TRACE_SUFFIX = /\.jsonl?$/;
+
+/** Replays a trace against the decisions of this program, on virtual time. */
+export class ReplayCommand extends Command {
+  static override paths = [['replay']];
+  static override usage = Command.Usage({
+    category: 'Proof',
+    description:
+      'Replays a recorded trace on virtual time and prints its outcome.',
+    details:
+      'The same trace, seed and policy give the same outcome. With --check the outcome is compared with the bounds stated beside the trace in NAME.outcome.json; a bound that is missed gives exit code 1.',
+    examples: [
+      ['Replay a trace', 'anvilstack replay trace.jsonl'],
+      [
+        'Compare with a baseline',
+        'anvilstack replay trace.jsonl --policy round-robin',
+      ],
+      ['Check the stated outcome', 'anvilstack replay trace.jsonl --check'],
+    ],
+  });
+
+  trace = Option.String({name: 'TRACE'});
+  settings = Option.String('--settings', {
+    description: 'Settings of a node: its report and plan intervals are used',
+  });
+
+  seed = Option.String('--seed', DEFAULT_SEED, {
+    description: 'Seed of the random choices',
+  });
+
+  policy = Option.String('--policy', ReplayPolicy.Anvilstack, {
+    description: Object.values(ReplayPolicy).join(', '),
+  });
+
+  check = Option.Boolean('--check', false, {
+    description: 'Compare with NAME.outcome.json',
+  });
+
+  json = Option.Boolean('--json', false, {
+    description: 'Print JSON for programs',
+  });
+
+  async execute(): Promise<number> {
+    const run = await this.runReplay();
+    if (run.err) {
+      printMessages(this.context.stderr, run.val);
+      return ExitCode.Usage;
+    }
+    const {outcome} = run.val;
+    if (this.json) printJson(this.context.stdout, outcome);
+    else this.context.stdout.write(formatOutcome(outcome));
+    return this.check ? this.checkBounds(outcome) : ExitCode.Done;
+  }
+
+  private async runReplay(): Promise<Result<ReplayResult, readonly Message[]>> {
+    const policy = Object.values(ReplayPolicy).find(
+      item => item === this.policy,
+    );
+    if (policy === undefined) {
+      const known = Object.values(ReplayPolicy).join(', ');
+      return Err([createArgumentFault('--policy', `expected one of ${known}`)]);
+    }
+    if (!/^\d{1,9}$/.test(this.seed)) {
+      return Err([createArgumentFault('--seed', 'expected a whole number')]);
+    }
+    const settings = this.loadReplaySettings();
+    if (settings.err) return settings;
+    const trace = readText(this.trace).andThen(text =>
+      parseTrace(text).mapErr(errors =>
+        errors.map(error =>
+          createMessage(messages.TraceFault, [error.message], {
+            place: {file: this.trace, line: error.line, column: 1},
+          }),
+        ),
+      ),
+    );
+    if (trace.err) return trace;
+    const result = await replayTrace(trace.val, {
+      seed: Number(this.seed),
+      policy,
+      settings: settings.val,
+    });
+    return Ok(result);
+  }
+
+  private loadReplaySettings(): Result<
+    Partial<ReplaySettings>,
+    readonly Message[]
+  > {
+    if (this.settings === undefined) return Ok({});
+    return loadSettings(this.settings).map(({routing, planning}) => ({
+      reportIntervalMs: routing.report_interval_ms,
+      planIntervalMs: planning.interval_ms,
+    }));
+  }
+
+  private checkBounds(outcome: Outcome): number {
+    const name = basename(this.trace).replace(TRACE_SUFFIX, '');
+    const file = join(dirname(this.trace), `${name}.outcome.json`);
+    const text = readText(file);
+    if (text.err) {
+      printMessages(this.context.stderr, text.val);
+      return ExitCode.Usage;
+    }
+    const bounds = parseOutcomeBounds(text.val);
+    if (bounds.err) {
+      const fault = createMessage(messages.FileUnreadable, [file, bounds.val]);
+      printMessages(this.context.stderr, [fault]);
+      return ExitCode.Usage;
+    }
+    const missed = checkOutcome(outcome, bounds.val).map(bound =>
+      createMessage(messages.BoundMissed, [
+        bound.field,
+        String(bound.value),
+        formatBound(bound),
+      ]),
+    );
+    printMessages(this.context.stderr, missed);
+    return missed.length === 0 ? ExitCode.Done : ExitCode.Failed;
+  }
+}
+
+function createArgumentFault(option: string, text: string): Message {
+  return createMessage(messages.ArgumentFault, [option, text]);
+}
+
+function formatBound(bound: {
+  readonly min?: number;
+  readonly max?: number;
+}): string {
+  const parts: string[] = [];
+  if (bound.min !== undefined) parts.push(`at least ${bound.min}`);
+  if (bound.max !== undefined) parts.push(`at most ${bound.max}`);
+  return parts.join(' and ');
+}
+
+function formatOutcome(outcome: Outcome): string {
+  const rows = Object.entries(outcome).map(([field, value]) => [
+    field,
+    typeof value === 'number' && !Number.isInteger(value)
+      ? value.toFixed(4)
+      : String(value),
+  ]);
+  return formatTable(['FIELD', 'VALUE'], rows);
+}
--- a/src/diagnostics/messages.ts
+++ b/src/diagnostics/messages.ts
@@ -182,6 +182,18 @@
     'The state of the fleet is not the end state that the file states.',
     'Look into `anvilstack progress` and `anvilstack timeline --client-account ACCOUNT`.',
   ),
+  TraceFault: createError(
+    'AS2012',
+    'trace: {0}',
+    'A line of the trace is not in the form that replay takes.',
+    'Mend the line named; docs/operators lists the fields of a trace.',
+  ),
+  BoundMissed: createError(
+    'AS2013',
+    '{0} is {1}, stated is {2}',
+    'The outcome of the replay is not within the bounds stated beside the trace.',
+    'Compare with an earlier build or with --policy round-robin; the seed is part of the outcome.',
+  ),
   TaskFailed: createError(
     'AS3001',
     "task '{0}' failed for good: {1}",
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -2,7 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import {createHttpServiceClient} from '../backends';
 import {createClaimsLedger} from '../claims';
-import {createEventRing, type Logger} from '../diagnostics';
+import {createEventRing, createNodeMetrics, type Logger} from '../diagnostics';
 import {
   createCallerApp,
   createOperatorApp,
@@ -98,11 +98,16 @@
     services,
     claims,
     onSummary: summary => {
+      metrics.recordRequest(summary);
       recorder.add(summary);
       events.emit(createSummaryEvent(summary));
     },
   });
   const recorder = createTraceRecorder();
+  const metrics = createNodeMetrics({
+    getQueueLength: dispatcher.getWaitingCount,
+    getOpenRequests: pipeline.getOpenCount,
+  });
   let isDraining = false;
   const peers = await openPeerTasks({
     clock,
@@ -122,6 +127,7 @@
       pipeline,
       isReady,
       getConfig: () => streams.config.follower.getState(),
+      renderMetrics: metrics.render,
     }),
     ...parseListenAddress(settings.listen.callers),
   });
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -189,10 +189,6 @@
     report_interval_ms: durationMsSchema
       .default(500)
       .describe('Time between two reads of an engine report, in milliseconds'),
-    policy: z
-      .enum(['predictive', 'least-loaded', 'round-robin', 'static-roles'])
-      .default('predictive')
-      .describe('How an engine is chosen; the others are baselines'),
   })
   .describe('Choice of a backend server');
 
