Pace the appends of claims; start from peers' copies when the log is out

Cause: with a group delay of 2 ms fourteen nodes ask for more appends than the log takes from 200 claimed requests a second on. The interval follows the number of live nodes, for 200 appends a second together.

The new end-to-end test found that a node starting in an outage never became ready when a stream was empty: a peer's copy at the same offset was not taken for whole. The follower now does.

--- a/src/demo/cluster.ts
+++ b/src/demo/cluster.ts
@@ -31,6 +31,8 @@
   readonly fleet: StandinFleet;
   readonly nodes: readonly AnvilstackNode[];
   readonly operatorToken: string;
+  /** Starts one more node; it may not be ready yet. */
+  addNode(): Promise<AnvilstackNode>;
   /** Publishes a template, or amends one, and waits until it is in force on every node. */
   publishTemplate(template: unknown, baseVersion?: number): Promise<number>;
   /** Resolves when `isDone` returns true. */
@@ -56,11 +58,18 @@
     fleet,
     nodes,
     operatorToken: OPERATOR_TOKEN,
+    addNode,
     publishTemplate,
     waitUntil,
     close,
   };
 
+  async function addNode(): Promise<AnvilstackNode> {
+    const node = await startClusterNode(options, fleet, nodes.length);
+    nodes.push(node);
+    return node;
+  }
+
   async function publishTemplate(
     template: unknown,
     baseVersion?: number,
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -5,6 +5,7 @@
 import type {
   Exchange,
   IndirectProbe,
+  ListedNode,
   Member,
   Membership,
   MembershipCounts,
@@ -43,6 +44,7 @@
 const DEFAULT_MAX_DIGESTS = 64;
 const INDIRECT_PROBES = 3;
 const DRAIN_PEERS = 4;
+const FIRST_PEERS = 3;
 const SWEEP_INTERVAL_MS = 1_000;
 /** Jitter of each interval, in parts of it, so that nodes do not act in step. */
 const INTERVAL_JITTER = 0.2;
@@ -82,7 +84,7 @@
     isServerLeaving: marks.has,
     listLeavingServers: marks.list,
     isProcessGone: view.isProcessGone,
-    updateListed: view.updateListed,
+    updateListed,
     reportLeaving: view.reportLeaving,
     handleExchange,
     handleIndirectProbe,
@@ -106,6 +108,14 @@
     isRunning = false;
   }
 
+  /** A node that has heard of nobody asks some peers at once. */
+  function updateListed(nodes: readonly ListedNode[]): void {
+    view.updateListed(nodes);
+    if (!isRunning || view.listDigests().length > 0) return;
+    const peers = choosePeers(table.list(), FIRST_PEERS, getRandom);
+    for (const peer of peers) void sendExchange(peer);
+  }
+
   /** Runs `step` again and again. */
   function scheduleStep(intervalMs: number, step: () => void): void {
     const jitter = (getRandom() - 0.5) * INTERVAL_JITTER;
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -58,6 +58,12 @@
     events,
     node: id,
     retentionMs: settings.platform.log_retention_s * 1_000,
+    snapshots: {
+      listOffsets: stream => peers.snapshots.listOffsets(stream),
+      tryLoadSnapshot: (peer, stream) =>
+        peers.snapshots.tryLoadSnapshot(peer, stream),
+    },
+    countNodes: () => peers.countNodes(),
   });
   const fleet = createFleetWatch({
     clock,
--- a/src/node/node_streams.ts
+++ b/src/node/node_streams.ts
@@ -21,6 +21,8 @@
 /** Name of the stream that holds the claims. */
 export const CLAIMS_STREAM = 'claims-0';
 
+/** Appends a second that the claims of all nodes may use together. */
+const CLAIM_APPENDS_PER_S = 200;
 /** A log that has answered no read for so long does not answer, in milliseconds. */
 const LOG_SILENCE_MS = 2_500;
 
@@ -37,6 +39,8 @@
   readonly retentionMs: number;
   /** Asks the other nodes for copies of the folded state; absent without peers. */
   readonly snapshots?: SnapshotSource;
+  /** Returns the number of nodes that share the log, this one included. */
+  readonly countNodes: () => number;
 }
 
 /** A stream's follower and writer. */
@@ -64,7 +68,10 @@
 export function createNodeStreams(options: NodeStreamsOptions): NodeStreams {
   const {clock, log, writerId, events, node, retentionMs} = options;
   const config = createPair(createConfigStream({retentionMs}));
-  const claims = createPair(createClaimsStream({stream: CLAIMS_STREAM}));
+  const claims = createPair(
+    createClaimsStream({stream: CLAIMS_STREAM}),
+    () => (1_000 * options.countNodes()) / CLAIM_APPENDS_PER_S,
+  );
   const recoveries = [config.recovery, claims.recovery];
   const writers = [config.writer, claims.writer];
   const carrier = createTemplateCarrier({...config, node, clock, retentionMs});
@@ -87,6 +94,7 @@
 
   function createPair<State, Entry>(
     definition: StreamDefinition<State, Entry>,
+    getAppendIntervalMs?: () => number,
   ): StreamPair<State, Entry> {
     let isHealthy = true;
     const follower = createStreamFollower({
@@ -109,6 +117,7 @@
       log,
       clock,
       writer: writerId,
+      getAppendIntervalMs,
       getRandom: Math.random,
     });
     const recovery = createStreamRecovery({
--- a/src/node/peer_tasks.ts
+++ b/src/node/peer_tasks.ts
@@ -14,7 +14,12 @@
 } from '../membership';
 import type {Vm} from '../platform';
 import {type Clock, type Listener, openListener} from '../runtime';
-import type {FoldSnapshot, StreamFollower} from '../state';
+import type {
+  FoldSnapshot,
+  PeerOffset,
+  SnapshotSource,
+  StreamFollower,
+} from '../state';
 import {createProcessorMeter} from './processor_meter';
 
 /** What the tasks use of a stream that the node follows. */
@@ -52,10 +57,12 @@
   updateReport(report: EngineReport): void;
   /** Returns the servers, with those marked that a peer knows to leave. */
   applyMarks(servers: readonly BackendServer[]): readonly BackendServer[];
-  /** Reads a stream's folded state from the first of some peers that has it. */
-  readSnapshot(stream: string): Promise<FoldSnapshot | undefined>;
+  /** Copies of folded streams at peers. */
+  readonly snapshots: SnapshotSource;
   /** Collects the events of the peers that answer, and names those that do not. */
   collectEvents(filter: EventFilter): Promise<CollectedEvents>;
+  /** Returns the number of nodes that run, this one included. */
+  countNodes(): number;
   /** Returns what `fleet` shows of the nodes. */
   getFleet(): FleetOfPeers;
   start(): void;
@@ -77,8 +84,6 @@
   readonly missing: readonly string[];
 }
 
-/** Most peers that are asked for a snapshot. */
-const MAX_SNAPSHOT_PEERS = 5;
 /** Peers that are asked for events at a time. */
 const EVENT_PEERS_AT_A_TIME = 16;
 
@@ -104,7 +109,9 @@
       sendIndirectProbe: client.sendIndirectProbe,
       getLocalLoad: () => ({
         offsets: Object.fromEntries(
-          options.streams.map(item => [item.stream, item.getNextOffset()]),
+          options.streams
+            .filter(item => item.isCaughtUp())
+            .map(item => [item.stream, item.getNextOffset()]),
         ),
         inFlight: {},
         openRequests: options.getOpenRequests(),
@@ -119,8 +126,9 @@
     updateVms,
     updateReport,
     applyMarks,
-    readSnapshot,
+    snapshots: {listOffsets, tryLoadSnapshot},
     collectEvents,
+    countNodes: () => 1 + listLivePeers().length,
     getFleet: () => ({
       members: membership.listMembers(),
       leavingServers: membership.listLeavingServers(),
@@ -207,14 +215,26 @@
     }
   }
 
-  async function readSnapshot(
+  /** Lists what the digests heard last say; a peer names only streams that it knows whole. */
+  function listOffsets(stream: string): Promise<readonly PeerOffset[]> {
+    const offsets = membership
+      .listDigests()
+      .filter(digest => digest.offsets[stream] !== undefined)
+      .map(digest => ({
+        peer: digest.node,
+        nextOffset: digest.offsets[stream],
+        isCaughtUp: true,
+      }));
+    return Promise.resolve(offsets);
+  }
+
+  async function tryLoadSnapshot(
+    peer: string,
     stream: string,
   ): Promise<FoldSnapshot | undefined> {
-    for (const peer of listLivePeers().slice(0, MAX_SNAPSHOT_PEERS)) {
-      const snapshot = await client.readSnapshot(peer.address, stream);
-      if (snapshot !== undefined) return snapshot;
-    }
-    return undefined;
+    const member = membership.tryGetMember(peer);
+    if (member === undefined) return undefined;
+    return client.readSnapshot(member.address, stream);
   }
 
   async function collectEvents(filter: EventFilter): Promise<CollectedEvents> {
--- a/src/state/stream_follower.ts
+++ b/src/state/stream_follower.ts
@@ -70,7 +70,11 @@
 
   function importSnapshot(snapshot: FoldSnapshot): boolean {
     const isTaken = fold.importSnapshot(snapshot);
-    if (isTaken) hasReachedEnd = true;
+    // A peer at the same offset has nothing to give: this fold is whole as it is.
+    const isEqual =
+      snapshot.stream === definition.stream &&
+      snapshot.nextOffset === fold.getNextOffset();
+    if (isTaken || isEqual) hasReachedEnd = true;
     return isTaken;
   }
 
--- a/src/state/stream_writer.ts
+++ b/src/state/stream_writer.ts
@@ -24,6 +24,8 @@
   readonly writer: string;
   /** How long the first entry of a group waits for others, in milliseconds. */
   readonly groupDelayMs?: number;
+  /** Returns the least time between two appends, in milliseconds; 0 when absent. */
+  readonly getAppendIntervalMs?: () => number;
   readonly maxGroupEntries?: number;
   /** Most bytes of entries in one record; a single larger entry goes alone. */
   readonly maxGroupBytes?: number;
@@ -63,6 +65,7 @@
 ): StreamWriter<Entry> {
   const {follower, log, clock, writer} = options;
   const groupDelayMs = options.groupDelayMs ?? DEFAULT_GROUP_DELAY_MS;
+  const getAppendIntervalMs = options.getAppendIntervalMs ?? (() => 0);
   const maxGroupEntries = options.maxGroupEntries ?? DEFAULT_MAX_GROUP_ENTRIES;
   const maxGroupBytes = options.maxGroupBytes ?? DEFAULT_MAX_GROUP_BYTES;
   const maxBackoffMs = options.maxBackoffMs ?? DEFAULT_MAX_BACKOFF_MS;
@@ -71,6 +74,7 @@
   const unconfirmed = new Map<number, Group<Entry>>();
   let nextSequence = 1;
   let appendCount = 0;
+  let nextAppendAtMs = 0;
   let isSending = false;
   let isStopped = false;
   const unsubscribe = follower.subscribe(onEntryApplied);
@@ -120,7 +124,12 @@
     if (isSending) return;
     isSending = true;
     await clock.sleep(groupDelayMs);
-    while (queue.length > 0 && !isStopped) await sendGroup(takeGroup());
+    while (queue.length > 0 && !isStopped) {
+      await clock.sleep(Math.max(0, nextAppendAtMs - clock.getMonotonicMs()));
+      if (queue.length === 0 || isStopped) break;
+      nextAppendAtMs = clock.getMonotonicMs() + getAppendIntervalMs();
+      await sendGroup(takeGroup());
+    }
     isSending = false;
   }
 
--- a/test/node/peers.test.ts
+++ b/test/node/peers.test.ts
@@ -29,6 +29,18 @@
   });
 });
 
+test('a node that starts while the log is out serves from a copy of its peers', async () => {
+  cluster.fleet.log.setDown(true);
+  const node = await cluster.addNode();
+  await cluster.waitUntil(() => node.isReady());
+  const answer = await fetch(`${node.operatorAddress}/operators/templates`, {
+    headers: {authorization: `Bearer ${cluster.operatorToken}`},
+  });
+  const templates = (await answer.json()) as unknown[];
+  assert.equal(templates.length, 1);
+  cluster.fleet.log.setDown(false);
+});
+
 test('a drained node is known to have left', async () => {
   const [kept, drained] = cluster.nodes;
   await drained.drain();
--- a/test/support/claims_cluster.ts
+++ b/test/support/claims_cluster.ts
@@ -81,6 +81,8 @@
 export interface ClaimsClusterOptions {
   readonly nodes?: number;
   readonly logRetentionMs?: number;
+  /** Least time between two appends of a node, in milliseconds. */
+  readonly appendIntervalMs?: number;
   /** Time that the backend server takes, in milliseconds. */
   readonly serviceMs?: number;
   /** Stands in for clocks of nodes that are wrong by so much, in milliseconds. */
@@ -141,6 +143,7 @@
       log: nodeLog,
       clock: nodeClock,
       writer: node,
+      getAppendIntervalMs: () => options.appendIntervalMs ?? 0,
     });
     let attempts = 0;
     const ledger = createClaimsLedger({
