Prove commands under leases at the worst moments, and ask the weight store without blocking

Tests bring about: a holder that dies between intent and command and between command and result, one that wakes before the check and between check and write, a crash in the middle of a change, a lost fencing number, a planned hand-over, retries to an engine that is gone, random schedules of pauses, cuts and crashes; engines that check the number and engines that ignore it. Cause of the change to the sender: an order to load weights kept its engine reserved for as long as the store copied (the new test then saw the role change held up); it is now refused as not sent until the copy is done, and asked again. Known window: a process paused between check and write commands an engine that ignores the number however late it wakes; the next control tick undoes it.

--- a/src/authority/command_sender.ts
+++ b/src/authority/command_sender.ts
@@ -13,7 +13,7 @@
   Intent,
   LeaseHolder,
 } from './types';
-import {waitForWeights} from './weight_transfer';
+import {createWeightGate} from './weight_gate';
 
 /** Options of a sender. */
 export interface CommandSenderOptions {
@@ -43,8 +43,6 @@
 const PROBE_MS = 250;
 /** Longest wait for an engine to reach the state after it took a command, in milliseconds. */
 const STATE_TIMEOUT_MS = 60_000;
-const WEIGHTS_TIMEOUT_MS = 600_000;
-const WEIGHTS_POLL_MS = 1_000;
 
 /** Creates a sender. */
 export function createCommandSender(
@@ -60,6 +58,9 @@
   const recording = new Set<string>();
   /** The last order of each kind that an engine was to keep. */
   const chosen = new Map<string, Map<EngineOrder['kind'], EngineOrder>>();
+  const weights =
+    options.weightStore &&
+    createWeightGate({store: options.weightStore, clock});
   let nextCommand = 1;
   return {
     submit,
@@ -90,8 +91,9 @@
     order: EngineOrder,
     authority: Authority,
   ): Promise<CommandResult> {
-    if (!(await prepareWeights(engine, order, authority))) {
-      return createNotSent('the weights are not at the engine');
+    // The engine stays free for other orders while the store copies; the host asks again.
+    if (!(await hasWeights(engine, order))) {
+      return createNotSent('the weights are not at the engine yet');
     }
     await waitForGuard(engine, authority);
     const command = `${writer.writer}/${lease.shard}/${nextCommand++}`;
@@ -132,25 +134,12 @@
     return result;
   }
 
-  function prepareWeights(
-    engine: string,
-    order: EngineOrder,
-    authority: Authority,
-  ): Promise<boolean> {
-    const weights = tryGetWeights(order);
-    const store = options.weightStore;
-    if (weights === undefined || store === undefined) {
+  function hasWeights(engine: string, order: EngineOrder): Promise<boolean> {
+    const name = tryGetWeights(order);
+    if (name === undefined || weights === undefined) {
       return Promise.resolve(true);
     }
-    return waitForWeights({
-      store,
-      clock,
-      engine,
-      weights,
-      timeoutMs: WEIGHTS_TIMEOUT_MS,
-      pollMs: WEIGHTS_POLL_MS,
-      isWanted: () => hasTerm(authority),
-    });
+    return weights.isPrepared(engine, name);
   }
 
   /** Waits until what a predecessor may still have on its way has arrived. */
--- a/src/authority/types.ts
+++ b/src/authority/types.ts
@@ -164,7 +164,10 @@
 
 /** Sends commands under a lease. */
 export interface CommandSender {
-  /** Sends an order; orders to one engine go one after the other. */
+  /**
+   * Sends an order; one at a time to each engine. An order to load weights is not sent before the
+   * weight store has copied them: submit it early, and again until it is done.
+   */
   submit(engine: string, order: EngineOrder): Promise<CommandResult>;
   /** Finishes the intents without a result that no command here is in progress for. */
   settleIntents(): Promise<void>;
--- /dev/null
+++ b/test/authority/command.test.ts
@@ -0,0 +1,357 @@
+/** Commands under a lease: holders that die or wake at the worst moment, engines of both kinds. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {createWeightStoreModel} from '../../src/standins';
+import {
+  type ControlCluster,
+  createControlCluster,
+  type ControlProcess,
+} from '../support/control_cluster';
+
+const SEED = 46;
+const GUARD_MS = 3_000;
+
+/** Starts a holder and a successor that wants another role. */
+async function startPair(
+  cluster: ControlCluster,
+): Promise<[ControlProcess, ControlProcess]> {
+  const first = cluster.startProcess({name: 'p0', rank: 0});
+  const second = cluster.startProcess({name: 'p1', rank: 1});
+  await cluster.advance(2_000);
+  assert.deepEqual(cluster.listHolders(), ['p0']);
+  return [first, second];
+}
+
+/** Advances until `isDone`; fails after a minute. */
+async function waitUntil(
+  cluster: ControlCluster,
+  isDone: () => boolean,
+): Promise<void> {
+  const untilMs = cluster.clock.getMonotonicMs() + 60_000;
+  while (!isDone()) {
+    assert.ok(cluster.clock.getMonotonicMs() < untilMs, 'in time');
+    await cluster.clock.advance(10);
+  }
+}
+
+/** Advances until the log holds the text, and before any process has read it back. */
+async function waitUntilLogged(
+  cluster: ControlCluster,
+  text: string,
+): Promise<void> {
+  const has = (): boolean => {
+    const page = cluster.model.read('control', 0, 1_000);
+    if (typeof page === 'string' || !('records' in page)) return false;
+    return page.records.some(record => record.body.includes(text));
+  };
+  for (let step = 0; !has(); step++) {
+    assert.ok(step < 10_000, 'logged in time');
+    await cluster.clock.advance(0.5);
+  }
+}
+
+function countIntents(process: ControlProcess): number {
+  return process.follower.getState().intents.size;
+}
+
+function listTerms(cluster: ControlCluster): number[] {
+  return cluster.engines[0].effects.map(effect => effect.command.fencingNumber);
+}
+
+test('a holder that dies between intent and command: the successor finishes the intent', async () => {
+  for (const checksFencing of [true, false]) {
+    const cluster = createControlCluster({checksFencing, engines: 1});
+    const [first, second] = await startPair(cluster);
+    first.isHeldBeforeWrite = true;
+    first.wantedRole = 'prefill';
+    await waitUntil(cluster, () => countIntents(second) === 1);
+    first.kill();
+    await cluster.advance(20_000);
+    assert.equal(cluster.engines[0].getRole(), 'prefill');
+    assert.equal(countIntents(second), 0);
+    assert.equal(cluster.engines[0].effects.length, 1);
+    assert.match(cluster.engines[0].effects[0].command.id, /^p1/);
+    await cluster.stop();
+  }
+});
+
+test('a holder that dies between command and result: the successor probes and settles', async () => {
+  for (const checksFencing of [true, false]) {
+    const cluster = createControlCluster({checksFencing, engines: 1});
+    const [first, second] = await startPair(cluster);
+    first.wantedRole = 'prefill';
+    await waitUntil(cluster, () => cluster.engines[0].effects.length === 1);
+    first.kill();
+    await cluster.advance(20_000);
+    assert.equal(cluster.engines[0].getRole(), 'prefill');
+    assert.equal(countIntents(second), 0);
+    // An engine that ignores the number is only probed; the other one learns the new number.
+    assert.equal(cluster.engines[0].effects.length, checksFencing ? 2 : 1);
+    await cluster.stop();
+  }
+});
+
+/** The first process stands between check and write until its successor has taken over. */
+async function resumeBetweenCheckAndWrite(
+  cluster: ControlCluster,
+): Promise<ControlProcess> {
+  const [first, second] = await startPair(cluster);
+  first.isHeldBeforeWrite = true;
+  first.wantedRole = 'prefill';
+  second.wantedRole = 'decode';
+  await waitUntil(cluster, () => countIntents(second) === 1);
+  first.setPaused(true);
+  await cluster.advance(25_000);
+  assert.deepEqual(cluster.listHolders(), ['p1']);
+  assert.equal(cluster.engines[0].getRole(), 'decode');
+  first.isHeldBeforeWrite = false;
+  first.setPaused(false);
+  return second;
+}
+
+test('a holder that wakes between check and write: an engine that checks refuses it', async () => {
+  const cluster = createControlCluster({checksFencing: true, engines: 1});
+  const second = await resumeBetweenCheckAndWrite(cluster);
+  await cluster.advance(10_000);
+  assert.equal(cluster.engines[0].getRole(), 'decode');
+  assert.equal(countIntents(second), 0);
+  const terms = listTerms(cluster);
+  assert.deepEqual(
+    terms,
+    [...terms].sort((left, right) => left - right),
+  );
+  assert.ok(
+    cluster.engines[0].effects.every(effect =>
+      effect.command.id.startsWith('p1'),
+    ),
+  );
+  await cluster.stop();
+});
+
+test('the same with an engine that ignores the number: probing heals what took effect', async () => {
+  const cluster = createControlCluster({checksFencing: false, engines: 1});
+  const second = await resumeBetweenCheckAndWrite(cluster);
+  const [engine] = cluster.engines;
+  await waitUntil(cluster, () => engine.getRole() === 'prefill');
+  const staleAtMs = cluster.clock.getMonotonicMs();
+  await waitUntil(cluster, () => engine.getRole() === 'decode');
+  const healedMs = cluster.clock.getMonotonicMs() - staleAtMs;
+  // One control tick to see it, one change to undo it.
+  assert.ok(healedMs <= 1_000 + 1_000 + 200, `healed after ${healedMs} ms`);
+  await cluster.advance(10_000);
+  assert.equal(engine.getRole(), 'decode');
+  assert.equal(countIntents(second), 0);
+  await cluster.stop();
+});
+
+test('a holder that wakes before the check sends nothing, whatever the engine checks', async () => {
+  const cluster = createControlCluster({checksFencing: false, engines: 1});
+  const [first, second] = await startPair(cluster);
+  first.wantedRole = 'prefill';
+  second.wantedRole = 'decode';
+  await waitUntilLogged(cluster, '"intent"');
+  first.setPaused(true);
+  await cluster.advance(25_000);
+  assert.equal(cluster.engines[0].getRole(), 'decode');
+  first.setPaused(false);
+  await cluster.advance(10_000);
+  assert.ok(
+    cluster.engines[0].effects.every(effect =>
+      effect.command.id.startsWith('p1'),
+    ),
+  );
+  assert.equal(countIntents(second), 0);
+  await cluster.stop();
+});
+
+test('a successor waits out the guard time before an engine that ignores the number', async () => {
+  for (const checksFencing of [true, false]) {
+    const guardMs = GUARD_MS;
+    const cluster = createControlCluster({checksFencing, engines: 1, guardMs});
+    const [first, second] = await startPair(cluster);
+    second.wantedRole = 'decode';
+    first.kill();
+    await waitUntil(cluster, () => cluster.listHolders()[0] === 'p1');
+    const grantedAtMs = cluster.clock.getMonotonicMs();
+    await waitUntil(cluster, () => cluster.engines[0].effects.length === 1);
+    const waitedMs = cluster.clock.getMonotonicMs() - grantedAtMs;
+    if (checksFencing) assert.ok(waitedMs < GUARD_MS, `waited ${waitedMs} ms`);
+    else assert.ok(waitedMs >= GUARD_MS - 100, `waited ${waitedMs} ms`);
+    await cluster.stop();
+  }
+});
+
+test('an engine that crashes in the middle of a change is brought to the state chosen', async () => {
+  for (const checksFencing of [true, false]) {
+    const cluster = createControlCluster({checksFencing, engines: 1});
+    const [first] = await startPair(cluster);
+    const [engine] = cluster.engines;
+    first.wantedRole = 'prefill';
+    await waitUntil(cluster, () => engine.effects.length === 1);
+    engine.crash(2_000);
+    await cluster.advance(15_000);
+    assert.equal(engine.getRole(), 'prefill');
+    assert.equal(countIntents(first), 0);
+    const {fencingNumber} = engine.getReport();
+    assert.equal(fencingNumber, first.lease.tryGetAuthority()?.term);
+    await cluster.stop();
+  }
+});
+
+test('a checking engine that lost its number in a crash gets it back before a stale command', async () => {
+  const cluster = createControlCluster({checksFencing: true, engines: 1});
+  const [first, second] = await startPair(cluster);
+  const [engine] = cluster.engines;
+  first.isHeldBeforeWrite = true;
+  first.wantedRole = 'prefill';
+  second.wantedRole = 'mixed';
+  await waitUntil(cluster, () => countIntents(second) === 1);
+  first.setPaused(true);
+  await cluster.advance(25_000);
+  assert.equal(engine.getRole(), 'mixed');
+  engine.crash(500);
+  // It comes back with the role that is wanted, and without its number.
+  await cluster.advance(3_000);
+  first.isHeldBeforeWrite = false;
+  first.setPaused(false);
+  await cluster.advance(5_000);
+  assert.equal(engine.getRole(), 'mixed');
+  assert.ok(engine.effects.every(effect => effect.command.id.startsWith('p1')));
+  await cluster.stop();
+});
+
+test('retries to an engine that is gone are bounded, and the failure is recorded', async () => {
+  const cluster = createControlCluster({checksFencing: true, engines: 1});
+  const [first] = await startPair(cluster);
+  cluster.engines[0].crash(600_000);
+  const submitted = first.sender.submit('engine-0', {
+    kind: 'set-role',
+    role: 'decode',
+  });
+  const [result] = await Promise.all([submitted, cluster.advance(30_000)]);
+  assert.equal(result.kind, 'failed');
+  assert.equal(countIntents(first), 0);
+  await cluster.stop();
+});
+
+test('a planned hand-over leaves no command behind and no guard to wait for', async () => {
+  const cluster = createControlCluster({checksFencing: false, engines: 1});
+  const [first, second] = await startPair(cluster);
+  first.wantedRole = 'prefill';
+  second.wantedRole = 'decode';
+  await waitUntil(cluster, () => cluster.engines[0].effects.length === 1);
+  let drainedAtMs = 0;
+  void first.loop.drain().then(() => {
+    drainedAtMs = cluster.clock.getMonotonicMs();
+  });
+  await waitUntil(cluster, () => cluster.engines[0].effects.length === 2);
+  assert.ok(cluster.clock.getMonotonicMs() - drainedAtMs < GUARD_MS);
+  await cluster.advance(5_000);
+  assert.equal(cluster.engines[0].getRole(), 'decode');
+  await cluster.stop();
+});
+
+const actionArbitrary = fc.record({
+  process: fc.nat({max: 2}),
+  kind: fc.constantFrom('pause', 'cut', 'hold', 'crash', 'lost'),
+  waitMs: fc.integer({min: 0, max: 6_000}),
+  forMs: fc.integer({min: 100, max: 15_000}),
+});
+
+test('over random schedules no stale command takes effect at an engine that checks, and all converge', async () => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(actionArbitrary, {minLength: 1, maxLength: 5}),
+      async actions => {
+        const cluster = createControlCluster({checksFencing: true, engines: 2});
+        const roles = ['prefill', 'decode', 'mixed'] as const;
+        roles.forEach((role, rank) => {
+          const process = cluster.startProcess({name: `p${rank}`, rank});
+          process.wantedRole = role;
+        });
+        let crashes = 0;
+        for (const action of actions) {
+          await cluster.advance(action.waitMs);
+          const process = cluster.processes[action.process];
+          const after = (undo: () => void): void =>
+            void cluster.clock.schedule(action.forMs, undo);
+          if (action.kind === 'pause') {
+            process.setPaused(true);
+            after(() => process.setPaused(false));
+          }
+          if (action.kind === 'cut') {
+            process.isReachable = false;
+            after(() => {
+              process.isReachable = true;
+            });
+          }
+          if (action.kind === 'hold') {
+            process.isHeldBeforeWrite = true;
+            after(() => {
+              process.isHeldBeforeWrite = false;
+            });
+          }
+          if (action.kind === 'crash') {
+            crashes++;
+            cluster.engines[0].crash(action.forMs);
+          }
+          if (action.kind === 'lost')
+            process.faults.push({kind: 'lost-answer'});
+        }
+        await cluster.advance(90_000);
+        const [holder] = cluster.listHolders();
+        const wanted = roles[Number(holder.slice(1))];
+        for (const engine of cluster.engines) {
+          assert.equal(engine.getRole(), wanted);
+          if (crashes > 0) continue;
+          const terms = engine.effects.map(
+            effect => effect.command.fencingNumber,
+          );
+          assert.deepEqual(
+            terms,
+            [...terms].sort((left, right) => left - right),
+          );
+        }
+        assert.equal(countIntents(cluster.processes[0]), 0);
+        await cluster.stop();
+      },
+    ),
+    {seed: SEED, numRuns: 25},
+  );
+});
+
+test('weights are copied before the engine is told to load them, and asked for at a low rate', async () => {
+  const questions: number[] = [];
+  const cluster = createControlCluster({
+    engines: 1,
+    weightStore: clock => {
+      const store = createWeightStoreModel({clock, copyMs: 9_000});
+      return {
+        ...store,
+        prepare: (engine, weights) => {
+          questions.push(clock.getMonotonicMs());
+          return store.prepare(engine, weights);
+        },
+      };
+    },
+  });
+  const [first] = await startPair(cluster);
+  const [engine] = cluster.engines;
+  const order = {kind: 'load-model', model: 'm'} as const;
+  for (let second = 0; second < 20; second++) {
+    const isLoaded = engine.getReport().models.includes('m');
+    if (!isLoaded) void first.sender.submit('engine-0', order);
+    await cluster.advance(1_000);
+    if (second === 3) {
+      const role = {kind: 'set-role', role: 'decode'} as const;
+      void first.sender.submit('engine-0', role);
+    }
+  }
+  const [role, load] = engine.effects;
+  assert.equal(role.command.order.kind, 'set-role', 'not held up by the copy');
+  assert.equal(load.command.order.kind, 'load-model');
+  assert.ok(load.atMs - questions[0] >= 9_000, 'after the copy');
+  assert.ok(questions.length <= 6, `${questions.length} questions`);
+  await cluster.stop();
+});
--- a/test/support/control_cluster.ts
+++ b/test/support/control_cluster.ts
@@ -12,7 +12,12 @@
   createLeaseHolder,
   type LeaseHolder,
 } from '../../src/authority';
-import {createVirtualClock, type VirtualClock} from '../../src/runtime';
+import type {WeightStore} from '../../src/platform';
+import {
+  type Clock,
+  createVirtualClock,
+  type VirtualClock,
+} from '../../src/runtime';
 import {
   createStreamFollower,
   createStreamWriter,
@@ -74,6 +79,7 @@
   readonly checksFencing?: boolean;
   readonly engines?: number;
   readonly guardMs?: number;
+  readonly weightStore?: (clock: Clock) => WeightStore;
 }): ControlCluster {
   const clock = createVirtualClock({wallStartMs: 1_700_000_000_000});
   const model = createLogModel({clock});
@@ -82,6 +88,7 @@
     createFakeEngine({id: `engine-${index}`, clock, checksFencing}),
   );
   const processes: ControlProcess[] = [];
+  const weightStore = options.weightStore?.(clock);
   return {
     clock,
     model,
@@ -139,6 +146,7 @@
       writer,
       checksFencing: () => checksFencing,
       guardMs: options.guardMs,
+      weightStore,
       createClient: engine =>
         createFakeClient({
           engine: engines[Number(engine.split('-')[1])],
