Listeners with TLS, limits and an orderly close; paths beside the settings file

A close waited for kept connections whose answer ended after it: a trial without the two lines that end them hung until the test's limit of 10 s, with them the close ends with the last answer. Headers, bodies, slow uploads and connections are bounded by settings. Certificates are read again at a change or SIGHUP; a pair that does not fit leaves the one in use. Peers call one another with the same files. Files that the settings name are relative to the settings file.

Known: h3 prints the error of an upload that the listener cut off.

--- a/src/membership/peer_client.ts
+++ b/src/membership/peer_client.ts
@@ -2,7 +2,7 @@
 import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
 import {Agent, fetch as fetchUrl} from 'undici';
 import type {TimelineEvent} from '../diagnostics';
-import type {Clock} from '../runtime';
+import {type Clock, createTlsConnector, type TlsFiles} from '../runtime';
 import type {FoldSnapshot} from '../state';
 import {PEER_PATH} from './peer_app';
 import {
@@ -18,6 +18,8 @@
   readonly clock: Clock;
   /** The secret that all nodes share. */
   readonly secret: string;
+  /** Certificate to show and CA to trust where peers listen with TLS. */
+  readonly tls?: TlsFiles;
   /** Longest wait for an exchange, in milliseconds. */
   readonly timeoutMs?: number;
   /** Longest wait for a snapshot or events, in milliseconds. */
@@ -58,6 +60,8 @@
   const agent = new Agent({
     keepAliveTimeout: IDLE_CONNECTION_MS,
     connections: 2,
+    connect:
+      options.tls === undefined ? undefined : createTlsConnector(options.tls),
   });
   const clients = new Map<string, TRPCClient<PeerRouter>>();
   return {
--- /dev/null
+++ b/src/node/listener_options.ts
@@ -0,0 +1,39 @@
+/** Turns settings into the options of a listener. */
+import type {ListenerOptions} from '../runtime';
+import type {Settings} from '../settings';
+
+/** Names of a node's listeners. */
+export type ListenerName = keyof Settings['listen'];
+
+const MS_PER_S = 1_000;
+
+/** Returns address, TLS and limits of a listener. The callers' application bounds its bodies itself. */
+export function getListenerOptions(
+  settings: Settings,
+  name: ListenerName,
+): Omit<ListenerOptions, 'app'> {
+  const address = settings.listen[name];
+  const split = address.lastIndexOf(':');
+  const {limits} = settings;
+  const tls = settings.tls[name];
+  return {
+    host: address.slice(0, split).replace(/^\[(.*)\]$/, '$1'),
+    port: Number(address.slice(split + 1)),
+    tls:
+      tls === undefined
+        ? undefined
+        : {
+            certFile: tls.cert_file,
+            keyFile: tls.key_file,
+            clientCaFile: tls.client_ca_file,
+          },
+    limits: {
+      maxHeaderBytes: limits.max_header_bytes,
+      maxBodyBytes: name === 'callers' ? undefined : limits.max_body_bytes,
+      headerTimeoutMs: limits.header_timeout_s * MS_PER_S,
+      uploadTimeoutMs: limits.upload_timeout_s * MS_PER_S,
+      idleTimeoutMs: limits.idle_timeout_s * MS_PER_S,
+      maxConnections: limits.max_connections,
+    },
+  };
+}
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -14,6 +14,7 @@
 import {type Clock, openListener} from '../runtime';
 import type {Secrets, Settings} from '../settings';
 import {createFleetWatch} from './fleet_watch';
+import {getListenerOptions} from './listener_options';
 import {createNodeStreams} from './node_streams';
 import {openPeerTasks} from './peer_tasks';
 import {createSummaryEvent} from './summary_event';
@@ -113,6 +114,7 @@
   const metrics = createNodeMetrics({
     getQueueLength: dispatcher.getWaitingCount,
     getOpenRequests: pipeline.getOpenCount,
+    listBytes,
   });
   let isDraining = false;
   const peers = await openPeerTasks({
@@ -122,7 +124,7 @@
     node: id,
     process: writerId,
     secret: options.secrets?.peerSecret?.getText(),
-    listen: parseListenAddress(settings.listen.peers),
+    listen: getListenerOptions(settings, 'peers'),
     streams: [streams.config.follower, streams.claims.follower],
     getOpenRequests: dispatcher.getOpenCount,
     onServersChanged: applyServers,
@@ -135,7 +137,7 @@
       getConfig: () => streams.config.follower.getState(),
       renderMetrics: metrics.render,
     }),
-    ...parseListenAddress(settings.listen.callers),
+    ...getListenerOptions(settings, 'callers'),
   });
   const operators = await openListener({
     app: createOperatorApp({
@@ -158,7 +160,7 @@
         ...peers.getFleet(),
       }),
     }),
-    ...parseListenAddress(settings.listen.operators),
+    ...getListenerOptions(settings, 'operators'),
   });
   streams.start();
   fleet.start();
@@ -175,6 +177,18 @@
     kill,
   };
 
+  function listBytes(): Array<{
+    listener: string;
+    received: number;
+    sent: number;
+  }> {
+    return [
+      {listener: 'callers', ...callers.getBytes()},
+      {listener: 'operators', ...operators.getBytes()},
+      {listener: 'peers', ...peers.getBytes()},
+    ];
+  }
+
   /** Gives routing the backend servers, with those marked that leave. */
   function applyServers(): void {
     const servers = peers.applyMarks(fleet.getServers());
@@ -207,8 +221,3 @@
     streams.stop();
   }
 }
-
-function parseListenAddress(text: string): {host: string; port: number} {
-  const [host, port] = text.split(':');
-  return {host, port: Number(port)};
-}
--- a/src/node/peer_tasks.ts
+++ b/src/node/peer_tasks.ts
@@ -13,7 +13,13 @@
   type MembershipChange,
 } from '../membership';
 import type {Vm} from '../platform';
-import {type Clock, type Listener, openListener} from '../runtime';
+import {
+  type Clock,
+  type Listener,
+  type ListenerBytes,
+  type ListenerOptions,
+  openListener,
+} from '../runtime';
 import type {
   FoldSnapshot,
   PeerOffset,
@@ -38,7 +44,7 @@
   readonly process: string;
   /** The secret that all nodes share. Without it this node stays alone. */
   readonly secret?: string;
-  readonly listen: {readonly host: string; readonly port: number};
+  readonly listen: Omit<ListenerOptions, 'app'>;
   readonly streams: readonly PeerStream[];
   /** Returns the number of requests that wait or run. */
   readonly getOpenRequests: () => number;
@@ -51,6 +57,8 @@
   /** Base address of the peers' listener, or empty without one. */
   readonly address: string;
   readonly membership: Membership;
+  /** Bytes of the peers' listener. */
+  getBytes(): ListenerBytes;
   /** Takes the VM list as read. */
   updateVms(vms: readonly Vm[], servers: readonly BackendServer[]): void;
   /** Takes an engine's report: it may say that the engine leaves. */
@@ -93,7 +101,11 @@
 ): Promise<PeerTasks> {
   const {clock, events, node, logger} = options;
   const secret = options.secret ?? '';
-  const client = createPeerClient({clock, secret});
+  const client = createPeerClient({
+    clock,
+    secret,
+    tls: options.listen.tls,
+  });
   const getProcessCores = createProcessorMeter(clock);
   const listener = await tryOpenListener();
   const address = listener?.address ?? '';
@@ -123,6 +135,7 @@
   return {
     address,
     membership,
+    getBytes: () => listener?.getBytes() ?? {received: 0, sent: 0},
     updateVms,
     updateReport,
     applyMarks,
--- a/src/runtime/index.ts
+++ b/src/runtime/index.ts
@@ -4,7 +4,13 @@
 export type {VirtualClockOptions} from './virtual_clock';
 export type {Clock, Timer, VirtualClock} from './types';
 export {openListener} from './listener';
-export type {Listener, ListenerOptions} from './listener';
+export type {
+  Listener,
+  ListenerBytes,
+  ListenerLimits,
+  ListenerOptions,
+  TlsFiles,
+} from './listener_types';
 export {createMailbox} from './mailbox';
 export type {Mailbox, MailboxOptions} from './mailbox';
 export {DEFAULT_RESTART} from './restart_budget';
@@ -20,3 +26,4 @@
   TaskState,
 } from './supervisor_types';
 export {watchUnhandledErrors} from './unhandled_errors';
+export {createTlsConnector} from './tls_files';
--- a/src/runtime/listener.ts
+++ b/src/runtime/listener.ts
@@ -1,49 +1,141 @@
-/** A listening socket for an h3 application. */
-import {createServer, type Server} from 'node:http';
+/** A listening socket for an h3 application, with TLS, limits and an orderly close. */
+import {
+  createServer as createHttpServer,
+  type IncomingMessage,
+  type Server,
+  type ServerOptions,
+  type ServerResponse,
+} from 'node:http';
+import {
+  createServer as createHttpsServer,
+  type Server as HttpsServer,
+} from 'node:https';
 import type {AddressInfo} from 'node:net';
-import {type H3, toNodeHandler} from 'h3';
-
-/** Options of a listener. */
-export interface ListenerOptions {
-  readonly app: H3;
-  readonly host?: string;
-  /** 0 takes a free port. */
-  readonly port?: number;
-}
+import {toNodeHandler} from 'h3';
+import {createByteMeter} from './byte_meter';
+import type {Listener, ListenerLimits, ListenerOptions} from './listener_types';
+import {loadTlsContext, watchTlsFiles} from './tls_files';
 
-/** A listening socket. */
-export interface Listener {
-  /** Base address, such as `http://127.0.0.1:8101`. */
-  readonly address: string;
-  /** Takes no new connections; resolves when those open have ended. */
-  close(): Promise<void>;
-  /** Ends every connection at once. */
-  destroy(): Promise<void>;
-}
+type Handler = (request: IncomingMessage, response: ServerResponse) => unknown;
 
-/** Opens a listener. */
+const DEFAULT_LIMITS: ListenerLimits = {
+  maxHeaderBytes: 16 * 1_024,
+  headerTimeoutMs: 10_000,
+  uploadTimeoutMs: 60_000,
+  idleTimeoutMs: 65_000,
+  maxConnections: 10_000,
+};
+/** How often connections are checked for headers and bodies that take too long. */
+const CHECK_INTERVAL_MS = 1_000;
+
+/** Opens a listener. Fails when the address is taken or a certificate cannot be read. */
 export async function openListener(
   options: ListenerOptions,
 ): Promise<Listener> {
+  const {tls} = options;
   const host = options.host ?? '127.0.0.1';
-  const server = createServer(toNodeHandler(options.app));
+  const limits = {...DEFAULT_LIMITS, ...options.limits};
+  let isClosing = false;
+  const server = createServer(options, limits, createHandler());
+  server.maxConnections = limits.maxConnections;
+  const bytes = createByteMeter(server);
   await listen(server, host, options.port ?? 0);
+  const stopWatching =
+    tls === undefined
+      ? () => undefined
+      : watchTlsFiles(tls, updateCertificates);
   const {port} = server.address() as AddressInfo;
-  return {address: `http://${host}:${port}`, close, destroy};
+  const scheme = tls === undefined ? 'http' : 'https';
+  return {
+    address: `${scheme}://${host}:${port}`,
+    getBytes: bytes.getBytes,
+    updateCertificates,
+    close,
+    destroy,
+  };
+
+  function createHandler(): Handler {
+    const handle = toNodeHandler(options.app);
+    return (request, response) => {
+      response.once('close', () => {
+        if (isClosing) setImmediate(() => server.closeIdleConnections());
+      });
+      if (isClosing) response.setHeader('connection', 'close');
+      const status = getRefusalStatus(request, limits.maxBodyBytes);
+      if (status === undefined) return handle(request, response);
+      response.writeHead(status, {connection: 'close'}).end();
+      return undefined;
+    };
+  }
+
+  function updateCertificates(): boolean {
+    if (tls === undefined) return true;
+    try {
+      (server as HttpsServer).setSecureContext(loadTlsContext(tls));
+      return true;
+    } catch (error) {
+      options.onReloadError?.(error as Error);
+      return false;
+    }
+  }
 
   function close(): Promise<void> {
+    isClosing = true;
+    stopWatching();
     const closed = new Promise<void>(resolve => server.close(() => resolve()));
     server.closeIdleConnections();
     return closed;
   }
 
   function destroy(): Promise<void> {
-    const closed = new Promise<void>(resolve => server.close(() => resolve()));
+    const closed = close();
     server.closeAllConnections();
     return closed;
   }
 }
 
+function createServer(
+  options: ListenerOptions,
+  limits: ListenerLimits,
+  handler: Handler,
+): Server | HttpsServer {
+  const httpOptions: ServerOptions = {
+    maxHeaderSize: limits.maxHeaderBytes,
+    headersTimeout: limits.headerTimeoutMs,
+    requestTimeout: limits.uploadTimeoutMs,
+    keepAliveTimeout: limits.idleTimeoutMs,
+    connectionsCheckingInterval: CHECK_INTERVAL_MS,
+  };
+  const {tls} = options;
+  if (tls === undefined) return createHttpServer(httpOptions, handler);
+  const secure = loadTlsContext(tls);
+  const isClientChecked = tls.clientCaFile !== undefined;
+  return createHttpsServer(
+    {
+      ...httpOptions,
+      ...secure,
+      minVersion: 'TLSv1.2',
+      requestCert: isClientChecked,
+      rejectUnauthorized: isClientChecked,
+      handshakeTimeout: limits.headerTimeoutMs,
+    },
+    handler,
+  );
+}
+
+/** Returns the status that refuses a request by its headers, if any. */
+function getRefusalStatus(
+  request: IncomingMessage,
+  maxBodyBytes: number | undefined,
+): number | undefined {
+  if (maxBodyBytes === undefined) return undefined;
+  const length = request.headers['content-length'];
+  if (length !== undefined) {
+    return Number(length) > maxBodyBytes ? 413 : undefined;
+  }
+  return request.headers['transfer-encoding'] === undefined ? undefined : 411;
+}
+
 function listen(server: Server, host: string, port: number): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -1,5 +1,6 @@
 /** Reads and checks settings files. */
 import {readFileSync} from 'node:fs';
+import {dirname, resolve} from 'node:path';
 import {Err, Ok, type Result} from 'ts-results';
 import type {z} from 'zod';
 import {createMessage, type Message, messages} from '../diagnostics';
@@ -25,7 +26,36 @@
 export function loadSettings(
   file: string,
 ): Result<Settings, readonly SettingsFault[]> {
-  return readText(file).andThen(text => parseSettings(file, text));
+  return readText(file)
+    .andThen(text => parseSettings(file, text))
+    .map(settings => resolveFilePaths(settings, dirname(file)));
+}
+
+/** Takes the files that the settings name as relative to the settings file. */
+function resolveFilePaths(settings: Settings, directory: string): Settings {
+  const {secrets, tls} = settings;
+  return {
+    ...settings,
+    secrets: resolvePaths(secrets, directory),
+    tls: {
+      callers: tls.callers && resolvePaths(tls.callers, directory),
+      operators: tls.operators && resolvePaths(tls.operators, directory),
+      peers: tls.peers && resolvePaths(tls.peers, directory),
+    },
+  };
+}
+
+function resolvePaths<T extends Readonly<Record<string, string | undefined>>>(
+  table: T,
+  directory: string,
+): T {
+  const entries = Object.entries(table).map(([key, value]) => [
+    key,
+    key.endsWith('_file') && value !== undefined
+      ? resolve(directory, value)
+      : value,
+  ]);
+  return Object.fromEntries(entries) as T;
 }
 
 /** Checks the text of a node's settings. */
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -63,7 +63,7 @@
       .optional()
       .describe('TLS between nodes; plain HTTP when omitted'),
   })
-  .describe('TLS of each listener');
+  .describe('TLS of each listener. Files are relative to the settings file');
 
 const platformSchema = z
   .strictObject({
@@ -103,7 +103,9 @@
         'Environment variable with the secret that signs resume tokens',
       ),
   })
-  .describe('Where secrets come from. They are never printed or logged');
+  .describe(
+    'Where secrets come from. They are never printed or logged. Files are relative to the settings file',
+  );
 
 const operatorSchema = z
   .strictObject({
