Run a control task for each shard on its candidates, and mark quiet streams after a gap

Cause: nothing ran leases in a node. Three candidates for each failure domain are chosen by rendezvous hashing over the VM list's nodes; a task that holds the lease asks a ControlHost what to command (one that decides nothing until planning's is plugged in), with connections to engines of its own, closed when the lease lapses. Cause of the marks: a process that starts after all nodes stood still knows from the time of the last record only how far back the log goes; with nobody writing, it would never have been caught up (the new test then waits for ever). It now appends an entry that says nothing. Ruled out: taking the end of the log for enough, since records may be dropped before their time.

--- a/src/authority/index.ts
+++ b/src/authority/index.ts
@@ -1,3 +1,4 @@
+export {tryGetRank} from './candidates';
 export {createCommandSender} from './command_sender';
 export type {CommandSenderOptions} from './command_sender';
 export {controlStream, tryGetLease} from './control_fold';
--- /dev/null
+++ b/src/node/control_tasks.ts
@@ -0,0 +1,214 @@
+/** The control tasks of one node: one for each shard that it is a candidate for. */
+import {
+  type Authority,
+  type CommandSender,
+  type ControlEntry,
+  type ControlHost,
+  type ControlLoop,
+  type ControlState,
+  createCommandSender,
+  createControlLoop,
+  createLeaseHolder,
+  FLEET_SHARD,
+  type LeaseHolder,
+  tryGetRank,
+} from '../authority';
+import {
+  type BackendServer,
+  createHttpEngineClient,
+  type EngineReport,
+} from '../backends';
+import type {EventRing} from '../diagnostics';
+import {type Vm, VmState, type WeightStore} from '../platform';
+import type {Clock, Timer} from '../runtime';
+import type {StreamPair} from './node_streams';
+
+/** Options of the control tasks. */
+export interface ControlTasksOptions {
+  readonly node: string;
+  readonly clock: Clock;
+  readonly events: EventRing;
+  readonly control: StreamPair<ControlState, ControlEntry>;
+  readonly getVms: () => readonly Vm[];
+  readonly getServers: () => readonly BackendServer[];
+  readonly listReports: () => readonly EngineReport[];
+  readonly weightStore: WeightStore;
+  readonly retentionMs: number;
+  readonly guardMs: number;
+  /** Engines that check fencing numbers; what the VM list says when absent. */
+  readonly checkedBy?: readonly string[];
+  /** Returns what decides for a shard. */
+  readonly createHost: (shard: string) => ControlHost;
+}
+
+/** Who holds a shard, as this node knows it. */
+export interface ShardStatus {
+  readonly shard: string;
+  readonly holder: string;
+  readonly term: number;
+}
+
+/** The tasks. */
+export interface ControlTasks {
+  start(): void;
+  /** Ends at once, as a crash would. */
+  stop(): void;
+  /** Hands every lease over. */
+  drain(): Promise<void>;
+  listShards(): readonly ShardStatus[];
+}
+
+interface ShardTask {
+  readonly loop: ControlLoop;
+  readonly lease: LeaseHolder;
+  readonly sender: CommandSender;
+}
+
+/** Time between two looks at the shards and their candidates, in milliseconds. */
+const REFRESH_MS = 1_000;
+
+/** Creates the tasks. */
+export function createControlTasks(options: ControlTasksOptions): ControlTasks {
+  const {node, clock, events, control, getServers} = options;
+  const tasks = new Map<string, ShardTask>();
+  let ranks = new Map<string, number>();
+  let timer: Timer | undefined;
+  return {
+    start: () => {
+      control.recovery.start();
+      updateTasks();
+    },
+    stop,
+    drain,
+    listShards: () =>
+      [...control.follower.getState().leases.values()]
+        .filter(lease => !lease.isReleased)
+        .map(({shard, holder, term}) => ({shard, holder, term})),
+  };
+
+  function updateTasks(): void {
+    timer = clock.schedule(REFRESH_MS, updateTasks);
+    ranks = computeRanks(node, options.getVms(), getServers());
+    for (const shard of ranks.keys()) {
+      if (!tasks.has(shard)) tasks.set(shard, startShard(shard));
+    }
+    for (const [shard, task] of tasks) {
+      const isNeeded =
+        ranks.has(shard) || task.lease.tryGetAuthority() !== undefined;
+      if (isNeeded) continue;
+      task.loop.stop();
+      tasks.delete(shard);
+    }
+  }
+
+  function startShard(shard: string): ShardTask {
+    const {follower, writer} = control;
+    const host = options.createHost(shard);
+    const lease = createLeaseHolder({
+      shard,
+      clock,
+      follower,
+      writer,
+      getRank: () => ranks.get(shard),
+      onChange: authority => {
+        if (authority === undefined) sender.close();
+        reportAuthority(shard, authority);
+        host.onAuthorityChange?.(authority);
+      },
+    });
+    const sender = createCommandSender({
+      clock,
+      lease,
+      follower,
+      writer,
+      weightStore: options.weightStore,
+      guardMs: options.guardMs,
+      getRandom: Math.random,
+      checksFencing: hasFencing,
+      createClient: engine => {
+        const server = getServers().find(item => item.id === engine);
+        if (server === undefined) throw new Error(`${engine} is not listed`);
+        return createHttpEngineClient({server, clock, maxConnections: 1});
+      },
+    });
+    const loop = createControlLoop({
+      clock,
+      lease,
+      sender,
+      follower,
+      writer,
+      host,
+      listReports: () => listShardReports(shard),
+      retentionMs: options.retentionMs,
+    });
+    loop.start();
+    return {loop, lease, sender};
+  }
+
+  function reportAuthority(
+    shard: string,
+    authority: Authority | undefined,
+  ): void {
+    events.emit({
+      kind: authority === undefined ? 'lease-lost' : 'lease-granted',
+      cause:
+        authority === undefined
+          ? `shard ${shard}`
+          : `shard ${shard}, term ${authority.term}`,
+    });
+  }
+
+  function hasFencing(engine: string): boolean {
+    if (options.checkedBy !== undefined) {
+      return options.checkedBy.includes(engine);
+    }
+    const server = getServers().find(item => item.id === engine);
+    return server?.checksFencing ?? false;
+  }
+
+  function listShardReports(shard: string): readonly EngineReport[] {
+    const reports = options.listReports();
+    if (shard === FLEET_SHARD) return reports;
+    const engines = new Set(
+      getServers()
+        .filter(server => server.failureDomain === shard)
+        .map(server => server.id),
+    );
+    return reports.filter(report => engines.has(report.engine));
+  }
+
+  function stop(): void {
+    timer?.cancel();
+    for (const task of tasks.values()) task.loop.stop();
+    tasks.clear();
+    control.recovery.stop();
+    control.writer.stop();
+  }
+
+  async function drain(): Promise<void> {
+    timer?.cancel();
+    await Promise.all([...tasks.values()].map(task => task.loop.drain()));
+    stop();
+  }
+}
+
+/** Returns this node's place among the candidates of each shard that it is a candidate for. */
+function computeRanks(
+  node: string,
+  vms: readonly Vm[],
+  servers: readonly BackendServer[],
+): Map<string, number> {
+  const nodes = vms
+    .filter(vm => vm.purpose === 'node' && vm.state === VmState.Live)
+    .map(vm => vm.id);
+  const shards = new Set([FLEET_SHARD]);
+  for (const server of servers) {
+    if (server.kind === 'model_engine') shards.add(server.failureDomain);
+  }
+  const ranks = new Map<string, number>();
+  for (const shard of shards) {
+    const rank = tryGetRank(shard, node, nodes);
+    if (rank !== undefined) ranks.set(shard, rank);
+  }
+  return ranks;
+}
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -9,10 +9,15 @@
   createRequestPipeline,
   createTraceRecorder,
 } from '../entry';
-import {createHttpLogService, createHttpVmList} from '../platform';
+import {
+  createHttpLogService,
+  createHttpVmList,
+  createHttpWeightStore,
+} from '../platform';
 import {createDispatcher, createServiceDispatcher} from '../routing';
 import {type Clock, openListener} from '../runtime';
 import type {Secrets, Settings} from '../settings';
+import {createControlTasks} from './control_tasks';
 import {createFleetWatch} from './fleet_watch';
 import {getListenerOptions} from './listener_options';
 import {createNodeStreams} from './node_streams';
@@ -157,13 +162,31 @@
         node: id,
         vms: fleet.getVms(),
         reports: fleet.listReports(),
+        shards: control.listShards(),
         ...peers.getFleet(),
       }),
     }),
     ...getListenerOptions(settings, 'operators'),
   });
+  const control = createControlTasks({
+    node: id,
+    clock,
+    events,
+    control: streams.control,
+    getVms: fleet.getVms,
+    getServers: fleet.getServers,
+    listReports: fleet.listReports,
+    weightStore: createHttpWeightStore({
+      address: settings.platform.weight_store_address,
+    }),
+    retentionMs: settings.platform.log_retention_s * 1_000,
+    guardMs: settings.fencing.guard_time_ms,
+    checkedBy: settings.fencing.checked_by,
+    createHost: () => ({decide: () => []}),
+  });
   streams.start();
   fleet.start();
+  control.start();
   peers.start();
   events.emit({kind: 'node-started', cause: `process ${writerId}`});
   logger.log('info', 'node started', {callers: callers.address});
@@ -204,7 +227,7 @@
     isDraining = true;
     events.emit({kind: 'node-draining', cause: 'graceful shutdown'});
     await pipeline.drain();
-    await claims.drain(CLAIMS_DRAIN_MS);
+    await Promise.all([claims.drain(CLAIMS_DRAIN_MS), control.drain()]);
     await peers.drain();
     await Promise.all([callers.close(), operators.close(), peers.close()]);
     stopTasks();
@@ -217,6 +240,7 @@
   }
 
   function stopTasks(): void {
+    control.stop();
     fleet.stop();
     streams.stop();
   }
--- a/src/node/node_streams.ts
+++ b/src/node/node_streams.ts
@@ -1,4 +1,9 @@
 /** The log's streams as one node follows and writes them. */
+import {
+  type ControlEntry,
+  type ControlState,
+  controlStream,
+} from '../authority';
 import {type ClaimEntry, type ClaimsState, createClaimsStream} from '../claims';
 import type {EventRing} from '../diagnostics';
 import type {LogService} from '../platform';
@@ -26,6 +31,16 @@
 /** A log that has answered no read for so long does not answer, in milliseconds. */
 const LOG_SILENCE_MS = 2_500;
 
+/** Longest wait for a mark to be read back, in milliseconds. */
+const MARK_TIMEOUT_MS = 10_000;
+
+/** What differs between the streams. */
+interface PairOptions<Entry> {
+  /** An entry that says nothing, for a stream whose fold can have a gap. */
+  readonly mark?: Entry;
+  readonly getAppendIntervalMs?: () => number;
+}
+
 /** Options of the streams. */
 export interface NodeStreamsOptions {
   readonly clock: Clock;
@@ -57,6 +72,8 @@
 export interface NodeStreams {
   readonly config: StreamPair<ConfigState, ConfigEntry>;
   readonly claims: StreamPair<ClaimsState, ClaimEntry>;
+  /** Leases, intents and progress. Requests go on without it; its task starts and stops it. */
+  readonly control: StreamPair<ControlState, ControlEntry>;
   /** Returns whether the claims stream is known not to answer. */
   isClaimsLogOut(): boolean;
   isCaughtUp(): boolean;
@@ -67,17 +84,21 @@
 /** Creates the streams; nothing is read before `start`. */
 export function createNodeStreams(options: NodeStreamsOptions): NodeStreams {
   const {clock, log, writerId, events, node, retentionMs} = options;
-  const config = createPair(createConfigStream({retentionMs}));
-  const claims = createPair(
-    createClaimsStream({stream: CLAIMS_STREAM}),
-    () => (1_000 * options.countNodes()) / CLAIM_APPENDS_PER_S,
-  );
+  const config = createPair(createConfigStream({retentionMs}), {
+    mark: {kind: 'config-mark'},
+  });
+  const control = createPair(controlStream, {mark: {kind: 'control-mark'}});
+  const claims = createPair(createClaimsStream({stream: CLAIMS_STREAM}), {
+    getAppendIntervalMs: () =>
+      (1_000 * options.countNodes()) / CLAIM_APPENDS_PER_S,
+  });
   const recoveries = [config.recovery, claims.recovery];
   const writers = [config.writer, claims.writer];
   const carrier = createTemplateCarrier({...config, node, clock, retentionMs});
   return {
     config,
     claims,
+    control,
     isClaimsLogOut: () =>
       !claims.isHealthy() || claims.follower.getSilenceMs() > LOG_SILENCE_MS,
     isCaughtUp: () => recoveries.every(recovery => recovery.isReady()),
@@ -94,8 +115,9 @@
 
   function createPair<State, Entry>(
     definition: StreamDefinition<State, Entry>,
-    getAppendIntervalMs?: () => number,
+    pairOptions: PairOptions<Entry>,
   ): StreamPair<State, Entry> {
+    const {mark, getAppendIntervalMs} = pairOptions;
     let isHealthy = true;
     const follower = createStreamFollower({
       definition,
@@ -125,6 +147,7 @@
       follower,
       source: options.snapshots,
       getRandom: Math.random,
+      writeMark: mark && (() => void writer.write(mark, MARK_TIMEOUT_MS)),
     });
     return {follower, writer, recovery, isHealthy: () => isHealthy};
   }
--- a/src/state/config_changes.ts
+++ b/src/state/config_changes.ts
@@ -2,7 +2,7 @@
 import {assertNever} from '../runtime';
 import type {
   CarriedTemplate,
-  ConfigEntry,
+  TemplateEntry,
   ConfigState,
   TemplateVersion,
 } from './config_types';
@@ -18,7 +18,7 @@
 const RETIRED_KEEP_MS = 14 * 24 * 3_600_000;
 
 /** Returns the client account that an entry is about. */
-export function getEntryAccount(entry: ConfigEntry): string {
+export function getEntryAccount(entry: TemplateEntry): string {
   switch (entry.kind) {
     case 'template-publish':
     case 'template-amend':
@@ -35,7 +35,7 @@
 /** Applies an entry as a process that knows everything before it would. */
 export function applyChange(
   state: ConfigState,
-  entry: ConfigEntry,
+  entry: TemplateEntry,
   context: EntryContext,
 ): EntryOutcome {
   const account = getEntryAccount(entry);
@@ -102,7 +102,7 @@
 
 function tryGetPublishRefusal(
   state: ConfigState,
-  entry: ConfigEntry & {kind: 'template-publish'},
+  entry: TemplateEntry & {kind: 'template-publish'},
   context: EntryContext,
 ): string | undefined {
   const account = entry.template.client_account;
@@ -123,7 +123,7 @@
 
 function tryGetAmendRefusal(
   known: StoredTemplate,
-  entry: ConfigEntry & {kind: 'template-amend' | 'template-retire'},
+  entry: TemplateEntry & {kind: 'template-amend' | 'template-retire'},
 ): string | undefined {
   const {current} = known;
   if (!known.template.operators.includes(entry.operator)) {
@@ -141,7 +141,7 @@
 
 function admitTemplate(
   state: ConfigState,
-  entry: ConfigEntry & {kind: 'template-publish' | 'template-amend'},
+  entry: TemplateEntry & {kind: 'template-publish' | 'template-amend'},
   context: EntryContext,
   known: StoredTemplate | undefined,
 ): EntryOutcome {
@@ -166,7 +166,7 @@
 
 function admitRetirement(
   state: ConfigState,
-  entry: ConfigEntry & {kind: 'template-retire'},
+  entry: TemplateEntry & {kind: 'template-retire'},
   context: EntryContext,
   known: StoredTemplate,
 ): EntryOutcome {
@@ -182,7 +182,7 @@
 }
 
 function createVersion(
-  entry: Exclude<ConfigEntry, {kind: 'template-carry'}>,
+  entry: Exclude<TemplateEntry, {kind: 'template-carry'}>,
   context: EntryContext,
   before: Template | undefined,
 ): TemplateVersion {
--- a/src/state/config_fold.ts
+++ b/src/state/config_fold.ts
@@ -9,6 +9,7 @@
   type ConfigState,
   configWireSchema,
   type JournalItem,
+  type TemplateEntry,
 } from './config_types';
 import {tryParseTemplate} from './template_parse';
 import type {EntryContext, EntryOutcome, StreamDefinition} from './types';
@@ -40,8 +41,14 @@
     tryParseEntry: tryParseConfigEntry,
     applyEntry: (state, entry, context) => {
       state.nowMs = Math.max(state.nowMs, context.appendedAtMs);
+      if (state.startOffset > 0) {
+        state.completeAtMs ??= context.appendedAtMs + carryPeriodMs;
+      }
+      if (entry.kind === 'config-mark') {
+        const {offset, index} = context;
+        return {kind: 'accepted', position: {offset, index}};
+      }
       if (state.startOffset === 0) return applyChange(state, entry, context);
-      state.completeAtMs ??= context.appendedAtMs + carryPeriodMs;
       return applyAfterGap(state, entry, context);
     },
     exportState,
@@ -81,6 +88,7 @@
   const entry = parsed.data;
   if (entry.kind === 'template-retire') return entry;
   if (entry.kind === 'template-carry') return entry;
+  if (entry.kind === 'config-mark') return entry;
   const template = tryParseTemplate(entry.template);
   if (template === undefined) return undefined;
   return {...entry, template, source: entry.template};
@@ -93,7 +101,7 @@
  */
 function applyAfterGap(
   state: ConfigState,
-  entry: ConfigEntry,
+  entry: TemplateEntry,
   context: EntryContext,
 ): EntryOutcome {
   const account = getEntryAccount(entry);
--- a/src/state/config_types.ts
+++ b/src/state/config_types.ts
@@ -70,16 +70,23 @@
   carried: carriedTemplateSchema,
 });
 
+/** Says nothing; its place in the log tells how old the records before it are. */
+const markSchema = z.object({kind: z.literal('config-mark')});
+
 /** Schema of the entries, with templates still unchecked. */
 export const configWireSchema = z.discriminatedUnion('kind', [
   publishSchema,
   amendSchema,
   retireSchema,
   carrySchema,
+  markSchema,
 ]);
 
 /** An entry of the stream `config`. */
-export type ConfigEntry =
+export type ConfigEntry = TemplateEntry | {readonly kind: 'config-mark'};
+
+/** An entry about one client account. */
+export type TemplateEntry =
   | {
       readonly kind: 'template-publish';
       readonly operator: string;
@@ -127,7 +134,7 @@
 
 /** An entry kept until a carried record settles its client account. */
 export interface JournalItem {
-  readonly entry: ConfigEntry;
+  readonly entry: TemplateEntry;
   readonly context: EntryContext;
 }
 
--- a/src/state/stream_follower.ts
+++ b/src/state/stream_follower.ts
@@ -56,6 +56,7 @@
     getCounts: fold.getCounts,
     getSilenceMs: () => clock.getMonotonicMs() - lastAnswerAtMs,
     isCaughtUp: () => hasReachedEnd && fold.isComplete(),
+    hasReachedEnd: () => hasReachedEnd,
     subscribe,
     exportSnapshot: fold.exportSnapshot,
     importSnapshot,
--- a/src/state/stream_recovery.ts
+++ b/src/state/stream_recovery.ts
@@ -37,6 +37,11 @@
   readonly spreadMs?: number;
   /** How long the log may take before peers are asked, in milliseconds. */
   readonly patienceMs?: number;
+  /**
+   * Appends an entry that says nothing. A fold with a gap tells from its time that the records read
+   * go back far enough, also when nobody else writes.
+   */
+  readonly writeMark?: () => void;
 }
 
 /** The recovery of one stream. */
@@ -50,6 +55,8 @@
 const DEFAULT_SPREAD_MS = 500;
 const DEFAULT_PATIENCE_MS = 1_000;
 const MAX_PAUSE_MS = 10_000;
+/** A stream without a record for so long gets a mark, in milliseconds. */
+const MARK_QUIET_MS = 30_000;
 
 /** Creates the recovery; the follower reads nothing before `start`. */
 export function createStreamRecovery<State, Entry>(
@@ -62,6 +69,11 @@
   let pauseMs = patienceMs;
   let isRunning = false;
   let timer: Timer | undefined;
+  let hasWrittenMark = false;
+  let lastEntryAtMs = clock.getMonotonicMs();
+  follower.subscribe(() => {
+    lastEntryAtMs = clock.getMonotonicMs();
+  });
   return {start, stop, isReady};
 
   function isReady(): boolean {
@@ -96,10 +108,19 @@
     } else {
       pauseMs = Math.min(MAX_PAUSE_MS, pauseMs * 2);
       if (source !== undefined) await loadFromPeers(source);
+      writeMarkIfQuiet();
     }
     if (isRunning) scheduleCheck();
   }
 
+  function writeMarkIfQuiet(): void {
+    if (follower.isCaughtUp() || !follower.hasReachedEnd()) return;
+    const quietMs = clock.getMonotonicMs() - lastEntryAtMs;
+    if (hasWrittenMark && quietMs < MARK_QUIET_MS) return;
+    hasWrittenMark = true;
+    options.writeMark?.();
+  }
+
   /** Takes the copy of the peer that is furthest; the next check tries again. */
   async function loadFromPeers(peers: SnapshotSource): Promise<void> {
     const offsets = (await peers.listOffsets(follower.stream))
--- a/src/state/types.ts
+++ b/src/state/types.ts
@@ -97,6 +97,8 @@
   getSilenceMs(): number;
   /** True once the fold has reached the log's end, or a peer's snapshot, and nothing is missing. */
   isCaughtUp(): boolean;
+  /** True once the log's end, or a peer's snapshot, has been reached after the start. */
+  hasReachedEnd(): boolean;
   /** Calls `listener` for each entry applied from now on; returns a function that stops it. */
   subscribe(listener: EntryListener<Entry>): () => void;
   exportSnapshot(): FoldSnapshot;
--- a/test/state/template_carrier.test.ts
+++ b/test/state/template_carrier.test.ts
@@ -7,6 +7,7 @@
   type ConfigState,
   createConfigStream,
   createStreamFollower,
+  createStreamRecovery,
   createStreamWriter,
   createTemplateCarrier,
   getCarryPeriodMs,
@@ -178,3 +179,29 @@
   for (const node of [old, late, other]) node.stop();
   await clock.advance(60_000);
 });
+
+test('after a stop of all nodes for most of the retention a node starts by itself', async () => {
+  const clock = createVirtualClock({wallStartMs: 1_700_000_000_000});
+  const model = createLogModel({clock, retentionMs: RETENTION_MS});
+  const first = startConfigNode('n1', clock, model);
+  await publishTemplates(first, clock);
+  await clock.advance(2 * RETENTION_MS);
+  const versions = getVersions(first);
+  first.stop();
+  await clock.advance(0.6 * RETENTION_MS);
+  const second = startConfigNode('n2', clock, model);
+  const recovery = createStreamRecovery({
+    clock,
+    follower: second.follower,
+    getRandom: () => 0.5,
+    writeMark: () => void second.writer.write({kind: 'config-mark'}, 5_000),
+  });
+  recovery.start();
+  await clock.advance(10_000);
+  assert.equal(second.follower.getCounts().gaps, 1);
+  assert.equal(recovery.isReady(), true);
+  assert.deepEqual(getVersions(second), versions);
+  recovery.stop();
+  second.stop();
+  await clock.advance(60_000);
+});
