--- /dev/null
+++ b/test/support/program.ts
@@ -0,0 +1,108 @@
+/** Runs the built program in processes of its own. */
+import {type ChildProcess, spawn} from 'node:child_process';
+import {createServer} from 'node:net';
+
+/** A running process. */
+export interface ProgramProcess {
+  readonly pid: number;
+  /** What it printed so far, standard error included. */
+  getOutput(): string;
+  /** Resolves with the exit code, or with the signal that ended it. */
+  waitForExit(): Promise<number | string>;
+  /** Resolves when its output matches; fails when it exits before. */
+  waitForOutput(pattern: RegExp): Promise<void>;
+  sendSignal(signal: NodeJS.Signals): void;
+}
+
+/** Environment of a process beside that of the test. */
+export type ProgramEnvironment = Readonly<Record<string, string>>;
+
+const running = new Set<ChildProcess>();
+
+/** Starts the binary that ANVILSTACK_BINARY names, else the translated program. */
+export function startProgram(
+  args: readonly string[],
+  env: ProgramEnvironment = {},
+): ProgramProcess {
+  const binary = process.env['ANVILSTACK_BINARY'];
+  const command = binary ?? process.execPath;
+  const prefix = binary === undefined ? ['build/js/src/main.js'] : [];
+  const child = spawn(command, [...prefix, ...args], {
+    env: {...process.env, ...env},
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  let output = '';
+  const watchers = new Set<() => void>();
+  running.add(child);
+  for (const stream of [child.stdout, child.stderr]) {
+    stream.on('data', chunk => {
+      output += String(chunk);
+      for (const watcher of watchers) watcher();
+    });
+  }
+  const exited = new Promise<number | string>(resolve => {
+    child.once('close', (code, signal) => {
+      running.delete(child);
+      resolve(code ?? signal ?? 'unknown');
+    });
+  });
+  return {
+    pid: child.pid ?? 0,
+    getOutput: () => output,
+    waitForExit: () => exited,
+    waitForOutput,
+    sendSignal: signal => void child.kill(signal),
+  };
+
+  function waitForOutput(pattern: RegExp): Promise<void> {
+    return new Promise((resolve, reject) => {
+      const check = () => {
+        if (!pattern.test(output)) return;
+        watchers.delete(check);
+        resolve();
+      };
+      watchers.add(check);
+      check();
+      void exited.then(code => {
+        reject(new Error(`exited with ${code} before ${pattern}: ${output}`));
+      });
+    });
+  }
+}
+
+/** Runs the program to its end. */
+export async function runProgram(
+  args: readonly string[],
+  env: ProgramEnvironment = {},
+): Promise<{readonly code: number | string; readonly output: string}> {
+  const program = startProgram(args, env);
+  const code = await program.waitForExit();
+  return {code, output: program.getOutput()};
+}
+
+/** Ends every process that is still running. */
+export function killPrograms(): void {
+  for (const child of running) child.kill('SIGKILL');
+}
+
+/** Lists ports that are free on loopback now, each once. */
+export async function listFreePorts(count: number): Promise<number[]> {
+  const servers = await Promise.all(
+    Array.from(
+      {length: count},
+      () =>
+        new Promise<ReturnType<typeof createServer>>(resolve => {
+          const server = createServer();
+          server.listen(0, '127.0.0.1', () => resolve(server));
+        }),
+    ),
+  );
+  const ports = servers.map(server => {
+    const address = server.address();
+    return typeof address === 'object' && address !== null ? address.port : 0;
+  });
+  await Promise.all(
+    servers.map(server => new Promise(resolve => server.close(resolve))),
+  );
+  return ports;
+}
