--- a/src/membership/member_table.ts
+++ b/src/membership/member_table.ts
@@ -49,16 +49,19 @@
     cache = undefined;
   }
 
-  function apply(news: MemberRumour, nowMs: number): Member | undefined {
-    if (news.node === self) return undefined;
-    const known = members.get(news.node);
+  function apply(rumour: MemberRumour, nowMs: number): Member | undefined {
+    if (rumour.node === self) return undefined;
+    const known = members.get(rumour.node);
+    const news = resolveIncarnation(rumour, known);
     if (known === undefined && members.size >= MAX_MEMBERS) return undefined;
     if (known !== undefined && !isNewer(news, known)) return undefined;
-    const {node, address, incarnation, status} = news;
+    const {node, incarnation, status} = news;
+    const address = news.address ?? known?.address;
+    if (address === undefined) return undefined;
     const isSame = known?.status === status;
     const member: Member = {
       node,
-      address: address === '' ? (known?.address ?? '') : address,
+      address,
       incarnation,
       status,
       sinceMs: isSame ? known.sinceMs : nowMs,
@@ -98,6 +101,16 @@
   }
 }
 
+/** A suspicion by a node that knows the suspect from the list only is of any incarnation. */
+function resolveIncarnation(
+  news: MemberRumour,
+  known: Member | undefined,
+): MemberRumour {
+  const isOfAny = news.incarnation === 0 && news.status === 'suspect';
+  if (!isOfAny || known === undefined) return news;
+  return {...news, incarnation: known.incarnation};
+}
+
 /** A higher incarnation wins; at equal ones the worse status does. */
 function isNewer(news: MemberRumour, known: Member): boolean {
   if (news.incarnation !== known.incarnation) {
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -2,14 +2,15 @@
 import {createMembershipView} from './membership_view';
 import {choosePeers, createProbeOrder} from './peer_choice';
 import {createSendAllowance} from './send_allowance';
-import type {
-  Exchange,
-  IndirectProbe,
-  ListedNode,
-  Member,
-  Membership,
-  MembershipCounts,
-  MembershipHost,
+import {
+  type Exchange,
+  type IndirectProbe,
+  type ListedNode,
+  MAX_MESSAGE_RUMOURS,
+  type Member,
+  type Membership,
+  type MembershipCounts,
+  type MembershipHost,
 } from './types';
 
 /** Options of membership. */
@@ -45,6 +46,8 @@
 const INDIRECT_PROBES = 3;
 const DRAIN_PEERS = 4;
 const FIRST_PEERS = 3;
+/** News in an exchange when the allowance is used up. */
+const MIN_NEWS = 1;
 const SWEEP_INTERVAL_MS = 1_000;
 /** Jitter of each interval, in parts of it, so that nodes do not act in step. */
 const INTERVAL_JITTER = 0.2;
@@ -174,10 +177,11 @@
   async function sendExchange(
     member: Pick<Member, 'node' | 'address'>,
   ): Promise<boolean> {
-    const exchange = view.createExchange(table.tryGet(member.node));
+    const exchange = createExchange(table.tryGet(member.node));
     counts.exchangesSent++;
     const answer = await host.sendExchange(member.address, exchange);
     if (answer?.digest.node !== member.node) return false;
+    allowance.record(answer);
     if (isRunning) view.applyExchange(answer);
     return true;
   }
@@ -186,7 +190,15 @@
     counts.exchangesAnswered++;
     allowance.record(exchange);
     view.applyExchange(exchange);
-    return view.createExchange(table.tryGet(exchange.digest.node));
+    return createExchange(table.tryGet(exchange.digest.node));
+  }
+
+  /** Carries news only while the allowance for it lasts. */
+  function createExchange(member: Member | undefined): Exchange {
+    const maxNews = allowance.isOpen() ? MAX_MESSAGE_RUMOURS : MIN_NEWS;
+    const exchange = view.createExchange(member, maxNews);
+    allowance.record(exchange);
+    return exchange;
   }
 
   function handleIndirectProbe(probe: IndirectProbe): Promise<boolean> {
@@ -207,8 +219,7 @@
   }
 
   async function sendPeerNews(peer: Member): Promise<void> {
-    const exchange = view.createExchange(peer);
-    allowance.record(exchange);
+    const exchange = createExchange(peer);
     counts.exchangesSent++;
     const answer = await host.sendExchange(peer.address, exchange);
     if (answer === undefined || !isRunning) return;
--- a/src/membership/membership_view.ts
+++ b/src/membership/membership_view.ts
@@ -7,7 +7,6 @@
   type Digest,
   type Exchange,
   type ListedNode,
-  MAX_MESSAGE_RUMOURS,
   type Member,
   type MemberRumour,
   type MembershipChange,
@@ -36,8 +35,8 @@
   isProcessGone(process: string): boolean;
   updateListed(nodes: readonly ListedNode[]): void;
   reportLeaving(server: string): void;
-  /** Creates an exchange for a member, with the news that it should have. */
-  createExchange(member: Member | undefined): Exchange;
+  /** Creates an exchange for a member; `maxNews` bounds the news that it carries. */
+  createExchange(member: Member | undefined, maxNews: number): Exchange;
   applyExchange(exchange: Exchange): void;
   /** Sets the status that this node believes a member to have. */
   setStatus(member: Member, status: MemberStatus): void;
@@ -84,16 +83,15 @@
   };
 
   /** A member that is believed lost is told so first, that it may refute. */
-  function createExchange(member: Member | undefined): Exchange {
-    const taken = rumours.take(table.list().length);
+  function createExchange(
+    member: Member | undefined,
+    maxNews: number,
+  ): Exchange {
     const isLost = member !== undefined && member.status !== 'alive';
-    const news = isLost
-      ? [
-          createRumour(member, member.status),
-          ...taken.slice(0, MAX_MESSAGE_RUMOURS - 1),
-        ]
-      : taken;
-    return {digest: createDigest(), rumours: [...news]};
+    const ownNews = isLost ? [createRumour(member, member.status)] : [];
+    const count = Math.max(0, maxNews - ownNews.length);
+    const news = rumours.take(table.list().length, count);
+    return {digest: createDigest(), rumours: [...ownNews, ...news]};
   }
 
   function createDigest(): Digest {
@@ -158,8 +156,9 @@
 
   /** Says with a higher incarnation that this node lives. */
   function settleSuspicion(rumour: MemberRumour): void {
-    if (rumour.incarnation < incarnation) return;
-    incarnation = rumour.incarnation + 1;
+    const isOld = rumour.incarnation > 0 && rumour.incarnation < incarnation;
+    if (isOld) return;
+    incarnation = Math.max(incarnation, rumour.incarnation) + 1;
     refutations++;
     rumours.add(createOwnRumour('alive'));
   }
@@ -221,13 +220,9 @@
   }
 }
 
+/** News of a node that does not answer is short: its address is known or of no use. */
 function createRumour(member: Member, status: MemberStatus): MemberRumour {
-  return {
-    kind: 'member',
-    node: member.node,
-    address: member.address,
-    incarnation: member.incarnation,
-    status,
-    process: member.process,
-  };
+  const {node, address, incarnation, process} = member;
+  const news: MemberRumour = {kind: 'member', node, incarnation, status};
+  return status === 'alive' ? {...news, address, process} : news;
 }
--- a/src/membership/peer_client.ts
+++ b/src/membership/peer_client.ts
@@ -1,6 +1,6 @@
 /** Calls of other nodes: signed trpc over HTTP. */
 import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
-import {Agent, fetch as fetchUrl} from 'undici';
+import {Agent, request} from 'undici';
 import type {TimelineEvent} from '../diagnostics';
 import {type Clock, createTlsConnector, type TlsFiles} from '../runtime';
 import type {FoldSnapshot} from '../state';
@@ -44,6 +44,13 @@
   close(): Promise<void>;
 }
 
+/** The part of a response that the trpc client uses. */
+interface PeerResponse {
+  readonly ok: boolean;
+  readonly status: number;
+  json(): Promise<unknown>;
+}
+
 const DEFAULT_TIMEOUT_MS = 500;
 const DEFAULT_TRANSFER_TIMEOUT_MS = 10_000;
 /** How long an idle connection to a peer is kept, in milliseconds. */
@@ -125,15 +132,15 @@
       headers?: unknown;
       signal?: AbortSignal | null;
     },
-  ): Promise<Response> {
+  ): Promise<PeerResponse> {
     const url = new URL(input instanceof Request ? input.url : input);
     const method = init?.method ?? 'GET';
     const body = typeof init?.body === 'string' ? init.body : '';
     const sentAtMs = Math.floor(clock.getWallMs());
     const target = url.pathname + url.search;
     const signature = createSignature(secret, {method, target, body, sentAtMs});
-    const response = await fetchUrl(url, {
-      method,
+    const answer = await request(url, {
+      method: method === 'GET' ? 'GET' : 'POST',
       body: method === 'GET' ? undefined : body,
       headers: {
         ...(init?.headers as Record<string, string>),
@@ -143,6 +150,7 @@
       signal: init?.signal ?? undefined,
       dispatcher: agent,
     });
-    return response as unknown as Response;
+    const {statusCode: status} = answer;
+    return {ok: status === 200, status, json: () => answer.body.json()};
   }
 }
--- a/src/membership/rumour_queue.ts
+++ b/src/membership/rumour_queue.ts
@@ -1,11 +1,11 @@
 /** Rumours that are still to be passed on, each a bounded number of times. */
-import {MAX_MESSAGE_RUMOURS, type Rumour} from './types';
+import type {Rumour} from './types';
 
 /** Rumours by subject; a newer one replaces the older. */
 export interface RumourQueue {
   add(rumour: Rumour): void;
-  /** Takes the rumours for one message: urgent ones first, then those sent least. */
-  take(memberCount: number): readonly Rumour[];
+  /** Takes up to `count` rumours for a message: urgent ones first, then those sent least. */
+  take(memberCount: number, count: number): readonly Rumour[];
   isEmpty(): boolean;
 }
 
@@ -15,7 +15,9 @@
 }
 
 /** How often a rumour is sent, for each doubling of the number of nodes. */
-const SENDS_PER_DOUBLING = 3;
+const SENDS_PER_DOUBLING = 2;
+/** The same for news that a node is dead: those who heard the suspicion know it by themselves. */
+const DEAD_SENDS_PER_DOUBLING = 1;
 /** Most subjects in the queue; the one sent most gives way. */
 const MAX_QUEUED = 4_096;
 
@@ -36,20 +38,24 @@
     queued.delete(oldest);
   }
 
-  function take(memberCount: number): Rumour[] {
+  function take(memberCount: number, count: number): Rumour[] {
+    if (count === 0) return [];
     const doublings = Math.ceil(Math.log2(memberCount + 2));
-    const maxSends = SENDS_PER_DOUBLING * doublings;
-    const chosen = [...queued.values()]
-      .sort(compareRumours)
-      .slice(0, MAX_MESSAGE_RUMOURS);
+    const chosen = [...queued.values()].sort(compareRumours).slice(0, count);
     for (const item of chosen) {
       item.timesSent++;
+      const maxSends = doublings * getSendsPerDoubling(item.rumour);
       if (item.timesSent >= maxSends) queued.delete(getSubject(item.rumour));
     }
     return chosen.map(item => item.rumour);
   }
 }
 
+function getSendsPerDoubling(rumour: Rumour): number {
+  const isDead = rumour.kind === 'member' && rumour.status === 'dead';
+  return isDead ? DEAD_SENDS_PER_DOUBLING : SENDS_PER_DOUBLING;
+}
+
 function getSubject(rumour: Rumour): string {
   return rumour.kind === 'member'
     ? `node ${rumour.node}`
--- a/src/membership/send_allowance.ts
+++ b/src/membership/send_allowance.ts
@@ -12,21 +12,25 @@
 /** Estimated size of an exchange without its rumours, headers included, in bytes. */
 const EXCHANGE_BYTES = 700;
 /** Estimated size of one rumour, in bytes. */
-const RUMOUR_BYTES = 130;
+const RUMOUR_BYTES = 100;
 
-/** Creates a full allowance of one second. */
+/** How much may be spent at once, in parts of a second's bytes. */
+const BURST_S = 0.5;
+
+/** Creates a full allowance. */
 export function createSendAllowance(
   clock: Clock,
   bytesPerS: number,
 ): SendAllowance {
-  let allowance = bytesPerS;
+  const maxBytes = bytesPerS * BURST_S;
+  let allowance = maxBytes;
   let atMs = clock.getMonotonicMs();
   return {isOpen, record};
 
   function isOpen(): boolean {
     const nowMs = clock.getMonotonicMs();
     const refill = ((nowMs - atMs) / 1_000) * bytesPerS;
-    allowance = Math.min(bytesPerS, allowance + refill);
+    allowance = Math.min(maxBytes, allowance + refill);
     atMs = nowMs;
     return allowance > 0;
   }
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -42,7 +42,8 @@
   z.object({
     kind: z.literal('member'),
     node: nameSchema,
-    address: addressSchema,
+    /** Absent in news of a node that does not answer. */
+    address: addressSchema.optional(),
     incarnation: countSchema,
     status: z.enum(['alive', 'suspect', 'dead', 'left']),
     process: nameSchema.optional(),
--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -18,7 +18,11 @@
 
 test('a dead node is noticed by every node', async () => {
   const cluster = startMembershipCluster({nodes: 14, seed: 3});
-  await cluster.clock.advance(WARM_UP_MS);
+  const knownMs = await cluster.waitForAll(
+    node => node.name === 'node-4' || hasProcess(node, 'node-4'),
+    RETURN_LIMIT_MS,
+  );
+  assert.notEqual(knownMs, undefined);
   cluster.nodes[4].control.kill();
   const noticedMs = await cluster.waitForAll(
     node => getStatus(node, 'node-4') === 'dead',
@@ -197,6 +201,10 @@
     : node.membership.tryGetMember(other)?.status;
 }
 
+function hasProcess(node: MembershipNode, other: string): boolean {
+  return node.membership.tryGetMember(other)?.process !== undefined;
+}
+
 function countAlive(node: MembershipNode): number {
   const members = node.membership.listMembers();
   return members.filter(member => member.status === 'alive').length;
