Drive the weekend move under the fleet's lease, and count what came of it

Cause: planMove decided and nothing carried it out. The holder of the shard 'fleet' now runs it for each moving client account, sums the counts of all nodes over signed trpc, and logs progress, which the fold takes only from the current term. Entry nodes send requests by the stage's share from the folded progress; listMoveLoads tells a shard's holder what to load.

Ruled out: a stage in the holder's memory (lost or stale after a pause) and gates judged by each node for itself (docs/design/move.md).

My own test was wrong once: its late answers came in bursts of 33 s, so a window of 20 s could miss them; they are now spread evenly.

--- a/bench/membership.bench.ts
+++ b/bench/membership.bench.ts
@@ -157,6 +157,12 @@
         handleIndirectProbe: server.handleIndirectProbe,
         tryExportSnapshot: () => undefined,
         listEvents: events.list,
+        getAccountWindow: () => ({
+          requests: 0,
+          inDeadline: 0,
+          failed: 0,
+          openAtOrigin: 0,
+        }),
       },
     }),
   });
--- a/src/demo/standin_fleet.ts
+++ b/src/demo/standin_fleet.ts
@@ -23,7 +23,10 @@
 export interface StandinEngine {
   readonly id: string;
   readonly failureDomain: string;
+  readonly building?: string;
   readonly role?: EngineRole;
+  /** Models that it starts with; those of the fleet when omitted. */
+  readonly models?: readonly string[];
 }
 
 /** Options of the fleet. */
@@ -34,6 +37,8 @@
   readonly engines: readonly StandinEngine[];
   /** Name of the plain service. */
   readonly service: string;
+  /** How long the weight store takes for one set of weights, in milliseconds. */
+  readonly weightCopyMs?: number;
 }
 
 /** The fleet's addresses and models. */
@@ -61,7 +66,9 @@
   const logListener = await openListener({app: createLogApp(log)});
   const vmListListener = await openListener({app: createVmListApp(vmList)});
   const weightStoreListener = await openListener({
-    app: createWeightStoreApp(createWeightStoreModel({clock})),
+    app: createWeightStoreApp(
+      createWeightStoreModel({clock, copyMs: options.weightCopyMs}),
+    ),
   });
   listeners.push(logListener, vmListListener, weightStoreListener);
   for (const engine of options.engines) await startEngine(engine);
@@ -85,7 +92,7 @@
       address: '',
       clock,
       role: engine.role,
-      models: options.models,
+      models: engine.models ?? options.models,
     });
     const listener = await openListener({app: createEngineApp(model)});
     listeners.push(listener);
@@ -96,6 +103,7 @@
       state: VmState.Live,
       failureDomain: engine.failureDomain,
       region: options.region,
+      building: engine.building,
       address: listener.address,
       checksFencing: true,
     });
--- a/src/entry/admitted_request.ts
+++ b/src/entry/admitted_request.ts
@@ -47,7 +47,7 @@
     deadlineMs,
     deadlineAtMs: receivedAtMs + deadlineMs,
     priority: classification.urgent ? URGENT_PRIORITY + priority : priority,
-    choice: options.selectServers(input.template),
+    choice: options.selectServers(input.template, input.options.requestId),
     needsClaim: !classification.idempotent && !isRead(input),
   };
 }
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -87,7 +87,10 @@
 }
 
 /** Chooses the backend servers that may serve a request of a client account. */
-export type SelectServers = (template: Template) => ServerChoice;
+export type SelectServers = (
+  template: Template,
+  requestId: string,
+) => ServerChoice;
 
 /** Answers requests: classes, limits, claims, then routing. */
 export interface RequestPipeline {
--- a/src/membership/peer_client.ts
+++ b/src/membership/peer_client.ts
@@ -2,6 +2,7 @@
 import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
 import {Agent, request} from 'undici';
 import type {TimelineEvent} from '../diagnostics';
+import type {AccountWindow} from '../planning/move';
 import {type Clock, createTlsConnector, type TlsFiles} from '../runtime';
 import type {FoldSnapshot} from '../state';
 import {PEER_PATH} from './peer_app';
@@ -41,6 +42,11 @@
     address: string,
     filter: EventFilter,
   ): Promise<readonly TimelineEvent[] | undefined>;
+  readAccountWindow(
+    address: string,
+    clientAccount: string,
+    windowMs: number,
+  ): Promise<AccountWindow | undefined>;
   close(): Promise<void>;
 }
 
@@ -95,6 +101,13 @@
         signal => getClient(address).events.query(filter, {signal}),
         transferTimeoutMs,
       ),
+    readAccountWindow: (address, clientAccount, windowMs) =>
+      tryCall(signal =>
+        getClient(address).accountWindow.query(
+          {clientAccount, windowMs},
+          {signal},
+        ),
+      ),
     close: () => agent.destroy(),
   };
 
--- a/src/membership/peer_router.ts
+++ b/src/membership/peer_router.ts
@@ -2,6 +2,7 @@
 import {initTRPC} from '@trpc/server';
 import {z} from 'zod';
 import type {TimelineEvent} from '../diagnostics';
+import type {AccountWindow} from '../planning/move';
 import type {FoldSnapshot} from '../state';
 import {
   type Exchange,
@@ -18,6 +19,8 @@
   tryExportSnapshot(stream: string): FoldSnapshot | undefined;
   /** Lists this node's events, oldest first. */
   listEvents(): readonly TimelineEvent[];
+  /** Returns what a client account's requests on this node came to, over the last `windowMs`. */
+  getAccountWindow(clientAccount: string, windowMs: number): AccountWindow;
 }
 
 /** Most events in one answer; the newest are kept. */
@@ -30,6 +33,11 @@
   afterMs: z.number().optional(),
 });
 
+const accountWindowSchema = z.object({
+  clientAccount: z.string().min(1),
+  windowMs: z.number().positive(),
+});
+
 /** Which events to list. */
 export type EventFilter = z.infer<typeof eventFilterSchema>;
 
@@ -49,6 +57,11 @@
     events: t.procedure
       .input(eventFilterSchema)
       .query(({input}) => selectEvents(services.listEvents(), input)),
+    accountWindow: t.procedure
+      .input(accountWindowSchema)
+      .query(({input}) =>
+        services.getAccountWindow(input.clientAccount, input.windowMs),
+      ),
   });
 }
 
--- a/src/node/control_tasks.ts
+++ b/src/node/control_tasks.ts
@@ -56,6 +56,8 @@
   /** Hands every lease over. */
   drain(): Promise<void>;
   listShards(): readonly ShardStatus[];
+  /** Returns the authority over a shard that this process has at this moment. */
+  tryGetAuthority(shard: string): Authority | undefined;
 }
 
 interface ShardTask {
@@ -80,6 +82,7 @@
     },
     stop,
     drain,
+    tryGetAuthority: shard => tasks.get(shard)?.lease.tryGetAuthority(),
     listShards: () =>
       [...control.follower.getState().leases.values()]
         .filter(lease => !lease.isReleased)
--- /dev/null
+++ b/src/node/move_tasks.ts
@@ -0,0 +1,130 @@
+/** The moves of client accounts on one node: traffic, and driving them under the fleet's lease. */
+import type {
+  Authority,
+  ControlHost,
+  ControlState,
+  EngineOrders,
+} from '../authority';
+import type {BackendServer, EngineReport} from '../backends';
+import type {EventRing} from '../diagnostics';
+import {
+  type AccountWindow,
+  createMoveIndex,
+  createMoveRunner,
+  createMoveTraffic,
+  type EngineHoldings,
+  listMoveLoads,
+  listProgressRows,
+  mergeWindows,
+  type MoveProgress,
+  type MoveTraffic,
+  type ProgressRow,
+} from '../planning/move';
+import type {Clock} from '../runtime';
+import type {NodeStreams} from './node_streams';
+
+/** Options of the tasks. */
+export interface MoveTasksOptions {
+  readonly clock: Clock;
+  readonly events: EventRing;
+  readonly streams: NodeStreams;
+  readonly getServers: () => readonly BackendServer[];
+  readonly listReports: () => readonly EngineReport[];
+  /** Returns the authority over the fleet's shard that this process has at this moment. */
+  readonly tryGetAuthority: () => Authority | undefined;
+  /** Collects a client account's windows from the other nodes, or undefined when too few answer. */
+  readonly collectPeerWindows: (
+    clientAccount: string,
+    windowMs: number,
+  ) => Promise<readonly AccountWindow[] | undefined>;
+}
+
+/** The tasks. */
+export interface MoveTasks {
+  readonly traffic: MoveTraffic;
+  listProgress(): readonly ProgressRow[];
+  start(): void;
+  stop(): void;
+  /** Creates what decides for a shard: what its engines are to load. */
+  createHost(shard: string): ControlHost;
+}
+
+/** Creates the tasks; they do nothing before `start`. */
+export function createMoveTasks(options: MoveTasksOptions): MoveTasks {
+  const {clock, events, streams} = options;
+  const {config, control} = streams;
+  const index = createMoveIndex(config.follower);
+  const traffic = createMoveTraffic({
+    clock,
+    index,
+    tryGetProgress,
+    getRandom: Math.random,
+  });
+  const runner = createMoveRunner({
+    clock,
+    index,
+    follower: control.follower,
+    writer: control.writer,
+    tryGetAuthority: options.tryGetAuthority,
+    getHoldings: () => createHoldings(options.listReports()),
+    collectWindow,
+    emitEvent: events.emit,
+  });
+  return {
+    traffic,
+    listProgress: () =>
+      listProgressRows({
+        accounts: index.list(),
+        tryGetProgress,
+        tryGetCause: runner.tryGetCause,
+      }),
+    createHost: () => ({
+      decide: (state, reports, nowMs) => listShardLoads(state, reports, nowMs),
+    }),
+    start: runner.start,
+    stop: () => {
+      runner.stop();
+      index.stop();
+    },
+  };
+
+  function createHoldings(reports: readonly EngineReport[]): EngineHoldings {
+    return {
+      servers: options.getServers(),
+      reports: new Map(reports.map(report => [report.engine, report])),
+    };
+  }
+
+  /** Returns what the engines of a shard are to load for the moves. */
+  function listShardLoads(
+    state: ControlState,
+    reports: readonly EngineReport[],
+    nowMs: number,
+  ): EngineOrders[] {
+    const holdings = createHoldings(reports);
+    return index
+      .list()
+      .flatMap(({template}) =>
+        listMoveLoads(
+          template,
+          state.moves.get(template.client_account),
+          nowMs,
+          holdings,
+        ),
+      )
+      .filter(load => holdings.reports.has(load.engine));
+  }
+
+  function tryGetProgress(clientAccount: string): MoveProgress | undefined {
+    return control.follower.getState().moves.get(clientAccount);
+  }
+
+  async function collectWindow(
+    clientAccount: string,
+    windowMs: number,
+  ): Promise<AccountWindow | undefined> {
+    const peers = await options.collectPeerWindows(clientAccount, windowMs);
+    if (peers === undefined) return undefined;
+    return mergeWindows([traffic.getWindow(clientAccount, windowMs), ...peers]);
+  }
+}
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -17,9 +17,11 @@
 import {createDispatcher, createServiceDispatcher} from '../routing';
 import {type Clock, openListener} from '../runtime';
 import type {Secrets, Settings} from '../settings';
+import {FLEET_SHARD} from '../authority';
 import {createControlTasks} from './control_tasks';
 import {createFleetWatch} from './fleet_watch';
 import {getListenerOptions} from './listener_options';
+import {createMoveTasks} from './move_tasks';
 import {createNodeStreams} from './node_streams';
 import {openPeerTasks} from './peer_tasks';
 import {createSummaryEvent} from './summary_event';
@@ -104,12 +106,24 @@
     follower: streams.claims.follower,
     writer: streams.claims.writer,
   });
+  const moves = createMoveTasks({
+    clock,
+    events,
+    streams,
+    getServers: fleet.getServers,
+    listReports: fleet.listReports,
+    tryGetAuthority: () => control.tryGetAuthority(FLEET_SHARD),
+    collectPeerWindows: (account, windowMs) =>
+      peers.collectAccountWindows(account, windowMs),
+  });
   const pipeline = createRequestPipeline({
     clock,
     dispatcher,
     services,
     claims,
+    selectServers: moves.traffic.selectServers,
     onSummary: summary => {
+      moves.traffic.addEnded(summary);
       metrics.recordRequest(summary);
       recorder.add(summary);
       events.emit(createSummaryEvent(summary));
@@ -130,7 +144,12 @@
     process: writerId,
     secret: options.secrets?.peerSecret?.getText(),
     listen: getListenerOptions(settings, 'peers'),
-    streams: [streams.config.follower, streams.claims.follower],
+    streams: [
+      streams.config.follower,
+      streams.claims.follower,
+      streams.control.follower,
+    ],
+    getAccountWindow: moves.traffic.getWindow,
     getOpenRequests: dispatcher.getOpenCount,
     onServersChanged: applyServers,
   });
@@ -156,7 +175,7 @@
       configWriter: streams.config.writer,
       events,
       recorder,
-      listProgress: () => [],
+      listProgress: moves.listProgress,
       setLogLevel: logger.setLevel,
       getFleet: () => ({
         node: id,
@@ -182,12 +201,13 @@
     retentionMs: settings.platform.log_retention_s * 1_000,
     guardMs: settings.fencing.guard_time_ms,
     checkedBy: settings.fencing.checked_by,
-    createHost: () => ({decide: () => []}),
+    createHost: moves.createHost,
   });
   streams.start();
   fleet.start();
   control.start();
   peers.start();
+  moves.start();
   events.emit({kind: 'node-started', cause: `process ${writerId}`});
   logger.log('info', 'node started', {callers: callers.address});
   return {
@@ -241,6 +261,7 @@
 
   function stopTasks(): void {
     control.stop();
+    moves.stop();
     fleet.stop();
     streams.stop();
   }
--- a/src/node/peer_tasks.ts
+++ b/src/node/peer_tasks.ts
@@ -12,6 +12,7 @@
   type Membership,
   type MembershipChange,
 } from '../membership';
+import type {AccountWindow} from '../planning/move';
 import type {Vm} from '../platform';
 import {
   type Clock,
@@ -48,6 +49,11 @@
   readonly streams: readonly PeerStream[];
   /** Returns the number of requests that wait or run. */
   readonly getOpenRequests: () => number;
+  /** Returns what a client account's requests on this node came to. */
+  readonly getAccountWindow: (
+    clientAccount: string,
+    windowMs: number,
+  ) => AccountWindow;
   /** Called when a backend server has begun to leave, or a mark has ended. */
   readonly onServersChanged: () => void;
 }
@@ -71,6 +77,11 @@
   collectEvents(filter: EventFilter): Promise<CollectedEvents>;
   /** Returns the number of nodes that run, this one included. */
   countNodes(): number;
+  /** Collects a client account's windows from all peers, or undefined when too few answer. */
+  collectAccountWindows(
+    clientAccount: string,
+    windowMs: number,
+  ): Promise<readonly AccountWindow[] | undefined>;
   /** Returns what `fleet` shows of the nodes. */
   getFleet(): FleetOfPeers;
   start(): void;
@@ -141,6 +152,7 @@
     applyMarks,
     snapshots: {listOffsets, tryLoadSnapshot},
     collectEvents,
+    collectAccountWindows,
     countNodes: () => 1 + listLivePeers().length,
     getFleet: () => ({
       members: membership.listMembers(),
@@ -168,6 +180,7 @@
           handleIndirectProbe: probe => membership.handleIndirectProbe(probe),
           tryExportSnapshot,
           listEvents: events.list,
+          getAccountWindow: options.getAccountWindow,
         },
       }),
       ...options.listen,
@@ -267,6 +280,20 @@
     return {events: collected, missing};
   }
 
+  async function collectAccountWindows(
+    clientAccount: string,
+    windowMs: number,
+  ): Promise<readonly AccountWindow[] | undefined> {
+    const peers = listLivePeers();
+    const answers = await Promise.all(
+      peers.map(peer =>
+        client.readAccountWindow(peer.address, clientAccount, windowMs),
+      ),
+    );
+    const windows = answers.filter(answer => answer !== undefined);
+    return 2 * windows.length >= peers.length ? windows : undefined;
+  }
+
   function listLivePeers(): readonly Member[] {
     return membership
       .listMembers()
--- a/src/planning/move/account_windows.ts
+++ b/src/planning/move/account_windows.ts
@@ -23,6 +23,8 @@
 
 /** The counts of one node. */
 export interface AccountWindows {
+  /** Counts a request in that may use the origin; the result counts it out, once. */
+  addOpenAtOrigin(clientAccount: string): () => void;
   add(request: CountedRequest): void;
   getWindow(clientAccount: string, windowMs: number): AccountWindow;
 }
@@ -40,7 +42,23 @@
 ): AccountWindows {
   const {clock, isCounted} = options;
   const slotsByAccount = new Map<string, Slot[]>();
-  return {add, getWindow};
+  const openByAccount = new Map<string, number>();
+  return {addOpenAtOrigin, add, getWindow};
+
+  function addOpenAtOrigin(clientAccount: string): () => void {
+    let isOpen = true;
+    updateOpen(clientAccount, 1);
+    return () => {
+      if (isOpen) updateOpen(clientAccount, -1);
+      isOpen = false;
+    };
+  }
+
+  function updateOpen(clientAccount: string, change: number): void {
+    const open = (openByAccount.get(clientAccount) ?? 0) + change;
+    if (open > 0) openByAccount.set(clientAccount, open);
+    else openByAccount.delete(clientAccount);
+  }
 
   function add(request: CountedRequest): void {
     if (!isCounted(request.clientAccount)) {
@@ -70,7 +88,12 @@
 
   function getWindow(clientAccount: string, windowMs: number): AccountWindow {
     const sinceMs = clock.getMonotonicMs() - windowMs;
-    const window = {requests: 0, inDeadline: 0, failed: 0};
+    const window = {
+      requests: 0,
+      inDeadline: 0,
+      failed: 0,
+      openAtOrigin: openByAccount.get(clientAccount) ?? 0,
+    };
     for (const slot of slotsByAccount.get(clientAccount) ?? []) {
       if (slot.startMs < sinceMs) continue;
       window.requests += slot.requests;
@@ -87,5 +110,6 @@
     requests: windows.reduce((sum, item) => sum + item.requests, 0),
     inDeadline: windows.reduce((sum, item) => sum + item.inDeadline, 0),
     failed: windows.reduce((sum, item) => sum + item.failed, 0),
+    openAtOrigin: windows.reduce((sum, item) => sum + item.openAtOrigin, 0),
   };
 }
--- a/src/planning/move/plan_move.ts
+++ b/src/planning/move/plan_move.ts
@@ -75,12 +75,7 @@
     case 'shift':
       return planGate(stage, observation);
     case 'drain':
-      if (observation.runningAtOrigin > 0) {
-        return createWait(
-          `${observation.runningAtOrigin} requests still run at the origin`,
-        );
-      }
-      return planGate(stage, observation);
+      return planDrain(stage, observation);
     case 'done':
       return createCompletion(stage, 'the move has ended');
     default:
@@ -88,6 +83,15 @@
   }
 }
 
+function planDrain(
+  stage: MoveStage,
+  observation: MoveObservation,
+): MoveDecision {
+  const open = observation.window?.openAtOrigin ?? 0;
+  if (open > 0) return createWait(`${open} requests still run at the origin`);
+  return planGate(stage, observation);
+}
+
 /** Shifted requests go to engines that hold the account's models. */
 function hasDestinationTraffic(stage: MoveStage): boolean {
   return stage.share > 0 || stage.kind === 'drain' || stage.kind === 'done';
--- /dev/null
+++ b/src/planning/move/traffic.ts
@@ -0,0 +1,80 @@
+/** Sends the requests of moving client accounts to a building, and counts what came of them. */
+import type {Clock} from '../../runtime';
+import type {Template} from '../../state';
+import {FailureKind, type RequestFailure} from '../../verdict';
+import {type AccountWindows, createAccountWindows} from './account_windows';
+import type {MoveIndex} from './move_index';
+import {selectMoveServers} from './select_servers';
+import {tryGetStageInForce} from './stage';
+import type {AccountWindow, MoveProgress, MoveServers} from './types';
+
+/** Options of the traffic. */
+export interface MoveTrafficOptions {
+  readonly clock: Clock;
+  readonly index: MoveIndex;
+  readonly tryGetProgress: (clientAccount: string) => MoveProgress | undefined;
+  /** Returns a number from 0 up to and without 1. */
+  readonly getRandom: () => number;
+}
+
+/** A request that has ended. */
+export interface EndedRequest {
+  readonly requestId: string;
+  readonly clientAccount: string;
+  readonly isInDeadline: boolean;
+  /** Absent when the request was answered. */
+  readonly failure?: RequestFailure;
+}
+
+/** The moving client accounts' requests on one node. */
+export interface MoveTraffic {
+  /** Chooses the servers of a request; called once for each. */
+  selectServers(template: Template, requestId: string): MoveServers;
+  /** Counts a request that has ended; called once for each. */
+  addEnded(request: EndedRequest): void;
+  getWindow(clientAccount: string, windowMs: number): AccountWindow;
+}
+
+/** Failures that the caller brought about: they say nothing about the servers. */
+const CALLER_FAILURES: ReadonlySet<FailureKind> = new Set([
+  FailureKind.BadRequest,
+  FailureKind.TooLarge,
+  FailureKind.Unauthorized,
+  FailureKind.Forbidden,
+  FailureKind.NotFound,
+  FailureKind.KeyConflict,
+  FailureKind.LimitExceeded,
+  FailureKind.Cancelled,
+]);
+
+/** Creates the traffic of one node. */
+export function createMoveTraffic(options: MoveTrafficOptions): MoveTraffic {
+  const {index, tryGetProgress} = options;
+  const windows: AccountWindows = createAccountWindows({
+    clock: options.clock,
+    isCounted: index.isMoving,
+  });
+  const openAtOrigin = new Map<string, () => void>();
+  return {selectServers, addEnded, getWindow: windows.getWindow};
+
+  function selectServers(template: Template, requestId: string): MoveServers {
+    if (template.move === undefined) return {servers: template.engines};
+    const progress = tryGetProgress(template.client_account);
+    const stage = tryGetStageInForce(template.move, progress);
+    const isAtDestination = stage?.kind === 'drain' || stage?.kind === 'done';
+    if (!isAtDestination) {
+      const close = windows.addOpenAtOrigin(template.client_account);
+      openAtOrigin.set(requestId, close);
+    }
+    return selectMoveServers({template, progress, draw: options.getRandom()});
+  }
+
+  function addEnded(request: EndedRequest): void {
+    openAtOrigin.get(request.requestId)?.();
+    openAtOrigin.delete(request.requestId);
+    const {clientAccount, isInDeadline, failure} = request;
+    if (failure !== undefined && CALLER_FAILURES.has(failure.kind)) return;
+    const isFailed = failure !== undefined;
+    windows.add({clientAccount, isInDeadline, isFailed});
+  }
+}
--- a/src/planning/move/types.ts
+++ b/src/planning/move/types.ts
@@ -22,6 +22,8 @@
   readonly inDeadline: number;
   /** Failed for a reason of ours, not of the caller's. */
   readonly failed: number;
+  /** Requests in progress that may use backend servers of the origin. */
+  readonly openAtOrigin: number;
 }
 
 /** What an engine of the destination still lacks. */
@@ -44,8 +46,6 @@
   readonly window: AccountWindow | undefined;
   /** Engines of the next or current stage's destination, with what they lack. */
   readonly destination: readonly EnginePreparation[];
-  /** Requests of the account that run on backend servers of the origin. */
-  readonly runningAtOrigin: number;
 }
 
 /** What the planner decides. */
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -57,3 +57,4 @@
   StreamFollower,
   StreamWriter,
 } from './types';
+export {getEntryAccount} from './config_changes';
--- a/test/membership/peers.test.ts
+++ b/test/membership/peers.test.ts
@@ -75,6 +75,12 @@
         tryExportSnapshot: stream =>
           stream === 'config' ? snapshot : undefined,
         listEvents: events.list,
+        getAccountWindow: () => ({
+          requests: 3,
+          inDeadline: 2,
+          failed: 1,
+          openAtOrigin: 0,
+        }),
       },
     }),
   });
--- a/test/planning/move.test.ts
+++ b/test/planning/move.test.ts
@@ -17,7 +17,12 @@
 
 const FRIDAY_MS = Date.parse('2026-12-04T18:00:00Z');
 const HOUR_MS = 3_600_000;
-const GOOD: AccountWindow = {requests: 100, inDeadline: 99, failed: 0};
+const GOOD: AccountWindow = {
+  requests: 100,
+  inDeadline: 99,
+  failed: 0,
+  openAtOrigin: 0,
+};
 
 function createMove(changes: Record<string, unknown> = {}): AccountMove {
   const sides = {
@@ -66,7 +71,6 @@
     nowMs: FRIDAY_MS + HOUR_MS,
     window: GOOD,
     destination: [{engine: 'n1', missingModels: [], missingAdapters: []}],
-    runningAtOrigin: 0,
     ...changes,
   });
 }
@@ -80,8 +84,9 @@
   const lacking = [
     {engine: 'n1', missingModels: ['small'], missingAdapters: []},
   ];
-  const weak: AccountWindow = {requests: 100, inDeadline: 80, failed: 0};
-  const failing: AccountWindow = {requests: 100, inDeadline: 97, failed: 3};
+  const weak = {...GOOD, inDeadline: 80};
+  const failing = {...GOOD, inDeadline: 97, failed: 3};
+  const few = {...GOOD, requests: 3, inDeadline: 3};
   const late = FRIDAY_MS + 20 * HOUR_MS;
   const half = createProgress('half');
   const baseline = [
@@ -108,12 +113,12 @@
     planStep({
       progress: half,
       nowMs: FRIDAY_MS + 120_000,
-      window: {requests: 3, inDeadline: 3, failed: 0},
+      window: few,
     }),
     planStep({
       progress: half,
       nowMs: late,
-      window: {requests: 3, inDeadline: 3, failed: 0},
+      window: few,
     }),
     planStep({
       progress: createProgress('half', {isComplete: true}),
@@ -129,7 +134,7 @@
     planStep({
       progress: createProgress('drain'),
       nowMs: late + 30 * HOUR_MS,
-      runningAtOrigin: 2,
+      window: {...GOOD, openAtOrigin: 2},
     }),
     planStep({progress: createProgress('done'), nowMs: late + 40 * HOUR_MS}),
     planStep({
--- /dev/null
+++ b/test/support/weekend.ts
@@ -0,0 +1,322 @@
+/** A weekend move on virtual time: control processes, two buildings, and steady requests. */
+import {
+  type ControlEntry,
+  type ControlState,
+  controlStream,
+  createLeaseHolder,
+  FLEET_SHARD,
+} from '../../src/authority';
+import type {BackendServer, EngineReport} from '../../src/backends';
+import {
+  createMoveIndex,
+  createMoveRunner,
+  createMoveTraffic,
+  type EngineHoldings,
+  listMoveLoads,
+  mergeWindows,
+  type MoveTraffic,
+} from '../../src/planning/move';
+import {isSelected} from '../../src/routing';
+import {createVirtualClock, type VirtualClock} from '../../src/runtime';
+import {
+  type ConfigEntry,
+  type ConfigState,
+  configStream,
+  createStreamFollower,
+  createStreamWriter,
+  type StreamFollower,
+  type StreamWriter,
+  type Template,
+} from '../../src/state';
+import {
+  createLocalLog,
+  createLogModel,
+  type LogModel,
+} from '../../src/standins';
+
+/** Friday evening, in milliseconds since the Unix epoch. */
+export const WEEKEND_START_MS = Date.parse('2026-12-04T18:00:00Z');
+
+const REQUEST_EVERY_MS = 1_000;
+const RETENTION_MS = 24 * 3_600_000;
+
+/** One control process. */
+export interface WeekendProcess {
+  readonly id: string;
+  readonly traffic: MoveTraffic;
+  readonly config: StreamFollower<ConfigState, ConfigEntry>;
+  readonly configWriter: StreamWriter<ConfigEntry>;
+  readonly control: StreamFollower<ControlState, ControlEntry>;
+  isHolder(): boolean;
+  kill(): void;
+}
+
+/** One request, as a caller and the buildings saw it. */
+export interface WeekendRequest {
+  readonly atMs: number;
+  readonly building: string;
+  readonly stage: string | undefined;
+}
+
+/** The weekend. */
+export interface Weekend {
+  readonly clock: VirtualClock;
+  readonly log: LogModel;
+  readonly processes: WeekendProcess[];
+  readonly requests: WeekendRequest[];
+  /** Stage entries in the log's order. */
+  readonly entered: string[];
+  readonly events: string[];
+  /** Sets how many of 100 requests at a building miss their deadline. */
+  setLatePercent(building: string, percent: number): void;
+  /** How long the weight store takes for one load, in milliseconds. */
+  setLoadMs(loadMs: number): void;
+  startProcess(id: string): WeekendProcess;
+  /** Returns how often a stage was entered or completed. */
+  getBoundaries(): number;
+  getStage(account: string): string | undefined;
+  isComplete(account: string): boolean;
+}
+
+/** Creates a weekend with three processes; nothing has run yet. */
+export function createWeekend(accounts: readonly string[]): Weekend {
+  const clock = createVirtualClock({wallStartMs: WEEKEND_START_MS});
+  const log = createLogModel({clock, retentionMs: RETENTION_MS});
+  const processes: WeekendProcess[] = [];
+  const requests: WeekendRequest[] = [];
+  const entered: string[] = [];
+  const events: string[] = [];
+  const latePercent = new Map<string, number>();
+  const servers = ['old', 'new'].flatMap(building =>
+    [1, 2].map(number => createServer(building, number)),
+  );
+  const reports = new Map(
+    servers.map(server => [
+      server.id,
+      createReport(server.id, server.building === 'old' ? ['small'] : []),
+    ]),
+  );
+  let loadMs = 200_000;
+  let loading: string | undefined;
+  let requestCount = 0;
+  let boundaries = 0;
+  let nextIncarnation = 1;
+  const holdings: EngineHoldings = {servers, reports};
+  ['p1', 'p2', 'p3'].forEach(startProcess);
+  const observer = createStreamFollower({
+    definition: controlStream,
+    log: createLocalLog({model: log, clock}),
+    clock,
+  });
+  observer.subscribe((entry, outcome) => {
+    if (entry.kind !== 'move-progress' || outcome.kind !== 'accepted') return;
+    const {clientAccount, stage, isComplete} = entry.progress;
+    boundaries++;
+    if (!isComplete) entered.push(`${clientAccount}:${stage}`);
+  });
+  observer.start();
+  clock.schedule(REQUEST_EVERY_MS, sendRequests);
+  return {
+    clock,
+    log,
+    processes,
+    requests,
+    entered,
+    events,
+    setLatePercent: (building, percent) =>
+      void latePercent.set(building, percent),
+    setLoadMs: value => {
+      loadMs = value;
+    },
+    startProcess,
+    getBoundaries: () => boundaries,
+    getStage: account => observer.getState().moves.get(account)?.stage,
+    isComplete: account =>
+      observer.getState().moves.get(account)?.isComplete === true,
+  };
+
+  function startProcess(id: string): WeekendProcess {
+    const local = createLocalLog({model: log, clock});
+    const config = createStreamFollower({
+      definition: configStream,
+      log: local,
+      clock,
+    });
+    const control = createStreamFollower({
+      definition: controlStream,
+      log: local,
+      clock,
+    });
+    const writer = `${id}.${nextIncarnation++}`;
+    const shared = {log: local, clock, writer};
+    const configWriter = createStreamWriter({follower: config, ...shared});
+    const controlWriter = createStreamWriter({follower: control, ...shared});
+    const rank = Number(id.slice(1)) - 1;
+    const lease = createLeaseHolder({
+      shard: FLEET_SHARD,
+      clock,
+      follower: control,
+      writer: controlWriter,
+      getRank: () => rank,
+    });
+    const index = createMoveIndex(config);
+    const traffic = createMoveTraffic({
+      clock,
+      index,
+      tryGetProgress: account => control.getState().moves.get(account),
+      getRandom: () => (requestCount++ % 20) / 20,
+    });
+    const runner = createMoveRunner({
+      clock,
+      index,
+      follower: control,
+      writer: controlWriter,
+      tryGetAuthority: lease.tryGetAuthority,
+      getHoldings: () => holdings,
+      collectWindow: (account, windowMs) =>
+        Promise.resolve(
+          mergeWindows(
+            processes.map(item => item.traffic.getWindow(account, windowMs)),
+          ),
+        ),
+      emitEvent: event =>
+        void events.push(`${id} ${event.kind}: ${event.cause}`),
+    });
+    const process: WeekendProcess = {
+      id,
+      traffic,
+      config,
+      configWriter,
+      control,
+      isHolder: () => lease.tryGetAuthority() !== undefined,
+      kill: () => {
+        runner.stop();
+        lease.stop();
+        config.stop();
+        control.stop();
+        configWriter.stop();
+        controlWriter.stop();
+        processes.splice(processes.indexOf(process), 1);
+      },
+    };
+    processes.push(process);
+    config.start();
+    control.start();
+    lease.start();
+    runner.start();
+    return process;
+  }
+
+  /** Every process serves each account once; the shard's holder loads what is missing. */
+  function sendRequests(): void {
+    clock.schedule(REQUEST_EVERY_MS, sendRequests);
+    for (const process of [...processes]) {
+      for (const account of accounts) sendRequest(process, account);
+    }
+    startLoad();
+  }
+
+  function sendRequest(process: WeekendProcess, account: string): void {
+    const known = process.config.getState().templates.get(account);
+    if (known === undefined) return;
+    const requestId = `${process.id}-${requests.length}`;
+    const choice = process.traffic.selectServers(known.template, requestId);
+    const building = chooseBuilding(known.template, choice);
+    requests.push({
+      atMs: clock.getMonotonicMs(),
+      building,
+      stage: process.control.getState().moves.get(account)?.stage,
+    });
+    // The stride spreads late answers evenly over any window.
+    const isLate =
+      (requests.length * 37) % 100 < (latePercent.get(building) ?? 0);
+    clock.schedule(500, () =>
+      process.traffic.addEnded({
+        requestId,
+        clientAccount: account,
+        isInDeadline: !isLate,
+      }),
+    );
+  }
+
+  /** The fallback is used when no engine of the first choice holds the models. */
+  function chooseBuilding(
+    template: Template,
+    choice: ReturnType<MoveTraffic['selectServers']>,
+  ): string {
+    for (const selector of [choice.servers, choice.fallback]) {
+      if (selector === undefined) continue;
+      const found = servers.find(
+        server =>
+          isSelected(server, selector) &&
+          template.models.every(model =>
+            reports.get(server.id)?.models.includes(model),
+          ),
+      );
+      if (found !== undefined) return found.building;
+    }
+    return 'none';
+  }
+
+  /** Stands for the shard's holder and the rate-limited weight store: one load at a time. */
+  function startLoad(): void {
+    const holder = processes.find(process => process.isHolder());
+    if (loading !== undefined || holder === undefined) return;
+    for (const {template} of holder.config.getState().templates.values()) {
+      const progress = holder.control
+        .getState()
+        .moves.get(template.client_account);
+      const [load] = listMoveLoads(
+        template,
+        progress,
+        clock.getWallMs(),
+        holdings,
+      );
+      if (load === undefined || load.order.kind !== 'load-model') continue;
+      const {engine, order} = load;
+      loading = engine;
+      clock.schedule(loadMs, () => {
+        reports.set(engine, createReport(engine, [order.model]));
+        loading = undefined;
+      });
+      return;
+    }
+  }
+}
+
+function createServer(building: string, number: number): BackendServer {
+  return {
+    id: `${building}-${number}`,
+    kind: 'model_engine',
+    address: '',
+    failureDomain: building,
+    region: 'sk-west',
+    building,
+    checksFencing: true,
+    isLeaving: false,
+  };
+}
+
+function createReport(engine: string, models: readonly string[]): EngineReport {
+  return {
+    engine,
+    sequence: 1,
+    incarnation: engine,
+    role: 'mixed',
+    state: 'ready',
+    models,
+    adapters: [],
+    version: '1',
+    running: 0,
+    waiting: 0,
+    prefillTokens: 0,
+    decodeTokens: 0,
+    freePieces: 1,
+    totalPieces: 1,
+    prefillTokensPerS: 1,
+    decodeStepMs: 1,
+    decodeStepMsPerRequest: 1,
+    maxRunning: 1,
+    fencingNumber: 0,
+  };
+}
