--- /dev/null
+++ b/src/streams/resume_token.ts
@@ -0,0 +1,95 @@
+/** Signed tokens with which a caller takes up its answer on any node. */
+import {createHmac, timingSafeEqual} from 'node:crypto';
+import {Err, Ok, type Result} from 'ts-results';
+import {z} from 'zod';
+import {createFailure, FailureKind, type RequestFailure} from '../verdict';
+
+const claimsSchema = z.strictObject({
+  requestId: z.string().min(1),
+  clientAccount: z.string().min(1),
+  /** Model of the request, for the shape of the answer. */
+  model: z.string().min(1),
+  /** Engine that was answering when the token was made. */
+  engine: z.string().min(1),
+  idempotent: z.boolean(),
+  /** When the token ends, in milliseconds since the Unix epoch. */
+  expiresAtMs: z.number(),
+});
+
+/** What a resume token says. */
+export type ResumeClaims = z.infer<typeof claimsSchema>;
+
+/** Longest token that is looked at, in characters. */
+const MAX_TOKEN_LENGTH = 2_048;
+
+/** Creates a token that any node with the same secret accepts. */
+export function createResumeToken(
+  secret: string,
+  claims: ResumeClaims,
+): string {
+  const body = Buffer.from(JSON.stringify(claims)).toString('base64url');
+  return `${body}.${computeSignature(secret, body)}`;
+}
+
+/**
+ * Reads a token for a client account. `secrets` are all that are in force, so that
+ * a secret can be replaced. A token of another client account is refused like one that
+ * does not exist, with `not-found`.
+ */
+export function tryParseResumeToken(
+  secrets: readonly string[],
+  token: string,
+  context: {clientAccount: string; nowWallMs: number},
+): Result<ResumeClaims, RequestFailure> {
+  const claims = tryReadClaims(secrets, token);
+  if (claims === undefined || claims.clientAccount !== context.clientAccount) {
+    return Err(
+      createFailure(FailureKind.NotFound, 'there is no such stream to resume'),
+    );
+  }
+  if (context.nowWallMs >= claims.expiresAtMs) {
+    return Err(
+      createFailure(
+        FailureKind.NotFound,
+        `the resume token has expired; ${getAdvice(claims)}`,
+      ),
+    );
+  }
+  return Ok(claims);
+}
+
+/** Returns what a caller can do when its answer cannot be resumed. */
+export function getAdvice(claims: ResumeClaims): string {
+  return claims.idempotent
+    ? 'send the request again'
+    : 'send the request again with the same Idempotency-Key to learn its outcome; it will not run twice';
+}
+
+function tryReadClaims(
+  secrets: readonly string[],
+  token: string,
+): ResumeClaims | undefined {
+  if (token.length > MAX_TOKEN_LENGTH) return undefined;
+  const [body, signature, ...rest] = token.split('.');
+  if (signature === undefined || rest.length > 0) return undefined;
+  if (!secrets.some(secret => isSignature(secret, body, signature))) {
+    return undefined;
+  }
+  try {
+    const text = Buffer.from(body, 'base64url').toString('utf8');
+    const parsed = claimsSchema.safeParse(JSON.parse(text));
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function isSignature(secret: string, body: string, signature: string): boolean {
+  const expected = Buffer.from(computeSignature(secret, body));
+  const given = Buffer.from(signature);
+  return expected.length === given.length && timingSafeEqual(expected, given);
+}
+
+function computeSignature(secret: string, body: string): string {
+  return createHmac('sha256', secret).update(body).digest('base64url');
+}
