Correct predictions by what was observed, and keep small client accounts served

Found by tests: (1) a client account with 2 requests a second got 1 of 40 answered beside one that sent 100 a second: the engine's queue of 2,000 ms of pure prefill was some 5 s in steps that also decode. (2) With half of 13 engines down the sendings were 1.24 for each request, since each of 14 nodes began with 8 retries. (3) An engine that refuses connections took three failures at each node before it was left out.

The growth of a node's own work counts in full weight of the report's age.

--- a/src/routing/attempts.ts
+++ b/src/routing/attempts.ts
@@ -189,7 +189,7 @@
     phase: plan.phase,
     work: createWork(entry, plan),
     startedAtMs: nowMs,
-    expectedFirstTokenMs: prediction.firstTokenMs,
+    predictedMs: prediction.rawMs,
     expectedStepMs: getExpectedStepMs(engine, nowMs),
     firstIndex: entry.gate.getNextIndex(),
     firstTokenAtMs: -1,
--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -154,11 +154,11 @@
   });
 }
 
-/** An engine's own slowdown once enough answers have shown it, else its fleet's. */
+/** How much slower than its fleet an engine is, once enough answers have shown it. */
 function getSlowdown(engine: EngineEntry): number {
   const {health, load} = engine;
-  const hasShown = health.samples >= MIN_OWN_SAMPLES;
-  return hasShown ? health.slowdown : (load.fleet?.slowdown ?? 1);
+  if (health.samples < MIN_OWN_SAMPLES || load.fleet === undefined) return 1;
+  return Math.max(1, health.slowdown / load.fleet.slowdown);
 }
 
 /** Visits usable engines: all of a small pool, else some drawn at random. */
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -181,8 +181,12 @@
 
   /** The answer is too late for its caller: the engine is told to stop. */
   function expire(entry: OpenRequest): void {
-    const engine = entry.attempt?.engine;
-    if (engine !== undefined) entry.mayHaveRun = true;
+    const {attempt} = entry;
+    const engine = attempt?.engine;
+    if (attempt !== undefined) {
+      entry.mayHaveRun = true;
+      watch.recordTime(entry, attempt);
+    }
     runner.cancel(entry);
     refuse(entry, createDeadlineFailure(entry));
     if (engine !== undefined) queueing.onRoom(engine);
@@ -204,6 +208,7 @@
   ): void {
     const {engine} = attempt;
     watch.recordSuccess(entry, attempt);
+    watch.recordTime(entry, attempt);
     const isComplete = entry.gate.getNextIndex() >= entry.request.maxTokens;
     if (end.finishReason === 'prefilled' && !isComplete) {
       entry.mayHaveRun = true;
@@ -212,7 +217,8 @@
     } else {
       const {request, gate} = entry;
       const key = getOutputKey(request);
-      outputs.record(key, request.model, gate.getNextIndex());
+      const {model, maxTokens} = request;
+      outputs.record(key, model, gate.getNextIndex(), maxTokens);
       book.settle(entry, {...end, engine: engine.server.id});
     }
     queueing.onRoom(engine);
--- a/src/routing/ejection.ts
+++ b/src/routing/ejection.ts
@@ -35,7 +35,12 @@
 export interface Ejector {
   /** Returns whether a request may go to the server now; chance decides during the slow return. */
   isUsable(health: ServerHealth, nowMs: number): boolean;
-  recordFailure(health: ServerHealth, nowMs: number): EjectionCause | undefined;
+  /** Takes a failure; one is enough when it is certain that the server is down. */
+  recordFailure(
+    health: ServerHealth,
+    nowMs: number,
+    isCertain?: boolean,
+  ): EjectionCause | undefined;
   /** Takes a complete answer and its observed over expected time. */
   recordSuccess(
     health: ServerHealth,
@@ -96,6 +101,7 @@
   function recordFailure(
     health: ServerHealth,
     nowMs: number,
+    isCertain = false,
   ): EjectionCause | undefined {
     health.consecutiveFailures++;
     if (isEjected(health, nowMs)) return undefined;
@@ -103,7 +109,7 @@
     const isReturning =
       health.ejectedUntilMs > 0 &&
       nowMs < health.ejectedUntilMs + limits.rampMs;
-    const needed = isReturning ? 1 : limits.maxConsecutiveFailures;
+    const needed = isReturning || isCertain ? 1 : limits.maxConsecutiveFailures;
     if (health.consecutiveFailures < needed) return undefined;
     return tryEject(health, 'failures', limits.maxFailedPart, nowMs);
   }
--- a/src/routing/engine_load.ts
+++ b/src/routing/engine_load.ts
@@ -36,10 +36,19 @@
   urgentPart: number;
   /** Observed over reported time of a decode step, averaged over the last answers. */
   slowdown: number;
+  /** Observed and predicted times of urgent and of other answers, averaged. */
+  readonly urgentTimes: AnswerTimes;
+  readonly usualTimes: AnswerTimes;
   /** Live nodes, this one included. */
   nodeCount: number;
 }
 
+/** Averages over the last answers, in milliseconds. */
+export interface AnswerTimes {
+  observedMs: number;
+  predictedMs: number;
+}
+
 /** What is known of an engine's load. */
 export interface EngineLoad {
   report: EngineReport | undefined;
@@ -72,6 +81,9 @@
 const GROWTH_WEIGHT = 0.5;
 /** Weight of one request in the averaged part of urgent ones. */
 const URGENT_WEIGHT = 0.02;
+/** Average times assumed before the first answer, in milliseconds. */
+const START_MS = 1_000;
+const TIMES_WEIGHT = 0.05;
 
 /** Creates the load of an engine that has not reported. */
 export function createEngineLoad(): EngineLoad {
@@ -93,6 +105,8 @@
     engineCount: 0,
     urgentPart: 0,
     slowdown: 1,
+    urgentTimes: {observedMs: START_MS, predictedMs: START_MS},
+    usualTimes: {observedMs: START_MS, predictedMs: START_MS},
     nodeCount: 1,
   };
 }
@@ -196,6 +210,16 @@
   load.reportLagMs = lagMs;
 }
 
+/** Takes the time of an answer into the averages by which predictions are corrected. */
+export function recordTimes(
+  times: AnswerTimes,
+  observedMs: number,
+  predictedMs: number,
+): void {
+  times.observedMs += TIMES_WEIGHT * (observedMs - times.observedMs);
+  times.predictedMs += TIMES_WEIGHT * (predictedMs - times.predictedMs);
+}
+
 /** Moves an engine's load to the fleet of its role. */
 export function setFleet(load: EngineLoad, fleet: FleetLoad | undefined): void {
   if (load.fleet === fleet) return;
@@ -225,7 +249,7 @@
   if (fleet === undefined || fleet.engineCount < 2) return others;
   const ageMs = load.reportLagMs + nowMs - load.reportAtMs;
   const trust = Math.exp(-ageMs / OTHERS_MEMORY_MS);
-  const then = getOwnAt(fleet.own, nowMs - load.reportLagMs);
+  const then = getOwnAt(fleet.own, nowMs - ageMs);
   const {now} = fleet.own;
   return {
     requests: getBlend('requests'),
@@ -239,8 +263,9 @@
     const count = fleet?.engineCount ?? 1;
     const nodes = fleet?.nodeCount ?? 1;
     const growth = GROWTH_WEIGHT * (nodes - 1) * (now[key] - then[key]);
-    const mean = Math.max(0, (fleet?.others[key] ?? 0) + growth) / count;
-    return trust * others[key] + (1 - trust) * mean;
+    const mean = (fleet?.others[key] ?? 0) / count;
+    const reported = trust * others[key] + (1 - trust) * mean;
+    return Math.max(0, reported + growth / count);
   }
 }
 
--- a/src/routing/estimate.ts
+++ b/src/routing/estimate.ts
@@ -21,6 +21,8 @@
   readonly prefillMs: number;
   readonly firstTokenMs: number;
   readonly completionMs: number;
+  /** Time of completion before it was corrected by observed answers. */
+  readonly rawMs: number;
 }
 
 /** Work of other nodes known from their digests; replaces smaller reported amounts. */
@@ -30,7 +32,7 @@
 
 /** Limits of what one engine is given at a time. */
 export interface RoomLimits {
-  /** Most prefill work that waits at an engine, in milliseconds of its time. */
+  /** Most prefill work that waits at an engine, in milliseconds until it is done. */
   readonly maxPrefillBacklogMs: number;
   /** Factor of the limits for urgent requests. */
   readonly urgentFactor: number;
@@ -55,6 +57,8 @@
   decodeTokens: 0,
   pieces: 0,
 };
+/** Bound of the correction by observed answers. */
+const MAX_CORRECTION = 4;
 const NO_OTHERS: OthersWork = NO_WORK;
 
 /** Returns the requests at the engine, this node's and the others'. */
@@ -88,7 +92,8 @@
 /**
  * Predicts the times of a job at an engine that has reported.
  * `cachedTokens` of the prompt are expected in its prefix cache, and `slowdown` is
- * the factor by which its decode steps were lately slower than reported.
+ * the factor by which it is slower than the others of its fleet. `rawMs` is
+ * the time of completion before the correction by what was lately observed.
  */
 export function predictTimes(
   load: EngineLoad,
@@ -110,14 +115,15 @@
   const requests = getRequestCount(load, nowMs, digest);
   const stepMs = getStepMs(report, requests + 1) * (options.slowdown ?? 1);
   const tokenMs = getPrefillTokenMs(report, requests);
-  const placeMs = getPlaceWaitMs(load, report, requests, stepMs, nowMs);
+  const waiting = Math.max(0, requests + 1 - report.maxRunning);
+  // An urgent request takes the first place that comes free.
+  const places = job.isUrgent ? Math.min(1, waiting) : waiting;
+  const placeMs = places * getPlaceMs(load, report, requests, stepMs, nowMs);
   const prefillMs = uncached * tokenMs;
   const firstTokenMs = placeMs + ahead * tokenMs + prefillMs;
-  return {
-    prefillMs,
-    firstTokenMs,
-    completionMs: firstTokenMs + Math.max(0, job.outputTokens - 1) * stepMs,
-  };
+  const rawMs = firstTokenMs + Math.max(0, job.outputTokens - 1) * stepMs;
+  const completionMs = rawMs * getCorrection(load, job);
+  return {prefillMs, firstTokenMs, completionMs, rawMs};
 }
 
 /** Returns the time of a decode step with `requests` in the batch, in milliseconds. */
@@ -149,7 +155,8 @@
   const freePieces = report.totalPieces - others.pieces - load.own.now.pieces;
   if (freePieces < getJobPieces(job)) return false;
   const backlogMs =
-    (getPrefillBacklog(load, nowMs, digest) * 1_000) / report.prefillTokensPerS;
+    getPrefillBacklog(load, nowMs, digest) *
+    getPrefillTokenMs(report, requests);
   return backlogMs < limits.maxPrefillBacklogMs * factor;
 }
 
@@ -158,20 +165,27 @@
   return getPieces(job.promptTokens + job.outputTokens);
 }
 
-/** Time until a place in a full batch comes free: requests leave it evenly. */
-function getPlaceWaitMs(
+/** Time in which one place of a full batch comes free: requests leave it evenly. */
+function getPlaceMs(
   load: EngineLoad,
   report: EngineReport,
   requests: number,
   stepMs: number,
   nowMs: number,
 ): number {
-  const waiting = requests + 1 - report.maxRunning;
-  if (waiting <= 0) return 0;
   const others = getFreshOthers(load, nowMs);
   const decodeTokens = load.own.now.decodeTokens + others.decodeTokens;
   const stepsLeft = decodeTokens / Math.max(1, requests);
-  return (waiting * stepsLeft * stepMs) / report.maxRunning;
+  return (stepsLeft * stepMs) / report.maxRunning;
+}
+
+/** Factor by which answers lately took longer or shorter than predicted. */
+function getCorrection(load: EngineLoad, job: Job): number {
+  const {fleet} = load;
+  if (fleet === undefined) return 1;
+  const times = job.isUrgent ? fleet.urgentTimes : fleet.usualTimes;
+  const factor = times.observedMs / Math.max(1, times.predictedMs);
+  return Math.min(MAX_CORRECTION, Math.max(1 / MAX_CORRECTION, factor));
 }
 
 function getFreshOthers(
--- a/src/routing/fleet_watch.ts
+++ b/src/routing/fleet_watch.ts
@@ -1,7 +1,7 @@
 /** Takes in what is heard of engines: servers, reports, cache events, failures and successes. */
 import type {BackendFailure, CacheEvent, EngineReport} from '../backends';
 import {createEjector, type EjectionCause, type Ejector} from './ejection';
-import {applyReport} from './engine_load';
+import {applyReport, recordTimes} from './engine_load';
 import type {EngineEntry, EngineTable} from './engine_table';
 import type {ResolvedOptions} from './dispatcher_options';
 import {type Attempt, type OpenRequest, tryGetSlowdown} from './open_request';
@@ -19,6 +19,8 @@
   applyReport(report: EngineReport): EngineEntry | undefined;
   applyCacheEvents(engine: string, events: readonly CacheEvent[]): void;
   recordSuccess(entry: OpenRequest, attempt: Attempt): void;
+  /** Takes the time of an answer, or of one that its deadline cut off. */
+  recordTime(entry: OpenRequest, attempt: Attempt): void;
   recordFailure(attempt: Attempt, failure: BackendFailure): void;
   getEjectionCount(): number;
 }
@@ -41,6 +43,7 @@
     applyReport: takeReport,
     applyCacheEvents: prefixes.applyEvents,
     recordSuccess,
+    recordTime,
     recordFailure,
     getEjectionCount: () => ejections,
   };
@@ -78,11 +81,26 @@
     recordEjection(engine, ejector.recordSuccess(engine.health, ratio, nowMs));
   }
 
+  function recordTime(entry: OpenRequest, attempt: Attempt): void {
+    const {fleet} = attempt.engine.load;
+    if (fleet === undefined || entry.wasPaused || attempt.phase !== 'full') {
+      return;
+    }
+    const observedMs = host.clock.getMonotonicMs() - attempt.startedAtMs;
+    const times = entry.job.isUrgent ? fleet.urgentTimes : fleet.usualTimes;
+    recordTimes(times, observedMs, attempt.predictedMs);
+  }
+
   function recordFailure(attempt: Attempt, failure: BackendFailure): void {
     if (!isHealthFailure(failure)) return;
+    // Nothing listens at its address.
+    const isCertain = failure.kind === 'unavailable';
     const {engine} = attempt;
     const nowMs = host.clock.getMonotonicMs();
-    recordEjection(engine, ejector.recordFailure(engine.health, nowMs));
+    recordEjection(
+      engine,
+      ejector.recordFailure(engine.health, nowMs, isCertain),
+    );
   }
 
   function recordEjection(
--- a/src/routing/open_request.ts
+++ b/src/routing/open_request.ts
@@ -16,8 +16,9 @@
   readonly phase: Phase;
   readonly work: AttemptWork;
   readonly startedAtMs: number;
-  /** Predicted time to the first token and from then to the end, in milliseconds. */
-  readonly expectedFirstTokenMs: number;
+  /** Predicted time of completion before its correction, in milliseconds. */
+  readonly predictedMs: number;
+  /** Reported time of a decode step when the attempt began, in milliseconds. */
   readonly expectedStepMs: number;
   readonly firstIndex: number;
   firstTokenAtMs: number;
--- a/src/routing/output_estimate.ts
+++ b/src/routing/output_estimate.ts
@@ -1,11 +1,15 @@
-/** Learns how many tokens the answers of a client account and class have, as a quantile. */
+/**
+ * Learns what part of the tokens asked for the answers of a client account and class
+ * have, as a quantile. The part, and not the number, since callers who know the length
+ * of their answers ask for no more.
+ */
 
 /** Predicts the length of answers. */
 export interface OutputEstimate {
   /** Returns the expected tokens of an answer, at most `maxTokens`. */
   getTokens(key: string, model: string, maxTokens: number): number;
-  /** Takes the length of a complete answer. */
-  record(key: string, model: string, tokens: number): void;
+  /** Takes the length of a complete answer and the most that was asked for. */
+  record(key: string, model: string, tokens: number, maxTokens: number): void;
   /** Returns the number of keys held. */
   getSize(): number;
 }
@@ -19,8 +23,8 @@
 }
 
 interface Quantile {
-  /** Binary logarithm of the estimate. */
-  logTokens: number;
+  /** Binary logarithm of the part; 0 or below. */
+  logPart: number;
   count: number;
 }
 
@@ -48,14 +52,20 @@
     const own = keys.get(key);
     const known =
       own !== undefined && own.count >= MIN_COUNT ? own : models.get(model);
-    const tokens = known === undefined ? DEFAULT_TOKENS : 2 ** known.logTokens;
+    const tokens =
+      known === undefined ? DEFAULT_TOKENS : maxTokens * 2 ** known.logPart;
     return Math.max(1, Math.min(maxTokens, Math.round(tokens)));
   }
 
-  function record(key: string, model: string, tokens: number): void {
-    const logTokens = Math.log2(Math.max(1, tokens));
-    updateQuantile(models, model, logTokens);
-    updateQuantile(keys, key, logTokens);
+  function record(
+    key: string,
+    model: string,
+    tokens: number,
+    maxTokens: number,
+  ): void {
+    const logPart = Math.log2(Math.max(1, tokens) / Math.max(1, maxTokens));
+    updateQuantile(models, model, logPart);
+    updateQuantile(keys, key, logPart);
     if (keys.size <= capacity) return;
     const oldest = keys.keys().next();
     if (!oldest.done) keys.delete(oldest.value);
@@ -65,14 +75,14 @@
   function updateQuantile(
     map: Map<string, Quantile>,
     key: string,
-    logTokens: number,
+    logPart: number,
   ): void {
-    const item = map.get(key) ?? {logTokens, count: 0};
+    const item = map.get(key) ?? {logPart, count: 0};
     item.count++;
     const step = Math.max(MIN_STEP, MAX_STEP / item.count);
-    if (logTokens > item.logTokens) item.logTokens += step * quantile;
-    else if (logTokens < item.logTokens) {
-      item.logTokens -= step * (1 - quantile);
+    if (logPart > item.logPart) item.logPart += step * quantile;
+    else if (logPart < item.logPart) {
+      item.logPart -= step * (1 - quantile);
     }
     map.delete(key);
     map.set(key, item);
--- a/src/routing/retry_budget.ts
+++ b/src/routing/retry_budget.ts
@@ -18,7 +18,7 @@
   readonly initial?: number;
 }
 
-const DEFAULTS = {ratio: 0.08, capacity: 32, initial: 8};
+const DEFAULTS = {ratio: 0.05, capacity: 8, initial: 1};
 
 /** Creates a budget. */
 export function createRetryBudget(
