--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -12,6 +12,7 @@
 import {createEngineTable, type EngineEntry} from './engine_table';
 import {createFleetWatch} from './fleet_watch';
 import {
+  addTried,
   type Attempt,
   createOpenRequest,
   getOutputKey,
@@ -91,6 +92,7 @@
     updateCacheEvents: watch.applyCacheEvents,
     getCacheSequence: prefixes.getLastSequence,
     getCounts,
+    listOwnWork: table.listOwnWork,
     getWaitingCount: queueing.getWaitingCount,
     getOpenCount: book.getSize,
     drain,
@@ -212,6 +214,7 @@
     const isComplete = entry.gate.getNextIndex() >= entry.request.maxTokens;
     if (end.finishReason === 'prefilled' && !isComplete) {
       entry.mayHaveRun = true;
+      addTried(entry, engine);
       entry.kv = end.kv;
       submitDecode(entry);
     } else {
--- a/src/routing/engine_table.ts
+++ b/src/routing/engine_table.ts
@@ -15,6 +15,7 @@
 } from './engine_load';
 import {createServerHealth, type ServerHealth} from './ejection';
 import {isSelected} from './selector';
+import type {OwnEngineWork} from './types';
 
 /** An engine as routing knows it. */
 export interface EngineEntry {
@@ -52,6 +53,8 @@
   isMember(pool: EnginePool, engine: EngineEntry): boolean;
   tryGet(engine: string): EngineEntry | undefined;
   list(): IterableIterator<EngineEntry>;
+  /** Lists this node's work at each engine that has any. */
+  listOwnWork(): readonly OwnEngineWork[];
   getSize(): number;
   /** Replaces the set of servers. */
   updateServers(servers: readonly BackendServer[]): void;
@@ -81,12 +84,23 @@
     isMember: (pool, engine) => isEligible(engine, pool),
     tryGet: engine => engines.get(engine),
     list: () => engines.values(),
+    listOwnWork,
     getSize: () => engines.size,
     updateServers,
     updateEngine,
     setNodeCount,
   };
 
+  function listOwnWork(): readonly OwnEngineWork[] {
+    const busy = [...engines.values()].filter(
+      entry => entry.load.own.now.requests > 0,
+    );
+    return busy.map(({server, load}) => {
+      const {requests, prefillTokens, decodeTokens} = load.own.now;
+      return {engine: server.id, requests, prefillTokens, decodeTokens};
+    });
+  }
+
   function getPool(model: string, selector: ServerSelector): EnginePool {
     const key = `${model}\n${getSelectorKey(selector)}`;
     const known = pools.get(key);
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -27,6 +27,7 @@
   DispatcherCounts,
   DispatcherHost,
   ModelRequest,
+  OwnEngineWork,
   RequestHandle,
   RoutingEvent,
 } from './types';
--- a/src/routing/open_request.ts
+++ b/src/routing/open_request.ts
@@ -37,8 +37,11 @@
   readonly submittedAtMs: number;
   /** Returns the place that the client account's limits gave. */
   releaseLimits: (() => void) | undefined;
-  /** Engines that failed it. */
+  /** Engines that failed it or have done their part: an engine refuses a request it knows. */
   tried: Set<string> | undefined;
+  failureCount: number;
+  /** True once an answer that broke off has gone on elsewhere. */
+  hasContinued: boolean;
   attemptCount: number;
   /** True once an engine may have worked on it. */
   mayHaveRun: boolean;
@@ -81,6 +84,8 @@
     submittedAtMs: options.nowMs,
     releaseLimits: undefined,
     tried: undefined,
+    failureCount: 0,
+    hasContinued: false,
     attemptCount: 0,
     mayHaveRun: false,
     attempt: undefined,
@@ -104,3 +109,9 @@
   const ratio = stepMs / attempt.expectedStepMs;
   return Math.min(MAX_SLOWDOWN, Math.max(1 / MAX_SLOWDOWN, ratio));
 }
+
+/** Spares an engine the request from now on. */
+export function addTried(entry: OpenRequest, engine: EngineEntry): void {
+  entry.tried ??= new Set();
+  entry.tried.add(engine.server.id);
+}
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -60,7 +60,9 @@
       pool.prefill.length > 0 && pool.decode.length + pool.mixed.length > 0;
     const engines = getFullEngines(pool, canSplit);
     const holders = listHolders(entry, wishes.hint);
-    const full = chooseFrom(entry, engines, holders, entry.job, wishes);
+    const full =
+      chooseFrom(entry, engines, holders, entry.job, wishes) ??
+      tryChooseAny(entry, pool, wishes);
     const whole: PlacedPlan | undefined = full && {
       phase: 'full',
       choice: full,
@@ -75,6 +77,16 @@
     return split.completionMs < whole.completionMs ? split : whole;
   }
 
+  /** A request that failed elsewhere goes whole to an engine of any role. */
+  function tryChooseAny(
+    entry: OpenRequest,
+    pool: EnginePool,
+    wishes: PlanWishes,
+  ): Choice | undefined {
+    if (entry.attemptCount === 0) return undefined;
+    return chooseFrom(entry, pool.all, NO_HOLDERS, entry.job, wishes);
+  }
+
   function tryPlanSplit(
     entry: OpenRequest,
     pool: EnginePool,
--- a/src/routing/retry_budget.ts
+++ b/src/routing/retry_budget.ts
@@ -18,7 +18,7 @@
   readonly initial?: number;
 }
 
-const DEFAULTS = {ratio: 0.05, capacity: 8, initial: 1};
+const DEFAULTS = {ratio: 0.05, capacity: 8, initial: 2};
 
 /** Creates a budget. */
 export function createRetryBudget(
--- a/src/routing/retrying.ts
+++ b/src/routing/retrying.ts
@@ -6,7 +6,7 @@
   type RequestFailure,
   Verdict,
 } from '../verdict';
-import type {Attempt, OpenRequest} from './open_request';
+import {addTried, type Attempt, type OpenRequest} from './open_request';
 import type {RetryBudget} from './retry_budget';
 
 /** What follows a failed attempt. */
@@ -28,8 +28,8 @@
   options: {budget: RetryBudget; nowMs: number},
 ): RetryDecision {
   if (failure.verdict !== Verdict.NotRun) entry.mayHaveRun = true;
-  entry.tried ??= new Set();
-  entry.tried.add(attempt.engine.server.id);
+  addTried(entry, attempt.engine);
+  entry.failureCount++;
   if (isRefusal(failure)) {
     attempt.engine.refusedUntilMs = options.nowMs + REFUSED_PAUSE_MS;
   }
@@ -39,15 +39,25 @@
   const isSafe =
     entry.request.idempotent || !entry.mayHaveRun || isUntouchedDecode;
   if (!isSafe) return createFail(failure, failure.message);
-  if (entry.tried.size >= MAX_FAILED_ENGINES) {
+  if (entry.failureCount >= MAX_FAILED_ENGINES) {
     return createFail(failure, failure.message);
   }
-  if (!options.budget.tryTake()) {
+  if (!isContinuation(entry, attempt) && !options.budget.tryTake()) {
     return createFail(failure, `${failure.message}; no retry is left`);
   }
   return {kind: 'retry'};
 }
 
+/**
+ * An answer that broke off after it began goes on elsewhere once beside the budget:
+ * a crash breaks each open answer once, so this cannot grow into a storm.
+ */
+function isContinuation(entry: OpenRequest, attempt: Attempt): boolean {
+  if (attempt.firstTokenAtMs < 0 || entry.hasContinued) return false;
+  entry.hasContinued = true;
+  return true;
+}
+
 /** Returns whether a failure speaks against the engine's health, not just against its load. */
 export function isHealthFailure(failure: BackendFailure): boolean {
   return (
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -100,6 +100,14 @@
   readonly resumed: number;
 }
 
+/** Work that this node has at an engine, for digests to other nodes. */
+export interface OwnEngineWork {
+  readonly engine: string;
+  readonly requests: number;
+  readonly prefillTokens: number;
+  readonly decodeTokens: number;
+}
+
 /** Sends model requests to engines. */
 export interface Dispatcher {
   submit(request: ModelRequest, sink: AnswerSink): RequestHandle;
@@ -112,6 +120,8 @@
   /** Returns the sequence after which cache events of an engine are wanted. */
   getCacheSequence(engine: string): number;
   getCounts(): DispatcherCounts;
+  /** Lists this node's work at each engine that has any. */
+  listOwnWork(): readonly OwnEngineWork[];
   /** Returns the number of requests that wait. */
   getWaitingCount(): number;
   /** Returns the number of requests that wait or run. */
