--- a/src/cli/demo_command.ts
+++ b/src/cli/demo_command.ts
@@ -3,6 +3,7 @@
 import {runDemo} from '../demo';
 import {createSystemClock} from '../runtime';
 import {ExitCode} from './exit_code';
+import {waitForSignal} from './signals';
 
 /** Runs the demo and prints what happened. */
 export class DemoCommand extends Command {
@@ -27,6 +28,7 @@
     const isDone = await runDemo({
       clock: createSystemClock(),
       print: line => void this.context.stdout.write(`${line}\n`),
+      waitForEnd: this.keep ? waitForSignal : undefined,
     });
     return isDone ? ExitCode.Done : ExitCode.Failed;
   }
--- /dev/null
+++ b/src/cli/node_process.ts
@@ -0,0 +1,120 @@
+/** Runs a node as the process: signals, unhandled errors, and the root of the supervisor tree. */
+import {
+  createLogger,
+  createMessage,
+  EventKind,
+  type EventRing,
+  formatMessage,
+  type Logger,
+  type MessageDefinition,
+  messages,
+} from '../diagnostics';
+import {createNodeEvents, startNode} from '../node';
+import {
+  createSupervisor,
+  createSystemClock,
+  type SupervisorEvent,
+  watchUnhandledErrors,
+} from '../runtime';
+import type {Secrets, Settings} from '../settings';
+import {ExitCode} from './exit_code';
+import {waitForSignal} from './signals';
+
+/** Options of the process. */
+export interface NodeProcessOptions {
+  readonly settings: Settings;
+  readonly secrets: Secrets;
+}
+
+/** Longest time from a signal to the exit; the platform ends a VM some time after it. */
+const DRAIN_TIMEOUT_MS = 120_000;
+
+/** Runs until a signal or a failure for good; returns the exit code. */
+export async function runNodeProcess(
+  options: NodeProcessOptions,
+): Promise<ExitCode> {
+  const {settings} = options;
+  const clock = createSystemClock();
+  const events = createNodeEvents(settings, clock);
+  const logger = createLogger({
+    node: settings.node.id,
+    level: settings.logging.level,
+    format: settings.logging.format,
+  });
+  const report = createReporter(logger, events);
+  const supervisor = createSupervisor({
+    clock,
+    stopTimeoutMs: DRAIN_TIMEOUT_MS,
+    onEvent: event => reportTask(event, report),
+  });
+  let hasUnhandledError = false;
+  const stopWatching = watchUnhandledErrors(error => {
+    hasUnhandledError = true;
+    report(EventKind.UnhandledError, messages.UnhandledError, [
+      error.stack ?? error.message,
+    ]);
+    void supervisor.stop();
+  });
+  void waitForSignal().then(signal => {
+    logger.log('info', `${signal}: draining`);
+    // A second signal ends the process at once.
+    process.once(signal, () => process.exit(ExitCode.Failed));
+    return supervisor.stop();
+  });
+  supervisor.add({
+    name: 'node',
+    restart: {mode: 'never'},
+    run: async signal => {
+      const node = await startNode({...options, clock, logger, events});
+      await waitForAbort(signal);
+      await node.drain();
+    },
+  });
+  const end = await supervisor.waitForEnd();
+  stopWatching();
+  return end.kind === 'stopped' && !hasUnhandledError
+    ? ExitCode.Done
+    : ExitCode.Failed;
+}
+
+type Report = (
+  kind: EventKind,
+  definition: MessageDefinition,
+  args: readonly string[],
+) => void;
+
+/** Creates a function that writes a message to the log and to the time line. */
+function createReporter(logger: Logger, events: EventRing): Report {
+  return (kind, definition, args) => {
+    const text = formatMessage(createMessage(definition, args));
+    logger.log(definition.category === 'error' ? 'error' : 'warn', text);
+    events.emit({kind, cause: text});
+  };
+}
+
+function reportTask(event: SupervisorEvent, report: Report): void {
+  switch (event.kind) {
+    case 'task-failed':
+      return report(EventKind.TaskFailed, messages.TaskFailed, [
+        event.task,
+        event.error,
+      ]);
+    case 'task-restarted':
+      return report(EventKind.TaskRestarted, messages.TaskRestarted, [
+        event.task,
+        String(event.delayMs),
+        event.error,
+      ]);
+    case 'task-stuck':
+      return report(EventKind.TaskFailed, messages.TaskStuck, [event.task]);
+    case 'task-ended':
+      return undefined;
+  }
+}
+
+function waitForAbort(signal: AbortSignal): Promise<void> {
+  if (signal.aborted) return Promise.resolve();
+  return new Promise(resolve => {
+    signal.addEventListener('abort', () => resolve());
+  });
+}
--- a/src/cli/serve_command.ts
+++ b/src/cli/serve_command.ts
@@ -1,17 +1,9 @@
 /** `anvilstack serve`. */
 import {Command, Option} from 'clipanion';
-import {createLogger, createMessage, messages} from '../diagnostics';
-import {startNode} from '../node';
-import {createSystemClock} from '../runtime';
-import {
-  loadSecrets,
-  loadSettings,
-  type Secrets,
-  type Settings,
-} from '../settings';
+import {loadSecrets, loadSettings} from '../settings';
 import {ExitCode} from './exit_code';
+import {runNodeProcess} from './node_process';
 import {printMessages} from './output';
-import {waitForSignal} from './signals';
 
 /** Runs a node until SIGTERM or SIGINT. */
 export class ServeCommand extends Command {
@@ -45,30 +37,6 @@
       printMessages(this.context.stderr, secrets.val);
       return ExitCode.Usage;
     }
-    const ended = waitForSignal();
-    try {
-      const node = await startNode(createNodeOptions(loaded.val, secrets.val));
-      await ended;
-      await node.drain();
-      return ExitCode.Done;
-    } catch (error) {
-      const text = error instanceof Error ? error.message : String(error);
-      printMessages(this.context.stderr, [
-        createMessage(messages.StartFailed, [text]),
-      ]);
-      return ExitCode.Failed;
-    }
+    return runNodeProcess({settings: loaded.val, secrets: secrets.val});
   }
 }
-
-function createNodeOptions(
-  settings: Settings,
-  secrets: Secrets,
-): Parameters<typeof startNode>[0] {
-  const logger = createLogger({
-    node: settings.node.id,
-    level: settings.logging.level,
-    format: settings.logging.format,
-  });
-  return {settings, clock: createSystemClock(), logger, secrets};
-}
--- a/src/demo/demo.ts
+++ b/src/demo/demo.ts
@@ -8,6 +8,8 @@
 export interface DemoOptions {
   readonly clock: Clock;
   readonly print: (line: string) => void;
+  /** When given, the demo stays up until it resolves, and prints how to reach it. */
+  readonly waitForEnd?: () => Promise<unknown>;
 }
 
 const API_KEY = 'demo-api-key';
@@ -48,12 +50,30 @@
       ],
     });
     print('Template of client account "studio" is in force on every node.');
-    return await sendRequests(cluster, print);
+    const isDone = await sendRequests(cluster, print);
+    if (options.waitForEnd !== undefined) {
+      printAddresses(cluster, print);
+      await options.waitForEnd();
+    }
+    return isDone;
   } finally {
     await cluster.close();
   }
 }
 
+function printAddresses(cluster: Cluster, print: (line: string) => void): void {
+  const operators = cluster.nodes.map(node => node.operatorAddress).join(',');
+  print('');
+  print('The demo stays up until Ctrl-C. Send a request:');
+  print(
+    `curl -N ${cluster.nodes[0].callerAddress}/v1/chat/completions -H 'authorization: Bearer ${API_KEY}' -H 'content-type: application/json' -d '{"model":"small","max_tokens":8,"stream":true,"messages":[{"role":"user","content":"Summarise tape 12."}]}'`,
+  );
+  print('Ask as an operator:');
+  print(
+    `ANVILSTACK_NODE=${operators} ANVILSTACK_TOKEN=${cluster.operatorToken} build/anvilstack fleet`,
+  );
+}
+
 async function sendRequests(
   cluster: Cluster,
   print: (line: string) => void,
--- a/src/diagnostics/messages.ts
+++ b/src/diagnostics/messages.ts
@@ -207,6 +207,12 @@
     cause: 'A task of the process ended with an error.',
     remedy: 'Nothing, unless it goes on; then read the cause in the message.',
   },
+  TaskStuck: createError(
+    'AS3005',
+    "task '{0}' did not end in time",
+    'A task waits for something that does not come, such as a caller that reads no more.',
+    'The process exits without it; the requests it had open are cut.',
+  ),
   UnhandledError: createError(
     'AS3003',
     'unhandled error: {0}',
--- a/src/node/index.ts
+++ b/src/node/index.ts
@@ -2,3 +2,4 @@
 export {startNode} from './node';
 export type {AnvilstackNode, NodeOptions} from './node';
 export type {CollectedEvents, FleetOfPeers} from './peer_tasks';
+export {createNodeEvents} from './node_events';
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -2,7 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import {createHttpServiceClient} from '../backends';
 import {createClaimsLedger} from '../claims';
-import {createEventRing, createNodeMetrics, type Logger} from '../diagnostics';
+import {createNodeMetrics, type EventRing, type Logger} from '../diagnostics';
 import {
   createCallerApp,
   createOperatorApp,
@@ -19,6 +19,7 @@
 import type {Secrets, Settings} from '../settings';
 import {FLEET_SHARD} from '../authority';
 import {createControlTasks} from './control_tasks';
+import {createNodeEvents} from './node_events';
 import {createFleetWatch} from './fleet_watch';
 import {getListenerOptions} from './listener_options';
 import {createMoveTasks} from './move_tasks';
@@ -32,6 +33,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly secrets?: Secrets;
+  /** Takes the node's events; a ring of its own when omitted. */
+  readonly events?: EventRing;
 }
 
 /** A running node. */
@@ -58,7 +61,7 @@
   const {settings, clock, logger} = options;
   const id = settings.node.id;
   const writerId = `${id}.${randomUUID().slice(0, 8)}`;
-  const events = createEventRing({clock, node: id});
+  const events = options.events ?? createNodeEvents(settings, clock);
   const streams = createNodeStreams({
     clock,
     log: createHttpLogService({address: settings.platform.log_address}),
--- /dev/null
+++ b/src/node/node_events.ts
@@ -0,0 +1,13 @@
+/** The ring of a node's events. */
+import {createEventRing, type EventRing} from '../diagnostics';
+import type {Clock} from '../runtime';
+import type {Settings} from '../settings';
+
+/** Creates the ring that the settings ask for. */
+export function createNodeEvents(settings: Settings, clock: Clock): EventRing {
+  return createEventRing({
+    clock,
+    node: settings.node.id,
+    capacity: settings.logging.max_events,
+  });
+}
--- a/test/product/transcript.test.ts
+++ b/test/product/transcript.test.ts
@@ -173,3 +173,14 @@
     assert.equal(await program.waitForExit(), 0, program.getOutput());
   }
 });
+
+test('a node whose port is taken says so with a code and exits with 1', async () => {
+  const file = `${example.directory}/node_1.toml`;
+  const first = startProgram(['serve', '--settings', file]);
+  await first.waitForOutput(/node started/);
+  const second = await runProgram(['serve', '--settings', file]);
+  assert.equal(second.code, 1);
+  assert.match(second.output, /error AS3001: task 'node' failed.*EADDRINUSE/);
+  first.sendSignal('SIGTERM');
+  assert.equal(await first.waitForExit(), 0);
+});
