Go on with a begun answer when a draining engine refuses its decode part

Such a refusal now takes nothing from the budget (routing/retrying.ts); the limit of three engines stays.

--- a/src/routing/retrying.ts
+++ b/src/routing/retrying.ts
@@ -42,7 +42,10 @@
   if (entry.failureCount >= MAX_FAILED_ENGINES) {
     return createFail(failure, failure.message);
   }
-  if (!isContinuation(entry, attempt) && !options.budget.tryTake()) {
+  // A refusal costs the engine nothing, and a begun answer must not end for it.
+  const isFree =
+    isContinuation(entry, attempt) || (isUntouchedDecode && isRefusal(failure));
+  if (!isFree && !options.budget.tryTake()) {
     return createFail(failure, `${failure.message}; no retry is left`);
   }
   return {kind: 'retry'};
