--- a/src/authority/control_fold.ts
+++ b/src/authority/control_fold.ts
@@ -10,6 +10,7 @@
   type Intent,
   type Lease,
   type MoveRecord,
+  type RoleTarget,
 } from './types';
 
 /** A lease without a renewal for so long counts as if it had never been, in milliseconds. */
@@ -22,6 +23,7 @@
     leases: new Map(),
     intents: new Map(),
     moves: new Map(),
+    roles: new Map(),
     nowMs: 0,
     startOffset: 0,
     startedAtMs: undefined,
@@ -79,7 +81,8 @@
     case 'lease-release':
     case 'intent':
     case 'intent-result':
-    case 'move-progress': {
+    case 'move-progress':
+    case 'role-target': {
       const lease = findCurrentLease(state, entry, context);
       if (lease === undefined) return getStaleReason(state, entry.shard);
       return tryApplyAsHolder(state, entry, lease, context);
@@ -178,6 +181,15 @@
         shard: entry.shard,
         loggedAtMs: appendedAtMs,
       });
+    case 'role-target':
+      state.roles.set(entry.engine, {
+        engine: entry.engine,
+        role: entry.role,
+        cause: entry.cause,
+        shard: entry.shard,
+        loggedAtMs: appendedAtMs,
+      });
+      return undefined;
     default:
       return assertNever(entry);
   }
@@ -205,6 +217,8 @@
   leases: z.array(z.custom<Lease>()),
   intents: z.array(z.custom<Intent>()),
   moves: z.array(z.custom<MoveRecord>()),
+  /** Absent in a copy from an older program. */
+  roles: z.array(z.custom<RoleTarget>()).default([]),
   nowMs: z.number(),
   startOffset: z.number(),
   startedAtMs: z.number().optional(),
@@ -216,18 +230,20 @@
     leases: [...state.leases.values()],
     intents: [...state.intents.values()],
     moves: [...state.moves.values()],
+    roles: [...state.roles.values()],
   };
 }
 
 function tryRestoreState(data: unknown): ControlState | undefined {
   const parsed = snapshotSchema.safeParse(data);
   if (!parsed.success) return undefined;
-  const {leases, intents, moves, ...marks} = parsed.data;
+  const {leases, intents, moves, roles, ...marks} = parsed.data;
   return {
     ...marks,
     startedAtMs: marks.startedAtMs,
     leases: new Map(leases.map(lease => [lease.shard, lease])),
     intents: new Map(intents.map(intent => [intent.command, intent])),
     moves: new Map(moves.map(move => [move.clientAccount, move])),
+    roles: new Map(roles.map(target => [target.engine, target])),
   };
 }
--- a/src/authority/index.ts
+++ b/src/authority/index.ts
@@ -26,4 +26,5 @@
   Lease,
   LeaseHolder,
   MoveRecord,
+  RoleTarget,
 } from './types';
--- a/src/authority/types.ts
+++ b/src/authority/types.ts
@@ -1,6 +1,6 @@
 /** Types of control authority: leases, intents, commands and the progress of moves. */
 import {z} from 'zod';
-import type {EngineOrder, EngineReport} from '../backends';
+import type {EngineOrder, EngineReport, EngineRole} from '../backends';
 
 /** Name of the stream that holds leases, intents and progress. */
 export const CONTROL_STREAM = 'control';
@@ -74,6 +74,13 @@
     ...authoritySchema,
     progress: progressSchema,
   }),
+  z.object({
+    kind: z.literal('role-target'),
+    ...authoritySchema,
+    engine: z.string().min(1),
+    role: z.enum(['prefill', 'decode', 'mixed']),
+    cause: z.string(),
+  }),
   /** Says nothing; its place in the log tells how old the records before it are. */
   z.object({kind: z.literal('control-mark')}),
 ]);
@@ -113,6 +120,17 @@
   readonly loggedAtMs: number;
 }
 
+/** The role that an engine is to have, whoever commands it. */
+export interface RoleTarget {
+  readonly engine: string;
+  readonly role: EngineRole;
+  readonly cause: string;
+  /** Shard whose holder logged it. */
+  readonly shard: string;
+  /** When the log took it last, in milliseconds since the Unix epoch. */
+  readonly loggedAtMs: number;
+}
+
 /** State of the stream `control`. */
 export interface ControlState {
   readonly leases: Map<string, Lease>;
@@ -120,6 +138,8 @@
   readonly intents: Map<string, Intent>;
   /** Progress of moves, by client account. */
   readonly moves: Map<string, MoveRecord>;
+  /** Roles that engines are to have, by engine. */
+  readonly roles: Map<string, RoleTarget>;
   /** When the log took the last record, in milliseconds since the Unix epoch. */
   nowMs: number;
   /** First offset read since the last gap; 0 without one. */
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -34,6 +34,13 @@
   inFlight: z.record(nameSchema, countSchema),
   /** Requests that wait or run at this node. */
   openRequests: countSchema,
+  /** Prompt and output tokens that this node admits in a second; absent from an older program. */
+  demand: z
+    .object({
+      prefill: z.number().nonnegative(),
+      decode: z.number().nonnegative(),
+    })
+    .optional(),
   /** Processor time of the whole process, in parts of one core. */
   processCores: z.number().nonnegative(),
 });
@@ -123,7 +130,7 @@
 /** The part of a digest that comes from the node's other tasks. */
 export type LocalLoad = Pick<
   Digest,
-  'offsets' | 'inFlight' | 'openRequests' | 'processCores'
+  'offsets' | 'inFlight' | 'openRequests' | 'demand' | 'processCores'
 >;
 
 /** A change that membership has noticed. */
--- a/src/node/move_tasks.ts
+++ b/src/node/move_tasks.ts
@@ -1,10 +1,5 @@
 /** The moves of client accounts on one node: traffic, and driving them under the fleet's lease. */
-import type {
-  Authority,
-  ControlHost,
-  ControlState,
-  EngineOrders,
-} from '../authority';
+import type {Authority, ControlState, EngineOrders} from '../authority';
 import type {BackendServer, EngineReport} from '../backends';
 import type {EventRing} from '../diagnostics';
 import {
@@ -45,8 +40,12 @@
   listProgress(): readonly ProgressRow[];
   start(): void;
   stop(): void;
-  /** Creates what decides for a shard: what its engines are to load. */
-  createHost(shard: string): ControlHost;
+  /** Returns what the engines of a shard are to load for the moves. */
+  listLoads(
+    state: ControlState,
+    reports: readonly EngineReport[],
+    nowMs: number,
+  ): readonly EngineOrders[];
 }
 
 /** Creates the tasks; they do nothing before `start`. */
@@ -78,9 +77,7 @@
         tryGetProgress,
         tryGetCause: runner.tryGetCause,
       }),
-    createHost: () => ({
-      decide: (state, reports, nowMs) => listShardLoads(state, reports, nowMs),
-    }),
+    listLoads,
     start: runner.start,
     stop: () => {
       runner.stop();
@@ -95,8 +92,7 @@
     };
   }
 
-  /** Returns what the engines of a shard are to load for the moves. */
-  function listShardLoads(
+  function listLoads(
     state: ControlState,
     reports: readonly EngineReport[],
     nowMs: number,
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -14,6 +14,7 @@
   createHttpVmList,
   createHttpWeightStore,
 } from '../platform';
+import {createMeteredDispatcher} from '../planning';
 import {createDispatcher, createServiceDispatcher} from '../routing';
 import {type Clock, openListener} from '../runtime';
 import type {Secrets, Settings} from '../settings';
@@ -25,6 +26,7 @@
 import {createMoveTasks} from './move_tasks';
 import {createNodeStreams} from './node_streams';
 import {openPeerTasks} from './peer_tasks';
+import {createRoleTasks} from './role_tasks';
 import {createSummaryEvent} from './summary_event';
 
 /** Options of a node. */
@@ -119,9 +121,25 @@
     collectPeerWindows: (account, windowMs) =>
       peers.collectAccountWindows(account, windowMs),
   });
+  const roles = createRoleTasks({
+    clock,
+    events,
+    control: streams.control,
+    weights: {
+      goodputWeight: settings.planning.goodput_weight,
+      roleChangeWeight: settings.planning.role_change_weight,
+      safeCapacity: settings.planning.safe_capacity,
+    },
+    intervalMs: settings.planning.interval_ms,
+    roleChangeMs: settings.planning.role_change_ms,
+    retentionMs: settings.platform.log_retention_s * 1_000,
+    tryGetAuthority: () => control.tryGetAuthority(FLEET_SHARD),
+    listReports: fleet.listReports,
+    listPeerDemands: () => peers.listDemands(),
+  });
   const pipeline = createRequestPipeline({
     clock,
-    dispatcher,
+    dispatcher: createMeteredDispatcher(dispatcher, roles.meter),
     services,
     claims,
     selectServers: moves.traffic.selectServers,
@@ -153,6 +171,7 @@
       streams.control.follower,
     ],
     getAccountWindow: moves.traffic.getWindow,
+    getDemand: roles.meter.getDemand,
     getOpenRequests: dispatcher.getOpenCount,
     onServersChanged: applyServers,
   });
@@ -204,13 +223,19 @@
     retentionMs: settings.platform.log_retention_s * 1_000,
     guardMs: settings.fencing.guard_time_ms,
     checkedBy: settings.fencing.checked_by,
-    createHost: moves.createHost,
+    createHost: () => ({
+      decide: (state, reports, nowMs) => [
+        ...moves.listLoads(state, reports, nowMs),
+        ...roles.listOrders(state, reports),
+      ],
+    }),
   });
   streams.start();
   fleet.start();
   control.start();
   peers.start();
   moves.start();
+  roles.start();
   events.emit({kind: 'node-started', cause: `process ${writerId}`});
   logger.log('info', 'node started', {callers: callers.address});
   return {
@@ -265,6 +290,7 @@
   function stopTasks(): void {
     control.stop();
     moves.stop();
+    roles.stop();
     fleet.stop();
     streams.stop();
   }
--- a/src/node/peer_tasks.ts
+++ b/src/node/peer_tasks.ts
@@ -12,6 +12,7 @@
   type Membership,
   type MembershipChange,
 } from '../membership';
+import type {Demand} from '../planning';
 import type {AccountWindow} from '../planning/move';
 import type {Vm} from '../platform';
 import {
@@ -54,6 +55,8 @@
     clientAccount: string,
     windowMs: number,
   ) => AccountWindow;
+  /** Returns the work that this node admits in a second. */
+  readonly getDemand: () => Demand;
   /** Called when a backend server has begun to leave, or a mark has ended. */
   readonly onServersChanged: () => void;
 }
@@ -82,6 +85,8 @@
     clientAccount: string,
     windowMs: number,
   ): Promise<readonly AccountWindow[] | undefined>;
+  /** Returns what the other nodes admit, as their last digests say. */
+  listDemands(): readonly Demand[];
   /** Returns what `fleet` shows of the nodes. */
   getFleet(): FleetOfPeers;
   start(): void;
@@ -138,6 +143,7 @@
         ),
         inFlight: {},
         openRequests: options.getOpenRequests(),
+        demand: getDigestDemand(options.getDemand()),
         processCores: getProcessCores(),
       }),
     },
@@ -153,6 +159,7 @@
     snapshots: {listOffsets, tryLoadSnapshot},
     collectEvents,
     collectAccountWindows,
+    listDemands,
     countNodes: () => 1 + listLivePeers().length,
     getFleet: () => ({
       members: membership.listMembers(),
@@ -294,6 +301,14 @@
     return 2 * windows.length >= peers.length ? windows : undefined;
   }
 
+  function listDemands(): Demand[] {
+    return membership.listDigests().flatMap(({demand}) => {
+      if (demand === undefined) return [];
+      const {prefill, decode} = demand;
+      return [{prefillTokensPerS: prefill, decodeTokensPerS: decode}];
+    });
+  }
+
   function listLivePeers(): readonly Member[] {
     return membership
       .listMembers()
@@ -305,3 +320,11 @@
     await Promise.all([listener?.destroy(), client.close()]);
   }
 }
+
+/** Whole tokens keep digests short. */
+function getDigestDemand(demand: Demand): Digest['demand'] {
+  return {
+    prefill: Math.round(demand.prefillTokensPerS),
+    decode: Math.round(demand.decodeTokensPerS),
+  };
+}
--- /dev/null
+++ b/src/node/role_tasks.ts
@@ -0,0 +1,178 @@
+/** Plans the engines' roles on one node, under the fleet's lease, and orders them in its shards. */
+import type {Authority, ControlState, EngineOrders} from '../authority';
+import type {EngineReport, EngineRole} from '../backends';
+import type {EventRing} from '../diagnostics';
+import {
+  createDemandMeter,
+  createPlannerState,
+  createPlannerWeights,
+  type Demand,
+  type DemandMeter,
+  listRoleOrders,
+  listRoleTargets,
+  mergeDemands,
+  planBySkiRental,
+  type PlannerState,
+  type RolePlan,
+  type RoleTargetChange,
+  type WeightSettings,
+} from '../planning';
+import type {Clock, Timer} from '../runtime';
+import type {NodeStreams} from './node_streams';
+
+/** Options of the tasks. */
+export interface RoleTasksOptions {
+  readonly clock: Clock;
+  readonly events: EventRing;
+  readonly control: NodeStreams['control'];
+  readonly weights: WeightSettings;
+  /** Time between two plans, in milliseconds. */
+  readonly intervalMs: number;
+  /** How long a role change takes an engine away, in milliseconds. */
+  readonly roleChangeMs: number;
+  /** How long the log keeps a record, in milliseconds. */
+  readonly retentionMs: number;
+  /** Returns the authority over the fleet's shard that this process has at this moment. */
+  readonly tryGetAuthority: () => Authority | undefined;
+  readonly listReports: () => readonly EngineReport[];
+  /** Returns what the other nodes admit. */
+  readonly listPeerDemands: () => readonly Demand[];
+}
+
+/** The tasks. */
+export interface RoleTasks {
+  /** Meters what this node admits. */
+  readonly meter: DemandMeter;
+  /** Returns the next order for each engine of a shard that has not its role yet. */
+  listOrders(
+    state: ControlState,
+    reports: readonly EngineReport[],
+  ): readonly EngineOrders[];
+  start(): void;
+  stop(): void;
+}
+
+const WRITE_TIMEOUT_MS = 10_000;
+/** Part of the retention after which a target is logged anew. */
+const LOG_AGAIN_PART = 0.25;
+/** A change declined for the same roles is an event once in this time, in milliseconds. */
+const DECLINED_EVERY_MS = 60_000;
+
+/** Creates the tasks; they plan nothing before `start`. */
+export function createRoleTasks(options: RoleTasksOptions): RoleTasks {
+  const {clock, control, events} = options;
+  const meter = createDemandMeter({clock});
+  let timer: Timer | undefined;
+  let term: number | undefined;
+  let planner: PlannerState = createPlannerState(clock.getMonotonicMs());
+  let declinedAtMs = -DECLINED_EVERY_MS;
+  return {
+    meter,
+    listOrders: (state, reports) => listRoleOrders(reports, getTargets(state)),
+    start,
+    stop: () => timer?.cancel(),
+  };
+
+  function start(): void {
+    timer = clock.schedule(options.intervalMs, () => {
+      start();
+      runPlan();
+    });
+  }
+
+  function runPlan(): void {
+    const authority = options.tryGetAuthority();
+    if (authority === undefined) return;
+    const nowMs = clock.getMonotonicMs();
+    if (authority.term !== term) planner = createPlannerState(nowMs);
+    term = authority.term;
+    const reports = options.listReports();
+    const targets = getTargets(control.follower.getState());
+    const plan = planBySkiRental(
+      planner,
+      {
+        reports,
+        arrivals: mergeDemands([
+          meter.getDemand(),
+          ...options.listPeerDemands(),
+        ]),
+        intents: targets,
+        roleChangeMs: options.roleChangeMs,
+      },
+      nowMs,
+      createPlannerWeights(options.weights, reports.length),
+    );
+    planner = plan.state;
+    for (const change of listRoleTargets(plan, targets)) {
+      void recordTarget(authority, change);
+    }
+    emitDeclined(plan);
+    void recordOldTargets(authority, reports);
+  }
+
+  async function recordTarget(
+    authority: Authority,
+    change: RoleTargetChange,
+  ): Promise<void> {
+    const answer = await writeTarget(authority, change);
+    if (!answer) return;
+    events.emit({
+      kind: 'role-target',
+      engine: change.engine,
+      cause: `becomes ${change.role}: ${change.cause}`,
+    });
+  }
+
+  /** Logs targets of listed engines anew before they expire. */
+  async function recordOldTargets(
+    authority: Authority,
+    reports: readonly EngineReport[],
+  ): Promise<void> {
+    const state = control.follower.getState();
+    const horizonMs = state.nowMs - options.retentionMs * LOG_AGAIN_PART;
+    const listed = new Set(reports.map(report => report.engine));
+    for (const target of state.roles.values()) {
+      const isOld = target.loggedAtMs < horizonMs;
+      if (isOld && listed.has(target.engine)) {
+        await writeTarget(authority, target);
+      }
+    }
+  }
+
+  async function writeTarget(
+    authority: Authority,
+    {engine, role, cause}: RoleTargetChange,
+  ): Promise<boolean> {
+    const answer = await control.writer.write(
+      {
+        kind: 'role-target',
+        shard: authority.shard,
+        term: authority.term,
+        holder: control.writer.writer,
+        engine,
+        role,
+        cause,
+      },
+      WRITE_TIMEOUT_MS,
+    );
+    return answer.ok && answer.val.kind === 'accepted';
+  }
+
+  function emitDeclined(plan: RolePlan): void {
+    const [declined] = plan.declined;
+    const nowMs = clock.getMonotonicMs();
+    if (declined === undefined) return;
+    if (nowMs - declinedAtMs < DECLINED_EVERY_MS) return;
+    declinedAtMs = nowMs;
+    events.emit({
+      kind: 'role-change-declined',
+      cause: `${plan.explanation}; ${declined.cause}`,
+    });
+  }
+}
+
+function getTargets(state: ControlState): ReadonlyMap<string, EngineRole> {
+  return new Map(
+    [...state.roles.values()].map(({engine, role}) => [engine, role]),
+  );
+}
--- a/src/planning/index.ts
+++ b/src/planning/index.ts
@@ -5,11 +5,19 @@
   DemandMeterOptions,
   EndedWork,
 } from './demand_meter';
+export {createMeteredDispatcher} from './metered_dispatcher';
 export {createPlannerState} from './plan_roles';
 export {planPredictively} from './predictive';
 export {planBySkiRental} from './ski_rental';
+export {listRoleOrders, listRoleTargets} from './role_targets';
+export type {RoleTargetChange} from './role_targets';
 export {planByThresholds} from './thresholds';
-export {FEW_CHANGES_WEIGHTS, GOODPUT_WEIGHTS} from './weights';
+export {
+  createPlannerWeights,
+  FEW_CHANGES_WEIGHTS,
+  GOODPUT_WEIGHTS,
+} from './weights';
+export type {WeightSettings} from './weights';
 export type {
   DeclinedChange,
   Demand,
--- a/src/replay/metered_dispatcher.ts
+++ b/src/planning/metered_dispatcher.ts
@@ -1,6 +1,6 @@
 /** Measures what a dispatcher is given and what ends. */
-import type {DemandMeter} from '../planning';
 import type {Dispatcher} from '../routing';
+import type {DemandMeter} from './demand_meter';
 
 /** Puts a meter before a dispatcher. */
 export function createMeteredDispatcher(
--- /dev/null
+++ b/src/planning/role_targets.ts
@@ -0,0 +1,53 @@
+/** Turns role plans into targets for the log, and targets into orders for engines. Pure. */
+import type {EngineOrder, EngineReport, EngineRole} from '../backends';
+import {listStepsUnderWay} from './fleet_roles';
+import type {RoleChange, RolePlan} from './types';
+
+/** A role that an engine is to have from now on. */
+export interface RoleTargetChange {
+  readonly engine: string;
+  readonly role: EngineRole;
+  /** Why, for a person. */
+  readonly cause: string;
+}
+
+/** Returns the targets that a plan adds to those that the log holds. */
+export function listRoleTargets(
+  plan: RolePlan,
+  known: ReadonlyMap<string, EngineRole>,
+): RoleTargetChange[] {
+  return plan.changes
+    .filter(change => change.kind === 'drain')
+    .filter(change => known.get(change.engine) !== change.to)
+    .map(({engine, to, cause}) => ({engine, role: to, cause}));
+}
+
+/** An order for one engine, with its reason. */
+interface RoleOrder {
+  readonly engine: string;
+  readonly order: EngineOrder;
+  readonly cause: string;
+}
+
+/** Returns the next order for each engine whose report does not show its target yet. */
+export function listRoleOrders(
+  reports: readonly EngineReport[],
+  targets: ReadonlyMap<string, EngineRole>,
+): RoleOrder[] {
+  const observation = {
+    reports,
+    intents: targets,
+    arrivals: {prefillTokensPerS: 0, decodeTokensPerS: 0},
+    roleChangeMs: 0,
+  };
+  return listStepsUnderWay(observation).map(step => ({
+    engine: step.engine,
+    order: createOrder(step),
+    cause: step.cause,
+  }));
+}
+
+function createOrder(step: RoleChange): EngineOrder {
+  if (step.kind === 'set-role') return {kind: 'set-role', role: step.to};
+  return {kind: 'set-draining', isDraining: step.kind === 'drain'};
+}
--- a/src/planning/weights.ts
+++ b/src/planning/weights.ts
@@ -23,3 +23,25 @@
   restMs: 60_000,
   horizonMs: 180_000,
 };
+
+/** What a deployment's settings say of role changes. */
+export interface WeightSettings {
+  /** Worth of one request answered in its deadline. */
+  readonly goodputWeight: number;
+  /** Cost of one engine second lost to a role change. */
+  readonly roleChangeWeight: number;
+  /** Least part of the engines that must be serving, 0 to 1. */
+  readonly safeCapacity: number;
+}
+
+/** Returns the weights for a deployment's settings and its number of engines. */
+export function createPlannerWeights(
+  settings: WeightSettings,
+  engines: number,
+): PlannerWeights {
+  const {goodputWeight, roleChangeWeight, safeCapacity} = settings;
+  const base =
+    roleChangeWeight > goodputWeight ? FEW_CHANGES_WEIGHTS : GOODPUT_WEIGHTS;
+  const spare = Math.floor((1 - safeCapacity) * engines);
+  return {...base, maxAtOnce: Math.min(base.maxAtOnce, Math.max(1, spare))};
+}
--- a/src/replay/replay.ts
+++ b/src/replay/replay.ts
@@ -8,6 +8,7 @@
 import type {EngineReport} from '../backends';
 import {
   createDemandMeter,
+  createMeteredDispatcher,
   type DemandMeter,
   planBySkiRental,
 } from '../planning';
@@ -24,7 +25,6 @@
 import {type EntryNode, startEntryNode} from './entry_node';
 import {scheduleFaults} from './faults';
 import {createReplayFleet} from './fleet';
-import {createMeteredDispatcher} from './metered_dispatcher';
 import {
   createNetwork,
   createNodeProcess,
--- /dev/null
+++ b/test/node/role_tasks.test.ts
@@ -0,0 +1,209 @@
+/** Roles planned under the fleet's lease and ordered in a shard, with holders killed on the way. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {Ok} from 'ts-results';
+import {
+  controlStream,
+  createCommandSender,
+  createControlLoop,
+  createLeaseHolder,
+  FLEET_SHARD,
+  type LeaseHolder,
+} from '../../src/authority';
+import type {EngineClient} from '../../src/backends';
+import {createEventRing} from '../../src/diagnostics';
+import {createRoleTasks, type RoleTasks} from '../../src/node/role_tasks';
+import {createVirtualClock, type VirtualClock} from '../../src/runtime';
+import {createStreamFollower, createStreamWriter} from '../../src/state';
+import {
+  createEngineModel,
+  createLocalLog,
+  createLogModel,
+  type EngineModel,
+  type LogModel,
+} from '../../src/standins';
+
+const ENGINES = 8;
+const SHARD = 'domain-1';
+const RETENTION_MS = 24 * 3_600_000;
+/** Prompt tokens that arrive in a second: more than mixed engines prefill beside decoding. */
+const LONG_PROMPTS = {promptTokens: 24_000, maxTokens: 8};
+const SHORT_PROMPTS = {promptTokens: 20, maxTokens: 900};
+
+interface Process {
+  readonly fleet: LeaseHolder;
+  readonly shard: LeaseHolder;
+  readonly roles: RoleTasks;
+  kill(): void;
+}
+
+function createClient(engine: EngineModel): EngineClient {
+  return {
+    start: engine.start,
+    resume: engine.resume,
+    getReport: () => Promise.resolve(Ok(engine.getReport())),
+    sendCommand: command => Promise.resolve(engine.sendCommand(command)),
+    listCacheEvents: after =>
+      Promise.resolve(Ok(engine.listCacheEvents(after))),
+    close: () => undefined,
+  };
+}
+
+function startProcess(options: {
+  readonly clock: VirtualClock;
+  readonly model: LogModel;
+  readonly engines: readonly EngineModel[];
+  readonly name: string;
+  readonly rank: number;
+}): Process {
+  const {clock, engines, name, rank} = options;
+  const log = createLocalLog({model: options.model, clock});
+  const follower = createStreamFollower({
+    definition: controlStream,
+    log,
+    clock,
+  });
+  const writer = createStreamWriter({follower, log, clock, writer: name});
+  const listReports = () => engines.map(engine => engine.getReport());
+  const createLease = (shard: string): LeaseHolder =>
+    createLeaseHolder({shard, clock, follower, writer, getRank: () => rank});
+  const fleet = createLease(FLEET_SHARD);
+  const shard = createLease(SHARD);
+  const roles = createRoleTasks({
+    clock,
+    events: createEventRing({clock, node: name}),
+    control: {follower, writer} as Parameters<
+      typeof createRoleTasks
+    >[0]['control'],
+    weights: {goodputWeight: 1, roleChangeWeight: 0.25, safeCapacity: 0.75},
+    intervalMs: 2_000,
+    roleChangeMs: 4_000,
+    retentionMs: RETENTION_MS,
+    tryGetAuthority: fleet.tryGetAuthority,
+    listReports,
+    listPeerDemands: () => [],
+  });
+  const loop = createControlLoop({
+    clock,
+    lease: shard,
+    sender: createCommandSender({
+      clock,
+      lease: shard,
+      follower,
+      writer,
+      checksFencing: () => true,
+      tryCreateClient: id => {
+        const engine = engines.find(item => item.id === id);
+        assert.ok(engine !== undefined);
+        return createClient(engine);
+      },
+    }),
+    follower,
+    writer,
+    host: {decide: (state, reports) => roles.listOrders(state, reports)},
+    listReports,
+    retentionMs: RETENTION_MS,
+  });
+  follower.start();
+  fleet.start();
+  loop.start();
+  roles.start();
+  return {
+    fleet,
+    shard,
+    roles,
+    kill: () => {
+      roles.stop();
+      fleet.stop();
+      loop.stop();
+      writer.stop();
+      follower.stop();
+    },
+  };
+}
+
+function createScene() {
+  const clock = createVirtualClock({wallStartMs: 1_700_000_000_000});
+  const model = createLogModel({clock});
+  const engines = Array.from({length: ENGINES}, (_, index) =>
+    createEngineModel({id: `engine-${index}`, address: '', clock}),
+  );
+  const shared = {clock, model, engines};
+  const processes = ['a', 'b', 'c'].map((name, rank) =>
+    startProcess({...shared, name, rank}),
+  );
+  let work = {promptTokens: 400, maxTokens: 40};
+  let worstAway = 0;
+  clock.schedule(100, admitWork);
+  return {
+    ...shared,
+    processes,
+    setWork: (next: typeof work) => {
+      work = next;
+    },
+    getWorstAway: () => worstAway,
+    countRoles: () => {
+      const counts: Record<string, number> = {};
+      for (const {role} of engines.map(engine => engine.getReport())) {
+        counts[role] = (counts[role] ?? 0) + 1;
+      }
+      return counts;
+    },
+  };
+
+  /** Ten requests a second are admitted by each process. */
+  function admitWork(): void {
+    clock.schedule(100, admitWork);
+    for (const process of processes) process.roles.meter.recordAdmitted(work);
+    const away = engines.filter(engine => engine.getReport().state !== 'ready');
+    worstAway = Math.max(worstAway, away.length);
+  }
+}
+
+test('a steady mix changes no role', async () => {
+  const scene = createScene();
+  await scene.clock.advance(120_000);
+  assert.deepEqual(scene.countRoles(), {mixed: ENGINES});
+  assert.equal(scene.processes[0].fleet.tryGetAuthority()?.shard, FLEET_SHARD);
+});
+
+test('a swing changes roles, never more than a safe part at once', async () => {
+  const scene = createScene();
+  await scene.clock.advance(30_000);
+  scene.setWork(LONG_PROMPTS);
+  await scene.clock.advance(120_000);
+  const changed = ENGINES - (scene.countRoles()['mixed'] ?? 0);
+  assert.ok(changed > 0, JSON.stringify(scene.countRoles()));
+  assert.ok(scene.getWorstAway() > 0);
+  assert.ok(scene.getWorstAway() <= ENGINES / 4);
+});
+
+test('a change begun by a holder that dies is finished by the next', async () => {
+  const scene = createScene();
+  await scene.clock.advance(30_000);
+  scene.setWork(LONG_PROMPTS);
+  for (let step = 0; scene.getWorstAway() === 0 && step < 600; step++) {
+    await scene.clock.advance(100);
+  }
+  assert.ok(scene.getWorstAway() > 0, 'no engine began to change');
+  scene.processes[0].kill();
+  scene.setWork(SHORT_PROMPTS);
+  await scene.clock.advance(90_000);
+  assert.equal(scene.processes[0].shard.tryGetAuthority(), undefined);
+  const states = scene.engines.map(engine => engine.getReport().state);
+  assert.deepEqual(new Set(states), new Set(['ready']));
+  assert.ok(scene.getWorstAway() <= ENGINES / 4);
+});
+
+test('an engine that comes back from a crash gets its role again', async () => {
+  const scene = createScene();
+  await scene.clock.advance(30_000);
+  scene.setWork(LONG_PROMPTS);
+  await scene.clock.advance(120_000);
+  const before = scene.countRoles();
+  const engine = scene.engines.find(item => item.getReport().role !== 'mixed');
+  assert.ok(engine !== undefined);
+  engine.crash(3_000);
+  await scene.clock.advance(60_000);
+  assert.deepEqual(scene.countRoles(), before);
+});
