--- a/bench/membership.bench.ts
+++ b/bench/membership.bench.ts
@@ -3,8 +3,6 @@
  * The nodes run on virtual time in one process; processor time is real and counts the in-memory
  * transport too. A last part measures one exchange over a socket.
  */
-import {createServer, connect} from 'node:net';
-import type {AddressInfo} from 'node:net';
 import {createEventRing} from '../src/diagnostics';
 import {
   createMembership,
@@ -12,6 +10,7 @@
   createPeerClient,
 } from '../src/membership';
 import {createSystemClock, openListener} from '../src/runtime';
+import {openByteRelay} from '../test/support/byte_relay';
 import {
   type MembershipCluster,
   type MembershipNode,
@@ -166,7 +165,7 @@
       },
     }),
   });
-  const relay = await openRelay(Number(new URL(listener.address).port));
+  const relay = await openByteRelay(Number(new URL(listener.address).port));
   const exchange = sender.handleExchange(
     server.handleExchange({
       digest: {
@@ -206,27 +205,6 @@
   await listener.destroy();
 }
 
-/** Passes a connection on and counts its bytes. */
-async function openRelay(
-  port: number,
-): Promise<{address: string; getBytes(): number; close(): void}> {
-  let bytes = 0;
-  const server = createServer(socket => {
-    const upstream = connect(port, '127.0.0.1');
-    socket.on('data', data => (bytes += data.length));
-    upstream.on('data', data => (bytes += data.length));
-    socket.pipe(upstream).pipe(socket);
-    socket.on('error', () => upstream.destroy());
-    upstream.on('error', () => socket.destroy());
-  });
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
-  return {
-    address: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
-    getBytes: () => bytes,
-    close: () => server.close(),
-  };
-}
-
 function takeTotals(cluster: MembershipCluster): {
   bytes: number;
   messages: number;
--- a/src/claims/ledger.ts
+++ b/src/claims/ledger.ts
@@ -31,6 +31,8 @@
   readonly writer: StreamWriter<ClaimEntry>;
   /** How long the log keeps a record, in milliseconds; no key is valid for longer. */
   readonly logRetentionMs?: number;
+  /** Longest window of a key, in milliseconds; the log's retention may shorten it. */
+  readonly maxWindowMs?: number;
   /** Returns whether the log is known not to answer. */
   readonly isLogOut?: () => boolean;
   /** Returns whether a process incarnation is known to have ended. */
@@ -70,8 +72,9 @@
 export function createClaimsLedger(options: ClaimsLedgerOptions): ClaimsLedger {
   const {node, clock, follower, writer} = options;
   const maxKeptBody = options.maxKeptBody ?? DEFAULT_MAX_KEPT_BODY;
-  const maxWindowMs = getMaxWindowMs(
-    options.logRetentionMs ?? DEFAULT_LOG_RETENTION_MS,
+  const maxWindowMs = Math.min(
+    options.maxWindowMs ?? Infinity,
+    getMaxWindowMs(options.logRetentionMs ?? DEFAULT_LOG_RETENTION_MS),
   );
   const isLogOut = options.isLogOut ?? (() => false);
   const isNodeGone = options.isNodeGone ?? (() => false);
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -105,6 +105,7 @@
   const claims = createClaimsLedger({
     node: writerId,
     logRetentionMs: settings.platform.log_retention_s * 1_000,
+    maxWindowMs: settings.claims.window_s * 1_000,
     isLogOut: streams.isClaimsLogOut,
     isNodeGone: process => peers.membership.isProcessGone(process),
     clock,
