Read the VM list less often the more nodes there are

Cause: each node read the whole list twice a second: 183 bytes a VM make 11 KB/s at 31 VMs, of the 28 KB/s that control may use, and 1.4 MB/s at 3,900. An engine whose report hung also held up the reading of the list. Whoever reads first that a server leaves tells the others, so the nodes share the reading: one read in 100 ms by all together, at most a minute between two of one node. The list and the reports now have loops of their own.

--- a/src/node/fleet_watch.ts
+++ b/src/node/fleet_watch.ts
@@ -15,8 +15,10 @@
   readonly clock: Clock;
   readonly vmList: VmList;
   readonly events: EventRing;
-  /** Time between two looks, in milliseconds. */
+  /** Time between two reads of the engines' reports, in milliseconds. */
   readonly intervalMs: number;
+  /** Returns the time until the next read of the VM list, in milliseconds. */
+  readonly getListIntervalMs: () => number;
   readonly onServers: (servers: readonly BackendServer[]) => void;
   readonly onReport: (report: EngineReport) => void;
 }
@@ -53,7 +55,8 @@
 
   function start(): void {
     isRunning = true;
-    void watchFleet();
+    void watchList();
+    void watchReports();
   }
 
   function stop(): void {
@@ -61,9 +64,15 @@
     for (const client of clients.values()) client.close();
   }
 
-  async function watchFleet(): Promise<void> {
+  async function watchList(): Promise<void> {
     while (isRunning) {
       await readVmList();
+      await clock.sleep(options.getListIntervalMs());
+    }
+  }
+
+  async function watchReports(): Promise<void> {
+    while (isRunning) {
       await Promise.all(servers.filter(isEngine).map(readReport));
       await clock.sleep(options.intervalMs);
     }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -22,6 +22,7 @@
 import {createControlTasks} from './control_tasks';
 import {createNodeEvents} from './node_events';
 import {createFleetWatch} from './fleet_watch';
+import {computeListIntervalMs} from './list_interval';
 import {getListenerOptions} from './listener_options';
 import {createMoveTasks} from './move_tasks';
 import {createNodeStreams} from './node_streams';
@@ -83,6 +84,12 @@
     vmList: createHttpVmList({address: settings.platform.vm_list_address}),
     events,
     intervalMs: settings.routing.report_interval_ms,
+    getListIntervalMs: () =>
+      computeListIntervalMs(
+        settings.routing.report_interval_ms,
+        peers.countNodes(),
+        Math.random(),
+      ),
     onServers: servers => {
       peers.updateVms(fleet.getVms(), servers);
       applyServers();
