--- a/bench/fold.bench.ts
+++ b/bench/fold.bench.ts
@@ -12,48 +12,15 @@
   getCarryPeriodMs,
   type StreamFold,
   type ConfigEntry,
-  templateSchema,
 } from '../src/state';
 import type {LogRecord} from '../src/platform';
+import {createTemplateInput} from './template_input';
 
 const ACCOUNTS = 39_000;
 const CHANGES_PER_DAY = 4_000;
 const RETENTION_MS = 24 * 3_600_000;
 const SIZES = [5_000, 10_000, 20_000, ACCOUNTS];
 
-function createTemplateInput(index: number): unknown {
-  return templateSchema.parse({
-    client_account: `account-${index}`,
-    description: `Client account number ${index} of the benchmark`,
-    api_key_sha256: [index.toString(16).padStart(64, '0')],
-    operators: ['petra', 'jan'],
-    models: ['small', 'large'],
-    services: ['order-desk'],
-    request_class: [
-      {name: 'booking', kind: 'service', idempotent: false, urgent: true},
-      {name: 'lookup', kind: 'service'},
-      {name: 'summary', kind: 'model', urgent: true, deadline_ms: 4_000},
-    ],
-    move: {
-      stages: [
-        'prepare_weights',
-        'warm',
-        'shift',
-        'shift',
-        'drain',
-        'done',
-      ].map((kind, stage) => ({
-        name: `${kind}-${stage}`,
-        kind,
-        starts_at: `2026-12-05T0${stage}:00:00Z`,
-        to: {buildings: ['new']},
-        from: {buildings: ['old']},
-        share: stage / 5,
-      })),
-    },
-  });
-}
-
 function createRecord(offset: number, entry: unknown): LogRecord {
   const envelope = {
     version: 1,
--- a/src/state/config_fold.ts
+++ b/src/state/config_fold.ts
@@ -9,8 +9,10 @@
   type ConfigState,
   configWireSchema,
   type JournalItem,
+  type RetiredTemplate,
   type TemplateEntry,
 } from './config_types';
+import {assertInvariant} from '../runtime';
 import {tryParseTemplate} from './template_parse';
 import type {EntryContext, EntryOutcome, StreamDefinition} from './types';
 
@@ -129,7 +131,13 @@
 }
 
 const snapshotSchema = z.object({
-  templates: z.array(carriedTemplateSchema.extend({carriedAtMs: z.number()})),
+  templates: z.array(
+    carriedTemplateSchema.omit({template: true}).extend({
+      carriedAtMs: z.number(),
+      /** JSON text of the template; absent when it has been retired. */
+      text: z.string().optional(),
+    }),
+  ),
   startOffset: z.number(),
   completeAtMs: z.number().optional(),
   nowMs: z.number(),
@@ -137,18 +145,18 @@
   settled: z.array(z.string()),
 });
 
-function exportState(state: ConfigState): z.infer<typeof snapshotSchema> {
+type Snapshot = z.infer<typeof snapshotSchema>;
+
+function exportState(state: ConfigState): Snapshot {
+  const templates = [...state.templates].map(([clientAccount, stored]) => ({
+    ...exportHistory(clientAccount, stored),
+    text: stored.text,
+  }));
+  const retired = [...state.retired].map(([clientAccount, known]) =>
+    exportHistory(clientAccount, known),
+  );
   return {
-    templates: [
-      ...[...state.templates].map(([clientAccount, stored]) => ({
-        ...exportCarried(state, clientAccount),
-        carriedAtMs: stored.carriedAtMs,
-      })),
-      ...[...state.retired].map(([clientAccount, retired]) => ({
-        ...exportCarried(state, clientAccount),
-        carriedAtMs: retired.carriedAtMs,
-      })),
-    ],
+    templates: [...templates, ...retired],
     startOffset: state.startOffset,
     completeAtMs: state.completeAtMs,
     nowMs: state.nowMs,
@@ -157,6 +165,18 @@
   };
 }
 
+function exportHistory(
+  clientAccount: string,
+  known: Pick<RetiredTemplate, 'history' | 'publishedVersion' | 'carriedAtMs'>,
+): Snapshot['templates'][number] {
+  const {publishedVersion, carriedAtMs} = known;
+  const history = known.history.map(version => ({
+    ...version,
+    changes: [...version.changes],
+  }));
+  return {clientAccount, publishedVersion, carriedAtMs, history};
+}
+
 /** Returns what a carried record keeps of a client account that is known. */
 export function exportCarried(
   state: ConfigState,
@@ -164,16 +184,11 @@
 ): CarriedTemplate {
   const stored = state.templates.get(clientAccount);
   const known = stored ?? state.retired.get(clientAccount);
-  return {
-    clientAccount,
-    publishedVersion: known?.publishedVersion ?? 0,
-    history: [...(known?.history ?? [])].map(version => ({
-      ...version,
-      changes: [...version.changes],
-    })),
-    template:
-      stored === undefined ? undefined : (JSON.parse(stored.text) as unknown),
-  };
+  assertInvariant(known !== undefined, `${clientAccount} is known`);
+  const {history, publishedVersion} = exportHistory(clientAccount, known);
+  const carried = {clientAccount, history, publishedVersion};
+  if (stored === undefined) return carried;
+  return {...carried, template: JSON.parse(stored.text) as unknown};
 }
 
 function tryRestoreState(data: unknown): ConfigState | undefined {
@@ -184,8 +199,11 @@
   state.startOffset = marks.startOffset;
   state.completeAtMs = marks.completeAtMs;
   state.nowMs = marks.nowMs;
-  for (const item of templates) {
-    if (!restoreCarried(state, item, item.carriedAtMs)) return undefined;
+  for (const {text, ...item} of templates) {
+    const template = text === undefined ? undefined : tryParseJson(text);
+    if (text !== undefined && template === undefined) return undefined;
+    const carried = {...item, template};
+    if (!restoreCarried(state, carried, item.carriedAtMs)) return undefined;
   }
   for (const [account, items] of journals) {
     state.journals.set(account, items as JournalItem[]);
@@ -193,3 +211,11 @@
   for (const account of settled) state.settled.add(account);
   return state;
 }
+
+function tryParseJson(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
