--- a/src/diagnostics/event_kinds.ts
+++ b/src/diagnostics/event_kinds.ts
@@ -9,13 +9,13 @@
   RequestAnswered: 'request-answered',
   RequestCancelled: 'request-cancelled',
   AttemptFailed: 'attempt-failed',
-  /** Holds `shard`; `cause` names the holder and the fencing number. */
+  /** Holds `shard`; the node that emits it is the holder. */
   LeaseGranted: 'lease-granted',
   LeaseReleased: 'lease-released',
   /** The holder let its own lease lapse. */
   LeaseLost: 'lease-lost',
   /** Holds `engine`; `cause` says what is gained and lost. */
-  RoleChangePlanned: 'role-change-planned',
+  RoleTarget: 'role-target',
   RoleChangeDeclined: 'role-change-declined',
   RoleChanged: 'role-changed',
   TaskFailed: 'task-failed',
--- a/src/diagnostics/timeline_explain.ts
+++ b/src/diagnostics/timeline_explain.ts
@@ -52,7 +52,7 @@
   const events = selectEvents(timeline.events, {engine});
   const changes = events.filter(
     event =>
-      event.kind === EventKind.RoleChangePlanned ||
+      event.kind === EventKind.RoleTarget ||
       event.kind === EventKind.RoleChanged,
   );
   const declined = events.findLast(
@@ -89,10 +89,13 @@
   }
   const end = before
     .slice(before.indexOf(granted) + 1)
-    .find(event => LEASE_ENDS.has(event.kind));
-  const since = `granted at ${formatEventTime(granted)}: ${granted.cause}`;
-  if (end === undefined) return `Lease ${shard} at ${time}: ${since}.`;
-  return `Lease ${shard} at ${time}: held by nobody; ${since}; ended at ${formatEventTime(end)}: ${end.cause}.`;
+    .find(event => event.node === granted.node && LEASE_ENDS.has(event.kind));
+  const holder = `${granted.node} from ${formatEventTime(granted)} (${granted.cause})`;
+  const gaps = formatGaps(timeline);
+  if (end === undefined) {
+    return `Lease ${shard} at ${time}: held by ${holder}.${gaps}`;
+  }
+  return `Lease ${shard} at ${time}: held by nobody that is known; before by ${holder} until ${formatEventTime(end)} (${end.cause}).${gaps}`;
 }
 
 /** Formats an event's time with its counter. */
--- a/src/node/control_tasks.ts
+++ b/src/node/control_tasks.ts
@@ -154,6 +154,7 @@
   ): void {
     events.emit({
       kind: authority === undefined ? 'lease-lost' : 'lease-granted',
+      shard,
       cause:
         authority === undefined
           ? `shard ${shard}`
--- a/test/diagnostics/timeline.test.ts
+++ b/test/diagnostics/timeline.test.ts
@@ -108,47 +108,51 @@
 
 test('why did this engine change role', () => {
   const timeline = mergeEvents([
-    createEvent(
-      1,
-      EventKind.RoleChangePlanned,
-      'decode to prefill: gains 0.2',
-      {
-        engine: 'engine-3',
-      },
-    ),
+    createEvent(1, EventKind.RoleTarget, 'decode to prefill: gains 0.2', {
+      engine: 'engine-3',
+    }),
     createEvent(2, EventKind.RoleChangeDeclined, 'below safe capacity', {
       engine: 'engine-3',
     }),
   ]);
   const answer = formatEngineAnswer(timeline, 'engine-3');
-  assert.match(answer, /role-change-planned by node-1: decode to prefill/);
+  assert.match(answer, /role-target by node-1: decode to prefill/);
   assert.match(answer, /declined: below safe capacity/);
 });
 
 test('who held the lease at 02:10', () => {
   const shard = 'sk-west-1';
   const events = [
-    createEvent(TWO_TEN_MS - 9_000, EventKind.LeaseGranted, 'node-4, term 7', {
+    createEvent(TWO_TEN_MS - 9_000, EventKind.LeaseGranted, 'term 7', {
       shard,
+      node: 'node-4',
     }),
-    createEvent(TWO_TEN_MS + 1, EventKind.LeaseGranted, 'node-5, term 9', {
+    createEvent(TWO_TEN_MS + 1, EventKind.LeaseGranted, 'term 9', {
       shard,
+      node: 'node-5',
     }),
   ];
-  assert.match(
+  assert.equal(
     formatLeaseAnswer(mergeEvents(events), shard, TWO_TEN_MS),
-    /granted at 2026-12-05T02:09:51.000Z\+0: node-4, term 7\.$/,
+    'Lease sk-west-1 at 2026-12-05T02:10:00.000Z: held by node-4 from 2026-12-05T02:09:51.000Z+0 (term 7).',
   );
+  const other = createEvent(TWO_TEN_MS - 2, EventKind.LeaseLost, 'old', {
+    shard,
+    node: 'node-3',
+  });
   const lapsed = createEvent(TWO_TEN_MS - 1, EventKind.LeaseLost, 'paused', {
     shard,
+    node: 'node-4',
   });
+  const withOther = mergeEvents([events[0], other]);
   assert.match(
-    formatLeaseAnswer(
-      mergeEvents([events[0], lapsed, events[1]]),
-      shard,
-      TWO_TEN_MS,
-    ),
-    /held by nobody/,
+    formatLeaseAnswer(withOther, shard, TWO_TEN_MS),
+    /held by node-4/,
+  );
+  const withLapse = mergeEvents([events[0], other, lapsed], true);
+  assert.match(
+    formatLeaseAnswer(withLapse, shard, TWO_TEN_MS),
+    /held by nobody that is known; before by node-4 .*\(paused\)\. Missing: node-2/,
   );
 });
 
