--- a/test/product/transcript.test.ts
+++ b/test/product/transcript.test.ts
@@ -1,9 +1,9 @@
 /** A newcomer's path over separate processes of the built program, from the example files. */
 import assert from 'node:assert/strict';
-import {after, before, test} from 'node:test';
+import {after, test} from 'node:test';
 import OpenAI from 'openai';
-import {createSystemClock} from '../../src/runtime';
-import {createExampleFiles, type ExampleFiles} from '../support/example_files';
+import type {ExampleFiles} from '../support/example_files';
+import {startExampleFleet} from '../support/example_fleet';
 import {
   killPrograms,
   type ProgramProcess,
@@ -11,24 +11,14 @@
   startProgram,
 } from '../support/program';
 
-const POLL_MS = 50;
 const NODE_NUMBERS = [1, 2, 3];
 const API_KEY = 'studio-key';
 
-const clock = createSystemClock();
 let example: ExampleFiles;
 let standins: ProgramProcess;
-let nodes: ProgramProcess[];
+let nodes: readonly ProgramProcess[];
 let env: Record<string, string>;
 
-before(async () => {
-  example = await createExampleFiles('tatranska');
-  env = {
-    ANVILSTACK_NODE: example.getAddress(8201),
-    ANVILSTACK_TOKEN: 'tatranska-operator-token',
-  };
-});
-
 after(killPrograms);
 
 function getCallerAddress(number: number): string {
@@ -43,16 +33,6 @@
   });
 }
 
-async function waitUntilReady(number: number): Promise<void> {
-  for (;;) {
-    const answer = await fetch(`${getCallerAddress(number)}/readyz`).catch(
-      () => undefined,
-    );
-    if (answer?.status === 200) return;
-    await clock.sleep(POLL_MS);
-  }
-}
-
 test('a settings file with five mistakes is refused with all five', async () => {
   const run = await runProgram([
     ...['settings', 'check', 'test/settings/five_mistakes.toml'],
@@ -62,16 +42,12 @@
 });
 
 test('stand-ins and three nodes start from the example settings', async () => {
-  const {directory} = example;
-  standins = startProgram([
-    ...['standins', '--settings', `${directory}/standins.toml`],
-  ]);
-  await standins.waitForOutput(/stand-ins are up/);
-  nodes = NODE_NUMBERS.map(number =>
-    startProgram(['serve', '--settings', `${directory}/node_${number}.toml`]),
-  );
-  await Promise.all(nodes.map(node => node.waitForOutput(/node started/)));
-  await Promise.all(NODE_NUMBERS.map(waitUntilReady));
+  const fleet = await startExampleFleet('tatranska');
+  ({files: example, standins, nodes} = fleet);
+  env = {
+    ANVILSTACK_NODE: example.getAddress(8201),
+    ANVILSTACK_TOKEN: 'tatranska-operator-token',
+  };
 });
 
 test('a template is in force on all nodes when publishing returns', async () => {
--- a/test/support/program.ts
+++ b/test/support/program.ts
@@ -85,24 +85,29 @@
   for (const child of running) child.kill('SIGKILL');
 }
 
+/** Ports below those that the system gives to outgoing connections. */
+const FIRST_PORT = 15_000;
+const PORT_COUNT = 16_000;
+/** Keeps the ports of processes that start one after another apart. */
+const PORTS_PER_PROCESS = 97;
+
+let portsTried = 0;
+
 /** Lists ports that are free on loopback now, each once. */
 export async function listFreePorts(count: number): Promise<number[]> {
-  const servers = await Promise.all(
-    Array.from(
-      {length: count},
-      () =>
-        new Promise<ReturnType<typeof createServer>>(resolve => {
-          const server = createServer();
-          server.listen(0, '127.0.0.1', () => resolve(server));
-        }),
-    ),
-  );
-  const ports = servers.map(server => {
-    const address = server.address();
-    return typeof address === 'object' && address !== null ? address.port : 0;
-  });
-  await Promise.all(
-    servers.map(server => new Promise(resolve => server.close(resolve))),
-  );
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const offset = process.pid * PORTS_PER_PROCESS + portsTried++;
+    const port = FIRST_PORT + (offset % PORT_COUNT);
+    if (await isPortFree(port)) ports.push(port);
+  }
   return ports;
 }
+
+function isPortFree(port: number): Promise<boolean> {
+  return new Promise(resolve => {
+    const server = createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+}
