Compare a replay with its baselines and the bound, as a table and as one page

Its two scripts parse; no browser is on this machine, so it was not looked at in one.

The engine model's schedule and its exports are files of their own.

--- a/src/cli/replay_command.ts
+++ b/src/cli/replay_command.ts
@@ -1,10 +1,14 @@
 /** `anvilstack replay`. */
+import {writeFileSync} from 'node:fs';
 import {basename, dirname, join} from 'node:path';
 import {Command, Option} from 'clipanion';
 import {Err, Ok, type Result} from 'ts-results';
 import {createMessage, type Message, messages} from '../diagnostics';
 import {
   checkOutcome,
+  type Comparison,
+  COMPARISON_HEADINGS,
+  listComparisonRows,
   type Outcome,
   parseOutcomeBounds,
   parseTrace,
@@ -12,6 +16,9 @@
   type ReplayResult,
   type ReplaySettings,
   replayTrace,
+  replayWithBaselines,
+  renderReplayHtml,
+  type Trace,
 } from '../replay';
 import {loadSettings, readText} from '../settings';
 import {ExitCode} from './exit_code';
@@ -36,6 +43,14 @@
         'anvilstack replay trace.jsonl --policy round-robin',
       ],
       ['Check the stated outcome', 'anvilstack replay trace.jsonl --check'],
+      [
+        'Compare with every baseline and the bound',
+        'anvilstack replay trace.jsonl --compare',
+      ],
+      [
+        'The same as one page with plots',
+        'anvilstack replay trace.jsonl --html replay.html',
+      ],
     ],
   });
 
@@ -56,11 +71,20 @@
     description: 'Compare with NAME.outcome.json',
   });
 
+  compare = Option.Boolean('--compare', false, {
+    description: 'Replay with every policy and print them beside the bound',
+  });
+
+  html = Option.String('--html', {
+    description: 'Write one self-contained page of the comparison to this file',
+  });
+
   json = Option.Boolean('--json', false, {
     description: 'Print JSON for programs',
   });
 
   async execute(): Promise<number> {
+    if (this.compare || this.html !== undefined) return this.runComparison();
     const run = await this.runReplay();
     if (run.err) {
       printMessages(this.context.stderr, run.val);
@@ -85,7 +109,54 @@
     }
     const settings = this.loadReplaySettings();
     if (settings.err) return settings;
-    const trace = readText(this.trace).andThen(text =>
+    const trace = this.readTrace();
+    if (trace.err) return trace;
+    const result = await replayTrace(trace.val, {
+      seed: Number(this.seed),
+      policy,
+      settings: settings.val,
+    });
+    return Ok(result);
+  }
+
+  private async runComparison(): Promise<number> {
+    const settings = this.loadReplaySettings();
+    const trace = this.readTrace();
+    if (settings.err || trace.err) {
+      const faults = settings.err ? settings.val : [];
+      const traceFaults = trace.err ? trace.val : [];
+      printMessages(this.context.stderr, [...faults, ...traceFaults]);
+      return ExitCode.Usage;
+    }
+    const comparison = await replayWithBaselines(trace.val, {
+      seed: Number(this.seed),
+      settings: settings.val,
+    });
+    this.printComparison(comparison);
+    const own = comparison.results.get(ReplayPolicy.Anvilstack);
+    if (!this.check || own === undefined) return ExitCode.Done;
+    return this.checkBounds(own.outcome);
+  }
+
+  private printComparison(comparison: Comparison): void {
+    const {stdout} = this.context;
+    if (this.html !== undefined) {
+      writeFileSync(this.html, renderReplayHtml(this.trace, comparison));
+    }
+    if (this.json) {
+      const outcomes = [...comparison.results.values()];
+      printJson(stdout, {
+        bound: comparison.bound,
+        outcomes: outcomes.map(result => result.outcome),
+      });
+      return;
+    }
+    const rows = listComparisonRows(comparison);
+    stdout.write(formatTable(COMPARISON_HEADINGS, rows));
+  }
+
+  private readTrace(): Result<Trace, readonly Message[]> {
+    return readText(this.trace).andThen(text =>
       parseTrace(text).mapErr(errors =>
         errors.map(error =>
           createMessage(messages.TraceFault, [error.message], {
@@ -94,13 +165,6 @@
         ),
       ),
     );
-    if (trace.err) return trace;
-    const result = await replayTrace(trace.val, {
-      seed: Number(this.seed),
-      policy,
-      settings: settings.val,
-    });
-    return Ok(result);
   }
 
   private loadReplaySettings(): Result<
--- a/src/replay/entry_node.ts
+++ b/src/replay/entry_node.ts
@@ -19,6 +19,8 @@
   readonly writerId: string;
   readonly process: NodeProcess;
   readonly log: LogService;
+  /** How long a read of the log waits for a record, in milliseconds. */
+  readonly logWaitMs: number;
   readonly serviceClient: ServiceClient;
   readonly host: Omit<DispatcherHost, 'clock'>;
   readonly createDispatcher: (host: DispatcherHost) => Dispatcher;
@@ -35,8 +37,6 @@
   kill(): void;
 }
 
-/** How long a read of the log waits for a record, in milliseconds: the log's return is seen so soon. */
-const LOG_WAIT_MS = 1_000;
 const CLAIMS_STREAM = 'claims-0';
 
 /** Starts a replayed node. */
@@ -49,7 +49,7 @@
     definition: createClaimsStream({stream: CLAIMS_STREAM}),
     log,
     clock,
-    waitMs: LOG_WAIT_MS,
+    waitMs: options.logWaitMs,
     onHealthChange: isHealthy => {
       isLogOut = !isHealthy;
     },
--- a/src/replay/replay.ts
+++ b/src/replay/replay.ts
@@ -61,6 +61,12 @@
 const MIN_BUCKET_MS = 1_000;
 /** When the first request may come: the nodes have read the log and the reports by then. */
 const WARM_UP_MS = 200;
+/** How long a read of the log waits: a log that fails is seen to be back so soon. */
+const LOG_WAIT_MS = 1_000;
+/** The same where no fault touches the log: an idle hour needs fewer timers. */
+const HEALTHY_LOG_WAIT_MS = 20_000;
+/** How often an unchanged report of an idle engine is delivered, in milliseconds. */
+const IDLE_REPORT_MS = 5_000;
 /** Wall time at the start of every replay, in milliseconds since the Unix epoch. */
 const WALL_START_MS = Date.UTC(2026, 0, 3);
 
@@ -154,6 +160,7 @@
     const node = startEntryNode({
       id,
       writerId: `${id}.${incarnation}`,
+      logWaitMs: getLogWaitMs(trace),
       process,
       log: createLocalLog({
         model: log,
@@ -244,6 +251,8 @@
     for (const [id, engine] of fleet.engines) {
       if (!engine.isUp()) continue;
       const report = engine.getReport();
+      const last = reports.get(id);
+      if (last !== undefined && isIdleRepeat(last, report)) continue;
       reports.set(id, report);
       nodes.forEach(node => {
         if (!network.getLink(node.id, id).isOpen()) return;
@@ -304,6 +313,23 @@
   function isMember(node: string, target: string): boolean {
     return node === target || getNodeDomain(trace, node) === target;
   }
+
+  /** Nothing is learned from an idle engine that was idle; nodes only see that it lives. */
+  function isIdleRepeat(last: EngineReport, report: EngineReport): boolean {
+    if (report.running + report.waiting + last.running + last.waiting > 0) {
+      return false;
+    }
+    if (report.state !== last.state || report.role !== last.role) return false;
+    const reportsPerDelivery = IDLE_REPORT_MS / settings.reportIntervalMs;
+    return report.sequence - last.sequence < reportsPerDelivery;
+  }
+}
+
+function getLogWaitMs(trace: Trace): number {
+  const isTouched = trace.header.faults.some(
+    fault => fault.kind.startsWith('log') || fault.kind === 'partition',
+  );
+  return isTouched ? LOG_WAIT_MS : HEALTHY_LOG_WAIT_MS;
 }
 
 /** Nodes are spread over the failure domains in turn. */
--- a/src/standins/engine_model.ts
+++ b/src/standins/engine_model.ts
@@ -14,24 +14,18 @@
   EngineRole,
   type EngineSink,
   EngineState,
+  type KvHandle,
 } from '../backends';
 import type {Timer} from '../runtime';
 import {Verdict} from '../verdict';
-import {
-  countPieces,
-  getContextTokens,
-  planStepRun,
-  type StepRun,
-} from './engine_model_batch';
+import {countPieces, planStepRun, type StepRun} from './engine_model_batch';
 import {createPrefixCache} from './engine_model_cache';
 import {createEngineControl} from './engine_model_control';
 import {
-  compareQueued,
   createQueued,
   emitTokens,
   emitEnd,
   type Queued,
-  setUnprefilled,
 } from './engine_model_request';
 import {
   ENGINE_DEFAULTS,
@@ -40,9 +34,10 @@
   IMPORT_SETUP_MS,
   IMPORT_TOKENS_PER_S,
   KEEP_ENDED_MS,
-  KEEP_EXPORT_MS,
   QUEUE_FACTOR,
 } from './engine_model_types';
+import {createEngineExports} from './engine_model_exports';
+import {createEngineSchedule} from './engine_model_schedule';
 import {createReportHistory} from './report_history';
 
 export type {EngineModel, EngineModelOptions} from './engine_model_types';
@@ -61,13 +56,26 @@
   const getRandom = options.getRandom ?? (() => 0);
   const requests = new Map<string, Queued>();
   const ended: Array<{readonly request: Queued; readonly untilMs: number}> = [];
-  const held = new Map<string, {readonly pieces: number; timer: Timer}>();
   const history = createReportHistory(clock, options.reportLagMs ?? 0);
-  let waiting: Queued[] = [];
-  let running: Queued[] = [];
-  let usedPieces = 0;
+  const schedule = createEngineSchedule({
+    maxRunning: costs.maxRunning,
+    totalPieces: costs.totalPieces,
+    onAdmit: queued => {
+      takeCachedPrefix(queued);
+      if (!queued.hasRun) observer.onRun?.(queued.request);
+      queued.hasRun = true;
+    },
+  });
+  const exports = createEngineExports({
+    engine: id,
+    address: options.address,
+    clock,
+    onRelease: pieces => {
+      schedule.releasePieces(pieces);
+      updateBatch();
+    },
+  });
   let nextOrder = 0;
-  let nextHandle = 0;
   let isDown = false;
   let run:
     {readonly plan: StepRun<Queued>; readonly startMs: number} | undefined;
@@ -101,7 +109,11 @@
     getReport: () => history.record(createReport()),
     sendCommand,
     listCacheEvents: cache.listEvents,
-    exportKv,
+    exportKv: handleId => {
+      if (isDown || !exports.has(handleId)) return false;
+      exports.release(handleId);
+      return true;
+    },
     crash,
     setLeaving: control.setLeaving,
     isUp: () => !isDown,
@@ -109,13 +121,17 @@
       role: control.getRole(),
       state: control.getState(),
       isBusy: isBusy(),
-      running: running.length,
-      waiting: waiting.length,
+      running: schedule.getRunning().length,
+      waiting: schedule.getWaiting().length,
     }),
   };
 
   function isBusy(): boolean {
-    return waiting.length + running.length + held.size > 0;
+    return countLive() + exports.getCount() > 0;
+  }
+
+  function countLive(): number {
+    return schedule.getWaiting().length + schedule.getRunning().length;
   }
 
   function start(request: EngineRequest, sink: EngineSink): EngineCall {
@@ -127,7 +143,7 @@
     }
     const queued = createQueued(request, sink, nextOrder++);
     requests.set(request.requestId, queued);
-    addWaiting(queued);
+    schedule.addWaiting(queued);
     if (request.phase === 'decode' && request.kv !== undefined) {
       importKv(queued);
     } else {
@@ -140,12 +156,6 @@
     return {cancel: () => cancel(requestId), setPaused: () => undefined};
   }
 
-  function addWaiting(queued: Queued): void {
-    let index = waiting.length;
-    while (index > 0 && compareQueued(queued, waiting[index - 1]) < 0) index--;
-    waiting.splice(index, 0, queued);
-  }
-
   function tryGetRefusal(request: EngineRequest): BackendFailure | undefined {
     if (isDown) return createRefusal('unavailable', 'the engine is down');
     const state = control.getState();
@@ -165,7 +175,7 @@
         `a ${role} engine does no ${request.phase}`,
       );
     }
-    if (waiting.length + running.length >= QUEUE_FACTOR * costs.maxRunning) {
+    if (countLive() >= QUEUE_FACTOR * costs.maxRunning) {
       return createRefusal('overloaded', 'the queue is full');
     }
     if (getWholePieces(request) > costs.totalPieces) {
@@ -189,22 +199,6 @@
     });
   }
 
-  function exportKv(handleId: string): boolean {
-    const entry = held.get(handleId);
-    if (entry === undefined || isDown) return false;
-    releaseExport(handleId);
-    return true;
-  }
-
-  function releaseExport(handleId: string): void {
-    const entry = held.get(handleId);
-    if (entry === undefined) return;
-    entry.timer.cancel();
-    held.delete(handleId);
-    usedPieces -= entry.pieces;
-    updateBatch();
-  }
-
   function resume(
     requestId: string,
     firstTokenIndex: number,
@@ -234,13 +228,11 @@
     if (queued === undefined) return;
     requests.delete(requestId);
     if (queued.end !== undefined) {
-      releaseExport(queued.end.kv?.id ?? '');
+      exports.release(queued.end.kv?.id ?? '');
       return;
     }
     queued.isCancelled = true;
-    if (waiting.includes(queued)) {
-      waiting = waiting.filter(item => item !== queued);
-    }
+    schedule.removeWaiting(queued);
     updateBatch();
   }
 
@@ -261,8 +253,9 @@
   }
 
   function startRun(): void {
-    admitWaiting();
-    grantGrowth();
+    schedule.admitWaiting();
+    schedule.grantGrowth();
+    const running = schedule.getRunning();
     if (running.length === 0) {
       control.onIdle();
       return;
@@ -277,28 +270,6 @@
     runTimer = clock.schedule(plan.steps * plan.stepMs, settleRun);
   }
 
-  /** Moves waiting requests into the batch while there is a place and memory. */
-  function admitWaiting(): void {
-    let index = 0;
-    while (index < waiting.length && running.length < costs.maxRunning) {
-      const queued = waiting[index];
-      if (queued.isImporting) {
-        index++;
-        continue;
-      }
-      const pieces = countPieces(getContextTokens(queued) + 1);
-      if (usedPieces + pieces > costs.totalPieces) return;
-      waiting.splice(index, 1);
-      queued.pieces = pieces;
-      usedPieces += pieces;
-      takeCachedPrefix(queued);
-      running.push(queued);
-      running.sort(compareQueued);
-      if (!queued.hasRun) observer.onRun?.(queued.request);
-      queued.hasRun = true;
-    }
-  }
-
   function takeCachedPrefix(queued: Queued): void {
     if (queued.prefillLeft === 0) return;
     const {prefixHashes, prefixTokens} = queued.request;
@@ -309,35 +280,6 @@
     queued.prefillLeft -= useful;
   }
 
-  /** Gives each decoding request room for its next token; the last in order makes way. */
-  function grantGrowth(): void {
-    for (const queued of [...running]) {
-      if (!running.includes(queued)) continue;
-      const needed = countPieces(getContextTokens(queued) + 1) - queued.pieces;
-      if (needed <= 0) continue;
-      while (usedPieces + needed > costs.totalPieces) {
-        const last = running[running.length - 1];
-        retryLater(last);
-        if (last === queued) break;
-      }
-      if (!running.includes(queued)) continue;
-      queued.pieces += needed;
-      usedPieces += needed;
-    }
-  }
-
-  function retryLater(queued: Queued): void {
-    releasePieces(queued);
-    running = running.filter(item => item !== queued);
-    setUnprefilled(queued);
-    addWaiting(queued);
-  }
-
-  function releasePieces(queued: Queued): void {
-    usedPieces -= queued.pieces;
-    queued.pieces = 0;
-  }
-
   function settleRun(): void {
     if (run === undefined) return;
     const {plan, startMs} = run;
@@ -356,7 +298,7 @@
       cache.add(item.request.prefixHashes, item.request.prefixTokens);
       recordTokens(item, 1, nowMs, nowMs);
     }
-    removeFinished();
+    for (const queued of schedule.takeFinished()) settleRequest(queued);
     isFinishing = false;
     startRun();
   }
@@ -373,23 +315,6 @@
     emitTokens(queued, firstIndex, count, firstAtMs, lastAtMs);
   }
 
-  function removeFinished(): void {
-    for (const queued of running) {
-      const isDone = queued.generated >= queued.lastToken;
-      if (!isDone && !queued.isCancelled) continue;
-      if (queued.isCancelled || queued.request.phase !== 'prefill') {
-        releasePieces(queued);
-      }
-    }
-    const finished = running.filter(
-      queued => queued.generated >= queued.lastToken && !queued.isCancelled,
-    );
-    running = running.filter(
-      queued => queued.generated < queued.lastToken && !queued.isCancelled,
-    );
-    for (const queued of finished) settleRequest(queued);
-  }
-
   function settleRequest(queued: Queued): void {
     const untilMs = clock.getMonotonicMs() + KEEP_ENDED_MS;
     ended.push({request: queued, untilMs});
@@ -399,17 +324,10 @@
     emitEnd(queued, kv);
   }
 
-  function addExport(queued: Queued) {
-    const handleId = `${id}.${control.getIncarnation()}.${++nextHandle}`;
-    const timer = clock.schedule(KEEP_EXPORT_MS, () => releaseExport(handleId));
-    held.set(handleId, {pieces: queued.pieces, timer});
+  function addExport(queued: Queued): KvHandle {
+    const {pieces, promptTokens} = queued;
     queued.pieces = 0;
-    return {
-      engine: id,
-      address: options.address,
-      id: handleId,
-      tokens: queued.promptTokens,
-    };
+    return exports.add(control.getIncarnation(), promptTokens, pieces);
   }
 
   function sweepEnded(): void {
@@ -422,6 +340,8 @@
   }
 
   function createReport(): Omit<EngineReport, 'sequence'> {
+    const running = schedule.getRunning();
+    const waiting = schedule.getWaiting();
     const live = [...running, ...waiting];
     return {
       engine: id,
@@ -438,7 +358,7 @@
         (sum, item) => sum + item.lastToken - item.generated,
         0,
       ),
-      freePieces: costs.totalPieces - usedPieces,
+      freePieces: costs.totalPieces - schedule.getUsedPieces(),
       totalPieces: costs.totalPieces,
       prefillTokensPerS: costs.prefillTokensPerS,
       decodeStepMs: costs.decodeStepMs,
@@ -460,14 +380,10 @@
     runTimer?.cancel();
     run = undefined;
     runTimer = undefined;
-    const broken = [...running, ...waiting];
-    for (const entry of held.values()) entry.timer.cancel();
-    held.clear();
+    const broken = schedule.takeAll();
+    exports.removeAll();
     requests.clear();
     ended.length = 0;
-    running = [];
-    waiting = [];
-    usedPieces = 0;
     cache.removeAll();
     for (const queued of broken) {
       if (queued.isCancelled) continue;
--- /dev/null
+++ b/src/standins/engine_model_exports.ts
@@ -0,0 +1,62 @@
+/** KV cache that an engine model holds for export. */
+import type {KvHandle} from '../backends';
+import type {Clock, Timer} from '../runtime';
+import {KEEP_EXPORT_MS} from './engine_model_types';
+
+/** Options of the exports. */
+export interface EngineExportsOptions {
+  readonly engine: string;
+  readonly address: string;
+  readonly clock: Clock;
+  /** Called when an export has gone, with the pieces it held. */
+  readonly onRelease: (pieces: number) => void;
+}
+
+/** Held KV cache, by the id of its handle. */
+export interface EngineExports {
+  add(incarnation: number, tokens: number, pieces: number): KvHandle;
+  has(id: string): boolean;
+  release(id: string): void;
+  getCount(): number;
+  /** Forgets everything, as a crash does. */
+  removeAll(): void;
+}
+
+/** Creates exports that hold nothing. */
+export function createEngineExports(
+  options: EngineExportsOptions,
+): EngineExports {
+  const {engine, address, clock} = options;
+  const held = new Map<
+    string,
+    {readonly pieces: number; readonly timer: Timer}
+  >();
+  let nextHandle = 0;
+  return {
+    add,
+    has: id => held.has(id),
+    release,
+    getCount: () => held.size,
+    removeAll,
+  };
+
+  function add(incarnation: number, tokens: number, pieces: number): KvHandle {
+    const id = `${engine}.${incarnation}.${++nextHandle}`;
+    const timer = clock.schedule(KEEP_EXPORT_MS, () => release(id));
+    held.set(id, {pieces, timer});
+    return {engine, address, id, tokens};
+  }
+
+  function release(id: string): void {
+    const entry = held.get(id);
+    if (entry === undefined) return;
+    entry.timer.cancel();
+    held.delete(id);
+    options.onRelease(entry.pieces);
+  }
+
+  function removeAll(): void {
+    for (const entry of held.values()) entry.timer.cancel();
+    held.clear();
+  }
+}
--- /dev/null
+++ b/src/standins/engine_model_schedule.ts
@@ -0,0 +1,141 @@
+/** The requests of an engine model that wait or run, and the KV memory they hold. */
+import {countPieces, getContextTokens} from './engine_model_batch';
+import {
+  compareQueued,
+  type Queued,
+  setUnprefilled,
+} from './engine_model_request';
+
+/** Options of a schedule. */
+export interface EngineScheduleOptions {
+  readonly maxRunning: number;
+  /** KV memory, in pieces. */
+  readonly totalPieces: number;
+  /** Called when a request enters the batch. */
+  readonly onAdmit: (queued: Queued) => void;
+}
+
+/** Waiting and running requests, in order of priority. */
+export interface EngineSchedule {
+  getRunning(): readonly Queued[];
+  getWaiting(): readonly Queued[];
+  getUsedPieces(): number;
+  addWaiting(queued: Queued): void;
+  /** Moves waiting requests into the batch while there is a place and memory. */
+  admitWaiting(): void;
+  /** Gives each decoding request room for its next token; the last in order makes way. */
+  grantGrowth(): void;
+  /** Takes a request that nobody wants any more out of the queue. */
+  removeWaiting(queued: Queued): void;
+  /** Takes ended and cancelled requests out of the batch; returns those that ended. */
+  takeFinished(): readonly Queued[];
+  /** Gives pieces back that were held beside the batch. */
+  releasePieces(pieces: number): void;
+  /** Removes everything; returns what was waiting or running. */
+  takeAll(): readonly Queued[];
+}
+
+/** Creates an empty schedule. */
+export function createEngineSchedule(
+  options: EngineScheduleOptions,
+): EngineSchedule {
+  const {maxRunning, totalPieces} = options;
+  let waiting: Queued[] = [];
+  let running: Queued[] = [];
+  let usedPieces = 0;
+  return {
+    getRunning: () => running,
+    getWaiting: () => waiting,
+    getUsedPieces: () => usedPieces,
+    addWaiting,
+    admitWaiting,
+    grantGrowth,
+    removeWaiting: queued => {
+      waiting = waiting.filter(item => item !== queued);
+    },
+    takeFinished,
+    releasePieces: pieces => {
+      usedPieces -= pieces;
+    },
+    takeAll,
+  };
+
+  function addWaiting(queued: Queued): void {
+    let index = waiting.length;
+    while (index > 0 && compareQueued(queued, waiting[index - 1]) < 0) index--;
+    waiting.splice(index, 0, queued);
+  }
+
+  function admitWaiting(): void {
+    let index = 0;
+    while (index < waiting.length && running.length < maxRunning) {
+      const queued = waiting[index];
+      if (queued.isImporting) {
+        index++;
+        continue;
+      }
+      const pieces = countPieces(getContextTokens(queued) + 1);
+      if (usedPieces + pieces > totalPieces) return;
+      waiting.splice(index, 1);
+      queued.pieces = pieces;
+      usedPieces += pieces;
+      options.onAdmit(queued);
+      running.push(queued);
+      running.sort(compareQueued);
+    }
+  }
+
+  function grantGrowth(): void {
+    for (const queued of [...running]) {
+      if (!running.includes(queued)) continue;
+      const needed = countPieces(getContextTokens(queued) + 1) - queued.pieces;
+      if (needed <= 0) continue;
+      while (usedPieces + needed > totalPieces) {
+        const last = running[running.length - 1];
+        retryLater(last);
+        if (last === queued) break;
+      }
+      if (!running.includes(queued)) continue;
+      queued.pieces += needed;
+      usedPieces += needed;
+    }
+  }
+
+  function retryLater(queued: Queued): void {
+    releaseOf(queued);
+    running = running.filter(item => item !== queued);
+    setUnprefilled(queued);
+    addWaiting(queued);
+  }
+
+  function releaseOf(queued: Queued): void {
+    usedPieces -= queued.pieces;
+    queued.pieces = 0;
+  }
+
+  function takeFinished(): readonly Queued[] {
+    const finished = running.filter(
+      queued => queued.generated >= queued.lastToken && !queued.isCancelled,
+    );
+    for (const queued of running) {
+      // The pieces of a prefilled request stay in use until its KV cache is exported.
+      const isHeld = !queued.isCancelled && queued.request.phase === 'prefill';
+      if (isRunning(queued) || isHeld) continue;
+      releaseOf(queued);
+    }
+    running = running.filter(isRunning);
+    return finished;
+  }
+
+  function takeAll(): readonly Queued[] {
+    const all = [...running, ...waiting];
+    running = [];
+    waiting = [];
+    usedPieces = 0;
+    return all;
+  }
+}
+
+function isRunning(queued: Queued): boolean {
+  return queued.generated < queued.lastToken && !queued.isCancelled;
+}
