Resume streams at any node, admit before claiming, read reports on their own

Seen: a node killed after 8 of 40 tokens, the rest from another node, nothing lost or repeated; another client account gets 404.

--- a/src/demo/cluster.ts
+++ b/src/demo/cluster.ts
@@ -43,6 +43,7 @@
 }
 
 const PEER_SECRET = 'demo-peer-secret';
+const RESUME_SECRET = 'demo-resume-secret';
 const OPERATOR_TOKEN = 'demo-operator-token';
 const DEFAULT_REPORT_INTERVAL_MS = 100;
 const POLL_MS = 10;
@@ -121,7 +122,10 @@
     settings,
     clock: options.clock,
     logger: createLogger({node: settings.node.id, level: 'error'}),
-    secrets: {peerSecret: createSecret(PEER_SECRET)},
+    secrets: {
+      peerSecret: createSecret(PEER_SECRET),
+      resumeSecret: createSecret(RESUME_SECRET),
+    },
   });
   fleet.vmList.setVm({
     id: node.id,
--- a/src/entry/caller_app.ts
+++ b/src/entry/caller_app.ts
@@ -2,6 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import {H3, type H3Event} from 'h3';
 import {Err, Ok, type Result} from 'ts-results';
+import type {PrefixHasher} from '../routing';
 import type {Clock} from '../runtime';
 import type {ConfigState, Template} from '../state';
 import {createFailure, FailureKind, type RequestFailure} from '../verdict';
@@ -11,6 +12,7 @@
 import {type CompletionRequest, parseCompletion} from './completion_schema';
 import {createErrorResponse} from './error_response';
 import {tryReadBody} from './read_body';
+import type {ResumeService} from './resume_service';
 import type {CallerOptions, ModelInput, RequestPipeline} from './types';
 
 /** Options of the callers' application. */
@@ -21,6 +23,10 @@
   readonly isReady: () => boolean;
   /** Returns the templates in force. */
   readonly getConfig: () => ConfigState;
+  /** Hashes the leading blocks of prompts; absent to know nothing of prefixes. */
+  readonly prefixHasher?: PrefixHasher;
+  /** Takes up answers whose node has died; absent without a secret for its tokens. */
+  readonly resume?: ResumeService;
   /** Longest body, in bytes. */
   readonly maxBodyBytes?: number;
   /** Returns the text for `/metrics`. */
@@ -63,6 +69,7 @@
   app.get('/v1/models', handleModels);
   app.post('/v1/chat/completions', event => handleCompletion(event, 'chat'));
   app.post('/v1/completions', event => handleCompletion(event, 'text'));
+  app.get('/v1/resume/:token', handleResume);
   app.all('/services/:service/**', handleService);
   app.all('/services/:service', handleService);
   app.all('/**', event =>
@@ -98,13 +105,38 @@
       const failure = createFailure(FailureKind.BadRequest, parsed.message);
       return createErrorResponse(failure, requestId);
     }
-    const input = createModelInput(request.val, parsed.completion);
+    const input = createModelInput(
+      request.val,
+      parsed.completion,
+      options.prefixHasher,
+    );
     return createCompletionResponse({
       completion: parsed.completion,
       requestId,
       createdAtS: Math.floor(clock.getWallMs() / 1_000),
       signal: event.req.signal,
       start: sink => pipeline.runModel(input, sink),
+      createResumeToken: engine =>
+        options.resume?.createToken(input, parsed.completion, engine),
+    });
+  }
+
+  async function handleResume(event: H3Event): Promise<Response> {
+    const requestId = createRequestId();
+    const request = await readRequest(event, requestId);
+    if (request.err) return createErrorResponse(request.val, requestId);
+    const token = event.context.params?.['token'] ?? '';
+    const resumed = options.resume?.open(token, request.val.template, event);
+    if (resumed === undefined) {
+      const text = 'this deployment resumes no streams';
+      const failure = createFailure(FailureKind.NotFound, text);
+      return createErrorResponse(failure, requestId);
+    }
+    if (resumed.err) return createErrorResponse(resumed.val, requestId);
+    return createCompletionResponse({
+      ...resumed.val,
+      createdAtS: Math.floor(clock.getWallMs() / 1_000),
+      signal: event.req.signal,
     });
   }
 
@@ -174,8 +206,10 @@
 function createModelInput(
   request: CallerRequest,
   completion: CompletionRequest,
+  hasher: PrefixHasher | undefined,
 ): ModelInput {
-  const {prompt} = completion;
+  const {prompt, model} = completion;
+  const prefix = hasher?.compute(model, prompt);
   return {
     kind: 'model',
     template: request.template,
@@ -184,8 +218,8 @@
     prompt,
     promptTokens: Math.ceil(prompt.length / CHARACTERS_PER_TOKEN),
     maxTokens: completion.maxTokens,
-    prefixHashes: [],
-    prefixTokens: 0,
+    prefixHashes: prefix?.hashes ?? [],
+    prefixTokens: prefix?.tokens ?? 0,
   };
 }
 
--- a/src/entry/completion_response.ts
+++ b/src/entry/completion_response.ts
@@ -20,6 +20,8 @@
   /** Aborted when the caller goes away. */
   readonly signal: AbortSignal;
   readonly start: (sink: AnswerSink) => RequestHandle;
+  /** Returns the token with which the stream can be taken up elsewhere. */
+  readonly createResumeToken?: (engine: string) => string | undefined;
 }
 
 /** Bytes that a slow caller may leave unread before the answer is held back. */
@@ -62,7 +64,10 @@
   return new Promise(resolve => {
     const stream = createEventStream(options);
     let isAnswered = false;
-    const handle = options.start({
+    // An answer may begin before `start` has returned.
+    let handle: RequestHandle | undefined = undefined;
+    const getEngine = (): string | undefined => handle?.tryGetEngine();
+    const started = options.start({
       onTokens: batch => {
         sendOnce();
         stream.sendTokens(batch);
@@ -76,14 +81,19 @@
         else resolve(createErrorResponse(failure, options.requestId));
       },
     });
-    stream.setHandle(handle);
-    options.signal.addEventListener('abort', handle.cancel, {once: true});
+    handle = started;
+    stream.setHandle(started);
+    options.signal.addEventListener('abort', started.cancel, {once: true});
 
     function sendOnce(): void {
       if (isAnswered) return;
       isAnswered = true;
       const headers = getHeaders(options.requestId, 'text/event-stream');
       headers.set('cache-control', 'no-cache');
+      const engine = getEngine();
+      const token =
+        engine === undefined ? undefined : options.createResumeToken?.(engine);
+      if (token !== undefined) headers.set('anvilstack-resume', token);
       resolve(new Response(stream.body, {headers}));
     }
   });
--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -9,6 +9,8 @@
 export type {OperatorAppOptions} from './operator_app';
 export {createRequestPipeline} from './pipeline';
 export type {RequestPipelineOptions} from './pipeline';
+export {createResumeService} from './resume_service';
+export type {ResumeService, ResumeServiceOptions} from './resume_service';
 export {createTraceRecorder} from './trace_recorder';
 export type {
   RecordedRequest,
--- a/src/entry/pipeline.ts
+++ b/src/entry/pipeline.ts
@@ -2,6 +2,7 @@
 import {Err, Ok, type Result} from 'ts-results';
 import type {ClaimsLedger} from '../claims';
 import type {
+  AccountLimiter,
   AnswerSink,
   Dispatcher,
   RequestHandle,
@@ -32,6 +33,8 @@
   readonly dispatcher: Dispatcher;
   readonly services: ServiceDispatcher;
   readonly claims: ClaimsLedger;
+  /** Limits of client accounts; none when omitted. */
+  readonly limiter?: AccountLimiter;
   /** The template's own selector when omitted. */
   readonly selectServers?: SelectServers;
   /** Called once for each request, when it has ended. */
@@ -60,20 +63,23 @@
   function runModel(input: ModelInput, callerSink: AnswerSink): RequestHandle {
     const request = createAdmittedRequest(input, {clock, selectServers});
     const close = open.add();
+    let release: () => void = () => undefined;
     const sink = createSummarySink({
       clock,
       request,
       sink: callerSink,
       onEnd: summary => {
         close();
+        release();
         onSummary(summary);
       },
     });
-    const refusal = tryGetRefusal(input, input.template.models, input.model);
-    if (refusal !== undefined) {
-      sink.onFailure(refusal);
+    const admission = checkAdmission(input, input.template.models, input.model);
+    if (admission.err) {
+      sink.onFailure(admission.val);
       return createClosedHandle();
     }
+    release = admission.val;
     if (request.needsClaim) {
       return createClaimedModelRun({
         clock,
@@ -154,14 +160,19 @@
     signal?: AbortSignal,
   ): Promise<Result<ServiceResult, RequestFailure>> {
     const {input} = request;
-    const refusal = tryGetRefusal(
+    const admission = checkAdmission(
       input,
       input.template.services,
       input.service,
     );
-    if (refusal !== undefined) return Err(refusal);
-    if (request.needsClaim) return runClaimedService(request);
-    return callService(request, true, signal);
+    if (admission.err) return Err(admission.val);
+    try {
+      return request.needsClaim
+        ? await runClaimedService(request)
+        : await callService(request, true, signal);
+    } finally {
+      admission.val();
+    }
   }
 
   /** A caller who goes away does not stop what may take effect. */
@@ -215,20 +226,38 @@
     return answer.map(value => ({...value, verdict: 'ran' as const}));
   }
 
-  function tryGetRefusal(
+  /** Refuses what may not run, before anything is claimed; else returns what ends its use. */
+  function checkAdmission(
     input: RequestInput,
     allowed: readonly string[],
     target: string,
-  ): RequestFailure | undefined {
+  ): Result<() => void, RequestFailure> {
     if (open.isDraining()) {
-      return createFailure(FailureKind.Unavailable, 'the node is draining', {
-        retryAfterMs: DRAIN_RETRY_AFTER_MS,
-      });
+      return Err(
+        createFailure(FailureKind.Unavailable, 'the node is draining', {
+          retryAfterMs: DRAIN_RETRY_AFTER_MS,
+        }),
+      );
     }
-    if (allowed.includes(target)) return undefined;
-    return createFailure(
-      FailureKind.Forbidden,
-      `client account ${input.template.client_account} may not use ${input.kind} ${target}`,
+    const {client_account: account, limits} = input.template;
+    if (!allowed.includes(target)) {
+      const text = `client account ${account} may not use ${input.kind} ${target}`;
+      return Err(createFailure(FailureKind.Forbidden, text));
+    }
+    const admission = options.limiter?.tryAdmit(
+      account,
+      {
+        requestsPerS: limits.requests_per_s,
+        burst: limits.burst,
+        maxConcurrent: limits.max_concurrent,
+      },
+      clock.getMonotonicMs(),
+    );
+    if (admission === undefined) return Ok(() => undefined);
+    if (admission.kind === 'admitted') return Ok(admission.release);
+    const {reason, retryAfterMs} = admission;
+    return Err(
+      createFailure(FailureKind.LimitExceeded, reason, {retryAfterMs}),
     );
   }
 }
--- a/src/node/fleet_view.ts
+++ b/src/node/fleet_view.ts
@@ -1,6 +1,7 @@
 /** The backend servers as one node knows them, from the platform's VM list. */
 import type {BackendServer} from '../backends';
 import {type Vm, VmState} from '../platform';
+import type {Settings} from '../settings';
 
 /** Returns the backend servers in a VM list. */
 export function getBackendServers(vms: readonly Vm[]): BackendServer[] {
@@ -20,3 +21,18 @@
     isLeaving: vm.state === VmState.Leaving,
   };
 }
+
+/** Returns the backend servers that the settings name besides those in the VM list. */
+export function getExtraServers(settings: Settings): BackendServer[] {
+  return settings.backend_server.map(server => ({
+    id: server.id,
+    kind: server.kind,
+    address: server.address,
+    failureDomain: server.failure_domain,
+    region: settings.node.region,
+    building: server.building,
+    service: server.service,
+    checksFencing: settings.fencing.checked_by?.includes(server.id) ?? false,
+    isLeaving: false,
+  }));
+}
--- a/src/node/fleet_watch.ts
+++ b/src/node/fleet_watch.ts
@@ -1,26 +1,38 @@
-/** The task that keeps the backend servers and the engines' load reports up to date. */
+/** Keeps the backend servers and the engines' load reports of one node up to date. */
 import {
   type BackendServer,
+  type CacheEvent,
   createHttpEngineClient,
   type EngineClient,
   type EngineReport,
 } from '../backends';
 import type {EventRing} from '../diagnostics';
 import type {Vm, VmList} from '../platform';
-import type {Clock} from '../runtime';
+import type {Clock, Timer} from '../runtime';
 import {getBackendServers} from './fleet_view';
+import {selectPolledEngines} from './polled_engines';
 
 /** Options of the task. */
 export interface FleetWatchOptions {
   readonly clock: Clock;
+  /** Name of the node. */
+  readonly node: string;
   readonly vmList: VmList;
   readonly events: EventRing;
-  /** Time between two reads of the engines' reports, in milliseconds. */
+  /** Time between two reports of an engine, in milliseconds. */
   readonly intervalMs: number;
   /** Returns the time until the next read of the VM list, in milliseconds. */
   readonly getListIntervalMs: () => number;
+  /** Backend servers from the settings, besides those in the VM list. */
+  readonly extraServers?: readonly BackendServer[];
   readonly onServers: (servers: readonly BackendServer[]) => void;
   readonly onReport: (report: EngineReport) => void;
+  /** Returns the sequence after which cache events of an engine are wanted. */
+  readonly getCacheSequence: (engine: string) => number;
+  readonly onCacheEvents: (
+    engine: string,
+    events: readonly CacheEvent[],
+  ) => void;
 }
 
 /** The fleet as this node knows it. */
@@ -28,6 +40,7 @@
   /** Returns the VM list as last read; it may be old. */
   getVms(): readonly Vm[];
   getServers(): readonly BackendServer[];
+  /** Lists the last report of each engine that has answered lately. */
   listReports(): readonly EngineReport[];
   /** Returns the client of an engine that is or was in the list. */
   getEngineClient(engine: string): EngineClient;
@@ -35,11 +48,21 @@
   stop(): void;
 }
 
-/** Creates the task. */
+/** Reports that one node reads in a second, from all engines together. */
+const MAX_REPORTS_PER_S = 64;
+/** An engine that has not reported for so long counts as out of reach, in milliseconds. */
+const REPORT_EXPIRY_MS = 10_000;
+
+interface Poller {
+  timer: Timer | undefined;
+}
+
+/** Creates the task; it reads nothing before `start`. */
 export function createFleetWatch(options: FleetWatchOptions): FleetWatch {
   const {clock, vmList, events} = options;
   const clients = new Map<string, EngineClient>();
-  const reports = new Map<string, EngineReport>();
+  const reports = new Map<string, {report: EngineReport; atMs: number}>();
+  const pollers = new Map<string, Poller>();
   let vms: readonly Vm[] = [];
   let servers: readonly BackendServer[] = [];
   let isRunning = false;
@@ -47,7 +70,7 @@
   return {
     getVms: () => vms,
     getServers: () => servers,
-    listReports: () => [...reports.values()],
+    listReports,
     getEngineClient,
     start,
     stop,
@@ -55,36 +78,30 @@
 
   function start(): void {
     isRunning = true;
-    void watchList();
-    void watchReports();
+    void watchVmList();
   }
 
   function stop(): void {
     isRunning = false;
+    for (const poller of pollers.values()) poller.timer?.cancel();
     for (const client of clients.values()) client.close();
   }
 
-  async function watchList(): Promise<void> {
+  async function watchVmList(): Promise<void> {
     while (isRunning) {
       await readVmList();
       await clock.sleep(options.getListIntervalMs());
     }
   }
 
-  async function watchReports(): Promise<void> {
-    while (isRunning) {
-      await Promise.all(servers.filter(isEngine).map(readReport));
-      await clock.sleep(options.intervalMs);
-    }
-  }
-
   async function readVmList(): Promise<void> {
     const answer = await vmList.list();
     if (answer.ok !== isListHealthy) reportListHealth(answer.ok);
     if (answer.err || !isRunning) return;
     vms = answer.val;
-    servers = getBackendServers(vms);
+    servers = [...getBackendServers(vms), ...(options.extraServers ?? [])];
     closeUnlisted();
+    updatePollers();
     options.onServers(servers);
   }
 
@@ -109,11 +126,56 @@
     }
   }
 
-  async function readReport(server: BackendServer): Promise<void> {
-    const report = await getEngineClient(server.id).getReport();
-    if (report.err || !isRunning) return;
-    reports.set(server.id, report.val);
-    options.onReport(report.val);
+  function updatePollers(): void {
+    const polled = selectPolledEngines(options.node, servers);
+    for (const [engine, poller] of pollers) {
+      if (polled.has(engine)) continue;
+      poller.timer?.cancel();
+      pollers.delete(engine);
+    }
+    for (const engine of polled) {
+      if (pollers.has(engine)) continue;
+      const poller: Poller = {timer: undefined};
+      pollers.set(engine, poller);
+      void watchEngine(engine, poller);
+    }
+  }
+
+  /** Each engine is asked on its own, so that one that hangs holds up no other. */
+  async function watchEngine(engine: string, poller: Poller): Promise<void> {
+    await readReport(engine);
+    if (!isRunning || pollers.get(engine) !== poller) return;
+    const intervalMs = Math.max(
+      options.intervalMs,
+      (pollers.size * 1_000) / MAX_REPORTS_PER_S,
+    );
+    poller.timer = clock.schedule(
+      intervalMs,
+      () => void watchEngine(engine, poller),
+    );
+  }
+
+  async function readReport(engine: string): Promise<void> {
+    const client = getEngineClient(engine);
+    const [report, cacheEvents] = await Promise.all([
+      client.getReport(),
+      client.listCacheEvents(options.getCacheSequence(engine)),
+    ]);
+    if (!isRunning || !pollers.has(engine)) return;
+    if (report.ok) {
+      reports.set(engine, {report: report.val, atMs: clock.getMonotonicMs()});
+      options.onReport(report.val);
+    }
+    if (cacheEvents.ok && cacheEvents.val.length > 0) {
+      options.onCacheEvents(engine, cacheEvents.val);
+    }
+  }
+
+  function listReports(): EngineReport[] {
+    const horizonMs = clock.getMonotonicMs() - REPORT_EXPIRY_MS;
+    return [...reports.values()]
+      .filter(item => item.atMs >= horizonMs)
+      .map(item => item.report);
   }
 
   function getEngineClient(engine: string): EngineClient {
@@ -126,7 +188,3 @@
     return client;
   }
 }
-
-function isEngine(server: BackendServer): boolean {
-  return server.kind === 'model_engine';
-}
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -1,5 +1,6 @@
 /** Puts one node together: streams, fleet, routing and listeners. */
 import {randomUUID} from 'node:crypto';
+import {FLEET_SHARD} from '../authority';
 import {createHttpServiceClient} from '../backends';
 import {createClaimsLedger} from '../claims';
 import {createNodeMetrics, type EventRing, type Logger} from '../diagnostics';
@@ -7,7 +8,9 @@
   createCallerApp,
   createOperatorApp,
   createRequestPipeline,
+  createResumeService,
   createTraceRecorder,
+  type ResumeService,
 } from '../entry';
 import {
   createHttpLogService,
@@ -15,12 +18,17 @@
   createHttpWeightStore,
 } from '../platform';
 import {createMeteredDispatcher} from '../planning';
-import {createDispatcher, createServiceDispatcher} from '../routing';
+import {
+  createAccountLimiter,
+  createDispatcher,
+  createPrefixHasher,
+  createServiceDispatcher,
+} from '../routing';
 import {type Clock, openListener} from '../runtime';
 import type {Secrets, Settings} from '../settings';
-import {FLEET_SHARD} from '../authority';
 import {createControlTasks} from './control_tasks';
 import {createNodeEvents} from './node_events';
+import {getExtraServers} from './fleet_view';
 import {createFleetWatch} from './fleet_watch';
 import {computeListIntervalMs} from './list_interval';
 import {getListenerOptions} from './listener_options';
@@ -82,6 +90,7 @@
   const fleet = createFleetWatch({
     clock,
     vmList: createHttpVmList({address: settings.platform.vm_list_address}),
+    node: id,
     events,
     intervalMs: settings.routing.report_interval_ms,
     getListIntervalMs: () =>
@@ -90,6 +99,10 @@
         peers.countNodes(),
         Math.random(),
       ),
+    extraServers: getExtraServers(settings),
+    getCacheSequence: engine => dispatcher.getCacheSequence(engine),
+    onCacheEvents: (engine, cacheEvents) =>
+      dispatcher.updateCacheEvents(engine, cacheEvents),
     onServers: servers => {
       peers.updateVms(fleet.getVms(), servers);
       applyServers();
@@ -104,6 +117,7 @@
     getEngineClient: fleet.getEngineClient,
     getRandom: Math.random,
     emitEvent: events.emit,
+    getNodeCount: () => peers.countNodes(),
   });
   const services = createServiceDispatcher({
     clock,
@@ -148,6 +162,7 @@
   const pipeline = createRequestPipeline({
     clock,
     dispatcher: createMeteredDispatcher(dispatcher, roles.meter),
+    limiter: createAccountLimiter({getNodeCount: () => peers.countNodes()}),
     services,
     claims,
     selectServers: moves.traffic.selectServers,
@@ -190,6 +205,8 @@
       isReady,
       getConfig: () => streams.config.follower.getState(),
       renderMetrics: metrics.render,
+      prefixHasher: await createPrefixHasher(),
+      resume: createNodeResume(),
     }),
     ...getListenerOptions(settings, 'callers'),
   });
@@ -268,6 +285,14 @@
     ];
   }
 
+  /** Without a shared secret the node resumes no streams. */
+  function createNodeResume(): ResumeService | undefined {
+    const secret = options.secrets?.resumeSecret?.getText();
+    if (secret === undefined) return undefined;
+    const {getEngineClient} = fleet;
+    return createResumeService({clock, secret, getEngineClient});
+  }
+
   /** Gives routing the backend servers, with those marked that leave. */
   function applyServers(): void {
     const servers = peers.applyMarks(fleet.getServers());
--- a/src/streams/resume_token.ts
+++ b/src/streams/resume_token.ts
@@ -7,8 +7,10 @@
 const claimsSchema = z.strictObject({
   requestId: z.string().min(1),
   clientAccount: z.string().min(1),
-  /** Model of the request, for the shape of the answer. */
+  /** Model of the request. */
   model: z.string().min(1),
+  /** Which of the OpenAI API's two shapes the answer has. */
+  shape: z.enum(['chat', 'text']),
   /** Engine that was answering when the token was made. */
   engine: z.string().min(1),
   idempotent: z.boolean(),
--- /dev/null
+++ b/test/node/resume.test.ts
@@ -0,0 +1,142 @@
+/** A stream whose node dies is taken up on another node, and by nobody else. */
+import assert from 'node:assert/strict';
+import {after, before, test} from 'node:test';
+import type {Cluster} from '../../src/demo';
+import {getKeyHash} from '../../src/entry';
+import {
+  getExpectedText,
+  startTestCluster,
+  TEST_API_KEY,
+} from '../support/cluster';
+import {createTestTemplate} from '../support/template';
+
+const TOKENS = 40;
+const STRANGER_KEY = 'key-of-choir';
+
+let cluster: Cluster;
+
+before(async () => {
+  cluster = await startTestCluster();
+  await cluster.publishTemplate(
+    createTestTemplate({
+      client_account: 'choir',
+      operators: ['demo'],
+      api_key_sha256: [getKeyHash(STRANGER_KEY)],
+    }),
+  );
+});
+
+after(() => cluster.close());
+
+interface Part {
+  readonly text: string;
+  /** Tokens received so far. */
+  readonly lastEventId: number;
+  readonly token: string;
+}
+
+/** Reads a stream until it ends, breaks, or `isEnough` says so. */
+async function readPart(
+  response: Response,
+  isEnough: (tokens: number) => boolean,
+): Promise<Part> {
+  const token = response.headers.get('anvilstack-resume') ?? '';
+  let text = '';
+  let lastEventId = 0;
+  let unread = '';
+  try {
+    for await (const chunk of response.body ?? []) {
+      unread += Buffer.from(chunk as Uint8Array).toString('utf8');
+      const events = unread.split('\n\n');
+      unread = events.pop() ?? '';
+      for (const event of events) {
+        const id = /^id: (\d+)$/m.exec(event)?.[1];
+        const data = /^data: (.*)$/m.exec(event)?.[1] ?? '[DONE]';
+        if (id === undefined || data === '[DONE]') continue;
+        const parsed = JSON.parse(data) as {
+          choices: Array<{delta: {content?: string}}>;
+        };
+        text += parsed.choices[0].delta.content ?? '';
+        lastEventId = Number(id);
+        if (isEnough(lastEventId)) return {text, lastEventId, token};
+      }
+    }
+  } catch {
+    // The node died: what was received stands.
+  }
+  return {text, lastEventId, token};
+}
+
+function sendCompletion(address: string, word: string): Promise<Response> {
+  return fetch(`${address}/v1/chat/completions`, {
+    method: 'POST',
+    headers: {authorization: `Bearer ${TEST_API_KEY}`},
+    body: JSON.stringify({
+      model: 'small',
+      stream: true,
+      max_tokens: TOKENS,
+      messages: [{role: 'user', content: `[word:${word}]`}],
+    }),
+  });
+}
+
+function sendResume(
+  address: string,
+  token: string,
+  lastEventId: number | string,
+  key = TEST_API_KEY,
+): Promise<Response> {
+  return fetch(`${address}/v1/resume/${token}`, {
+    headers: {
+      authorization: `Bearer ${key}`,
+      'last-event-id': String(lastEventId),
+    },
+  });
+}
+
+test('a stream goes on at another node without a token lost or repeated', async () => {
+  const response = await sendCompletion(cluster.nodes[0].callerAddress, 'r-');
+  let killed: Promise<void> | undefined;
+  const first = await readPart(response, tokens => {
+    if (tokens >= 8) killed ??= cluster.nodes[0].kill();
+    return false;
+  });
+  await killed;
+  assert.ok(first.lastEventId >= 8 && first.lastEventId < TOKENS);
+  const {callerAddress} = cluster.nodes[1];
+  const stranger = await sendResume(
+    callerAddress,
+    first.token,
+    first.lastEventId,
+    STRANGER_KEY,
+  );
+  assert.equal(stranger.status, 404);
+  const resumed = await sendResume(
+    callerAddress,
+    first.token,
+    first.lastEventId,
+  );
+  assert.equal(resumed.status, 200);
+  const second = await readPart(resumed, () => false);
+  assert.equal(first.text + second.text, getExpectedText('r-', TOKENS));
+  assert.equal(second.lastEventId, TOKENS);
+});
+
+test('a resume that cannot be is refused and says why', async () => {
+  const {callerAddress} = cluster.nodes[1];
+  const response = await sendCompletion(callerAddress, 'x-');
+  const {token} = await readPart(response, () => false);
+  const [body, signature] = token.split('.');
+  const cases: ReadonlyArray<readonly [string, string, number]> = [
+    ['nonsense', '0', 404],
+    [`${body}.${signature.slice(0, -2)}`, '0', 404],
+    [token, '-1', 400],
+    [token, 'many', 400],
+  ];
+  for (const [text, lastEventId, status] of cases) {
+    const answer = await sendResume(callerAddress, text, lastEventId);
+    assert.equal(answer.status, status, `${text} ${lastEventId}`);
+    const {error} = (await answer.json()) as {error: {message: string}};
+    assert.ok(error.message.length > 0);
+  }
+});
--- a/test/streams/streams.test.ts
+++ b/test/streams/streams.test.ts
@@ -21,6 +21,7 @@
   requestId: 'req-1',
   clientAccount: 'studio',
   model: 'small',
+  shape: 'chat',
   engine: 'engine-0',
   idempotent: true,
   expiresAtMs: 10_000,
