Faults of the VM list and the weight store that can be ordered

Cause: their stand-ins could neither be down, nor stale, lose an answer or forget a copy, so that no test could bring these about. New test: a load is delayed by such a store and copied once, and once more when the copy was forgotten.

--- a/src/standins/index.ts
+++ b/src/standins/index.ts
@@ -19,6 +19,9 @@
   createWeightStoreApp,
   createWeightStoreModel,
 } from './weight_store_server';
-export type {WeightStoreModelOptions} from './weight_store_server';
+export type {
+  WeightStoreModel,
+  WeightStoreModelOptions,
+} from './weight_store_server';
 export {startStandins} from './start_standins';
 export type {Standins, StandinsOptions} from './start_standins';
--- a/src/standins/vm_list_server.ts
+++ b/src/standins/vm_list_server.ts
@@ -1,8 +1,9 @@
 /** The platform's lagging list of VMs, in memory and over HTTP. */
 import {H3} from 'h3';
-import {Ok} from 'ts-results';
+import {Err, Ok} from 'ts-results';
 import {type Vm, type VmList, VmState} from '../platform';
 import type {Clock} from '../runtime';
+import {createAnswer, createDown} from './service_down';
 
 /** Options of the list. */
 export interface VmListModelOptions {
@@ -11,12 +12,15 @@
   readonly lagMs?: number;
 }
 
-/** The list, with changes that show late. */
+/** The list, with changes that show late and faults that can be ordered. */
 export interface VmListModel extends VmList {
   setVm(vm: Vm): void;
   setLeaving(id: string): void;
   removeVm(id: string): void;
   getVms(): readonly Vm[];
+  setDown(isDown: boolean): void;
+  /** While stale, the list shows what it showed when it became so. */
+  setStale(isStale: boolean): void;
 }
 
 /** Creates an empty list. */
@@ -24,14 +28,26 @@
   const {clock} = options;
   const lagMs = options.lagMs ?? 0;
   const vms = new Map<string, Vm>();
+  let isDown = false;
+  let frozen: readonly Vm[] | undefined;
   return {
     setVm: vm => applyLate(() => vms.set(vm.id, vm)),
     setLeaving,
     removeVm: id => applyLate(() => vms.delete(id)),
-    getVms: () => [...vms.values()],
-    list: () => Promise.resolve(Ok([...vms.values()])),
+    getVms,
+    setDown: value => {
+      isDown = value;
+    },
+    setStale: isStale => {
+      frozen = isStale ? [...vms.values()] : undefined;
+    },
+    list: () => Promise.resolve(isDown ? Err(createDown()) : Ok(getVms())),
   };
 
+  function getVms(): readonly Vm[] {
+    return frozen ?? [...vms.values()];
+  }
+
   function setLeaving(id: string): void {
     applyLate(() => {
       const vm = vms.get(id);
@@ -48,6 +64,6 @@
 /** Creates the application: `GET /vms`. */
 export function createVmListApp(model: VmListModel): H3 {
   const app = new H3();
-  app.get('/vms', () => model.getVms());
+  app.get('/vms', async () => createAnswer(await model.list()));
   return app;
 }
--- a/src/standins/weight_store_server.ts
+++ b/src/standins/weight_store_server.ts
@@ -1,8 +1,14 @@
 /** The platform's rate-limited store of model weights, in memory and over HTTP. */
 import {H3} from 'h3';
-import {Ok} from 'ts-results';
-import type {WeightStore, WeightTransfer} from '../platform';
+import {Err, Ok, type Result} from 'ts-results';
+import {
+  type PlatformFailure,
+  PlatformFailureKind,
+  type WeightStore,
+  type WeightTransfer,
+} from '../platform';
 import type {Clock} from '../runtime';
+import {createAnswer, createDown} from './service_down';
 
 /** Options of the store. */
 export interface WeightStoreModelOptions {
@@ -13,33 +19,79 @@
 
 const DEFAULT_COPY_MS = 5_000;
 
+/** The store, with faults that can be ordered. */
+export interface WeightStoreModel extends WeightStore {
+  setDown(isDown: boolean): void;
+  /** The next `count` requests for a copy take effect, and their answers are lost. */
+  loseReplies(count: number): void;
+  /** Forgets every copy that is not done, as a restart would. */
+  removeUnfinished(): void;
+  /** Returns how many copies have been begun. */
+  getCopyCount(): number;
+}
+
 /** Creates a store without transfers. */
 export function createWeightStoreModel(
   options: WeightStoreModelOptions,
-): WeightStore {
+): WeightStoreModel {
   const {clock} = options;
   const copyMs = options.copyMs ?? DEFAULT_COPY_MS;
   const doneAtMs = new Map<string, number>();
   let freeAtMs = 0;
+  let copyCount = 0;
+  let isDown = false;
+  let lostReplies = 0;
   return {
-    prepare: (engine, weights) => {
-      const id = `${engine}\n${weights}`;
-      if (!doneAtMs.has(id)) {
-        freeAtMs = Math.max(freeAtMs, clock.getMonotonicMs()) + copyMs;
-        doneAtMs.set(id, freeAtMs);
-      }
-      return Promise.resolve(Ok(getTransfer(id)));
+    prepare: (engine, weights) => Promise.resolve(prepare(engine, weights)),
+    listTransfers: engine => Promise.resolve(listTransfers(engine)),
+    setDown: value => {
+      isDown = value;
+    },
+    loseReplies: count => {
+      lostReplies += count;
     },
-    listTransfers: engine =>
-      Promise.resolve(
-        Ok(
-          [...doneAtMs.keys()]
-            .map(getTransfer)
-            .filter(item => engine === undefined || item.engine === engine),
-        ),
-      ),
+    removeUnfinished,
+    getCopyCount: () => copyCount,
   };
 
+  function prepare(
+    engine: string,
+    weights: string,
+  ): Result<WeightTransfer, PlatformFailure> {
+    if (isDown) return Err(createDown());
+    const id = `${engine}\n${weights}`;
+    if (!doneAtMs.has(id)) {
+      freeAtMs = Math.max(freeAtMs, clock.getMonotonicMs()) + copyMs;
+      doneAtMs.set(id, freeAtMs);
+      copyCount++;
+    }
+    if (lostReplies === 0) return Ok(getTransfer(id));
+    lostReplies--;
+    return Err({
+      kind: PlatformFailureKind.Timeout,
+      mayHaveTakenEffect: true,
+      message: 'no answer in time',
+    });
+  }
+
+  function listTransfers(
+    engine: string | undefined,
+  ): Result<readonly WeightTransfer[], PlatformFailure> {
+    if (isDown) return Err(createDown());
+    const transfers = [...doneAtMs.keys()].map(getTransfer);
+    return Ok(
+      transfers.filter(item => engine === undefined || item.engine === engine),
+    );
+  }
+
+  function removeUnfinished(): void {
+    const nowMs = clock.getMonotonicMs();
+    for (const [id, atMs] of doneAtMs) {
+      if (atMs > nowMs) doneAtMs.delete(id);
+    }
+    freeAtMs = nowMs;
+  }
+
   function getTransfer(id: string): WeightTransfer {
     const [engine, weights] = id.split('\n');
     const leftMs = (doneAtMs.get(id) ?? 0) - clock.getMonotonicMs();
@@ -55,14 +107,14 @@
   const app = new H3();
   app.get('/transfers', async event => {
     const engine = event.url.searchParams.get('engine') ?? undefined;
-    return (await store.listTransfers(engine)).unwrap();
+    return createAnswer(await store.listTransfers(engine));
   });
   app.post('/transfers', async event => {
     const {engine, weights} = (await event.req.json()) as {
       engine: string;
       weights: string;
     };
-    return (await store.prepare(engine, weights)).unwrap();
+    return createAnswer(await store.prepare(engine, weights));
   });
   return app;
 }
--- a/test/authority/command.test.ts
+++ b/test/authority/command.test.ts
@@ -2,7 +2,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import fc from 'fast-check';
-import {createWeightStoreModel} from '../../src/standins';
+import {
+  createWeightStoreModel,
+  type WeightStoreModel,
+} from '../../src/standins';
 import {
   type ControlCluster,
   createControlCluster,
@@ -370,3 +373,30 @@
   assert.ok(questions.length <= 6, `${questions.length} questions`);
   await cluster.stop();
 });
+
+test('a weight store that is out, loses answers or forgets a copy delays a load and nothing else', async () => {
+  let store: WeightStoreModel | undefined;
+  const cluster = createControlCluster({
+    engines: 1,
+    weightStore: clock => {
+      store = createWeightStoreModel({clock, copyMs: 6_000});
+      return store;
+    },
+  });
+  const [first] = await startPair(cluster);
+  const [engine] = cluster.engines;
+  const order = {kind: 'load-model', model: 'm'} as const;
+  store?.setDown(true);
+  for (let second = 0; second < 60; second++) {
+    if (second === 5) store?.setDown(false);
+    if (second === 5) store?.loseReplies(1);
+    if (second === 9) store?.removeUnfinished();
+    const isLoaded = engine.getReport().models.includes('m');
+    if (!isLoaded) void first.sender.submit('engine-0', order);
+    await cluster.advance(1_000);
+  }
+  assert.equal(engine.effects.length, 1);
+  assert.equal(store?.getCopyCount(), 2, 'once, and again when forgotten');
+  assert.equal(countIntents(first), 0);
+  await cluster.stop();
+});
