Spread the carried records that a stop or an outage has made due on every node

Cause: after a stop or an outage longer than the due times every node found every template overdue and wrote it: 8 nodes wrote 240 records for 30 templates (the new test, seen to fail with this). What fell due while the log could not be used is now spread anew by account and node, and nothing is written while the log is silent. Templates are looked at a few in each tick, in place of all at once every few minutes, so that 39,000 of them do not hold up requests.

--- a/src/state/template_carrier.ts
+++ b/src/state/template_carrier.ts
@@ -31,6 +31,11 @@
 const FIRST_DUE_PART = 0.4;
 const ACCOUNT_SPREAD_PART = 0.4;
 const NODE_SPREAD_PART = 0.15;
+/** Spread of what fell due while the log could not be used, as parts of the carry period. */
+const OVERDUE_SPREAD_PART = 0.1;
+const OVERDUE_NODE_PART = 0.05;
+/** A log that has answered no read for so long is out, in milliseconds. */
+const LOG_SILENCE_MS = 60_000;
 /** How often the templates due soon are looked up, as a part of the carry period. */
 const SCAN_PART = 1 / 96;
 /** How often the due ones are written, as a part of the time between two scans. */
@@ -44,9 +49,12 @@
 /** Longest wait for a carried record to be read back, in milliseconds. */
 const CARRY_TIMEOUT_MS = 30_000;
 
-interface DueTemplate {
+interface CarriedMark {
   readonly account: string;
   readonly carriedAtMs: number;
+}
+
+interface DueTemplate extends CarriedMark {
   readonly dueAtMs: number;
 }
 
@@ -61,7 +69,8 @@
   const repeatMs = periodMs * REPEAT_PART;
   const writtenAtMs = new Map<string, number>();
   let due: DueTemplate[] = [];
-  let nextScanAtMs = 0;
+  let visits: Iterator<CarriedMark> | undefined;
+  let resumedAtMs: number | undefined;
   let timer: Timer | undefined;
   let carriedCount = 0;
   return {start, stop, getCarriedCount: () => carriedCount};
@@ -78,19 +87,61 @@
   function runTick(): void {
     timer = clock.schedule(tickMs, runTick);
     // A process that does not know all that is in force must not write it down.
-    if (!follower.isCaughtUp()) return;
+    const isUsable =
+      follower.isCaughtUp() && follower.getSilenceMs() < LOG_SILENCE_MS;
+    if (!isUsable) {
+      resumedAtMs = undefined;
+      return;
+    }
     const nowMs = clock.getWallMs();
-    if (nowMs >= nextScanAtMs) {
-      nextScanAtMs = nowMs + scanMs;
-      trimWritten();
-      due = listDueTemplates(follower.getState(), node, periodMs, nextScanAtMs);
+    if (resumedAtMs === undefined) {
+      resumedAtMs = nowMs;
+      due = [];
+      visits = undefined;
     }
+    collectDue(nowMs, resumedAtMs);
     while (due.length > 0 && due[due.length - 1].dueAtMs <= nowMs) {
       const item = due.pop();
       if (item !== undefined) writeCarried(item);
     }
   }
 
+  /** Looks at the next few templates; each is looked at once in `scanMs`. */
+  function collectDue(nowMs: number, usableSinceMs: number): void {
+    const state = follower.getState();
+    const size = state.templates.size + state.retired.size;
+    let left = Math.ceil((size * tickMs) / scanMs);
+    let hasAdded = false;
+    while (left-- > 0) {
+      visits ??= listMarks(state);
+      const visit = visits.next();
+      if (visit.done === true) {
+        visits = undefined;
+        trimWritten();
+        break;
+      }
+      const mark = visit.value;
+      if (mark.carriedAtMs + FIRST_DUE_PART * periodMs > nowMs + scanMs)
+        continue;
+      const dueAtMs = getDueAtMs(mark, usableSinceMs);
+      if (dueAtMs > nowMs + scanMs) continue;
+      due.push({...mark, dueAtMs});
+      hasAdded = true;
+    }
+    if (hasAdded) due.sort((left, right) => right.dueAtMs - left.dueAtMs);
+  }
+
+  /** What fell due while the log could not be used is spread anew, for all nodes find it due. */
+  function getDueAtMs(mark: CarriedMark, usableSinceMs: number): number {
+    const {account, carriedAtMs} = mark;
+    const dueAtMs = getCarryDueAtMs(account, carriedAtMs, node, periodMs);
+    if (dueAtMs >= usableSinceMs) return dueAtMs;
+    const spread = getSpread(account, carriedAtMs, node);
+    const part =
+      OVERDUE_SPREAD_PART * spread.account + OVERDUE_NODE_PART * spread.node;
+    return usableSinceMs + part * periodMs;
+  }
+
   function trimWritten(): void {
     const horizonMs = clock.getMonotonicMs() - repeatMs;
     for (const [account, lastMs] of writtenAtMs) {
@@ -125,22 +176,13 @@
     ?.carriedAtMs;
 }
 
-/** Lists the templates that this node is to carry before `untilMs`, the first one last. */
-function listDueTemplates(
-  state: ConfigState,
-  node: string,
-  periodMs: number,
-  untilMs: number,
-): DueTemplate[] {
-  const due: DueTemplate[] = [];
+/** Yields every template and retirement. */
+function* listMarks(state: ConfigState): Generator<CarriedMark> {
   for (const known of [state.templates, state.retired]) {
     for (const [account, {carriedAtMs}] of known) {
-      if (carriedAtMs + FIRST_DUE_PART * periodMs > untilMs) continue;
-      const dueAtMs = getCarryDueAtMs(account, carriedAtMs, node, periodMs);
-      if (dueAtMs <= untilMs) due.push({account, carriedAtMs, dueAtMs});
+      yield {account, carriedAtMs};
     }
   }
-  return due.sort((left, right) => right.dueAtMs - left.dueAtMs);
 }
 
 /** Returns when a node writes a template anew, in milliseconds on the log's clock. */
@@ -150,20 +192,26 @@
   node: string,
   periodMs: number,
 ): number {
-  const digest = createHash('sha256')
-    .update(`${account}\n${carriedAtMs}\n${node}`)
-    .digest();
-  const accountDigest = createHash('sha256')
-    .update(`${account}\n${carriedAtMs}`)
-    .digest();
+  const spread = getSpread(account, carriedAtMs, node);
   const part =
     FIRST_DUE_PART +
-    ACCOUNT_SPREAD_PART * getFraction(accountDigest) +
-    NODE_SPREAD_PART * getFraction(digest);
+    ACCOUNT_SPREAD_PART * spread.account +
+    NODE_SPREAD_PART * spread.node;
   return carriedAtMs + part * periodMs;
 }
 
-/** Returns a number from 0 to 1, evenly spread over digests. */
-function getFraction(digest: Buffer): number {
+/** Returns two numbers from 0 to 1: the same on all nodes, and one of this node's own. */
+function getSpread(
+  account: string,
+  carriedAtMs: number,
+  node: string,
+): {account: number; node: number} {
+  const id = `${account}\n${carriedAtMs}`;
+  return {account: getFraction(id), node: getFraction(`${id}\n${node}`)};
+}
+
+/** Returns a number from 0 to 1, evenly spread over texts. */
+function getFraction(text: string): number {
+  const digest = createHash('sha256').update(text).digest();
   return digest.readUInt32BE(0) / 2 ** 32;
 }
--- a/test/state/template_carrier.test.ts
+++ b/test/state/template_carrier.test.ts
@@ -205,3 +205,35 @@
   second.stop();
   await clock.advance(60_000);
 });
+
+test('nodes that find every template overdue, after a stop or an outage, do not all write at once', async () => {
+  for (const kind of ['stop', 'outage'] as const) {
+    const clock = createVirtualClock({wallStartMs: 1_700_000_000_000});
+    const model = createLogModel({clock, retentionMs: RETENTION_MS});
+    const periodMs = getCarryPeriodMs(RETENTION_MS);
+    const names = Array.from({length: 8}, (_, index) => `n${index}`);
+    const first = names.map(name => startConfigNode(name, clock, model));
+    await publishTemplates(first[0], clock);
+    let nodes = first;
+    if (kind === 'stop') first.forEach(node => node.stop());
+    else model.setDown(true);
+    await clock.advance(1.5 * periodMs);
+    if (kind === 'stop') {
+      nodes = names.map(name => startConfigNode(`${name}b`, clock, model));
+    }
+    model.setDown(false);
+    const timesMs: number[] = [];
+    nodes[0].follower.subscribe((entry, _outcome, context) => {
+      if (entry.kind === 'template-carry') timesMs.push(context.appendedAtMs);
+    });
+    await clock.advance(periodMs / 4);
+    const accounts = new Set(nodes[0].follower.getState().templates.keys());
+    assert.equal(accounts.size, TEMPLATES);
+    assert.ok(timesMs.length >= TEMPLATES, `${kind}: ${timesMs.length}`);
+    assert.ok(timesMs.length <= 1.5 * TEMPLATES, `${kind}: ${timesMs.length}`);
+    const spreadMs = Math.max(...timesMs) - Math.min(...timesMs);
+    assert.ok(spreadMs > periodMs / 20, `${kind}: within ${spreadMs} ms`);
+    nodes.forEach(node => node.stop());
+    await clock.advance(60_000);
+  }
+});
