--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -1,12 +1,6 @@
 /** Ties admission, waiting, choice, attempts and retries together for the requests of one node. */
 import type {BackendFailure, BackendServer, EngineEnd} from '../backends';
-import {
-  createFailure,
-  FailureKind,
-  type RequestFailure,
-  Verdict,
-} from '../verdict';
-import {getRetryAfterMs} from './admission';
+import {createFailure, FailureKind, type RequestFailure} from '../verdict';
 import {createAttemptRunner} from './attempts';
 import {type DispatcherOptions, resolveOptions} from './dispatcher_options';
 import {createEngineTable, type EngineEntry} from './engine_table';
@@ -25,6 +19,11 @@
 import {createRequestBook} from './request_book';
 import {createRetryBudget} from './retry_budget';
 import {applyAttemptFailure} from './retrying';
+import {
+  createDeadlineFailure,
+  createDrainingFailure,
+  tryGetSubmitRefusal,
+} from './submit_check';
 import type {
   AnswerSink,
   Dispatcher,
@@ -34,10 +33,6 @@
   RequestHandle,
 } from './types';
 
-/** When a caller should come back to a node that drains: another node answers. */
-const DRAINING_RETRY_AFTER_MS = 100;
-const UNAVAILABLE_RETRY_AFTER_MS = 2_000;
-
 /** Creates a dispatcher without engines. */
 export function createDispatcher(
   host: DispatcherHost,
@@ -109,7 +104,9 @@
     book.add(entry);
     counts.requests++;
     budget.recordRequest();
-    const refusal = tryGetSubmitRefusal(entry, nowMs);
+    const refusal = isDraining
+      ? createDrainingFailure()
+      : tryGetSubmitRefusal(entry, resolved.limiter, nowMs);
     if (refusal === undefined) queueing.submit(entry);
     else refuse(entry, refusal);
     return createHandle(entry);
@@ -127,45 +124,6 @@
     };
   }
 
-  function tryGetSubmitRefusal(
-    entry: OpenRequest,
-    nowMs: number,
-  ): RequestFailure | undefined {
-    const {request, pool} = entry;
-    if (isDraining) {
-      return createFailure(FailureKind.Unavailable, 'the node is stopping', {
-        retryAfterMs: DRAINING_RETRY_AFTER_MS,
-      });
-    }
-    if (request.deadlineAtMs <= nowMs) return createDeadlineFailure(entry);
-    if (pool.all.length === 0 && !pool.hasAbsent) {
-      return createFailure(
-        FailureKind.Unavailable,
-        `no engine with model ${request.model} is available`,
-        {retryAfterMs: UNAVAILABLE_RETRY_AFTER_MS},
-      );
-    }
-    return tryTakeLimits(entry, nowMs);
-  }
-
-  function tryTakeLimits(
-    entry: OpenRequest,
-    nowMs: number,
-  ): RequestFailure | undefined {
-    const {clientAccount, limits} = entry.request;
-    if (limits === undefined || resolved.limiter === undefined) {
-      return undefined;
-    }
-    const admission = resolved.limiter.tryAdmit(clientAccount, limits, nowMs);
-    if (admission.kind === 'refused') {
-      return createFailure(FailureKind.LimitExceeded, admission.reason, {
-        retryAfterMs: getRetryAfterMs(admission.retryAfterMs),
-      });
-    }
-    entry.releaseLimits = admission.release;
-    return undefined;
-  }
-
   function startAttempt(entry: OpenRequest, plan: PlacedPlan): void {
     setDeadlineTimer(entry);
     counts.attempts++;
@@ -315,11 +273,3 @@
     host.emitEvent({kind, requestId, clientAccount, engine, cause});
   }
 }
-
-function createDeadlineFailure(entry: OpenRequest): RequestFailure {
-  return createFailure(
-    FailureKind.DeadlineExceeded,
-    'the deadline passed before the answer was complete',
-    {verdict: entry.mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun},
-  );
-}
--- a/src/routing/engine_load.ts
+++ b/src/routing/engine_load.ts
@@ -1,30 +1,14 @@
 /** The load of one engine as this node knows it: a lagging report, corrected by the node's own work. */
 import {type EngineReport, TOKENS_PER_PIECE} from '../backends';
-
-/** Amounts of work at an engine. */
-export interface WorkAmounts {
-  requests: number;
-  /** Prompt tokens not yet prefilled. */
-  prefillTokens: number;
-  /** Those of them that are of urgent requests. */
-  urgentPrefillTokens: number;
-  /** Tokens that may still be generated. */
-  decodeTokens: number;
-  /** Pieces of KV memory in use. */
-  pieces: number;
-}
-
-/** The node's own work at one time. */
-interface LoadSample extends Readonly<WorkAmounts> {
-  readonly atMs: number;
-}
-
-/** This node's own work, now and over the last seconds. */
-export interface OwnWork {
-  readonly now: WorkAmounts;
-  /** Oldest first. */
-  readonly history: LoadSample[];
-}
+import {
+  addAmounts,
+  createAmounts,
+  createOwnWork,
+  getOwnAt,
+  type OwnWork,
+  recordSample,
+  type WorkAmounts,
+} from './work_amounts';
 
 /** What is known of the engines of one role together. */
 export interface FleetLoad {
@@ -71,14 +55,6 @@
   readonly pieces: number;
 }
 
-/** Longest lag of a report that is corrected for, in milliseconds. */
-const MAX_REPORT_LAG_MS = 6_000;
-/** Changes closer together than this share one sample, in milliseconds. */
-const SAMPLE_INTERVAL_MS = 25;
-/** Time over which an engine's load forgets its past, in milliseconds. */
-const OTHERS_MEMORY_MS = 2_000;
-/** Part of its own growth that a node expects of each other node. */
-const GROWTH_WEIGHT = 0.5;
 /** Weight of one request in the averaged part of urgent ones. */
 const URGENT_WEIGHT = 0.02;
 /** Average times assumed before the first answer, in milliseconds. */
@@ -235,88 +211,6 @@
   fleet.engineCount++;
 }
 
-/**
- * Returns the work of other nodes at an engine now. The older the report, the
- * more the fleet's mean counts in its place, so that nodes with the same old
- * report do not all take the engine that it shows as free. The mean follows
- * what this node has itself added since, as the other nodes will have done.
- */
-export function getOthersWork(
-  load: EngineLoad,
-  nowMs: number,
-): Readonly<WorkAmounts> {
-  const {fleet, others} = load;
-  if (fleet === undefined || fleet.engineCount < 2) return others;
-  const ageMs = load.reportLagMs + nowMs - load.reportAtMs;
-  const trust = Math.exp(-ageMs / OTHERS_MEMORY_MS);
-  const then = getOwnAt(fleet.own, nowMs - ageMs);
-  const {now} = fleet.own;
-  return {
-    requests: getBlend('requests'),
-    prefillTokens: getBlend('prefillTokens'),
-    urgentPrefillTokens: getBlend('urgentPrefillTokens'),
-    decodeTokens: getBlend('decodeTokens'),
-    pieces: getBlend('pieces'),
-  };
-
-  function getBlend(key: keyof WorkAmounts): number {
-    const count = fleet?.engineCount ?? 1;
-    const nodes = fleet?.nodeCount ?? 1;
-    const growth = GROWTH_WEIGHT * (nodes - 1) * (now[key] - then[key]);
-    const mean = (fleet?.others[key] ?? 0) / count;
-    const reported = trust * others[key] + (1 - trust) * mean;
-    return Math.max(0, reported + growth / count);
-  }
-}
-
-function getOwnAt(own: OwnWork, atMs: number): Readonly<WorkAmounts> {
-  for (let index = own.history.length - 1; index >= 0; index--) {
-    if (own.history[index].atMs <= atMs) return own.history[index];
-  }
-  return NO_WORK;
-}
-
-function recordSample(own: OwnWork, nowMs: number): void {
-  const {history, now} = own;
-  const last = history[history.length - 1];
-  if (last !== undefined && nowMs - last.atMs < SAMPLE_INTERVAL_MS) {
-    history[history.length - 1] = {...now, atMs: last.atMs};
-    return;
-  }
-  history.push({...now, atMs: nowMs});
-  while (history.length > 2 && history[1].atMs < nowMs - MAX_REPORT_LAG_MS) {
-    history.shift();
-  }
-}
-
-function createOwnWork(): OwnWork {
-  return {now: createAmounts(), history: []};
-}
-
-function createAmounts(): WorkAmounts {
-  return {
-    requests: 0,
-    prefillTokens: 0,
-    urgentPrefillTokens: 0,
-    decodeTokens: 0,
-    pieces: 0,
-  };
-}
-
-const NO_WORK: Readonly<WorkAmounts> = createAmounts();
-
-function addAmounts(
-  sum: WorkAmounts,
-  part: Readonly<WorkAmounts>,
-  sign: number,
-): void {
-  sum.requests += sign * part.requests;
-  sum.prefillTokens += sign * part.prefillTokens;
-  sum.urgentPrefillTokens += sign * part.urgentPrefillTokens;
-  sum.decodeTokens += sign * part.decodeTokens;
-  sum.pieces += sign * part.pieces;
-}
-
 function getRest(total: number, part: number): number {
   return Math.max(0, total - part);
 }
--- a/src/routing/estimate.ts
+++ b/src/routing/estimate.ts
@@ -1,11 +1,8 @@
 /** Predicts when an engine would give the first token and the whole answer of a request. */
 import {type EngineReport, EngineRole} from '../backends';
-import {
-  type EngineLoad,
-  getOthersWork,
-  getPieces,
-  type WorkAmounts,
-} from './engine_load';
+import {type EngineLoad, getPieces} from './engine_load';
+import {getOthersWork} from './others_work';
+import {NO_WORK, type WorkAmounts} from './work_amounts';
 
 /** A request as the prediction sees it. */
 export interface Job {
@@ -50,13 +47,6 @@
   [EngineRole.Mixed]: 256,
 };
 
-const NO_WORK: Readonly<WorkAmounts> = {
-  requests: 0,
-  prefillTokens: 0,
-  urgentPrefillTokens: 0,
-  decodeTokens: 0,
-  pieces: 0,
-};
 /** Bound of the correction by observed answers. */
 const MAX_CORRECTION = 4;
 const NO_OTHERS: OthersWork = NO_WORK;
--- a/src/routing/service_dispatcher.ts
+++ b/src/routing/service_dispatcher.ts
@@ -17,16 +17,9 @@
 } from '../verdict';
 import type {AccountLimiter, FleetLimits} from './account_limiter';
 import {getRetryAfterMs} from './admission';
-import {
-  createEjector,
-  createServerHealth,
-  type EjectionOptions,
-  type Ejector,
-  type ServerHealth,
-} from './ejection';
+import type {EjectionCause, EjectionOptions} from './ejection';
 import {createRetryBudget, type RetryBudgetOptions} from './retry_budget';
-import {isHealthFailure} from './retrying';
-import {isSelected} from './selector';
+import {createServiceTable, type ServiceEntry} from './service_table';
 import type {RoutingEvent} from './types';
 
 /** A call of a plain service on its way. */
@@ -64,35 +57,26 @@
   getOpenCount(): number;
 }
 
-/** A server of a plain service as routing knows it. */
-interface ServiceEntry {
-  server: BackendServer;
-  readonly health: ServerHealth;
-  inFlight: number;
-}
-
-/** The servers of one service. */
-interface ServiceFleet {
-  readonly entries: Map<string, ServiceEntry>;
-  readonly ejector: Ejector;
-  /** Average time of an answer, in milliseconds. */
-  averageMs: number;
-}
-
 const MAX_ATTEMPTS = 3;
 const UNAVAILABLE_RETRY_AFTER_MS = 1_000;
-const AVERAGE_WEIGHT = 0.05;
 
 /** Creates a dispatcher without servers. */
 export function createServiceDispatcher(
   options: ServiceDispatcherOptions,
 ): ServiceDispatcher {
   const {clock, client, limiter} = options;
-  const getRandom = options.getRandom ?? Math.random;
   const budget = createRetryBudget(options.retries);
-  const fleets = new Map<string, ServiceFleet>();
+  const table = createServiceTable({
+    clock,
+    getRandom: options.getRandom ?? Math.random,
+    ejection: options.ejection,
+  });
   let openCount = 0;
-  return {call, updateServers, getOpenCount: () => openCount};
+  return {
+    call,
+    updateServers: table.updateServers,
+    getOpenCount: () => openCount,
+  };
 
   async function call(
     request: ServiceCall,
@@ -129,7 +113,7 @@
     for (;;) {
       const leftMs = request.deadlineAtMs - clock.getMonotonicMs();
       if (leftMs <= 0) return createError(FailureKind.DeadlineExceeded);
-      const entry = tryChoose(request, tried);
+      const entry = table.tryChoose(request.service, request.servers, tried);
       if (entry === undefined) break;
       if (last !== undefined && !budget.tryTake()) break;
       tried.add(entry);
@@ -155,33 +139,6 @@
     }
   }
 
-  /** Takes the one with fewer calls of two chosen at random. */
-  function tryChoose(
-    request: ServiceCall,
-    tried: ReadonlySet<ServiceEntry>,
-  ): ServiceEntry | undefined {
-    const fleet = fleets.get(request.service);
-    if (fleet === undefined) return undefined;
-    const nowMs = clock.getMonotonicMs();
-    const listed = [...fleet.entries.values()].filter(
-      entry =>
-        !entry.server.isLeaving &&
-        !tried.has(entry) &&
-        isSelected(entry.server, request.servers),
-    );
-    const usable = listed.filter(entry =>
-      fleet.ejector.isUsable(entry.health, nowMs),
-    );
-    // With every server ejected, one that may fail is better than none.
-    const eligible = usable.length > 0 ? usable : listed;
-    if (eligible.length < 2) return eligible[0];
-    const first = Math.floor(getRandom() * eligible.length);
-    const step = 1 + Math.floor(getRandom() * (eligible.length - 1));
-    const left = eligible[first];
-    const right = eligible[(first + step) % eligible.length];
-    return right.inFlight < left.inFlight ? right : left;
-  }
-
   async function callServer(
     request: ServiceCall,
     entry: ServiceEntry,
@@ -198,83 +155,26 @@
     );
     entry.inFlight--;
     if (answer.ok) {
-      recordSuccess(request, entry, clock.getMonotonicMs() - startMs);
+      const durationMs = clock.getMonotonicMs() - startMs;
+      emitEjection(request, entry, table.recordSuccess(entry, durationMs));
       return Ok(answer.val);
     }
-    if (!signal?.aborted) recordFailure(request, entry, answer.val);
+    // A caller who went away says nothing of the server.
+    if (signal?.aborted) return answer;
+    const {kind, message} = answer.val;
+    emit(request, 'call-failed', `${kind}: ${message}`, entry);
+    emitEjection(request, entry, table.recordFailure(entry, answer.val));
     return answer;
   }
 
-  function recordSuccess(
+  function emitEjection(
     request: ServiceCall,
     entry: ServiceEntry,
-    durationMs: number,
+    cause: EjectionCause | undefined,
   ): void {
-    const fleet = fleets.get(request.service);
-    if (fleet === undefined) return;
-    if (fleet.averageMs === 0) fleet.averageMs = durationMs;
-    fleet.averageMs += AVERAGE_WEIGHT * (durationMs - fleet.averageMs);
-    const ratio = durationMs / Math.max(1, fleet.averageMs);
-    const nowMs = clock.getMonotonicMs();
-    const cause = fleet.ejector.recordSuccess(entry.health, ratio, nowMs);
     if (cause !== undefined) emit(request, 'server-ejected', cause, entry);
   }
 
-  function recordFailure(
-    request: ServiceCall,
-    entry: ServiceEntry,
-    failure: BackendFailure,
-  ): void {
-    const cause = `${failure.kind}: ${failure.message}`;
-    emit(request, 'call-failed', cause, entry);
-    const fleet = fleets.get(request.service);
-    if (fleet === undefined || !isHealthFailure(failure)) return;
-    const nowMs = clock.getMonotonicMs();
-    const ejection = fleet.ejector.recordFailure(
-      entry.health,
-      nowMs,
-      failure.kind === 'unavailable',
-    );
-    if (ejection !== undefined) {
-      emit(request, 'server-ejected', ejection, entry);
-    }
-  }
-
-  function updateServers(servers: readonly BackendServer[]): void {
-    const listed = new Set<string>();
-    for (const server of servers) {
-      if (server.kind !== 'service' || server.service === undefined) continue;
-      listed.add(server.id);
-      const {entries} = getFleet(server.service);
-      const known = entries.get(server.id);
-      if (known !== undefined) known.server = server;
-      else {
-        const health = createServerHealth();
-        entries.set(server.id, {server, health, inFlight: 0});
-      }
-    }
-    for (const {entries} of fleets.values()) {
-      for (const id of entries.keys()) if (!listed.has(id)) entries.delete(id);
-    }
-  }
-
-  function getFleet(service: string): ServiceFleet {
-    const known = fleets.get(service);
-    if (known !== undefined) return known;
-    const entries = new Map<string, ServiceEntry>();
-    const created: ServiceFleet = {
-      entries,
-      ejector: createEjector(
-        () => [...entries.values()].map(entry => entry.health),
-        getRandom,
-        options.ejection,
-      ),
-      averageMs: 0,
-    };
-    fleets.set(service, created);
-    return created;
-  }
-
   function emit(
     request: ServiceCall,
     kind: string,
--- /dev/null
+++ b/src/routing/service_table.ts
@@ -0,0 +1,159 @@
+/** The servers of plain services: which there are, how they do, and the choice among them. */
+import type {BackendFailure, BackendServer} from '../backends';
+import type {Clock} from '../runtime';
+import type {ServerSelector} from '../state';
+import {
+  createEjector,
+  createServerHealth,
+  type EjectionCause,
+  type EjectionOptions,
+  type Ejector,
+  type ServerHealth,
+} from './ejection';
+import {isHealthFailure} from './retrying';
+import {isSelected} from './selector';
+
+/** A server of a plain service as routing knows it. */
+export interface ServiceEntry {
+  server: BackendServer;
+  readonly health: ServerHealth;
+  readonly fleet: ServiceFleet;
+  /** Calls in progress from this node. */
+  inFlight: number;
+}
+
+/** The servers of one service. */
+export interface ServiceFleet {
+  readonly entries: Map<string, ServiceEntry>;
+  readonly ejector: Ejector;
+  /** Average time of an answer, in milliseconds; 0 before the first. */
+  averageMs: number;
+}
+
+/** The servers of all plain services. */
+export interface ServiceTable {
+  /** Takes the server with fewer calls of two chosen at random. */
+  tryChoose(
+    service: string,
+    selector: ServerSelector,
+    tried: ReadonlySet<ServiceEntry>,
+  ): ServiceEntry | undefined;
+  recordSuccess(
+    entry: ServiceEntry,
+    durationMs: number,
+  ): EjectionCause | undefined;
+  recordFailure(
+    entry: ServiceEntry,
+    failure: BackendFailure,
+  ): EjectionCause | undefined;
+  /** Replaces the set of servers; those of other kinds are ignored. */
+  updateServers(servers: readonly BackendServer[]): void;
+}
+
+/** Options of a table. */
+export interface ServiceTableOptions {
+  readonly clock: Clock;
+  readonly getRandom: () => number;
+  readonly ejection?: EjectionOptions;
+}
+
+const AVERAGE_WEIGHT = 0.05;
+
+/** Creates an empty table. */
+export function createServiceTable(options: ServiceTableOptions): ServiceTable {
+  const {clock, getRandom} = options;
+  const fleets = new Map<string, ServiceFleet>();
+  return {tryChoose, recordSuccess, recordFailure, updateServers};
+
+  function tryChoose(
+    service: string,
+    selector: ServerSelector,
+    tried: ReadonlySet<ServiceEntry>,
+  ): ServiceEntry | undefined {
+    const fleet = fleets.get(service);
+    if (fleet === undefined) return undefined;
+    const nowMs = clock.getMonotonicMs();
+    const listed = [...fleet.entries.values()].filter(
+      entry =>
+        !entry.server.isLeaving &&
+        !tried.has(entry) &&
+        isSelected(entry.server, selector),
+    );
+    const usable = listed.filter(entry =>
+      fleet.ejector.isUsable(entry.health, nowMs),
+    );
+    // With every server ejected, one that may fail is better than none.
+    return tryChooseIdler(usable.length > 0 ? usable : listed, getRandom);
+  }
+
+  function recordSuccess(
+    entry: ServiceEntry,
+    durationMs: number,
+  ): EjectionCause | undefined {
+    const {fleet, health} = entry;
+    if (fleet.averageMs === 0) fleet.averageMs = durationMs;
+    fleet.averageMs += AVERAGE_WEIGHT * (durationMs - fleet.averageMs);
+    const ratio = durationMs / Math.max(1, fleet.averageMs);
+    return fleet.ejector.recordSuccess(health, ratio, clock.getMonotonicMs());
+  }
+
+  function recordFailure(
+    entry: ServiceEntry,
+    failure: BackendFailure,
+  ): EjectionCause | undefined {
+    if (!isHealthFailure(failure)) return undefined;
+    return entry.fleet.ejector.recordFailure(
+      entry.health,
+      clock.getMonotonicMs(),
+      failure.kind === 'unavailable',
+    );
+  }
+
+  function updateServers(servers: readonly BackendServer[]): void {
+    const listed = new Set<string>();
+    for (const server of servers) {
+      if (server.kind !== 'service' || server.service === undefined) continue;
+      listed.add(server.id);
+      updateServer(getFleet(server.service), server);
+    }
+    for (const {entries} of fleets.values()) {
+      for (const id of entries.keys()) if (!listed.has(id)) entries.delete(id);
+    }
+  }
+
+  function getFleet(service: string): ServiceFleet {
+    const known = fleets.get(service);
+    if (known !== undefined) return known;
+    const entries = new Map<string, ServiceEntry>();
+    const ejector = createEjector(
+      () => [...entries.values()].map(entry => entry.health),
+      getRandom,
+      options.ejection,
+    );
+    const created: ServiceFleet = {entries, ejector, averageMs: 0};
+    fleets.set(service, created);
+    return created;
+  }
+}
+
+function updateServer(fleet: ServiceFleet, server: BackendServer): void {
+  const known = fleet.entries.get(server.id);
+  if (known !== undefined) {
+    known.server = server;
+    return;
+  }
+  const health = createServerHealth();
+  fleet.entries.set(server.id, {server, health, fleet, inFlight: 0});
+}
+
+function tryChooseIdler(
+  entries: readonly ServiceEntry[],
+  getRandom: () => number,
+): ServiceEntry | undefined {
+  if (entries.length < 2) return entries[0];
+  const first = Math.floor(getRandom() * entries.length);
+  const step = 1 + Math.floor(getRandom() * (entries.length - 1));
+  const left = entries[first];
+  const right = entries[(first + step) % entries.length];
+  return right.inFlight < left.inFlight ? right : left;
+}
--- /dev/null
+++ b/src/routing/work_amounts.ts
@@ -0,0 +1,85 @@
+/** Amounts of work, and this node's own over the last seconds. */
+
+/** Longest lag of a report that is corrected for, in milliseconds. */
+const MAX_REPORT_LAG_MS = 6_000;
+/** Changes closer together than this share one sample, in milliseconds. */
+const SAMPLE_INTERVAL_MS = 25;
+
+/** Amounts of work at an engine. */
+export interface WorkAmounts {
+  requests: number;
+  /** Prompt tokens not yet prefilled. */
+  prefillTokens: number;
+  /** Those of them that are of urgent requests. */
+  urgentPrefillTokens: number;
+  /** Tokens that may still be generated. */
+  decodeTokens: number;
+  /** Pieces of KV memory in use. */
+  pieces: number;
+}
+
+/** The node's own work at one time. */
+interface LoadSample extends Readonly<WorkAmounts> {
+  readonly atMs: number;
+}
+
+/** This node's own work, now and over the last seconds. */
+export interface OwnWork {
+  readonly now: WorkAmounts;
+  /** Oldest first. */
+  readonly history: LoadSample[];
+}
+
+/** Returns the work as it was at a time. */
+export function getOwnAt(own: OwnWork, atMs: number): Readonly<WorkAmounts> {
+  for (let index = own.history.length - 1; index >= 0; index--) {
+    if (own.history[index].atMs <= atMs) return own.history[index];
+  }
+  return NO_WORK;
+}
+
+/** Keeps the present work for later reports. */
+export function recordSample(own: OwnWork, nowMs: number): void {
+  const {history, now} = own;
+  const last = history[history.length - 1];
+  if (last !== undefined && nowMs - last.atMs < SAMPLE_INTERVAL_MS) {
+    history[history.length - 1] = {...now, atMs: last.atMs};
+    return;
+  }
+  history.push({...now, atMs: nowMs});
+  while (history.length > 2 && history[1].atMs < nowMs - MAX_REPORT_LAG_MS) {
+    history.shift();
+  }
+}
+
+/** Creates own work of nothing. */
+export function createOwnWork(): OwnWork {
+  return {now: createAmounts(), history: []};
+}
+
+/** Creates amounts of nothing. */
+export function createAmounts(): WorkAmounts {
+  return {
+    requests: 0,
+    prefillTokens: 0,
+    urgentPrefillTokens: 0,
+    decodeTokens: 0,
+    pieces: 0,
+  };
+}
+
+/** Amounts of nothing, not to be changed. */
+export const NO_WORK: Readonly<WorkAmounts> = createAmounts();
+
+/** Adds `part` to `sum`, or takes it off with a `sign` of -1. */
+export function addAmounts(
+  sum: WorkAmounts,
+  part: Readonly<WorkAmounts>,
+  sign: number,
+): void {
+  sum.requests += sign * part.requests;
+  sum.prefillTokens += sign * part.prefillTokens;
+  sum.urgentPrefillTokens += sign * part.urgentPrefillTokens;
+  sum.decodeTokens += sign * part.decodeTokens;
+  sum.pieces += sign * part.pieces;
+}
