--- a/src/routing/dispatcher_options.ts
+++ b/src/routing/dispatcher_options.ts
@@ -52,6 +52,7 @@
 const DEFAULT_KV_TRANSFER_COST_WEIGHT = 1;
 const DEFAULT_ROOM: RoomLimits = {
   maxPrefillBacklogMs: 3_000,
+  maxBatchPart: 0.5,
   urgentFactor: 1.5,
 };
 
--- a/src/routing/estimate.ts
+++ b/src/routing/estimate.ts
@@ -31,6 +31,8 @@
 export interface RoomLimits {
   /** Most prefill work that waits at an engine, in milliseconds until it is done. */
   readonly maxPrefillBacklogMs: number;
+  /** Part of an engine's batch that other requests fill where there are urgent ones. */
+  readonly maxBatchPart: number;
   /** Factor of the limits for urgent requests. */
   readonly urgentFactor: number;
 }
@@ -49,6 +51,8 @@
 
 /** Bound of the correction by observed answers. */
 const MAX_CORRECTION = 4;
+/** Part of urgent requests from which the batch is kept small for them. */
+const MIN_URGENT_PART = 0.01;
 const NO_OTHERS: OthersWork = NO_WORK;
 
 /** Returns the requests at the engine, this node's and the others'. */
@@ -140,7 +144,8 @@
   const requests = getRequestCount(load, nowMs, digest);
   if (requests < 1) return true;
   const factor = job.isUrgent ? limits.urgentFactor : 1;
-  if (requests >= report.maxRunning * factor) return false;
+  const part = job.isUrgent ? factor : getUsualBatchPart(load, limits);
+  if (requests >= report.maxRunning * part) return false;
   const others = getFreshOthers(load, nowMs);
   const freePieces = report.totalPieces - others.pieces - load.own.now.pieces;
   if (freePieces < getJobPieces(job)) return false;
@@ -150,6 +155,12 @@
   return backlogMs < limits.maxPrefillBacklogMs * factor;
 }
 
+/** Decode steps grow with the batch, so urgent answers are in time only if it stays small. */
+function getUsualBatchPart(load: EngineLoad, limits: RoomLimits): number {
+  const hasUrgent = (load.fleet?.urgentPart ?? 0) >= MIN_URGENT_PART;
+  return hasUrgent ? limits.maxBatchPart : 1;
+}
+
 /** Returns the pieces of KV memory that a job is expected to need. */
 export function getJobPieces(job: Job): number {
   return getPieces(job.promptTokens + job.outputTokens);
--- a/test/routing/estimate.test.ts
+++ b/test/routing/estimate.test.ts
@@ -6,8 +6,10 @@
   addWork,
   applyReport,
   createEngineLoad,
+  createFleetLoad,
   recordProgress,
   removeWork,
+  setFleet,
 } from '../../src/routing/engine_load';
 import {
   getPrefillBacklog,
@@ -86,7 +88,11 @@
   assert.equal(usual.completionMs, usual.firstTokenMs + 10 * 13);
   const fast = predictTimes(load, report, urgent, {nowMs: 0});
   assert.ok(fast.firstTokenMs < usual.firstTokenMs / 2);
-  const limits = {maxPrefillBacklogMs: 700, urgentFactor: 2};
+  const limits = {
+    maxPrefillBacklogMs: 700,
+    maxBatchPart: 1,
+    urgentFactor: 2,
+  };
   assert.equal(hasRoom(load, report, job, {nowMs: 0, limits}), false);
   assert.equal(hasRoom(load, report, urgent, {nowMs: 0, limits}), true);
 });
@@ -95,12 +101,31 @@
   const load = createEngineLoad();
   const report = createReport({running: 1, freePieces: 1});
   applyReport(load, report, 0, 0);
-  const limits = {maxPrefillBacklogMs: 700, urgentFactor: 2};
+  const limits = {
+    maxPrefillBacklogMs: 700,
+    maxBatchPart: 1,
+    urgentFactor: 2,
+  };
   const job = {promptTokens: 4_000, outputTokens: 200, isUrgent: false};
   assert.equal(hasRoom(load, report, job, {nowMs: 0, limits}), false);
   assert.equal(hasRoom(load, report, job, {nowMs: 60_000, limits}), true);
 });
 
+test('the batch is kept small for urgent requests where there are any', () => {
+  const load = createEngineLoad();
+  const fleet = createFleetLoad();
+  setFleet(load, fleet);
+  const report = createReport({running: 5});
+  applyReport(load, report, 0, 0);
+  const limits = {maxPrefillBacklogMs: 700, maxBatchPart: 0.5, urgentFactor: 2};
+  const job = {promptTokens: 100, outputTokens: 10, isUrgent: false};
+  assert.equal(hasRoom(load, report, job, {nowMs: 0, limits}), true);
+  fleet.urgentPart = 0.2;
+  assert.equal(hasRoom(load, report, job, {nowMs: 0, limits}), false);
+  const urgent = {...job, isUrgent: true};
+  assert.equal(hasRoom(load, report, urgent, {nowMs: 0, limits}), true);
+});
+
 test('lengths of answers are learned for each client account, within bounds', () => {
   const estimate = createOutputEstimate({capacity: 100});
   for (let round = 0; round < 200; round++) {
