Replay a short trace in the demo, with a node killed in the middle

Now it publishes both users' example templates, which are put into the program when it is built, streams through the OpenAI client library, and sends 90 requests of a seeded trace over 3 s by callers that go to another node: streams are taken up there, bookings sent again under their key. The reader of streams serves the resume test too.

--- a/src/demo/cluster.ts
+++ b/src/demo/cluster.ts
@@ -22,6 +22,8 @@
   readonly models: readonly string[];
   /** Name of the plain service. */
   readonly service: string;
+  /** Names of further plain services, which share the first one's books. */
+  readonly moreServices?: readonly string[];
   /** How long the weight store takes for one set of weights, in milliseconds. */
   readonly weightCopyMs?: number;
   /** Time between two reads of the load reports, in milliseconds. */
--- a/src/demo/demo.ts
+++ b/src/demo/demo.ts
@@ -1,8 +1,11 @@
-/** The demo: three nodes before stand-ins, a template, and requests through real sockets. */
+/** The demo: three nodes before stand-ins, both users' templates, and a short trace. */
 import OpenAI from 'openai';
-import {getKeyHash} from '../entry';
+import {formatTable} from '../cli/output';
 import type {Clock} from '../runtime';
+import {type CallerResult, sendRequest} from './caller';
 import {type Cluster, startCluster} from './cluster';
+import {type ExampleTemplate, listExampleTemplates} from './example_templates';
+import {createShortTrace, type DemoRequest} from './short_trace';
 
 /** Options of the demo. */
 export interface DemoOptions {
@@ -12,10 +15,16 @@
   readonly waitForEnd?: () => Promise<unknown>;
 }
 
-const API_KEY = 'demo-api-key';
 const FAILURE_DOMAINS = ['sk-west-1', 'sk-west-2', 'sk-west-3'];
+const MODELS = ['summary', 'reconcile', 'label-check', 'quote', 'price'];
+const SERVICES = ['order-desk', 'order-status', 'yard-orders', 'price-list'];
+const OPERATOR = 'demo';
+const TRACE = {seed: 17, requests: 90, durationMs: 3_000};
+/** The node that is killed, and when, in milliseconds from the trace's start. */
+const KILLED_NODE = 1;
+const KILL_AT_MS = 1_500;
 
-/** Publishes a template, sends requests of each kind and prints what came of them. */
+/** Publishes the templates, replays the trace and prints what came of it. */
 export async function runDemo(options: DemoOptions): Promise<boolean> {
   const {print, clock} = options;
   const cluster = await startCluster({
@@ -24,49 +33,144 @@
     region: 'sk-west',
     failureDomains: FAILURE_DOMAINS,
     nodeCount: 3,
-    models: ['small'],
+    models: MODELS,
     engines: [1, 2, 3, 4].map(number => ({
       id: `engine-${number}`,
       failureDomain: FAILURE_DOMAINS[number % FAILURE_DOMAINS.length],
+      building: 'old',
     })),
-    service: 'order-desk',
+    service: SERVICES[0],
+    moreServices: SERVICES.slice(1),
   });
   try {
-    print('3 nodes, 4 model engines, 1 plain service and the platform are up.');
-    await cluster.publishTemplate({
-      client_account: 'studio',
-      api_key_sha256: [getKeyHash(API_KEY)],
-      operators: ['demo'],
-      models: ['small'],
-      services: ['order-desk'],
-      request_class: [
-        {
-          name: 'booking',
-          kind: 'service',
-          service: 'order-desk',
-          idempotent: false,
-          deadline_ms: 5_000,
-        },
-      ],
-    });
-    print('Template of client account "studio" is in force on every node.');
-    const isDone = await sendRequests(cluster, print);
+    print(
+      '3 nodes, 4 model engines, 4 plain services and the platform are up.',
+    );
+    const examples = listExampleTemplates(OPERATOR);
+    for (const {template} of examples) await cluster.publishTemplate(template);
+    const names = examples.map(item => item.template.client_account);
+    print(`Templates in force on every node: ${names.join(', ')}.`);
+    const text = await readCompletion(cluster, examples[0].apiKey);
+    print(`The OpenAI client library streamed: ${text}`);
+    const results = await replayTrace(cluster, examples, clock, print);
+    const isDone = printOutcome(results, cluster, print);
     if (options.waitForEnd !== undefined) {
-      printAddresses(cluster, print);
+      printAddresses(cluster, examples[0].apiKey, print);
       await options.waitForEnd();
     }
-    return isDone;
+    return isDone && text !== '';
   } finally {
     await cluster.close();
   }
 }
 
-function printAddresses(cluster: Cluster, print: (line: string) => void): void {
+/** Sends the trace's requests at their times, and kills a node in the middle. */
+async function replayTrace(
+  cluster: Cluster,
+  examples: readonly ExampleTemplate[],
+  clock: Clock,
+  print: (line: string) => void,
+): Promise<CallerResult[]> {
+  const addresses = cluster.nodes.map(node => node.callerAddress);
+  const keys = new Map(
+    examples.map(item => [item.template.client_account, item.apiKey]),
+  );
+  const trace = createShortTrace(TRACE);
+  const killed = clock.sleep(KILL_AT_MS).then(() => {
+    print(`Node ${cluster.nodes[KILLED_NODE].id} is killed in the middle.`);
+    return cluster.nodes[KILLED_NODE].kill();
+  });
+  const sent = trace.map(async (request, index) => {
+    await clock.sleep(request.atMs);
+    const first = index % addresses.length;
+    return sendRequest({
+      clock,
+      request,
+      apiKey: keys.get(request.clientAccount) ?? '',
+      addresses: [...addresses.slice(first), ...addresses.slice(0, first)],
+    });
+  });
+  const results = await Promise.all(sent);
+  await killed;
+  return results;
+}
+
+function printOutcome(
+  results: readonly CallerResult[],
+  cluster: Cluster,
+  print: (line: string) => void,
+): boolean {
+  const kinds = ['model', 'lookup', 'booking'] as const;
+  const rows = kinds.map(kind => createRow(kind, results));
+  const headings = [
+    'request',
+    'sent',
+    'answered',
+    'in deadline',
+    'resumed',
+    'sent again',
+    'whole',
+  ];
+  print('');
+  print(formatTable(headings, rows).trimEnd());
+  const bookings = results.filter(result => result.request.kind === 'booking');
+  const runs = bookings.map(result =>
+    cluster.fleet.service.getRuns(result.request.reference),
+  );
+  const unknown = bookings.filter(result => result.verdict === 'may-have-run');
+  const twice = runs.filter(count => count > 1).length;
+  const lost = bookings.filter(
+    (result, index) => result.isAnswered && runs[index] === 0,
+  ).length;
+  print('');
+  print(
+    `Bookings that ran twice: ${twice}; answered and not run: ${lost}; of unknown outcome: ${unknown.length}.`,
+  );
+  const idempotent = results.filter(result => !bookings.includes(result));
+  const areWhole = idempotent.every(
+    result => result.isAnswered && isWhole(result),
+  );
+  return areWhole && twice === 0 && lost === 0;
+}
+
+function createRow(
+  kind: DemoRequest['kind'],
+  results: readonly CallerResult[],
+): string[] {
+  const own = results.filter(result => result.request.kind === kind);
+  const count = (isCounted: (result: CallerResult) => boolean): string =>
+    String(own.filter(isCounted).length);
+  return [
+    kind,
+    String(own.length),
+    count(result => result.isAnswered),
+    count(result => result.isInDeadline),
+    count(result => result.isResumed),
+    count(result => result.attempts > 1),
+    count(result => result.isAnswered && isWhole(result)),
+  ];
+}
+
+/** A stand-in engine's answer repeats the word that the request named. */
+function isWhole({request, text}: CallerResult): boolean {
+  if (request.kind !== 'model') return text.includes(request.reference);
+  const words = Array.from(
+    {length: request.outputTokens},
+    (_, index) => `${request.reference}-${index}`,
+  );
+  return text === words.join(' ');
+}
+
+function printAddresses(
+  cluster: Cluster,
+  apiKey: string,
+  print: (line: string) => void,
+): void {
   const operators = cluster.nodes.map(node => node.operatorAddress).join(',');
   print('');
   print('The demo stays up until Ctrl-C. Send a request:');
   print(
-    `curl -N ${cluster.nodes[0].callerAddress}/v1/chat/completions -H 'authorization: Bearer ${API_KEY}' -H 'content-type: application/json' -d '{"model":"small","max_tokens":8,"stream":true,"messages":[{"role":"user","content":"Summarise tape 12."}]}'`,
+    `curl -N ${cluster.nodes[0].callerAddress}/v1/chat/completions -H 'authorization: Bearer ${apiKey}' -H 'content-type: application/json' -d '{"model":"summary","max_tokens":8,"stream":true,"messages":[{"role":"user","content":"Summarise tape 12."}]}'`,
   );
   print('Ask as an operator:');
   print(
@@ -74,43 +178,17 @@
   );
 }
 
-async function sendRequests(
+async function readCompletion(
   cluster: Cluster,
-  print: (line: string) => void,
-): Promise<boolean> {
-  const headers = {authorization: `Bearer ${API_KEY}`};
-  const text = await readCompletion(cluster);
-  print(`streamed chat completion: ${text}`);
-  const bookings = await Promise.all(
-    cluster.nodes.map(node =>
-      fetch(`${node.callerAddress}/services/order-desk/bookings`, {
-        method: 'POST',
-        headers: {
-          ...headers,
-          'content-type': 'application/json',
-          'idempotency-key': 'booking-17',
-        },
-        body: JSON.stringify({reference: 'tape-17'}),
-      }),
-    ),
-  );
-  for (const booking of bookings) {
-    const verdict = booking.headers.get('anvilstack-verdict');
-    print(`booking: ${booking.status} ${verdict} ${await booking.text()}`);
-  }
-  const runs = cluster.fleet.service.getRuns('tape-17');
-  print(`The booking was sent to 3 nodes at once and ran ${runs} time(s).`);
-  return text !== '' && runs === 1;
-}
-
-async function readCompletion(cluster: Cluster): Promise<string> {
+  apiKey: string,
+): Promise<string> {
   const client = new OpenAI({
     baseURL: `${cluster.nodes[0].callerAddress}/v1`,
-    apiKey: API_KEY,
+    apiKey,
     maxRetries: 0,
   });
   const stream = await client.chat.completions.create({
-    model: 'small',
+    model: MODELS[0],
     max_tokens: 8,
     stream: true,
     messages: [{role: 'user', content: 'Summarise tape 12.'}],
--- a/src/demo/index.ts
+++ b/src/demo/index.ts
@@ -8,3 +8,5 @@
   StandinFleet,
   StandinFleetOptions,
 } from './standin_fleet';
+export {readStream} from './stream_reader';
+export type {ReadStreamOptions, StreamPart} from './stream_reader';
--- /dev/null
+++ b/src/demo/short_trace.ts
@@ -0,0 +1,77 @@
+/** The short trace of the demo: requests of both users, made from a seed. */
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
+/** One request of the trace. */
+export interface DemoRequest {
+  /** When it is sent, in milliseconds from the start. */
+  readonly atMs: number;
+  readonly clientAccount: string;
+  readonly kind: 'model' | 'lookup' | 'booking';
+  /** Name of the model or of the plain service. */
+  readonly target: string;
+  /** Names what is booked or looked up; of a booking also the idempotency key. */
+  readonly reference: string;
+  readonly outputTokens: number;
+  readonly deadlineMs: number;
+}
+
+interface Mix {
+  readonly clientAccount: string;
+  readonly models: readonly string[];
+  readonly lookup: string;
+  readonly booking: string;
+}
+
+const MIXES: readonly Mix[] = [
+  {
+    clientAccount: 'studio',
+    models: ['summary', 'label-check'],
+    lookup: 'order-status',
+    booking: 'order-desk',
+  },
+  {
+    clientAccount: 'roofers',
+    models: ['quote', 'price'],
+    lookup: 'price-list',
+    booking: 'yard-orders',
+  },
+];
+const MODEL_PART = 0.6;
+const LOOKUP_PART = 0.2;
+const DEADLINE_MS = 8_000;
+
+/** Options of the trace. */
+export interface ShortTraceOptions {
+  readonly seed: number;
+  readonly requests: number;
+  /** Time over which they are spread, in milliseconds. */
+  readonly durationMs: number;
+}
+
+/** Returns the requests in the order of their times. */
+export function createShortTrace(options: ShortTraceOptions): DemoRequest[] {
+  const {seed, requests, durationMs} = options;
+  const generator = xoroshiro128plus(seed);
+  const getRandom = (): number => uniformFloat64(generator);
+  return Array.from({length: requests}, (_, index) => {
+    const mix = MIXES[Math.floor(getRandom() * MIXES.length)];
+    const draw = getRandom();
+    const model = mix.models[Math.floor(getRandom() * mix.models.length)];
+    const kind =
+      draw < MODEL_PART
+        ? 'model'
+        : draw < MODEL_PART + LOOKUP_PART
+          ? 'lookup'
+          : 'booking';
+    return {
+      atMs: (index / requests) * durationMs,
+      clientAccount: mix.clientAccount,
+      kind,
+      target: kind === 'model' ? model : mix[kind],
+      reference: `order-${index}`,
+      outputTokens: 10 + Math.floor(getRandom() * 40),
+      deadlineMs: DEADLINE_MS,
+    };
+  });
+}
--- a/src/demo/standin_fleet.ts
+++ b/src/demo/standin_fleet.ts
@@ -37,6 +37,8 @@
   readonly engines: readonly StandinEngine[];
   /** Name of the plain service. */
   readonly service: string;
+  /** Names of further plain services, which share the first one's books. */
+  readonly moreServices?: readonly string[];
   /** How long the weight store takes for one set of weights, in milliseconds. */
   readonly weightCopyMs?: number;
 }
@@ -72,7 +74,9 @@
   });
   listeners.push(logListener, vmListListener, weightStoreListener);
   for (const engine of options.engines) await startEngine(engine);
-  await startService();
+  for (const name of [options.service, ...(options.moreServices ?? [])]) {
+    await startService(name);
+  }
   return {
     logAddress: logListener.address,
     vmListAddress: vmListListener.address,
@@ -109,17 +113,18 @@
     });
   }
 
-  async function startService(): Promise<void> {
+  async function startService(name: string): Promise<void> {
     const listener = await openListener({app: createServiceApp(service)});
     listeners.push(listener);
     vmList.setVm({
-      id: `${options.service}-1`,
+      id: `${name}-1`,
       purpose: 'service',
       state: VmState.Live,
       failureDomain: options.engines[0].failureDomain,
+      building: options.engines[0].building,
       region: options.region,
       address: listener.address,
-      service: options.service,
+      service: name,
     });
   }
 }
--- a/test/node/resume.test.ts
+++ b/test/node/resume.test.ts
@@ -1,7 +1,7 @@
 /** A stream whose node dies is taken up on another node, and by nobody else. */
 import assert from 'node:assert/strict';
 import {after, before, test} from 'node:test';
-import type {Cluster} from '../../src/demo';
+import {type Cluster, readStream} from '../../src/demo';
 import {getKeyHash} from '../../src/entry';
 import {
   getExpectedText,
@@ -28,45 +28,6 @@
 
 after(() => cluster.close());
 
-interface Part {
-  readonly text: string;
-  /** Tokens received so far. */
-  readonly lastEventId: number;
-  readonly token: string;
-}
-
-/** Reads a stream until it ends, breaks, or `isEnough` says so. */
-async function readPart(
-  response: Response,
-  isEnough: (tokens: number) => boolean,
-): Promise<Part> {
-  const token = response.headers.get('anvilstack-resume') ?? '';
-  let text = '';
-  let lastEventId = 0;
-  let unread = '';
-  try {
-    for await (const chunk of response.body ?? []) {
-      unread += Buffer.from(chunk as Uint8Array).toString('utf8');
-      const events = unread.split('\n\n');
-      unread = events.pop() ?? '';
-      for (const event of events) {
-        const id = /^id: (\d+)$/m.exec(event)?.[1];
-        const data = /^data: (.*)$/m.exec(event)?.[1] ?? '[DONE]';
-        if (id === undefined || data === '[DONE]') continue;
-        const parsed = JSON.parse(data) as {
-          choices: Array<{delta: {content?: string}}>;
-        };
-        text += parsed.choices[0].delta.content ?? '';
-        lastEventId = Number(id);
-        if (isEnough(lastEventId)) return {text, lastEventId, token};
-      }
-    }
-  } catch {
-    // The node died: what was received stands.
-  }
-  return {text, lastEventId, token};
-}
-
 function sendCompletion(address: string, word: string): Promise<Response> {
   return fetch(`${address}/v1/chat/completions`, {
     method: 'POST',
@@ -97,35 +58,37 @@
 test('a stream goes on at another node without a token lost or repeated', async () => {
   const response = await sendCompletion(cluster.nodes[0].callerAddress, 'r-');
   let killed: Promise<void> | undefined;
-  const first = await readPart(response, tokens => {
-    if (tokens >= 8) killed ??= cluster.nodes[0].kill();
-    return false;
+  const first = await readStream(response, {
+    onTokens: count => {
+      if (count >= 8) killed ??= cluster.nodes[0].kill();
+    },
   });
   await killed;
   assert.ok(first.lastEventId >= 8 && first.lastEventId < TOKENS);
   const {callerAddress} = cluster.nodes[1];
   const stranger = await sendResume(
     callerAddress,
-    first.token,
+    first.resumeToken,
     first.lastEventId,
     STRANGER_KEY,
   );
   assert.equal(stranger.status, 404);
   const resumed = await sendResume(
     callerAddress,
-    first.token,
+    first.resumeToken,
     first.lastEventId,
   );
   assert.equal(resumed.status, 200);
-  const second = await readPart(resumed, () => false);
+  const second = await readStream(resumed);
   assert.equal(first.text + second.text, getExpectedText('r-', TOKENS));
   assert.equal(second.lastEventId, TOKENS);
+  assert.ok(second.isComplete && !first.isComplete);
 });
 
 test('a resume that cannot be is refused and says why', async () => {
   const {callerAddress} = cluster.nodes[1];
   const response = await sendCompletion(callerAddress, 'x-');
-  const {token} = await readPart(response, () => false);
+  const {resumeToken: token} = await readStream(response);
   const [body, signature] = token.split('.');
   const cases: ReadonlyArray<readonly [string, string, number]> = [
     ['nonsense', '0', 404],
