Count claims, role changes, appends, bytes and steps of control at /metrics

The ring of events can be listened to, so role changes and errors are counted from it. A pair of certificates that cannot be used is logged with a code.

--- a/src/diagnostics/events.ts
+++ b/src/diagnostics/events.ts
@@ -35,6 +35,8 @@
   list(): readonly TimelineEvent[];
   /** Returns how many events have been dropped for newer ones. */
   getDroppedCount(): number;
+  /** Calls `listener` for each event from now on; returns a function that stops it. */
+  subscribe(listener: (event: TimelineEvent) => void): () => void;
 }
 
 /** Options of a ring. */
@@ -52,6 +54,7 @@
   const {clock, node} = options;
   const capacity = options.capacity ?? DEFAULT_CAPACITY;
   const events: TimelineEvent[] = [];
+  const listeners = new Set<(event: TimelineEvent) => void>();
   let next = 0;
   let dropped = 0;
   let time: HybridTime = {wallMs: 0, counter: 0};
@@ -61,11 +64,16 @@
     getTime: () => time,
     list: () => [...events.slice(next), ...events.slice(0, next)],
     getDroppedCount: () => dropped,
+    subscribe: listener => {
+      listeners.add(listener);
+      return () => void listeners.delete(listener);
+    },
   };
 
   function emit(input: EventInput): void {
     advanceTime(time);
     const event = {...input, at: time, node};
+    for (const listener of listeners) listener(event);
     if (events.length < capacity) {
       events.push(event);
       return;
--- a/src/diagnostics/messages.ts
+++ b/src/diagnostics/messages.ts
@@ -219,6 +219,12 @@
     'A fault of this program: an error that no task has handled.',
     'The process stops cleanly. Report it with the log lines around it.',
   ),
+  CertificateFault: createError(
+    'AS3006',
+    "listener '{0}': the changed certificates cannot be used: {1}",
+    'A certificate or key file has changed, and the pair cannot be read or does not fit.',
+    'Mend the files; the pair that was in use stays in use until then.',
+  ),
   StartFailed: createError(
     'AS3004',
     'cannot start: {0}',
--- a/src/node/listener_options.ts
+++ b/src/node/listener_options.ts
@@ -1,4 +1,10 @@
 /** Turns settings into the options of a listener. */
+import {
+  createMessage,
+  formatMessage,
+  type Logger,
+  messages,
+} from '../diagnostics';
 import type {ListenerOptions} from '../runtime';
 import type {Settings} from '../settings';
 
@@ -11,6 +17,7 @@
 export function getListenerOptions(
   settings: Settings,
   name: ListenerName,
+  logger: Logger,
 ): Omit<ListenerOptions, 'app'> {
   const address = settings.listen[name];
   const split = address.lastIndexOf(':');
@@ -27,6 +34,13 @@
             keyFile: tls.key_file,
             clientCaFile: tls.client_ca_file,
           },
+    onReloadError: error => {
+      const message = createMessage(messages.CertificateFault, [
+        name,
+        error.message,
+      ]);
+      logger.log('error', formatMessage(message));
+    },
     limits: {
       maxHeaderBytes: limits.max_header_bytes,
       maxBodyBytes: name === 'callers' ? undefined : limits.max_body_bytes,
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -3,7 +3,7 @@
 import {FLEET_SHARD} from '../authority';
 import {createHttpServiceClient} from '../backends';
 import {createClaimsLedger} from '../claims';
-import {createNodeMetrics, type EventRing, type Logger} from '../diagnostics';
+import type {EventRing, Logger} from '../diagnostics';
 import {
   createCallerApp,
   createOperatorApp,
@@ -27,6 +27,7 @@
 import {type Clock, openListener} from '../runtime';
 import type {Secrets, Settings} from '../settings';
 import {createControlTasks} from './control_tasks';
+import {createConnectedMetrics, createCountedLedger} from './node_counts';
 import {createNodeEvents} from './node_events';
 import {getExtraServers} from './fleet_view';
 import {createFleetWatch} from './fleet_watch';
@@ -103,14 +104,16 @@
     getCacheSequence: engine => dispatcher.getCacheSequence(engine),
     onCacheEvents: (engine, cacheEvents) =>
       dispatcher.updateCacheEvents(engine, cacheEvents),
-    onServers: servers => {
-      peers.updateVms(fleet.getVms(), servers);
-      applyServers();
-    },
-    onReport: report => {
-      peers.updateReport(report);
-      dispatcher.updateReport(report);
-    },
+    onServers: servers =>
+      metrics.runControl('servers', () => {
+        peers.updateVms(fleet.getVms(), servers);
+        applyServers();
+      }),
+    onReport: report =>
+      metrics.runControl('reports', () => {
+        peers.updateReport(report);
+        dispatcher.updateReport(report);
+      }),
   });
   const dispatcher = createDispatcher({
     clock,
@@ -164,7 +167,7 @@
     dispatcher: createMeteredDispatcher(dispatcher, roles.meter),
     limiter: createAccountLimiter({getNodeCount: () => peers.countNodes()}),
     services,
-    claims,
+    claims: createCountedLedger(claims, result => metrics.recordClaim(result)),
     selectServers: moves.traffic.selectServers,
     onSummary: summary => {
       moves.traffic.addEnded(summary);
@@ -174,7 +177,9 @@
     },
   });
   const recorder = createTraceRecorder();
-  const metrics = createNodeMetrics({
+  const metrics = createConnectedMetrics({
+    events,
+    streams,
     getQueueLength: dispatcher.getWaitingCount,
     getOpenRequests: pipeline.getOpenCount,
     listBytes,
@@ -187,7 +192,7 @@
     node: id,
     process: writerId,
     secret: options.secrets?.peerSecret?.getText(),
-    listen: getListenerOptions(settings, 'peers'),
+    listen: getListenerOptions(settings, 'peers', logger),
     streams: [
       streams.config.follower,
       streams.claims.follower,
@@ -208,7 +213,7 @@
       prefixHasher: await createPrefixHasher(),
       resume: createNodeResume(),
     }),
-    ...getListenerOptions(settings, 'callers'),
+    ...getListenerOptions(settings, 'callers', logger),
   });
   const operators = await openListener({
     app: createOperatorApp({
@@ -232,7 +237,7 @@
         ...peers.getFleet(),
       }),
     }),
-    ...getListenerOptions(settings, 'operators'),
+    ...getListenerOptions(settings, 'operators', logger),
   });
   const control = createControlTasks({
     node: id,
