Correct predictions for each role, tell replays the node count, try more engines

With reports 5 s old 308 of 1,886 requests of tatranska-lag ran past their deadlines: nodes in replays did not know how many they are, so none allowed for what the others add; and only whole answers corrected the predictions, not those of prefill and decode engines. An engine queue of 3,000 ms left engines without work when prompts were cached. After the loss of a failure domain three engines out of reach were tried in a row and the request failed.

--- a/src/replay/replay.ts
+++ b/src/replay/replay.ts
@@ -178,6 +178,7 @@
         getEngineClient: engine => createEngineClient(id, process, engine),
         getRandom,
         emitEvent: event => emitEvent(id, event),
+        getNodeCount: () => header.nodes,
       },
       createDispatcher: host =>
         createMeteredDispatcher(
--- a/src/routing/dispatcher_options.ts
+++ b/src/routing/dispatcher_options.ts
@@ -51,7 +51,7 @@
 const DEFAULT_KV_TRANSFER_MS_PER_TOKEN = 0.01;
 const DEFAULT_KV_TRANSFER_COST_WEIGHT = 1;
 const DEFAULT_ROOM: RoomLimits = {
-  maxPrefillBacklogMs: 3_000,
+  maxPrefillBacklogMs: 4_000,
   maxBatchPart: 0.5,
   urgentFactor: 1.5,
 };
--- a/src/routing/fleet_watch.ts
+++ b/src/routing/fleet_watch.ts
@@ -83,9 +83,7 @@
 
   function recordTime(entry: OpenRequest, attempt: Attempt): void {
     const {fleet} = attempt.engine.load;
-    if (fleet === undefined || entry.wasPaused || attempt.phase !== 'full') {
-      return;
-    }
+    if (fleet === undefined || entry.wasPaused) return;
     const observedMs = host.clock.getMonotonicMs() - attempt.startedAtMs;
     const times = entry.job.isUrgent ? fleet.urgentTimes : fleet.usualTimes;
     recordTimes(times, observedMs, attempt.predictedMs);
--- a/src/routing/retrying.ts
+++ b/src/routing/retrying.ts
@@ -14,8 +14,10 @@
   | {readonly kind: 'retry'}
   | {readonly kind: 'fail'; readonly failure: RequestFailure};
 
-/** Most engines that one request is sent to because others failed it. */
+/** Most engines that may work on a request because others failed it. */
 const MAX_FAILED_ENGINES = 3;
+/** Most engines tried that did not run it: a failure domain may be out of reach as a whole. */
+const MAX_TRIED_ENGINES = 8;
 /** How long an engine that refused a request is spared, in milliseconds. */
 const REFUSED_PAUSE_MS = 500;
 const RETRY_AFTER_MS = 1_000;
@@ -27,9 +29,11 @@
   failure: BackendFailure,
   options: {budget: RetryBudget; nowMs: number},
 ): RetryDecision {
-  if (failure.verdict !== Verdict.NotRun) entry.mayHaveRun = true;
+  if (failure.verdict !== Verdict.NotRun) {
+    entry.mayHaveRun = true;
+    entry.failureCount++;
+  }
   addTried(entry, attempt.engine);
-  entry.failureCount++;
   if (isRefusal(failure)) {
     attempt.engine.refusedUntilMs = options.nowMs + REFUSED_PAUSE_MS;
   }
@@ -39,7 +43,11 @@
   const isSafe =
     entry.request.idempotent || !entry.mayHaveRun || isUntouchedDecode;
   if (!isSafe) return createFail(failure, failure.message);
-  if (entry.failureCount >= MAX_FAILED_ENGINES) {
+  const triedCount = entry.tried?.size ?? 0;
+  if (
+    entry.failureCount >= MAX_FAILED_ENGINES ||
+    triedCount >= MAX_TRIED_ENGINES
+  ) {
     return createFail(failure, failure.message);
   }
   // A refusal costs the engine nothing, and a begun answer must not end for it.
