A claim with too little time no longer makes others be refused

Cause: after any timeout only one claim at a time was let through, to find out whether the log takes records again. Only a claim that waited a second for nothing shows now that the log takes no records; a second test holds that case.

--- a/src/claims/claim_key.ts
+++ b/src/claims/claim_key.ts
@@ -4,6 +4,8 @@
 /** How far a key's time stamp may be ahead of the log's clock, in milliseconds. */
 export const MAX_KEY_SKEW_MS = 300_000;
 
+/** Part of the log's retention that a key's window may use. */
+const RETENTION_FRACTION = 0.9;
 /** Length of a claim's key in the log, in bytes. */
 const KEY_BYTES = 16;
 const UUID_V7 =
@@ -44,3 +46,8 @@
 ): boolean {
   return keyAtMs + windowMs <= nowMs || keyAtMs > nowMs + MAX_KEY_SKEW_MS;
 }
+
+/** Returns the longest window that a key can have, in milliseconds. */
+export function getMaxWindowMs(logRetentionMs: number): number {
+  return Math.max(1, logRetentionMs * RETENTION_FRACTION - MAX_KEY_SKEW_MS);
+}
--- a/src/claims/ledger.ts
+++ b/src/claims/ledger.ts
@@ -5,8 +5,8 @@
 import type {StreamFollower, StreamWriter} from '../state';
 import {
   getClaimKey,
+  getMaxWindowMs,
   getShortHash,
-  MAX_KEY_SKEW_MS,
   tryGetKeyTimeMs,
 } from './claim_key';
 import {type ClaimsState, tryGetLiveClaim} from './claims_fold';
@@ -44,22 +44,17 @@
 }
 
 const DEFAULT_LOG_RETENTION_MS = 86_400_000;
-/** Part of the log's retention that a key's window may use. */
-const RETENTION_FRACTION = 0.9;
 const DEFAULT_MAX_KEPT_BODY = 8_192;
 const RETRY_AFTER_MS = 1_000;
 /** How often a waiting request looks whether waiting still makes sense, in milliseconds. */
 const WAIT_CHECK_MS = 250;
+/** A claim that waited so long for nothing shows that the log takes no records, in milliseconds. */
+const OUTAGE_SIGN_MS = 1_000;
 /** How often a drain looks whether all is read back, in milliseconds. */
 const DRAIN_CHECK_MS = 10;
 /** Part of a key's window in which a grant must have been read back. */
 const GRANT_WINDOW_FRACTION = 0.5;
 
-/** Returns the longest window that a key can have, in milliseconds. */
-export function getMaxWindowMs(logRetentionMs: number): number {
-  return Math.max(1, logRetentionMs * RETENTION_FRACTION - MAX_KEY_SKEW_MS);
-}
-
 interface Attempt extends ClaimTicket {
   readonly requestHash: string;
   readonly windowMs: number;
@@ -128,6 +123,7 @@
     const leftMs = deadlineAtMs - clock.getMonotonicMs();
     if (leftMs <= 0 || isRefusing()) return createUnavailable();
     claimsInFlight++;
+    const sentAtMs = clock.getMonotonicMs();
     const answer = await writer.write(
       {
         kind: 'claim',
@@ -141,7 +137,10 @@
       leftMs,
     );
     claimsInFlight--;
-    hasTimedOut = answer.err;
+    if (answer.ok) hasTimedOut = false;
+    else if (clock.getMonotonicMs() - sentAtMs >= OUTAGE_SIGN_MS) {
+      hasTimedOut = true;
+    }
     if (answer.err) {
       if (answer.val.mayHaveTakenEffect) release(attempt);
       return createUnavailable();
@@ -158,7 +157,7 @@
     return {kind: 'granted', ticket: {key, attempt: attempt.attempt}};
   }
 
-  /** After a timeout one claim at a time finds out whether the log takes records again. */
+  /** After a long timeout one claim at a time finds out whether the log takes records again. */
   function isRefusing(): boolean {
     return isLogOut() || (hasTimedOut && claimsInFlight > 0);
   }
--- a/test/claims/pacing.test.ts
+++ b/test/claims/pacing.test.ts
@@ -37,3 +37,45 @@
   assert.ok(cluster.runs[0].atMs - startMs < 10);
   cluster.stop();
 });
+
+test('a claim with too little time does not make others be refused', async () => {
+  const cluster = startClaimsCluster({nodes: 1, appendIntervalMs: 200});
+  const {clock} = cluster;
+  const node = cluster.getNode(0);
+  await clock.advance(100);
+  void node.book({key: 'first'});
+  await clock.advance(20);
+  const hasty = node.book({key: 'hasty', timeoutMs: 50});
+  const patient = node.book({key: 'patient', timeoutMs: 2_000});
+  await clock.advance(60);
+  const next = node.book({key: 'next', timeoutMs: 2_000});
+  await clock.advance(2_000);
+  assert.equal((await hasty).kind, 'unavailable');
+  assert.equal((await patient).kind, 'ran');
+  assert.equal((await next).kind, 'ran');
+  cluster.stop();
+});
+
+test('one claim at a time tries a log that reads but takes no records', async () => {
+  const cluster = startClaimsCluster({nodes: 1});
+  const {clock} = cluster;
+  const node = cluster.getNode(0);
+  await clock.advance(100);
+  cluster.setAppendsLost(true);
+  const first = node.book({key: 'first', timeoutMs: 2_000});
+  await clock.advance(2_100);
+  assert.equal((await first).kind, 'unavailable');
+  void node.book({key: 'second', timeoutMs: 2_000});
+  await clock.advance(100);
+  const startMs = clock.getMonotonicMs();
+  const third = node.book({key: 'third', timeoutMs: 2_000});
+  await clock.advance(10);
+  assert.equal((await third).kind, 'unavailable');
+  assert.equal((await third).atMs, startMs);
+  cluster.setAppendsLost(false);
+  await clock.advance(5_000);
+  const later = node.book({key: 'later'});
+  await clock.advance(3_000);
+  assert.equal((await later).kind, 'ran');
+  cluster.stop();
+});
--- a/test/support/claims_cluster.ts
+++ b/test/support/claims_cluster.ts
@@ -1,5 +1,10 @@
 /** Nodes that claim and run bookings on virtual time, with faults that can be scheduled. */
-import type {LogService} from '../../src/platform';
+import {Err, type Result} from 'ts-results';
+import {
+  type LogService,
+  type PlatformFailure,
+  PlatformFailureKind,
+} from '../../src/platform';
 import {createVirtualClock, type VirtualClock} from '../../src/runtime';
 import {
   createLocalLog,
@@ -72,6 +77,8 @@
   readonly runs: readonly BackendRun[];
   getNode(index: number): ClaimsNode;
   applyFault(fault: Fault): void;
+  /** Appends reach nobody while this is set; reads go on. */
+  setAppendsLost(isLost: boolean): void;
   /** Starts a further process; returns its index. */
   addNode(): number;
   stop(): void;
@@ -93,6 +100,7 @@
 const ONE_WAY_MS = 1;
 const DEFAULT_WINDOW_MS = 3_600_000;
 const DEFAULT_TIMEOUT_MS = 2_000;
+const LOST_APPEND_MS = 500;
 
 /** Starts a cluster. */
 export function startClaimsCluster(
@@ -106,6 +114,7 @@
   const runs: BackendRun[] = [];
   let nextRequest = 1;
   let outageUntilMs = 0;
+  let areAppendsLost = false;
   for (let index = 0; index < (options.nodes ?? 3); index++) addNode();
   return {
     clock,
@@ -114,6 +123,9 @@
     runs,
     getNode: index => nodes[index],
     applyFault,
+    setAppendsLost: value => {
+      areAppendsLost = value;
+    },
     addNode,
     stop: () => nodes.forEach(node => node.stop()),
   };
@@ -183,7 +195,10 @@
     return {
       append: async (stream, body) => {
         await control.waitUntilRunning();
-        const answer = await network.append(stream, body);
+        if (areAppendsLost) await clock.sleep(LOST_APPEND_MS);
+        const answer = areAppendsLost
+          ? createLostAnswer()
+          : await network.append(stream, body);
         await control.waitUntilRunning();
         return answer;
       },
@@ -276,3 +291,11 @@
     if (clock.getMonotonicMs() >= outageUntilMs) log.setDown(false);
   }
 }
+
+function createLostAnswer(): Result<number, PlatformFailure> {
+  return Err({
+    kind: PlatformFailureKind.Timeout,
+    mayHaveTakenEffect: true,
+    message: 'no answer in time',
+  });
+}
