--- a/src/routing/engine_load.ts
+++ b/src/routing/engine_load.ts
@@ -16,6 +16,9 @@
   /** Sum of the others' work over the engines that have reported. */
   readonly others: WorkAmounts;
   engineCount: number;
+  /** When a report of any of them came last, and the usual time between two of one engine. */
+  reportAtMs: number;
+  reportGapMs: number;
   /** Part of this node's prompt tokens that are of urgent requests, averaged. */
   urgentPart: number;
   /** Observed over reported time of a decode step, averaged over the last answers. */
@@ -60,6 +63,9 @@
 /** Average times assumed before the first answer, in milliseconds. */
 const START_MS = 1_000;
 const TIMES_WEIGHT = 0.05;
+const GAP_WEIGHT = 0.05;
+/** An engine is silent after so many usual gaps without a report. */
+const SILENT_GAPS = 4;
 
 /** Creates the load of an engine that has not reported. */
 export function createEngineLoad(): EngineLoad {
@@ -79,6 +85,8 @@
     own: createOwnWork(),
     others: createAmounts(),
     engineCount: 0,
+    reportAtMs: 0,
+    reportGapMs: START_MS,
     urgentPart: 0,
     slowdown: 1,
     urgentTimes: {observedMs: START_MS, predictedMs: START_MS},
@@ -180,7 +188,14 @@
   others.urgentPrefillTokens = others.prefillTokens * (fleet?.urgentPart ?? 0);
   others.decodeTokens = getRest(report.decodeTokens, then.decodeTokens);
   others.pieces = getRest(used, then.pieces);
-  if (fleet !== undefined) addAmounts(fleet.others, others, 1);
+  if (fleet !== undefined) {
+    addAmounts(fleet.others, others, 1);
+    fleet.reportAtMs = nowMs;
+  }
+  if (fleet !== undefined && load.report !== undefined) {
+    const gapMs = nowMs - load.reportAtMs;
+    fleet.reportGapMs += GAP_WEIGHT * (gapMs - fleet.reportGapMs);
+  }
   load.report = report;
   load.reportAtMs = nowMs;
   load.reportLagMs = lagMs;
@@ -196,6 +211,15 @@
   times.predictedMs += TIMES_WEIGHT * (predictedMs - times.predictedMs);
 }
 
+/** Returns whether an engine has stopped reporting while others of its role go on. */
+export function isSilent(load: EngineLoad, nowMs: number): boolean {
+  const {fleet} = load;
+  if (fleet === undefined) return false;
+  const silentMs = SILENT_GAPS * fleet.reportGapMs;
+  const isFleetHeard = nowMs - fleet.reportAtMs < fleet.reportGapMs * 2;
+  return isFleetHeard && nowMs - load.reportAtMs > silentMs;
+}
+
 /** Moves an engine's load to the fleet of its role. */
 export function setFleet(load: EngineLoad, fleet: FleetLoad | undefined): void {
   if (load.fleet === fleet) return;
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -3,6 +3,7 @@
 import type {AttemptPlan} from './attempts';
 import type {Choice, ChoiceContext, ChooseEngine, PrefixHolder} from './choice';
 import type {Ejector} from './ejection';
+import {isSilent} from './engine_load';
 import type {EngineEntry, EnginePool, EngineTable} from './engine_table';
 import {hasRoom, type Job, type RoomLimits} from './estimate';
 import type {OpenRequest} from './open_request';
@@ -160,6 +161,7 @@
     if (entry.tried?.has(engine.server.id)) return false;
     const {report} = engine.load;
     if (report === undefined || nowMs < engine.refusedUntilMs) return false;
+    if (isSilent(engine.load, nowMs)) return false;
     if (needsRoom) {
       const digest = host.tryGetOthersWork?.(engine.server.id);
       if (!hasRoom(engine.load, report, job, {nowMs, limits, digest})) {
--- a/src/routing/retrying.ts
+++ b/src/routing/retrying.ts
@@ -52,7 +52,9 @@
   }
   // A refusal costs the engine nothing, and a begun answer must not end for it.
   const isFree =
-    isContinuation(entry, attempt) || (isUntouchedDecode && isRefusal(failure));
+    isContinuation(entry, attempt) ||
+    (isUntouchedDecode && isRefusal(failure)) ||
+    isFirstContact(attempt, failure, options.nowMs);
   if (!isFree && !options.budget.tryTake()) {
     return createFail(failure, `${failure.message}; no retry is left`);
   }
@@ -69,6 +71,23 @@
   return true;
 }
 
+/**
+ * A server out of reach is ejected at its first failure and left alone while it is
+ * silent, so such a retry comes once for each node and server.
+ */
+function isFirstContact(
+  attempt: Attempt,
+  failure: BackendFailure,
+  nowMs: number,
+): boolean {
+  const {health} = attempt.engine;
+  return (
+    failure.kind === 'unavailable' &&
+    failure.verdict === Verdict.NotRun &&
+    nowMs < health.ejectedUntilMs
+  );
+}
+
 /** Returns whether a failure speaks against the engine's health, not just against its load. */
 export function isHealthFailure(failure: BackendFailure): boolean {
   return (
--- a/test/routing/failures.test.ts
+++ b/test/routing/failures.test.ts
@@ -73,6 +73,33 @@
   }
 });
 
+test('an engine that has stopped reporting is left alone until it is heard of again', async () => {
+  const startsAtMs: number[] = [];
+  const fleet = createRoutingFleet({
+    engines: 4,
+    wrapClient: (client, engine) => ({
+      ...client,
+      start: (request, sink) => {
+        if (engine === 'engine-0')
+          startsAtMs.push(fleet.clock.getMonotonicMs());
+        return client.start(request, sink);
+      },
+    }),
+  });
+  await fleet.clock.advance(5_000);
+  fleet.crash(0, 30_000);
+  while (fleet.clock.getMonotonicMs() < 50_000) {
+    fleet.submit(0, {promptTokens: 50, maxTokens: 4});
+    await fleet.clock.advance(50);
+  }
+  await fleet.clock.advance(5_000);
+  fleet.stop();
+  const whileSilent = startsAtMs.filter(atMs => atMs > 10_000 && atMs < 35_000);
+  assert.deepEqual(whileSilent, []);
+  assert.ok(startsAtMs.some(atMs => atMs > 36_000));
+  assert.ok(fleet.outcomes.every(outcome => outcome.end !== undefined));
+});
+
 test('an engine that slows down against the fleet is ejected; a slow fleet is not', () => {
   const fleet = Array.from({length: 10}, () => createServerHealth());
   const ejector = createEjector(() => fleet, createRandom(1));
