--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -125,6 +125,7 @@
   const services = createServiceDispatcher({
     clock,
     client: createHttpServiceClient(),
+    emitEvent: events.emit,
   });
   const claims = createClaimsLedger({
     node: writerId,
