Bound the callers' bodies by the settings; say what the planning weights do

limits.max_body_bytes was not passed to the callers' application, and claims.partitions was read by nothing, so the one is wired and the other gone.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -211,6 +211,7 @@
       isReady,
       getConfig: () => streams.config.follower.getState(),
       renderMetrics: metrics.render,
+      maxBodyBytes: settings.limits.max_body_bytes,
       prefixHasher: await createPrefixHasher(),
       resume: createNodeResume(),
     }),
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -173,13 +173,6 @@
 
 const claimsSchema = z
   .strictObject({
-    partitions: z
-      .number()
-      .int()
-      .positive()
-      .max(256)
-      .default(4)
-      .describe('Streams that idempotency keys are spread over'),
     window_s: durationSSchema
       .default(3_600)
       .describe('Longest time that an idempotency key is valid, in seconds'),
@@ -201,13 +194,15 @@
       .nonnegative()
       .max(1_000)
       .default(1)
-      .describe('Worth of one request answered in its deadline'),
+      .describe('Weight of goodput against role_change_weight'),
     role_change_weight: z
       .number()
       .nonnegative()
       .max(1_000)
       .default(1)
-      .describe('Cost of one engine second lost to a role change'),
+      .describe(
+        'Weight of few role changes; above goodput_weight the planner changes seldom and late',
+      ),
     safe_capacity: z
       .number()
       .min(0)
