--- a/src/planning/weights.ts
+++ b/src/planning/weights.ts
@@ -19,7 +19,7 @@
   lostSecondCost: 1.5,
   changeCost: 25,
   maxReach: 5,
-  maxAtOnce: 2,
+  maxAtOnce: 1,
   restMs: 60_000,
   horizonMs: 180_000,
 };
