--- a/test/docs/commands.test.ts
+++ b/test/docs/commands.test.ts
@@ -108,3 +108,12 @@
     killPrograms();
   });
 }
+
+test('the indexes name every page of their folder and no other', () => {
+  for (const folder of ['docs/operators', 'docs/design']) {
+    const index = readFileSync(join(folder, 'README.md'), 'utf8');
+    const named = [...index.matchAll(/^\| \[(\S+\.md)\]\(\1\)/gm)];
+    const pages = readdirSync(folder).filter(name => name !== 'README.md');
+    assert.deepEqual(named.map(match => match[1]).sort(), pages.sort());
+  }
+});
