Fill digests with the work at engines, and split the peers' task

Now a digest names its node's 16 busiest engines, digest_view.ts sums them for the dispatcher, peer_reads.ts reads from peers, and GET /operators/events?peers=1 merges their events and names who is missing.

--- a/src/entry/operator_app.ts
+++ b/src/entry/operator_app.ts
@@ -1,7 +1,13 @@
 /** The operators' HTTP: templates, events, moves and the state of the fleet. */
 import {H3, type H3Event} from 'h3';
 import {z} from 'zod';
-import {type EventRing, LOG_LEVELS, type LogLevel} from '../diagnostics';
+import {
+  compareTimes,
+  type EventRing,
+  LOG_LEVELS,
+  type LogLevel,
+  type TimelineEvent,
+} from '../diagnostics';
 import type {ProgressRow} from '../planning/move';
 import type {
   ConfigEntry,
@@ -23,6 +29,11 @@
   readonly configWriter: StreamWriter<ConfigEntry>;
   readonly events: EventRing;
   readonly recorder: TraceRecorder;
+  /** Collects the events of the other nodes, and names those that do not answer. */
+  readonly collectPeerEvents: () => Promise<{
+    readonly events: readonly TimelineEvent[];
+    readonly missing: readonly string[];
+  }>;
   /** Returns what `fleet` shows. */
   readonly getFleet: () => unknown;
   /** Returns where each client account's move stands. */
@@ -45,12 +56,7 @@
     writer: options.configWriter,
     getOperatorName: event => getOperator(event)?.name ?? '',
   });
-  app.get('/operators/events', event => ({
-    node: options.node,
-    time: events.getTime(),
-    dropped: events.getDroppedCount(),
-    events: selectEvents(events.list(), event.url.searchParams),
-  }));
+  app.get('/operators/events', listEvents);
   app.get('/operators/in_force', () => ({
     node: options.node,
     nextOffset: config.getNextOffset(),
@@ -89,6 +95,24 @@
     );
   }
 
+  /** With `peers=1` also the events of the nodes that answer, and which do not. */
+  async function listEvents(event: H3Event): Promise<unknown> {
+    const query = event.url.searchParams;
+    const own = {
+      node: options.node,
+      time: events.getTime(),
+      dropped: events.getDroppedCount(),
+    };
+    if (query.get('peers') !== '1') {
+      return {...own, events: selectEvents(events.list(), query)};
+    }
+    const {events: others, missing} = await options.collectPeerEvents();
+    const all = [...events.list(), ...others].sort((left, right) =>
+      compareTimes(left.at, right.at),
+    );
+    return {...own, missing, events: selectEvents(all, query)};
+  }
+
   async function setLogLevel(event: H3Event): Promise<Response> {
     const parsed = logLevelSchema.safeParse(await readJson(event));
     if (!parsed.success) {
--- a/src/node/index.ts
+++ b/src/node/index.ts
@@ -1,5 +1,6 @@
 export {getBackendServers} from './fleet_view';
 export {startNode} from './node';
 export type {AnvilstackNode, NodeOptions} from './node';
-export type {CollectedEvents, FleetOfPeers} from './peer_tasks';
+export type {CollectedEvents} from './peer_reads';
+export type {FleetOfPeers} from './peer_tasks';
 export {createNodeEvents} from './node_events';
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -82,9 +82,9 @@
     node: id,
     retentionMs: settings.platform.log_retention_s * 1_000,
     snapshots: {
-      listOffsets: stream => peers.snapshots.listOffsets(stream),
+      listOffsets: stream => peers.reads.snapshots.listOffsets(stream),
       tryLoadSnapshot: (peer, stream) =>
-        peers.snapshots.tryLoadSnapshot(peer, stream),
+        peers.reads.snapshots.tryLoadSnapshot(peer, stream),
     },
     countNodes: () => peers.countNodes(),
   });
@@ -121,6 +121,7 @@
     getRandom: Math.random,
     emitEvent: events.emit,
     getNodeCount: () => peers.countNodes(),
+    tryGetOthersWork: engine => peers.digests.tryGetOthersWork(engine),
   });
   const services = createServiceDispatcher({
     clock,
@@ -145,7 +146,7 @@
     listReports: fleet.listReports,
     tryGetAuthority: () => control.tryGetAuthority(FLEET_SHARD),
     collectPeerWindows: (account, windowMs) =>
-      peers.collectAccountWindows(account, windowMs),
+      peers.reads.collectAccountWindows(account, windowMs),
   });
   const roles = createRoleTasks({
     clock,
@@ -161,7 +162,7 @@
     retentionMs: settings.platform.log_retention_s * 1_000,
     tryGetAuthority: () => control.tryGetAuthority(FLEET_SHARD),
     listReports: fleet.listReports,
-    listPeerDemands: () => peers.listDemands(),
+    listPeerDemands: () => peers.digests.listDemands(),
   });
   const pipeline = createRequestPipeline({
     clock,
@@ -201,6 +202,7 @@
     ],
     getAccountWindow: moves.traffic.getWindow,
     getDemand: roles.meter.getDemand,
+    listOwnWork: dispatcher.listOwnWork,
     getOpenRequests: dispatcher.getOpenCount,
     onServersChanged: applyServers,
   });
@@ -229,6 +231,7 @@
       configWriter: streams.config.writer,
       events,
       recorder,
+      collectPeerEvents: () => peers.reads.collectEvents({}),
       listProgress: moves.listProgress,
       setLogLevel: logger.setLevel,
       getFleet: () => ({
--- a/src/node/peer_tasks.ts
+++ b/src/node/peer_tasks.ts
@@ -1,13 +1,12 @@
 /** The peers' listener and the membership task of one node. */
 import type {BackendServer, EngineReport} from '../backends';
 import {EngineState} from '../backends';
-import type {EventRing, Logger, TimelineEvent} from '../diagnostics';
+import type {EventRing, Logger} from '../diagnostics';
 import {
   createMembership,
   createPeerApp,
   createPeerClient,
   type Digest,
-  type EventFilter,
   type Member,
   type Membership,
   type MembershipChange,
@@ -22,12 +21,14 @@
   type ListenerOptions,
   openListener,
 } from '../runtime';
-import type {
-  FoldSnapshot,
-  PeerOffset,
-  SnapshotSource,
-  StreamFollower,
-} from '../state';
+import type {FoldSnapshot, StreamFollower} from '../state';
+import type {OwnEngineWork} from '../routing';
+import {
+  createDigestView,
+  createLocalLoad,
+  type DigestView,
+} from './digest_view';
+import {createPeerReads, type PeerReads} from './peer_reads';
 import {createProcessorMeter} from './processor_meter';
 
 /** What the tasks use of a stream that the node follows. */
@@ -48,6 +49,8 @@
   readonly secret?: string;
   readonly listen: Omit<ListenerOptions, 'app'>;
   readonly streams: readonly PeerStream[];
+  /** Lists this node's work at each engine that has any. */
+  readonly listOwnWork: () => readonly OwnEngineWork[];
   /** Returns the number of requests that wait or run. */
   readonly getOpenRequests: () => number;
   /** Returns what a client account's requests on this node came to. */
@@ -74,19 +77,10 @@
   updateReport(report: EngineReport): void;
   /** Returns the servers, with those marked that a peer knows to leave. */
   applyMarks(servers: readonly BackendServer[]): readonly BackendServer[];
-  /** Copies of folded streams at peers. */
-  readonly snapshots: SnapshotSource;
-  /** Collects the events of the peers that answer, and names those that do not. */
-  collectEvents(filter: EventFilter): Promise<CollectedEvents>;
+  readonly reads: PeerReads;
+  readonly digests: DigestView;
   /** Returns the number of nodes that run, this one included. */
   countNodes(): number;
-  /** Collects a client account's windows from all peers, or undefined when too few answer. */
-  collectAccountWindows(
-    clientAccount: string,
-    windowMs: number,
-  ): Promise<readonly AccountWindow[] | undefined>;
-  /** Returns what the other nodes admit, as their last digests say. */
-  listDemands(): readonly Demand[];
   /** Returns what `fleet` shows of the nodes. */
   getFleet(): FleetOfPeers;
   start(): void;
@@ -101,16 +95,6 @@
   readonly digests: readonly Digest[];
 }
 
-/** Events of several nodes. */
-export interface CollectedEvents {
-  readonly events: readonly TimelineEvent[];
-  /** Nodes that did not answer. */
-  readonly missing: readonly string[];
-}
-
-/** Peers that are asked for events at a time. */
-const EVENT_PEERS_AT_A_TIME = 16;
-
 /** Opens the listener; membership starts with `start`. */
 export async function openPeerTasks(
   options: PeerTasksOptions,
@@ -135,20 +119,26 @@
       getRandom: Math.random,
       sendExchange: client.sendExchange,
       sendIndirectProbe: client.sendIndirectProbe,
-      getLocalLoad: () => ({
-        offsets: Object.fromEntries(
-          options.streams
-            .filter(item => item.isCaughtUp())
-            .map(item => [item.stream, item.getNextOffset()]),
-        ),
-        inFlight: {},
-        openRequests: options.getOpenRequests(),
-        demand: getDigestDemand(options.getDemand()),
-        processCores: getProcessCores(),
-      }),
+      getLocalLoad: () =>
+        createLocalLoad({
+          offsets: Object.fromEntries(
+            options.streams
+              .filter(item => item.isCaughtUp())
+              .map(item => [item.stream, item.getNextOffset()]),
+          ),
+          ownWork: options.listOwnWork(),
+          openRequests: options.getOpenRequests(),
+          demand: options.getDemand(),
+          processCores: getProcessCores(),
+        }),
     },
   });
   membership.subscribe(reportChange);
+  const reads = createPeerReads({client, membership});
+  const digests = createDigestView({
+    clock,
+    listDigests: membership.listDigests,
+  });
   return {
     address,
     membership,
@@ -156,11 +146,9 @@
     updateVms,
     updateReport,
     applyMarks,
-    snapshots: {listOffsets, tryLoadSnapshot},
-    collectEvents,
-    collectAccountWindows,
-    listDemands,
-    countNodes: () => 1 + listLivePeers().length,
+    reads,
+    digests,
+    countNodes: () => 1 + reads.listLivePeers().length,
     getFleet: () => ({
       members: membership.listMembers(),
       leavingServers: membership.listLeavingServers(),
@@ -248,83 +236,8 @@
     }
   }
 
-  /** Lists what the digests heard last say; a peer names only streams that it knows whole. */
-  function listOffsets(stream: string): Promise<readonly PeerOffset[]> {
-    const offsets = membership
-      .listDigests()
-      .filter(digest => digest.offsets[stream] !== undefined)
-      .map(digest => ({
-        peer: digest.node,
-        nextOffset: digest.offsets[stream],
-        isCaughtUp: true,
-      }));
-    return Promise.resolve(offsets);
-  }
-
-  async function tryLoadSnapshot(
-    peer: string,
-    stream: string,
-  ): Promise<FoldSnapshot | undefined> {
-    const member = membership.tryGetMember(peer);
-    if (member === undefined) return undefined;
-    return client.readSnapshot(member.address, stream);
-  }
-
-  async function collectEvents(filter: EventFilter): Promise<CollectedEvents> {
-    const collected: TimelineEvent[] = [];
-    const missing: string[] = [];
-    const peers = listLivePeers();
-    for (let first = 0; first < peers.length; first += EVENT_PEERS_AT_A_TIME) {
-      const group = peers.slice(first, first + EVENT_PEERS_AT_A_TIME);
-      await Promise.all(
-        group.map(async peer => {
-          const answer = await client.readEvents(peer.address, filter);
-          if (answer === undefined) missing.push(peer.node);
-          else collected.push(...answer);
-        }),
-      );
-    }
-    return {events: collected, missing};
-  }
-
-  async function collectAccountWindows(
-    clientAccount: string,
-    windowMs: number,
-  ): Promise<readonly AccountWindow[] | undefined> {
-    const peers = listLivePeers();
-    const answers = await Promise.all(
-      peers.map(peer =>
-        client.readAccountWindow(peer.address, clientAccount, windowMs),
-      ),
-    );
-    const windows = answers.filter(answer => answer !== undefined);
-    return 2 * windows.length >= peers.length ? windows : undefined;
-  }
-
-  function listDemands(): Demand[] {
-    return membership.listDigests().flatMap(({demand}) => {
-      if (demand === undefined) return [];
-      const {prefill, decode} = demand;
-      return [{prefillTokensPerS: prefill, decodeTokensPerS: decode}];
-    });
-  }
-
-  function listLivePeers(): readonly Member[] {
-    return membership
-      .listMembers()
-      .filter(member => member.status === 'alive' && member.address !== '');
-  }
-
   async function close(): Promise<void> {
     membership.stop();
     await Promise.all([listener?.destroy(), client.close()]);
   }
 }
-
-/** Whole tokens keep digests short. */
-function getDigestDemand(demand: Demand): Digest['demand'] {
-  return {
-    prefill: Math.round(demand.prefillTokensPerS),
-    decode: Math.round(demand.decodeTokensPerS),
-  };
-}
--- a/test/entry/operator_app.test.ts
+++ b/test/entry/operator_app.test.ts
@@ -36,6 +36,14 @@
   isInDeadline: true,
 };
 
+const PEER_EVENT = {
+  at: {wallMs: 1, counter: 0},
+  node: 'node-2',
+  kind: 'request-sent',
+  requestId: 'r1',
+  cause: '',
+};
+
 function createApp() {
   const clock = createVirtualClock();
   const log = createLocalLog({model: createLogModel({clock}), clock});
@@ -68,6 +76,8 @@
     }),
     events,
     recorder,
+    collectPeerEvents: () =>
+      Promise.resolve({events: [PEER_EVENT], missing: ['node-3']}),
     getFleet: () => ({}),
     listProgress: () => [],
     setLogLevel: level => void levels.push(level),
@@ -156,6 +166,22 @@
   assert.deepEqual(counts, [3, 1, 2, 0, 2]);
 });
 
+test('events of the peers come merged, with the nodes that are missing', async () => {
+  const {app, events} = createApp();
+  events.emit({kind: 'request-sent', requestId: 'r1', cause: ''});
+  const path = '/operators/events?peers=1&request=r1';
+  const answer = await sendAs(app, 't-bela', path);
+  const body = (await answer.json()) as {
+    events: Array<{node: string}>;
+    missing: string[];
+  };
+  assert.deepEqual(
+    body.events.map(event => event.node),
+    ['node-1', 'node-2'],
+  );
+  assert.deepEqual(body.missing, ['node-3']);
+});
+
 test('a recorded trace keeps the newest requests and no text', () => {
   const {recorder} = createApp();
   for (const receivedAtMs of [12.4, 30, 20]) {
