Split the node's control and listeners from its assembly

Cause: node.ts had grown to 350 lines as each part was wired in, and the operators' listener was open for a moment before the control that its fleet view asks (a request in that moment would have failed with 500; found by reading). node_control.ts holds moves, roles and commands, node_listeners.ts the callers' and operators' listeners; the control now stands before both. Behaviour is unchanged otherwise. The replay's page no longer scrolls sideways and its axes' labels stand clear of the numbers, looked at in Chromium.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -1,42 +1,28 @@
 /** Puts one node together: streams, fleet, routing and listeners. */
 import {randomUUID} from 'node:crypto';
-import {FLEET_SHARD} from '../authority';
 import {createHttpServiceClient} from '../backends';
 import {createClaimsLedger} from '../claims';
 import type {EventRing, Logger} from '../diagnostics';
-import {
-  createCallerApp,
-  createOperatorApp,
-  createRequestPipeline,
-  createResumeService,
-  createTraceRecorder,
-  type ResumeService,
-} from '../entry';
-import {
-  createHttpLogService,
-  createHttpVmList,
-  createHttpWeightStore,
-} from '../platform';
+import {createRequestPipeline, createTraceRecorder} from '../entry';
 import {createMeteredDispatcher} from '../planning';
+import {createHttpLogService, createHttpVmList} from '../platform';
 import {
   createAccountLimiter,
   createDispatcher,
-  createPrefixHasher,
   createServiceDispatcher,
 } from '../routing';
-import {type Clock, openListener} from '../runtime';
+import type {Clock} from '../runtime';
 import type {Secrets, Settings} from '../settings';
-import {createControlTasks} from './control_tasks';
-import {createConnectedMetrics, createCountedLedger} from './node_counts';
-import {createNodeEvents} from './node_events';
 import {getExtraServers} from './fleet_view';
 import {createFleetWatch} from './fleet_watch';
 import {computeListIntervalMs} from './list_interval';
 import {getListenerOptions} from './listener_options';
-import {createMoveTasks} from './move_tasks';
+import {createNodeControl} from './node_control';
+import {createConnectedMetrics, createCountedLedger} from './node_counts';
+import {createNodeEvents} from './node_events';
+import {openCallerListener, openOperatorListener} from './node_listeners';
 import {createNodeStreams} from './node_streams';
 import {openPeerTasks} from './peer_tasks';
-import {createRoleTasks} from './role_tasks';
 import {createSummaryEvent} from './summary_event';
 
 /** Options of a node. */
@@ -95,9 +81,7 @@
     events,
     intervalMs: settings.routing.report_interval_ms,
     maxReportsPerS: settings.routing.max_reports_per_s,
-    isControlled: server =>
-      control.tryGetAuthority(FLEET_SHARD) !== undefined ||
-      control.tryGetAuthority(server.failureDomain) !== undefined,
+    isControlled: server => control.isControlled(server),
     getListIntervalMs: () =>
       computeListIntervalMs(
         settings.routing.report_interval_ms,
@@ -142,32 +126,15 @@
     follower: streams.claims.follower,
     writer: streams.claims.writer,
   });
-  const moves = createMoveTasks({
+  const control = createNodeControl({
+    settings,
     clock,
     events,
     streams,
-    getServers: fleet.getServers,
-    listReports: fleet.listReports,
-    tryGetAuthority: () => control.tryGetAuthority(FLEET_SHARD),
-    collectPeerWindows: (account, windowMs) =>
-      peers.reads.collectAccountWindows(account, windowMs),
-  });
-  const roles = createRoleTasks({
-    clock,
-    events,
-    control: streams.control,
-    weights: {
-      goodputWeight: settings.planning.goodput_weight,
-      roleChangeWeight: settings.planning.role_change_weight,
-      safeCapacity: settings.planning.safe_capacity,
-    },
-    intervalMs: settings.planning.interval_ms,
-    roleChangeMs: settings.planning.role_change_ms,
-    retentionMs: settings.platform.log_retention_s * 1_000,
-    tryGetAuthority: () => control.tryGetAuthority(FLEET_SHARD),
-    listReports: fleet.listReports,
-    listPeerDemands: () => peers.digests.listDemands(),
+    fleet,
+    getPeers: () => peers,
   });
+  const {moves, roles} = control;
   const pipeline = createRequestPipeline({
     clock,
     dispatcher: createMeteredDispatcher(dispatcher, roles.meter),
@@ -210,71 +177,24 @@
     getOpenRequests: dispatcher.getOpenCount,
     onServersChanged: applyServers,
   });
-  const callers = await openListener({
-    app: createCallerApp({
-      clock,
-      pipeline,
-      isReady,
-      getConfig: () => streams.config.follower.getState(),
-      renderMetrics: metrics.render,
-      maxBodyBytes: settings.limits.max_body_bytes,
-      prefixHasher: await createPrefixHasher(),
-      resume: createNodeResume(),
-    }),
-    ...getListenerOptions(settings, 'callers', logger),
-  });
-  const operators = await openListener({
-    app: createOperatorApp({
-      node: id,
-      operators: settings.operator.map(operator => ({
-        name: operator.name,
-        tokenSha256: operator.token_sha256,
-        rights: operator.rights,
-      })),
-      config: streams.config.follower,
-      configWriter: streams.config.writer,
-      events,
-      recorder,
-      collectPeerEvents: () => peers.reads.collectEvents({}),
-      listProgress: moves.listProgress,
-      setLogLevel: logger.setLevel,
-      getFleet: () => ({
-        node: id,
-        vms: fleet.getVms(),
-        reports: fleet.listReports(),
-        shards: control.listShards(),
-        ...peers.getFleet(),
-      }),
-    }),
-    ...getListenerOptions(settings, 'operators', logger),
-  });
-  const control = createControlTasks({
-    node: id,
-    clock,
+  const listenerOptions = {
+    ...options,
     events,
-    control: streams.control,
-    getVms: fleet.getVms,
-    getServers: fleet.getServers,
-    listReports: fleet.listReports,
-    weightStore: createHttpWeightStore({
-      address: settings.platform.weight_store_address,
-    }),
-    retentionMs: settings.platform.log_retention_s * 1_000,
-    guardMs: settings.fencing.guard_time_ms,
-    checkedBy: settings.fencing.checked_by,
-    createHost: () => ({
-      decide: (state, reports, nowMs) => [
-        ...moves.listLoads(state, reports, nowMs),
-        ...roles.listOrders(state, reports),
-      ],
-    }),
-  });
+    streams,
+    fleet,
+    peers,
+    control,
+    pipeline,
+    recorder,
+    isReady,
+    renderMetrics: metrics.render,
+  };
+  const callers = await openCallerListener(listenerOptions);
+  const operators = await openOperatorListener(listenerOptions);
   streams.start();
   fleet.start();
   control.start();
   peers.start();
-  moves.start();
-  roles.start();
   events.emit({kind: 'node-started', cause: `process ${writerId}`});
   logger.log('info', 'node started', {callers: callers.address});
   return {
@@ -299,14 +219,6 @@
     ];
   }
 
-  /** Without a shared secret the node resumes no streams. */
-  function createNodeResume(): ResumeService | undefined {
-    const secret = options.secrets?.resumeSecret?.getText();
-    if (secret === undefined) return undefined;
-    const {getEngineClient} = fleet;
-    return createResumeService({clock, secret, getEngineClient});
-  }
-
   /** Gives routing the backend servers, with those marked that leave. */
   function applyServers(): void {
     const servers = peers.applyMarks(fleet.getServers());
@@ -322,7 +234,7 @@
     isDraining = true;
     events.emit({kind: 'node-draining', cause: 'graceful shutdown'});
     await pipeline.drain();
-    await Promise.all([claims.drain(CLAIMS_DRAIN_MS), control.drain()]);
+    await Promise.all([claims.drain(CLAIMS_DRAIN_MS), control.tasks.drain()]);
     await peers.drain();
     await Promise.all([callers.close(), operators.close(), peers.close()]);
     stopTasks();
@@ -336,8 +248,6 @@
 
   function stopTasks(): void {
     control.stop();
-    moves.stop();
-    roles.stop();
     fleet.stop();
     streams.stop();
   }
--- a/src/replay/report_html.ts
+++ b/src/replay/report_html.ts
@@ -45,10 +45,11 @@
 h1{font-size:20px}h2{font-size:16px;margin:28px 0 6px}
 table{border-collapse:collapse;font-size:12px}
 td,th{padding:3px 10px 3px 0;text-align:left;border-bottom:1px solid #e5e7eb;font-variant-numeric:tabular-nums}
+td:last-child{overflow-wrap:anywhere}
 .roles{display:grid;gap:2px;margin:6px 0}
 .roles div{display:flex;align-items:center;font-size:11px}
 .roles span{width:72px;flex:none}
-.roles svg{flex:1;height:14px}
+.roles svg{flex:1;width:0;min-width:0;height:14px}
 .key i{display:inline-block;width:10px;height:10px;margin:0 4px 0 12px}
 </style>
 </head>
@@ -71,7 +72,7 @@
   new uPlot({
     width: 1000, height: 220, series,
     scales: {x: {time: false}},
-    axes: [{label: 'seconds'}, {label: plot.unit}],
+    axes: [{label: 'seconds'}, {label: plot.unit, size: 76, gap: 8}],
   }, plot.data, document.getElementById('plot' + index));
 });
 </script>
