Prove that an answer nobody waits for is cancelled; log each request's end

Cause: the cancellation of a caller who goes away had no test through the whole path, and no log line carried a request's id. Two requests of 2,000 tokens, streamed and whole, are aborted: their engine has nothing running soon after and the node's events say 'cancelled' twice. At level debug the end of each request is now a log line with its request id and no text of the caller.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -146,7 +146,9 @@
       moves.traffic.addEnded(summary);
       metrics.recordRequest(summary);
       recorder.add(summary);
-      events.emit(createSummaryEvent(summary));
+      const {kind, cause, ...names} = createSummaryEvent(summary);
+      events.emit({kind, cause, ...names});
+      logger.log('debug', kind, {...names, cause});
     },
   });
   const recorder = createTraceRecorder();
--- a/test/node/promises.test.ts
+++ b/test/node/promises.test.ts
@@ -7,6 +7,7 @@
   getExpectedText,
   sendBooking,
   startTestCluster,
+  TEST_API_KEY,
   readStreamedText,
 } from '../support/cluster';
 
@@ -18,6 +19,23 @@
 
 after(() => cluster.close());
 
+function countRunning(): number {
+  return cluster.fleet.engines.reduce(
+    (sum, engine) => sum + engine.getReport().running,
+    0,
+  );
+}
+
+async function readEvents(
+  address: string,
+): Promise<ReadonlyArray<{readonly cause: string}>> {
+  const answer = await fetch(`${address}/operators/events`, {
+    headers: {authorization: `Bearer ${cluster.operatorToken}`},
+  });
+  const body = (await answer.json()) as {events: Array<{cause: string}>};
+  return body.events;
+}
+
 test('crossed answers reach the callers who asked', async () => {
   const words = Array.from({length: 60}, (_, index) => `word-${index}-`);
   const texts = await Promise.all(
@@ -93,6 +111,33 @@
   assert.equal(cluster.fleet.service.getRuns('tape-2'), 1);
 });
 
+test('an answer that nobody waits for is cancelled at the engine', async () => {
+  const [node] = cluster.nodes;
+  for (const stream of [true, false]) {
+    const abort = new AbortController();
+    const answer = fetch(`${node.callerAddress}/v1/completions`, {
+      method: 'POST',
+      headers: {authorization: `Bearer ${TEST_API_KEY}`},
+      body: JSON.stringify({
+        model: 'small',
+        prompt: 'x',
+        max_tokens: 2_000,
+        stream,
+      }),
+      signal: abort.signal,
+    })
+      .then(response => response.text())
+      .catch(() => undefined);
+    await cluster.waitUntil(() => countRunning() > 0);
+    abort.abort();
+    await answer;
+    await cluster.waitUntil(() => countRunning() === 0);
+  }
+  const events = await readEvents(node.operatorAddress);
+  const cancelled = events.filter(event => event.cause.includes('cancelled'));
+  assert.equal(cancelled.length, 2);
+});
+
 test('a leaving engine finishes its work and gets no more', async () => {
   const client = createTestClient(cluster.nodes[1].callerAddress);
   const leaving = cluster.fleet.engines[2];
