Add template retire to the command line

Cause: a node could retire a template and no command asked it to; the page told operators to send a DELETE themselves.

--- /dev/null
+++ b/src/cli/accepted_answer.ts
@@ -0,0 +1,30 @@
+/** Reads a node's answer to a change of a template. */
+import {Err, Ok, type Result} from 'ts-results';
+import {z} from 'zod';
+import {createMessage, type Message, messages} from '../diagnostics';
+import {getErrorText, type OperatorAnswer} from './operator_client';
+
+const acceptedSchema = z.looseObject({version: z.number()});
+
+/** Returns the accepted version, or why there is none. */
+export function parseAccepted(
+  account: string,
+  address: string,
+  answer: OperatorAnswer,
+): Result<number, Message> {
+  const text = getErrorText(answer);
+  if (answer.status === 409) {
+    return Err(createMessage(messages.TemplateConflict, [account, text]));
+  }
+  if (answer.status === 503) {
+    return Err(createMessage(messages.NotAcceptedYet, [account, text]));
+  }
+  if (answer.status !== 200) {
+    return Err(createMessage(messages.RequestRefused, [address, text]));
+  }
+  const parsed = acceptedSchema.safeParse(answer.body);
+  if (parsed.success) return Ok(parsed.data.version);
+  return Err(
+    createMessage(messages.NodeAnswerUnknown, [address, 'no version']),
+  );
+}
--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -12,6 +12,7 @@
 import {TemplateHistoryCommand} from './template_history_command';
 import {TemplateListCommand} from './template_list_command';
 import {TemplatePublishCommand} from './template_publish_command';
+import {TemplateRetireCommand} from './template_retire_command';
 import {TemplateShowCommand} from './template_show_command';
 import {TimelineCommand} from './timeline_command';
 import {getVersionText} from './version';
@@ -30,6 +31,7 @@
   TemplateHistoryCommand,
   TemplateListCommand,
   TemplatePublishCommand,
+  TemplateRetireCommand,
   TemplateShowCommand,
   TimelineCommand,
 ];
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -24,6 +24,8 @@
   readonly address: string;
   /** Reads a resource; every status but 200 is a failure. */
   read<T>(path: string, schema: z.ZodType<T>): Promise<Result<T, Message>>;
+  /** Removes a resource; statuses other than 401 and 403 are left to the caller. */
+  remove(path: string): Promise<Result<OperatorAnswer, Message>>;
   /** Sends a body; statuses other than 401 and 403 are left to the caller. */
   send(path: string, body: unknown): Promise<Result<OperatorAnswer, Message>>;
 }
@@ -40,7 +42,7 @@
 ): OperatorClient {
   const {address, token} = options;
   const timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
-  return {address, read, send};
+  return {address, read, send, remove};
 
   async function read<T>(
     path: string,
@@ -73,8 +75,12 @@
     return call('POST', path, JSON.stringify(body), SEND_TIMEOUT_MS);
   }
 
+  function remove(path: string): Promise<Result<OperatorAnswer, Message>> {
+    return call('DELETE', path, undefined, SEND_TIMEOUT_MS);
+  }
+
   async function call(
-    method: 'GET' | 'POST',
+    method: 'GET' | 'POST' | 'DELETE',
     path: string,
     body: string | undefined,
     limitMs: number,
--- a/src/cli/template_change_command.ts
+++ b/src/cli/template_change_command.ts
@@ -1,17 +1,13 @@
 /** What `template publish` and `template amend` have in common. */
 import {Option} from 'clipanion';
-import {z} from 'zod';
-import {Err, Ok, type Result} from 'ts-results';
-import {createMessage, type Message, messages} from '../diagnostics';
+import type {Result} from 'ts-results';
+import type {Message} from '../diagnostics';
 import {createSystemClock} from '../runtime';
 import type {Template} from '../state';
 import {fleetSchema} from './answers';
 import {ExitCode} from './exit_code';
-import {
-  getErrorText,
-  type OperatorAnswer,
-  type OperatorClient,
-} from './operator_client';
+import {parseAccepted} from './accepted_answer';
+import type {OperatorClient} from './operator_client';
 import {OperatorCommand} from './operator_command';
 import {createProgressBar, printJson, printMessages} from './output';
 import {loadTemplate} from './template_file';
@@ -24,8 +20,6 @@
 const MS_PER_S = 1_000;
 const DEFAULT_WAIT_S = '30';
 
-const acceptedSchema = z.looseObject({version: z.number()});
-
 /** Sends a template from a file to a node. */
 export abstract class TemplateChangeCommand extends OperatorCommand {
   file = Option.String({name: 'FILE'});
@@ -116,25 +110,3 @@
     return ExitCode.Done;
   }
 }
-
-function parseAccepted(
-  account: string,
-  address: string,
-  answer: OperatorAnswer,
-): Result<number, Message> {
-  const text = getErrorText(answer);
-  if (answer.status === 409) {
-    return Err(createMessage(messages.TemplateConflict, [account, text]));
-  }
-  if (answer.status === 503) {
-    return Err(createMessage(messages.NotAcceptedYet, [account, text]));
-  }
-  if (answer.status !== 200) {
-    return Err(createMessage(messages.RequestRefused, [address, text]));
-  }
-  const parsed = acceptedSchema.safeParse(answer.body);
-  if (parsed.success) return Ok(parsed.data.version);
-  return Err(
-    createMessage(messages.NodeAnswerUnknown, [address, 'no version']),
-  );
-}
--- /dev/null
+++ b/src/cli/template_retire_command.ts
@@ -0,0 +1,65 @@
+/** `anvilstack template retire`. */
+import {Command, Option} from 'clipanion';
+import {createMessage, messages} from '../diagnostics';
+import {parseAccepted} from './accepted_answer';
+import {ExitCode} from './exit_code';
+import type {OperatorClient} from './operator_client';
+import {OperatorCommand} from './operator_command';
+import {printJson, printMessages} from './output';
+
+/** Takes a client account's template out of force. */
+export class TemplateRetireCommand extends OperatorCommand {
+  static override paths = [['template', 'retire']];
+  static override usage = Command.Usage({
+    category: 'Templates',
+    description: "Takes a client account's template out of force.",
+    details:
+      'Its API keys are refused from then on. The history stays for a while.',
+    examples: [
+      [
+        'Retire version 12 of studio',
+        'anvilstack template retire studio --base 12',
+      ],
+    ],
+  });
+
+  account = Option.String({name: 'ACCOUNT'});
+
+  base = Option.String('--base', {
+    required: true,
+    description: 'Version that is in force',
+  });
+
+  protected override async run(
+    clients: readonly OperatorClient[],
+  ): Promise<number> {
+    if (!/^\d+$/.test(this.base)) {
+      const text = `'${this.base}' is not the number of a version`;
+      const fault = createMessage(messages.ArgumentFault, ['--base', text]);
+      printMessages(this.context.stderr, [fault]);
+      return ExitCode.Usage;
+    }
+    const name = encodeURIComponent(this.account);
+    const path = `/operators/templates/${name}?base=${this.base}`;
+    let address = '';
+    const answer = await this.callFirst(clients, client => {
+      address = client.address;
+      return client.remove(path);
+    });
+    if (answer.err) return this.fail(answer.val);
+    const version = parseAccepted(this.account, address, answer.val);
+    if (version.err) return this.fail(version.val);
+    this.printRetired(version.val);
+    return ExitCode.Done;
+  }
+
+  private printRetired(version: number): void {
+    if (this.json) {
+      printJson(this.context.stdout, {client_account: this.account, version});
+      return;
+    }
+    this.context.stdout.write(
+      `client account '${this.account}': retired as version ${version}\n`,
+    );
+  }
+}
