--- a/test/cli/cli.test.ts
+++ b/test/cli/cli.test.ts
@@ -197,14 +197,14 @@
 
 test('a template is retired against the version in force and no other', async () => {
   const shown = await runCommand(['template', 'show', 'choir', '--json'], env);
-  const {current} = JSON.parse(shown.stdout) as {current: {version: number}};
+  const {version} = JSON.parse(shown.stdout) as {version: number};
   const retire = ['template', 'retire', 'choir', '--base'];
   const stale = await runCommand([...retire, '999999'], env);
   assert.equal(stale.code, 1);
   assert.match(stale.stderr, /AS2004/);
   const wrong = await runCommand([...retire, 'newest'], env);
   assert.equal(wrong.code, 2);
-  const retired = await runCommand([...retire, String(current.version)], env);
+  const retired = await runCommand([...retire, String(version)], env);
   assert.equal(retired.code, 0, retired.stderr);
   const listed = await runCommand(['template', 'list'], env);
   assert.doesNotMatch(listed.stdout, /choir/);
