--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -1,5 +1,4 @@
 /** Finds where a request runs: on one engine, or prefill on one and decode on another. */
-import {EngineRole} from '../backends';
 import type {AttemptPlan} from './attempts';
 import type {Choice, ChoiceContext, ChooseEngine, PrefixHolder} from './choice';
 import type {Ejector} from './ejection';
@@ -199,8 +198,3 @@
   if (pool.mixed.length > 0 || canSplit) return pool.mixed;
   return pool.prefill.length > 0 ? pool.prefill : pool.decode;
 }
-
-/** Returns whether an engine's role takes whole requests or their first part. */
-export function isEntryRole(engine: EngineEntry): boolean {
-  return engine.load.report?.role !== EngineRole.Decode;
-}
--- a/test/planning/plan_roles.test.ts
+++ b/test/planning/plan_roles.test.ts
@@ -12,6 +12,7 @@
   type PlannerState,
   type PlannerWeights,
 } from '../../src/planning';
+import {createTestReport} from '../support/report';
 
 const ENGINES = 13;
 const TICK_MS = 500;
@@ -21,27 +22,13 @@
 const LETTERS: Demand = {prefillTokensPerS: 14_000, decodeTokensPerS: 8_500};
 
 function createReport(index: number, role: EngineRole): EngineReport {
-  return {
-    engine: `e${index}`,
-    sequence: 1,
-    incarnation: '1',
+  return createTestReport(`e${index}`, {
     role,
-    state: EngineState.Ready,
-    models: [],
-    adapters: [],
-    version: '1',
-    running: 0,
-    waiting: 0,
-    prefillTokens: 0,
-    decodeTokens: 0,
-    freePieces: 1,
-    totalPieces: 1,
     prefillTokensPerS: 16_000,
     decodeStepMs: 12,
     decodeStepMsPerRequest: 0.8,
     maxRunning: 48,
-    fencingNumber: 0,
-  };
+  });
 }
 
 /** A fleet that carries out what the planner says, and a planner whose holder can change. */
--- a/test/support/fake_engine.ts
+++ b/test/support/fake_engine.ts
@@ -10,6 +10,7 @@
 } from '../../src/backends';
 import type {Clock} from '../../src/runtime';
 import {Verdict} from '../../src/verdict';
+import {createTestReport} from './report';
 
 export interface Effect {
   readonly atMs: number;
@@ -53,27 +54,13 @@
   };
 
   function getReport(): EngineReport {
-    return {
-      engine: id,
-      sequence: 1,
+    return createTestReport(id, {
       incarnation: String(incarnation),
       role,
       state,
       models: [...models],
-      adapters: [],
-      version: '1',
-      running: 0,
-      waiting: 0,
-      prefillTokens: 0,
-      decodeTokens: 0,
-      freePieces: 1,
-      totalPieces: 1,
-      prefillTokensPerS: 1,
-      decodeStepMs: 1,
-      decodeStepMsPerRequest: 1,
-      maxRunning: 1,
       fencingNumber,
-    };
+    });
   }
 
   function applyCommand(command: EngineCommand): Result<void, BackendFailure> {
--- a/test/support/templates.ts
+++ b/test/support/templates.ts
@@ -1,16 +1,18 @@
-/** Templates for tests. */
-import {type Template, templateSchema} from '../../src/state';
+/** Templates for tests of the stream that holds them. */
+import type {Template} from '../../src/state';
+import {createTestTemplate} from './template';
 
-/** Returns a template with defaults; `values` replaces parts of it. */
+/** Returns a template of the named account, with a key of its own and two operators. */
 export function createTemplate(
   account: string,
   values: Record<string, unknown> = {},
 ): Template {
-  return templateSchema.parse({
+  return createTestTemplate({
     client_account: account,
     api_key_sha256: [account.padEnd(64, '0').replace(/[^0-9a-f]/g, 'a')],
     operators: ['petra', 'jan'],
-    models: ['small'],
+    services: [],
+    request_class: [],
     ...values,
   });
 }
--- a/test/support/weekend.ts
+++ b/test/support/weekend.ts
@@ -6,7 +6,7 @@
   createLeaseHolder,
   FLEET_SHARD,
 } from '../../src/authority';
-import type {BackendServer, EngineReport} from '../../src/backends';
+import type {BackendServer} from '../../src/backends';
 import {
   createMoveIndex,
   createMoveRunner,
@@ -33,6 +33,7 @@
   createLogModel,
   type LogModel,
 } from '../../src/standins';
+import {createTestReport} from './report';
 
 /** Friday evening, in milliseconds since the Unix epoch. */
 export const WEEKEND_START_MS = Date.parse('2026-12-04T18:00:00Z');
@@ -93,7 +94,9 @@
   const reports = new Map(
     servers.map(server => [
       server.id,
-      createReport(server.id, server.building === 'old' ? ['small'] : []),
+      createTestReport(server.id, {
+        models: server.building === 'old' ? ['small'] : [],
+      }),
     ]),
   );
   let loadMs = 200_000;
@@ -276,7 +279,7 @@
       const {engine, order} = load;
       loading = engine;
       clock.schedule(loadMs, () => {
-        reports.set(engine, createReport(engine, [order.model]));
+        reports.set(engine, createTestReport(engine, {models: [order.model]}));
         loading = undefined;
       });
       return;
@@ -296,27 +299,3 @@
     isLeaving: false,
   };
 }
-
-function createReport(engine: string, models: readonly string[]): EngineReport {
-  return {
-    engine,
-    sequence: 1,
-    incarnation: engine,
-    role: 'mixed',
-    state: 'ready',
-    models,
-    adapters: [],
-    version: '1',
-    running: 0,
-    waiting: 0,
-    prefillTokens: 0,
-    decodeTokens: 0,
-    freePieces: 1,
-    totalPieces: 1,
-    prefillTokensPerS: 1,
-    decodeStepMs: 1,
-    decodeStepMsPerRequest: 1,
-    maxRunning: 1,
-    fencingNumber: 0,
-  };
-}
