--- a/bench/request_path.bench.ts
+++ b/bench/request_path.bench.ts
@@ -15,6 +15,7 @@
 const PAIRS = 100;
 const WARM_UP_PAIRS = 20;
 const LOAD_CONCURRENCIES = [64, 256];
+const BUSY_STREAMS = 64;
 const LOAD_REQUESTS = 2_000;
 const LOAD_TOKENS = 40;
 /** Units of the histograms in a millisecond. */
@@ -52,17 +53,39 @@
 
 await runRound();
 for (let round = 1; round <= ROUNDS; round++) {
+  await printRound(`round ${round}`);
+}
+await printBusyRound();
+for (const concurrency of LOAD_CONCURRENCIES) await runLoad(concurrency);
+await agent.destroy();
+killPrograms();
+process.exit(0);
+
+async function printRound(name: string): Promise<void> {
   const {direct, through} = await runRound();
-  console.log(`round ${round}, ms, median / p99 of ${PAIRS} pairs`);
+  console.log(`${name}, ms, median / p99 of ${PAIRS} pairs`);
   printRow('  first token, direct', direct.first);
   printRow('  first token, through a node', through.first);
   printRow('  whole answer, direct', direct.last);
   printRow('  whole answer, through a node', through.last);
 }
-for (const concurrency of LOAD_CONCURRENCIES) await runLoad(concurrency);
-await agent.destroy();
-killPrograms();
-process.exit(0);
+
+/** The same pairs while other streams keep the node busy. */
+async function printBusyRound(): Promise<void> {
+  const pid = fleet.nodes[0].pid;
+  const cpuBeforeS = readProcessorS(pid);
+  const startMs = performance.now();
+  let isBusy = true;
+  const workers = Array.from({length: BUSY_STREAMS}, async () => {
+    while (isBusy) await sendThrough(LOAD_TOKENS).catch(() => undefined);
+  });
+  await printRound(`beside ${BUSY_STREAMS} streams`);
+  isBusy = false;
+  const tookS = (performance.now() - startMs) / 1_000;
+  const part = (readProcessorS(pid) - cpuBeforeS) / tookS;
+  console.log(`  node at ${(100 * part).toFixed(0)}% of a core`);
+  await Promise.all(workers);
+}
 
 interface Side {
   readonly first: Histogram;
