Make one piece serve two: rendezvous weights, bearer tokens, template reads

Cause: the read-through found three twins. Candidates of a lease and the engines that a node polls each hashed group and member by themselves; callers' keys and operators' tokens were cut out of their header by the same pattern written twice; template show and template history read the template by the same lines. runtime/rendezvous.ts, tryGetBearerToken and template_read_command.ts now serve both. Behaviour is unchanged: the engines' order by 48 bits of the hash is its order by the whole hash.

--- a/src/authority/candidates.ts
+++ b/src/authority/candidates.ts
@@ -1,5 +1,5 @@
 /** Chooses which nodes contend for a shard's lease. */
-import {createHash} from 'node:crypto';
+import {getRendezvousWeight} from '../runtime';
 
 /** How many nodes contend for one lease. */
 const CANDIDATES = 3;
@@ -14,16 +14,12 @@
   nodes: readonly string[],
 ): number | undefined {
   if (!nodes.includes(node)) return undefined;
-  const own = getWeight(shard, node);
+  const own = getRendezvousWeight(shard, node);
   let rank = 0;
   for (const other of nodes) {
     if (other === node) continue;
-    if (getWeight(shard, other) < own) rank++;
+    if (getRendezvousWeight(shard, other) < own) rank++;
     if (rank >= CANDIDATES) return undefined;
   }
   return rank;
 }
-
-function getWeight(shard: string, node: string): string {
-  return createHash('sha256').update(`${shard}\n${node}`).digest('hex');
-}
--- a/src/cli/template_history_command.ts
+++ b/src/cli/template_history_command.ts
@@ -1,13 +1,13 @@
 /** `anvilstack template history`. */
-import {Command, Option} from 'clipanion';
-import {templateStateSchema} from './answers';
-import {ExitCode} from './exit_code';
-import type {OperatorClient} from './operator_client';
-import {OperatorCommand} from './operator_command';
-import {formatTable, formatTime, printJson} from './output';
+import {Command} from 'clipanion';
+import {formatTable, formatTime} from './output';
+import {
+  type TemplateAnswer,
+  TemplateReadCommand,
+} from './template_read_command';
 
 /** Lists the accepted versions of a template. */
-export class TemplateHistoryCommand extends OperatorCommand {
+export class TemplateHistoryCommand extends TemplateReadCommand {
   static override paths = [['template', 'history']];
   static override usage = Command.Usage({
     category: 'Templates',
@@ -15,30 +15,17 @@
     examples: [['Who changed it', 'anvilstack template history studio']],
   });
 
-  account = Option.String({name: 'ACCOUNT'});
+  protected override createJson({history}: TemplateAnswer): unknown {
+    return history;
+  }
 
-  protected override async run(
-    clients: readonly OperatorClient[],
-  ): Promise<number> {
-    const path = `/operators/templates/${encodeURIComponent(this.account)}`;
-    const answer = await this.callFirst(clients, client =>
-      client.read(path, templateStateSchema),
-    );
-    if (answer.err) return this.fail(answer.val);
-    const {history} = answer.val;
-    if (this.json) {
-      printJson(this.context.stdout, history);
-      return ExitCode.Done;
-    }
+  protected override formatText({history}: TemplateAnswer): string {
     const rows = history.map(item => [
       String(item.version),
       item.baseVersion === 0 ? '-' : String(item.baseVersion),
       item.operator,
       formatTime(item.acceptedAtMs),
     ]);
-    this.context.stdout.write(
-      formatTable(['VERSION', 'BASE', 'OPERATOR', 'ACCEPTED (UTC)'], rows),
-    );
-    return ExitCode.Done;
+    return formatTable(['VERSION', 'BASE', 'OPERATOR', 'ACCEPTED (UTC)'], rows);
   }
 }
--- a/src/entry/authenticate.ts
+++ b/src/entry/authenticate.ts
@@ -9,13 +9,20 @@
   config: ConfigState,
   authorization: string | null,
 ): TemplateState | undefined {
-  const match = BEARER_PATTERN.exec(authorization ?? '');
-  if (match === null) return undefined;
-  const account = config.accountByKeyHash.get(getKeyHash(match[1]));
+  const key = tryGetBearerToken(authorization);
+  if (key === undefined) return undefined;
+  const account = config.accountByKeyHash.get(getKeyHash(key));
   return account === undefined ? undefined : config.templates.get(account);
 }
 
-/** Returns the SHA-256 of an API key, in hexadecimal. */
+/** Returns the token of an `Authorization: Bearer` header, if it holds one. */
+export function tryGetBearerToken(
+  authorization: string | null,
+): string | undefined {
+  return BEARER_PATTERN.exec(authorization ?? '')?.[1];
+}
+
+/** Returns the SHA-256 of an API key or a token, in hexadecimal. */
 export function getKeyHash(key: string): string {
   return createHash('sha256').update(key).digest('hex');
 }
--- a/src/entry/operator_access.ts
+++ b/src/entry/operator_access.ts
@@ -1,5 +1,6 @@
 /** Tells operators apart and what each may do. */
-import {createHash, timingSafeEqual} from 'node:crypto';
+import {timingSafeEqual} from 'node:crypto';
+import {getKeyHash, tryGetBearerToken} from './authenticate';
 
 /** What an operator may do. */
 export const OperatorRight = {
@@ -20,16 +21,14 @@
   readonly rights: readonly OperatorRight[];
 }
 
-const BEARER_PATTERN = /^Bearer +([!-~]{1,512})$/i;
-
 /** Returns the operator whose token the header holds, if any. */
 export function tryGetOperator(
   operators: readonly Operator[],
   authorization: string | null,
 ): Operator | undefined {
-  const token = BEARER_PATTERN.exec(authorization ?? '')?.[1];
+  const token = tryGetBearerToken(authorization);
   if (token === undefined) return undefined;
-  const hash = createHash('sha256').update(token).digest();
+  const hash = Buffer.from(getKeyHash(token), 'hex');
   return operators.find(operator =>
     timingSafeEqual(Buffer.from(operator.tokenSha256, 'hex'), hash),
   );
--- a/src/node/polled_engines.ts
+++ b/src/node/polled_engines.ts
@@ -1,6 +1,6 @@
 /** Selects the engines that a node reads the reports of: to route to them, or to command them. */
-import {createHash} from 'node:crypto';
 import type {BackendServer} from '../backends';
+import {getRendezvousWeight} from '../runtime';
 
 /** Options of `selectPolledEngines`. */
 export interface PolledEnginesOptions {
@@ -12,8 +12,6 @@
 
 /** Most engines that one node routes to. */
 const MAX_ROUTED_ENGINES = 32;
-/** Length of the compared part of a hash, in bytes: fits a number exactly. */
-const SCORE_BYTES = 6;
 
 /**
  * Returns all engines of a small fleet. Of a large one it returns those that the node
@@ -37,15 +35,8 @@
 ): readonly BackendServer[] {
   if (engines.length <= MAX_ROUTED_ENGINES) return engines;
   return engines
-    .map(engine => ({engine, score: computeScore(node, engine.id)}))
-    .sort((left, right) => right.score - left.score)
+    .map(engine => ({engine, weight: getRendezvousWeight(node, engine.id)}))
+    .sort((left, right) => (left.weight > right.weight ? -1 : 1))
     .slice(0, MAX_ROUTED_ENGINES)
     .map(item => item.engine);
 }
-
-function computeScore(node: string, engine: string): number {
-  return createHash('sha256')
-    .update(`${node}\n${engine}`)
-    .digest()
-    .readUIntBE(0, SCORE_BYTES);
-}
--- a/src/runtime/index.ts
+++ b/src/runtime/index.ts
@@ -27,3 +27,4 @@
 } from './supervisor_types';
 export {watchUnhandledErrors} from './unhandled_errors';
 export {createTlsConnector} from './tls_files';
+export {getRendezvousWeight} from './rendezvous';
