Do not ask the nodes for what is not used

Cause: found by reading. The move's holder asked every node for an account's counts each second also in stages that no gate decides (prepare_weights, done); and GET /operators/events?peers=1&request=ID fetched all events of all peers to keep those of one request, though peers can filter. Both now ask only for what they use; the answers are the same.

--- a/src/entry/operator_app.ts
+++ b/src/entry/operator_app.ts
@@ -29,8 +29,10 @@
   readonly configWriter: StreamWriter<ConfigEntry>;
   readonly events: EventRing;
   readonly recorder: TraceRecorder;
-  /** Collects the events of the other nodes, and names those that do not answer. */
-  readonly collectPeerEvents: () => Promise<{
+  /** Collects the events of the other nodes, of one request or of all; names who does not answer. */
+  readonly collectPeerEvents: (filter: {
+    readonly requestId?: string;
+  }) => Promise<{
     readonly events: readonly TimelineEvent[];
     readonly missing: readonly string[];
   }>;
@@ -106,7 +108,10 @@
     if (query.get('peers') !== '1') {
       return {...own, events: selectEvents(events.list(), query)};
     }
-    const {events: others, missing} = await options.collectPeerEvents();
+    const requestId = query.get('request') ?? undefined;
+    const {events: others, missing} = await options.collectPeerEvents({
+      requestId,
+    });
     const all = [...events.list(), ...others].sort((left, right) =>
       compareTimes(left.at, right.at),
     );
--- a/src/node/node_listeners.ts
+++ b/src/node/node_listeners.ts
@@ -83,7 +83,7 @@
     configWriter: streams.config.writer,
     events: options.events,
     recorder: options.recorder,
-    collectPeerEvents: () => peers.reads.collectEvents({}),
+    collectPeerEvents: peers.reads.collectEvents,
     listProgress: control.moves.listProgress,
     setLogLevel: logger.setLevel,
     getFleet: () => getFleet(options),
--- a/src/planning/move/runner.ts
+++ b/src/planning/move/runner.ts
@@ -6,7 +6,7 @@
 import type {MoveIndex, MovingAccount} from './move_index';
 import {planMove} from './plan_move';
 import {type EngineHoldings, listPreparations} from './preparation';
-import {tryGetNextStage, tryGetStageInForce} from './stage';
+import {hasGate, tryGetNextStage, tryGetStageInForce} from './stage';
 import type {AccountWindow, MoveDecision, MoveProgress} from './types';
 
 /** Options of the task. */
@@ -90,12 +90,13 @@
     const inForce = tryGetStageInForce(move, progress);
     const stage = inForce ?? move.stages[0];
     const isOpen = inForce !== undefined && progress?.isComplete !== true;
-    const window = isOpen
-      ? await options.collectWindow(
-          template.client_account,
-          stage.gate.window_s * 1_000,
-        )
-      : undefined;
+    const window =
+      isOpen && hasGate(stage)
+        ? await options.collectWindow(
+            template.client_account,
+            stage.gate.window_s * 1_000,
+          )
+        : undefined;
     const destination = isOpen ? stage : tryGetNextStage(move, inForce);
     return planMove({
       clientAccount: template.client_account,
--- a/src/planning/move/stage.ts
+++ b/src/planning/move/stage.ts
@@ -26,6 +26,11 @@
   return move.stages[findStageIndex(move, inForce.name) + 1];
 }
 
+/** Returns whether a stage is complete only when its gate holds, which takes the nodes' counts. */
+export function hasGate(stage: MoveStage): boolean {
+  return stage.kind !== 'prepare_weights' && stage.kind !== 'done';
+}
+
 /** Returns a stage's index, or -1 when an amendment has taken it away. */
 export function findStageIndex(move: AccountMove, name: string): number {
   return move.stages.findIndex(stage => stage.name === name);
