--- a/src/gateway/flow_context.ts
+++ b/src/gateway/flow_context.ts
@@ -23,6 +23,8 @@
   readonly book: PrefillBook;
   readonly prefixes: PrefixDirectory;
   readonly streams: StreamCounts;
+  /** True while an engine is on its way to another stage. */
+  readonly isChanging: (serverId: string) => boolean;
   readonly getRandom: () => number;
   /** This node's share of the retries that the fleet may send to a service. */
   readonly getBudget: (service: string) => RetryBudget;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
 import type {Clock} from '../runtime/types';
 import {createRetryBudget, type RetryBudget} from '../routing/retry_budget';
 import {Verdict} from '../verdict';
+import {createAuthority} from './authority';
 import {createConnections} from './connections';
 import {createControlListeners} from './control_listener';
 import type {Exchange} from './exchange';
@@ -21,6 +22,7 @@
 import {createServiceLoads} from './service_loads';
 import type {GatewaySettings} from './settings';
 import {tryFetchSnapshot} from './snapshot_client';
+import {createStageControl} from './stage_control';
 import {createStoreFollower} from './store_follower';
 import {createStreamCounts} from './stream_counts';
 import {runStreamFlow} from './stream_flow';
@@ -69,6 +71,8 @@
 const STOP_CHECK_MS = 50;
 /** Time kept free before SIGKILL, in milliseconds. */
 const STOP_MARGIN_MS = 500;
+/** Oldest state of the store on which stages are planned, in milliseconds. */
+const MAX_PLANNING_AGE_MS = 2_000;
 /** Interval of saying hello until the store knows this node, in milliseconds. */
 const REGISTER_INTERVAL_MS = 500;
 
@@ -109,6 +113,25 @@
     fetchSnapshot,
     onChange: handleFleetChange,
   });
+  const stages = createStageControl({
+    nodeName: self.name,
+    state,
+    authority: createAuthority({
+      nodeName: self.name,
+      store,
+      clock,
+      leaseMs: settings.bounds.leaseMs,
+    }),
+    connections,
+    protocol,
+    clock,
+    logger,
+    countNodesBefore: () =>
+      peers.list().filter(node => node.name < self.name).length,
+    isCurrent: () => follower.getAgeMs() < MAX_PLANNING_AGE_MS,
+    onOrder: (serverId, stage) =>
+      peers.notify({kind: 'ordered', serverId, stage}),
+  });
   const context: FlowContext = {
     ownDomain: settings.failureDomain,
     state,
@@ -120,6 +143,7 @@
     book,
     prefixes,
     streams,
+    isChanging: stages.isChanging,
     getRandom,
     getBudget,
     notifyPeers: peers.notify,
@@ -145,6 +169,7 @@
   async function start(): Promise<void> {
     await Promise.all([front.open(), control.open(), peers.open()]);
     follower.start();
+    stages.start();
     void register();
     logger.log('info', 'gateway started', {
       callers: `${settings.callers.host}:${settings.callers.port}`,
@@ -168,6 +193,7 @@
     }
     logger.log('info', 'gateway stopped', {openRequests: front.countOpen()});
     follower.stop();
+    stages.stop();
     front.close();
     control.close();
     peers.close();
@@ -256,6 +282,9 @@
           streams.add(message.decodeId, message.jobId, untilMs);
         }
         return;
+      case 'ordered':
+        stages.noteOrder(message.serverId, message.stage);
+        return;
       case 'suspect':
         logger.log('info', 'a node suspects a backend server', {...message});
         return;
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -19,9 +19,12 @@
   KvReference,
   ModelRequest,
   NodeRecord,
+  OwnCall,
   PromptPart,
   Route,
   SendOptions,
+  StageOrder,
+  StageReport,
   StoreFailure,
   WeightedService,
 } from './types';
--- /dev/null
+++ b/src/gateway/own_call.ts
@@ -0,0 +1,45 @@
+/** Calls of the gateway's own to backend servers, with short answers. */
+import type {Connections} from './connections';
+import type {Clock} from '../runtime/types';
+import type {BackendEntry, OwnCall} from './types';
+
+/** An answer to a call of the gateway's own. */
+export interface OwnAnswer {
+  readonly status: number;
+  readonly body: Buffer;
+}
+
+/** Sends a call; resolves to undefined when there is no answer in time. */
+export function sendOwnCall(
+  connections: Connections,
+  clock: Clock,
+  server: BackendEntry,
+  call: OwnCall,
+  timeoutMs: number,
+): Promise<OwnAnswer | undefined> {
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let status = 0;
+    const opened = connections.call({
+      server,
+      ...call,
+      handler: {
+        onAnswer: answerStatus => {
+          status = answerStatus;
+        },
+        onData: chunk => chunks.push(chunk),
+        onEnd: () => finish({status, body: Buffer.concat(chunks)}),
+        onFailure: () => finish(undefined),
+      },
+    });
+    const timer = clock.schedule(timeoutMs, () => {
+      opened.cancel();
+      finish(undefined);
+    });
+
+    function finish(answer: OwnAnswer | undefined): void {
+      timer.cancel();
+      resolve(answer);
+    }
+  });
+}
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -1,5 +1,5 @@
 /** Messages between nodes: small, repeated or replaceable when one is lost. */
-import type {EntryChange, NodeRecord, PromptPart} from './types';
+import type {EngineStage, EntryChange, NodeRecord, PromptPart} from './types';
 
 /** A node says that it is there. */
 export interface HelloMessage {
@@ -55,16 +55,35 @@
   readonly reason: string;
 }
 
+/** An engine was ordered to another stage. */
+export interface OrderedMessage {
+  readonly kind: 'ordered';
+  readonly serverId: string;
+  readonly stage: EngineStage;
+}
+
 /** A message between nodes. */
 export type PeerMessage =
-  HelloMessage | StateMessage | PlacedMessage | ReadMessage | SuspectMessage;
+  | HelloMessage
+  | StateMessage
+  | PlacedMessage
+  | ReadMessage
+  | SuspectMessage
+  | OrderedMessage;
 
 /** Encodes a message for a datagram. */
 export function encodeMessage(message: PeerMessage): Buffer {
   return Buffer.from(JSON.stringify(message));
 }
 
-const KINDS = new Set(['hello', 'state', 'placed', 'read', 'suspect']);
+const KINDS = new Set([
+  'hello',
+  'state',
+  'placed',
+  'read',
+  'suspect',
+  'ordered',
+]);
 
 /** Decodes a datagram; returns undefined when it is no message of this version. */
 export function tryDecodeMessage(datagram: Buffer): PeerMessage | undefined {
--- /dev/null
+++ b/src/gateway/stage_control.ts
@@ -0,0 +1,224 @@
+/** Brings the engines to the planned stages, one holder of authority at a time. */
+import type {Logger} from '../diagnostics/log';
+import type {Clock, Timer} from '../runtime/types';
+import type {Authority, Grant} from './authority';
+import type {Connections} from './connections';
+import type {FleetState} from './fleet_state';
+import {sendOwnCall} from './own_call';
+import {planStages, type StageChange, type StagePlan} from './stage_plan';
+import {
+  type BackendEntry,
+  type BackendProtocol,
+  EngineStage,
+  type StageReport,
+} from './types';
+
+/** Control of the engines' stages. */
+export interface StageControl {
+  start(): void;
+  /** Takes note of an order that another node gave. */
+  noteOrder(serverId: string, stage: EngineStage): void;
+  /** True while an engine is on its way to another stage. */
+  isChanging(serverId: string): boolean;
+  stop(): void;
+}
+
+/** Options of the control. */
+export interface StageControlOptions {
+  readonly nodeName: string;
+  readonly state: FleetState;
+  readonly authority: Authority;
+  readonly connections: Connections;
+  readonly protocol: BackendProtocol;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Number of known nodes whose names come before this node's. */
+  readonly countNodesBefore: () => number;
+  /** True while this node knows the state of the store. */
+  readonly isCurrent: () => boolean;
+  readonly onOrder: (serverId: string, stage: EngineStage) => void;
+}
+
+/** Interval of looking at the plan, in milliseconds. */
+const CHECK_INTERVAL_MS = 250;
+/** How long a plan must stand before orders are given, in milliseconds: the list settles after a start. */
+const SETTLE_MS = 1_500;
+/** How much later each further node gives orders, in milliseconds, and at most. */
+const NODE_DELAY_MS = 700;
+const MAX_NODE_DELAY_MS = 5_000;
+/** How long after the start of the system changes of single engines are worth their cost, in milliseconds. */
+const START_MS = 9_000;
+/** Engines off the plan that are left as they are while requests are served. */
+const SERVING_TOLERANCE = 2;
+/** How long a plan must stand while requests are served, in milliseconds: crashed engines come back meanwhile. */
+const SERVING_SETTLE_MS = 6_000;
+/** Longest wait for an engine's answer, in milliseconds. */
+const ORDER_TIMEOUT_MS = 500;
+/** Time after which an order that shows no effect is forgotten, in milliseconds: a change and some heartbeats. */
+const ORDER_MEMORY_MS = 9_000;
+/** Pause after authority was denied, in milliseconds. */
+const DENIED_PAUSE_MS = 1_000;
+
+/** Creates the control. */
+export function createStageControl(options: StageControlOptions): StageControl {
+  const {state, clock, logger} = options;
+  const orders = new Map<string, {stage: EngineStage; atMs: number}>();
+  const startedAtMs = clock.getMonotonicMs();
+  let plannedSinceMs: number | undefined;
+  let plannedKey = '';
+  let isActing = false;
+  let pausedUntilMs = 0;
+  let timer: Timer | undefined;
+  return {
+    start: tick,
+    noteOrder: (serverId, stage) => {
+      orders.set(serverId, {stage, atMs: clock.getMonotonicMs()});
+    },
+    isChanging,
+    stop: () => timer?.cancel(),
+  };
+
+  function tick(): void {
+    timer = clock.schedule(CHECK_INTERVAL_MS, tick);
+    if (isActing || !options.isCurrent()) return;
+    const nowMs = clock.getMonotonicMs();
+    forgetOrders(nowMs);
+    const plans = listPlans();
+    const key = plans.map(formatPlan).join(' ');
+    if (key !== plannedKey) {
+      plannedKey = key;
+      plannedSinceMs = nowMs;
+    }
+    const changes = plans.flatMap(plan => plan.changes);
+    if (changes.length === 0 || nowMs < pausedUntilMs) return;
+    if (nowMs - (plannedSinceMs ?? nowMs) < getDelayMs()) return;
+    isActing = true;
+    void act(changes).finally(() => {
+      isActing = false;
+    });
+  }
+
+  function listPlans(): StagePlan[] {
+    const services = state.getConfig()?.services ?? [];
+    return services
+      .filter(service => service.engine !== undefined)
+      .map(service =>
+        planStages(state.listUsable(service.name).map(applyOrder), {
+          tolerance: isStarting() ? 0 : SERVING_TOLERANCE,
+        }),
+      );
+  }
+
+  /** Counts an engine under the stage that it was ordered to. */
+  function applyOrder(entry: BackendEntry): BackendEntry {
+    const order = orders.get(entry.id);
+    return order === undefined ? entry : {...entry, stage: order.stage};
+  }
+
+  function isStarting(): boolean {
+    return clock.getMonotonicMs() - startedAtMs < START_MS;
+  }
+
+  function getDelayMs(): number {
+    const nodeDelayMs = Math.min(
+      MAX_NODE_DELAY_MS,
+      NODE_DELAY_MS * options.countNodesBefore(),
+    );
+    return (isStarting() ? SETTLE_MS : SERVING_SETTLE_MS) + nodeDelayMs;
+  }
+
+  async function act(changes: readonly StageChange[]): Promise<void> {
+    const grant = await options.authority.tryTake();
+    if (grant.err) {
+      pausedUntilMs = clock.getMonotonicMs() + DENIED_PAUSE_MS;
+      logger.log('info', 'authority over stages was not granted', {
+        reason: grant.val.reason,
+        detail: grant.val.message,
+      });
+      return;
+    }
+    logger.log('info', 'authority over stages was granted', {
+      fencingNumber: grant.val.fencingNumber,
+      plan: plannedKey,
+    });
+    await Promise.all(changes.map(change => changeStage(change, grant.val)));
+  }
+
+  async function changeStage(change: StageChange, grant: Grant): Promise<void> {
+    const {server, stage} = change;
+    const report = await readReport(server);
+    if (report === undefined || report.isBusy || report.stage === stage) {
+      logger.log('info', 'engine gets no order', {
+        serverId: server.id,
+        report: report === undefined ? 'none' : {...report},
+      });
+      return;
+    }
+    if (!grant.isValid()) {
+      logger.log('warn', 'authority over stages has lapsed', {
+        fencingNumber: grant.fencingNumber,
+      });
+      return;
+    }
+    orders.set(server.id, {stage, atMs: clock.getMonotonicMs()});
+    options.onOrder(server.id, stage);
+    const answer = await sendOwnCall(
+      options.connections,
+      clock,
+      server,
+      options.protocol.buildStageOrder({
+        serverId: server.id,
+        stage,
+        holder: options.nodeName,
+        fencingNumber: grant.fencingNumber,
+        acceptedOrders: report.acceptedOrders,
+      }),
+      ORDER_TIMEOUT_MS,
+    );
+    logger.log('info', 'stage was ordered', {
+      serverId: server.id,
+      stage,
+      fencingNumber: grant.fencingNumber,
+      acceptedOrders: report.acceptedOrders,
+      status: answer?.status ?? 'no answer',
+    });
+    // Without an answer the order may still be carried out, so it is remembered.
+    const isRefused =
+      answer !== undefined && answer.status !== 200 && answer.status !== 202;
+    if (isRefused) orders.delete(server.id);
+  }
+
+  async function readReport(
+    server: BackendEntry,
+  ): Promise<StageReport | undefined> {
+    const answer = await sendOwnCall(
+      options.connections,
+      clock,
+      server,
+      options.protocol.buildReport(server.id),
+      ORDER_TIMEOUT_MS,
+    );
+    if (answer?.status !== 200) return undefined;
+    return options.protocol.parseReport(answer.body);
+  }
+
+  function forgetOrders(nowMs: number): void {
+    for (const [id, order] of orders) {
+      const entry = state.tryGetUsable(id);
+      const isShown = entry?.stage === order.stage;
+      if (isShown || nowMs - order.atMs > ORDER_MEMORY_MS) orders.delete(id);
+    }
+  }
+
+  function isChanging(serverId: string): boolean {
+    const order = orders.get(serverId);
+    return (
+      order !== undefined && state.tryGetUsable(serverId)?.stage !== order.stage
+    );
+  }
+}
+
+function formatPlan(plan: StagePlan): string {
+  const ids = plan.changes.map(({server, stage}) => `${server.id}>${stage}`);
+  return `decode ${plan.presentDecode}/${plan.wantedDecode} ${ids.join(',')}`;
+}
--- /dev/null
+++ b/src/gateway/stage_plan.ts
@@ -0,0 +1,93 @@
+/** Plans how many engines read prompts and how many generate. */
+import {type BackendEntry, EngineStage} from './types';
+
+/** One engine that should work on another stage. */
+export interface StageChange {
+  readonly server: BackendEntry;
+  readonly stage: EngineStage;
+}
+
+/** The stages wanted of a service's engines. */
+export interface StagePlan {
+  readonly wantedDecode: number;
+  readonly presentDecode: number;
+  readonly changes: readonly StageChange[];
+}
+
+/** Options of a plan. */
+export interface StagePlanOptions {
+  /** Part of the engines that generate. */
+  readonly decodePart?: number;
+  /** Engines beyond the wanted number that are left as they are: a change costs seconds of an engine. */
+  readonly tolerance?: number;
+}
+
+/**
+ * Generating takes a small part of an engine's time at the deployments' mix,
+ * reading prompts most of it; the part leaves room for lost engines.
+ */
+const DEFAULT_DECODE_PART = 0.25;
+/** Engines that generate at least, so that the loss of one ends no service. */
+const MIN_DECODE = 2;
+
+/** Plans the changes that bring the engines of a service to the wanted stages. */
+export function planStages(
+  engines: readonly BackendEntry[],
+  options: StagePlanOptions = {},
+): StagePlan {
+  const decode = engines.filter(item => item.stage === EngineStage.Decode);
+  const prefill = engines.filter(item => item.stage === EngineStage.Prefill);
+  const count = decode.length + prefill.length;
+  const part = options.decodePart ?? DEFAULT_DECODE_PART;
+  const wantedDecode = Math.min(
+    Math.max(MIN_DECODE, Math.round(count * part)),
+    count - 1,
+  );
+  const surplus = decode.length - wantedDecode;
+  const plan = {wantedDecode, presentDecode: decode.length};
+  if (count < MIN_DECODE || isTolerated(surplus, decode, prefill, options)) {
+    return {...plan, changes: []};
+  }
+  const changes =
+    surplus > 0
+      ? chooseFromLargestDomains(decode, surplus).map(server => ({
+          server,
+          stage: EngineStage.Prefill,
+        }))
+      : chooseFromLargestDomains(prefill, -surplus).map(server => ({
+          server,
+          stage: EngineStage.Decode,
+        }));
+  return {...plan, changes};
+}
+
+function isTolerated(
+  surplus: number,
+  decode: readonly BackendEntry[],
+  prefill: readonly BackendEntry[],
+  options: StagePlanOptions,
+): boolean {
+  if (decode.length === 0 || prefill.length === 0) return false;
+  return Math.abs(surplus) <= (options.tolerance ?? 0);
+}
+
+/** Takes engines where a failure domain has most of them, so that the rest stays spread. */
+function chooseFromLargestDomains(
+  engines: readonly BackendEntry[],
+  count: number,
+): BackendEntry[] {
+  const left = [...engines].sort((a, b) => (a.id < b.id ? -1 : 1));
+  const chosen: BackendEntry[] = [];
+  while (chosen.length < count && left.length > 0) {
+    const sizes = new Map<string, number>();
+    for (const {failureDomain} of left) {
+      sizes.set(failureDomain, (sizes.get(failureDomain) ?? 0) + 1);
+    }
+    const largest = Math.max(...sizes.values());
+    const index = left.findIndex(
+      item => sizes.get(item.failureDomain) === largest,
+    );
+    chosen.push(...left.splice(index, 1));
+  }
+  return chosen;
+}
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -84,7 +84,9 @@
   function createInput(): PlacementInput {
     const engines = context.health
       .listHealthy(context.state.listUsable(task.service))
-      .filter(server => !excluded.has(server.id));
+      .filter(
+        server => !excluded.has(server.id) && !context.isChanging(server.id),
+      );
     return {
       request: model,
       rank: route.rank,
@@ -422,9 +424,7 @@
     if (server === undefined) return;
     context.connections.call({
       server,
-      method: release.method,
-      path: release.path,
-      headers: [],
+      ...release,
       handler: {
         onAnswer: () => undefined,
         onData: () => undefined,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -158,6 +158,34 @@
   readonly isEncoded: boolean;
 }
 
+/** An engine's own view of its work, some hundred milliseconds old. */
+export interface StageReport {
+  readonly stage?: EngineStage;
+  /** True while it carries out an order. */
+  readonly isBusy: boolean;
+  /** Orders that it has accepted since its start. */
+  readonly acceptedOrders: number;
+}
+
+/** An order to an engine to work on another stage. */
+export interface StageOrder {
+  readonly serverId: string;
+  readonly stage: EngineStage;
+  readonly holder: string;
+  readonly fencingNumber: number;
+  /** The order is refused unless the engine has accepted this many before. */
+  readonly acceptedOrders: number;
+}
+
+/** A call of the gateway's own to a backend server. */
+export interface OwnCall {
+  readonly method: string;
+  readonly path: string;
+  /** Flat list of names and values. */
+  readonly headers: readonly string[];
+  readonly body?: Buffer;
+}
+
 /** The wire format between callers, gateway and backend servers. */
 export interface BackendProtocol {
   parseCallerRequest(rawHeaders: readonly string[]): CallerRequest;
@@ -171,7 +199,11 @@
   /** Headers that tell the caller when to come back, as a flat list. */
   buildRetryHeaders(requestId: string, retryAfterMs: number): string[];
   /** Builds the call that frees a KV cache nobody will fetch. */
-  buildRelease(kv: KvReference): {method: 'DELETE'; path: string};
+  buildRelease(kv: KvReference): OwnCall;
+  buildReport(serverId: string): OwnCall;
+  /** Returns what a report says, or undefined when it is malformed. */
+  parseReport(body: Buffer): StageReport | undefined;
+  buildStageOrder(order: StageOrder): OwnCall;
 }
 
 /** A failed call of a backend server. */
--- a/src/platform/backend_protocol.ts
+++ b/src/platform/backend_protocol.ts
@@ -5,9 +5,13 @@
   CallerRequest,
   KvReference,
   ModelRequest,
+  OwnCall,
   SendOptions,
+  StageOrder,
+  StageReport,
 } from '../gateway';
-import {tryFields, tryParseJson, tryText} from './wire_decode';
+import {tryParseStage} from './server_entry';
+import {tryFields, tryNumber, tryParseJson, tryText} from './wire_decode';
 
 const Header = {
   RequestId: 'Anvilstack-Request-Id',
@@ -61,7 +65,18 @@
     parseAnswer,
     parsePrefillAnswer,
     buildRetryHeaders,
-    buildRelease: kv => ({method: 'DELETE', path: `/kv-handle/${kv.handle}`}),
+    buildRelease: kv => ({
+      method: 'DELETE',
+      path: `/kv-handle/${kv.handle}`,
+      headers: [Header.ServerId, kv.serverId],
+    }),
+    buildReport: serverId => ({
+      method: 'GET',
+      path: '/report',
+      headers: [Header.ServerId, serverId],
+    }),
+    parseReport,
+    buildStageOrder,
   };
 }
 
@@ -169,6 +184,41 @@
   return tryText(fields?.['transferHandle']);
 }
 
+function parseReport(body: Buffer): StageReport | undefined {
+  const fields = tryFields(tryParseJson(body.toString('utf8')));
+  // Here the field counts the orders accepted; in the store's entries it counts heartbeats.
+  const acceptedOrders = tryNumber(fields?.['seq']);
+  if (fields === undefined || acceptedOrders === undefined) return undefined;
+  const stage = tryParseStage(fields['stage']);
+  return {
+    ...(stage === undefined ? {} : {stage}),
+    isBusy: fields['busy'] === true,
+    acceptedOrders,
+  };
+}
+
+function buildStageOrder(order: StageOrder): OwnCall {
+  const body = {
+    operation: 'stage',
+    stage: order.stage,
+    holder: order.holder,
+    fence: order.fencingNumber,
+    // The order is carried out only while the engine's count of orders is this one.
+    precondition: order.acceptedOrders,
+  };
+  return {
+    method: 'POST',
+    path: '/order',
+    headers: [
+      Header.ServerId,
+      order.serverId,
+      'Content-Type',
+      'application/json',
+    ],
+    body: Buffer.from(JSON.stringify(body)),
+  };
+}
+
 function buildRetryHeaders(requestId: string, retryAfterMs: number): string[] {
   const seconds = Math.max(0, retryAfterMs / 1_000).toFixed(3);
   return ['Retry-After', seconds, Header.RequestId, requestId];
--- a/src/platform/server_entry.ts
+++ b/src/platform/server_entry.ts
@@ -13,6 +13,11 @@
   decode: EngineStage.Decode,
 };
 
+/** Returns the stage that a field names, or undefined. */
+export function tryParseStage(value: unknown): EngineStage | undefined {
+  return STAGES[tryText(value) ?? ''];
+}
+
 /** Decodes an entry; returns undefined when it names no usable server. */
 export function tryParseEntry(
   id: string,
@@ -26,7 +31,7 @@
   if (fields === undefined || service === undefined) return undefined;
   if (address === undefined || failureDomain === undefined) return undefined;
   if (state !== 'ready' && state !== 'draining') return undefined;
-  const stage = STAGES[tryText(fields['stage']) ?? ''];
+  const stage = tryParseStage(fields['stage']);
   if (fields['stage'] !== undefined && stage === undefined) return undefined;
   return {
     id,
