Do not take a reset for the end of an answer without a length

The connection now notes the reset before undici sees it, and the call fails. Ruled out: the relay, which ends an answer only at the end of the server's. test/gateway/connections.test.ts fails on the earlier code and passes now.

--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -1,5 +1,5 @@
 /** Connections to backend servers: one request at a time on each, idle ones used again. */
-import {Client, type Dispatcher} from 'undici';
+import {buildConnector, Client, type Dispatcher} from 'undici';
 import {Verdict} from '../verdict';
 import type {BackendEntry, CallFailure} from './types';
 
@@ -59,32 +59,45 @@
 /** Upper bound on a server's stated idle time-out, in milliseconds. */
 const MAX_IDLE_TIMEOUT_MS = 30_000;
 
+interface Connection {
+  readonly client: Client;
+  /** True once the connection broke off instead of being closed by the server. */
+  wasReset: boolean;
+}
+
 interface ServerConnections {
-  readonly idle: Client[];
-  readonly all: Set<Client>;
+  readonly idle: Connection[];
+  readonly all: Set<Connection>;
 }
 
 /** Creates an empty set of connections. */
 export function createConnections(
   options: ConnectionsOptions = {},
 ): Connections {
+  const connector = buildConnector({
+    timeout: options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS,
+  });
   const servers = new Map<string, ServerConnections>();
   let openedCount = 0;
   return {call, keepOnly, countOpened: () => openedCount, close};
 
   function call(request: BackendCall): OpenCall {
     const connections = getConnections(request.server.id);
-    const client = connections.idle.pop() ?? openClient(request.server);
-    connections.all.add(client);
-    const open = createOpenCall(request.handler, isReusable => {
-      if (!isReusable || !servers.has(request.server.id)) {
-        connections.all.delete(client);
-        void client.destroy();
-        return;
-      }
-      connections.idle.push(client);
+    const connection = connections.idle.pop() ?? openConnection(request.server);
+    connections.all.add(connection);
+    const open = createOpenCall({
+      handler: request.handler,
+      wasReset: () => connection.wasReset,
+      release: isReusable => {
+        if (isReusable && servers.has(request.server.id)) {
+          connections.idle.push(connection);
+          return;
+        }
+        connections.all.delete(connection);
+        void connection.client.destroy();
+      },
     });
-    client.dispatch(
+    connection.client.dispatch(
       {
         method: request.method as Dispatcher.HttpMethod,
         path: request.path,
@@ -100,15 +113,27 @@
   function getConnections(serverId: string): ServerConnections {
     const known = servers.get(serverId);
     if (known !== undefined) return known;
-    const created = {idle: [], all: new Set<Client>()};
+    const created = {idle: [], all: new Set<Connection>()};
     servers.set(serverId, created);
     return created;
   }
 
-  function openClient(server: BackendEntry): Client {
+  function openConnection(server: BackendEntry): Connection {
     const client = new Client(`http://${server.host}:${server.port}`, {
-      connect: {
-        timeout: options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS,
+      connect: (connectOptions, callback) => {
+        connector(connectOptions, (error, socket) => {
+          if (error !== null) {
+            callback(error, null);
+            return;
+          }
+          openedCount++;
+          connection.wasReset = false;
+          // Runs before undici's own listener, which takes a reset for the end of an answer without a length.
+          socket.on('error', () => {
+            connection.wasReset = true;
+          });
+          callback(null, socket);
+        });
       },
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -117,23 +142,21 @@
       keepAliveMaxTimeout: MAX_IDLE_TIMEOUT_MS,
       pipelining: 1,
     });
-    client.on('connect', () => {
-      openedCount++;
-    });
-    return client;
+    const connection: Connection = {client, wasReset: false};
+    return connection;
   }
 
   function keepOnly(serverIds: ReadonlySet<string>): void {
     for (const [id, connections] of servers) {
       if (serverIds.has(id)) continue;
       servers.delete(id);
-      for (const client of connections.idle) void client.destroy();
+      for (const {client} of connections.idle) void client.destroy();
     }
   }
 
   function close(): void {
     for (const connections of servers.values()) {
-      for (const client of connections.all) void client.destroy();
+      for (const {client} of connections.all) void client.destroy();
     }
     servers.clear();
   }
@@ -143,11 +166,17 @@
   readonly dispatchHandler: Dispatcher.DispatchHandler;
 }
 
-/** Follows one request; `release` takes the connection back. */
-function createOpenCall(
-  handler: CallHandler,
-  release: (isReusable: boolean) => void,
-): DispatchedCall {
+interface OpenCallOptions {
+  readonly handler: CallHandler;
+  /** True when the connection broke off. */
+  readonly wasReset: () => boolean;
+  /** Takes the connection back. */
+  readonly release: (isReusable: boolean) => void;
+}
+
+/** Follows one request. */
+function createOpenCall(options: OpenCallOptions): DispatchedCall {
+  const {handler, release, wasReset} = options;
   let controller: Dispatcher.DispatchController | undefined;
   let isSent = false;
   let isDone = false;
@@ -169,15 +198,17 @@
         if (!isDone) handler.onData(chunk);
       },
       onResponseEnd: () => {
+        if (wasReset()) return fail(createReset('answer was cut'));
         if (isDone) return;
         isDone = true;
         release(true);
         handler.onEnd();
       },
       onResponseError: (_controller, error) => {
+        if (isSent) return fail(createReset(error.message));
         fail({
-          verdict: isSent ? Verdict.MayHaveRun : Verdict.NotRun,
-          reason: isSent ? 'reset' : 'connect',
+          verdict: Verdict.NotRun,
+          reason: 'connect',
           message: error.message,
         });
       },
@@ -210,6 +241,10 @@
   }
 }
 
+function createReset(message: string): CallFailure {
+  return {verdict: Verdict.MayHaveRun, reason: 'reset', message};
+}
+
 function listRawHeaders(controller: Dispatcher.DispatchController): string[] {
   const raw = controller.rawHeaders;
   return Array.isArray(raw) ? raw.map(item => item.toString('latin1')) : [];
--- /dev/null
+++ b/test/gateway/connections.test.ts
@@ -0,0 +1,67 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createConnections} from '../../src/gateway/connections';
+import {Verdict} from '../../src/verdict';
+import {createEntry, sendCall, startRawServer} from './support';
+
+const UNFRAMED_HEAD = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n';
+
+test('an answer without a length is whole when its connection is closed', async () => {
+  const server = await startRawServer(socket => {
+    socket.end(`${UNFRAMED_HEAD}whole`);
+  });
+  const connections = createConnections();
+  const outcome = await sendCall(connections, server.entry);
+  assert.deepEqual(outcome, {status: 200, body: 'whole'});
+  connections.close();
+  server.close();
+});
+
+test('an answer without a length is not whole when its connection is reset', async () => {
+  const server = await startRawServer(socket => {
+    socket.write(`${UNFRAMED_HEAD}par`, () => {
+      setTimeout(() => socket.resetAndDestroy(), 30);
+    });
+  });
+  const connections = createConnections();
+  const outcome = await sendCall(connections, server.entry);
+  assert.equal(outcome.failure?.reason, 'reset');
+  assert.equal(outcome.failure?.verdict, Verdict.MayHaveRun);
+  connections.close();
+  server.close();
+});
+
+test('a request that never reached a connection has not run', async () => {
+  const connections = createConnections();
+  const outcome = await sendCall(connections, createEntry({port: 1}));
+  assert.equal(outcome.failure?.reason, 'connect');
+  assert.equal(outcome.failure?.verdict, Verdict.NotRun);
+  connections.close();
+});
+
+test('a second answer is not taken for the answer to the next request', async () => {
+  const answer = (body: string) =>
+    `HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n${body}`;
+  const server = await startRawServer((socket, _request, count) => {
+    socket.write(count === 1 ? `${answer('1')}${answer('X')}` : answer('2'));
+  });
+  const connections = createConnections();
+  const first = await sendCall(connections, server.entry);
+  const second = await sendCall(connections, server.entry);
+  assert.equal(first.body, '1');
+  assert.equal(second.body, '2');
+  connections.close();
+  server.close();
+});
+
+test('connections are used again', async () => {
+  const server = await startRawServer(socket => {
+    socket.write('HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx');
+  });
+  const connections = createConnections();
+  await sendCall(connections, server.entry);
+  await sendCall(connections, server.entry);
+  assert.equal(connections.countOpened(), 1);
+  connections.close();
+  server.close();
+});
--- /dev/null
+++ b/test/gateway/support.ts
@@ -0,0 +1,104 @@
+/** Helpers for the tests of the gateway. */
+import {createServer, type Server, type Socket} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import type {
+  BackendCall,
+  CallHandler,
+  Connections,
+} from '../../src/gateway/connections';
+import type {BackendEntry, CallFailure} from '../../src/gateway/types';
+
+/** Creates an entry of service discovery. */
+export function createEntry(options: Partial<BackendEntry> = {}): BackendEntry {
+  return {
+    id: 'server-1',
+    service: 'app',
+    host: '127.0.0.1',
+    port: 1,
+    failureDomain: 'a',
+    maxRunning: 4,
+    isLeaving: false,
+    startedAtMs: 1,
+    ...options,
+  };
+}
+
+/** A server that answers each request with the bytes that a test chooses. */
+export interface RawServer {
+  readonly entry: BackendEntry;
+  /** Requests seen, as text. */
+  readonly requests: string[];
+  close(): void;
+}
+
+/** Starts a raw server; `answer` is called with each request once its head and body are there. */
+export async function startRawServer(
+  answer: (socket: Socket, request: string, count: number) => void,
+  options: Partial<BackendEntry> = {},
+): Promise<RawServer> {
+  const requests: string[] = [];
+  const sockets = new Set<Socket>();
+  const server: Server = createServer(socket => {
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    let text = '';
+    socket.on('data', chunk => {
+      text += chunk.toString('latin1');
+      const headEnd = text.indexOf('\r\n\r\n');
+      if (headEnd < 0) return;
+      const length = Number(/content-length: (\d+)/i.exec(text)?.[1] ?? 0);
+      if (text.length < headEnd + 4 + length) return;
+      requests.push(text);
+      const request = text;
+      text = '';
+      answer(socket, request, requests.length);
+    });
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as AddressInfo;
+  return {
+    entry: createEntry({port, ...options}),
+    requests,
+    close: () => {
+      server.close();
+      for (const socket of sockets) socket.destroy();
+    },
+  };
+}
+
+/** How a call ended. */
+export interface CallOutcome {
+  readonly status: number;
+  readonly body: string;
+  readonly failure?: CallFailure;
+}
+
+/** Sends a call and resolves when it has ended. */
+export function sendCall(
+  connections: Connections,
+  server: BackendEntry,
+  options: Partial<BackendCall> = {},
+): Promise<CallOutcome> {
+  return new Promise(resolve => {
+    let status = 0;
+    let body = '';
+    const handler: CallHandler = {
+      onAnswer: answerStatus => {
+        status = answerStatus;
+      },
+      onData: chunk => {
+        body += chunk.toString();
+      },
+      onEnd: () => resolve({status, body}),
+      onFailure: failure => resolve({status, body, failure}),
+    };
+    connections.call({
+      server,
+      method: 'GET',
+      path: '/x/',
+      headers: [],
+      handler,
+      ...options,
+    });
+  });
+}
