--- a/src/gateway/engine_costs.ts
+++ b/src/gateway/engine_costs.ts
@@ -4,6 +4,9 @@
 export interface EngineSpeeds {
   /** Prompt tokens that a prefill engine reads in a millisecond. */
   readonly prefillTokensPerMs: number;
+  /** Tokens that are read in one step, and the time of a step beside reading, in milliseconds. */
+  readonly chunkTokens: number;
+  readonly stepMs: number;
   /** Time for attention over a million pairs of tokens, in milliseconds. */
   readonly attentionMsPerMillionPairs: number;
   /** Time before a KV transfer begins, in milliseconds. */
@@ -13,6 +16,8 @@
 /** Speeds stated on the deployments' sheets; measured answers correct them for each server. */
 export const DEFAULT_SPEEDS: EngineSpeeds = {
   prefillTokensPerMs: 64.2,
+  chunkTokens: 2_048,
+  stepMs: 4.23,
   attentionMsPerMillionPairs: 0.647,
   transferSetupMs: 2.7,
 };
@@ -32,7 +37,9 @@
 ): number {
   const newTokens = Math.max(0, promptTokens - cachedTokens);
   const pairs = newTokens * (cachedTokens + newTokens / 2);
+  const steps = Math.ceil(newTokens / speeds.chunkTokens);
   return (
+    steps * speeds.stepMs +
     newTokens / speeds.prefillTokensPerMs +
     (pairs / MILLION) * speeds.attentionMsPerMillionPairs
   );
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -277,6 +277,9 @@
         return;
       case 'read':
         book.remove(message.jobId, nowMs);
+        if (message.ratio !== undefined) {
+          health.recordSuccess(message.serverId, message.ratio);
+        }
         if (message.decodeId !== undefined) {
           const untilMs = nowMs + (message.runMs ?? 0);
           streams.add(message.decodeId, message.jobId, untilMs);
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -32,7 +32,6 @@
   readonly kind: 'placed';
   readonly jobId: string;
   readonly serverId: string;
-  readonly rank: number;
   readonly costMs: number;
   /** Parts that the engine keeps afterwards. */
   readonly parts: readonly PromptPart[];
@@ -42,6 +41,9 @@
 export interface ReadMessage {
   readonly kind: 'read';
   readonly jobId: string;
+  readonly serverId: string;
+  /** Observed over predicted time; absent when it says nothing about the engine. */
+  readonly ratio?: number;
   /** Decode engine that goes on with it. */
   readonly decodeId?: string;
   /** How long its stream is expected to run, in milliseconds. */
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -31,7 +31,6 @@
 /** What the choice looks at. */
 export interface PlacementInput {
   readonly request: ModelRequest;
-  readonly rank: number;
   readonly engines: readonly BackendEntry[];
   readonly book: PrefillBook;
   readonly prefixes: PrefixDirectory;
@@ -99,13 +98,13 @@
   server: BackendEntry,
   readFactor: number,
 ): PrefillPlace {
-  const {request, rank, book, prefixes, nowMs} = input;
+  const {request, book, prefixes, nowMs} = input;
   const shared = listSharedParts(request);
   const cachedTokens = prefixes.getCachedTokens(server.id, shared);
   const slowdown = input.getSlowdown(server.id) * readFactor;
   return {
     server,
-    waitMs: book.getWaitMs(server.id, rank, nowMs),
+    waitMs: book.getWaitMs(server.id, nowMs),
     readMs: computeReadMs(request.promptTokens, cachedTokens) * slowdown,
     cachedTokens,
   };
--- a/src/gateway/prefill_book.ts
+++ b/src/gateway/prefill_book.ts
@@ -4,8 +4,6 @@
 export interface PrefillJob {
   readonly id: string;
   readonly serverId: string;
-  /** Rank of its route; engines read lower ones first. */
-  readonly rank: number;
   /** Predicted time to read it, in milliseconds. */
   readonly costMs: number;
 }
@@ -15,8 +13,8 @@
   add(job: PrefillJob, nowMs: number): void;
   /** Removes a job that ended; returns how long it was open, in milliseconds. */
   remove(jobId: string, nowMs: number): number | undefined;
-  /** Returns how long a new job of this rank would wait, in milliseconds. */
-  getWaitMs(serverId: string, rank: number, nowMs: number): number;
+  /** Returns how long a new job would wait, in milliseconds: engines read in order of arrival. */
+  getWaitMs(serverId: string, nowMs: number): number;
   /** Returns the number of open jobs at an engine. */
   countJobs(serverId: string): number;
   removeServer(serverId: string): void;
@@ -59,7 +57,7 @@
     engines.set(job.serverId, engine);
     sweep(engine, nowMs);
     if (engine.jobs.size === 0) engine.headStartMs = nowMs;
-    const waitMs = getWaitMs(job.serverId, Number.POSITIVE_INFINITY, nowMs);
+    const waitMs = getWaitMs(job.serverId, nowMs);
     engine.jobs.set(job.id, {
       ...job,
       addedAtMs: nowMs,
@@ -80,14 +78,13 @@
     return nowMs - job.addedAtMs;
   }
 
-  function getWaitMs(serverId: string, rank: number, nowMs: number): number {
+  function getWaitMs(serverId: string, nowMs: number): number {
     const engine = engines.get(serverId);
     if (engine === undefined) return 0;
     sweep(engine, nowMs);
     let waitMs = 0;
     let headMs = 0;
     for (const job of engine.jobs.values()) {
-      if (job.rank > rank) continue;
       if (headMs === 0) headMs = job.costMs;
       waitMs += job.costMs;
     }
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -39,6 +39,10 @@
 const MAX_PREFILL_TRIES = 3;
 /** Most decode engines asked for one request, those that refused included. */
 const MAX_DECODE_TRIES = 3;
+/** Shortest predicted read that says something about an engine's speed, in milliseconds. */
+const MIN_RATIO_MS = 40;
+/** Time of the way to an engine and back, in milliseconds. */
+const HOP_MS = 5;
 /** Shortest time after which a refused caller may come back, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 100;
 
@@ -58,6 +62,7 @@
   let call: OpenCall | undefined;
   let stallTimer: Timer | undefined;
   let kv: KvReference | undefined;
+  let prefillId: string | undefined;
   let prefillTries = 0;
   let decodeTries = 0;
   let runCount = 0;
@@ -89,7 +94,6 @@
       );
     return {
       request: model,
-      rank: route.rank,
       engines,
       book: context.book,
       prefixes: context.prefixes,
@@ -113,6 +117,7 @@
     const sentAtMs = clock.getMonotonicMs();
     const predictedMs = place.waitMs + place.readMs;
     prefillTries++;
+    prefillId = server.id;
     task.log('prompt sent to prefill engine', {
       serverId: server.id,
       waitMs: Math.round(place.waitMs),
@@ -171,7 +176,7 @@
       if (hasFailed || task.isOver()) return;
       hasFailed = true;
       stallTimer?.cancel();
-      noteRead(undefined);
+      noteRead(server.id, undefined, undefined);
       retryPrefill(server, failure);
     }
   }
@@ -196,7 +201,6 @@
     const job = {
       id: jobId,
       serverId: place.server.id,
-      rank: route.rank,
       costMs: place.readMs,
     };
     context.book.add(job, clock.getMonotonicMs());
@@ -205,13 +209,16 @@
       kind: 'placed',
       jobId,
       serverId: place.server.id,
-      rank: route.rank,
       costMs: Math.round(place.readMs),
       parts: listSharedParts(model),
     });
   }
 
-  function noteRead(decodeId: string | undefined): void {
+  function noteRead(
+    serverId: string,
+    decodeId: string | undefined,
+    ratio: number | undefined,
+  ): void {
     const nowMs = clock.getMonotonicMs();
     context.book.remove(jobId, nowMs);
     const runMs = computeRunMs();
@@ -221,6 +228,8 @@
     context.notifyPeers({
       kind: 'read',
       jobId,
+      serverId,
+      ...(ratio === undefined ? {} : {ratio}),
       ...(decodeId === undefined ? {} : {decodeId, runMs}),
     });
   }
@@ -264,10 +273,11 @@
     const {server} = place;
     const predictedMs = place.waitMs + place.readMs;
     context.metrics.recordPrefill(predictedMs, observedMs);
-    context.health.recordSuccess(server.id, 1);
+    const ratio = computeRatio(place, observedMs);
+    if (ratio !== undefined) context.health.recordSuccess(server.id, ratio);
     kv = {serverId: server.id, host: server.host, port: server.port, handle};
     const decode = chooseDecode(server.failureDomain);
-    noteRead(decode?.id);
+    noteRead(server.id, decode?.id, ratio);
     task.log('prompt was read', {
       serverId: server.id,
       predictedMs: Math.round(predictedMs),
@@ -282,6 +292,17 @@
     sendDecode(decode);
   }
 
+  /** Tells how much slower than the sheets' speed an engine reads; short reads say little. */
+  function computeRatio(
+    place: PrefillPlace,
+    observedMs: number,
+  ): number | undefined {
+    const slowdown = context.health.getSlowdown(place.server.id);
+    const plainMs = (place.waitMs + place.readMs) / slowdown;
+    if (plainMs < MIN_RATIO_MS) return undefined;
+    return (observedMs - HOP_MS) / plainMs;
+  }
+
   function chooseDecode(
     sourceDomain: string | undefined,
   ): BackendEntry | undefined {
@@ -439,7 +460,9 @@
     stallTimer?.cancel();
     const isDecoding = runCount > 0 && call?.isSent() === true;
     call?.cancel();
-    if (decodeTries === 0) noteRead(undefined);
+    if (decodeTries === 0 && prefillId !== undefined) {
+      noteRead(prefillId, undefined, undefined);
+    }
     if (isDecoding) mayHaveRun = true;
     else releaseKv();
     if (cause === 'timeout') task.fail(getVerdict(), 'timeout');
