Find a reset that is reported as the end of an answer without a length

Trial with the sockets' events logged: only 'end' comes on the cut answers. An empty line is now written at the end of such an answer: the write fails at once on a connection that was reset. A later reset is the answer to that write.

--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -1,4 +1,5 @@
 /** Connections to backend servers: one request at a time on each, idle ones used again. */
+import type {Socket} from 'node:net';
 import {buildConnector, Client, type Dispatcher} from 'undici';
 import {Verdict} from '../verdict';
 import type {BackendEntry, CallFailure} from './types';
@@ -63,6 +64,8 @@
   readonly client: Client;
   /** True once the connection broke off instead of being closed by the server. */
   wasReset: boolean;
+  /** True while an answer is read that ends with the connection. */
+  isUnframed: boolean;
 }
 
 interface ServerConnections {
@@ -87,7 +90,7 @@
     connections.all.add(connection);
     const open = createOpenCall({
       handler: request.handler,
-      wasReset: () => connection.wasReset,
+      connection,
       release: isReusable => {
         if (isReusable && servers.has(request.server.id)) {
           connections.idle.push(connection);
@@ -127,11 +130,7 @@
             return;
           }
           openedCount++;
-          connection.wasReset = false;
-          // Runs before undici's own listener, which takes a reset for the end of an answer without a length.
-          socket.on('error', () => {
-            connection.wasReset = true;
-          });
+          watchResets(socket, connection);
           callback(null, socket);
         });
       },
@@ -142,7 +141,11 @@
       keepAliveMaxTimeout: MAX_IDLE_TIMEOUT_MS,
       pipelining: 1,
     });
-    const connection: Connection = {client, wasReset: false};
+    const connection: Connection = {
+      client,
+      wasReset: false,
+      isUnframed: false,
+    };
     return connection;
   }
 
@@ -162,21 +165,51 @@
   }
 }
 
+/**
+ * Notes a connection that was reset. Runs before undici's own listeners, which
+ * take a reset for the end of an answer without a length. A reset that comes
+ * together with data is reported as an end, and only a write shows it.
+ */
+function watchResets(socket: Socket, connection: Connection): void {
+  let hasEnded = false;
+  connection.wasReset = false;
+  socket.on('error', () => {
+    // After the end a server may answer the write below with a reset.
+    if (!hasEnded) connection.wasReset = true;
+  });
+  socket.prependListener('end', () => {
+    hasEnded = true;
+    if (!connection.isUnframed) return;
+    // Servers skip an empty line before a request.
+    socket.write('\r\n', error => {
+      const code = (error as NodeJS.ErrnoException | null | undefined)?.code;
+      if (code === 'EPIPE' || code === 'ECONNRESET') connection.wasReset = true;
+    });
+  });
+}
+
+function hasFraming(rawHeaders: readonly string[]): boolean {
+  return rawHeaders.some((name, index) => {
+    if (index % 2 === 1) return false;
+    const lower = name.toLowerCase();
+    return lower === 'content-length' || lower === 'transfer-encoding';
+  });
+}
+
 interface DispatchedCall extends OpenCall {
   readonly dispatchHandler: Dispatcher.DispatchHandler;
 }
 
 interface OpenCallOptions {
   readonly handler: CallHandler;
-  /** True when the connection broke off. */
-  readonly wasReset: () => boolean;
+  readonly connection: Connection;
   /** Takes the connection back. */
   readonly release: (isReusable: boolean) => void;
 }
 
 /** Follows one request. */
 function createOpenCall(options: OpenCallOptions): DispatchedCall {
-  const {handler, release, wasReset} = options;
+  const {handler, release, connection} = options;
   let controller: Dispatcher.DispatchController | undefined;
   let isSent = false;
   let isDone = false;
@@ -198,11 +231,9 @@
         if (!isDone) handler.onData(chunk);
       },
       onResponseEnd: () => {
-        if (wasReset()) return fail(createReset('answer was cut'));
-        if (isDone) return;
-        isDone = true;
-        release(true);
-        handler.onEnd();
+        // The result of the write in `watchResets` comes a moment later.
+        if (connection.isUnframed) setImmediate(end);
+        else end();
       },
       onResponseError: (_controller, error) => {
         if (isSent) return fail(createReset(error.message));
@@ -215,13 +246,23 @@
     },
   };
 
+  function end(): void {
+    if (connection.wasReset) return fail(createReset('answer was cut'));
+    if (isDone) return;
+    isDone = true;
+    release(true);
+    handler.onEnd();
+  }
+
   function onResponseStart(
     started: Dispatcher.DispatchController,
     status: number,
   ): void {
     // An interim answer comes before the real one.
     if (isDone || status < 200) return;
-    const failure = handler.onAnswer(status, listRawHeaders(started));
+    const rawHeaders = listRawHeaders(started);
+    connection.isUnframed = !hasFraming(rawHeaders);
+    const failure = handler.onAnswer(status, rawHeaders);
     if (failure !== undefined) fail(failure);
   }
 
--- a/test/gateway/connections.test.ts
+++ b/test/gateway/connections.test.ts
@@ -31,6 +31,19 @@
   server.close();
 });
 
+test('a reset together with the data of an answer without a length is noticed', async () => {
+  const server = await startRawServer(socket => {
+    socket.write(`${UNFRAMED_HEAD}par`);
+    socket.resetAndDestroy();
+  });
+  const connections = createConnections();
+  // The two arrive in one turn of the event loop, so that the end is all that is reported.
+  const outcome = await sendCall(connections, server.entry);
+  assert.equal(outcome.failure?.reason, 'reset');
+  connections.close();
+  server.close();
+});
+
 test('a request that never reached a connection has not run', async () => {
   const connections = createConnections();
   const outcome = await sendCall(connections, createEntry({port: 1}));
