--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -38,7 +38,7 @@
 export interface Connections {
   call(request: BackendCall): OpenCall;
   /** Closes the idle connections of servers that are no longer listed. */
-  keepOnly(serverIds: ReadonlySet<string>): void;
+  retainOnly(serverIds: ReadonlySet<string>): void;
   countOpened(): number;
   close(): void;
 }
@@ -82,7 +82,7 @@
   });
   const servers = new Map<string, ServerConnections>();
   let openedCount = 0;
-  return {call, keepOnly, countOpened: () => openedCount, close};
+  return {call, retainOnly, countOpened: () => openedCount, close};
 
   function call(request: BackendCall): OpenCall {
     const connections = getConnections(request.server.id);
@@ -149,7 +149,7 @@
     return connection;
   }
 
-  function keepOnly(serverIds: ReadonlySet<string>): void {
+  function retainOnly(serverIds: ReadonlySet<string>): void {
     for (const [id, connections] of servers) {
       if (serverIds.has(id)) continue;
       servers.delete(id);
@@ -232,8 +232,8 @@
       },
       onResponseEnd: () => {
         // The result of the write in `watchResets` comes a moment later.
-        if (connection.isUnframed) setImmediate(end);
-        else end();
+        if (connection.isUnframed) setImmediate(settle);
+        else settle();
       },
       onResponseError: (_controller, error) => {
         if (isSent) return fail(createReset(error.message));
@@ -246,7 +246,7 @@
     },
   };
 
-  function end(): void {
+  function settle(): void {
     if (connection.wasReset) return fail(createReset('answer was cut'));
     if (isDone) return;
     isDone = true;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -110,7 +110,7 @@
     peers,
     clock,
     logger,
-    fetchSnapshot,
+    fetchSnapshot: loadSnapshot,
     onChange: handleFleetChange,
   });
   const stages = createStageControl({
@@ -170,7 +170,7 @@
     await Promise.all([front.open(), control.open(), peers.open()]);
     follower.start();
     stages.start();
-    void register();
+    void publishSelf();
     logger.log('info', 'gateway started', {
       callers: `${settings.callers.host}:${settings.callers.port}`,
       failureDomain: settings.failureDomain,
@@ -299,7 +299,7 @@
   }
 
   /** Makes this node known in the store, and learns of the others. */
-  async function register(): Promise<void> {
+  async function publishSelf(): Promise<void> {
     while (!isStopping) {
       const [registered, listed] = await Promise.all([
         store.registerNode(self),
@@ -314,7 +314,7 @@
     }
   }
 
-  async function fetchSnapshot(nodeName?: string) {
+  async function loadSnapshot(nodeName?: string) {
     const node = nodeName === undefined ? undefined : peers.tryFind(nodeName);
     const addresses =
       node === undefined
@@ -342,7 +342,7 @@
       health.remove(id);
       loads.remove(id);
     }
-    connections.keepOnly(new Set(state.listEntries().map(entry => entry.id)));
+    connections.retainOnly(new Set(state.listEntries().map(entry => entry.id)));
   }
 
   function getBudget(service: string): RetryBudget {
--- a/src/gateway/own_call.ts
+++ b/src/gateway/own_call.ts
@@ -28,16 +28,16 @@
           status = answerStatus;
         },
         onData: chunk => chunks.push(chunk),
-        onEnd: () => finish({status, body: Buffer.concat(chunks)}),
-        onFailure: () => finish(undefined),
+        onEnd: () => settle({status, body: Buffer.concat(chunks)}),
+        onFailure: () => settle(undefined),
       },
     });
     const timer = clock.schedule(timeoutMs, () => {
       opened.cancel();
-      finish(undefined);
+      settle(undefined);
     });
 
-    function finish(answer: OwnAnswer | undefined): void {
+    function settle(answer: OwnAnswer | undefined): void {
       timer.cancel();
       resolve(answer);
     }
--- a/src/gateway/request_task.ts
+++ b/src/gateway/request_task.ts
@@ -78,7 +78,7 @@
   function stop(cause: 'gone' | 'timeout'): void {
     if (isEnded) return;
     for (const callback of stopCallbacks) callback(cause);
-    if (cause === 'gone') end('gone', {});
+    if (cause === 'gone') settle('gone', {});
   }
 
   function fail(
@@ -89,7 +89,7 @@
     if (isEnded) return;
     if (exchange.hasAnswerBegun()) {
       exchange.cut();
-      end('cut', {verdict, reason});
+      settle('cut', {verdict, reason});
       return;
     }
     const status = getFailureStatus(verdict, reason);
@@ -101,15 +101,15 @@
           )
         : [];
     exchange.answer(status, headers, `${reason} (${verdict})`);
-    end('failed', {verdict, reason, status, retryAfterMs});
+    settle('failed', {verdict, reason, status, retryAfterMs});
   }
 
   function complete(status: number, serverId: string): void {
     if (isEnded) return;
-    end('answered', {status, serverId});
+    settle('answered', {status, serverId});
   }
 
-  function end(
+  function settle(
     outcome: string,
     fields: Readonly<Record<string, unknown>>,
   ): void {
--- a/src/gateway/service_flow.ts
+++ b/src/gateway/service_flow.ts
@@ -72,11 +72,11 @@
       holdBytes: route.kind === RequestKind.Stream ? 0 : HOLD_BYTES,
       isErrorRepeatable: () => isIdempotent && canRunAgain(),
       onEnd: status => {
-        finishTry(server, context.clock.getMonotonicMs() - sentAtMs);
+        settleTry(server, context.clock.getMonotonicMs() - sentAtMs);
         task.complete(status, server.id);
       },
       onFailure: failure => {
-        finishTry(server, undefined);
+        settleTry(server, undefined);
         handleFailure(server, failure);
       },
     });
@@ -100,7 +100,7 @@
     call = opened;
     relay.attach(opened);
 
-    function finishTry(used: BackendEntry, answerMs: number | undefined): void {
+    function settleTry(used: BackendEntry, answerMs: number | undefined): void {
       tryTimer?.cancel();
       loads.recordEnd(used.id, answerMs);
       if (answerMs !== undefined) context.health.recordSuccess(used.id, 1);
--- a/src/gateway/stage_control.ts
+++ b/src/gateway/stage_control.ts
@@ -70,7 +70,7 @@
   let pausedUntilMs = 0;
   let timer: Timer | undefined;
   return {
-    start: tick,
+    start: checkPlan,
     noteOrder: (serverId, stage) => {
       orders.set(serverId, {stage, atMs: clock.getMonotonicMs()});
     },
@@ -78,11 +78,11 @@
     stop: () => timer?.cancel(),
   };
 
-  function tick(): void {
-    timer = clock.schedule(CHECK_INTERVAL_MS, tick);
+  function checkPlan(): void {
+    timer = clock.schedule(CHECK_INTERVAL_MS, checkPlan);
     if (isActing || !options.isCurrent()) return;
     const nowMs = clock.getMonotonicMs();
-    forgetOrders(nowMs);
+    expireOrders(nowMs);
     const plans = listPlans();
     const key = plans.map(formatPlan).join(' ');
     if (key !== plannedKey) {
@@ -93,7 +93,7 @@
     if (changes.length === 0 || nowMs < pausedUntilMs) return;
     if (nowMs - (plannedSinceMs ?? nowMs) < getDelayMs()) return;
     isActing = true;
-    void act(changes).finally(() => {
+    void applyChanges(changes).finally(() => {
       isActing = false;
     });
   }
@@ -127,7 +127,7 @@
     return (isStarting() ? SETTLE_MS : SERVING_SETTLE_MS) + nodeDelayMs;
   }
 
-  async function act(changes: readonly StageChange[]): Promise<void> {
+  async function applyChanges(changes: readonly StageChange[]): Promise<void> {
     const grant = await options.authority.tryTake();
     if (grant.err) {
       pausedUntilMs = clock.getMonotonicMs() + DENIED_PAUSE_MS;
@@ -141,10 +141,10 @@
       fencingNumber: grant.val.fencingNumber,
       plan: plannedKey,
     });
-    await Promise.all(changes.map(change => changeStage(change, grant.val)));
+    await Promise.all(changes.map(change => sendOrder(change, grant.val)));
   }
 
-  async function changeStage(change: StageChange, grant: Grant): Promise<void> {
+  async function sendOrder(change: StageChange, grant: Grant): Promise<void> {
     const {server, stage} = change;
     const report = await readReport(server);
     if (report === undefined || report.isBusy || report.stage === stage) {
@@ -202,7 +202,7 @@
     return options.protocol.parseReport(answer.body);
   }
 
-  function forgetOrders(nowMs: number): void {
+  function expireOrders(nowMs: number): void {
     for (const [id, order] of orders) {
       const entry = state.tryGetUsable(id);
       const isShown = entry?.stage === order.stage;
--- a/src/gateway/store_follower.ts
+++ b/src/gateway/store_follower.ts
@@ -102,7 +102,7 @@
   return {
     start: () => {
       isReading = true;
-      tick();
+      runDuties();
     },
     handleState,
     getSnapshot,
@@ -115,16 +115,16 @@
     },
   };
 
-  function tick(): void {
+  function runDuties(): void {
     if (isStopped) return;
     const nowMs = clock.getMonotonicMs();
     updateDuty(nowMs);
     state.sweep(nowMs);
     const isDue = nowMs - lastPollMs >= POLL_INTERVAL_MS;
-    if (isReading && !isPolling && isDue) void poll();
+    if (isReading && !isPolling && isDue) void readStore();
     if (isReading && !isWaiting && configOffset >= 0) void waitForConfig();
-    if (state.getConfig() === undefined) void catchUp(undefined);
-    timer = clock.schedule(TICK_MS, tick);
+    if (state.getConfig() === undefined) void loadState(undefined);
+    timer = clock.schedule(TICK_MS, runDuties);
   }
 
   /** The node with the lowest name among those that read goes on reading. */
@@ -159,7 +159,7 @@
     return (TAKEOVER_SPREAD_MS * lower) / (names.length + 1);
   }
 
-  async function poll(): Promise<void> {
+  async function readStore(): Promise<void> {
     isPolling = true;
     const askedAtMs = clock.getMonotonicMs();
     lastPollMs = askedAtMs;
@@ -177,29 +177,29 @@
     if (entryOffset < 0) return loadEntries();
     const page = await store.readEntries(entryOffset);
     if (page.err) {
-      if (page.val.kind !== 'expired') return noteFailure(page.val);
+      if (page.val.kind !== 'expired') return recordFailure(page.val);
       logger.log('info', 'records of servers are gone; loads the whole list', {
         offset: entryOffset,
       });
       return loadEntries();
     }
-    noteSuccess();
+    recordSuccess();
     applyChanges(page.val.changes, page.val.nextOffset, false);
     return true;
   }
 
   async function loadEntries(): Promise<boolean> {
     const page = await store.loadEntries();
-    if (page.err) return noteFailure(page.val);
-    noteSuccess();
+    if (page.err) return recordFailure(page.val);
+    recordSuccess();
     applyChanges(page.val.changes, page.val.nextOffset, true);
     return true;
   }
 
   async function loadConfig(): Promise<boolean> {
     const page = await store.loadConfig();
-    if (page.err) return noteFailure(page.val);
-    noteSuccess();
+    if (page.err) return recordFailure(page.val);
+    recordSuccess();
     configOffset = page.val.nextOffset;
     applyConfig(page.val.config);
     return true;
@@ -215,7 +215,7 @@
       configOffset = -1;
       await loadConfig();
     } else {
-      noteFailure(page.val);
+      recordFailure(page.val);
       await clock.sleep(FAILURE_PAUSE_MS);
     }
     isWaiting = false;
@@ -251,7 +251,7 @@
     options.onChange(different, false);
   }
 
-  function noteSuccess(): void {
+  function recordSuccess(): void {
     if (failingSinceMs === undefined) return;
     const nowMs = clock.getMonotonicMs();
     const outageMs = nowMs - failingSinceMs;
@@ -262,7 +262,7 @@
     state.startGrace(graceUntilMs);
   }
 
-  function noteFailure(failure: StoreFailure): false {
+  function recordFailure(failure: StoreFailure): false {
     if (failingSinceMs === undefined) {
       failingSinceMs = clock.getMonotonicMs();
       logger.log('warn', 'store does not answer', {reason: failure.message});
@@ -303,7 +303,7 @@
       message.configVersion <= (state.getConfig()?.version ?? -1);
     const isListKnown = message.digest === state.getDigest();
     if (!isConfigKnown || (!isListKnown && !isReading)) {
-      void catchUp(message.from);
+      void loadState(message.from);
       return;
     }
     configOffset = Math.max(configOffset, message.configOffset);
@@ -311,7 +311,7 @@
   }
 
   /** Fetches what another node knows, at the start or after lost messages. */
-  async function catchUp(nodeName: string | undefined): Promise<void> {
+  async function loadState(nodeName: string | undefined): Promise<void> {
     if (isCatchingUp) return;
     isCatchingUp = true;
     const snapshot = await options.fetchSnapshot(nodeName);
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -125,7 +125,7 @@
       promptTokens: model.promptTokens,
       cachedTokens: place.cachedTokens,
     });
-    notePlaced(place);
+    recordPlaced(place);
     const chunks: Buffer[] = [];
     let hasFailed = false;
     const handler: CallHandler = {
@@ -143,7 +143,7 @@
           });
           return;
         }
-        finishPrefill(place, handle, clock.getMonotonicMs() - sentAtMs);
+        handlePrefilled(place, handle, clock.getMonotonicMs() - sentAtMs);
       },
       onFailure: failPrefill,
     };
@@ -176,7 +176,7 @@
       if (hasFailed || task.isOver()) return;
       hasFailed = true;
       stallTimer?.cancel();
-      noteRead(server.id, undefined, undefined);
+      recordRead(server.id, undefined, undefined);
       retryPrefill(server, failure);
     }
   }
@@ -197,7 +197,7 @@
     };
   }
 
-  function notePlaced(place: PrefillPlace): void {
+  function recordPlaced(place: PrefillPlace): void {
     const job = {
       id: jobId,
       serverId: place.server.id,
@@ -214,7 +214,7 @@
     });
   }
 
-  function noteRead(
+  function recordRead(
     serverId: string,
     decodeId: string | undefined,
     ratio: number | undefined,
@@ -264,7 +264,7 @@
     startPrefill();
   }
 
-  function finishPrefill(
+  function handlePrefilled(
     place: PrefillPlace,
     handle: string,
     observedMs: number,
@@ -277,7 +277,7 @@
     if (ratio !== undefined) context.health.recordSuccess(server.id, ratio);
     kv = {serverId: server.id, host: server.host, port: server.port, handle};
     const decode = chooseDecode(server.failureDomain);
-    noteRead(server.id, decode?.id, ratio);
+    recordRead(server.id, decode?.id, ratio);
     task.log('prompt was read', {
       serverId: server.id,
       predictedMs: Math.round(predictedMs),
@@ -461,7 +461,7 @@
     const isDecoding = runCount > 0 && call?.isSent() === true;
     call?.cancel();
     if (decodeTries === 0 && prefillId !== undefined) {
-      noteRead(prefillId, undefined, undefined);
+      recordRead(prefillId, undefined, undefined);
     }
     if (isDecoding) mayHaveRun = true;
     else releaseKv();
--- a/src/gateway_process.ts
+++ b/src/gateway_process.ts
@@ -70,10 +70,10 @@
       return;
     }
     waiting.push(line);
-    if (!isWriting) flush();
+    if (!isWriting) writeWaiting();
   };
 
-  function flush(): void {
+  function writeWaiting(): void {
     isWriting = true;
     if (droppedCount > 0) {
       waiting.push(
@@ -85,7 +85,7 @@
     waiting = [];
     write(STANDARD_OUTPUT, text, () => {
       isWriting = false;
-      if (waiting.length > 0) flush();
+      if (waiting.length > 0) writeWaiting();
     });
   }
 }
