Test the gateway through stand-ins of the platform; a refused KV cache excludes no engine

Cause: a decode engine that refuses a request because its KV cache cannot be had was excluded and counted as failing, so that a second refusal left no engine (the new test of that case failed with 503). Only refusals without a cache count.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -20,7 +20,7 @@
 import {createHealthBook} from './server_health';
 import {runServiceFlow} from './service_flow';
 import {createServiceLoads} from './service_loads';
-import type {GatewaySettings} from './settings';
+import type {Address, GatewaySettings} from './settings';
 import {tryFetchSnapshot} from './snapshot_client';
 import {createStageControl} from './stage_control';
 import {createStoreFollower} from './store_follower';
@@ -40,6 +40,8 @@
   start(): Promise<void>;
   /** Takes no new work, finishes what is open, and resolves when nothing is left or the time is up. */
   stop(): Promise<void>;
+  /** Ends at once, with whatever is open. */
+  kill(): void;
 }
 
 /** Options of a gateway. */
@@ -164,7 +166,7 @@
   });
   let isStopping = false;
   addGauges();
-  return {start, stop};
+  return {start, stop, kill};
 
   async function start(): Promise<void> {
     await Promise.all([front.open(), control.open(), peers.open()]);
@@ -192,6 +194,11 @@
       await clock.sleep(STOP_CHECK_MS);
     }
     logger.log('info', 'gateway stopped', {openRequests: front.countOpen()});
+    kill();
+  }
+
+  function kill(): void {
+    isStopping = true;
     follower.stop();
     stages.stop();
     front.close();
@@ -318,7 +325,7 @@
     const node = nodeName === undefined ? undefined : peers.tryFind(nodeName);
     const addresses =
       node === undefined
-        ? settings.seeds.filter(seed => seed.host !== settings.host)
+        ? settings.seeds.filter(seed => !isSelf(seed))
         : [{host: node.host, port: node.controlPort}];
     for (const address of addresses) {
       const snapshot = await tryFetchSnapshot(address);
@@ -327,6 +334,11 @@
     return undefined;
   }
 
+  function isSelf(address: Address): boolean {
+    const {host, port} = settings.control;
+    return address.host === host && address.port === port;
+  }
+
   function handleFleetChange(
     changes: readonly EntryChange[],
     isConfigNew: boolean,
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -385,12 +385,16 @@
     context.streams.remove(server.id, jobId);
     if (failure.verdict === Verdict.NotRun) runCount--;
     else mayHaveRun = true;
-    excluded.add(server.id);
-    context.health.recordFailure(
-      server.id,
-      failure.reason,
-      failure.reason === 'connect',
-    );
+    // A refusal of a request with a KV cache says that the cache cannot be had.
+    const isKvRefused = kv !== undefined && failure.reason === 'rejected';
+    if (!isKvRefused) {
+      excluded.add(server.id);
+      context.health.recordFailure(
+        server.id,
+        failure.reason,
+        failure.reason === 'connect',
+      );
+    }
     const isAgain = canDecodeAgain(failure);
     task.log('decode engine failed', {
       serverId: server.id,
--- /dev/null
+++ b/test/platform/server_standin.ts
@@ -0,0 +1,263 @@
+/** Stand-ins of the platform's backend servers: model engines and plain services. */
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import type {StoreStandin} from './store_standin';
+
+/** A request that a server has received. */
+export interface SeenRequest {
+  readonly id: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+}
+
+/** How a server misbehaves on its next requests. */
+export type ServerFault =
+  | 'none'
+  | 'error'
+  | 'full'
+  | 'reset'
+  | 'reset-midway'
+  | 'mute'
+  | 'other-id'
+  | 'no-seal'
+  | 'no-kv';
+
+/** The stand-in. */
+export interface ServerStandin {
+  readonly id: string;
+  readonly port: number;
+  /** Requests that ran, in order; prefill calls are in `prefills`. */
+  readonly runs: SeenRequest[];
+  readonly prefills: SeenRequest[];
+  readonly orders: Array<Record<string, unknown>>;
+  setFault(fault: ServerFault): void;
+  /** Number of requests whose caller left before the answer was whole. */
+  countLeft(): number;
+  /** Writes the server's entry. */
+  publish(state?: 'ready' | 'draining'): void;
+  /** Drops the server's entry. */
+  withdraw(): void;
+  close(): void;
+}
+
+/** Options of a server. */
+export interface ServerStandinOptions {
+  readonly id: string;
+  readonly service: string;
+  readonly zone: string;
+  readonly store: StoreStandin;
+  readonly stage?: 'prefill' | 'decode';
+  /** Events of a stream. */
+  readonly events?: number;
+  readonly workMs?: number;
+  /** Time between events, in milliseconds. */
+  readonly gapMs?: number;
+  readonly port?: number;
+}
+
+/** Starts a server on a free loopback port and publishes its entry. */
+export async function startServerStandin(
+  options: ServerStandinOptions,
+): Promise<ServerStandin> {
+  const {id, store} = options;
+  const runs: SeenRequest[] = [];
+  const prefills: SeenRequest[] = [];
+  const orders: Array<Record<string, unknown>> = [];
+  let stage = options.stage;
+  let fault: ServerFault = 'none';
+  let leftCount = 0;
+  const server = createServer((request, response) => {
+    void readAll(request).then(body => handle(request, response, body));
+  });
+  await new Promise<void>(resolve => {
+    server.listen(options.port ?? 0, '127.0.0.1', resolve);
+  });
+  const {port} = server.address() as AddressInfo;
+  publish();
+  return {
+    id,
+    port,
+    runs,
+    prefills,
+    orders,
+    setFault: next => {
+      fault = next;
+    },
+    countLeft: () => leftCount,
+    publish,
+    withdraw: () => store.put('keyed.servers', id),
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+
+  function publish(state: 'ready' | 'draining' = 'ready'): void {
+    const entry = {
+      service: options.service,
+      address: `127.0.0.1:${port}`,
+      zone: options.zone,
+      version: 'v1',
+      maxBatch: 8,
+      state,
+      coldLeftMs: 0,
+      seq: 1,
+      born: 1_700_000_000_000,
+      ...(stage === undefined ? {} : {stage, models: [{name: 'm'}]}),
+    };
+    store.put('keyed.servers', id, JSON.stringify(entry));
+  }
+
+  function handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: string,
+  ): void {
+    const wanted = request.headers['anvilstack-target-instance'];
+    if (wanted !== undefined && wanted !== id) {
+      response.writeHead(421, {'Anvilstack-Instance-Id': id});
+      response.end();
+      return;
+    }
+    if (request.url === '/report') return sendReport(response);
+    if (request.url === '/order') return takeOrder(response, body);
+    if (request.url?.startsWith('/kv-handle/')) {
+      response.end();
+      return;
+    }
+    run(request, response, body);
+  }
+
+  function run(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: string,
+  ): void {
+    const seen: SeenRequest = {
+      id: String(request.headers['anvilstack-request-id']),
+      method: request.method ?? '',
+      path: request.url ?? '',
+      headers: request.headers,
+      body,
+    };
+    if (fault === 'full' || (fault === 'no-kv' && hasKv(seen))) {
+      if (fault === 'no-kv') fault = 'none';
+      response.writeHead(503, {'Anvilstack-Not-Executed': '1'});
+      response.end();
+      return;
+    }
+    if (seen.headers['anvilstack-stage'] === 'prefill') {
+      prefills.push(seen);
+      if (fault === 'mute') return;
+      setTimeout(() => sendHandle(response, seen), options.workMs ?? 1);
+      return;
+    }
+    runs.push(seen);
+    response.on('close', () => {
+      if (!response.writableFinished) leftCount++;
+    });
+    if (fault === 'mute') return;
+    setTimeout(() => answer(response, seen), options.workMs ?? 1);
+  }
+
+  function answer(response: ServerResponse, seen: SeenRequest): void {
+    if (fault === 'reset') {
+      response.socket?.resetAndDestroy();
+      return;
+    }
+    const headers: Record<string, string> = {
+      'Anvilstack-Request-Id': fault === 'other-id' ? 'other' : seen.id,
+      'Anvilstack-Response-Seal': `seal-of-${id}`,
+    };
+    if (fault === 'no-seal') delete headers['Anvilstack-Response-Seal'];
+    if (fault === 'error') {
+      response.writeHead(500, headers);
+      response.end('failed');
+      return;
+    }
+    if (stage !== undefined) return sendEvents(response, seen, headers);
+    const body = `${id} did ${seen.method} ${seen.path}`;
+    const length = String(Buffer.byteLength(body));
+    response.writeHead(200, {...headers, 'Content-Length': length});
+    if (fault !== 'reset-midway') {
+      response.end(body);
+      return;
+    }
+    response.write(body.slice(0, 5));
+    setTimeout(() => response.socket?.resetAndDestroy(), 5);
+  }
+
+  /** Events are numbered from 1; a stream that goes on begins after the caller's last one. */
+  function sendEvents(
+    response: ServerResponse,
+    seen: SeenRequest,
+    headers: Record<string, string>,
+  ): void {
+    const count = options.events ?? 3;
+    const isResumed = seen.headers['last-event-id'] !== undefined;
+    let next = Number(seen.headers['last-event-id'] ?? 0) + 1;
+    response.writeHead(200, {...headers, 'Content-Type': 'text/event-stream'});
+    sendNext();
+
+    function sendNext(): void {
+      if (response.destroyed) return;
+      if (next > count) {
+        response.end();
+        return;
+      }
+      response.write(`id: ${next}\ndata: piece ${next}\n\n`);
+      next++;
+      if (fault === 'reset-midway' && !isResumed && next === 3) {
+        response.write(`id: ${next}\ndata: pie`);
+        setTimeout(() => response.socket?.resetAndDestroy(), 5);
+        return;
+      }
+      setTimeout(sendNext, options.gapMs ?? 1);
+    }
+  }
+
+  function sendHandle(response: ServerResponse, seen: SeenRequest): void {
+    if (fault === 'reset') {
+      response.socket?.resetAndDestroy();
+      return;
+    }
+    response.end(
+      JSON.stringify({transferHandle: `h-${seen.id}`, tokens: 1, version: 1}),
+    );
+  }
+
+  function sendReport(response: ServerResponse): void {
+    const report = {stage, busy: false, seq: orders.length, running: 0};
+    response.end(JSON.stringify(report));
+  }
+
+  function takeOrder(response: ServerResponse, body: string): void {
+    const order = JSON.parse(body) as Record<string, unknown>;
+    if (order['precondition'] !== orders.length) {
+      response.writeHead(409);
+      response.end();
+      return;
+    }
+    orders.push(order);
+    stage = order['stage'] as 'prefill' | 'decode';
+    publish();
+    response.writeHead(202);
+    response.end();
+  }
+}
+
+function hasKv(seen: SeenRequest): boolean {
+  return seen.headers['anvilstack-kv-source'] !== undefined;
+}
+
+async function readAll(request: IncomingMessage): Promise<string> {
+  let body = '';
+  for await (const chunk of request) body += String(chunk);
+  return body;
+}
--- /dev/null
+++ b/test/platform/serving.test.ts
@@ -0,0 +1,212 @@
+import assert from 'node:assert/strict';
+import {after, before, test} from 'node:test';
+import type {ServerStandin} from './server_standin';
+import {isNodeReady, startSystem, type TestSystem, waitUntil} from './system';
+
+const TOKENS = {tokens: '1000,10', parts: 'aa:800,bb:200'};
+let system: TestSystem;
+let apps: ServerStandin[];
+let reader: ServerStandin;
+let writers: ServerStandin[];
+
+before(async () => {
+  system = await startSystem({nodes: 1});
+  const addServer = (id: string, stage?: 'prefill' | 'decode') =>
+    system.addServer({id, service: stage ? 'llm' : 'app', zone: 'a', stage});
+  apps = [await addServer('app-1'), await addServer('app-2')];
+  reader = await addServer('reader-1', 'prefill');
+  writers = [
+    await addServer('writer-1', 'decode'),
+    await addServer('writer-2', 'decode'),
+  ];
+  await waitUntil('the node is ready and knows all servers', async () => {
+    const {entries} = (await fetch(
+      `http://127.0.0.1:${system.nodes[0].controlPort}/snapshot`,
+    ).then(response => response.json())) as {entries: unknown[]};
+    return entries.length === 5 && isNodeReady(system.nodes[0]);
+  });
+});
+
+after(() => system.close());
+
+function setFaults(
+  servers: ServerStandin[],
+  fault: Parameters<ServerStandin['setFault']>[0],
+) {
+  for (const server of servers) server.setFault(fault);
+}
+
+function countRuns(servers: ServerStandin[], id: string): number {
+  return servers.reduce(
+    (sum, server) => sum + server.runs.filter(run => run.id === id).length,
+    0,
+  );
+}
+
+test('a plain request is passed on unchanged, with its answer and seal', async () => {
+  const answer = await system.send({
+    path: '/look/a%2Fb?x=1',
+    id: 'plain',
+    body: 'bytes',
+  });
+  assert.equal(answer.status, 200);
+  assert.match(
+    String(answer.headers['anvilstack-response-seal']),
+    /^seal-of-app/,
+  );
+  const run = apps.flatMap(app => app.runs).find(item => item.id === 'plain');
+  assert.equal(run?.path, '/look/a%2Fb?x=1');
+  assert.equal(run?.body, 'bytes');
+  const left = Number(run?.headers['anvilstack-deadline-ms']);
+  assert.ok(left > 0 && left <= 5_000);
+});
+
+test('headers that only the system may set are not passed on from a caller', async () => {
+  await system.send({
+    path: '/order/x',
+    id: 'forged',
+    headers: {
+      'Anvilstack-Hold': 'x',
+      'Anvilstack-Kv-Backup': '1.2.3.4:5',
+      'Anvilstack-Stage': 'prefill',
+    },
+  });
+  const run = apps.flatMap(app => app.runs).find(item => item.id === 'forged');
+  assert.ok(run !== undefined);
+  assert.equal(run.headers['anvilstack-hold'], undefined);
+  assert.equal(run.headers['anvilstack-kv-backup'], undefined);
+  assert.equal(run.headers['anvilstack-stage'], undefined);
+});
+
+test('an unknown path is answered with 404', async () => {
+  assert.equal((await system.send({path: '/nothing/'})).status, 404);
+});
+
+test('an idempotent request goes on at another server after an error', async () => {
+  apps[0].setFault('error');
+  for (let index = 0; index < 6; index++) {
+    const answer = await system.send({path: '/look/x', method: 'GET'});
+    assert.equal(answer.status, 200);
+  }
+  apps[0].setFault('none');
+});
+
+test('a non-idempotent request runs once when its connection is reset', async () => {
+  setFaults(apps, 'reset');
+  const answer = await system.send({path: '/order/x', id: 'once'});
+  setFaults(apps, 'none');
+  assert.equal(answer.status, 502);
+  assert.equal(countRuns(apps, 'once'), 1);
+});
+
+test('a refusal with 503 is true: a full server did not run the request', async () => {
+  setFaults(apps, 'full');
+  const answer = await system.send({path: '/order/x', id: 'full'});
+  setFaults(apps, 'none');
+  assert.equal(answer.status, 503);
+  assert.ok(Number(answer.headers['retry-after']) > 0);
+  assert.equal(countRuns(apps, 'full'), 0);
+});
+
+test('an answer that breaks off is not passed on as a whole one', async () => {
+  setFaults(apps, 'reset-midway');
+  const answer = await system.send({path: '/order/x'});
+  setFaults(apps, 'none');
+  assert.equal(answer.status, 502);
+});
+
+test('an answer to another request and one without a seal are not passed on', async () => {
+  for (const fault of ['other-id', 'no-seal'] as const) {
+    setFaults(apps, fault);
+    const answer = await system.send({path: '/order/x'});
+    assert.equal(answer.status, 502);
+  }
+  setFaults(apps, 'none');
+});
+
+test('a request without an answer ends at the timeout of its route', async () => {
+  setFaults(apps, 'mute');
+  const answer = await system.send({path: '/order/x', id: 'mute'});
+  setFaults(apps, 'none');
+  assert.equal(answer.status, 504);
+  assert.equal(countRuns(apps, 'mute'), 1);
+});
+
+test('a prompt is read by a prefill engine and streamed by a decode engine', async () => {
+  const answer = await system.send({path: '/ask/x', id: 'stream', ...TOKENS});
+  assert.equal(answer.status, 200);
+  assert.equal(answer.body.match(/data: piece/g)?.length, 3);
+  assert.equal(reader.prefills.filter(item => item.id === 'stream').length, 1);
+  const run = writers
+    .flatMap(item => item.runs)
+    .find(item => item.id === 'stream');
+  assert.equal(
+    run?.headers['anvilstack-kv-source'],
+    `127.0.0.1:${reader.port}/h-stream`,
+  );
+});
+
+test('a KV cache that cannot be had is read again elsewhere', async () => {
+  setFaults(writers, 'no-kv');
+  const answer = await system.send({path: '/ask/x', id: 'no-kv', ...TOKENS});
+  setFaults(writers, 'none');
+  assert.equal(answer.status, 200);
+  assert.equal(countRuns(writers, 'no-kv'), 1);
+});
+
+test('a resumable stream goes on at another server without a gap or a repeat', async () => {
+  setFaults(writers, 'reset-midway');
+  const answer = await system.send({
+    path: '/resume/x',
+    id: 'resumed',
+    ...TOKENS,
+  });
+  setFaults(writers, 'none');
+  assert.equal(answer.isWhole, true);
+  assert.deepEqual(answer.body.match(/^id: \d+/gm), [
+    'id: 1',
+    'id: 2',
+    'id: 3',
+  ]);
+});
+
+test('a stream that may not be repeated is cut when its server breaks off', async () => {
+  setFaults(writers, 'reset-midway');
+  const answer = await system.send({path: '/ask/x', id: 'cut', ...TOKENS});
+  setFaults(writers, 'none');
+  assert.equal(answer.isWhole, false, JSON.stringify(answer));
+  assert.equal(countRuns(writers, 'cut'), 1);
+});
+
+test('a stream whose caller leaves is cancelled at its server', async () => {
+  setFaults(writers, 'mute');
+  const leftBefore = writers[0].countLeft() + writers[1].countLeft();
+  const answer = await system.send({
+    path: '/ask/x',
+    leaveAfterMs: 150,
+    ...TOKENS,
+  });
+  assert.equal(answer.status, 0);
+  await waitUntil(
+    'the server sees its connection close',
+    () => writers[0].countLeft() + writers[1].countLeft() > leftBefore,
+  );
+  setFaults(writers, 'none');
+});
+
+test('a body over the limit is refused with 413', async () => {
+  const answer = await system.send({
+    path: '/order/x',
+    body: 'x'.repeat(100_001),
+  });
+  assert.equal(answer.status, 413);
+});
+
+test('each ended request has a line with its id and outcome', async () => {
+  await system.send({path: '/order/x', id: 'logged'});
+  const line = system.nodes[0].lines.find(
+    item =>
+      item['requestId'] === 'logged' && item['message'] === 'request ended',
+  );
+  assert.equal(line?.['outcome'], 'answered');
+});
--- /dev/null
+++ b/test/platform/store_standin.ts
@@ -0,0 +1,191 @@
+/** A small stand-in of the platform's store, with faults that a test orders. */
+import {createServer, type IncomingMessage, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+/** How the store misbehaves. */
+export type StoreFault =
+  'none' | 'refusing' | 'silent' | 'lost-answers' | 'expired';
+
+interface Topic {
+  records: Buffer[];
+  firstOffset: number;
+  readonly waiting: Set<() => void>;
+}
+
+/** The stand-in. */
+export interface StoreStandin {
+  readonly port: number;
+  /** Calls received, as `METHOD /path?query`. */
+  readonly calls: string[];
+  setFault(fault: StoreFault): void;
+  /** Writes the newest record of a key; without a value the key is dropped. */
+  put(topic: string, key: string, value?: string): void;
+  /** Deletes all records; the newest of each key stays readable as such. */
+  compact(topic: string): void;
+  listRecords(topic: string): readonly Buffer[];
+  close(): void;
+}
+
+const SILENCE_MS = 60_000;
+
+/** Starts the stand-in on a free loopback port, or on the one given. */
+export async function startStoreStandin(port = 0): Promise<StoreStandin> {
+  const topics = new Map<string, Topic>();
+  const newest = new Map<string, Map<string, Buffer>>();
+  const calls: string[] = [];
+  let fault: StoreFault = 'none';
+  const server: Server = createServer((request, response) => {
+    calls.push(`${request.method} ${request.url}`);
+    void handle(request).then(answer => {
+      if (answer === undefined) return;
+      response.writeHead(answer.status);
+      response.end(answer.body);
+    });
+  });
+  await new Promise<void>(resolve => server.listen(port, '127.0.0.1', resolve));
+  return {
+    port: (server.address() as AddressInfo).port,
+    calls,
+    setFault: next => {
+      fault = next;
+    },
+    put,
+    compact: name => {
+      const topic = getTopic(name);
+      topic.firstOffset += topic.records.length;
+      topic.records = [];
+    },
+    listRecords: name => getTopic(name).records,
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+
+  async function handle(
+    request: IncomingMessage,
+  ): Promise<{status: number; body: Buffer | string} | undefined> {
+    const url = new URL(request.url ?? '/', 'http://store');
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    if (fault === 'refusing') return {status: 503, body: '{}'};
+    if (fault === 'silent') return sleepSilently();
+    const topic = url.searchParams.get('topic') ?? '';
+    switch (url.pathname) {
+      case '/log-append':
+        return append(topic, url.searchParams.get('at'), Buffer.concat(chunks));
+      case '/log-read':
+        return read(topic, url.searchParams);
+      case '/log-newest':
+        return listNewest(topic);
+      default:
+        return {status: 404, body: '{}'};
+    }
+  }
+
+  async function append(
+    name: string,
+    at: string | null,
+    body: Buffer,
+  ): Promise<{status: number; body: string} | undefined> {
+    const topic = getTopic(name);
+    const end = topic.firstOffset + topic.records.length;
+    if (at !== null && Number(at) !== end) {
+      return {status: 412, body: JSON.stringify({end})};
+    }
+    for (let position = 0; position < body.length;) {
+      const length = body.readUInt32BE(position);
+      addRecord(name, body.subarray(position + 4, position + 4 + length));
+      position += 4 + length;
+    }
+    if (fault === 'lost-answers') return sleepSilently();
+    return {status: 200, body: JSON.stringify({offset: end, end: end + 1})};
+  }
+
+  async function read(
+    name: string,
+    query: URLSearchParams,
+  ): Promise<{status: number; body: Buffer | string}> {
+    const topic = getTopic(name);
+    const from = Number(query.get('from'));
+    const waitMs = Number(query.get('waitMs') ?? 0);
+    const end = () => topic.firstOffset + topic.records.length;
+    if (from >= end() && waitMs > 0) await waitForRecord(topic, waitMs);
+    if (from < topic.firstOffset || fault === 'expired') {
+      return {status: 410, body: JSON.stringify({first: topic.firstOffset})};
+    }
+    const head = Buffer.alloc(16);
+    head.writeBigUInt64BE(BigInt(end()), 0);
+    head.writeBigUInt64BE(BigInt(topic.firstOffset), 8);
+    const records = topic.records.slice(from - topic.firstOffset);
+    const framed = records.flatMap(record => {
+      const length = Buffer.alloc(4);
+      length.writeUInt32BE(record.length);
+      return [length, record];
+    });
+    return {status: 200, body: Buffer.concat([head, ...framed])};
+  }
+
+  function listNewest(name: string): {status: number; body: string} {
+    const topic = getTopic(name);
+    const items = [...(newest.get(name) ?? new Map<string, Buffer>())].map(
+      ([key, value]) => ({key, value: value.toString('base64'), offset: 0}),
+    );
+    const end = topic.firstOffset + topic.records.length;
+    return {status: 200, body: JSON.stringify({items, hasMore: false, end})};
+  }
+
+  function put(topic: string, key: string, value?: string): void {
+    const keyBytes = Buffer.from(key);
+    const parts = [Buffer.from([keyBytes.length]), keyBytes];
+    if (value !== undefined) parts.push(Buffer.from(value));
+    addRecord(topic, Buffer.concat(parts));
+  }
+
+  function addRecord(name: string, record: Buffer): void {
+    const topic = getTopic(name);
+    topic.records.push(Buffer.from(record));
+    if (name.startsWith('keyed.')) updateNewest(name, record);
+    for (const wake of topic.waiting) wake();
+    topic.waiting.clear();
+  }
+
+  function updateNewest(name: string, record: Buffer): void {
+    const keys = newest.get(name) ?? new Map<string, Buffer>();
+    newest.set(name, keys);
+    const keyEnd = 1 + record[0];
+    const key = record.toString('utf8', 1, keyEnd);
+    if (record.length === keyEnd) keys.delete(key);
+    else keys.set(key, Buffer.from(record.subarray(keyEnd)));
+  }
+
+  function getTopic(name: string): Topic {
+    const known = topics.get(name);
+    if (known !== undefined) return known;
+    const created = {
+      records: [],
+      firstOffset: 0,
+      waiting: new Set<() => void>(),
+    };
+    topics.set(name, created);
+    return created;
+  }
+}
+
+function waitForRecord(topic: Topic, waitMs: number): Promise<void> {
+  return new Promise(resolve => {
+    const timer = setTimeout(wake, waitMs);
+    topic.waiting.add(wake);
+    function wake(): void {
+      clearTimeout(timer);
+      topic.waiting.delete(wake);
+      resolve();
+    }
+  });
+}
+
+function sleepSilently(): Promise<undefined> {
+  return new Promise(resolve => {
+    setTimeout(() => resolve(undefined), SILENCE_MS).unref();
+  });
+}
--- /dev/null
+++ b/test/platform/system.ts
@@ -0,0 +1,300 @@
+/** A whole system in one process: stand-ins of the platform and real gateways. */
+import {request as sendRequest} from 'node:http';
+import {createLogger} from '../../src/diagnostics/log';
+import {createGateway, type Gateway} from '../../src/gateway';
+import {
+  createBackendProtocol,
+  createFleetStore,
+  createStoreClient,
+  parseNodeSettings,
+} from '../../src/platform';
+import {createSystemClock} from '../../src/runtime/system_clock';
+import {
+  type ServerStandin,
+  type ServerStandinOptions,
+  startServerStandin,
+} from './server_standin';
+import {startStoreStandin, type StoreStandin} from './store_standin';
+
+/** A caller's request. */
+export interface CallerOptions {
+  readonly path: string;
+  readonly method?: string;
+  readonly id?: string;
+  readonly deadlineMs?: number;
+  readonly body?: string;
+  readonly parts?: string;
+  readonly tokens?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  /** Leaves after this time, in milliseconds. */
+  readonly leaveAfterMs?: number;
+}
+
+/** What a caller got. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: string;
+  /** False when the connection ended before the answer was whole. */
+  readonly isWhole: boolean;
+  readonly elapsedMs: number;
+}
+
+/** One running gateway. */
+export interface RunningNode {
+  readonly gateway: Gateway;
+  readonly callersPort: number;
+  readonly readyPort: number;
+  readonly controlPort: number;
+  readonly lines: Array<Record<string, unknown>>;
+}
+
+/** The system. */
+export interface TestSystem {
+  readonly store: StoreStandin;
+  readonly nodes: RunningNode[];
+  addServer(
+    options: Omit<ServerStandinOptions, 'store'>,
+  ): Promise<ServerStandin>;
+  addNode(): Promise<RunningNode>;
+  send(options: CallerOptions, nodeIndex?: number): Promise<CallerAnswer>;
+  close(): Promise<void>;
+}
+
+/** Timeout of routes in tests, in milliseconds. */
+export const ROUTE_TIMEOUT_MS = 1_500;
+
+/** Builds a configuration as the operator writes it. */
+export function buildConfig(
+  version: number,
+  changes: Readonly<Record<string, unknown>> = {},
+): string {
+  const route = (name: string, kind: string, service: string, more = {}) => ({
+    name,
+    host: 'desk.example',
+    pathPrefix: `/${name}/`,
+    routeType: kind,
+    timeoutMs: ROUTE_TIMEOUT_MS,
+    sloMs: 300,
+    priority: 1,
+    attempts: 1,
+    service,
+    ...more,
+  });
+  return JSON.stringify({
+    version,
+    routes: [
+      route('look', 'idempotent', 'app', {attempts: 2}),
+      route('order', 'non_idempotent', 'app'),
+      route('ask', 'stream', 'llm', {sticky: true}),
+      route('resume', 'stream', 'llm', {attempts: 2, resumable: true}),
+    ],
+    services: [
+      {name: 'app', healthPath: '/healthz', maxConns: 100},
+      {
+        name: 'llm',
+        healthPath: '/healthz',
+        maxConns: 100,
+        engine: {
+          maxBatch: 8,
+          kvTokens: 100_000,
+          kvTokenBytes: 1_000,
+          linkMbps: 100_000,
+          kvTtlS: 5,
+          switchS: 1,
+        },
+      },
+    ],
+    limits: {
+      maxHeaderBytes: 8_192,
+      maxBodyBytes: 100_000,
+      headerTimeoutMs: 1_000,
+      idleTimeoutMs: 5_000,
+    },
+    ...changes,
+  });
+}
+
+let nextPort = 21_000 + (process.pid % 400) * 40;
+
+/** Starts the stand-in of the store with a configuration, and nodes. */
+export async function startSystem(options: {
+  readonly nodes?: number;
+  readonly hasConfig?: boolean;
+}): Promise<TestSystem> {
+  const store = await startStoreStandin();
+  if (options.hasConfig !== false)
+    store.put('keyed.op', 'config', buildConfig(1));
+  const servers: ServerStandin[] = [];
+  const nodes: RunningNode[] = [];
+  const seeds: string[] = [];
+  const closers: Array<() => void> = [];
+  for (let index = 0; index < (options.nodes ?? 1); index++) await addNode();
+  return {
+    store,
+    nodes,
+    addServer: async serverOptions => {
+      const server = await startServerStandin({...serverOptions, store});
+      servers.push(server);
+      return server;
+    },
+    addNode,
+    send: (callerOptions, nodeIndex = 0) =>
+      sendAsCaller(nodes[nodeIndex].callersPort, callerOptions),
+    close: async () => {
+      for (const server of servers) server.close();
+      for (const node of nodes) node.gateway.kill();
+      for (const close of closers) close();
+      store.close();
+    },
+  };
+
+  async function addNode(): Promise<RunningNode> {
+    const name = `front-${nodes.length + 1}`;
+    const base = nextPort;
+    nextPort += 4;
+    const text = buildSettings(name, base, store.port, seeds);
+    seeds.push(`127.0.0.1:${base + 2}`);
+    const settings = parseNodeSettings(text, 'boot.toml').unwrap();
+    const lines: Array<Record<string, unknown>> = [];
+    const client = createStoreClient(settings.store);
+    closers.push(client.close);
+    const gateway = createGateway({
+      settings,
+      store: createFleetStore(client),
+      protocol: createBackendProtocol(),
+      clock: createSystemClock(),
+      logger: createLogger({
+        node: name,
+        write: line => lines.push(JSON.parse(line) as Record<string, unknown>),
+      }),
+    });
+    await gateway.start();
+    const node = {
+      gateway,
+      callersPort: base,
+      readyPort: base + 1,
+      controlPort: base + 2,
+      lines,
+    };
+    nodes.push(node);
+    return node;
+  }
+}
+
+function buildSettings(
+  name: string,
+  base: number,
+  storePort: number,
+  seeds: readonly string[],
+): string {
+  return `
+nodeName = "${name}"
+ip = "127.0.0.1"
+zone = "a"
+portRange = [${base + 3},${base + 3}]
+seeds = ${JSON.stringify(seeds.slice(0, 3))}
+[listen]
+front = "127.0.0.1:${base}"
+ready = "127.0.0.1:${base + 1}"
+control = "127.0.0.1:${base + 2}"
+[limits]
+maxFds = 1000
+[bounds]
+drainMs = 2000
+graceS = 8
+configApplyMs = 2000
+leaseMs = 300
+budgetRatio = 0.2
+budgetWindowS = 10
+budgetSlack = 100
+[platform]
+address = "127.0.0.1:${storePort}"
+`;
+}
+
+let requestCount = 0;
+
+/** Sends a request as a caller does and resolves when the answer has ended. */
+export function sendAsCaller(
+  port: number,
+  options: CallerOptions,
+): Promise<CallerAnswer> {
+  const startedAt = performance.now();
+  requestCount++;
+  return new Promise((resolve, reject) => {
+    const request = sendRequest(
+      {
+        host: '127.0.0.1',
+        port,
+        path: options.path,
+        method: options.method ?? 'POST',
+        agent: false,
+        headers: {
+          Host: 'desk.example',
+          'Anvilstack-Request-Id': options.id ?? `request-${requestCount}`,
+          'Anvilstack-Deadline-Ms': String(options.deadlineMs ?? 5_000),
+          ...(options.tokens === undefined
+            ? {}
+            : {
+                'Anvilstack-Model': 'm',
+                'Anvilstack-Token-Count': options.tokens,
+                'Anvilstack-Prompt-Prefix': options.parts ?? '',
+              }),
+          ...options.headers,
+        },
+      },
+      response => {
+        let body = '';
+        response.on('data', chunk => {
+          body += String(chunk);
+        });
+        const finish = (isWhole: boolean) =>
+          resolve({
+            status: response.statusCode ?? 0,
+            headers: response.headers,
+            body,
+            isWhole,
+            elapsedMs: performance.now() - startedAt,
+          });
+        response.on('end', () => finish(response.complete));
+        response.on('error', () => finish(false));
+      },
+    );
+    request.on('error', error => {
+      if (options.leaveAfterMs === undefined) return reject(error);
+      resolve({
+        status: 0,
+        headers: {},
+        body: '',
+        isWhole: false,
+        elapsedMs: performance.now() - startedAt,
+      });
+    });
+    if (options.leaveAfterMs !== undefined) {
+      setTimeout(() => request.destroy(), options.leaveAfterMs);
+    }
+    if (options.method === 'GET') request.end();
+    else request.end(options.body ?? 'a prompt');
+  });
+}
+
+/** Waits until a condition holds; fails with what was awaited when it does not within some seconds. */
+export async function waitUntil(
+  what: string,
+  condition: () => boolean | Promise<boolean>,
+  limitMs = 8_000,
+): Promise<void> {
+  const endsAt = performance.now() + limitMs;
+  while (!(await condition())) {
+    if (performance.now() > endsAt) throw new Error(`not reached: ${what}`);
+    await new Promise(resolve => setTimeout(resolve, 20));
+  }
+}
+
+/** Tells whether a node says that it is ready. */
+export async function isNodeReady(node: RunningNode): Promise<boolean> {
+  const response = await fetch(`http://127.0.0.1:${node.readyPort}/readyz`);
+  await response.text();
+  return response.status === 200;
+}
