--- /dev/null
+++ b/test/platform/following.test.ts
@@ -0,0 +1,222 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  buildConfig,
+  isNodeReady,
+  type RunningNode,
+  startSystem,
+  waitUntil,
+} from './system';
+
+/** Bound of the deployments for configurations and leaving servers, in milliseconds. */
+const APPLY_BOUND_MS = 2_000;
+
+interface SnapshotBody {
+  readonly config?: {readonly version: number};
+  readonly entries: ReadonlyArray<{
+    readonly id: string;
+    readonly isLeaving: boolean;
+  }>;
+}
+
+async function loadSnapshot(node: RunningNode): Promise<SnapshotBody> {
+  const url = `http://127.0.0.1:${node.controlPort}/snapshot`;
+  return (await fetch(url).then(response => response.json())) as SnapshotBody;
+}
+
+async function hasVersion(
+  nodes: readonly RunningNode[],
+  version: number,
+): Promise<boolean> {
+  const snapshots = await Promise.all(nodes.map(loadSnapshot));
+  return snapshots.every(item => item.config?.version === version);
+}
+
+async function hasUsable(
+  nodes: readonly RunningNode[],
+  ids: readonly string[],
+): Promise<boolean> {
+  const snapshots = await Promise.all(nodes.map(loadSnapshot));
+  return snapshots.every(snapshot => {
+    const usable = snapshot.entries.filter(entry => !entry.isLeaving);
+    return usable.map(entry => entry.id).join() === ids.join();
+  });
+}
+
+test('a node without a configuration is not ready and refuses as not run', async () => {
+  const system = await startSystem({hasConfig: false});
+  assert.equal(await isNodeReady(system.nodes[0]), false);
+  const answer = await system.send({path: '/look/x'});
+  assert.equal(answer.status, 503);
+  await system.close();
+});
+
+test('all nodes follow the store, and one of them reads it for the others', async () => {
+  const system = await startSystem({nodes: 4});
+  await system.addServer({id: 'app-1', service: 'app', zone: 'a'});
+  await waitUntil('all know the server', () =>
+    hasUsable(system.nodes, ['app-1']),
+  );
+  await new Promise(resolve => setTimeout(resolve, 1_500));
+  const callsBefore = system.store.calls.length;
+  await new Promise(resolve => setTimeout(resolve, 2_000));
+  const calls = system.store.calls.slice(callsBefore);
+  // Two seconds of one reader: four polls, and two waiting reads begun.
+  assert.ok(calls.length <= 9, `${calls.length} calls: ${calls.join(' ')}`);
+
+  system.store.put('keyed.op', 'config', buildConfig(2));
+  await waitUntil(
+    'all have the configuration within its bound',
+    () => hasVersion(system.nodes, 2),
+    APPLY_BOUND_MS,
+  );
+  await system.close();
+});
+
+test('an older configuration never replaces a newer one', async () => {
+  const system = await startSystem({nodes: 2});
+  system.store.put('keyed.op', 'config', buildConfig(5));
+  await waitUntil('version 5', () => hasVersion(system.nodes, 5));
+  system.store.put('keyed.op', 'config', buildConfig(4));
+  await new Promise(resolve => setTimeout(resolve, 800));
+  assert.equal(await hasVersion(system.nodes, 5), true);
+  await system.close();
+});
+
+test('a leaving server gets no requests within the drain bound, and one that vanished neither', async () => {
+  const system = await startSystem({nodes: 3});
+  const first = await system.addServer({
+    id: 'app-1',
+    service: 'app',
+    zone: 'a',
+  });
+  const second = await system.addServer({
+    id: 'app-2',
+    service: 'app',
+    zone: 'a',
+  });
+  await system.addServer({id: 'app-3', service: 'app', zone: 'a'});
+  const ids = ['app-1', 'app-2', 'app-3'];
+  await waitUntil('all servers are known', () => hasUsable(system.nodes, ids));
+  first.publish('draining');
+  second.withdraw();
+  await waitUntil(
+    'only the third is used',
+    () => hasUsable(system.nodes, ['app-3']),
+    APPLY_BOUND_MS,
+  );
+  await system.close();
+});
+
+test('records that are gone are replaced by the newest of each key', async () => {
+  const system = await startSystem({nodes: 2});
+  const server = await system.addServer({
+    id: 'app-1',
+    service: 'app',
+    zone: 'a',
+  });
+  await system.addServer({id: 'app-2', service: 'app', zone: 'a'});
+  await waitUntil('both are known', () =>
+    hasUsable(system.nodes, ['app-1', 'app-2']),
+  );
+  server.withdraw();
+  system.store.put('keyed.op', 'config', buildConfig(3));
+  system.store.compact('keyed.servers');
+  system.store.compact('keyed.op');
+  await waitUntil(
+    'the change in the gap is seen',
+    async () =>
+      (await hasUsable(system.nodes, ['app-2'])) &&
+      (await hasVersion(system.nodes, 3)),
+    APPLY_BOUND_MS,
+  );
+  await system.close();
+});
+
+test('an entry that cannot be read names no server; the others hold', async () => {
+  const system = await startSystem({});
+  await system.addServer({id: 'app-1', service: 'app', zone: 'a'});
+  system.store.put('keyed.servers', 'bad-1', '{"service":"app"');
+  system.store.put('keyed.servers', 'bad-2', '{"service":"app","address":7}');
+  await waitUntil('one server', () => hasUsable(system.nodes, ['app-1']));
+  await system.close();
+});
+
+test('requests are served while the store is away, and entries that lapsed come back', async () => {
+  const system = await startSystem({nodes: 2});
+  const server = await system.addServer({
+    id: 'app-1',
+    service: 'app',
+    zone: 'a',
+  });
+  await waitUntil('the server is known', () =>
+    hasUsable(system.nodes, ['app-1']),
+  );
+  system.store.setFault('refusing');
+  await new Promise(resolve => setTimeout(resolve, 1_800));
+  assert.equal((await system.send({path: '/look/x'})).status, 200);
+  server.withdraw();
+  system.store.setFault('none');
+  const endsAt = performance.now() + 1_500;
+  while (performance.now() < endsAt) {
+    assert.equal((await system.send({path: '/look/x'})).status, 200);
+    await new Promise(resolve => setTimeout(resolve, 50));
+  }
+  server.publish();
+  await new Promise(resolve => setTimeout(resolve, 1_500));
+  assert.equal((await system.send({path: '/look/x'})).status, 200);
+  await system.close();
+});
+
+test('an entry that does not come back after an outage is gone', async () => {
+  const system = await startSystem({});
+  const server = await system.addServer({
+    id: 'app-1',
+    service: 'app',
+    zone: 'a',
+  });
+  await waitUntil('the server is known', () =>
+    hasUsable(system.nodes, ['app-1']),
+  );
+  system.store.setFault('refusing');
+  await new Promise(resolve => setTimeout(resolve, 1_800));
+  server.withdraw();
+  system.store.setFault('none');
+  await waitUntil(
+    'requests are refused as not run',
+    async () => (await system.send({path: '/look/x'})).status === 503,
+    4_000,
+  );
+  await system.close();
+});
+
+test('a node that the store turns away starts from what other nodes know', async () => {
+  const system = await startSystem({nodes: 2});
+  await system.addServer({id: 'app-1', service: 'app', zone: 'a'});
+  await waitUntil('the server is known', () =>
+    hasUsable(system.nodes, ['app-1']),
+  );
+  system.store.setFault('silent');
+  const late = await system.addNode();
+  await waitUntil('the late node is ready', () => isNodeReady(late), 3_000);
+  assert.equal((await system.send({path: '/look/x'}, 2)).status, 200);
+  await system.close();
+});
+
+test('a node that stops says so and finishes what is open', async () => {
+  const system = await startSystem({});
+  await system.addServer({id: 'app-1', service: 'app', zone: 'a', workMs: 600});
+  await waitUntil('the server is known', () =>
+    hasUsable(system.nodes, ['app-1']),
+  );
+  const answer = system.send({path: '/order/x'});
+  await new Promise(resolve => setTimeout(resolve, 100));
+  const stopped = system.nodes[0].gateway.stop();
+  assert.equal(await isNodeReady(system.nodes[0]), false);
+  assert.equal((await answer).status, 200);
+  const late = await system.send({path: '/order/x'});
+  assert.equal(late.status, 200);
+  assert.equal(late.headers['connection'], 'close');
+  await stopped;
+  await system.close();
+});
