Give shared parts a home engine, refuse what callers will not wait for, start sooner

Parts that no node knows of now go to a home by rendezvous hashing, and are expected there after a restart. Callers leave a stream without a first event after four objectives; what is predicted later is refused at once.

--- a/scripts/build_gateway.mjs
+++ b/scripts/build_gateway.mjs
@@ -1,6 +1,24 @@
 /** Builds target/anvilstack.cjs: the gateway alone, in one small file that starts quickly. */
 import {build} from 'esbuild';
 
+/** Replaces packages by the parts of them that the gateway uses. */
+const partsOfPackages = {
+  name: 'parts-of-packages',
+  setup(pluginBuild) {
+    const replace = (filter, file) =>
+      pluginBuild.onResolve({filter}, () => ({
+        path: new URL(file, import.meta.url).pathname,
+      }));
+    replace(/^undici$/, 'undici_client.cjs');
+    replace(
+      /^hdr-histogram-js$/,
+      '../node_modules/hdr-histogram-js/dist/HistogramBuilder.js',
+    );
+    // Histograms are kept by the JavaScript version alone.
+    replace(/^\.\/wasm$/, 'no_wasm.cjs');
+  },
+};
+
 await build({
   entryPoints: ['src/gateway_main.ts'],
   outfile: 'target/anvilstack.cjs',
@@ -12,4 +30,5 @@
   minifyWhitespace: true,
   minifySyntax: true,
   logLevel: 'warning',
+  plugins: [partsOfPackages],
 });
--- /dev/null
+++ b/scripts/no_wasm.cjs
@@ -0,0 +1,2 @@
+/** Stands in for the WebAssembly histograms, which are not used. */
+module.exports = {WasmHistogram: class {}};
--- a/src/gateway/flow_context.ts
+++ b/src/gateway/flow_context.ts
@@ -4,6 +4,7 @@
 import type {Connections} from './connections';
 import type {FleetState} from './fleet_state';
 import type {GatewayMetrics} from './gateway_metrics';
+import type {HomeEngines} from './home_engines';
 import type {PeerMessage} from './peer_messages';
 import type {PrefillBook} from './prefill_book';
 import type {PrefixDirectory} from './prefix_directory';
@@ -22,6 +23,8 @@
   readonly health: HealthBook;
   readonly book: PrefillBook;
   readonly prefixes: PrefixDirectory;
+  readonly homes: HomeEngines;
+  readonly isHomeWarm: boolean;
   readonly streams: StreamCounts;
   /** True while an engine is on its way to another stage. */
   readonly isChanging: (serverId: string) => boolean;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -11,6 +11,7 @@
 import type {FlowContext} from './flow_context';
 import {createFrontListener} from './front_listener';
 import {createGatewayMetrics} from './gateway_metrics';
+import {createHomeEngines} from './home_engines';
 import type {PeerMessage} from './peer_messages';
 import {createPeers} from './peers';
 import {createPrefillBook} from './prefill_book';
@@ -144,6 +145,8 @@
     health,
     book,
     prefixes,
+    homes: createHomeEngines(),
+    isHomeWarm: !settings.isFirstStart,
     streams,
     isChanging: stages.isChanging,
     getRandom,
--- /dev/null
+++ b/src/gateway/home_engines.ts
@@ -0,0 +1,43 @@
+/**
+ * Gives each shared part of a prompt a home among the engines, alike on all
+ * nodes, so that prompts find their parts after a restart of the nodes.
+ */
+import {getRendezvousWeight} from '../runtime/rendezvous';
+import type {BackendEntry} from './types';
+
+/** Homes of parts. */
+export interface HomeEngines {
+  /** Returns the id of the engine with the highest weight for a part. */
+  tryFind(partId: string, engines: readonly BackendEntry[]): string | undefined;
+}
+
+/** Most weights that are kept; some times the parts of a day over the engines of a large fleet. */
+const MAX_WEIGHTS = 50_000;
+
+/** Creates homes that keep the weights they have computed. */
+export function createHomeEngines(): HomeEngines {
+  const weights = new Map<string, string>();
+  return {
+    tryFind: (partId, engines) => {
+      let best: string | undefined;
+      let bestWeight = '';
+      for (const {id} of engines) {
+        const weight = getWeight(partId, id);
+        if (weight <= bestWeight) continue;
+        best = id;
+        bestWeight = weight;
+      }
+      return best;
+    },
+  };
+
+  function getWeight(partId: string, serverId: string): string {
+    const key = `${partId} ${serverId}`;
+    const known = weights.get(key);
+    if (known !== undefined) return known;
+    if (weights.size >= MAX_WEIGHTS) weights.clear();
+    const weight = getRendezvousWeight(partId, serverId);
+    weights.set(key, weight);
+    return weight;
+  }
+}
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -7,6 +7,7 @@
   computeTransferMs,
   DECODE_READ_FACTOR,
 } from './engine_costs';
+import type {HomeEngines} from './home_engines';
 import type {PrefillBook} from './prefill_book';
 import type {PrefixDirectory} from './prefix_directory';
 import {
@@ -34,6 +35,9 @@
   readonly engines: readonly BackendEntry[];
   readonly book: PrefillBook;
   readonly prefixes: PrefixDirectory;
+  readonly homes: HomeEngines;
+  /** True when parts that no node knows of may be kept at their homes: the nodes have restarted, the engines not. */
+  readonly isHomeWarm: boolean;
   /** Observed over predicted time of a server's work; 1 when unknown. */
   readonly getSlowdown: (serverId: string) => number;
   readonly nowMs: number;
@@ -56,6 +60,8 @@
  * time from every later request, and a place in the KV memory.
  */
 const REREAD_WEIGHT = 1;
+/** Part of the time to read a prompt by which its home may be worse than another engine. */
+const HOME_BONUS = 0.5;
 /** What one running stream adds to the choice of a decode engine, in milliseconds: transfers queue behind each other. */
 const STREAM_COST_MS = 2;
 /** Cost of sending a request's body to another failure domain, in milliseconds of predicted time. */
@@ -82,10 +88,13 @@
 ): PrefillPlace | undefined {
   let best: PrefillPlace | undefined;
   let bestScore = Number.POSITIVE_INFINITY;
-  for (const server of input.engines) {
-    if (server.stage !== stage) continue;
-    const place = predictPlace(input, server, readFactor);
-    const score = computeScore(input, place);
+  const engines = input.engines.filter(server => server.stage === stage);
+  const homeId = tryFindHome(input, engines);
+  for (const server of engines) {
+    const isHome = server.id === homeId;
+    const place = predictPlace(input, server, readFactor, isHome);
+    const score =
+      computeScore(input, place) - (isHome ? HOME_BONUS * place.readMs : 0);
     if (score >= bestScore) continue;
     best = place;
     bestScore = score;
@@ -93,14 +102,28 @@
   return best;
 }
 
+/** Finds the home of a prompt's shared parts, when no engine is known to keep them. */
+function tryFindHome(
+  input: PlacementInput,
+  engines: readonly BackendEntry[],
+): string | undefined {
+  const last = listSharedParts(input.request).at(-1);
+  if (last === undefined || input.prefixes.isKept(last.id)) return undefined;
+  return input.homes.tryFind(last.id, engines);
+}
+
 function predictPlace(
   input: PlacementInput,
   server: BackendEntry,
   readFactor: number,
+  isHome: boolean,
 ): PrefillPlace {
   const {request, book, prefixes, nowMs} = input;
   const shared = listSharedParts(request);
-  const cachedTokens = prefixes.getCachedTokens(server.id, shared);
+  const cachedTokens =
+    isHome && input.isHomeWarm
+      ? shared.reduce((sum, part) => sum + part.tokens, 0)
+      : prefixes.getCachedTokens(server.id, shared);
   const slowdown = input.getSlowdown(server.id) * readFactor;
   return {
     server,
--- a/src/gateway/prefix_directory.ts
+++ b/src/gateway/prefix_directory.ts
@@ -5,6 +5,8 @@
 export interface PrefixDirectory {
   /** Returns how many leading tokens of a prompt the engine keeps. */
   getCachedTokens(serverId: string, parts: readonly PromptPart[]): number;
+  /** True when some engine keeps the part. */
+  isKept(partId: string): boolean;
   /** True when another engine keeps the part. */
   isKeptElsewhere(serverId: string, partId: string): boolean;
   /** Notes that the engine reads the parts, which evicts those unused longest. */
@@ -25,7 +27,13 @@
   const engines = new Map<string, EngineCache>();
   /** Number of engines that keep each part. */
   const copies = new Map<string, number>();
-  return {getCachedTokens, isKeptElsewhere, recordRead, remove};
+  return {
+    getCachedTokens,
+    isKept: partId => copies.has(partId),
+    isKeptElsewhere,
+    recordRead,
+    remove,
+  };
 
   function getCachedTokens(
     serverId: string,
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -41,4 +41,6 @@
   readonly store: Address;
   readonly bounds: GatewayBounds;
   readonly maxOpenFiles: number;
+  /** True only when the whole system starts for the first time. */
+  readonly isFirstStart: boolean;
 }
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -43,6 +43,10 @@
 const MIN_RATIO_MS = 40;
 /** Time of the way to an engine and back, in milliseconds. */
 const HOP_MS = 5;
+/** Callers wait for the first event at least this long, in milliseconds, and these multiples of the route's objectives. */
+const MIN_PATIENCE_MS = 2_000;
+const OBJECTIVES_OF_PATIENCE = 4;
+const PAUSES_OF_PATIENCE = 8;
 /** Shortest time after which a refused caller may come back, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 100;
 
@@ -79,7 +83,7 @@
       return;
     }
     const predictedMs = place.waitMs + place.readMs + FIRST_EVENT_OVERHEAD_MS;
-    if (predictedMs > task.getRemainingMs()) {
+    if (predictedMs > getPatienceMs()) {
       refuseLate(predictedMs);
       return;
     }
@@ -97,11 +101,23 @@
       engines,
       book: context.book,
       prefixes: context.prefixes,
+      homes: context.homes,
+      isHomeWarm: context.isHomeWarm,
       getSlowdown: context.health.getSlowdown,
       nowMs: clock.getMonotonicMs(),
     };
   }
 
+  /** Callers leave a stream whose first event does not come, long before their deadline. */
+  function getPatienceMs(): number {
+    const patienceMs = Math.max(
+      MIN_PATIENCE_MS,
+      OBJECTIVES_OF_PATIENCE * route.objectiveMs,
+      PAUSES_OF_PATIENCE * route.pauseObjectiveMs,
+    );
+    return Math.min(task.getRemainingMs(), patienceMs - task.getElapsedMs());
+  }
+
   function refuseLate(predictedMs: number): void {
     const lateMs = predictedMs - route.objectiveMs;
     task.log('refused: cannot be served in time', {predictedMs});
@@ -325,7 +341,7 @@
       return;
     }
     const predictedMs = place.readMs + FIRST_EVENT_OVERHEAD_MS;
-    if (predictedMs > task.getRemainingMs()) {
+    if (predictedMs > getPatienceMs()) {
       refuseLate(predictedMs);
       return;
     }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -33,6 +33,8 @@
   readonly timeoutMs: number;
   /** Latency objective of the whole answer, or of the first event of a stream, in milliseconds. */
   readonly objectiveMs: number;
+  /** Longest pause between events for which a stream is on time, in milliseconds. */
+  readonly pauseObjectiveMs: number;
   /** Rank among the routes; 0 is served first. */
   readonly rank: number;
   /** Most backend servers on which one request may run. */
--- a/src/platform/node_settings.ts
+++ b/src/platform/node_settings.ts
@@ -62,6 +62,7 @@
       seeds: listOf(root['seeds']).flatMap(seed => trySplitAddress(seed) ?? []),
       store: getAddress(getTable('platform'), 'address'),
       bounds: readBounds(getTable('bounds')),
+      isFirstStart: root['bootstrap'] === true,
       maxOpenFiles: getNumber(getTable('limits'), 'maxFds'),
     };
   }
--- a/src/platform/operator_config.ts
+++ b/src/platform/operator_config.ts
@@ -71,6 +71,7 @@
     kind,
     timeoutMs: tryNumber(fields['timeoutMs']) ?? DEFAULT_TIMEOUT_MS,
     objectiveMs: tryNumber(fields['sloMs']) ?? DEFAULT_OBJECTIVE_MS,
+    pauseObjectiveMs: tryNumber(fields['gapAimMs']) ?? 0,
     rank: tryNumber(fields['priority']) ?? 0,
     maxServers: tryNumber(fields['attempts']) ?? 1,
     isResumable: fields['resumable'] === true,
--- /dev/null
+++ b/test/gateway/placement.test.ts
@@ -0,0 +1,129 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createHomeEngines} from '../../src/gateway/home_engines';
+import {
+  type PlacementInput,
+  tryChooseDecode,
+  tryChoosePrefill,
+} from '../../src/gateway/placement';
+import {createPrefillBook} from '../../src/gateway/prefill_book';
+import {createPrefixDirectory} from '../../src/gateway/prefix_directory';
+import {EngineStage} from '../../src/gateway/types';
+import {createEntry} from './support';
+
+const ENGINES = ['p1', 'p2', 'p3', 'p4'].map(id =>
+  createEntry({id, stage: EngineStage.Prefill}),
+);
+const REQUEST = {
+  promptTokens: 17_000,
+  maxOutputTokens: 13,
+  parts: [
+    {id: 'shared', tokens: 13_000},
+    {id: 'own', tokens: 4_000},
+  ],
+};
+
+function createInput(options: Partial<PlacementInput> = {}): PlacementInput {
+  return {
+    request: REQUEST,
+    engines: ENGINES,
+    book: createPrefillBook(),
+    prefixes: createPrefixDirectory(() => 450_000),
+    homes: createHomeEngines(),
+    isHomeWarm: false,
+    getSlowdown: () => 1,
+    nowMs: 0,
+    ...options,
+  };
+}
+
+test('a prompt goes to the engine that keeps its shared part', () => {
+  const input = createInput();
+  input.prefixes.recordRead('p3', REQUEST.parts);
+  const place = tryChoosePrefill(input);
+  assert.equal(place?.server.id, 'p3');
+  assert.equal(place?.cachedTokens, 13_000);
+});
+
+test('a prompt goes elsewhere when that engine is busy for longer than reading again takes', () => {
+  const input = createInput();
+  input.prefixes.recordRead('p3', REQUEST.parts);
+  input.book.add({id: 'j', serverId: 'p3', costMs: 300}, 0);
+  assert.equal(tryChoosePrefill(input)?.server.id, 'p3');
+  input.book.add({id: 'k', serverId: 'p3', costMs: 900}, 0);
+  assert.notEqual(tryChoosePrefill(input)?.server.id, 'p3');
+});
+
+test('nodes that know nothing choose the same engine, and expect the part there after a restart', () => {
+  const first = tryChoosePrefill(createInput());
+  const second = tryChoosePrefill(createInput());
+  assert.equal(first?.server.id, second?.server.id);
+  assert.equal(first?.cachedTokens, 0);
+  const restarted = tryChoosePrefill(createInput({isHomeWarm: true}));
+  assert.equal(restarted?.server.id, first?.server.id);
+  assert.equal(restarted?.cachedTokens, 13_000);
+});
+
+test('the home of a part stays when another engine leaves', () => {
+  const homes = createHomeEngines();
+  const ids = Array.from({length: 50}, (_, index) => `part-${index}`);
+  const moved = ids.filter(
+    id => homes.tryFind(id, ENGINES) !== homes.tryFind(id, ENGINES.slice(1)),
+  );
+  assert.ok(moved.every(id => homes.tryFind(id, ENGINES) === 'p1'));
+});
+
+test('a slow engine is chosen only when the others wait for longer', () => {
+  const getSlowdown = (id: string) => (id === 'p1' ? 1 : 1.4);
+  const place = tryChoosePrefill(
+    createInput({
+      getSlowdown,
+      request: {...REQUEST, parts: REQUEST.parts.slice(1)},
+    }),
+  );
+  assert.equal(place?.server.id, 'p1');
+});
+
+test('a decode engine beside the prefill engine is preferred until it has many streams', () => {
+  const engines = ['a', 'b'].map(domain =>
+    createEntry({id: domain, failureDomain: domain, stage: EngineStage.Decode}),
+  );
+  const choose = (streams: number) =>
+    tryChooseDecode({
+      engines,
+      engine: {
+        maxRunning: 64,
+        kvTokens: 450_000,
+        kvTokenBytes: 163_840,
+        linkMbps: 1_600_000,
+        stageChangeMs: 3_000,
+        handleLifetimeMs: 5_000,
+      },
+      tokens: 17_000,
+      sourceDomain: 'a',
+      ownDomain: 'a',
+      countStreams: id => (id === 'a' ? streams : 0),
+    })?.id;
+  assert.equal(choose(0), 'a');
+  assert.equal(choose(20), 'b');
+});
+
+test('a directory forgets the parts that were used longest ago', () => {
+  const prefixes = createPrefixDirectory(() => 1_000);
+  const parts = (id: string) => [{id, tokens: 400}];
+  prefixes.recordRead('p1', parts('a'));
+  prefixes.recordRead('p1', parts('b'));
+  prefixes.recordRead('p1', parts('a'));
+  prefixes.recordRead('p1', parts('c'));
+  assert.equal(prefixes.getCachedTokens('p1', parts('a')), 400);
+  assert.equal(prefixes.getCachedTokens('p1', parts('b')), 0);
+  assert.equal(prefixes.isKept('b'), false);
+});
+
+test('a job whose end was never heard of is dropped', () => {
+  const book = createPrefillBook();
+  book.add({id: 'j', serverId: 'p1', costMs: 100}, 0);
+  assert.equal(book.getWaitMs('p1', 50), 50);
+  assert.equal(book.getWaitMs('p1', 5_000), 0);
+  assert.equal(book.countJobs('p1'), 0);
+});
