--- a/test/platform/store_standin.ts
+++ b/test/platform/store_standin.ts
@@ -49,7 +49,7 @@
     setFault: next => {
       fault = next;
     },
-    put,
+    put: setNewest,
     compact: name => {
       const topic = getTopic(name);
       topic.firstOffset += topic.records.length;
@@ -135,7 +135,7 @@
     return {status: 200, body: JSON.stringify({items, hasMore: false, end})};
   }
 
-  function put(topic: string, key: string, value?: string): void {
+  function setNewest(topic: string, key: string, value?: string): void {
     const keyBytes = Buffer.from(key);
     const parts = [Buffer.from([keyBytes.length]), keyBytes];
     if (value !== undefined) parts.push(Buffer.from(value));
@@ -174,11 +174,11 @@
 
 function waitForRecord(topic: Topic, waitMs: number): Promise<void> {
   return new Promise(resolve => {
-    const timer = setTimeout(wake, waitMs);
-    topic.waiting.add(wake);
-    function wake(): void {
+    const timer = setTimeout(resume, waitMs);
+    topic.waiting.add(resume);
+    function resume(): void {
       clearTimeout(timer);
-      topic.waiting.delete(wake);
+      topic.waiting.delete(resume);
       resolve();
     }
   });
