--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -76,6 +76,8 @@
 const STOP_MARGIN_MS = 500;
 /** Oldest state of the store on which stages are planned, in milliseconds. */
 const MAX_PLANNING_AGE_MS = 2_000;
+/** Failures that other nodes are told of: they cost each node a request to find out. */
+const SHARED_SUSPICIONS = new Set(['connect', 'stalled']);
 /** Interval of saying hello until the store knows this node, in milliseconds. */
 const REGISTER_INTERVAL_MS = 500;
 
@@ -103,8 +105,10 @@
     clock,
     logger,
     getRandom,
-    onEjected: (serverId, reason) =>
-      peers.notify({kind: 'suspect', serverId, reason}),
+    onEjected: (serverId, reason) => {
+      if (!SHARED_SUSPICIONS.has(reason)) return;
+      peers.notify({kind: 'suspect', serverId, reason});
+    },
   });
   const follower = createStoreFollower({
     nodeName: self.name,
@@ -299,7 +303,7 @@
         stages.noteOrder(message.serverId, message.stage);
         return;
       case 'suspect':
-        logger.log('info', 'a node suspects a backend server', {...message});
+        health.recordSuspicion(message.serverId, message.reason);
         return;
     }
   }
--- a/src/gateway/server_health.ts
+++ b/src/gateway/server_health.ts
@@ -14,6 +14,8 @@
   listHealthy(servers: readonly BackendEntry[]): readonly BackendEntry[];
   /** Takes a failure; `isCertain` when one is enough to know that the server is down. */
   recordFailure(serverId: string, reason: string, isCertain?: boolean): void;
+  /** Takes another node's word that a server does not answer, unless it has just answered this node. */
+  recordSuspicion(serverId: string, reason: string): void;
   /** Takes a complete answer and its observed over expected time. */
   recordSuccess(serverId: string, ratio: number): void;
   /** Observed over expected time of a server, averaged; 1 when unknown. */
@@ -35,12 +37,15 @@
 const MAX_EJECTION_MS = 6_000;
 /** Time over which a server comes back to its full share, in milliseconds. */
 const RAMP_MS = 2_000;
+/** An answer this recent outweighs another node's suspicion, in milliseconds. */
+const RECENT_ANSWER_MS = 300;
 const MIN_SLOWDOWN = 0.5;
 const MAX_SLOWDOWN = 4;
 
 /** Creates a book that knows no server. */
 export function createHealthBook(options: HealthBookOptions): HealthBook {
   const servers = new Map<string, ServerHealth>();
+  const answeredAtMs = new Map<string, number>();
   const ejector = createEjector(() => servers.values(), options.getRandom, {
     baseEjectionMs: BASE_EJECTION_MS,
     maxEjectionMs: MAX_EJECTION_MS,
@@ -49,7 +54,9 @@
   return {
     listHealthy,
     recordFailure,
+    recordSuspicion,
     recordSuccess: (serverId, ratio) => {
+      answeredAtMs.set(serverId, options.clock.getMonotonicMs());
       const bounded = Math.min(MAX_SLOWDOWN, Math.max(MIN_SLOWDOWN, ratio));
       ejector.recordSuccess(
         getHealth(serverId),
@@ -60,6 +67,7 @@
     getSlowdown: serverId => servers.get(serverId)?.slowdown ?? 1,
     remove: serverId => {
       servers.delete(serverId);
+      answeredAtMs.delete(serverId);
     },
   };
 
@@ -89,6 +97,18 @@
     options.onEjected(serverId, reason);
   }
 
+  function recordSuspicion(serverId: string, reason: string): void {
+    const nowMs = options.clock.getMonotonicMs();
+    const answered = answeredAtMs.get(serverId) ?? Number.NEGATIVE_INFINITY;
+    const isBelieved = nowMs - answered > RECENT_ANSWER_MS;
+    if (isBelieved) ejector.recordFailure(getHealth(serverId), nowMs, true);
+    options.logger.log('info', 'a node suspects a backend server', {
+      serverId,
+      reason,
+      isBelieved,
+    });
+  }
+
   function getHealth(serverId: string): ServerHealth {
     const known = servers.get(serverId);
     if (known !== undefined) return known;
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -35,6 +35,9 @@
 const PREFILL_SLACK_MS = 400;
 /** How many times longer than predicted a prefill may take. */
 const PREFILL_FACTOR = 2;
+/** Slack and factor before a decode engine whose stream does not begin is suspected, in milliseconds. */
+const DECODE_SLACK_MS = 600;
+const DECODE_FACTOR = 2;
 /** Most prefill engines tried for one request. */
 const MAX_PREFILL_TRIES = 3;
 /** Most decode engines asked for one request, those that refused included. */
@@ -365,6 +368,7 @@
       isErrorRepeatable: () => route.isResumable && canRunAgain(),
       ...(splitter === undefined ? {} : {splitter}),
       onHead: () => {
+        stallTimer?.cancel();
         // The KV cache was fetched.
         kv = undefined;
       },
@@ -391,6 +395,29 @@
     });
     call = opened;
     relay.attach(opened);
+    stallTimer = clock.schedule(getDecodeStallMs(), () =>
+      handleDecodeStall(server, opened),
+    );
+  }
+
+  function getDecodeStallMs(): number {
+    const transferMs = computeTransferMs(model.promptTokens, engine, true);
+    return DECODE_FACTOR * transferMs + DECODE_SLACK_MS;
+  }
+
+  /** A stream that may not be repeated is waited for; later requests go elsewhere. */
+  function handleDecodeStall(server: BackendEntry, opened: OpenCall): void {
+    if (task.isOver() || exchange.hasAnswerBegun()) return;
+    if (!route.isResumable || !canRunAgain()) {
+      context.health.recordFailure(server.id, 'stalled', true);
+      return;
+    }
+    opened.cancel();
+    handleDecodeFailure(server, {
+      verdict: Verdict.MayHaveRun,
+      reason: 'stalled',
+      message: 'the stream did not begin in time',
+    });
   }
 
   function handleDecodeFailure(
@@ -398,6 +425,7 @@
     failure: CallFailure,
   ): void {
     if (task.isOver()) return;
+    stallTimer?.cancel();
     context.streams.remove(server.id, jobId);
     if (failure.verdict === Verdict.NotRun) runCount--;
     else mayHaveRun = true;
@@ -408,7 +436,7 @@
       context.health.recordFailure(
         server.id,
         failure.reason,
-        failure.reason === 'connect',
+        failure.reason === 'connect' || failure.reason === 'stalled',
       );
     }
     const isAgain = canDecodeAgain(failure);
--- a/test/platform/serving.test.ts
+++ b/test/platform/serving.test.ts
@@ -210,3 +210,24 @@
   );
   assert.equal(line?.['outcome'], 'answered');
 });
+
+test('a decode engine that answers nothing is not chosen again by any node', async () => {
+  const second = await system.addNode();
+  await waitUntil('the second node is ready', () => isNodeReady(second));
+  await waitUntil('it knows the servers', async () => {
+    const answer = await system.send({path: '/ask/x', ...TOKENS}, 1);
+    return answer.status === 200;
+  });
+  writers[0].setFault('mute');
+  const ids = Array.from({length: 6}, (_, index) => `dark-${index}`);
+  await Promise.all(
+    ids.map(id => system.send({path: '/ask/x', id, ...TOKENS})),
+  );
+  const before = writers[0].runs.length;
+  for (let index = 0; index < 4; index++) {
+    const answer = await system.send({path: '/ask/x', ...TOKENS}, 1);
+    assert.equal(answer.status, 200);
+  }
+  assert.equal(writers[0].runs.length, before);
+  writers[0].setFault('none');
+});
