--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -291,6 +291,7 @@
         return;
       case 'read':
         book.remove(message.jobId, nowMs);
+        if (message.isRead) health.recordSign(message.serverId);
         if (message.ratio !== undefined) {
           health.recordSuccess(message.serverId, message.ratio);
         }
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -42,6 +42,8 @@
   readonly kind: 'read';
   readonly jobId: string;
   readonly serverId: string;
+  /** False when the prompt was given up. */
+  readonly isRead: boolean;
   /** Observed over predicted time; absent when it says nothing about the engine. */
   readonly ratio?: number;
   /** Decode engine that goes on with it. */
--- a/src/gateway/server_health.ts
+++ b/src/gateway/server_health.ts
@@ -16,6 +16,10 @@
   recordFailure(serverId: string, reason: string, isCertain?: boolean): void;
   /** Takes another node's word that a server does not answer, unless it has just answered this node. */
   recordSuspicion(serverId: string, reason: string): void;
+  /** Notes that a server has just answered this or another node. */
+  recordSign(serverId: string): void;
+  /** True when a server has answered some node a short time ago. */
+  hasRecentSign(serverId: string): boolean;
   /** Takes a complete answer and its observed over expected time. */
   recordSuccess(serverId: string, ratio: number): void;
   /** Observed over expected time of a server, averaged; 1 when unknown. */
@@ -38,7 +42,7 @@
 /** Time over which a server comes back to its full share, in milliseconds. */
 const RAMP_MS = 2_000;
 /** An answer this recent outweighs another node's suspicion, in milliseconds. */
-const RECENT_ANSWER_MS = 300;
+const RECENT_ANSWER_MS = 500;
 const MIN_SLOWDOWN = 0.5;
 const MAX_SLOWDOWN = 4;
 
@@ -55,8 +59,10 @@
     listHealthy,
     recordFailure,
     recordSuspicion,
+    recordSign,
+    hasRecentSign,
     recordSuccess: (serverId, ratio) => {
-      answeredAtMs.set(serverId, options.clock.getMonotonicMs());
+      recordSign(serverId);
       const bounded = Math.min(MAX_SLOWDOWN, Math.max(MIN_SLOWDOWN, ratio));
       ejector.recordSuccess(
         getHealth(serverId),
@@ -98,10 +104,11 @@
   }
 
   function recordSuspicion(serverId: string, reason: string): void {
-    const nowMs = options.clock.getMonotonicMs();
-    const answered = answeredAtMs.get(serverId) ?? Number.NEGATIVE_INFINITY;
-    const isBelieved = nowMs - answered > RECENT_ANSWER_MS;
-    if (isBelieved) ejector.recordFailure(getHealth(serverId), nowMs, true);
+    const isBelieved = !hasRecentSign(serverId);
+    if (isBelieved) {
+      const nowMs = options.clock.getMonotonicMs();
+      ejector.recordFailure(getHealth(serverId), nowMs, true);
+    }
     options.logger.log('info', 'a node suspects a backend server', {
       serverId,
       reason,
@@ -109,6 +116,15 @@
     });
   }
 
+  function recordSign(serverId: string): void {
+    answeredAtMs.set(serverId, options.clock.getMonotonicMs());
+  }
+
+  function hasRecentSign(serverId: string): boolean {
+    const answered = answeredAtMs.get(serverId) ?? Number.NEGATIVE_INFINITY;
+    return options.clock.getMonotonicMs() - answered < RECENT_ANSWER_MS;
+  }
+
   function getHealth(serverId: string): ServerHealth {
     const known = servers.get(serverId);
     if (known !== undefined) return known;
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -33,6 +33,8 @@
 const MIN_TRY_MS = 60;
 /** Slack before a prefill engine that does not answer is given up, in milliseconds. */
 const PREFILL_SLACK_MS = 400;
+/** Interval of looking again at a prefill engine that is late, in milliseconds. */
+const STALL_CHECK_MS = 150;
 /** How many times longer than predicted a prefill may take. */
 const PREFILL_FACTOR = 2;
 /** Slack and factor before a decode engine whose stream does not begin is suspected, in milliseconds. */
@@ -181,16 +183,23 @@
     });
     stallTimer = clock.schedule(
       PREFILL_FACTOR * predictedMs + PREFILL_SLACK_MS,
-      () => {
-        call?.cancel();
-        failPrefill({
-          verdict: Verdict.NotRun,
-          reason: 'stalled',
-          message: 'the prompt was not read in time',
-        });
-      },
+      checkStall,
     );
 
+    /** An engine that answers others is busy beyond what is known, and gets more time. */
+    function checkStall(): void {
+      if (context.health.hasRecentSign(server.id)) {
+        stallTimer = clock.schedule(STALL_CHECK_MS, checkStall);
+        return;
+      }
+      call?.cancel();
+      failPrefill({
+        verdict: Verdict.NotRun,
+        reason: 'stalled',
+        message: 'the prompt was not read in time',
+      });
+    }
+
     function failPrefill(failure: CallFailure): void {
       if (hasFailed || task.isOver()) return;
       hasFailed = true;
@@ -248,6 +257,7 @@
       kind: 'read',
       jobId,
       serverId,
+      isRead: decodeId !== undefined,
       ...(ratio === undefined ? {} : {ratio}),
       ...(decodeId === undefined ? {} : {decodeId, runMs}),
     });
@@ -369,6 +379,7 @@
       ...(splitter === undefined ? {} : {splitter}),
       onHead: () => {
         stallTimer?.cancel();
+        context.health.recordSign(server.id);
         // The KV cache was fetched.
         kv = undefined;
       },
@@ -408,6 +419,12 @@
   /** A stream that may not be repeated is waited for; later requests go elsewhere. */
   function handleDecodeStall(server: BackendEntry, opened: OpenCall): void {
     if (task.isOver() || exchange.hasAnswerBegun()) return;
+    if (context.health.hasRecentSign(server.id)) {
+      stallTimer = clock.schedule(STALL_CHECK_MS, () =>
+        handleDecodeStall(server, opened),
+      );
+      return;
+    }
     if (!route.isResumable || !canRunAgain()) {
       context.health.recordFailure(server.id, 'stalled', true);
       return;
