--- a/src/gateway/stage_control.ts
+++ b/src/gateway/stage_control.ts
@@ -48,10 +48,10 @@
 const MAX_NODE_DELAY_MS = 5_000;
 /** How long after the start of the system changes of single engines are worth their cost, in milliseconds. */
 const START_MS = 9_000;
-/** Engines off the plan that are left as they are while requests are served. */
-const SERVING_TOLERANCE = 2;
-/** How long a plan must stand while requests are served, in milliseconds: crashed engines come back meanwhile. */
-const SERVING_SETTLE_MS = 6_000;
+/** Part of the wanted generating engines that may be missing while requests are served. */
+const SERVING_TOLERANCE = 0.4;
+/** How long a plan must stand while requests are served, in milliseconds: new and crashed engines come one after another. */
+const SERVING_SETTLE_MS = 2_500;
 /** Longest wait for an engine's answer, in milliseconds. */
 const ORDER_TIMEOUT_MS = 500;
 /** Time after which an order that shows no effect is forgotten, in milliseconds: a change and some heartbeats. */
@@ -104,7 +104,7 @@
       .filter(service => service.engine !== undefined)
       .map(service =>
         planStages(state.listUsable(service.name).map(applyOrder), {
-          tolerance: isStarting() ? 0 : SERVING_TOLERANCE,
+          tolerancePart: isStarting() ? 0 : SERVING_TOLERANCE,
         }),
       );
   }
--- a/src/gateway/stage_plan.ts
+++ b/src/gateway/stage_plan.ts
@@ -18,8 +18,11 @@
 export interface StagePlanOptions {
   /** Part of the engines that generate. */
   readonly decodePart?: number;
-  /** Engines beyond the wanted number that are left as they are: a change costs seconds of an engine. */
-  readonly tolerance?: number;
+  /**
+   * Part of the wanted generating engines that may be missing: a change
+   * takes a reading engine away for seconds.
+   */
+  readonly tolerancePart?: number;
 }
 
 /**
@@ -45,7 +48,10 @@
   );
   const surplus = decode.length - wantedDecode;
   const plan = {wantedDecode, presentDecode: decode.length};
-  if (count < MIN_DECODE || isTolerated(surplus, decode, prefill, options)) {
+  if (
+    count < MIN_DECODE ||
+    isTolerated(surplus, wantedDecode, decode, prefill, options)
+  ) {
     return {...plan, changes: []};
   }
   const changes =
@@ -61,14 +67,18 @@
   return {...plan, changes};
 }
 
+/** Generating engines in surplus are idle, so that changing them costs no service. */
 function isTolerated(
   surplus: number,
+  wantedDecode: number,
   decode: readonly BackendEntry[],
   prefill: readonly BackendEntry[],
   options: StagePlanOptions,
 ): boolean {
-  if (decode.length === 0 || prefill.length === 0) return false;
-  return Math.abs(surplus) <= (options.tolerance ?? 0);
+  if (decode.length < MIN_DECODE || prefill.length === 0) return false;
+  return (
+    surplus <= 0 && -surplus <= (options.tolerancePart ?? 0) * wantedDecode
+  );
 }
 
 /** Takes engines where a failure domain has most of them, so that the rest stays spread. */
--- /dev/null
+++ b/test/gateway/stages.test.ts
@@ -0,0 +1,131 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {Err, Ok} from 'ts-results';
+import {createAuthority} from '../../src/gateway/authority';
+import {planStages} from '../../src/gateway/stage_plan';
+import {EngineStage, type FleetStore} from '../../src/gateway/types';
+import {createVirtualClock} from '../../src/runtime';
+import {createEntry} from './support';
+
+const LEASE_MS = 3_000;
+
+function createEngines(prefill: number, decode: number) {
+  const stages = [
+    ...Array.from({length: prefill}, () => EngineStage.Prefill),
+    ...Array.from({length: decode}, () => EngineStage.Decode),
+  ];
+  return stages.map((stage, index) =>
+    createEntry({
+      id: `e${index}`,
+      stage,
+      failureDomain: `domain-${index % 3}`,
+    }),
+  );
+}
+
+test('engines that generate beyond the wanted number are changed to read', () => {
+  const plan = planStages(createEngines(5, 8));
+  assert.equal(plan.wantedDecode, 3);
+  assert.equal(plan.changes.length, 5);
+  assert.ok(plan.changes.every(item => item.stage === EngineStage.Prefill));
+});
+
+test('those that are left are spread over the failure domains', () => {
+  const engines = createEngines(4, 9);
+  const changed = new Set(
+    planStages(engines).changes.map(item => item.server.id),
+  );
+  const left = engines.filter(
+    item => item.stage === EngineStage.Decode && !changed.has(item.id),
+  );
+  assert.equal(new Set(left.map(item => item.failureDomain)).size, 3);
+});
+
+test('a missing generating engine is borne while requests are served, the last but one is not', () => {
+  const options = {tolerancePart: 0.4};
+  assert.equal(planStages(createEngines(10, 2), options).changes.length, 0);
+  assert.equal(planStages(createEngines(12, 1), options).changes.length, 2);
+  assert.equal(planStages(createEngines(9, 4), options).changes.length, 1);
+});
+
+test('no engines need no changes', () => {
+  assert.equal(planStages([]).changes.length, 0);
+  assert.equal(planStages(createEngines(1, 0)).changes.length, 0);
+});
+
+/** A log of grants as the store keeps it. */
+function createGrantLog() {
+  const holders: string[] = [];
+  let isAnswerLost = false;
+  const store = {
+    readAuthority: async () =>
+      Ok({
+        endOffset: holders.length,
+        ...(holders.length === 0 ? {} : {holder: holders.at(-1)}),
+      }),
+    claimAuthority: async (holder: string, atOffset: number) => {
+      if (atOffset !== holders.length) {
+        return Err({
+          kind: 'conflict' as const,
+          mayHaveTakenEffect: false,
+          message: 'the log has gone on',
+        });
+      }
+      holders.push(holder);
+      if (!isAnswerLost) return Ok(holders.length);
+      return Err({
+        kind: 'unavailable' as const,
+        mayHaveTakenEffect: true,
+        message: 'no answer',
+      });
+    },
+  } as unknown as FleetStore;
+  return {
+    store,
+    loseAnswers: () => {
+      isAnswerLost = true;
+    },
+  };
+}
+
+test('of two nodes one is granted authority, and the other waits longer than the lease', async () => {
+  const clock = createVirtualClock();
+  const {store} = createGrantLog();
+  const options = {store, clock, leaseMs: LEASE_MS};
+  const first = createAuthority({...options, nodeName: 'n1'});
+  const second = createAuthority({...options, nodeName: 'n2'});
+  const grant = (await first.tryTake()).unwrap();
+  assert.equal((await second.tryTake()).err, true);
+  await clock.advance(LEASE_MS);
+  assert.equal(grant.isValid(), false);
+  assert.equal((await second.tryTake()).err, true);
+  await clock.advance(2_300);
+  const later = (await second.tryTake()).unwrap();
+  assert.ok(later.fencingNumber > grant.fencingNumber);
+});
+
+test('a holder that takes authority again gets a higher fencing number at once', async () => {
+  const clock = createVirtualClock();
+  const {store} = createGrantLog();
+  const authority = createAuthority({
+    store,
+    clock,
+    leaseMs: LEASE_MS,
+    nodeName: 'n1',
+  });
+  const first = (await authority.tryTake()).unwrap();
+  const second = (await authority.tryTake()).unwrap();
+  assert.ok(second.fencingNumber > first.fencingNumber);
+});
+
+test('a grant whose answer was lost gives no authority, but makes others wait', async () => {
+  const clock = createVirtualClock();
+  const log = createGrantLog();
+  log.loseAnswers();
+  const options = {store: log.store, clock, leaseMs: LEASE_MS};
+  const first = createAuthority({...options, nodeName: 'n1'});
+  const second = createAuthority({...options, nodeName: 'n2'});
+  assert.equal((await first.tryTake()).err, true);
+  const denial = await second.tryTake();
+  assert.equal(denial.err && denial.val.reason, 'held');
+});
