--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -37,6 +37,8 @@
 /** Connections to all backend servers. */
 export interface Connections {
   call(request: BackendCall): OpenCall;
+  /** True when a connection to the server can be used without opening one. */
+  hasIdle(serverId: string): boolean;
   /** Closes the idle connections of servers that are no longer listed. */
   retainOnly(serverIds: ReadonlySet<string>): void;
   countOpened(): number;
@@ -62,6 +64,8 @@
 
 interface Connection {
   readonly client: Client;
+  /** True while its socket is open. */
+  isOpen: boolean;
   /** True once the connection broke off instead of being closed by the server. */
   wasReset: boolean;
   /** True while an answer is read that ends with the connection. */
@@ -82,11 +86,18 @@
   });
   const servers = new Map<string, ServerConnections>();
   let openedCount = 0;
-  return {call, retainOnly, countOpened: () => openedCount, close};
+  return {
+    call,
+    hasIdle: serverId =>
+      servers.get(serverId)?.idle.some(item => item.isOpen) ?? false,
+    retainOnly,
+    countOpened: () => openedCount,
+    close,
+  };
 
   function call(request: BackendCall): OpenCall {
     const connections = getConnections(request.server.id);
-    const connection = connections.idle.pop() ?? openConnection(request.server);
+    const connection = takeIdle(connections) ?? openConnection(request.server);
     connections.all.add(connection);
     const open = createOpenCall({
       handler: request.handler,
@@ -113,6 +124,13 @@
     return open;
   }
 
+  /** Takes the connection that was used last; closed ones are opened again by undici. */
+  function takeIdle(connections: ServerConnections): Connection | undefined {
+    const index = connections.idle.findLastIndex(item => item.isOpen);
+    if (index < 0) return connections.idle.pop();
+    return connections.idle.splice(index, 1)[0];
+  }
+
   function getConnections(serverId: string): ServerConnections {
     const known = servers.get(serverId);
     if (known !== undefined) return known;
@@ -130,6 +148,10 @@
             return;
           }
           openedCount++;
+          connection.isOpen = true;
+          socket.on('close', () => {
+            connection.isOpen = false;
+          });
           watchResets(socket, connection);
           callback(null, socket);
         });
@@ -143,6 +165,7 @@
     });
     const connection: Connection = {
       client,
+      isOpen: false,
       wasReset: false,
       isUnframed: false,
     };
--- a/src/gateway/flow_context.ts
+++ b/src/gateway/flow_context.ts
@@ -5,6 +5,7 @@
 import type {FleetState} from './fleet_state';
 import type {GatewayMetrics} from './gateway_metrics';
 import type {HomeEngines} from './home_engines';
+import type {PathView} from './path_costs';
 import type {PeerMessage} from './peer_messages';
 import type {PrefillBook} from './prefill_book';
 import type {PrefixDirectory} from './prefix_directory';
@@ -14,7 +15,7 @@
 
 /** What the flows of requests use. */
 export interface FlowContext {
-  readonly ownDomain: string;
+  readonly path: PathView;
   readonly state: FleetState;
   readonly connections: Connections;
   readonly protocol: BackendProtocol;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -140,7 +140,10 @@
       peers.notify({kind: 'ordered', serverId, stage}),
   });
   const context: FlowContext = {
-    ownDomain: settings.failureDomain,
+    path: {
+      ownDomain: settings.failureDomain,
+      hasConnection: connections.hasIdle,
+    },
     state,
     connections,
     protocol,
@@ -222,7 +225,20 @@
     );
   }
 
+  /** A fault of this program ends one request, not the process. */
   function handleExchange(exchange: Exchange): void {
+    try {
+      runExchange(exchange);
+    } catch (error) {
+      logger.log('error', 'serving a request threw', {
+        requestId: exchange.request.requestId,
+        error: error instanceof Error ? (error.stack ?? '') : String(error),
+      });
+      exchange.answer(500, [], 'internal error');
+    }
+  }
+
+  function runExchange(exchange: Exchange): void {
     const config = state.getConfig();
     if (config === undefined) {
       refuseStarting(exchange);
--- /dev/null
+++ b/src/gateway/path_costs.ts
@@ -0,0 +1,23 @@
+/** What the way to a server adds to its predicted time. */
+import type {BackendEntry} from './types';
+
+/** What is known of the way to servers. */
+export interface PathView {
+  /** Failure domain of this node. */
+  readonly ownDomain: string;
+  /** True when a connection to the server can be used without opening one. */
+  readonly hasConnection: (serverId: string) => boolean;
+}
+
+/** Round trips to another failure domain, and the price of sending a body there, in milliseconds. */
+const CROSS_DOMAIN_MS = 3;
+/** Time and price of opening a connection, in milliseconds: a round trip and the server's handshake. */
+const NEW_CONNECTION_MS = 4;
+
+/** Returns what the way to a server costs, in milliseconds of predicted time. */
+export function computePathMs(server: BackendEntry, view: PathView): number {
+  const domainMs =
+    server.failureDomain === view.ownDomain ? 0 : CROSS_DOMAIN_MS;
+  const connectMs = view.hasConnection(server.id) ? 0 : NEW_CONNECTION_MS;
+  return domainMs + connectMs;
+}
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -8,6 +8,7 @@
   DECODE_READ_FACTOR,
 } from './engine_costs';
 import type {HomeEngines} from './home_engines';
+import {computePathMs, type PathView} from './path_costs';
 import type {PrefillBook} from './prefill_book';
 import type {PrefixDirectory} from './prefix_directory';
 import {
@@ -36,6 +37,7 @@
   readonly book: PrefillBook;
   readonly prefixes: PrefixDirectory;
   readonly homes: HomeEngines;
+  readonly path: PathView;
   /** True when parts that no node knows of may be kept at their homes: the nodes have restarted, the engines not. */
   readonly isHomeWarm: boolean;
   /** Observed over predicted time of a server's work; 1 when unknown. */
@@ -50,7 +52,7 @@
   readonly tokens: number;
   /** Failure domain of the engine that holds the KV cache. */
   readonly sourceDomain: string | undefined;
-  readonly ownDomain: string;
+  readonly path: PathView;
   /** Streams that each engine is believed to run. */
   readonly countStreams: (serverId: string) => number;
 }
@@ -64,8 +66,6 @@
 const HOME_BONUS = 0.5;
 /** What one running stream adds to the choice of a decode engine, in milliseconds: transfers queue behind each other. */
 const STREAM_COST_MS = 2;
-/** Cost of sending a request's body to another failure domain, in milliseconds of predicted time. */
-const CROSS_DOMAIN_COST_MS = 2;
 
 /** Returns the best place to read a prompt, or undefined when there is none. */
 export function tryChoosePrefill(
@@ -140,7 +140,8 @@
     .reduce((sum, part) => sum + part.tokens, 0);
   const lostTokens = Math.max(0, againTokens - place.cachedTokens);
   const againMs = computeReadMs(lostTokens, 0) * REREAD_WEIGHT;
-  return place.waitMs + place.readMs + againMs;
+  const pathMs = computePathMs(place.server, input.path);
+  return place.waitMs + place.readMs + againMs + pathMs;
 }
 
 /** Lists the parts of a prompt that other requests may share. */
@@ -158,11 +159,10 @@
       input.sourceDomain !== undefined &&
       server.failureDomain !== input.sourceDomain;
     const transferMs = computeTransferMs(input.tokens, input.engine, isCross);
-    const bodyMs =
-      server.failureDomain === input.ownDomain ? 0 : CROSS_DOMAIN_COST_MS;
+    const pathMs = computePathMs(server, input.path);
     const streams = input.countStreams(server.id);
     const score =
-      transferMs + bodyMs + streams * (STREAM_COST_MS + transferMs / 2);
+      transferMs + pathMs + streams * (STREAM_COST_MS + transferMs / 2);
     if (score >= bestScore) continue;
     best = server;
     bestScore = score;
--- a/src/gateway/service_choice.ts
+++ b/src/gateway/service_choice.ts
@@ -1,4 +1,5 @@
 /** Chooses a server of a plain service: few open requests, quick answers, close by. */
+import {computePathMs, type PathView} from './path_costs';
 import type {BackendEntry} from './types';
 
 /** What is known of a server of a plain service. */
@@ -9,8 +10,6 @@
   readonly answerMs: number;
 }
 
-/** What a server in another failure domain must be better by, in milliseconds: the round trip. */
-const CROSS_DOMAIN_MS = 4;
 /** Part of the score that chance decides, so that nodes do not all choose alike. */
 const RANDOM_PART = 0.2;
 
@@ -18,17 +17,18 @@
 export function tryChooseServer(
   servers: readonly BackendEntry[],
   getLoad: (serverId: string) => ServiceLoad,
-  ownDomain: string,
+  path: PathView,
   getRandom: () => number,
 ): BackendEntry | undefined {
   let best: BackendEntry | undefined;
   let bestScore = Number.POSITIVE_INFINITY;
   for (const server of servers) {
     const {openCount, answerMs} = getLoad(server.id);
-    const distanceMs = server.failureDomain === ownDomain ? 0 : CROSS_DOMAIN_MS;
     const queueMs = (openCount * answerMs) / Math.max(1, server.maxRunning);
     const score =
-      answerMs * (1 + RANDOM_PART * getRandom()) + queueMs + distanceMs;
+      answerMs * (1 + RANDOM_PART * getRandom()) +
+      queueMs +
+      computePathMs(server, path);
     if (score >= bestScore) continue;
     best = server;
     bestScore = score;
--- a/src/gateway/service_flow.ts
+++ b/src/gateway/service_flow.ts
@@ -54,7 +54,7 @@
     return tryChooseServer(
       untried.length > 0 ? untried : servers,
       loads.get,
-      context.ownDomain,
+      context.path,
       context.getRandom,
     );
   }
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -67,7 +67,7 @@
   const excluded = new Set<string>();
   const splitter = createSplitterFor(route.isResumable);
   const budget = context.getBudget(task.service);
-  const jobId = `${context.ownDomain}/${exchange.request.requestId}`;
+  const jobId = `${context.path.ownDomain}/${exchange.request.requestId}`;
   let call: OpenCall | undefined;
   let stallTimer: Timer | undefined;
   let kv: KvReference | undefined;
@@ -107,6 +107,7 @@
       book: context.book,
       prefixes: context.prefixes,
       homes: context.homes,
+      path: context.path,
       isHomeWarm: context.isHomeWarm,
       getSlowdown: context.health.getSlowdown,
       nowMs: clock.getMonotonicMs(),
@@ -341,7 +342,7 @@
       engine,
       tokens: model.promptTokens,
       sourceDomain,
-      ownDomain: context.ownDomain,
+      path: context.path,
       countStreams: serverId => context.streams.count(serverId, nowMs),
     });
   }
--- a/src/gateway_process.ts
+++ b/src/gateway_process.ts
@@ -10,6 +10,7 @@
   SETTINGS_VARIABLE,
 } from './platform';
 import {createSystemClock} from './runtime/system_clock';
+import {watchUnhandledErrors} from './runtime/unhandled_errors';
 
 const EXIT_DONE = 0;
 const EXIT_BAD_SETTINGS = 2;
@@ -34,6 +35,11 @@
     write: createLineWriter(),
   });
   watchReload(path, logger);
+  watchUnhandledErrors(error => {
+    logger.log('error', 'unhandled error', {
+      error: error.stack ?? error.message,
+    });
+  });
   const client = createStoreClient(settings.val.store);
   const gateway = createGateway({
     settings: settings.val,
--- a/test/gateway/placement.test.ts
+++ b/test/gateway/placement.test.ts
@@ -14,6 +14,7 @@
 const ENGINES = ['p1', 'p2', 'p3', 'p4'].map(id =>
   createEntry({id, stage: EngineStage.Prefill}),
 );
+const PATH = {ownDomain: 'a', hasConnection: () => true};
 const REQUEST = {
   promptTokens: 17_000,
   maxOutputTokens: 13,
@@ -30,6 +31,7 @@
     book: createPrefillBook(),
     prefixes: createPrefixDirectory(() => 450_000),
     homes: createHomeEngines(),
+    path: PATH,
     isHomeWarm: false,
     getSlowdown: () => 1,
     nowMs: 0,
@@ -101,7 +103,7 @@
       },
       tokens: 17_000,
       sourceDomain: 'a',
-      ownDomain: 'a',
+      path: PATH,
       countStreams: id => (id === 'a' ? streams : 0),
     })?.id;
   assert.equal(choose(0), 'a');
--- a/test/platform/system.ts
+++ b/test/platform/system.ts
@@ -1,5 +1,6 @@
 /** A whole system in one process: stand-ins of the platform and real gateways. */
 import {request as sendRequest} from 'node:http';
+import {type AddressInfo, createServer} from 'node:net';
 import {createLogger} from '../../src/diagnostics/log';
 import {createGateway, type Gateway} from '../../src/gateway';
 import {
@@ -115,8 +116,6 @@
   });
 }
 
-let nextPort = 21_000 + (process.pid % 400) * 40;
-
 /** Starts the stand-in of the store with a configuration, and nodes. */
 export async function startSystem(options: {
   readonly nodes?: number;
@@ -151,10 +150,9 @@
 
   async function addNode(): Promise<RunningNode> {
     const name = `front-${nodes.length + 1}`;
-    const base = nextPort;
-    nextPort += 4;
-    const text = buildSettings(name, base, store.port, seeds);
-    seeds.push(`127.0.0.1:${base + 2}`);
+    const ports = await findFreePorts(4);
+    const text = buildSettings(name, ports, store.port, seeds);
+    seeds.push(`127.0.0.1:${ports[2]}`);
     const settings = parseNodeSettings(text, 'boot.toml').unwrap();
     const lines: Array<Record<string, unknown>> = [];
     const client = createStoreClient(settings.store);
@@ -172,9 +170,9 @@
     await gateway.start();
     const node = {
       gateway,
-      callersPort: base,
-      readyPort: base + 1,
-      controlPort: base + 2,
+      callersPort: ports[0],
+      readyPort: ports[1],
+      controlPort: ports[2],
       lines,
     };
     nodes.push(node);
@@ -182,9 +180,24 @@
   }
 }
 
+/** Finds ports that nothing listens on. */
+async function findFreePorts(count: number): Promise<number[]> {
+  const servers = Array.from({length: count}, () => createServer());
+  for (const server of servers) {
+    await new Promise<void>(resolve => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+  }
+  const ports = servers.map(item => (item.address() as AddressInfo).port);
+  for (const server of servers) {
+    await new Promise(resolve => server.close(resolve));
+  }
+  return ports;
+}
+
 function buildSettings(
   name: string,
-  base: number,
+  ports: readonly number[],
   storePort: number,
   seeds: readonly string[],
 ): string {
@@ -192,12 +205,12 @@
 nodeName = "${name}"
 ip = "127.0.0.1"
 zone = "a"
-portRange = [${base + 3},${base + 3}]
+portRange = [${ports[3]},${ports[3]}]
 seeds = ${JSON.stringify(seeds.slice(0, 3))}
 [listen]
-front = "127.0.0.1:${base}"
-ready = "127.0.0.1:${base + 1}"
-control = "127.0.0.1:${base + 2}"
+front = "127.0.0.1:${ports[0]}"
+ready = "127.0.0.1:${ports[1]}"
+control = "127.0.0.1:${ports[2]}"
 [limits]
 maxFds = 1000
 [bounds]
