--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -3,6 +3,7 @@
 import {DemoCommand} from './demo_command';
 import {ExitCode} from './exit_code';
 import {FleetCommand} from './fleet_command';
+import {GatewayCommand} from './gateway_command';
 import {ProgressCommand} from './progress_command';
 import {ReplayCommand} from './replay_command';
 import {ServeCommand} from './serve_command';
@@ -22,6 +23,7 @@
   Builtins.VersionCommand,
   DemoCommand,
   FleetCommand,
+  GatewayCommand,
   ProgressCommand,
   ReplayCommand,
   ServeCommand,
--- a/src/gateway/engine_costs.ts
+++ b/src/gateway/engine_costs.ts
@@ -48,12 +48,12 @@
 /** Returns the time to move a prompt's KV cache to another engine, in milliseconds. */
 export function computeTransferMs(
   tokens: number,
-  engine: {readonly kvTokenBytes: number; readonly linkMbps: number},
+  engine: {readonly kvBytesPerToken: number; readonly linkMbps: number},
   isCrossDomain: boolean,
   speeds: EngineSpeeds = DEFAULT_SPEEDS,
 ): number {
   if (engine.linkMbps <= 0) return speeds.transferSetupMs;
-  const bits = tokens * engine.kvTokenBytes * BITS_PER_BYTE;
+  const bits = tokens * engine.kvBytesPerToken * BITS_PER_BYTE;
   const plainMs = bits / (engine.linkMbps * BITS_PER_MEGABIT_MS);
   const factor = isCrossDomain ? CROSS_DOMAIN_FACTOR : 1;
   return speeds.transferSetupMs + plainMs * factor;
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -49,7 +49,7 @@
   readonly maxRunning: number;
   /** KV memory, in tokens. */
   readonly kvTokens: number;
-  readonly kvTokenBytes: number;
+  readonly kvBytesPerToken: number;
   /** Bandwidth for KV transfers, in megabits a second. */
   readonly linkMbps: number;
   /** How long an engine is away when its stage changes, in milliseconds. */
--- a/src/gateway_process.ts
+++ b/src/gateway_process.ts
@@ -18,9 +18,10 @@
 const MAX_WAITING_LINES = 2_000;
 const STANDARD_OUTPUT = 1;
 
-/** Runs a gateway; returns the exit code. */
-export async function runGatewayProcess(): Promise<number> {
-  const path = process.env[SETTINGS_VARIABLE];
+/** Runs a gateway on the settings file, by default the platform's; returns the exit code. */
+export async function runGatewayProcess(
+  path: string | undefined = process.env[SETTINGS_VARIABLE],
+): Promise<number> {
   if (path === undefined) {
     process.stderr.write(`${SETTINGS_VARIABLE} is not set\n`);
     return EXIT_BAD_SETTINGS;
--- a/src/platform/node_settings.ts
+++ b/src/platform/node_settings.ts
@@ -2,7 +2,8 @@
 import {readFileSync} from 'node:fs';
 import {parse} from 'smol-toml';
 import {Err, Ok, type Result} from 'ts-results';
-import type {GatewaySettings} from '../gateway';
+import type {Address, GatewaySettings} from '../gateway';
+import {collectKeyPositions} from '../settings/toml_positions';
 import {
   type Fields,
   listOf,
@@ -34,7 +35,7 @@
   path: string,
 ): Result<GatewaySettings, string> {
   try {
-    return Ok(createReader(path, parse(text)).readAll());
+    return Ok(createReader(path, text).readAll());
   } catch (error) {
     if (error instanceof SettingsFault) return Err(error.message);
     return Err(`${path}: ${error instanceof Error ? error.message : error}`);
@@ -43,59 +44,61 @@
 
 class SettingsFault extends Error {}
 
-function createReader(path: string, root: Fields) {
+function createReader(path: string, text: string) {
+  const root: Fields = parse(text);
   return {readAll};
 
   function readAll(): GatewaySettings {
-    const listen = getTable('listen');
     const ports = listOf(root['portRange']);
     const peerPort = tryNumber(ports[0]);
     if (peerPort === undefined) failAt('portRange', 'a list of two ports');
     return {
-      nodeName: getText(root, 'nodeName'),
-      host: getText(root, 'ip'),
-      failureDomain: getText(root, 'zone'),
-      callers: getAddress(listen, 'front'),
-      readiness: getAddress(listen, 'ready'),
-      control: getAddress(listen, 'control'),
+      nodeName: getText('nodeName'),
+      host: getText('ip'),
+      failureDomain: getText('zone'),
+      callers: getAddress('listen', 'front'),
+      readiness: getAddress('listen', 'ready'),
+      control: getAddress('listen', 'control'),
       peerPort,
       seeds: listOf(root['seeds']).flatMap(seed => trySplitAddress(seed) ?? []),
-      store: getAddress(getTable('platform'), 'address'),
-      bounds: readBounds(getTable('bounds')),
+      store: getAddress('platform', 'address'),
+      bounds: readBounds(),
       isFirstStart: root['bootstrap'] === true,
-      maxOpenFiles: getNumber(getTable('limits'), 'maxFds'),
+      maxOpenFiles: getNumber('limits', 'maxFds'),
     };
   }
 
-  function readBounds(bounds: Fields): GatewaySettings['bounds'] {
+  function readBounds(): GatewaySettings['bounds'] {
     return {
-      drainMs: getNumber(bounds, 'drainMs'),
-      shutdownMs: getNumber(bounds, 'graceS') * 1_000,
-      configApplyMs: getNumber(bounds, 'configApplyMs'),
-      leaseMs: getNumber(bounds, 'leaseMs'),
-      retryRatio: getNumber(bounds, 'budgetRatio'),
-      retryWindowMs: getNumber(bounds, 'budgetWindowS') * 1_000,
-      retrySlack: getNumber(bounds, 'budgetSlack'),
+      drainMs: getNumber('bounds', 'drainMs'),
+      shutdownMs: getNumber('bounds', 'graceS') * 1_000,
+      configApplyMs: getNumber('bounds', 'configApplyMs'),
+      leaseMs: getNumber('bounds', 'leaseMs'),
+      retryRatio: getNumber('bounds', 'budgetRatio'),
+      retryWindowMs: getNumber('bounds', 'budgetWindowS') * 1_000,
+      retrySlack: getNumber('bounds', 'budgetSlack'),
     };
   }
 
-  function getTable(key: string): Fields {
-    return tryFields(root[key]) ?? failAt(key, 'a table');
+  function getText(key: string): string {
+    return tryText(root[key]) ?? failAt(key, 'a text');
   }
 
-  function getText(table: Fields, key: string): string {
-    return tryText(table[key]) ?? failAt(key, 'a text');
+  function getNumber(table: string, key: string): number {
+    const value = tryNumber(tryFields(root[table])?.[key]);
+    return value ?? failAt(`${table}.${key}`, 'a number');
   }
 
-  function getNumber(table: Fields, key: string): number {
-    return tryNumber(table[key]) ?? failAt(key, 'a number');
-  }
-
-  function getAddress(table: Fields, key: string) {
-    return trySplitAddress(table[key]) ?? failAt(key, 'HOST:PORT');
+  function getAddress(table: string, key: string): Address {
+    const value = trySplitAddress(tryFields(root[table])?.[key]);
+    return value ?? failAt(`${table}.${key}`, 'HOST:PORT');
   }
 
+  /** Names the place of a key, or of its table when the key is missing. */
   function failAt(key: string, expected: string): never {
-    throw new SettingsFault(`${path}: key '${key}': expected ${expected}`);
+    const positions = collectKeyPositions(text);
+    const place = positions.get(key) ?? positions.get(key.split('.')[0]);
+    const at = place === undefined ? '' : `:${place.line}:${place.column}`;
+    throw new SettingsFault(`${path}${at}: key '${key}': expected ${expected}`);
   }
 }
--- a/src/platform/operator_config.ts
+++ b/src/platform/operator_config.ts
@@ -109,7 +109,7 @@
     // Here the field counts requests that run at once; an engine runs them as one batch.
     maxRunning: tryNumber(fields['maxBatch']) ?? 1,
     kvTokens: tryNumber(fields['kvTokens']) ?? 0,
-    kvTokenBytes: tryNumber(fields['kvTokenBytes']) ?? 0,
+    kvBytesPerToken: tryNumber(fields['kvTokenBytes']) ?? 0,
     linkMbps: tryNumber(fields['linkMbps']) ?? 0,
     stageChangeMs: (tryNumber(fields['switchS']) ?? 0) * 1_000,
     handleLifetimeMs: (tryNumber(fields['kvTtlS']) ?? 0) * 1_000,
--- a/test/gateway/placement.test.ts
+++ b/test/gateway/placement.test.ts
@@ -96,7 +96,7 @@
       engine: {
         maxRunning: 64,
         kvTokens: 450_000,
-        kvTokenBytes: 163_840,
+        kvBytesPerToken: 163_840,
         linkMbps: 1_600_000,
         stageChangeMs: 3_000,
         handleLifetimeMs: 5_000,
--- /dev/null
+++ b/test/platform/adapter.test.ts
@@ -0,0 +1,182 @@
+import assert from 'node:assert/strict';
+import {readdirSync, readFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {test} from 'node:test';
+import {createBackendProtocol, parseNodeSettings} from '../../src/platform';
+import {tryParseConfig} from '../../src/platform/operator_config';
+import {tryParseEntry} from '../../src/platform/server_entry';
+import {encodeKeyed, tryDecodeKeyed} from '../../src/platform/store_client';
+import {buildConfig} from './system';
+
+/** Names that only the platform's pages use. */
+const PLATFORM_NAMES =
+  /anvilstack-(?:token-count|prompt-prefix|request-urgency|kv-source|target-instance|response-seal|not-executed|stage)|log-(?:append|read|newest|join)|keyed\.(?:op|servers|status)|transferHandle|kvTokenBytes|pathPrefix'/i;
+const ADAPTER = join('src', 'platform');
+/** Largest part of the sources that may be the adapter. */
+const MAX_ADAPTER_PART = 0.1;
+
+function listSources(): string[] {
+  return readdirSync('src', {recursive: true, encoding: 'utf8'})
+    .filter(name => name.endsWith('.ts'))
+    .map(name => join('src', name));
+}
+
+function countLines(files: readonly string[]): number {
+  return files
+    .map(file => readFileSync(file, 'utf8').split('\n').length)
+    .reduce((sum, lines) => sum + lines, 0);
+}
+
+test("only the adapter knows the platform's names", () => {
+  const leaks = listSources()
+    .filter(file => !file.startsWith(ADAPTER))
+    .filter(file => PLATFORM_NAMES.test(readFileSync(file, 'utf8')));
+  assert.deepEqual(leaks, []);
+});
+
+test('the adapter is a small part of the sources', () => {
+  const sources = listSources();
+  const adapter = sources.filter(file => file.startsWith(ADAPTER));
+  assert.ok(countLines(adapter) < MAX_ADAPTER_PART * countLines(sources));
+});
+
+test('the adapter translates and decides nothing: it imports no decision code', () => {
+  const imports = listSources()
+    .filter(file => file.startsWith(ADAPTER))
+    .flatMap(file => [
+      ...readFileSync(file, 'utf8').matchAll(/from '(\.\.[^']*)'/g),
+    ])
+    .map(match => match[1]);
+  assert.deepEqual([...new Set(imports)].sort(), [
+    '../gateway',
+    '../settings/toml_positions',
+  ]);
+});
+
+test('faulty settings are named with file and key', () => {
+  const readFault = (text: string) => {
+    const result = parseNodeSettings(text, 'boot.toml');
+    return result.err ? result.val : 'none';
+  };
+  assert.equal(
+    readFault('nodeName = "n"\n'),
+    "boot.toml: key 'portRange': expected a list of two ports",
+  );
+  assert.equal(
+    readFault(
+      'nodeName = "n"\nip = "10.0.0.1"\nzone = "z"\nportRange = [1, 2]\n[listen]\nfront = "nowhere"\n',
+    ),
+    "boot.toml:6:1: key 'listen.front': expected HOST:PORT",
+  );
+  const syntax = parseNodeSettings('nodeName = \n', 'boot.toml');
+  assert.match(String(syntax.err && syntax.val), /^boot\.toml: /);
+});
+
+test('a configuration is decoded into routes, services and limits', () => {
+  const config = tryParseConfig(buildConfig(7));
+  assert.equal(config?.version, 7);
+  assert.deepEqual(
+    config?.routes.map(route => [
+      route.kind,
+      route.maxServers,
+      route.isResumable,
+    ]),
+    [
+      ['idempotent', 2, false],
+      ['non-idempotent', 1, false],
+      ['stream', 1, false],
+      ['stream', 2, true],
+    ],
+  );
+  assert.equal(config?.services[1].engine?.stageChangeMs, 1_000);
+});
+
+test('a route with several backends is split by their weights', () => {
+  const text = JSON.stringify({
+    version: 1,
+    routes: [
+      {
+        name: 'r',
+        host: 'H.example',
+        pathPrefix: '/r/',
+        routeType: 'stream',
+        backends: [
+          {service: 'a', weight: 90},
+          {service: 'b', weight: 10},
+        ],
+      },
+    ],
+  });
+  const route = tryParseConfig(text)?.routes[0];
+  assert.equal(route?.host, 'h.example');
+  assert.deepEqual(route?.services, [
+    {service: 'a', weight: 90},
+    {service: 'b', weight: 10},
+  ]);
+});
+
+test('entries of other writers name no server', () => {
+  const entry = {
+    service: 's',
+    address: '10.0.0.1:80',
+    zone: 'z',
+    state: 'ready',
+  };
+  const parse = (changes: object) =>
+    tryParseEntry('id', JSON.stringify({...entry, ...changes}));
+  assert.ok(parse({}) !== undefined);
+  const faults = [
+    {service: 7},
+    {address: 'nowhere'},
+    {address: '10.0.0.1:99999'},
+    {state: 'asleep'},
+    {zone: undefined},
+    {stage: 'other'},
+  ];
+  for (const fault of faults) assert.equal(parse(fault), undefined);
+  assert.equal(tryParseEntry('id', 'no json'), undefined);
+});
+
+test('records of keyed topics are decoded as they were encoded', () => {
+  assert.deepEqual(tryDecodeKeyed(encodeKeyed('k', 'value')), {
+    key: 'k',
+    value: 'value',
+  });
+  assert.deepEqual(tryDecodeKeyed(encodeKeyed('k', '')), {key: 'k'});
+  assert.equal(tryDecodeKeyed(Buffer.from([9, 1])), undefined);
+});
+
+test('headers of one connection and those of the system are not passed on', () => {
+  const protocol = createBackendProtocol();
+  const headers = protocol.buildHeaders(
+    [
+      'Host',
+      'h',
+      'Connection',
+      'close, X-Hop',
+      'X-Hop',
+      '1',
+      'Transfer-Encoding',
+      'chunked',
+      'Anvilstack-Pin-Ms',
+      '5',
+      'Anvilstack-Deadline-Ms',
+      '900',
+      'X-Kept',
+      '2',
+    ],
+    {deadlineMs: 500.7, serverId: 's', rank: 12},
+  );
+  assert.deepEqual(headers, [
+    'Host',
+    'h',
+    'X-Kept',
+    '2',
+    'Anvilstack-Deadline-Ms',
+    '500',
+    'Anvilstack-Target-Instance',
+    's',
+    'Anvilstack-Request-Urgency',
+    '9',
+  ]);
+});
