--- a/test/platform/system.ts
+++ b/test/platform/system.ts
@@ -1,5 +1,5 @@
 /** A whole system in one process: stand-ins of the platform and real gateways. */
-import {request as sendRequest} from 'node:http';
+import {type Agent, request as sendRequest} from 'node:http';
 import {type AddressInfo, createServer} from 'node:net';
 import {createLogger} from '../../src/diagnostics/log';
 import {createGateway, type Gateway} from '../../src/gateway';
@@ -27,6 +27,7 @@
   readonly parts?: string;
   readonly tokens?: string;
   readonly headers?: Readonly<Record<string, string>>;
+  readonly agent?: Agent;
   /** Leaves after this time, in milliseconds. */
   readonly leaveAfterMs?: number;
 }
@@ -181,7 +182,7 @@
 }
 
 /** Finds ports that nothing listens on. */
-async function findFreePorts(count: number): Promise<number[]> {
+export async function findFreePorts(count: number): Promise<number[]> {
   const servers = Array.from({length: count}, () => createServer());
   for (const server of servers) {
     await new Promise<void>(resolve => {
@@ -195,7 +196,8 @@
   return ports;
 }
 
-function buildSettings(
+/** Builds the settings file of a node; the ports are those for callers, readiness, control and peers. */
+export function buildSettings(
   name: string,
   ports: readonly number[],
   storePort: number,
@@ -242,7 +244,7 @@
         port,
         path: options.path,
         method: options.method ?? 'POST',
-        agent: false,
+        agent: options.agent ?? false,
         headers: {
           Host: 'desk.example',
           'Anvilstack-Request-Id': options.id ?? `request-${requestCount}`,
@@ -285,7 +287,8 @@
       });
     });
     if (options.leaveAfterMs !== undefined) {
-      setTimeout(() => request.destroy(), options.leaveAfterMs);
+      const timer = setTimeout(() => request.destroy(), options.leaveAfterMs);
+      request.on('close', () => clearTimeout(timer));
     }
     if (options.method === 'GET') request.end();
     else request.end(options.body ?? 'a prompt');
--- /dev/null
+++ b/test/soak/gateway_processes.ts
@@ -0,0 +1,96 @@
+/** Real gateway processes on loopback, started and ended by their ids. */
+import {type ChildProcess, spawn} from 'node:child_process';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {buildSettings, findFreePorts} from '../platform/system';
+
+/** Path of the program, as `node scripts/build_gateway.mjs` writes it. */
+const PROGRAM = 'target/anvilstack.cjs';
+
+/** One node; its process may be restarted. */
+export interface NodeProcess {
+  readonly name: string;
+  readonly callersPort: number;
+  readonly readyPort: number;
+  /** Counts the starts of the process. */
+  getIncarnation(): number;
+  signal(signal: NodeJS.Signals): void;
+  /** Resolves when the process is gone. */
+  waitForExit(): Promise<void>;
+  start(): void;
+  listLines(): readonly string[];
+}
+
+/** All nodes of a run. */
+export interface NodeProcesses {
+  readonly nodes: readonly NodeProcess[];
+  close(): Promise<void>;
+}
+
+/** Starts nodes that reach the store through a port. */
+export async function startNodeProcesses(
+  count: number,
+  storePort: number,
+): Promise<NodeProcesses> {
+  const folder = mkdtempSync(join(tmpdir(), 'anvilstack-soak-'));
+  const seeds: string[] = [];
+  const nodes: NodeProcess[] = [];
+  for (let index = 0; index < count; index++) {
+    const name = `front-${index + 1}`;
+    const ports = await findFreePorts(4);
+    const path = join(folder, `${name}.toml`);
+    writeFileSync(path, buildSettings(name, ports, storePort, seeds));
+    seeds.push(`127.0.0.1:${ports[2]}`);
+    nodes.push(createNode(name, path, ports));
+  }
+  for (const node of nodes) node.start();
+  return {
+    nodes,
+    close: async () => {
+      for (const node of nodes) node.signal('SIGKILL');
+      await Promise.all(nodes.map(node => node.waitForExit()));
+      rmSync(folder, {recursive: true});
+    },
+  };
+}
+
+function createNode(
+  name: string,
+  settingsPath: string,
+  ports: readonly number[],
+): NodeProcess {
+  let child: ChildProcess | undefined;
+  let incarnation = 0;
+  const lines: string[] = [];
+  return {
+    name,
+    callersPort: ports[0],
+    readyPort: ports[1],
+    getIncarnation: () => incarnation,
+    signal: signal => {
+      child?.kill(signal);
+    },
+    waitForExit: () =>
+      new Promise(resolve => {
+        const current = child;
+        if (current === undefined || hasEnded(current)) return resolve();
+        current.once('exit', () => resolve());
+      }),
+    start: () => {
+      incarnation++;
+      child = spawn(process.execPath, [PROGRAM], {
+        env: {PATH: process.env['PATH'], ANVILSTACK_NODE_FILE: settingsPath},
+        stdio: ['ignore', 'pipe', 'pipe'],
+      });
+      for (const stream of [child.stdout, child.stderr]) {
+        stream?.on('data', chunk => lines.push(String(chunk)));
+      }
+    },
+    listLines: () => lines,
+  };
+}
+
+function hasEnded(child: ChildProcess): boolean {
+  return child.exitCode !== null || child.signalCode !== null;
+}
--- /dev/null
+++ b/test/soak/schedule.ts
@@ -0,0 +1,107 @@
+/** Faults of a run, drawn from its seed. */
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import type {ServerFault} from '../platform/server_standin';
+import type {StoreFault} from '../platform/store_standin';
+import type {ProxyMode} from './tcp_proxy';
+
+/** One fault, from its start to its end. */
+export type Fault =
+  | {readonly kind: 'kill' | 'term' | 'pause'; readonly node: number}
+  | {readonly kind: 'kill-all'}
+  | {readonly kind: 'store'; readonly fault: StoreFault}
+  | {readonly kind: 'compact'}
+  | {readonly kind: 'proxy'; readonly mode: ProxyMode}
+  | {
+      readonly kind: 'server';
+      readonly server: number;
+      readonly fault: ServerFault;
+    }
+  | {readonly kind: 'drain'; readonly server: number}
+  | {readonly kind: 'config'};
+
+/** A fault with its time. */
+export interface TimedFault {
+  readonly atMs: number;
+  readonly forMs: number;
+  readonly fault: Fault;
+}
+
+/** Draws numbers; the same seed draws the same ones. */
+export type Draw = (below: number) => number;
+
+const STORE_FAULTS: StoreFault[] = [
+  'refusing',
+  'silent',
+  'lost-answers',
+  'expired',
+];
+const PROXY_MODES: ProxyMode[] = ['reset', 'silent', 'one-way', 'slow'];
+const SERVER_FAULTS: ServerFault[] = [
+  'error',
+  'full',
+  'reset',
+  'reset-midway',
+  'mute',
+  'other-id',
+  'no-seal',
+  'no-kv',
+];
+const MIN_FAULT_MS = 200;
+const MAX_FAULT_MS = 2_500;
+
+/** Creates a source of numbers below a bound. */
+export function createDraw(seed: number): Draw {
+  const generator = xoroshiro128plus(seed);
+  return below => uniformInt(generator, 0, below - 1);
+}
+
+/** Draws the faults of a run; they come in series and overlap. */
+export function buildSchedule(options: {
+  readonly draw: Draw;
+  readonly lengthMs: number;
+  readonly nodes: number;
+  readonly servers: number;
+}): TimedFault[] {
+  const {draw, lengthMs} = options;
+  const count = 4 + draw(9);
+  return Array.from({length: count}, () => ({
+    atMs: draw(lengthMs),
+    forMs: MIN_FAULT_MS + draw(MAX_FAULT_MS - MIN_FAULT_MS),
+    fault: createFault(options),
+  })).sort((left, right) => left.atMs - right.atMs);
+}
+
+function createFault(options: {
+  readonly draw: Draw;
+  readonly nodes: number;
+  readonly servers: number;
+}): Fault {
+  const {draw} = options;
+  const node = draw(options.nodes);
+  const server = draw(options.servers);
+  switch (draw(10)) {
+    case 0:
+      return {kind: 'kill', node};
+    case 1:
+      return {kind: 'term', node};
+    case 2:
+      return {kind: 'pause', node};
+    case 3:
+      return draw(2) === 0 ? {kind: 'kill-all'} : {kind: 'compact'};
+    case 4:
+      return {kind: 'store', fault: STORE_FAULTS[draw(STORE_FAULTS.length)]};
+    case 5:
+      return {kind: 'proxy', mode: PROXY_MODES[draw(PROXY_MODES.length)]};
+    case 6:
+      return {kind: 'drain', server};
+    case 7:
+      return {kind: 'config'};
+    default:
+      return {
+        kind: 'server',
+        server,
+        fault: SERVER_FAULTS[draw(SERVER_FAULTS.length)],
+      };
+  }
+}
--- /dev/null
+++ b/test/soak/soak.ts
@@ -0,0 +1,275 @@
+/** One run of the fault soak: real gateway processes, faults from outside, promises checked from both ends. */
+import {Agent} from 'node:http';
+import {
+  type ServerStandin,
+  startServerStandin,
+} from '../platform/server_standin';
+import {startStoreStandin, type StoreStandin} from '../platform/store_standin';
+import {buildConfig, sendAsCaller, waitUntil} from '../platform/system';
+import {
+  type NodeProcess,
+  type NodeProcesses,
+  startNodeProcesses,
+} from './gateway_processes';
+import {listBrokenPromises, type SoakRequest} from './ledger';
+import {buildSchedule, createDraw, type TimedFault} from './schedule';
+import {startTcpProxy, type TcpProxy} from './tcp_proxy';
+
+/** What a run found. */
+export interface SoakResult {
+  readonly seed: number;
+  readonly broken: readonly string[];
+  readonly requests: number;
+  readonly answered: number;
+  readonly schedule: readonly TimedFault[];
+  /** Lines of the nodes, for a run that broke a promise. */
+  readonly lines: readonly string[];
+}
+
+/** Options of a run. */
+export interface SoakOptions {
+  readonly seed: number;
+  readonly lengthMs?: number;
+  readonly nodes?: number;
+  readonly callers?: number;
+}
+
+const DEFAULT_LENGTH_MS = 6_000;
+const KINDS = ['look', 'order', 'ask', 'resume'] as const;
+/** Bound of the pages for a leaving server, and slack for timers of a busy machine, in milliseconds. */
+const DRAIN_MS = 2_000;
+const DRAIN_SLACK_MS = 500;
+/** Time within which all nodes serve again after the last fault, in milliseconds: the pages' bound for recovery. */
+const RECOVER_MS = 12_000;
+const DRAIN_LENGTH_MS = 4_500;
+/** Faults after which a node is out of touch, and for how long, in milliseconds. */
+const TOUCH_FAULTS = new Set([
+  'store',
+  'proxy',
+  'pause',
+  'kill',
+  'kill-all',
+  'term',
+]);
+const TOUCH_MS = 3_000;
+
+/** Runs the soak once. */
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+  const lengthMs = options.lengthMs ?? DEFAULT_LENGTH_MS;
+  const nodeCount = options.nodes ?? 4;
+  const draw = createDraw(options.seed);
+  const store = await startStoreStandin();
+  store.put('keyed.op', 'config', buildConfig(1));
+  const proxy = await startTcpProxy(store.port);
+  const servers = await startServers(store);
+  const processes = await startNodeProcesses(nodeCount, proxy.port);
+  const requests: SoakRequest[] = [];
+  const broken: string[] = [];
+  const world: World = {
+    store,
+    proxy,
+    servers,
+    processes,
+    broken,
+    version: 1,
+    schedule: [],
+    startedAt: 0,
+  };
+  await waitUntil('all nodes serve', () => canAllServe(processes), RECOVER_MS);
+  const schedule = buildSchedule({
+    draw,
+    lengthMs,
+    nodes: nodeCount,
+    servers: servers.length,
+  });
+  let isOver = false;
+  const callers = Array.from({length: options.callers ?? 12}, (_, index) =>
+    runCaller(index, processes.nodes, requests, draw, () => isOver),
+  );
+  const startedAt = performance.now();
+  Object.assign(world, {schedule, startedAt});
+  await Promise.all(schedule.map(timed => runFault(timed, startedAt, world)));
+  await sleep(Math.max(0, startedAt + lengthMs - performance.now()));
+  await waitUntil(
+    'all nodes serve again',
+    () => canAllServe(processes),
+    RECOVER_MS,
+  ).catch((error: Error) => broken.push(error.message));
+  isOver = true;
+  await Promise.all(callers);
+  broken.push(...listBrokenPromises(requests, servers));
+  const lines = processes.nodes.flatMap(node => node.listLines());
+  await processes.close();
+  for (const server of servers) server.close();
+  proxy.close();
+  store.close();
+  return {
+    seed: options.seed,
+    broken,
+    requests: requests.length,
+    answered: requests.filter(item => item.answer?.status === 200).length,
+    schedule,
+    lines: broken.length > 0 ? lines : [],
+  };
+}
+
+async function startServers(store: StoreStandin): Promise<ServerStandin[]> {
+  const plans = [
+    ...['app-1', 'app-2', 'app-3'].map(id => ({id, service: 'app'})),
+    ...['r-1', 'r-2'].map(id => ({
+      id,
+      service: 'llm',
+      stage: 'prefill' as const,
+    })),
+    ...['w-1', 'w-2', 'w-3'].map(id => ({
+      id,
+      service: 'llm',
+      stage: 'decode' as const,
+    })),
+  ];
+  return Promise.all(
+    plans.map(plan =>
+      startServerStandin({...plan, zone: 'a', store, workMs: 5}),
+    ),
+  );
+}
+
+interface World {
+  readonly store: StoreStandin;
+  readonly proxy: TcpProxy;
+  readonly servers: readonly ServerStandin[];
+  readonly processes: NodeProcesses;
+  readonly broken: string[];
+  version: number;
+  schedule: readonly TimedFault[];
+  startedAt: number;
+}
+
+async function runFault(
+  timed: TimedFault,
+  startedAt: number,
+  world: World,
+): Promise<void> {
+  await sleep(Math.max(0, startedAt + timed.atMs - performance.now()));
+  const {fault, forMs} = timed;
+  const {store, proxy, servers, processes} = world;
+  switch (fault.kind) {
+    case 'kill':
+    case 'term':
+      return replaceNode(processes.nodes[fault.node], fault.kind);
+    case 'kill-all':
+      await Promise.all(processes.nodes.map(node => replaceNode(node, 'kill')));
+      return;
+    case 'pause':
+      processes.nodes[fault.node].signal('SIGSTOP');
+      await sleep(forMs);
+      processes.nodes[fault.node].signal('SIGCONT');
+      return;
+    case 'store':
+      store.setFault(fault.fault);
+      await sleep(forMs);
+      store.setFault('none');
+      return;
+    case 'compact':
+      store.compact('keyed.servers');
+      store.compact('keyed.op');
+      return;
+    case 'proxy':
+      proxy.setMode(fault.mode);
+      await sleep(forMs);
+      proxy.setMode('pass');
+      return;
+    case 'server':
+      servers[fault.server].setFault(fault.fault);
+      await sleep(forMs);
+      servers[fault.server].setFault('none');
+      return;
+    case 'drain':
+      return drainServer(servers[fault.server], world);
+    case 'config':
+      world.version++;
+      store.put('keyed.op', 'config', buildConfig(world.version));
+      return;
+  }
+}
+
+/** The callers go on with their open connections until the process is gone. */
+async function replaceNode(
+  node: NodeProcess,
+  kind: 'kill' | 'term',
+): Promise<void> {
+  const incarnation = node.getIncarnation();
+  node.signal('SIGCONT');
+  node.signal(kind === 'kill' ? 'SIGKILL' : 'SIGTERM');
+  await node.waitForExit();
+  await sleep(100);
+  if (node.getIncarnation() === incarnation) node.start();
+}
+
+/** No request may reach a server later than the bound after it said that it leaves. */
+async function drainServer(server: ServerStandin, world: World): Promise<void> {
+  server.publish('draining');
+  await sleep(DRAIN_MS + DRAIN_SLACK_MS);
+  const before = server.runs.length;
+  await sleep(DRAIN_LENGTH_MS - DRAIN_MS - DRAIN_SLACK_MS);
+  const late = server.runs.slice(before).map(run => run.id);
+  const nowMs = performance.now() - world.startedAt;
+  if (late.length > 0 && !isOutOfTouch(world, nowMs - DRAIN_LENGTH_MS, nowMs)) {
+    world.broken.push(`${server.id} got ${late.join()} after it left`);
+  }
+  server.publish('ready');
+}
+
+/** The bound holds for nodes that ran and reached the store for some seconds before. */
+function isOutOfTouch(world: World, fromMs: number, toMs: number): boolean {
+  return world.schedule.some(
+    ({atMs, forMs, fault}) =>
+      TOUCH_FAULTS.has(fault.kind) &&
+      atMs < toMs &&
+      atMs + forMs + TOUCH_MS > fromMs,
+  );
+}
+
+async function runCaller(
+  index: number,
+  nodes: readonly NodeProcess[],
+  requests: SoakRequest[],
+  draw: (below: number) => number,
+  isOver: () => boolean,
+): Promise<void> {
+  const agent = new Agent({keepAlive: true, maxSockets: 1});
+  for (let count = 0; !isOver(); count++) {
+    const kind = KINDS[draw(KINDS.length)];
+    const node = nodes[draw(nodes.length)];
+    const id = `c${index}-${count}`;
+    const isModel = kind === 'ask' || kind === 'resume';
+    const place = requests.push({id, kind}) - 1;
+    const answer = await sendAsCaller(node.callersPort, {
+      path: `/${kind}/${id}`,
+      id,
+      agent,
+      leaveAfterMs: 4_000,
+      ...(isModel ? {tokens: '900,9', parts: `s${draw(5)}:600,${id}:300`} : {}),
+    }).catch(() => undefined);
+    if (answer !== undefined) requests[place] = {id, kind, answer};
+    await sleep(answer?.status === 200 ? 10 : 60);
+  }
+  agent.destroy();
+}
+
+async function canAllServe(processes: NodeProcesses): Promise<boolean> {
+  const answers = await Promise.all(
+    processes.nodes.map(async node => {
+      const ready = await fetch(
+        `http://127.0.0.1:${node.readyPort}/readyz`,
+      ).catch(() => undefined);
+      await ready?.text();
+      return ready?.status === 200;
+    }),
+  );
+  return answers.every(Boolean);
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, durationMs));
+}
