--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,7 +12,7 @@
 import {createFrontListener} from './front_listener';
 import {createGatewayMetrics} from './gateway_metrics';
 import {createHomeEngines} from './home_engines';
-import type {PeerMessage} from './peer_messages';
+import type {PeerMessage, ReadMessage} from './peer_messages';
 import {createPeers} from './peers';
 import {createPrefillBook} from './prefill_book';
 import {createPrefixDirectory} from './prefix_directory';
@@ -306,15 +306,7 @@
         prefixes.recordRead(message.serverId, message.parts);
         return;
       case 'read':
-        book.remove(message.jobId, nowMs);
-        if (message.isRead) health.recordSign(message.serverId);
-        if (message.ratio !== undefined) {
-          health.recordSuccess(message.serverId, message.ratio);
-        }
-        if (message.decodeId !== undefined) {
-          const untilMs = nowMs + (message.runMs ?? 0);
-          streams.add(message.decodeId, message.jobId, untilMs);
-        }
+        handleRead(message, nowMs);
         return;
       case 'ordered':
         stages.noteOrder(message.serverId, message.stage);
@@ -325,6 +317,20 @@
     }
   }
 
+  function handleRead(message: ReadMessage, nowMs: number): void {
+    const job = book.remove(message.jobId, nowMs);
+    if (!message.isRead) return;
+    health.recordSign(message.serverId);
+    if (message.ratio !== undefined) {
+      health.recordSuccess(message.serverId, message.ratio);
+    }
+    if (message.decodeId === undefined) return;
+    const untilMs = nowMs + (message.runMs ?? 0);
+    streams.add(message.decodeId, message.jobId, untilMs);
+    // The decode engine keeps what it has fetched like its own.
+    prefixes.recordRead(message.decodeId, job?.parts ?? []);
+  }
+
   function sendHello(node: NodeRecord, wantsReply: boolean): void {
     peers.send(node, {kind: 'hello', node: self, wantsReply});
   }
--- a/src/gateway/prefill_book.ts
+++ b/src/gateway/prefill_book.ts
@@ -1,18 +1,21 @@
 /** Prompts that are waiting or being read at each engine, from all nodes. */
 
+import type {PromptPart} from './types';
+
 /** A prompt that was sent to an engine. */
 export interface PrefillJob {
   readonly id: string;
   readonly serverId: string;
   /** Predicted time to read it, in milliseconds. */
   readonly costMs: number;
+  readonly parts: readonly PromptPart[];
 }
 
 /** Work ahead at each engine. */
 export interface PrefillBook {
   add(job: PrefillJob, nowMs: number): void;
-  /** Removes a job that ended; returns how long it was open, in milliseconds. */
-  remove(jobId: string, nowMs: number): number | undefined;
+  /** Removes a job that ended and returns it; undefined when it is not known. */
+  remove(jobId: string, nowMs: number): PrefillJob | undefined;
   /** Returns how long a new job would wait, in milliseconds: engines read in order of arrival. */
   getWaitMs(serverId: string, nowMs: number): number;
   /** Returns the number of open jobs at an engine. */
@@ -21,7 +24,6 @@
 }
 
 interface OpenJob extends PrefillJob {
-  readonly addedAtMs: number;
   /** When the job is dropped even though nobody said that it ended. */
   readonly expiresAtMs: number;
 }
@@ -60,14 +62,13 @@
     const waitMs = getWaitMs(job.serverId, nowMs);
     engine.jobs.set(job.id, {
       ...job,
-      addedAtMs: nowMs,
       expiresAtMs:
         nowMs + EXPIRY_FACTOR * (waitMs + job.costMs) + EXPIRY_SLACK_MS,
     });
     places.set(job.id, job.serverId);
   }
 
-  function remove(jobId: string, nowMs: number): number | undefined {
+  function remove(jobId: string, nowMs: number): PrefillJob | undefined {
     const serverId = places.get(jobId);
     const engine = serverId === undefined ? undefined : engines.get(serverId);
     const job = engine?.jobs.get(jobId);
@@ -75,7 +76,7 @@
     engine.jobs.delete(jobId);
     places.delete(jobId);
     engine.headStartMs = nowMs;
-    return nowMs - job.addedAtMs;
+    return job;
   }
 
   function getWaitMs(serverId: string, nowMs: number): number {
