Revert direct reads at decode engines

The split of the stream's flow into prefill_call, decode_call, stream_records and stream_admission stays.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -318,7 +318,7 @@
   }
 
   function handleRead(message: ReadMessage, nowMs: number): void {
-    const job = book.remove(message.jobId, nowMs);
+    book.remove(message.jobId, nowMs);
     if (!message.isRead) return;
     health.recordSign(message.serverId);
     if (message.ratio !== undefined) {
@@ -327,8 +327,6 @@
     if (message.decodeId === undefined) return;
     const untilMs = nowMs + (message.runMs ?? 0);
     streams.add(message.decodeId, message.jobId, untilMs);
-    // The decode engine keeps what it has fetched like its own.
-    prefixes.recordRead(message.decodeId, job?.parts ?? []);
   }
 
   function sendHello(node: NodeRecord, wantsReply: boolean): void {
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -64,53 +64,9 @@
 const REREAD_WEIGHT = 1;
 /** Part of the time to read a prompt by which its home may be worse than another engine. */
 const HOME_BONUS = 0.5;
-/** Time of the way to an engine and back, in milliseconds. */
-export const HOP_MS = 5;
-/** Longest read that a decode engine takes on besides its streams, in milliseconds: below the pause that callers bear. */
-const MAX_DIRECT_READ_MS = 120;
-/** What reading directly must gain, in milliseconds: it slows the streams of its engine. */
-const DIRECT_MARGIN_MS = 10;
 /** What one running stream adds to the choice of a decode engine, in milliseconds: transfers queue behind each other. */
 const STREAM_COST_MS = 2;
 
-/** Where a prompt is read. */
-export interface ReaderChoice {
-  /** True when a decode engine reads the prompt by itself. */
-  readonly isDirect: boolean;
-  readonly place: PrefillPlace;
-  /** Predicted time until the engine that generates has the whole prompt, in milliseconds. */
-  readonly predictedMs: number;
-}
-
-/**
- * Chooses between a prefill engine and a decode engine that reads by itself:
- * small prompts go directly while the prefill engines have work ahead.
- */
-export function tryChooseReader(
-  input: PlacementInput,
-  engine: EngineLimits,
-): ReaderChoice | undefined {
-  const prefill = tryChoosePrefill(input);
-  const direct = tryChooseDirect(input);
-  if (prefill === undefined) {
-    if (direct === undefined) return undefined;
-    return {isDirect: true, place: direct, predictedMs: computeEndMs(direct)};
-  }
-  const {promptTokens} = input.request;
-  const moveMs = computeTransferMs(promptTokens, engine, false) + HOP_MS;
-  const predictedMs = computeEndMs(prefill) + moveMs;
-  const isDirect =
-    direct !== undefined &&
-    direct.readMs <= MAX_DIRECT_READ_MS &&
-    computeEndMs(direct) + DIRECT_MARGIN_MS < predictedMs;
-  if (!isDirect) return {isDirect, place: prefill, predictedMs};
-  return {isDirect, place: direct, predictedMs: computeEndMs(direct)};
-}
-
-function computeEndMs(place: PrefillPlace): number {
-  return place.waitMs + place.readMs;
-}
-
 /** Returns the best place to read a prompt, or undefined when there is none. */
 export function tryChoosePrefill(
   input: PlacementInput,
--- a/src/gateway/prefill_book.ts
+++ b/src/gateway/prefill_book.ts
@@ -1,21 +1,18 @@
 /** Prompts that are waiting or being read at each engine, from all nodes. */
 
-import type {PromptPart} from './types';
-
 /** A prompt that was sent to an engine. */
 export interface PrefillJob {
   readonly id: string;
   readonly serverId: string;
   /** Predicted time to read it, in milliseconds. */
   readonly costMs: number;
-  readonly parts: readonly PromptPart[];
 }
 
 /** Work ahead at each engine. */
 export interface PrefillBook {
   add(job: PrefillJob, nowMs: number): void;
-  /** Removes a job that ended and returns it; undefined when it is not known. */
-  remove(jobId: string, nowMs: number): PrefillJob | undefined;
+  /** Removes a job that ended. */
+  remove(jobId: string, nowMs: number): void;
   /** Returns how long a new job would wait, in milliseconds: engines read in order of arrival. */
   getWaitMs(serverId: string, nowMs: number): number;
   /** Returns the number of open jobs at an engine. */
@@ -68,15 +65,14 @@
     places.set(job.id, job.serverId);
   }
 
-  function remove(jobId: string, nowMs: number): PrefillJob | undefined {
+  function remove(jobId: string, nowMs: number): void {
     const serverId = places.get(jobId);
     const engine = serverId === undefined ? undefined : engines.get(serverId);
     const job = engine?.jobs.get(jobId);
-    if (engine === undefined || job === undefined) return undefined;
+    if (engine === undefined || job === undefined) return;
     engine.jobs.delete(jobId);
     places.delete(jobId);
     engine.headStartMs = nowMs;
-    return job;
   }
 
   function getWaitMs(serverId: string, nowMs: number): number {
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -7,11 +7,11 @@
 import {type DecodeCall, startDecodeCall} from './decode_call';
 import type {FlowContext} from './flow_context';
 import {
-  HOP_MS,
   type PlacementInput,
   type PrefillPlace,
   tryChooseDecode,
-  tryChooseReader,
+  tryChooseDirect,
+  tryChoosePrefill,
 } from './placement';
 import {type PrefillCall, startPrefillCall} from './prefill_call';
 import type {RequestTask} from './request_task';
@@ -33,6 +33,8 @@
 const MAX_PREFILL_TRIES = 3;
 /** Most decode engines asked for one request, those that refused included. */
 const MAX_DECODE_TRIES = 3;
+/** Time of the way to an engine and back, in milliseconds. */
+const HOP_MS = 5;
 /** Shortest predicted read that says something about an engine's speed, in milliseconds. */
 const MIN_RATIO_MS = 40;
 
@@ -66,12 +68,15 @@
   start();
 
   function start(): void {
-    const choice = tryChooseReader(createInput(), engine);
-    if (choice === undefined) {
+    const input = createInput();
+    const prefill = tryChoosePrefill(input);
+    // A decode engine that reads by itself delays all of its streams.
+    const place = prefill ?? tryChooseDirect(input);
+    if (place === undefined) {
       task.fail(getVerdict(), 'no engine is available');
       return;
     }
-    const predictedMs = choice.predictedMs + FIRST_EVENT_OVERHEAD_MS;
+    const predictedMs = place.waitMs + place.readMs + FIRST_EVENT_OVERHEAD_MS;
     const patienceMs = getPatienceMs(route) - task.getElapsedMs();
     if (predictedMs > Math.min(patienceMs, task.getRemainingMs())) {
       task.log('refused: cannot be served in time', {predictedMs});
@@ -79,9 +84,9 @@
       task.fail(getVerdict(), 'engines are busy', retryAfterMs);
       return;
     }
-    records.recordPlaced(choice.place);
-    if (choice.isDirect) sendDecode(choice.place.server, choice.place);
-    else sendPrefill(choice.place);
+    records.recordPlaced(place);
+    if (prefill === undefined) sendDecode(place.server, place);
+    else sendPrefill(place);
   }
 
   function createInput(): PlacementInput {
--- a/src/gateway/stream_records.ts
+++ b/src/gateway/stream_records.ts
@@ -1,7 +1,7 @@
 /** Notes where the prompt of a request is read and who generates, and tells the other nodes. */
 import {computeTransferMs} from './engine_costs';
 import type {FlowContext} from './flow_context';
-import type {PrefillPlace} from './placement';
+import {listSharedParts, type PrefillPlace} from './placement';
 import type {EngineLimits, ModelRequest} from './types';
 
 /** Records of one request. */
@@ -32,7 +32,7 @@
   function recordPlaced(place: PrefillPlace): void {
     serverId = place.server.id;
     context.book.add(
-      {id: jobId, serverId, costMs: place.readMs, parts: model.parts},
+      {id: jobId, serverId, costMs: place.readMs},
       context.clock.getMonotonicMs(),
     );
     context.prefixes.recordRead(serverId, model.parts);
@@ -41,7 +41,7 @@
       jobId,
       serverId,
       costMs: Math.round(place.readMs),
-      parts: model.parts,
+      parts: listSharedParts(model),
     });
   }
 
@@ -51,7 +51,6 @@
     const runMs = computeRunMs();
     context.book.remove(jobId, nowMs);
     context.streams.add(decodeId, jobId, nowMs + runMs);
-    context.prefixes.recordRead(decodeId, model.parts);
     if (ratio !== undefined) context.health.recordSuccess(serverId, ratio);
     context.notifyPeers({
       kind: 'read',
