--- a/test/soak/gateway_processes.ts
+++ b/test/soak/gateway_processes.ts
@@ -45,6 +45,9 @@
     nodes.push(createNode(name, path, ports));
   }
   for (const node of nodes) node.start();
+  process.once('exit', () => {
+    for (const node of nodes) node.signal('SIGKILL');
+  });
   return {
     nodes,
     close: async () => {
