Let each planned change of a stage settle by itself

Now each change counts its own time. stage_control.test.ts fails on the earlier code ('0 orders in 6 s').

--- a/src/gateway/own_call.ts
+++ b/src/gateway/own_call.ts
@@ -1,6 +1,6 @@
 /** Calls of the gateway's own to backend servers, with short answers. */
 import type {Connections} from './connections';
-import type {Clock} from '../runtime/types';
+import type {Clock, Timer} from '../runtime/types';
 import type {BackendEntry, OwnCall} from './types';
 
 /** An answer to a call of the gateway's own. */
@@ -20,6 +20,7 @@
   return new Promise(resolve => {
     const chunks: Buffer[] = [];
     let status = 0;
+    let timer: Timer | undefined = undefined;
     const opened = connections.call({
       server,
       ...call,
@@ -32,13 +33,13 @@
         onFailure: () => settle(undefined),
       },
     });
-    const timer = clock.schedule(timeoutMs, () => {
+    timer = clock.schedule(timeoutMs, () => {
       opened.cancel();
       settle(undefined);
     });
 
     function settle(answer: OwnAnswer | undefined): void {
-      timer.cancel();
+      timer?.cancel();
       resolve(answer);
     }
   });
--- a/src/gateway/stage_control.ts
+++ b/src/gateway/stage_control.ts
@@ -64,8 +64,8 @@
   const {state, clock, logger} = options;
   const orders = new Map<string, {stage: EngineStage; atMs: number}>();
   const startedAtMs = clock.getMonotonicMs();
-  let plannedSinceMs: number | undefined;
-  let plannedKey = '';
+  /** When each planned change was first seen. */
+  const plannedSinceMs = new Map<string, number>();
   let isActing = false;
   let pausedUntilMs = 0;
   let timer: Timer | undefined;
@@ -84,20 +84,33 @@
     const nowMs = clock.getMonotonicMs();
     expireOrders(nowMs);
     const plans = listPlans();
-    const key = plans.map(formatPlan).join(' ');
-    if (key !== plannedKey) {
-      plannedKey = key;
-      plannedSinceMs = nowMs;
-    }
     const changes = plans.flatMap(plan => plan.changes);
-    if (changes.length === 0 || nowMs < pausedUntilMs) return;
-    if (nowMs - (plannedSinceMs ?? nowMs) < getDelayMs()) return;
+    const due = listSettled(changes, nowMs);
+    if (due.length === 0 || nowMs < pausedUntilMs) return;
     isActing = true;
-    void applyChanges(changes).finally(() => {
+    void applyChanges(due, plans).finally(() => {
       isActing = false;
     });
   }
 
+  /** Lists the changes that have been planned for long enough, each by itself. */
+  function listSettled(
+    changes: readonly StageChange[],
+    nowMs: number,
+  ): StageChange[] {
+    const keys = new Set(changes.map(formatChange));
+    for (const key of plannedSinceMs.keys()) {
+      if (!keys.has(key)) plannedSinceMs.delete(key);
+    }
+    const delayMs = getDelayMs();
+    return changes.filter(change => {
+      const key = formatChange(change);
+      const sinceMs = plannedSinceMs.get(key) ?? nowMs;
+      plannedSinceMs.set(key, sinceMs);
+      return nowMs - sinceMs >= delayMs;
+    });
+  }
+
   function listPlans(): StagePlan[] {
     const services = state.getConfig()?.services ?? [];
     return services
@@ -127,7 +140,10 @@
     return (isStarting() ? SETTLE_MS : SERVING_SETTLE_MS) + nodeDelayMs;
   }
 
-  async function applyChanges(changes: readonly StageChange[]): Promise<void> {
+  async function applyChanges(
+    changes: readonly StageChange[],
+    plans: readonly StagePlan[],
+  ): Promise<void> {
     const grant = await options.authority.tryTake();
     if (grant.err) {
       pausedUntilMs = clock.getMonotonicMs() + DENIED_PAUSE_MS;
@@ -139,7 +155,7 @@
     }
     logger.log('info', 'authority over stages was granted', {
       fencingNumber: grant.val.fencingNumber,
-      plan: plannedKey,
+      plan: plans.map(formatPlan).join(' '),
     });
     await Promise.all(changes.map(change => sendOrder(change, grant.val)));
   }
@@ -218,7 +234,11 @@
   }
 }
 
+function formatChange({server, stage}: StageChange): string {
+  return `${server.id}>${stage}`;
+}
+
 function formatPlan(plan: StagePlan): string {
-  const ids = plan.changes.map(({server, stage}) => `${server.id}>${stage}`);
+  const ids = plan.changes.map(formatChange);
   return `decode ${plan.presentDecode}/${plan.wantedDecode} ${ids.join(',')}`;
 }
--- /dev/null
+++ b/test/gateway/stage_control.test.ts
@@ -0,0 +1,139 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {Ok} from 'ts-results';
+import type {Logger} from '../../src/diagnostics/log';
+import type {BackendCall, Connections} from '../../src/gateway/connections';
+import {createFleetState} from '../../src/gateway/fleet_state';
+import {createStageControl} from '../../src/gateway/stage_control';
+import {
+  type BackendProtocol,
+  EngineStage,
+  type GatewayConfig,
+  type StageOrder,
+} from '../../src/gateway/types';
+import {createVirtualClock} from '../../src/runtime';
+import {createEntry} from './support';
+
+const SILENT: Logger = {
+  log: () => undefined,
+  setLevel: () => undefined,
+  getLevel: () => 'info',
+  createChild: () => SILENT,
+};
+const CONFIG: GatewayConfig = {
+  version: 1,
+  routes: [],
+  services: [
+    {
+      name: 'llm',
+      healthPath: '/',
+      maxConnections: 10,
+      engine: {
+        maxRunning: 64,
+        kvTokens: 1,
+        kvBytesPerToken: 1,
+        linkMbps: 1,
+        stageChangeMs: 3_000,
+        handleLifetimeMs: 5_000,
+      },
+    },
+  ],
+  limits: {
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  },
+};
+
+/** A control whose engines answer each call at once. */
+function createControl(nodesBefore = 0) {
+  const clock = createVirtualClock();
+  const state = createFleetState();
+  const orders: Array<{serverId: string; atMs: number}> = [];
+  state.applyConfig(CONFIG);
+  const connections = {
+    call: ({handler}: BackendCall) => {
+      handler.onAnswer(200, []);
+      handler.onEnd();
+      return {cancel: () => undefined};
+    },
+  } as unknown as Connections;
+  const protocol = {
+    buildReport: () => ({method: 'GET', path: '/', headers: []}),
+    parseReport: () => ({isBusy: false, acceptedOrders: 0}),
+    buildStageOrder: (order: StageOrder) => {
+      orders.push({serverId: order.serverId, atMs: clock.getMonotonicMs()});
+      return {method: 'POST', path: '/', headers: []};
+    },
+  } as unknown as BackendProtocol;
+  const control = createStageControl({
+    nodeName: 'n1',
+    state,
+    authority: {
+      tryTake: async () => Ok({fencingNumber: 1, isValid: () => true}),
+    },
+    connections,
+    protocol,
+    clock,
+    logger: SILENT,
+    countNodesBefore: () => nodesBefore,
+    isCurrent: () => true,
+    onOrder: () => undefined,
+  });
+  const addEngine = (id: string, stage: EngineStage) => {
+    const entry = createEntry({id, service: 'llm', stage});
+    state.applyChanges([{id, entry}], clock.getMonotonicMs());
+  };
+  return {clock, control, addEngine, orders};
+}
+
+function addFleet(addEngine: (id: string, stage: EngineStage) => void): void {
+  for (let index = 0; index < 9; index++) {
+    addEngine(`p${index}`, EngineStage.Prefill);
+  }
+  for (const id of ['d0', 'd1', 'd2']) addEngine(id, EngineStage.Decode);
+}
+
+test('engines that come one after another are changed without waiting for the last', async () => {
+  const {clock, control, addEngine, orders} = createControl();
+  addFleet(addEngine);
+  control.start();
+  await clock.advance(12_000);
+  assert.deepEqual(orders, []);
+  for (let index = 0; index < 6; index++) {
+    addEngine(`x${index}`, EngineStage.Decode);
+    await clock.advance(1_000);
+  }
+  assert.ok(orders.length >= 2, `${orders.length} orders in 6 s`);
+  control.stop();
+});
+
+test('an engine that leaves again at once causes no order', async () => {
+  const {clock, control, addEngine, orders} = createControl();
+  addFleet(addEngine);
+  control.start();
+  await clock.advance(12_000);
+  addEngine('x', EngineStage.Decode);
+  await clock.advance(1_500);
+  addEngine('x', EngineStage.Prefill);
+  await clock.advance(5_000);
+  assert.deepEqual(orders, []);
+  control.stop();
+});
+
+test('a node gives orders later than the nodes before it', async () => {
+  const early = createControl(0);
+  const late = createControl(3);
+  for (const {addEngine, control} of [early, late]) {
+    addFleet(addEngine);
+    addEngine('x', EngineStage.Decode);
+    addEngine('y', EngineStage.Decode);
+    control.start();
+  }
+  await early.clock.advance(8_000);
+  await late.clock.advance(8_000);
+  assert.ok(early.orders[0].atMs + 2_000 <= late.orders[0].atMs);
+  early.control.stop();
+  late.control.stop();
+});
