--- a/src/gateway/flow_context.ts
+++ b/src/gateway/flow_context.ts
@@ -11,7 +11,6 @@
 import type {PrefixDirectory} from './prefix_directory';
 import type {HealthBook} from './server_health';
 import type {StreamCounts} from './stream_counts';
-import type {TransferSpeeds} from './transfer_speeds';
 import type {BackendProtocol} from './types';
 
 /** What the flows of requests use. */
@@ -28,7 +27,6 @@
   readonly homes: HomeEngines;
   readonly isHomeWarm: boolean;
   readonly streams: StreamCounts;
-  readonly transfers: TransferSpeeds;
   /** True while an engine is on its way to another stage. */
   readonly isChanging: (serverId: string) => boolean;
   readonly getRandom: () => number;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -27,7 +27,6 @@
 import {createStoreFollower} from './store_follower';
 import {createStreamCounts} from './stream_counts';
 import {runStreamFlow} from './stream_flow';
-import {createTransferSpeeds} from './transfer_speeds';
 import {
   type BackendProtocol,
   type EntryChange,
@@ -99,7 +98,6 @@
   const book = createPrefillBook();
   const streams = createStreamCounts();
   const loads = createServiceLoads();
-  const transfers = createTransferSpeeds();
   const prefixes = createPrefixDirectory(getKvTokens);
   const budgets = new Map<string, RetryBudget>();
   const peers = createPeers({self, logger, onMessage: handleMessage});
@@ -157,7 +155,6 @@
     homes: createHomeEngines(),
     isHomeWarm: !settings.isFirstStart,
     streams,
-    transfers,
     isChanging: stages.isChanging,
     getRandom,
     getBudget,
@@ -382,7 +379,6 @@
       prefixes.remove(id);
       book.removeServer(id);
       streams.removeServer(id);
-      transfers.remove(id);
       health.remove(id);
       loads.remove(id);
     }
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -37,9 +37,6 @@
   readonly book: PrefillBook;
   readonly prefixes: PrefixDirectory;
   readonly homes: HomeEngines;
-  readonly engine: EngineLimits;
-  /** Slowdown of transfers from an engine. */
-  readonly getSlowdownFrom: (serverId: string) => number;
   readonly path: PathView;
   /** True when parts that no node knows of may be kept at their homes: the nodes have restarted, the engines not. */
   readonly isHomeWarm: boolean;
@@ -53,8 +50,6 @@
   readonly engines: readonly BackendEntry[];
   readonly engine: EngineLimits;
   readonly tokens: number;
-  /** Slowdown of transfers to an engine. */
-  readonly getSlowdownTo: (serverId: string) => number;
   /** Failure domain of the engine that holds the KV cache. */
   readonly sourceDomain: string | undefined;
   readonly path: PathView;
@@ -146,11 +141,7 @@
   const lostTokens = Math.max(0, againTokens - place.cachedTokens);
   const againMs = computeReadMs(lostTokens, 0) * REREAD_WEIGHT;
   const pathMs = computePathMs(place.server, input.path);
-  const {promptTokens} = input.request;
-  const moveMs =
-    computeTransferMs(promptTokens, input.engine, false) *
-    input.getSlowdownFrom(place.server.id);
-  return place.waitMs + place.readMs + againMs + pathMs + moveMs;
+  return place.waitMs + place.readMs + againMs + pathMs;
 }
 
 /** Lists the parts of a prompt that other requests may share. */
@@ -167,9 +158,7 @@
     const isCross =
       input.sourceDomain !== undefined &&
       server.failureDomain !== input.sourceDomain;
-    const transferMs =
-      computeTransferMs(input.tokens, input.engine, isCross) *
-      input.getSlowdownTo(server.id);
+    const transferMs = computeTransferMs(input.tokens, input.engine, isCross);
     const pathMs = computePathMs(server, input.path);
     const streams = input.countStreams(server.id);
     const score =
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -4,7 +4,6 @@
  */
 import {Verdict} from '../verdict';
 import {createSplitterFor} from './answer_relay';
-import {computeTransferMs} from './engine_costs';
 import {type DecodeCall, startDecodeCall} from './decode_call';
 import type {FlowContext} from './flow_context';
 import {
@@ -97,8 +96,6 @@
       book: context.book,
       prefixes: context.prefixes,
       homes: context.homes,
-      engine,
-      getSlowdownFrom: context.transfers.getFrom,
       path: context.path,
       isHomeWarm: context.isHomeWarm,
       getSlowdown: health.getSlowdown,
@@ -204,7 +201,6 @@
       engine,
       tokens: model.promptTokens,
       sourceDomain,
-      getSlowdownTo: context.transfers.getTo,
       path: context.path,
       countStreams: serverId => context.streams.count(serverId, nowMs),
     });
@@ -212,7 +208,6 @@
 
   /** Sends the request to a decode engine; `direct` when it reads the prompt by itself. */
   function sendDecode(server: BackendEntry, direct?: PrefillPlace): void {
-    const sentAtMs = clock.getMonotonicMs();
     decodeTries++;
     runCount++;
     task.log('sent to decode engine', {
@@ -233,7 +228,6 @@
       ...(splitter === undefined ? {} : {splitter}),
       canRunAgain,
       onHead: () => {
-        recordTransfer(server, clock.getMonotonicMs() - sentAtMs);
         // The KV cache was fetched, or the prompt was read.
         kv = undefined;
         records.recordRead(server.id);
@@ -247,15 +241,6 @@
     });
   }
 
-  function recordTransfer(target: BackendEntry, observedMs: number): void {
-    if (kv === undefined) return;
-    const source = context.state.tryGetUsable(kv.serverId);
-    const isCross = source?.failureDomain !== target.failureDomain;
-    const {promptTokens} = model;
-    const expectedMs = computeTransferMs(promptTokens, engine, isCross);
-    context.transfers.record(kv.serverId, target.id, observedMs, expectedMs);
-  }
-
   function handleDecodeFailure(
     server: BackendEntry,
     failure: CallFailure,
