Give the long answer of the cancellation test a deadline that fits it

Cause: its answer of 2,000 tokens takes about 27 s on an idle machine and the default deadline is 30 s, so beside load (10 busy processes: predicted 31.9 s) the node rightly refuses it as too long, and the test never gets to the cancellation. The request now states a deadline of 300 s; every check stays.

--- a/test/node/promises.test.ts
+++ b/test/node/promises.test.ts
@@ -1,7 +1,6 @@
 /** What must always hold, brought about end to end on real sockets. */
 import assert from 'node:assert/strict';
 import {after, before, test} from 'node:test';
-import {readFileSync} from 'node:fs';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Cluster} from '../../src/demo';
 import {
@@ -115,21 +114,19 @@
 
 /** Longest wait for a request to reach an engine, in milliseconds: many times the usual on a busy machine. */
 const BEGIN_LIMIT_MS = 30_000;
+/** Deadline that a long answer meets on a slow machine too, in milliseconds: its 2,000 tokens take 27 s on an idle one. */
+const LONG_DEADLINE_MS = 300_000;
 
-const CANCELLED_TITLE =
-  'an answer that nobody waits for is cancelled at the engine';
-/** A test listed in KNOWN-RED.txt runs and is printed; it does not fail the run. */
-const isCancelledKnownRed = readFileSync('KNOWN-RED.txt', 'utf8').includes(
-  CANCELLED_TITLE,
-);
-
-test(CANCELLED_TITLE, {todo: isCancelledKnownRed}, async () => {
+test('an answer that nobody waits for is cancelled at the engine', async () => {
   const [node] = cluster.nodes;
   for (const stream of [true, false]) {
     const abort = new AbortController();
     const answer = fetch(`${node.callerAddress}/v1/completions`, {
       method: 'POST',
-      headers: {authorization: `Bearer ${TEST_API_KEY}`},
+      headers: {
+        authorization: `Bearer ${TEST_API_KEY}`,
+        'anvilstack-deadline-ms': String(LONG_DEADLINE_MS),
+      },
       body: JSON.stringify({
         model: 'small',
         prompt: 'x',
