Read what a node lacks from the store instead of from the one that reads for it

Shown by its logs: in a storm of configurations at 20.5 s, 11 of 106 nodes had version 19 within 0.7 s, 1 had version 29; the reader stood still for 3 s and sent on requests whose callers had left. Ruled out: slow reads of the store (0.02 s) and lost datagrams (nodes heard of each version).

A node that lacks a version or entries now reads the records from its own offset; one that the store does not answer within 250 ms asks a node of its failure domain, then the reader. The follower is split into records, reads and loading.

Ports of tests come from below the range of outgoing connections: a test failed once with EADDRINUSE, as a node's connection to the store had taken the port of the next node.

--- a/src/gateway/control_listener.ts
+++ b/src/gateway/control_listener.ts
@@ -1,10 +1,8 @@
 /** Listeners for the balancer's readiness checks, for other nodes and for metrics. */
 import {createServer, type Server} from 'node:http';
 import type {Address} from './settings';
-import type {Snapshot} from './store_follower';
+import {SNAPSHOT_PATH, type Snapshot, trimSnapshot} from './snapshot';
 
-/** Path of the snapshot for other nodes. */
-export const SNAPSHOT_PATH = '/snapshot';
 const METRICS_PATH = '/metrics';
 const READY_PATH = '/readyz';
 
@@ -40,13 +38,13 @@
       ? {status: 200, type: 'text/plain', body: 'ready\n'}
       : {status: 503, type: 'text/plain', body: 'not ready\n'};
   });
-  const control = createAnswerer(path => {
+  const control = createAnswerer((path, query) => {
     switch (path) {
       case SNAPSHOT_PATH:
         return {
           status: 200,
           type: 'application/json',
-          body: JSON.stringify(options.getSnapshot()),
+          body: JSON.stringify(trimSnapshot(options.getSnapshot(), query)),
         };
       case METRICS_PATH:
         return {
@@ -75,11 +73,12 @@
 }
 
 function createAnswerer(
-  getAnswer: (path: string) => Answer | undefined,
+  getAnswer: (path: string, query: URLSearchParams) => Answer | undefined,
 ): Server {
   return createServer((request, response) => {
     request.resume();
-    const answer = getAnswer(request.url ?? '') ?? {
+    const [path, query] = (request.url ?? '').split('?', 2);
+    const answer = getAnswer(path, new URLSearchParams(query)) ?? {
       status: 404,
       type: 'text/plain',
       body: 'not found\n',
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -112,12 +112,14 @@
   });
   const follower = createStoreFollower({
     nodeName: self.name,
+    failureDomain: self.failureDomain,
     store,
     state,
     peers,
     clock,
     logger,
     fetchSnapshot: loadSnapshot,
+    getRandom,
     onChange: handleFleetChange,
   });
   const stages = createStageControl({
@@ -171,7 +173,10 @@
     readiness: settings.readiness,
     control: settings.control,
     isReady,
-    getSnapshot: follower.getSnapshot,
+    getSnapshot: () => ({
+      ...follower.getSnapshot(),
+      nodes: [self, ...peers.list()],
+    }),
     renderMetrics: metrics.render,
   });
   let isStopping = false;
@@ -340,24 +345,30 @@
         store.registerNode(self),
         store.listNodes(),
       ]);
-      if (listed.ok) {
-        for (const node of listed.val) peers.add(node);
-        for (const node of peers.list()) sendHello(node, true);
-      }
+      if (listed.ok) addNodes(listed.val);
       if (registered.ok && listed.ok) return;
       await clock.sleep(REGISTER_INTERVAL_MS);
     }
   }
 
-  async function loadSnapshot(nodeName?: string) {
+  /** Says hello to nodes that were not known, so that they tell this one what changes. */
+  function addNodes(nodes: readonly NodeRecord[]): void {
+    for (const node of nodes) {
+      if (peers.add(node)) sendHello(node, true);
+    }
+  }
+
+  async function loadSnapshot(knownVersion: number, nodeName?: string) {
     const node = nodeName === undefined ? undefined : peers.tryFind(nodeName);
     const addresses =
       node === undefined
         ? settings.seeds.filter(seed => !isSelf(seed))
         : [{host: node.host, port: node.controlPort}];
     for (const address of addresses) {
-      const snapshot = await tryFetchSnapshot(address);
-      if (snapshot !== undefined) return snapshot;
+      const snapshot = await tryFetchSnapshot(address, knownVersion);
+      if (snapshot === undefined) continue;
+      addNodes(snapshot.nodes ?? []);
+      return snapshot;
     }
     return undefined;
   }
--- /dev/null
+++ b/src/gateway/known_records.ts
@@ -0,0 +1,177 @@
+/** What a node knows of the store's records, and up to which offset. */
+import type {Logger} from '../diagnostics/log';
+import type {Clock} from '../runtime/types';
+import type {FleetState} from './fleet_state';
+import type {StateMessage} from './peer_messages';
+import type {Snapshot} from './snapshot';
+import type {BackendEntry, EntryChange, GatewayConfig} from './types';
+
+/** The records of the configuration and of the backend servers that a node knows. */
+export interface KnownRecords {
+  /** Version of the configuration in force; 0 when there is none. */
+  getVersion(): number;
+  /** Offset up to which every record of configurations is known; negative before the first read. */
+  getConfigOffset(): number;
+  /** Offset up to which every record of servers is known; negative before the first read. */
+  getEntryOffset(): number;
+  /** Takes what was read of the configuration's records up to an offset. */
+  addConfig(config: GatewayConfig | undefined, nextOffset: number): void;
+  /** Takes what was read of the servers' records up to an offset. */
+  addEntries(
+    changes: readonly EntryChange[],
+    nextOffset: number,
+    isWhole: boolean,
+  ): void;
+  /** Takes what a reading node tells; returns true when the list of servers is as that node has it. */
+  addMessage(message: StateMessage, isReading: boolean): boolean;
+  /** Takes what another node knows; returns true when its list is no older than this node's. */
+  addSnapshot(snapshot: Snapshot): boolean;
+  isConfigBehind(): boolean;
+  isListBehind(): boolean;
+  /** Has the newest configuration loaded by its key instead of read on from an offset. */
+  resetConfigOffset(): void;
+  /** Lists the latest changes of servers, oldest first. */
+  listRecentChanges(): readonly EntryChange[];
+  getSnapshot(ageMs: number): Snapshot;
+}
+
+/** Options of the records. */
+export interface KnownRecordsOptions {
+  readonly state: FleetState;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Called with each change of the servers or the configuration. */
+  readonly onChange: (
+    changes: readonly EntryChange[],
+    isConfigNew: boolean,
+  ) => void;
+}
+
+/** How long a change is repeated to the other nodes, in milliseconds: three polls. */
+const REPEAT_MS = 1_600;
+/** Size of the changes in one message, in bytes, so that it fits a datagram with the rest. */
+const MAX_CHANGE_BYTES = 1_000;
+
+/** Creates records of which none is known. */
+export function createKnownRecords(options: KnownRecordsOptions): KnownRecords {
+  const {state, clock, logger} = options;
+  let configOffset = -1;
+  let entryOffset = -1;
+  /** The newest that a reading node told of. */
+  const heard = {configVersion: 0, entryOffset: -1};
+  let recent: Array<{change: EntryChange; atMs: number}> = [];
+  return {
+    getVersion,
+    getConfigOffset: () => configOffset,
+    getEntryOffset: () => entryOffset,
+    addConfig,
+    addEntries,
+    addMessage,
+    addSnapshot,
+    isConfigBehind: () => getVersion() < heard.configVersion,
+    isListBehind: () => entryOffset < heard.entryOffset,
+    resetConfigOffset: () => {
+      configOffset = -1;
+    },
+    listRecentChanges,
+    getSnapshot: ageMs => {
+      const config = state.getConfig();
+      return {
+        ...(config === undefined ? {} : {config}),
+        configOffset,
+        entries: state.listEntries(),
+        entryOffset,
+        ageMs,
+      };
+    },
+  };
+
+  function getVersion(): number {
+    return state.getConfig()?.version ?? 0;
+  }
+
+  function addConfig(
+    config: GatewayConfig | undefined,
+    nextOffset: number,
+  ): void {
+    configOffset = Math.max(configOffset, nextOffset);
+    if (config === undefined || !state.applyConfig(config)) return;
+    logger.log('info', 'configuration is in force', {
+      version: config.version,
+      configOffset,
+      routes: config.routes.length,
+    });
+    options.onChange([], true);
+  }
+
+  function addEntries(
+    changes: readonly EntryChange[],
+    nextOffset: number,
+    isWhole: boolean,
+  ): void {
+    applyChanges(changes, isWhole);
+    entryOffset = Math.max(entryOffset, nextOffset);
+  }
+
+  function applyChanges(
+    changes: readonly EntryChange[],
+    isWhole: boolean,
+  ): void {
+    const nowMs = clock.getMonotonicMs();
+    const different = isWhole
+      ? state.replaceEntries(changes, nowMs)
+      : state.applyChanges(changes, nowMs);
+    if (different.length === 0) return;
+    recent.push(...different.map(change => ({change, atMs: nowMs})));
+    logger.log('info', 'backend servers changed', {
+      entryOffset,
+      changes: different.map(({id, entry}) => formatChange(id, entry)),
+    });
+    options.onChange(different, false);
+  }
+
+  function addMessage(message: StateMessage, isReading: boolean): boolean {
+    heard.configVersion = Math.max(heard.configVersion, message.configVersion);
+    if (getVersion() >= message.configVersion) {
+      configOffset = Math.max(configOffset, message.configOffset);
+    }
+    // This node has read on by itself since.
+    if (message.entryOffset < entryOffset) return false;
+    heard.entryOffset = Math.max(heard.entryOffset, message.entryOffset);
+    if (!isReading) applyChanges(message.changes, false);
+    const isSameList = message.digest === state.getDigest();
+    if (isSameList) entryOffset = message.entryOffset;
+    // The same records and another list: only the whole list tells what is right.
+    else if (!isReading && entryOffset === message.entryOffset) {
+      entryOffset = -1;
+    }
+    return isSameList;
+  }
+
+  function listRecentChanges(): readonly EntryChange[] {
+    const sinceMs = clock.getMonotonicMs() - REPEAT_MS;
+    recent = recent.filter(item => item.atMs > sinceMs);
+    let bytes = 0;
+    let index = recent.length;
+    while (index > 0) {
+      bytes += JSON.stringify(recent[index - 1].change).length;
+      if (bytes > MAX_CHANGE_BYTES) break;
+      index--;
+    }
+    return recent.slice(index).map(item => item.change);
+  }
+
+  function addSnapshot(snapshot: Snapshot): boolean {
+    addConfig(snapshot.config, snapshot.configOffset);
+    if (snapshot.entryOffset < entryOffset) return false;
+    const changes = snapshot.entries.map(entry => ({id: entry.id, entry}));
+    addEntries(changes, snapshot.entryOffset, true);
+    return true;
+  }
+}
+
+function formatChange(id: string, entry: BackendEntry | undefined): string {
+  if (entry === undefined) return `${id} gone`;
+  const stage = entry.stage === undefined ? '' : ` ${entry.stage}`;
+  return `${id} ${entry.isLeaving ? 'leaving' : 'ready'}${stage}`;
+}
--- a/src/gateway/snapshot_client.ts
+++ b/src/gateway/snapshot_client.ts
@@ -1,15 +1,15 @@
 /** Fetches what other nodes know. */
 import {Client} from 'undici';
 import type {Address} from './settings';
-import {SNAPSHOT_PATH} from './control_listener';
-import type {Snapshot} from './store_follower';
+import {buildSnapshotPath, type Snapshot} from './snapshot';
 
 /** Longest wait for another node, in milliseconds: many round trips, well below a takeover. */
 const SNAPSHOT_TIMEOUT_MS = 400;
 
-/** Fetches the snapshot of a node; undefined when it does not answer or knows no configuration. */
+/** Fetches the snapshot of a node; undefined when it does not answer or no side knows a configuration. */
 export async function tryFetchSnapshot(
   address: Address,
+  knownVersion: number,
 ): Promise<Snapshot | undefined> {
   const client = new Client(`http://${address.host}:${address.port}`, {
     connect: {timeout: SNAPSHOT_TIMEOUT_MS},
@@ -17,11 +17,12 @@
   try {
     const response = await client.request({
       method: 'GET',
-      path: SNAPSHOT_PATH,
+      path: buildSnapshotPath(knownVersion),
       signal: AbortSignal.timeout(SNAPSHOT_TIMEOUT_MS),
     });
     const snapshot = (await response.body.json()) as Snapshot;
-    return snapshot.config === undefined ? undefined : snapshot;
+    const isEmpty = snapshot.config === undefined && knownVersion === 0;
+    return isEmpty ? undefined : snapshot;
   } catch {
     // Another node is asked next, and the store besides.
     return undefined;
--- a/src/gateway/store_follower.ts
+++ b/src/gateway/store_follower.ts
@@ -5,25 +5,13 @@
 import type {Logger} from '../diagnostics/log';
 import type {Clock, Timer} from '../runtime/types';
 import type {FleetState} from './fleet_state';
+import {createKnownRecords} from './known_records';
+import {createMissingLoader, type MissingLoaderOptions} from './missing_loader';
 import type {StateMessage} from './peer_messages';
 import type {Peers} from './peers';
-import type {
-  BackendEntry,
-  EntryChange,
-  FleetStore,
-  GatewayConfig,
-  StoreFailure,
-} from './types';
-
-/** What a node knows, for one that catches up. */
-export interface Snapshot {
-  readonly config?: GatewayConfig;
-  readonly configOffset: number;
-  readonly entries: readonly BackendEntry[];
-  readonly entryOffset: number;
-  /** How long ago the store was asked for this, in milliseconds. */
-  readonly ageMs: number;
-}
+import type {Snapshot} from './snapshot';
+import {createStoreReader} from './store_reader';
+import type {EntryChange, FleetStore} from './types';
 
 /** Follows the store, by itself or through another node. */
 export interface StoreFollower {
@@ -35,21 +23,20 @@
   getAgeMs(): number;
   /** True when this node reads the store for the others. */
   isReader(): boolean;
-  /** True while calls to the store fail. */
-  isStoreLost(): boolean;
   stop(): void;
 }
 
 /** Options of the follower. */
 export interface StoreFollowerOptions {
   readonly nodeName: string;
+  readonly failureDomain: string;
   readonly store: FleetStore;
   readonly state: FleetState;
   readonly peers: Peers;
   readonly clock: Clock;
   readonly logger: Logger;
-  /** Fetches what another node knows; undefined when it does not answer. */
-  readonly fetchSnapshot: (nodeName?: string) => Promise<Snapshot | undefined>;
+  readonly fetchSnapshot: MissingLoaderOptions['fetchSnapshot'];
+  readonly getRandom: () => number;
   /** Called with each change of the servers or the configuration. */
   readonly onChange: (
     changes: readonly EntryChange[],
@@ -75,46 +62,81 @@
 const GRACE_MS = 2_200;
 /** Length of failing calls that counts as an outage, in milliseconds. */
 const OUTAGE_MS = 1_000;
-/** How long a change is repeated to the other nodes, in milliseconds: three polls. */
-const REPEAT_MS = 1_600;
-/** Most changes in one message, so that it fits a datagram. */
-const MAX_CHANGES = 5;
 
 /** Creates a follower. */
 export function createStoreFollower(
   options: StoreFollowerOptions,
 ): StoreFollower {
-  const {store, state, peers, clock, logger} = options;
-  let configOffset = -1;
-  let entryOffset = -1;
+  const {state, peers, clock, logger} = options;
   let currentAtMs = Number.NEGATIVE_INFINITY;
   let otherReader: {name: string; heardAtMs: number} | undefined;
-  let failingSinceMs: number | undefined;
   let lastPollMs = Number.NEGATIVE_INFINITY;
   let graceUntilMs = 0;
   let isPolling = false;
   let isWaiting = false;
-  let isCatchingUp = false;
   let isReading = false;
   let isStopped = false;
   let timer: Timer | undefined;
-  let recent: Array<{change: EntryChange; atMs: number}> = [];
+  const records = createKnownRecords({
+    state,
+    clock,
+    logger,
+    onChange: (changes, isConfigNew) => {
+      options.onChange(changes, isConfigNew);
+      if (isConfigNew && isReading) sendState();
+    },
+  });
+  const reader = createStoreReader({
+    store: options.store,
+    clock,
+    logger,
+    onConfig: records.addConfig,
+    onEntries: records.addEntries,
+    onOutageEnd: outageMs => {
+      if (outageMs < OUTAGE_MS || !isReading) return;
+      startGrace(GRACE_MS);
+    },
+  });
+  const loader = createMissingLoader({
+    failureDomain: options.failureDomain,
+    records,
+    reader,
+    peers,
+    clock,
+    getRandom: options.getRandom,
+    isReading: () => isReading,
+    fetchSnapshot: options.fetchSnapshot,
+    onSnapshot: snapshot => setCurrentAge(snapshot.ageMs),
+  });
   return {
     start: () => {
       isReading = true;
       runDuties();
     },
     handleState,
-    getSnapshot,
-    getAgeMs: () => clock.getMonotonicMs() - currentAtMs,
+    getSnapshot: () =>
+      records.getSnapshot(Math.min(Number.MAX_SAFE_INTEGER, getAgeMs())),
+    getAgeMs,
     isReader: () => isReading,
-    isStoreLost: () => failingSinceMs !== undefined,
     stop: () => {
       isStopped = true;
       timer?.cancel();
     },
   };
 
+  function getAgeMs(): number {
+    return clock.getMonotonicMs() - currentAtMs;
+  }
+
+  function setCurrentAge(ageMs: number): void {
+    currentAtMs = Math.max(currentAtMs, clock.getMonotonicMs() - ageMs);
+  }
+
+  function startGrace(graceMs: number): void {
+    graceUntilMs = Math.max(graceUntilMs, clock.getMonotonicMs() + graceMs);
+    state.startGrace(graceUntilMs);
+  }
+
   function runDuties(): void {
     if (isStopped) return;
     const nowMs = clock.getMonotonicMs();
@@ -122,8 +144,9 @@
     state.sweep(nowMs);
     const isDue = nowMs - lastPollMs >= POLL_INTERVAL_MS;
     if (isReading && !isPolling && isDue) void readStore();
-    if (isReading && !isWaiting && configOffset >= 0) void waitForConfig();
-    if (state.getConfig() === undefined) void loadState(undefined);
+    const canWait = records.getConfigOffset() >= 0;
+    if (isReading && !isWaiting && canWait) void waitForConfig();
+    if (state.getConfig() === undefined) void loader.loadState();
     timer = clock.schedule(TICK_MS, runDuties);
   }
 
@@ -133,14 +156,15 @@
       const isOtherFresh =
         otherReader !== undefined &&
         nowMs - otherReader.heardAtMs < READER_MEMORY_MS &&
-        (otherReader.name < options.nodeName || failingSinceMs !== undefined);
+        (otherReader.name < options.nodeName ||
+          reader.getFailingSinceMs() !== undefined);
       if (isOtherFresh && state.getConfig() !== undefined) {
         setReading(false, otherReader?.name ?? '');
       }
       return;
     }
-    if (nowMs - currentAtMs > TAKEOVER_AGE_MS + getTakeoverDelayMs()) {
-      setReading(true, `state is ${Math.round(nowMs - currentAtMs)} ms old`);
+    if (getAgeMs() > TAKEOVER_AGE_MS + getTakeoverDelayMs()) {
+      setReading(true, `state is ${Math.round(getAgeMs())} ms old`);
     }
   }
 
@@ -149,7 +173,7 @@
     logger.log(
       'info',
       next ? 'begins to read the store' : 'leaves reading the store to a node',
-      {cause, configVersion: state.getConfig()?.version ?? 0},
+      {cause, configVersion: records.getVersion()},
     );
   }
 
@@ -163,124 +187,37 @@
     isPolling = true;
     const askedAtMs = clock.getMonotonicMs();
     lastPollMs = askedAtMs;
+    const configOffset = records.getConfigOffset();
     const [hasEntries, hasConfig] = await Promise.all([
-      readEntries(),
-      configOffset < 0 ? loadConfig() : true,
+      reader.readEntries(records.getEntryOffset()),
+      configOffset < 0 ? reader.readConfig(configOffset, 0) : true,
     ]);
     isPolling = false;
     if (!hasEntries || !hasConfig || isStopped) return;
-    currentAtMs = Math.max(currentAtMs, askedAtMs);
+    setCurrentAge(clock.getMonotonicMs() - askedAtMs);
     sendState();
   }
 
-  async function readEntries(): Promise<boolean> {
-    if (entryOffset < 0) return loadEntries();
-    const page = await store.readEntries(entryOffset);
-    if (page.err) {
-      if (page.val.kind !== 'expired') return recordFailure(page.val);
-      logger.log('info', 'records of servers are gone; loads the whole list', {
-        offset: entryOffset,
-      });
-      return loadEntries();
-    }
-    recordSuccess();
-    applyChanges(page.val.changes, page.val.nextOffset, false);
-    return true;
-  }
-
-  async function loadEntries(): Promise<boolean> {
-    const page = await store.loadEntries();
-    if (page.err) return recordFailure(page.val);
-    recordSuccess();
-    applyChanges(page.val.changes, page.val.nextOffset, true);
-    return true;
-  }
-
-  async function loadConfig(): Promise<boolean> {
-    const page = await store.loadConfig();
-    if (page.err) return recordFailure(page.val);
-    recordSuccess();
-    configOffset = page.val.nextOffset;
-    applyConfig(page.val.config);
-    return true;
-  }
-
   async function waitForConfig(): Promise<void> {
     isWaiting = true;
-    const page = await store.waitForConfig(configOffset, CONFIG_WAIT_MS);
-    if (page.ok) {
-      configOffset = Math.max(configOffset, page.val.nextOffset);
-      applyConfig(page.val.config);
-    } else if (page.val.kind === 'expired') {
-      configOffset = -1;
-      await loadConfig();
-    } else {
-      recordFailure(page.val);
-      await clock.sleep(FAILURE_PAUSE_MS);
-    }
+    const isRead = await reader.readConfig(
+      records.getConfigOffset(),
+      CONFIG_WAIT_MS,
+    );
+    if (!isRead) await clock.sleep(FAILURE_PAUSE_MS);
     isWaiting = false;
   }
 
-  function applyConfig(config: GatewayConfig | undefined): void {
-    if (config === undefined || !state.applyConfig(config)) return;
-    logger.log('info', 'configuration is in force', {
-      version: config.version,
-      configOffset,
-      routes: config.routes.length,
-    });
-    options.onChange([], true);
-    if (isReading) sendState();
-  }
-
-  function applyChanges(
-    changes: readonly EntryChange[],
-    nextOffset: number,
-    isWhole: boolean,
-  ): void {
-    const nowMs = clock.getMonotonicMs();
-    const different = isWhole
-      ? state.replaceEntries(changes, nowMs)
-      : state.applyChanges(changes, nowMs);
-    entryOffset = Math.max(entryOffset, nextOffset);
-    if (different.length === 0) return;
-    recent.push(...different.map(change => ({change, atMs: nowMs})));
-    logger.log('info', 'backend servers changed', {
-      entryOffset,
-      changes: different.map(({id, entry}) => formatChange(id, entry)),
-    });
-    options.onChange(different, false);
-  }
-
-  function recordSuccess(): void {
-    if (failingSinceMs === undefined) return;
-    const nowMs = clock.getMonotonicMs();
-    const outageMs = nowMs - failingSinceMs;
-    failingSinceMs = undefined;
-    logger.log('info', 'store answers again', {outageMs});
-    if (outageMs < OUTAGE_MS) return;
-    graceUntilMs = nowMs + GRACE_MS;
-    state.startGrace(graceUntilMs);
-  }
-
-  function recordFailure(failure: StoreFailure): false {
-    if (failingSinceMs === undefined) {
-      failingSinceMs = clock.getMonotonicMs();
-      logger.log('warn', 'store does not answer', {reason: failure.message});
-    }
-    return false;
-  }
-
   function sendState(): void {
     const nowMs = clock.getMonotonicMs();
-    recent = recent.filter(item => nowMs - item.atMs < REPEAT_MS);
     peers.notify({
       kind: 'state',
       from: options.nodeName,
-      configVersion: state.getConfig()?.version ?? 0,
-      configOffset,
-      entryOffset,
+      configVersion: records.getVersion(),
+      configOffset: records.getConfigOffset(),
+      entryOffset: records.getEntryOffset(),
       digest: state.getDigest(),
-      changes: recent.slice(-MAX_CHANGES).map(item => item.change),
+      changes: records.listRecentChanges(),
       ageMs: nowMs - currentAtMs,
       graceMs: Math.max(0, graceUntilMs - nowMs),
     });
@@ -293,60 +230,13 @@
       message.from <= otherReader.name ||
       nowMs - otherReader.heardAtMs > READER_MEMORY_MS;
     if (isLower) otherReader = {name: message.from, heardAtMs: nowMs};
-    if (message.entryOffset < entryOffset) return;
-    if (message.graceMs > 0) {
-      graceUntilMs = Math.max(graceUntilMs, nowMs + message.graceMs);
-      state.startGrace(graceUntilMs);
-    }
-    if (!isReading) applyChanges(message.changes, message.entryOffset, false);
-    const isConfigKnown =
-      message.configVersion <= (state.getConfig()?.version ?? -1);
-    const isListKnown = message.digest === state.getDigest();
-    if (!isConfigKnown || (!isListKnown && !isReading)) {
-      void loadState(message.from);
+    if (message.graceMs > 0) startGrace(message.graceMs);
+    const isSameList = records.addMessage(message, isReading);
+    const isListBehind = !isReading && records.isListBehind();
+    if (records.isConfigBehind() || isListBehind) {
+      void loader.loadMissing(message.from);
       return;
     }
-    configOffset = Math.max(configOffset, message.configOffset);
-    if (isListKnown) currentAtMs = Math.max(currentAtMs, nowMs - message.ageMs);
-  }
-
-  /** Fetches what another node knows, at the start or after lost messages. */
-  async function loadState(nodeName: string | undefined): Promise<void> {
-    if (isCatchingUp) return;
-    isCatchingUp = true;
-    const snapshot = await options.fetchSnapshot(nodeName);
-    if (snapshot === undefined) await clock.sleep(FAILURE_PAUSE_MS);
-    else applySnapshot(snapshot);
-    isCatchingUp = false;
+    if (isSameList) setCurrentAge(message.ageMs);
   }
-
-  function applySnapshot(snapshot: Snapshot): void {
-    const nowMs = clock.getMonotonicMs();
-    applyConfig(snapshot.config);
-    configOffset = Math.max(configOffset, snapshot.configOffset);
-    if (snapshot.entryOffset < entryOffset) return;
-    const changes = snapshot.entries.map(entry => ({id: entry.id, entry}));
-    applyChanges(changes, snapshot.entryOffset, true);
-    currentAtMs = Math.max(currentAtMs, nowMs - snapshot.ageMs);
-  }
-
-  function getSnapshot(): Snapshot {
-    const config = state.getConfig();
-    return {
-      ...(config === undefined ? {} : {config}),
-      configOffset,
-      entries: state.listEntries(),
-      entryOffset,
-      ageMs: Math.min(
-        Number.MAX_SAFE_INTEGER,
-        clock.getMonotonicMs() - currentAtMs,
-      ),
-    };
-  }
-}
-
-function formatChange(id: string, entry: BackendEntry | undefined): string {
-  if (entry === undefined) return `${id} gone`;
-  const stage = entry.stage === undefined ? '' : ` ${entry.stage}`;
-  return `${id} ${entry.isLeaving ? 'leaving' : 'ready'}${stage}`;
 }
--- /dev/null
+++ b/src/gateway/store_reader.ts
@@ -0,0 +1,107 @@
+/** Reads the configuration and the list of backend servers from the store, and notes its outages. */
+import type {Logger} from '../diagnostics/log';
+import type {Clock} from '../runtime/types';
+import type {
+  EntryChange,
+  FleetStore,
+  GatewayConfig,
+  StoreFailure,
+} from './types';
+
+/** Reads of the store; each returns false when the store did not answer. */
+export interface StoreReader {
+  /** Reads the changes from an offset on, or the whole list when the offset is negative or its records are gone. */
+  readEntries(fromOffset: number): Promise<boolean>;
+  /** Reads the newest configuration from an offset on, like `readEntries`; waits up to `waitMs` for one. */
+  readConfig(fromOffset: number, waitMs: number): Promise<boolean>;
+  /** When the first call failed of those since which none succeeded, in milliseconds; undefined while calls succeed. */
+  getFailingSinceMs(): number | undefined;
+}
+
+/** Options of the reader. */
+export interface StoreReaderOptions {
+  readonly store: FleetStore;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Takes the newest configuration read, if there was one. */
+  readonly onConfig: (
+    config: GatewayConfig | undefined,
+    nextOffset: number,
+  ) => void;
+  /** Takes changes of the list, or the whole list. */
+  readonly onEntries: (
+    changes: readonly EntryChange[],
+    nextOffset: number,
+    isWhole: boolean,
+  ) => void;
+  /** Called when the list is read again after failures for this long, in milliseconds. */
+  readonly onOutageEnd: (outageMs: number) => void;
+}
+
+/** Creates a reader. */
+export function createStoreReader(options: StoreReaderOptions): StoreReader {
+  const {store, clock, logger} = options;
+  let failingSinceMs: number | undefined;
+  return {readEntries, readConfig, getFailingSinceMs: () => failingSinceMs};
+
+  async function readEntries(fromOffset: number): Promise<boolean> {
+    if (fromOffset < 0) return loadEntries();
+    const page = await store.readEntries(fromOffset);
+    if (page.err) {
+      if (page.val.kind !== 'expired') return recordFailure(page.val);
+      logger.log('info', 'records of servers are gone; loads the whole list', {
+        offset: fromOffset,
+      });
+      return loadEntries();
+    }
+    recordSuccess();
+    options.onEntries(page.val.changes, page.val.nextOffset, false);
+    return true;
+  }
+
+  async function loadEntries(): Promise<boolean> {
+    const page = await store.loadEntries();
+    if (page.err) return recordFailure(page.val);
+    recordSuccess();
+    options.onEntries(page.val.changes, page.val.nextOffset, true);
+    return true;
+  }
+
+  async function readConfig(
+    fromOffset: number,
+    waitMs: number,
+  ): Promise<boolean> {
+    if (fromOffset < 0) return loadConfig();
+    const page = await store.waitForConfig(fromOffset, waitMs);
+    if (page.err) {
+      if (page.val.kind !== 'expired') return recordFailure(page.val);
+      return loadConfig();
+    }
+    options.onConfig(page.val.config, page.val.nextOffset);
+    return true;
+  }
+
+  async function loadConfig(): Promise<boolean> {
+    const page = await store.loadConfig();
+    if (page.err) return recordFailure(page.val);
+    recordSuccess();
+    options.onConfig(page.val.config, page.val.nextOffset);
+    return true;
+  }
+
+  function recordSuccess(): void {
+    if (failingSinceMs === undefined) return;
+    const outageMs = clock.getMonotonicMs() - failingSinceMs;
+    failingSinceMs = undefined;
+    logger.log('info', 'store answers again', {outageMs});
+    options.onOutageEnd(outageMs);
+  }
+
+  function recordFailure(failure: StoreFailure): false {
+    if (failingSinceMs === undefined) {
+      failingSinceMs = clock.getMonotonicMs();
+      logger.log('warn', 'store does not answer', {reason: failure.message});
+    }
+    return false;
+  }
+}
--- a/test/platform/following.test.ts
+++ b/test/platform/following.test.ts
@@ -2,6 +2,7 @@
 import {test} from 'node:test';
 import {
   buildConfig,
+  findFreePorts,
   isNodeReady,
   type RunningNode,
   startSystem,
@@ -203,6 +204,93 @@
   await system.close();
 });
 
+test('nodes read a new configuration from the store, not from the node that reads for them', async () => {
+  const system = await startSystem({nodes: 6});
+  await waitUntil('version 1', () => hasVersion(system.nodes, 1));
+  await new Promise(resolve => setTimeout(resolve, 1_500));
+  const callsBefore = system.store.calls.length;
+  system.store.put('keyed.op', 'config', buildConfig(2));
+  await waitUntil('version 2', () => hasVersion(system.nodes, 2));
+  const reads = system.store.calls
+    .slice(callsBefore)
+    .filter(
+      call => call.includes('topic=keyed.op') && !call.includes('waitMs'),
+    );
+  assert.equal(reads.length, system.nodes.length - 1, reads.join(' '));
+  await system.close();
+});
+
+test('a node that the store turns away follows configurations and servers through the others', async () => {
+  const system = await startSystem({nodes: 3});
+  const server = await system.addServer({
+    id: 'app-1',
+    service: 'app',
+    zone: 'a',
+  });
+  await waitUntil('the server is known', () =>
+    hasUsable(system.nodes, ['app-1']),
+  );
+  const [closedPort] = await findFreePorts(1);
+  const cut = await system.addNode(closedPort);
+  await waitUntil('the cut node is ready', () => isNodeReady(cut), 3_000);
+  system.store.put('keyed.op', 'config', buildConfig(2));
+  await waitUntil(
+    'the cut node has the configuration within its bound',
+    () => hasVersion([cut], 2),
+    APPLY_BOUND_MS,
+  );
+  server.publish('draining');
+  await waitUntil(
+    'the cut node uses the leaving server no more',
+    () => hasUsable([cut], []),
+    APPLY_BOUND_MS,
+  );
+  await system.close();
+});
+
+test('a storm of configurations costs a node one read for several', async () => {
+  const system = await startSystem({nodes: 4});
+  await waitUntil('version 1', () => hasVersion(system.nodes, 1));
+  await new Promise(resolve => setTimeout(resolve, 1_500));
+  const callsBefore = system.store.calls.length;
+  const versions = 10;
+  for (let version = 2; version < 2 + versions; version++) {
+    system.store.put('keyed.op', 'config', buildConfig(version));
+    await new Promise(resolve => setTimeout(resolve, 100));
+  }
+  await waitUntil(
+    'the last version within its bound',
+    () => hasVersion(system.nodes, 1 + versions),
+    APPLY_BOUND_MS,
+  );
+  const reads = system.store.calls
+    .slice(callsBefore)
+    .filter(
+      call => call.includes('topic=keyed.op') && !call.includes('waitMs'),
+    );
+  // The first at once, then one in 0.8 s: at most four in the storm's second and what follows.
+  assert.ok(reads.length <= 3 * 4, `${reads.length} reads`);
+  await system.close();
+});
+
+test('a node that lost messages gets the list of servers from the store', async () => {
+  const system = await startSystem({nodes: 2});
+  const ids = Array.from({length: 12}, (_, index) => `app-${10 + index}`);
+  const servers = [];
+  for (const id of ids) {
+    servers.push(await system.addServer({id, service: 'app', zone: 'a'}));
+  }
+  await waitUntil('all are known', () => hasUsable(system.nodes, ids));
+  // More changes at once than a message carries.
+  for (const server of servers.slice(0, 11)) server.publish('draining');
+  await waitUntil(
+    'only the last is used',
+    () => hasUsable(system.nodes, ids.slice(11)),
+    APPLY_BOUND_MS,
+  );
+  await system.close();
+});
+
 test('a node that stops says so and finishes what is open', async () => {
   const system = await startSystem({});
   await system.addServer({id: 'app-1', service: 'app', zone: 'a', workMs: 600});
--- a/test/platform/system.ts
+++ b/test/platform/system.ts
@@ -1,6 +1,6 @@
 /** A whole system in one process: stand-ins of the platform and real gateways. */
 import {type Agent, request as sendRequest} from 'node:http';
-import {type AddressInfo, createServer} from 'node:net';
+import {createServer} from 'node:net';
 import {createLogger} from '../../src/diagnostics/log';
 import {createGateway, type Gateway} from '../../src/gateway';
 import {
@@ -58,7 +58,8 @@
   addServer(
     options: Omit<ServerStandinOptions, 'store'>,
   ): Promise<ServerStandin>;
-  addNode(): Promise<RunningNode>;
+  /** Starts a node; with a port of the store other than the stand-in's, it is cut off from it. */
+  addNode(storePort?: number): Promise<RunningNode>;
   send(options: CallerOptions, nodeIndex?: number): Promise<CallerAnswer>;
   close(): Promise<void>;
 }
@@ -149,10 +150,10 @@
     },
   };
 
-  async function addNode(): Promise<RunningNode> {
+  async function addNode(storePort = store.port): Promise<RunningNode> {
     const name = `front-${nodes.length + 1}`;
     const ports = await findFreePorts(4);
-    const text = buildSettings(name, ports, store.port, seeds);
+    const text = buildSettings(name, ports, storePort, seeds);
     seeds.push(`127.0.0.1:${ports[2]}`);
     const settings = parseNodeSettings(text, 'boot.toml').unwrap();
     const lines: Array<Record<string, unknown>> = [];
@@ -181,21 +182,30 @@
   }
 }
 
-/** Finds ports that nothing listens on. */
+/** Ports below those that the system gives to outgoing connections. */
+const PORTS = {first: 12_000, count: 20_000};
+let nextPort = process.pid * 64;
+
+/** Finds ports that nothing listens on, and that no connection takes before they are used. */
 export async function findFreePorts(count: number): Promise<number[]> {
-  const servers = Array.from({length: count}, () => createServer());
-  for (const server of servers) {
-    await new Promise<void>(resolve => {
-      server.listen(0, '127.0.0.1', resolve);
-    });
-  }
-  const ports = servers.map(item => (item.address() as AddressInfo).port);
-  for (const server of servers) {
-    await new Promise(resolve => server.close(resolve));
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const port = PORTS.first + (nextPort++ % PORTS.count);
+    if (await isPortFree(port)) ports.push(port);
   }
   return ports;
 }
 
+function isPortFree(port: number): Promise<boolean> {
+  return new Promise(resolve => {
+    const server = createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => {
+      server.close(() => resolve(true));
+    });
+  });
+}
+
 /** Builds the settings file of a node; the ports are those for callers, readiness, control and peers. */
 export function buildSettings(
   name: string,
