--- a/src/gateway/front_listener.ts
+++ b/src/gateway/front_listener.ts
@@ -8,6 +8,7 @@
 import type {AddressInfo, Socket} from 'node:net';
 import type {Clock} from '../runtime/types';
 import {createExchange, type Exchange} from './exchange';
+import {readRequestBody} from './request_body';
 import type {Address} from './settings';
 import type {BackendProtocol, CallerLimits} from './types';
 
@@ -107,47 +108,19 @@
     response.on('close', () => {
       openCount--;
     });
-    readBody(request, limits.maxBodyBytes, body => {
+    const {clock, protocol} = options;
+    readRequestBody(request, {clock, limits}, result => {
       const exchange = createExchange({
         request,
         response,
-        ...(body === undefined || body === 'too-long' ? {} : {body}),
+        ...(result.body === undefined ? {} : {body: result.body}),
         receivedAtMs,
-        protocol: options.protocol,
-        isClosing: () => isClosing || body === 'too-long',
+        protocol,
+        isClosing: () => isClosing || result.refusal !== undefined,
       });
-      if (body === 'too-long') exchange.answer(413, [], 'body is too long');
-      else options.onExchange(exchange);
+      if (result.refusal === undefined) return options.onExchange(exchange);
+      const {status, message} = result.refusal;
+      exchange.answer(status, [], message);
     });
   }
 }
-
-function readBody(
-  request: IncomingMessage,
-  maxBytes: number,
-  onRead: (body: Buffer | undefined | 'too-long') => void,
-): void {
-  const stated = Number(request.headers['content-length'] ?? 0);
-  const isChunked = request.headers['transfer-encoding'] !== undefined;
-  if (stated > maxBytes) return onRead('too-long');
-  if (stated === 0 && !isChunked) {
-    request.resume();
-    return onRead(undefined);
-  }
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  request.on('data', (chunk: Buffer) => {
-    bytes += chunk.length;
-    if (bytes <= maxBytes) {
-      chunks.push(chunk);
-      return;
-    }
-    request.removeAllListeners('data');
-    request.removeAllListeners('end');
-    request.resume();
-    onRead('too-long');
-  });
-  request.on('end', () => onRead(Buffer.concat(chunks)));
-  // A caller that leaves while it sends is noticed by the response.
-  request.on('error', () => undefined);
-}
