--- a/src/cli/fleet_command.ts
+++ b/src/cli/fleet_command.ts
@@ -4,7 +4,8 @@
 import {ExitCode} from './exit_code';
 import type {OperatorClient} from './operator_client';
 import {OperatorCommand} from './operator_command';
-import {formatTable, printJson} from './output';
+import {formatTable} from '../diagnostics';
+import {printJson} from './output';
 
 /** Shows the nodes and backend servers as one node sees them. */
 export class FleetCommand extends OperatorCommand {
--- a/src/cli/progress_command.ts
+++ b/src/cli/progress_command.ts
@@ -8,7 +8,8 @@
 import {ExitCode} from './exit_code';
 import type {OperatorClient} from './operator_client';
 import {OperatorCommand} from './operator_command';
-import {formatTable, printJson, printMessages} from './output';
+import {formatTable} from '../diagnostics';
+import {printJson, printMessages} from './output';
 
 const WATCH_INTERVAL_MS = 2_000;
 const CLEAR_SCREEN = '\u001b[2J\u001b[H';
--- a/src/cli/replay_command.ts
+++ b/src/cli/replay_command.ts
@@ -22,7 +22,8 @@
 } from '../replay';
 import {loadSettings, readText} from '../settings';
 import {ExitCode} from './exit_code';
-import {formatTable, printJson, printMessages} from './output';
+import {formatTable} from '../diagnostics';
+import {printJson, printMessages} from './output';
 
 const DEFAULT_SEED = '1';
 const TRACE_SUFFIX = /\.jsonl?$/;
--- a/src/cli/template_history_command.ts
+++ b/src/cli/template_history_command.ts
@@ -1,6 +1,7 @@
 /** `anvilstack template history`. */
 import {Command} from 'clipanion';
-import {formatTable, formatTime} from './output';
+import {formatTable} from '../diagnostics';
+import {formatTime} from './output';
 import {
   type TemplateAnswer,
   TemplateReadCommand,
--- a/src/cli/template_list_command.ts
+++ b/src/cli/template_list_command.ts
@@ -5,7 +5,8 @@
 import {ExitCode} from './exit_code';
 import type {OperatorClient} from './operator_client';
 import {OperatorCommand} from './operator_command';
-import {formatTable, formatTime, printJson} from './output';
+import {formatTable} from '../diagnostics';
+import {formatTime, printJson} from './output';
 
 /** Lists the templates in force. */
 export class TemplateListCommand extends OperatorCommand {
--- a/src/cli/timeline_command.ts
+++ b/src/cli/timeline_command.ts
@@ -20,7 +20,8 @@
 import {ExitCode} from './exit_code';
 import type {OperatorClient} from './operator_client';
 import {OperatorCommand} from './operator_command';
-import {formatTable, printJson} from './output';
+import {formatTable} from '../diagnostics';
+import {printJson} from './output';
 
 /** Merges the events of all nodes that can be reached. */
 export class TimelineCommand extends OperatorCommand {
--- a/src/demo/demo.ts
+++ b/src/demo/demo.ts
@@ -1,6 +1,6 @@
 /** The demo: three nodes before stand-ins, both users' templates, and a short trace. */
 import OpenAI from 'openai';
-import {formatTable} from '../cli/output';
+import {formatTable} from '../diagnostics';
 import type {Clock} from '../runtime';
 import {type CallerResult, sendRequest} from './caller';
 import {type Cluster, startCluster} from './cluster';
--- a/src/diagnostics/index.ts
+++ b/src/diagnostics/index.ts
@@ -48,4 +48,5 @@
   NodeMetricsOptions,
   RequestSample,
 } from './node_metrics';
+export {formatTable, type TableRow} from './table';
 export {createRedacted, formatRedacted} from './redaction';
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -8,18 +8,12 @@
 
 /** Bounds that the deployment sets. */
 export interface GatewayBounds {
-  /** How long after a server was announced as leaving a request may still reach it, in milliseconds. */
-  readonly drainMs: number;
   /** Time between SIGTERM and SIGKILL, in milliseconds. */
   readonly shutdownMs: number;
-  /** How long after its acceptance a configuration must be in force, in milliseconds. */
-  readonly configApplyMs: number;
   /** Shortest time between orders of two holders of authority, in milliseconds. */
   readonly leaseMs: number;
   /** Retries for each request that the whole fleet may send to a service. */
   readonly retryRatio: number;
-  /** Window over which retries are counted, in milliseconds. */
-  readonly retryWindowMs: number;
   /** Retries in a window beyond the ratio. */
   readonly retrySlack: number;
 }
@@ -40,7 +34,6 @@
   readonly seeds: readonly Address[];
   readonly store: Address;
   readonly bounds: GatewayBounds;
-  readonly maxOpenFiles: number;
   /** True only when the whole system starts for the first time. */
   readonly isFirstStart: boolean;
 }
--- a/src/platform/node_settings.ts
+++ b/src/platform/node_settings.ts
@@ -64,18 +64,14 @@
       store: getAddress('platform', 'address'),
       bounds: readBounds(),
       isFirstStart: root['bootstrap'] === true,
-      maxOpenFiles: getNumber('limits', 'maxFds'),
     };
   }
 
   function readBounds(): GatewaySettings['bounds'] {
     return {
-      drainMs: getNumber('bounds', 'drainMs'),
       shutdownMs: getNumber('bounds', 'graceS') * 1_000,
-      configApplyMs: getNumber('bounds', 'configApplyMs'),
       leaseMs: getNumber('bounds', 'leaseMs'),
       retryRatio: getNumber('bounds', 'budgetRatio'),
-      retryWindowMs: getNumber('bounds', 'budgetWindowS') * 1_000,
       retrySlack: getNumber('bounds', 'budgetSlack'),
     };
   }
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -1,3 +1,5 @@
+export {createAnswerGate} from './answer_gate';
+export type {AnswerGate, GateCounts} from './answer_gate';
 export {createAccountLimiter} from './account_limiter';
 export type {
   AccountLimiter,
--- a/src/routing/open_request.ts
+++ b/src/routing/open_request.ts
@@ -1,7 +1,7 @@
 /** A request that waits or runs, and its attempts. */
 import type {EngineCall, KvHandle} from '../backends';
 import type {Timer} from '../runtime';
-import {type AnswerGate, createAnswerGate} from '../streams';
+import {type AnswerGate, createAnswerGate} from './answer_gate';
 import type {AttemptWork} from './engine_load';
 import type {EngineEntry, EnginePool} from './engine_table';
 import type {Job} from './estimate';
--- a/src/runtime/index.ts
+++ b/src/runtime/index.ts
@@ -11,8 +11,6 @@
   ListenerOptions,
   TlsFiles,
 } from './listener_types';
-export {createMailbox} from './mailbox';
-export type {Mailbox, MailboxOptions} from './mailbox';
 export {DEFAULT_RESTART} from './restart_budget';
 export {createSupervisor} from './supervisor';
 export type {
--- a/src/runtime/types.ts
+++ b/src/runtime/types.ts
@@ -1,4 +1,4 @@
-/** Types of the runtime: clock, mailbox and task. */
+/** Types of the runtime: clock and task. */
 
 /** A timer that has been scheduled and can be cancelled. */
 export interface Timer {
--- a/src/state/config_changes.ts
+++ b/src/state/config_changes.ts
@@ -1,16 +1,12 @@
 /** Applies publications, amendments, retirements and carried records to the templates. */
 import {assertNever} from '../runtime';
-import type {
-  CarriedTemplate,
-  TemplateEntry,
-  ConfigState,
-  TemplateVersion,
-} from './config_types';
+import type {CarriedTemplate, ConfigState, TemplateEntry} from './config_types';
 import {removeTemplate, setTemplate} from './key_owners';
 import {StoredTemplate} from './stored_template';
 import {listTemplateChanges} from './template_diff';
 import {tryParseTemplate} from './template_parse';
 import type {Template} from './template_schema';
+import type {TemplateVersion} from './template_state';
 import type {EntryContext, EntryOutcome} from './types';
 
 /** How many versions of a template the history keeps. */
--- a/src/state/config_types.ts
+++ b/src/state/config_types.ts
@@ -1,6 +1,7 @@
 /** Types of the stream `config`: entries, versions of templates and the folded state. */
 import {z} from 'zod';
 import type {StoredTemplate} from './stored_template';
+import type {TemplateVersion} from './template_state';
 import type {Template} from './template_schema';
 import type {EntryContext} from './types';
 
@@ -16,20 +17,6 @@
   changes: z.array(z.string()),
 });
 
-/** One accepted version of a template. */
-export interface TemplateVersion {
-  /** Offset of the record that brought it in. */
-  readonly version: number;
-  /** Version that it replaced; 0 when there was none. */
-  readonly baseVersion: number;
-  readonly operator: string;
-  /** When the log took it, in milliseconds since the Unix epoch. */
-  readonly acceptedAtMs: number;
-  readonly change: 'publish' | 'amend' | 'retire';
-  /** Fields that it changed, such as `deadline_ms: 500 -> 800`. */
-  readonly changes: readonly string[];
-}
-
 /** Schema of what a carried record keeps of one client account. */
 export const carriedTemplateSchema = z.object({
   clientAccount: z.string().min(1),
@@ -115,14 +102,6 @@
       readonly carried: CarriedTemplate;
     };
 
-/** A client account's template in force, with its history. */
-export interface TemplateState {
-  readonly template: Template;
-  readonly current: TemplateVersion;
-  /** Accepted versions, oldest first, the current one last. */
-  readonly history: readonly TemplateVersion[];
-}
-
 /** A template that has been retired. Kept so that an older copy cannot bring it back. */
 export interface RetiredTemplate {
   readonly current: TemplateVersion;
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -13,8 +13,6 @@
   ConfigEntry,
   ConfigState,
   RetiredTemplate,
-  TemplateState,
-  TemplateVersion,
 } from './config_types';
 export {createStreamFold} from './stream_fold';
 export type {AppliedEntry, StreamFold} from './stream_fold';
@@ -58,3 +56,4 @@
   StreamWriter,
 } from './types';
 export {getEntryAccount} from './config_changes';
+export type {TemplateState, TemplateVersion} from './template_state';
--- a/src/state/stored_template.ts
+++ b/src/state/stored_template.ts
@@ -1,6 +1,6 @@
 /** Keeps a template as packed text and parses it when it is asked for. */
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
-import type {TemplateState, TemplateVersion} from './config_types';
+import type {TemplateState, TemplateVersion} from './template_state';
 import {tryParseTemplate} from './template_parse';
 import type {Template} from './template_schema';
 
--- a/src/streams/resume_answer.ts
+++ b/src/streams/resume_answer.ts
@@ -1,8 +1,11 @@
 /** Takes up an answer that an engine still holds, on behalf of a node that is gone. */
 import type {EngineCall, EngineClient, EngineSink} from '../backends';
-import type {AnswerSink, RequestHandle} from '../routing';
+import {
+  type AnswerSink,
+  createAnswerGate,
+  type RequestHandle,
+} from '../routing';
 import {createFailure, FailureKind, Verdict} from '../verdict';
-import {createAnswerGate} from './answer_gate';
 import {getAdvice, type ResumeClaims} from './resume_token';
 
 /** Options of a resumed answer. */
--- a/test/runtime/supervisor.test.ts
+++ b/test/runtime/supervisor.test.ts
@@ -2,7 +2,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-  createMailbox,
   createSupervisor,
   createVirtualClock,
   type SupervisorEvent,
@@ -150,25 +149,3 @@
   assert.deepEqual(log, ['start a']);
   assert.equal(clock.getPendingTimers(), 0);
 });
-
-test('a mailbox keeps the order, refuses when full and wakes its receiver', async () => {
-  const mailbox = createMailbox<number>({capacity: 2});
-  assert.deepEqual([1, 2, 3].map(mailbox.send), [true, true, false]);
-  assert.equal(mailbox.getRefusedCount(), 1);
-  assert.equal(await mailbox.receive(), 1);
-  assert.equal(await mailbox.receive(), 2);
-  const next = mailbox.receive();
-  mailbox.send(4);
-  assert.equal(await next, 4);
-  const controller = new AbortController();
-  const aborted = mailbox.receive(controller.signal);
-  controller.abort();
-  assert.equal(await aborted, undefined);
-  mailbox.send(5);
-  mailbox.close();
-  assert.equal(mailbox.send(6), false);
-  assert.deepEqual(
-    [await mailbox.receive(), await mailbox.receive()],
-    [5, undefined],
-  );
-});
--- a/test/streams/streams.test.ts
+++ b/test/streams/streams.test.ts
@@ -3,12 +3,14 @@
 import {test} from 'node:test';
 import fc from 'fast-check';
 import type {EngineClient, EngineSink, TokenBatch} from '../../src/backends';
-import type {AnswerEnd, AnswerSink} from '../../src/routing';
+import {
+  type AnswerEnd,
+  type AnswerSink,
+  createAnswerGate,
+} from '../../src/routing';
 import {createVirtualClock} from '../../src/runtime';
 import {createEngineModel} from '../../src/standins';
 import {
-  createAnswerBuffer,
-  createAnswerGate,
   createResumeToken,
   type ResumeClaims,
   resumeAnswer,
@@ -254,20 +256,3 @@
   assert.equal(calls.length, 3);
   assert.ok(sink.failure !== undefined);
 });
-
-test('a buffer lets a caller read on from an event id, within its bounds', () => {
-  const buffer = createAnswerBuffer({maxCharacters: 30});
-  for (let index = 0; index < 20; index++) {
-    buffer.onTokens(createBatch(index, 1));
-  }
-  assert.ok(buffer.getSize() <= 30);
-  const early = createCollector();
-  assert.equal(buffer.tryFollow(2, early), false);
-  const reader = createCollector();
-  assert.equal(buffer.tryFollow(17, reader), true);
-  buffer.onTokens(createBatch(20, 1));
-  assert.equal(reader.text, createBatch(17, 4).text);
-  buffer.stopFollowing();
-  buffer.onTokens(createBatch(21, 1));
-  assert.equal(reader.text, createBatch(17, 4).text);
-});
