Let a node of a large failure domain pass messages on to the others there

Ruled out: prompts sent across (they remain and make 0.16 GB). A message crosses once to each domain of six nodes or more, to a node heard from lately, which passes it on; messages that must not be lost cross twice. Small fleets are unchanged.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -100,7 +100,13 @@
   const loads = createServiceLoads();
   const prefixes = createPrefixDirectory(getKvTokens);
   const budgets = new Map<string, RetryBudget>();
-  const peers = createPeers({self, logger, onMessage: handleMessage});
+  const peers = createPeers({
+    self,
+    logger,
+    clock,
+    getRandom,
+    onMessage: handleMessage,
+  });
   const health = createHealthBook({
     clock,
     logger,
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -67,13 +67,17 @@
 }
 
 /** A message between nodes. */
-export type PeerMessage =
+export type PeerMessage = (
   | HelloMessage
   | StateMessage
   | PlacedMessage
   | ReadMessage
   | SuspectMessage
-  | OrderedMessage;
+  | OrderedMessage
+) & {
+  /** True when the receiver passes the message on to the other nodes of its failure domain. */
+  readonly isForPassing?: true | undefined;
+};
 
 /** Encodes a message for a datagram. */
 export function encodeMessage(message: PeerMessage): Buffer {
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -1,11 +1,13 @@
 /** Datagrams to and from the other nodes. */
 import {createSocket, type Socket} from 'node:dgram';
 import type {Logger} from '../diagnostics/log';
+import type {Clock} from '../runtime/types';
 import {
   encodeMessage,
   type PeerMessage,
   tryDecodeMessage,
 } from './peer_messages';
+import {createRelayChoice} from './relay_choice';
 import type {NodeRecord} from './types';
 
 /** The other nodes. */
@@ -15,7 +17,7 @@
   add(node: NodeRecord): boolean;
   list(): readonly NodeRecord[];
   tryFind(name: string): NodeRecord | undefined;
-  /** Sends a message to every known node. */
+  /** Sends a message to every known node; in large failure domains a node of theirs passes it on. */
   notify(message: PeerMessage): void;
   send(node: NodeRecord, message: PeerMessage): void;
   close(): void;
@@ -25,12 +27,20 @@
 export interface PeersOptions {
   readonly self: NodeRecord;
   readonly logger: Logger;
+  readonly clock: Clock;
+  readonly getRandom: () => number;
   readonly onMessage: (message: PeerMessage) => void;
 }
 
 /** Creates the socket's owner; `open` binds it. */
 export function createPeers(options: PeersOptions): Peers {
+  const {self, clock, getRandom} = options;
   const nodes = new Map<string, NodeRecord>();
+  const relays = createRelayChoice({
+    ownDomain: self.failureDomain,
+    clock,
+    getRandom,
+  });
   let socket: Socket | undefined;
   let malformedCount = 0;
   return {
@@ -49,9 +59,14 @@
   function open(): Promise<void> {
     const created = createSocket('udp4');
     socket = created;
-    created.on('message', datagram => {
+    created.on('message', (datagram, sender) => {
+      relays.recordHeard(sender.address, sender.port);
       const message = tryDecodeMessage(datagram);
-      if (message !== undefined) return options.onMessage(message);
+      if (message !== undefined) {
+        if (message.isForPassing === true) sendToDomain(message);
+        options.onMessage(message);
+        return;
+      }
       malformedCount++;
       options.logger.log('warn', 'datagram is not a message between nodes', {
         malformedCount,
@@ -60,7 +75,7 @@
     });
     return new Promise((resolve, reject) => {
       created.once('error', reject);
-      created.bind(options.self.peerPort, options.self.host, () => {
+      created.bind(self.peerPort, self.host, () => {
         created.off('error', reject);
         created.on('error', error => {
           options.logger.log('warn', 'sending to a node failed', {
@@ -73,7 +88,7 @@
   }
 
   function add(node: NodeRecord): boolean {
-    if (node.name === options.self.name) return false;
+    if (node.name === self.name) return false;
     const known = nodes.get(node.name);
     nodes.set(node.name, node);
     return known === undefined || known.host !== node.host;
@@ -81,8 +96,22 @@
 
   function notify(message: PeerMessage): void {
     if (nodes.size === 0) return;
+    const {direct, relayed} = relays.choose([...nodes.values()], message.kind);
     const datagram = encodeMessage(message);
-    for (const node of nodes.values()) sendDatagram(node, datagram);
+    for (const node of direct) sendDatagram(node, datagram);
+    if (relayed.length === 0) return;
+    const forPassing = encodeMessage({...message, isForPassing: true});
+    for (const node of relayed) sendDatagram(node, forPassing);
+  }
+
+  /** Sends a message from another failure domain to the nodes of this one. */
+  function sendToDomain(message: PeerMessage): void {
+    const datagram = encodeMessage({...message, isForPassing: undefined});
+    for (const node of nodes.values()) {
+      if (node.failureDomain === self.failureDomain) {
+        sendDatagram(node, datagram);
+      }
+    }
   }
 
   function send(node: NodeRecord, message: PeerMessage): void {
--- /dev/null
+++ b/src/gateway/relay_choice.ts
@@ -0,0 +1,92 @@
+/** Chooses which nodes get a message directly, and which pass it on in their failure domain. */
+import type {Clock} from '../runtime/types';
+import type {PeerMessage} from './peer_messages';
+import type {NodeRecord} from './types';
+
+/** The nodes to which a message is sent. */
+export interface MessageRoutes {
+  readonly direct: readonly NodeRecord[];
+  /** Nodes that pass the message on to the others of their failure domain. */
+  readonly relayed: readonly NodeRecord[];
+}
+
+/** A choice that knows which nodes were heard from. */
+export interface RelayChoice {
+  recordHeard(host: string, peerPort: number): void;
+  choose(
+    nodes: readonly NodeRecord[],
+    kind: PeerMessage['kind'],
+  ): MessageRoutes;
+}
+
+/** Options of the choice. */
+export interface RelayChoiceOptions {
+  readonly ownDomain: string;
+  readonly clock: Clock;
+  readonly getRandom: () => number;
+}
+
+/** Smallest failure domain in which messages are passed on: below it, the bytes saved are few. */
+const MIN_RELAYED_NODES = 6;
+/** How long a node counts as alive after it was heard from, in milliseconds: some polls of the store. */
+const HEARD_MS = 3_000;
+/** Messages that come for each request: one that is lost is made up for by later ones. */
+const FREQUENT_KINDS: ReadonlySet<PeerMessage['kind']> = new Set([
+  'placed',
+  'read',
+]);
+/** Nodes of each domain that pass on any other message, so that one that is down loses none. */
+const SAFE_RELAYS = 2;
+
+/** Creates a choice. */
+export function createRelayChoice(options: RelayChoiceOptions): RelayChoice {
+  const {ownDomain, clock, getRandom} = options;
+  const heardAtMs = new Map<string, number>();
+  return {
+    recordHeard: (host, peerPort) => {
+      heardAtMs.set(`${host}:${peerPort}`, clock.getMonotonicMs());
+    },
+    choose,
+  };
+
+  function choose(
+    nodes: readonly NodeRecord[],
+    kind: PeerMessage['kind'],
+  ): MessageRoutes {
+    const direct: NodeRecord[] = [];
+    const relayed: NodeRecord[] = [];
+    const count = FREQUENT_KINDS.has(kind) ? 1 : SAFE_RELAYS;
+    for (const [domain, members] of listDomains(nodes)) {
+      if (domain === ownDomain || members.length < MIN_RELAYED_NODES) {
+        direct.push(...members);
+      } else relayed.push(...chooseRelays(members, count));
+    }
+    return {direct, relayed};
+  }
+
+  function chooseRelays(
+    members: readonly NodeRecord[],
+    count: number,
+  ): NodeRecord[] {
+    const sinceMs = clock.getMonotonicMs() - HEARD_MS;
+    const alive = members.filter(({host, peerPort}) => {
+      const atMs = heardAtMs.get(`${host}:${peerPort}`);
+      return atMs !== undefined && atMs > sinceMs;
+    });
+    const left = alive.length >= count ? alive : [...members];
+    return Array.from({length: count}, () => {
+      const index = Math.floor(getRandom() * left.length);
+      return left.splice(index, 1)[0];
+    });
+  }
+}
+
+function listDomains(nodes: readonly NodeRecord[]): Map<string, NodeRecord[]> {
+  const groups = new Map<string, NodeRecord[]>();
+  for (const node of nodes) {
+    const group = groups.get(node.failureDomain) ?? [];
+    group.push(node);
+    groups.set(node.failureDomain, group);
+  }
+  return groups;
+}
--- /dev/null
+++ b/test/gateway/peers.test.ts
@@ -0,0 +1,125 @@
+import assert from 'node:assert/strict';
+import {createSocket, type Socket} from 'node:dgram';
+import {test} from 'node:test';
+import {createLogger} from '../../src/diagnostics/log';
+import {createPeers, type Peers} from '../../src/gateway/peers';
+import type {PeerMessage} from '../../src/gateway/peer_messages';
+import type {NodeRecord} from '../../src/gateway';
+import {createSystemClock} from '../../src/runtime/system_clock';
+
+/** Time in which datagrams on loopback arrive, in milliseconds. */
+const ARRIVAL_MS = 150;
+
+interface FakeNode {
+  readonly record: NodeRecord;
+  readonly socket: Socket;
+  readonly received: PeerMessage[];
+}
+
+let count = 0;
+
+async function openNode(failureDomain: string): Promise<FakeNode> {
+  const socket = createSocket('udp4');
+  const received: PeerMessage[] = [];
+  socket.on('message', datagram => {
+    received.push(JSON.parse(datagram.toString()) as PeerMessage);
+  });
+  await new Promise<void>(resolve => socket.bind(0, '127.0.0.1', resolve));
+  const record = {
+    name: `node-${count++}`,
+    host: '127.0.0.1',
+    peerPort: socket.address().port,
+    controlPort: 1,
+    failureDomain,
+  };
+  return {record, socket, received};
+}
+
+async function openPeers(
+  nodes: readonly FakeNode[],
+  onMessage: (message: PeerMessage) => void = () => undefined,
+): Promise<{peers: Peers; port: number}> {
+  const spare = await openNode('a');
+  const port = spare.record.peerPort;
+  await new Promise<void>(resolve => spare.socket.close(() => resolve()));
+  const peers = createPeers({
+    self: {...spare.record, name: 'self', failureDomain: 'a'},
+    logger: createLogger({node: 'self', write: () => undefined}),
+    clock: createSystemClock(),
+    getRandom: Math.random,
+    onMessage,
+  });
+  await peers.open();
+  for (const node of nodes) peers.add(node.record);
+  return {peers, port};
+}
+
+function openNodes(domain: string, size: number): Promise<FakeNode[]> {
+  return Promise.all(Array.from({length: size}, () => openNode(domain)));
+}
+
+const READ: PeerMessage = {
+  kind: 'read',
+  jobId: 'job',
+  serverId: 'engine',
+  isRead: true,
+};
+const SUSPECT: PeerMessage = {
+  kind: 'suspect',
+  serverId: 'engine',
+  reason: 'connect',
+};
+
+async function waitForArrivals(): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, ARRIVAL_MS));
+}
+
+function countReceived(nodes: readonly FakeNode[]): number {
+  return nodes.reduce((sum, node) => sum + node.received.length, 0);
+}
+
+test('a message crosses to a large failure domain once, and twice where it must not be lost', async () => {
+  const near = await openNodes('a', 8);
+  const far = await openNodes('b', 9);
+  const {peers} = await openPeers([...near, ...far]);
+  peers.notify(READ);
+  await waitForArrivals();
+  assert.ok(near.every(node => node.received.length === 1));
+  assert.ok(near.every(node => node.received[0].isForPassing === undefined));
+  assert.equal(countReceived(far), 1);
+  peers.notify(SUSPECT);
+  await waitForArrivals();
+  assert.equal(countReceived(far), 3);
+  const relayed = far.flatMap(node => node.received);
+  assert.ok(relayed.every(message => message.isForPassing === true));
+  peers.close();
+  for (const node of [...near, ...far]) node.socket.close();
+});
+
+test('a node passes a message on to its own failure domain, and takes it itself', async () => {
+  const near = await openNodes('a', 7);
+  const far = await openNodes('b', 7);
+  const taken: PeerMessage[] = [];
+  const {peers, port} = await openPeers([...near, ...far], message => {
+    taken.push(message);
+  });
+  const datagram = Buffer.from(JSON.stringify({...READ, isForPassing: true}));
+  far[0].socket.send(datagram, port, '127.0.0.1');
+  await waitForArrivals();
+  assert.equal(taken.length, 1);
+  assert.ok(near.every(node => node.received.length === 1));
+  assert.ok(near.every(node => node.received[0].isForPassing === undefined));
+  assert.equal(countReceived(far), 0);
+  peers.close();
+  for (const node of [...near, ...far]) node.socket.close();
+});
+
+test('in small failure domains every node gets the message directly', async () => {
+  const far = await openNodes('b', 4);
+  const {peers} = await openPeers(far);
+  peers.notify(READ);
+  await waitForArrivals();
+  assert.ok(far.every(node => node.received.length === 1));
+  peers.close();
+  for (const node of far) node.socket.close();
+});
