--- /dev/null
+++ b/src/gateway/exchange_router.ts
@@ -0,0 +1,96 @@
+/** Finds the route of a caller's request and the flow that serves it. */
+import type {Logger} from '../diagnostics/log';
+import {Verdict} from '../verdict';
+import type {Exchange} from './exchange';
+import type {FlowContext} from './flow_context';
+import {createRequestTask} from './request_task';
+import {chooseService} from './route_table';
+import {runServiceFlow} from './service_flow';
+import type {ServiceLoads} from './service_loads';
+import {runStreamFlow} from './stream_flow';
+import {RequestKind, type Route} from './types';
+
+/** Options of the router. */
+export interface ExchangeRouterOptions {
+  readonly context: FlowContext;
+  readonly loads: ServiceLoads;
+  readonly logger: Logger;
+}
+
+/** When a caller may come back while no configuration is known, in milliseconds. */
+const STARTING_RETRY_MS = 500;
+
+/** Creates a router; the function returned takes each request. */
+export function createExchangeRouter(
+  options: ExchangeRouterOptions,
+): (exchange: Exchange) => void {
+  const {context, loads, logger} = options;
+  const {state, protocol, clock, metrics} = context;
+  return handleExchange;
+
+  /** A fault of this program ends one request, not the process. */
+  function handleExchange(exchange: Exchange): void {
+    try {
+      runExchange(exchange);
+    } catch (error) {
+      logger.log('error', 'serving a request threw', {
+        requestId: exchange.request.requestId,
+        error: error instanceof Error ? (error.stack ?? '') : String(error),
+      });
+      exchange.answer(500, [], 'internal error');
+    }
+  }
+
+  function runExchange(exchange: Exchange): void {
+    const config = state.getConfig();
+    if (config === undefined) {
+      refuseStarting(exchange);
+      return;
+    }
+    const route = state.getRoutes().tryFind(exchange.host, exchange.target);
+    if (route === undefined) {
+      logger.log('info', 'no route', {
+        requestId: exchange.request.requestId,
+        configVersion: config.version,
+      });
+      exchange.answer(404, [], 'no route');
+      return;
+    }
+    runRoute(exchange, route, config.version);
+  }
+
+  function runRoute(
+    exchange: Exchange,
+    route: Route,
+    configVersion: number,
+  ): void {
+    const service = chooseService(route.services, context.getRandom()) ?? '';
+    const task = createRequestTask({
+      exchange,
+      route,
+      service,
+      configVersion,
+      protocol,
+      clock,
+      logger,
+      metrics,
+    });
+    const engine = state.tryGetService(service)?.engine;
+    const {model} = exchange.request;
+    if (route.kind !== RequestKind.Stream || !engine || !model) {
+      runServiceFlow(context, loads, task);
+      return;
+    }
+    runStreamFlow(context, engine, model, task);
+  }
+
+  function refuseStarting(exchange: Exchange): void {
+    const {requestId} = exchange.request;
+    logger.log('info', 'refused: no configuration yet', {requestId});
+    exchange.answer(
+      503,
+      protocol.buildRetryHeaders(requestId, STARTING_RETRY_MS),
+      `no configuration yet (${Verdict.NotRun})`,
+    );
+  }
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,39 +1,32 @@
 /** One gateway process: its parts and their order of start and stop. */
 import type {Logger} from '../diagnostics/log';
 import type {Clock} from '../runtime/types';
-import {createRetryBudget, type RetryBudget} from '../routing/retry_budget';
-import {Verdict} from '../verdict';
 import {createAuthority} from './authority';
 import {createConnections} from './connections';
 import {createControlListeners} from './control_listener';
-import type {Exchange} from './exchange';
+import {createExchangeRouter} from './exchange_router';
 import {createFleetState} from './fleet_state';
 import type {FlowContext} from './flow_context';
 import {createFrontListener} from './front_listener';
 import {createGatewayMetrics} from './gateway_metrics';
 import {createHomeEngines} from './home_engines';
-import type {PeerMessage, ReadMessage} from './peer_messages';
+import {createNodeMessages} from './node_messages';
 import {createPeers} from './peers';
 import {createPrefillBook} from './prefill_book';
 import {createPrefixDirectory} from './prefix_directory';
-import {createRequestTask} from './request_task';
-import {chooseService} from './route_table';
+import {createRetryShares} from './retry_shares';
 import {createHealthBook} from './server_health';
-import {runServiceFlow} from './service_flow';
 import {createServiceLoads} from './service_loads';
 import type {Address, GatewaySettings} from './settings';
 import {tryFetchSnapshot} from './snapshot_client';
 import {createStageControl} from './stage_control';
 import {createStoreFollower} from './store_follower';
 import {createStreamCounts} from './stream_counts';
-import {runStreamFlow} from './stream_flow';
 import {
   type BackendProtocol,
   type EntryChange,
   type FleetStore,
   type NodeRecord,
-  RequestKind,
-  type Route,
 } from './types';
 
 /** A gateway process. */
@@ -62,12 +55,6 @@
   headerTimeoutMs: 3_000,
   idleTimeoutMs: 15_000,
 };
-/** Part of the fleet's retries that the nodes plan with: their counts of requests differ. */
-const BUDGET_PART = 0.7;
-/** Nodes over which retries are shared as long as none is known. */
-const MIN_BUDGET_NODES = 4;
-/** When a caller may come back while no configuration is known, in milliseconds. */
-const STARTING_RETRY_MS = 500;
 /** How long the balancer goes on sending connections after SIGTERM, in milliseconds: two missed checks and their period. */
 const BALANCER_MS = 3_200;
 /** Interval of looking for the end of open requests while stopping, in milliseconds. */
@@ -78,8 +65,6 @@
 const MAX_PLANNING_AGE_MS = 2_000;
 /** Failures that other nodes are told of: they cost each node a request to find out. */
 const SHARED_SUSPICIONS = new Set(['connect', 'stalled']);
-/** Interval of saying hello until the store knows this node, in milliseconds. */
-const REGISTER_INTERVAL_MS = 500;
 
 /** Creates a gateway. */
 export function createGateway(options: GatewayOptions): Gateway {
@@ -99,13 +84,12 @@
   const streams = createStreamCounts();
   const loads = createServiceLoads();
   const prefixes = createPrefixDirectory(getKvTokens);
-  const budgets = new Map<string, RetryBudget>();
   const peers = createPeers({
     self,
     logger,
     clock,
     getRandom,
-    onMessage: handleMessage,
+    onMessage: message => messages.handle(message),
   });
   const health = createHealthBook({
     clock,
@@ -165,15 +149,30 @@
     streams,
     isChanging: stages.isChanging,
     getRandom,
-    getBudget,
+    getBudget: createRetryShares({
+      bounds: settings.bounds,
+      countNodes: () => peers.list().length + 1,
+    }),
     notifyPeers: peers.notify,
   };
+  const messages = createNodeMessages({
+    self,
+    store,
+    peers,
+    clock,
+    follower,
+    stages,
+    book,
+    prefixes,
+    streams,
+    health,
+  });
   const front = createFrontListener({
     address: settings.callers,
     protocol,
     clock,
     limits: INITIAL_LIMITS,
-    onExchange: handleExchange,
+    onExchange: createExchangeRouter({context, loads, logger}),
   });
   const control = createControlListeners({
     readiness: settings.readiness,
@@ -193,7 +192,7 @@
     await Promise.all([front.open(), control.open(), peers.open()]);
     follower.start();
     stages.start();
-    void publishSelf();
+    void messages.publishSelf();
     logger.log('info', 'gateway started', {
       callers: `${settings.callers.host}:${settings.callers.port}`,
       failureDomain: settings.failureDomain,
@@ -202,6 +201,7 @@
 
   async function stop(): Promise<void> {
     isStopping = true;
+    messages.stop();
     const startedAtMs = clock.getMonotonicMs();
     logger.log('info', 'gateway stops', {openRequests: front.countOpen()});
     front.startClosing();
@@ -220,6 +220,7 @@
 
   function kill(): void {
     isStopping = true;
+    messages.stop();
     follower.stop();
     stages.stop();
     front.close();
@@ -236,134 +237,6 @@
     );
   }
 
-  /** A fault of this program ends one request, not the process. */
-  function handleExchange(exchange: Exchange): void {
-    try {
-      runExchange(exchange);
-    } catch (error) {
-      logger.log('error', 'serving a request threw', {
-        requestId: exchange.request.requestId,
-        error: error instanceof Error ? (error.stack ?? '') : String(error),
-      });
-      exchange.answer(500, [], 'internal error');
-    }
-  }
-
-  function runExchange(exchange: Exchange): void {
-    const config = state.getConfig();
-    if (config === undefined) {
-      refuseStarting(exchange);
-      return;
-    }
-    const route = state.getRoutes().tryFind(exchange.host, exchange.target);
-    if (route === undefined) {
-      logger.log('info', 'no route', {
-        requestId: exchange.request.requestId,
-        configVersion: config.version,
-      });
-      exchange.answer(404, [], 'no route');
-      return;
-    }
-    runRoute(exchange, route, config.version);
-  }
-
-  function runRoute(
-    exchange: Exchange,
-    route: Route,
-    configVersion: number,
-  ): void {
-    const service = chooseService(route.services, getRandom()) ?? '';
-    const task = createRequestTask({
-      exchange,
-      route,
-      service,
-      configVersion,
-      protocol,
-      clock,
-      logger,
-      metrics,
-    });
-    const engine = state.tryGetService(service)?.engine;
-    const {model} = exchange.request;
-    if (route.kind !== RequestKind.Stream || !engine || !model) {
-      runServiceFlow(context, loads, task);
-      return;
-    }
-    runStreamFlow(context, engine, model, task);
-  }
-
-  function refuseStarting(exchange: Exchange): void {
-    const {requestId} = exchange.request;
-    logger.log('info', 'refused: no configuration yet', {requestId});
-    exchange.answer(
-      503,
-      protocol.buildRetryHeaders(requestId, STARTING_RETRY_MS),
-      `no configuration yet (${Verdict.NotRun})`,
-    );
-  }
-
-  function handleMessage(message: PeerMessage): void {
-    const nowMs = clock.getMonotonicMs();
-    switch (message.kind) {
-      case 'hello':
-        peers.add(message.node);
-        if (message.wantsReply) sendHello(message.node, false);
-        return;
-      case 'state':
-        follower.handleState(message);
-        return;
-      case 'placed':
-        book.add({...message, id: message.jobId}, nowMs);
-        prefixes.recordRead(message.serverId, message.parts);
-        return;
-      case 'read':
-        handleRead(message, nowMs);
-        return;
-      case 'ordered':
-        stages.noteOrder(message.serverId, message.stage);
-        return;
-      case 'suspect':
-        health.recordSuspicion(message.serverId, message.reason);
-        return;
-    }
-  }
-
-  function handleRead(message: ReadMessage, nowMs: number): void {
-    book.remove(message.jobId, nowMs);
-    if (!message.isRead) return;
-    health.recordSign(message.serverId);
-    if (message.ratio !== undefined) {
-      health.recordSuccess(message.serverId, message.ratio);
-    }
-    if (message.decodeId === undefined) return;
-    const untilMs = nowMs + (message.runMs ?? 0);
-    streams.add(message.decodeId, message.jobId, untilMs);
-  }
-
-  function sendHello(node: NodeRecord, wantsReply: boolean): void {
-    peers.send(node, {kind: 'hello', node: self, wantsReply});
-  }
-
-  /** Makes this node known in the store, and learns of the others. */
-  async function publishSelf(): Promise<void> {
-    while (!isStopping) {
-      const [registered, listed] = await Promise.all([
-        store.registerNode(self),
-        store.listNodes(),
-      ]);
-      if (listed.ok) addNodes(listed.val);
-      if (registered.ok && listed.ok) return;
-      await clock.sleep(REGISTER_INTERVAL_MS);
-    }
-  }
-
-  /** Says hello to nodes that were not known, so that they tell this one what changes. */
-  function addNodes(nodes: readonly NodeRecord[]): void {
-    for (const node of nodes) {
-      if (peers.add(node)) sendHello(node, true);
-    }
-  }
-
   async function loadSnapshot(knownVersion: number, nodeName?: string) {
     const node = nodeName === undefined ? undefined : peers.tryFind(nodeName);
     const addresses =
@@ -373,7 +246,7 @@
     for (const address of addresses) {
       const snapshot = await tryFetchSnapshot(address, knownVersion);
       if (snapshot === undefined) continue;
-      addNodes(snapshot.nodes ?? []);
+      messages.addNodes(snapshot.nodes ?? []);
       return snapshot;
     }
     return undefined;
@@ -402,21 +275,6 @@
     connections.retainOnly(new Set(state.listEntries().map(entry => entry.id)));
   }
 
-  function getBudget(service: string): RetryBudget {
-    const known = budgets.get(service);
-    if (known !== undefined) return known;
-    const {retryRatio, retrySlack} = settings.bounds;
-    const nodes = Math.max(MIN_BUDGET_NODES, peers.list().length + 1);
-    const share = Math.max(1, (retrySlack / nodes) * BUDGET_PART);
-    const created = createRetryBudget({
-      ratio: retryRatio * BUDGET_PART,
-      capacity: share,
-      initial: share,
-    });
-    budgets.set(service, created);
-    return created;
-  }
-
   function getKvTokens(serverId: string): number {
     const entry = state.tryGetUsable(serverId);
     const service =
--- a/src/gateway/missing_loader.ts
+++ b/src/gateway/missing_loader.ts
@@ -1,4 +1,5 @@
 /** Loads what a node lacks: from the store, or from other nodes while the store does not answer it. */
+import type {Logger} from '../diagnostics/log';
 import type {Clock} from '../runtime/types';
 import type {KnownRecords} from './known_records';
 import type {Peers} from './peers';
@@ -20,6 +21,7 @@
   readonly reader: StoreReader;
   readonly peers: Peers;
   readonly clock: Clock;
+  readonly logger: Logger;
   readonly getRandom: () => number;
   /** True while this node reads the list of servers anyway. */
   readonly isReading: () => boolean;
@@ -47,7 +49,7 @@
 export function createMissingLoader(
   options: MissingLoaderOptions,
 ): MissingLoader {
-  const {records, reader, peers, clock} = options;
+  const {records, reader, peers, clock, logger} = options;
   let isLoading = false;
   let lastSilenceMs = Number.NEGATIVE_INFINITY;
   let lastLoadMs = Number.NEGATIVE_INFINITY;
@@ -106,9 +108,20 @@
     ]);
     if (isRead) lastLoadMs = nowMs;
     else lastSilenceMs = nowMs;
+    logLoad('store', isRead, nowMs);
     return isRead;
   }
 
+  function logLoad(source: string, isAnswered: boolean, sinceMs: number): void {
+    logger.log('info', 'loaded what was missing', {
+      source,
+      isAnswered,
+      elapsedMs: clock.getMonotonicMs() - sinceMs,
+      configVersion: records.getVersion(),
+      entryOffset: records.getEntryOffset(),
+    });
+  }
+
   function tryChooseNearNode(): string | undefined {
     const near = peers
       .list()
@@ -126,13 +139,15 @@
   }
 
   async function loadSnapshot(nodeName?: string): Promise<void> {
+    const askedAtMs = clock.getMonotonicMs();
     const snapshot = await options.fetchSnapshot(
       records.getVersion(),
       nodeName,
     );
+    const isNewer = snapshot !== undefined && records.addSnapshot(snapshot);
+    logLoad(nodeName ?? 'seeds', snapshot !== undefined, askedAtMs);
     if (snapshot === undefined) return;
     lastLoadMs = clock.getMonotonicMs();
-    if (!records.addSnapshot(snapshot)) return;
-    options.onSnapshot(snapshot);
+    if (isNewer) options.onSnapshot(snapshot);
   }
 }
--- /dev/null
+++ b/src/gateway/node_messages.ts
@@ -0,0 +1,112 @@
+/** Makes this node known to the others, and takes what they tell. */
+import type {Clock} from '../runtime/types';
+import type {PeerMessage, ReadMessage} from './peer_messages';
+import type {Peers} from './peers';
+import type {PrefillBook} from './prefill_book';
+import type {PrefixDirectory} from './prefix_directory';
+import type {HealthBook} from './server_health';
+import type {StageControl} from './stage_control';
+import type {StoreFollower} from './store_follower';
+import type {StreamCounts} from './stream_counts';
+import type {FleetStore, NodeRecord} from './types';
+
+/** The exchange of knowledge with the other nodes. */
+export interface NodeMessages {
+  handle(message: PeerMessage): void;
+  /** Says hello to nodes that were not known, so that they tell this one what changes. */
+  addNodes(nodes: readonly NodeRecord[]): void;
+  /** Makes this node known in the store, and learns of the others; tries until it succeeds. */
+  publishSelf(): Promise<void>;
+  stop(): void;
+}
+
+/** Options of the exchange. */
+export interface NodeMessagesOptions {
+  readonly self: NodeRecord;
+  readonly store: FleetStore;
+  readonly peers: Peers;
+  readonly clock: Clock;
+  readonly follower: StoreFollower;
+  readonly stages: StageControl;
+  readonly book: PrefillBook;
+  readonly prefixes: PrefixDirectory;
+  readonly streams: StreamCounts;
+  readonly health: HealthBook;
+}
+
+/** Interval of saying hello until the store knows this node, in milliseconds. */
+const REGISTER_INTERVAL_MS = 500;
+
+/** Creates the exchange. */
+export function createNodeMessages(options: NodeMessagesOptions): NodeMessages {
+  const {self, store, peers, clock, book, prefixes, health} = options;
+  let isStopped = false;
+  return {
+    handle,
+    addNodes,
+    publishSelf,
+    stop: () => {
+      isStopped = true;
+    },
+  };
+
+  function handle(message: PeerMessage): void {
+    const nowMs = clock.getMonotonicMs();
+    switch (message.kind) {
+      case 'hello':
+        peers.add(message.node);
+        if (message.wantsReply) sendHello(message.node, false);
+        return;
+      case 'state':
+        options.follower.handleState(message);
+        return;
+      case 'placed':
+        book.add({...message, id: message.jobId}, nowMs);
+        prefixes.recordRead(message.serverId, message.parts);
+        return;
+      case 'read':
+        handleRead(message, nowMs);
+        return;
+      case 'ordered':
+        options.stages.noteOrder(message.serverId, message.stage);
+        return;
+      case 'suspect':
+        health.recordSuspicion(message.serverId, message.reason);
+        return;
+    }
+  }
+
+  function handleRead(message: ReadMessage, nowMs: number): void {
+    book.remove(message.jobId, nowMs);
+    if (!message.isRead) return;
+    health.recordSign(message.serverId);
+    if (message.ratio !== undefined) {
+      health.recordSuccess(message.serverId, message.ratio);
+    }
+    if (message.decodeId === undefined) return;
+    const untilMs = nowMs + (message.runMs ?? 0);
+    options.streams.add(message.decodeId, message.jobId, untilMs);
+  }
+
+  function addNodes(nodes: readonly NodeRecord[]): void {
+    for (const node of nodes) {
+      if (peers.add(node)) sendHello(node, true);
+    }
+  }
+
+  function sendHello(node: NodeRecord, wantsReply: boolean): void {
+    peers.send(node, {kind: 'hello', node: self, wantsReply});
+  }
+
+  async function publishSelf(): Promise<void> {
+    while (!isStopped) {
+      const [registered, listed] = await Promise.all([
+        store.registerNode(self),
+        store.listNodes(),
+      ]);
+      if (listed.ok) addNodes(listed.val);
+      if (registered.ok && listed.ok) return;
+      await clock.sleep(REGISTER_INTERVAL_MS);
+    }
+  }
+}
--- a/src/gateway/store_follower.ts
+++ b/src/gateway/store_follower.ts
@@ -103,6 +103,7 @@
     reader,
     peers,
     clock,
+    logger,
     getRandom: options.getRandom,
     isReading: () => isReading,
     fetchSnapshot: options.fetchSnapshot,
