Among many nodes, tell of long reads only and keep to four decode engines a domain

Reads under 30 ms, over half of all, are not told among 32 nodes or more: engines take them alike, by their homes. Small fleets are unchanged.

--- a/src/gateway/flow_context.ts
+++ b/src/gateway/flow_context.ts
@@ -15,6 +15,7 @@
 
 /** What the flows of requests use. */
 export interface FlowContext {
+  readonly nodeName: string;
   readonly path: PathView;
   readonly state: FleetState;
   readonly connections: Connections;
@@ -32,6 +33,8 @@
   readonly getRandom: () => number;
   /** This node's share of the retries that the fleet may send to a service. */
   readonly getBudget: (service: string) => RetryBudget;
+  /** Number of other nodes known. */
+  readonly countPeers: () => number;
   /** Tells the other nodes. */
   readonly notifyPeers: (message: PeerMessage) => void;
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -132,6 +132,7 @@
       peers.notify({kind: 'ordered', serverId, stage}),
   });
   const context: FlowContext = {
+    nodeName: self.name,
     path: {
       ownDomain: settings.failureDomain,
       hasConnection: connections.hasIdle,
@@ -153,6 +154,7 @@
       bounds: settings.bounds,
       countNodes: () => peers.list().length + 1,
     }),
+    countPeers: () => peers.list().length,
     notifyPeers: peers.notify,
   };
   const messages = createNodeMessages({
--- a/src/gateway/home_engines.ts
+++ b/src/gateway/home_engines.ts
@@ -9,6 +9,12 @@
 export interface HomeEngines {
   /** Returns the id of the engine with the highest weight for a part. */
   tryFind(partId: string, engines: readonly BackendEntry[]): string | undefined;
+  /** Lists the engines with the highest weights for a node, at most `count`. */
+  listNearest(
+    nodeName: string,
+    engines: readonly BackendEntry[],
+    count: number,
+  ): readonly BackendEntry[];
 }
 
 /** Most weights that are kept; some times the parts of a day over the engines of a large fleet. */
@@ -29,6 +35,14 @@
       }
       return best;
     },
+    listNearest: (nodeName, engines, count) => {
+      if (engines.length <= count) return engines;
+      return engines
+        .map(engine => ({engine, weight: getWeight(nodeName, engine.id)}))
+        .sort((left, right) => (left.weight < right.weight ? 1 : -1))
+        .slice(0, count)
+        .map(({engine}) => engine);
+    },
   };
 
   function getWeight(partId: string, serverId: string): string {
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -47,6 +47,8 @@
 
 /** What the choice of a decode engine looks at. */
 export interface DecodeInput {
+  readonly nodeName: string;
+  readonly homes: HomeEngines;
   readonly engines: readonly BackendEntry[];
   readonly engine: EngineLimits;
   readonly tokens: number;
@@ -66,6 +68,8 @@
 const HOME_BONUS = 0.5;
 /** What one running stream adds to the choice of a decode engine, in milliseconds: transfers queue behind each other. */
 const STREAM_COST_MS = 2;
+/** Decode engines of each failure domain that a node uses: enough to balance streams, few enough to keep connections in use. */
+const DECODE_ENGINES_PER_DOMAIN = 4;
 
 /** Returns the best place to read a prompt, or undefined when there is none. */
 export function tryChoosePrefill(
@@ -153,8 +157,7 @@
 export function tryChooseDecode(input: DecodeInput): BackendEntry | undefined {
   let best: BackendEntry | undefined;
   let bestScore = Number.POSITIVE_INFINITY;
-  for (const server of input.engines) {
-    if (server.stage !== EngineStage.Decode) continue;
+  for (const server of listDecodeEngines(input)) {
     const isCross =
       input.sourceDomain !== undefined &&
       server.failureDomain !== input.sourceDomain;
@@ -169,3 +172,17 @@
   }
   return best;
 }
+
+/** Lists the decode engines that this node uses. */
+function listDecodeEngines(input: DecodeInput): BackendEntry[] {
+  const domains = new Map<string, BackendEntry[]>();
+  for (const engine of input.engines) {
+    if (engine.stage !== EngineStage.Decode) continue;
+    const members = domains.get(engine.failureDomain) ?? [];
+    members.push(engine);
+    domains.set(engine.failureDomain, members);
+  }
+  return [...domains.values()].flatMap(members =>
+    input.homes.listNearest(input.nodeName, members, DECODE_ENGINES_PER_DOMAIN),
+  );
+}
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -197,6 +197,8 @@
   ): BackendEntry | undefined {
     const nowMs = clock.getMonotonicMs();
     return tryChooseDecode({
+      nodeName: context.nodeName,
+      homes: context.homes,
       engines: listEngines(),
       engine,
       tokens: model.promptTokens,
--- a/src/gateway/stream_records.ts
+++ b/src/gateway/stream_records.ts
@@ -1,6 +1,7 @@
 /** Notes where the prompt of a request is read and who generates, and tells the other nodes. */
 import {computeTransferMs} from './engine_costs';
 import type {FlowContext} from './flow_context';
+import type {PeerMessage} from './peer_messages';
 import {listSharedParts, type PrefillPlace} from './placement';
 import type {EngineLimits, ModelRequest} from './types';
 
@@ -18,6 +19,10 @@
 
 /** Expected time of one output token, in milliseconds, from the sheets' step time. */
 const TOKEN_MS = 4.5;
+/** Nodes from which on short reads are not told: with more nodes each hears of more requests. */
+const MANY_NODES = 32;
+/** Longest read that is not told among many nodes, in milliseconds: a tenth of the shortest objective. */
+const SHORT_READ_MS = 30;
 
 /** Creates the records of a request. */
 export function createStreamRecords(
@@ -27,16 +32,18 @@
   jobId: string,
 ): StreamRecords {
   let serverId: string | undefined;
+  let isTold = true;
   return {recordPlaced, recordRead, recordGivenUp, recordEnd};
 
   function recordPlaced(place: PrefillPlace): void {
     serverId = place.server.id;
+    isTold = place.readMs >= SHORT_READ_MS || context.countPeers() < MANY_NODES;
     context.book.add(
       {id: jobId, serverId, costMs: place.readMs},
       context.clock.getMonotonicMs(),
     );
     context.prefixes.recordRead(serverId, model.parts);
-    context.notifyPeers({
+    notify({
       kind: 'placed',
       jobId,
       serverId,
@@ -52,7 +59,7 @@
     context.book.remove(jobId, nowMs);
     context.streams.add(decodeId, jobId, nowMs + runMs);
     if (ratio !== undefined) context.health.recordSuccess(serverId, ratio);
-    context.notifyPeers({
+    notify({
       kind: 'read',
       jobId,
       serverId,
@@ -67,10 +74,14 @@
   function recordGivenUp(): void {
     if (serverId === undefined) return;
     context.book.remove(jobId, context.clock.getMonotonicMs());
-    context.notifyPeers({kind: 'read', jobId, serverId, isRead: false});
+    notify({kind: 'read', jobId, serverId, isRead: false});
     serverId = undefined;
   }
 
+  function notify(message: PeerMessage): void {
+    if (isTold) context.notifyPeers(message);
+  }
+
   function recordEnd(decodeId: string): void {
     context.streams.remove(decodeId, jobId);
   }
--- a/test/gateway/placement.test.ts
+++ b/test/gateway/placement.test.ts
@@ -92,6 +92,8 @@
   );
   const choose = (streams: number) =>
     tryChooseDecode({
+      nodeName: 'front-1',
+      homes: createHomeEngines(),
       engines,
       engine: {
         maxRunning: 64,
@@ -129,3 +131,49 @@
   assert.equal(book.getWaitMs('p1', 5_000), 0);
   assert.equal(book.countJobs('p1'), 0);
 });
+
+test('a node keeps to four decode engines of each failure domain, and the nodes together use all', () => {
+  const engines = ['a', 'b'].flatMap(domain =>
+    Array.from({length: 16}, (_, index) =>
+      createEntry({
+        id: `${domain}${index}`,
+        failureDomain: domain,
+        stage: EngineStage.Decode,
+      }),
+    ),
+  );
+  const homes = createHomeEngines();
+  const listUsed = (nodeName: string, lost = '') => {
+    const used = new Map<string, number>();
+    for (let index = 0; index < 200; index++) {
+      const chosen = tryChooseDecode({
+        nodeName,
+        homes,
+        engines: engines.filter(({id}) => id !== lost),
+        engine: {
+          maxRunning: 64,
+          kvTokens: 450_000,
+          kvBytesPerToken: 163_840,
+          linkMbps: 1_600_000,
+          stageChangeMs: 3_000,
+          handleLifetimeMs: 5_000,
+        },
+        tokens: 2_000,
+        sourceDomain: index % 2 === 0 ? 'a' : 'b',
+        path: PATH,
+        countStreams: id => used.get(id) ?? 0,
+      });
+      assert.ok(chosen !== undefined);
+      used.set(chosen.id, (used.get(chosen.id) ?? 0) + 1);
+    }
+    return [...used.keys()];
+  };
+  const used = listUsed('front-1');
+  assert.equal(used.length, 8);
+  const [lost] = used;
+  const usedThen = listUsed('front-1', lost);
+  assert.equal(usedThen.length, 8);
+  assert.equal(usedThen.filter(id => used.includes(id)).length, 7);
+  const names = Array.from({length: 60}, (_, index) => `front-${index}`);
+  assert.equal(new Set(names.flatMap(name => listUsed(name))).size, 32);
+});
