Use one piece of code where the gateway had two

Found in reading the whole change again; no behaviour is meant to change. - prefill_call, decode_call and service_flow built the same send: sendToServer. Both engine calls had the same late-engine check: watchForStall.

--- a/src/gateway/answer_relay.ts
+++ b/src/gateway/answer_relay.ts
@@ -1,8 +1,9 @@
 /** Passes a backend server's answer on to the caller, or tells why it cannot. */
 import {Verdict} from '../verdict';
 import type {CallHandler, OpenCall} from './connections';
-import {createEventSplitter, type EventSplitter} from './event_splitter';
+import type {EventSplitter} from './event_splitter';
 import type {RequestTask} from './request_task';
+import {isOtherAnswer} from './server_call';
 import type {BackendProtocol, CallFailure} from './types';
 
 /** Options of a relay. */
@@ -56,10 +57,9 @@
   ): CallFailure | void {
     status = answerStatus;
     const facts = protocol.parseAnswer(status, rawHeaders);
-    const isOther =
-      facts.requestId !== undefined &&
-      facts.requestId !== exchange.request.requestId;
-    if (isOther) return createMismatch('answer belongs to another request');
+    if (isOtherAnswer(facts, exchange)) {
+      return createMismatch('answer belongs to another request');
+    }
     if (facts.isNotRun) {
       rejection = createRejection(Verdict.NotRun, status);
       return;
@@ -125,12 +125,10 @@
 }
 
 function createRejection(verdict: Verdict, status: number): CallFailure {
-  return {verdict, reason: 'rejected', message: `server answered ${status}`};
-}
-
-/** Creates a splitter for a stream that may go on at another server. */
-export function createSplitterFor(
-  isResumable: boolean,
-): EventSplitter | undefined {
-  return isResumable ? createEventSplitter() : undefined;
+  return {
+    verdict,
+    reason: 'rejected',
+    status,
+    message: `server answered ${status}`,
+  };
 }
--- a/src/gateway/control_listener.ts
+++ b/src/gateway/control_listener.ts
@@ -1,5 +1,6 @@
 /** Listeners for the balancer's readiness checks, for other nodes and for metrics. */
 import {createServer, type Server} from 'node:http';
+import {listen} from '../runtime/listen';
 import type {Address} from './settings';
 import {SNAPSHOT_PATH, type Snapshot, trimSnapshot} from './snapshot';
 
@@ -90,13 +91,3 @@
     response.end(answer.body);
   });
 }
-
-function listen(server: Server, address: Address): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(address, () => {
-      server.off('error', reject);
-      resolve();
-    });
-  });
-}
--- a/src/gateway/decode_call.ts
+++ b/src/gateway/decode_call.ts
@@ -1,11 +1,12 @@
 /** Lets a decode engine stream the answer of a request. */
-import type {Timer} from '../runtime/types';
 import {Verdict} from '../verdict';
 import {createAnswerRelay} from './answer_relay';
 import {computeTransferMs} from './engine_costs';
 import type {EventSplitter} from './event_splitter';
 import type {FlowContext} from './flow_context';
 import type {RequestTask} from './request_task';
+import {sendToServer} from './server_call';
+import {watchForStall} from './stall_watch';
 import type {
   BackendEntry,
   CallFailure,
@@ -42,11 +43,8 @@
   readonly onFailure: (failure: CallFailure) => void;
 }
 
-/** Slack and factor before a decode engine whose stream does not begin is suspected, in milliseconds. */
+/** Slack before a decode engine whose stream does not begin is suspected, in milliseconds. */
 const STALL_SLACK_MS = 600;
-const STALL_FACTOR = 2;
-/** Interval of looking again at a decode engine that is late, in milliseconds. */
-const STALL_CHECK_MS = 150;
 
 /** Sends the call. */
 export function startDecodeCall(options: DecodeCallOptions): DecodeCall {
@@ -54,7 +52,14 @@
   const {clock, health, protocol} = context;
   const {exchange, route} = task;
   const lastEventId = splitter?.getLastId();
-  let timer: Timer | undefined;
+  const watch = watchForStall({
+    clock,
+    health,
+    serverId: server.id,
+    predictedMs: computeMoveMs() + options.readMs,
+    slackMs: STALL_SLACK_MS,
+    onStall: handleStall,
+  });
   const relay = createAnswerRelay({
     task,
     protocol,
@@ -62,56 +67,47 @@
     isErrorRepeatable: () => route.isResumable && options.canRunAgain(),
     ...(splitter === undefined ? {} : {splitter}),
     onHead: () => {
-      timer?.cancel();
+      watch.cancel();
       health.recordSign(server.id);
       options.onHead();
     },
     onEnd: status => {
-      timer?.cancel();
+      watch.cancel();
       options.onEnd(status);
     },
     onFailure: failure => {
-      timer?.cancel();
+      watch.cancel();
       options.onFailure(failure);
     },
   });
-  const call = context.connections.call({
+  const call = sendToServer({
+    context,
+    task,
     server,
-    method: exchange.method,
-    path: exchange.target,
-    headers: protocol.buildHeaders(exchange.rawHeaders, {
-      deadlineMs: task.getRemainingMs(),
-      serverId: server.id,
+    handler: relay,
+    more: {
       rank: route.rank,
       ...(kv === undefined ? {} : {kv}),
       ...(lastEventId === undefined ? {} : {lastEventId}),
-    }),
-    ...(exchange.body === undefined ? {} : {body: exchange.body}),
-    handler: relay,
+    },
   });
   relay.attach(call);
-  timer = clock.schedule(getStallMs(), checkStall);
   return {
     cancel: () => {
-      timer?.cancel();
+      watch.cancel();
       call.cancel();
     },
     isSent: call.isSent,
   };
 
-  function getStallMs(): number {
+  function computeMoveMs(): number {
     const {model, engine} = options;
-    const moveMs = computeTransferMs(model.promptTokens, engine, true);
-    return STALL_FACTOR * (moveMs + options.readMs) + STALL_SLACK_MS;
+    return computeTransferMs(model.promptTokens, engine, true);
   }
 
   /** A stream that may not be repeated is waited for; later requests go elsewhere. */
-  function checkStall(): void {
+  function handleStall(): void {
     if (task.isOver() || exchange.hasAnswerBegun()) return;
-    if (health.hasRecentSign(server.id)) {
-      timer = clock.schedule(STALL_CHECK_MS, checkStall);
-      return;
-    }
     if (!route.isResumable || !options.canRunAgain()) {
       health.recordFailure(server.id, 'stalled', true);
       return;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -2,17 +2,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {BackendProtocol, CallerRequest} from './types';
 
-/** How an exchange ended. */
-export const ExchangeEnd = {
-  /** The caller got a whole answer. */
-  Answered: 'answered',
-  /** The answer was cut after its beginning. */
-  Cut: 'cut',
-  /** The caller left first. */
-  Gone: 'gone',
-} as const;
-export type ExchangeEnd = (typeof ExchangeEnd)[keyof typeof ExchangeEnd];
-
 /** A caller's request, read in full, and the means to answer it. */
 export interface Exchange {
   readonly method: string;
--- a/src/gateway/fleet_state.ts
+++ b/src/gateway/fleet_state.ts
@@ -1,5 +1,6 @@
 /** What a node knows of the configuration and of the backend servers. */
 import {createHash} from 'node:crypto';
+import {collectBy} from '../runtime/collect_by';
 import {createRouteTable, type RouteTable} from './route_table';
 import type {
   BackendEntry,
@@ -112,13 +113,11 @@
 
   function updateUsable(): void {
     digest = undefined;
-    usable = new Map();
-    for (const entry of [...entries.values(), ...vanished.values()]) {
-      if (entry.isLeaving) continue;
-      const list = usable.get(entry.service) ?? [];
-      list.push(entry);
-      usable.set(entry.service, list);
-    }
+    const listed = [...entries.values(), ...vanished.values()];
+    usable = collectBy(
+      listed.filter(entry => !entry.isLeaving),
+      entry => entry.service,
+    );
   }
 }
 
--- a/src/gateway/front_listener.ts
+++ b/src/gateway/front_listener.ts
@@ -5,7 +5,8 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import type {Socket} from 'node:net';
+import {listen} from '../runtime/listen';
 import type {Clock} from '../runtime/types';
 import {createExchange, type Exchange} from './exchange';
 import {readRequestBody} from './request_body';
@@ -14,7 +15,7 @@
 
 /** Listener for callers. */
 export interface FrontListener {
-  open(): Promise<AddressInfo>;
+  open(): Promise<void>;
   /** Puts other limits in force, for connections that come later. */
   setLimits(limits: CallerLimits): void;
   /** Answers from now on close their connections. */
@@ -81,15 +82,8 @@
     },
   };
 
-  function open(): Promise<AddressInfo> {
-    const {host, port} = options.address;
-    return new Promise((resolve, reject) => {
-      server.once('error', reject);
-      server.listen({host, port, backlog: BACKLOG}, () => {
-        server.off('error', reject);
-        resolve(server.address() as AddressInfo);
-      });
-    });
+  function open(): Promise<void> {
+    return listen(server, {...options.address, backlog: BACKLOG});
   }
 
   function applyLimits(): void {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -24,6 +24,7 @@
 import {createStreamCounts} from './stream_counts';
 import {
   type BackendProtocol,
+  DEFAULT_CALLER_LIMITS,
   type EntryChange,
   type FleetStore,
   type NodeRecord,
@@ -48,13 +49,6 @@
   readonly getRandom?: () => number;
 }
 
-/** Limits for callers before a configuration is known. */
-const INITIAL_LIMITS = {
-  maxHeaderBytes: 16_384,
-  maxBodyBytes: 4_194_304,
-  headerTimeoutMs: 3_000,
-  idleTimeoutMs: 15_000,
-};
 /** How long the balancer goes on sending connections after SIGTERM, in milliseconds: two missed checks and their period. */
 const BALANCER_MS = 3_200;
 /** Interval of looking for the end of open requests while stopping, in milliseconds. */
@@ -173,7 +167,7 @@
     address: settings.callers,
     protocol,
     clock,
-    limits: INITIAL_LIMITS,
+    limits: DEFAULT_CALLER_LIMITS,
     onExchange: createExchangeRouter({context, loads, logger}),
   });
   const control = createControlListeners({
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,7 +1,7 @@
 export {createGateway} from './gateway';
 export type {Gateway, GatewayOptions} from './gateway';
 export type {Address, GatewayBounds, GatewaySettings} from './settings';
-export {EngineStage, RequestKind} from './types';
+export {DEFAULT_CALLER_LIMITS, EngineStage, RequestKind} from './types';
 export type {
   AnswerFacts,
   AuthorityState,
--- a/src/gateway/known_records.ts
+++ b/src/gateway/known_records.ts
@@ -122,6 +122,7 @@
       ? state.replaceEntries(changes, nowMs)
       : state.applyChanges(changes, nowMs);
     if (different.length === 0) return;
+    expireChanges();
     recent.push(...different.map(change => ({change, atMs: nowMs})));
     logger.log('info', 'backend servers changed', {
       entryOffset,
@@ -149,8 +150,7 @@
   }
 
   function listRecentChanges(): readonly EntryChange[] {
-    const sinceMs = clock.getMonotonicMs() - REPEAT_MS;
-    recent = recent.filter(item => item.atMs > sinceMs);
+    expireChanges();
     let bytes = 0;
     let index = recent.length;
     while (index > 0) {
@@ -161,6 +161,11 @@
     return recent.slice(index).map(item => item.change);
   }
 
+  function expireChanges(): void {
+    const sinceMs = clock.getMonotonicMs() - REPEAT_MS;
+    recent = recent.filter(item => item.atMs > sinceMs);
+  }
+
   function addSnapshot(snapshot: Snapshot): boolean {
     addConfig(snapshot.config, snapshot.configOffset);
     if (snapshot.entryOffset < entryOffset) return false;
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -2,6 +2,7 @@
  * Chooses engines for model requests: the prefill engine with the earliest
  * predicted end of reading, then a decode engine close to it.
  */
+import {collectBy} from '../runtime/collect_by';
 import {
   computeReadMs,
   computeTransferMs,
@@ -93,12 +94,14 @@
   let best: PrefillPlace | undefined;
   let bestScore = Number.POSITIVE_INFINITY;
   const engines = input.engines.filter(server => server.stage === stage);
-  const homeId = tryFindHome(input, engines);
+  const shared = listSharedParts(input.request);
+  const homeId = tryFindHome(input, shared, engines);
   for (const server of engines) {
     const isHome = server.id === homeId;
-    const place = predictPlace(input, server, readFactor, isHome);
+    const place = predictPlace(input, shared, server, readFactor, isHome);
     const score =
-      computeScore(input, place) - (isHome ? HOME_BONUS * place.readMs : 0);
+      computeScore(input, shared, place) -
+      (isHome ? HOME_BONUS * place.readMs : 0);
     if (score >= bestScore) continue;
     best = place;
     bestScore = score;
@@ -109,21 +112,22 @@
 /** Finds the home of a prompt's shared parts, when no engine is known to keep them. */
 function tryFindHome(
   input: PlacementInput,
+  shared: readonly PromptPart[],
   engines: readonly BackendEntry[],
 ): string | undefined {
-  const last = listSharedParts(input.request).at(-1);
+  const last = shared.at(-1);
   if (last === undefined || input.prefixes.isKept(last.id)) return undefined;
   return input.homes.tryFind(last.id, engines);
 }
 
 function predictPlace(
   input: PlacementInput,
+  shared: readonly PromptPart[],
   server: BackendEntry,
   readFactor: number,
   isHome: boolean,
 ): PrefillPlace {
   const {request, book, prefixes, nowMs} = input;
-  const shared = listSharedParts(request);
   const cachedTokens =
     isHome && input.isHomeWarm
       ? shared.reduce((sum, part) => sum + part.tokens, 0)
@@ -137,8 +141,11 @@
   };
 }
 
-function computeScore(input: PlacementInput, place: PrefillPlace): number {
-  const shared = listSharedParts(input.request);
+function computeScore(
+  input: PlacementInput,
+  shared: readonly PromptPart[],
+  place: PrefillPlace,
+): number {
   const againTokens = shared
     .filter(part => input.prefixes.isKeptElsewhere(place.server.id, part.id))
     .reduce((sum, part) => sum + part.tokens, 0);
@@ -175,13 +182,10 @@
 
 /** Lists the decode engines that this node uses. */
 function listDecodeEngines(input: DecodeInput): BackendEntry[] {
-  const domains = new Map<string, BackendEntry[]>();
-  for (const engine of input.engines) {
-    if (engine.stage !== EngineStage.Decode) continue;
-    const members = domains.get(engine.failureDomain) ?? [];
-    members.push(engine);
-    domains.set(engine.failureDomain, members);
-  }
+  const decode = input.engines.filter(
+    engine => engine.stage === EngineStage.Decode,
+  );
+  const domains = collectBy(decode, engine => engine.failureDomain);
   return [...domains.values()].flatMap(members =>
     input.homes.listNearest(input.nodeName, members, DECODE_ENGINES_PER_DOMAIN),
   );
--- a/src/gateway/prefill_call.ts
+++ b/src/gateway/prefill_call.ts
@@ -1,9 +1,10 @@
 /** Lets a prefill engine read the prompt of a request. */
-import type {Timer} from '../runtime/types';
 import {Verdict} from '../verdict';
 import type {FlowContext} from './flow_context';
 import type {PrefillPlace} from './placement';
 import type {RequestTask} from './request_task';
+import {isOtherAnswer, sendToServer} from './server_call';
+import {watchForStall} from './stall_watch';
 import type {CallFailure} from './types';
 
 /** A prompt that is being read. */
@@ -23,10 +24,6 @@
 
 /** Slack before a prefill engine that does not answer is given up, in milliseconds. */
 const STALL_SLACK_MS = 400;
-/** How many times longer than predicted a prefill may take. */
-const STALL_FACTOR = 2;
-/** Interval of looking again at a prefill engine that is late, in milliseconds. */
-const STALL_CHECK_MS = 150;
 
 /** Sends the call. Exactly one of the callbacks comes, unless it is cancelled. */
 export function startPrefillCall(options: PrefillCallOptions): PrefillCall {
@@ -35,35 +32,35 @@
   const {exchange, route} = task;
   const {server} = place;
   const sentAtMs = clock.getMonotonicMs();
-  const predictedMs = place.waitMs + place.readMs;
   const chunks: Buffer[] = [];
   let isDone = false;
-  const call = context.connections.call({
+  const watch = watchForStall({
+    clock,
+    health,
+    serverId: server.id,
+    predictedMs: place.waitMs + place.readMs,
+    slackMs: STALL_SLACK_MS,
+    onStall: () => {
+      call.cancel();
+      fail(createFailure('stalled', 'the prompt was not read in time'));
+    },
+  });
+  const call = sendToServer({
+    context,
+    task,
     server,
-    method: exchange.method,
-    path: exchange.target,
-    headers: protocol.buildHeaders(exchange.rawHeaders, {
-      deadlineMs: task.getRemainingMs(),
-      serverId: server.id,
-      rank: route.rank,
-      isPrefillOnly: true,
-    }),
-    ...(exchange.body === undefined ? {} : {body: exchange.body}),
     handler: {
       onAnswer: checkAnswer,
       onData: chunk => chunks.push(chunk),
       onEnd: handleEnd,
       onFailure: fail,
     },
+    more: {rank: route.rank, isPrefillOnly: true},
   });
-  let timer: Timer = clock.schedule(
-    STALL_FACTOR * predictedMs + STALL_SLACK_MS,
-    checkStall,
-  );
   return {
     cancel: () => {
       isDone = true;
-      timer.cancel();
+      watch.cancel();
       call.cancel();
     },
   };
@@ -73,9 +70,7 @@
     rawHeaders: readonly string[],
   ): CallFailure | void {
     const facts = protocol.parseAnswer(status, rawHeaders);
-    const isOther =
-      facts.requestId !== undefined &&
-      facts.requestId !== exchange.request.requestId;
+    const isOther = isOtherAnswer(facts, exchange);
     if (status === 200 && !isOther) return;
     return createFailure(
       isOther ? 'mismatch' : 'rejected',
@@ -91,25 +86,15 @@
     }
     if (isDone) return;
     isDone = true;
-    timer.cancel();
+    watch.cancel();
     health.recordSign(server.id);
     options.onRead(handle, clock.getMonotonicMs() - sentAtMs);
   }
 
-  /** An engine that answers others is busy beyond what is known, and gets more time. */
-  function checkStall(): void {
-    if (health.hasRecentSign(server.id)) {
-      timer = clock.schedule(STALL_CHECK_MS, checkStall);
-      return;
-    }
-    call.cancel();
-    fail(createFailure('stalled', 'the prompt was not read in time'));
-  }
-
   function fail(failure: CallFailure): void {
     if (isDone) return;
     isDone = true;
-    timer.cancel();
+    watch.cancel();
     options.onFailure(failure);
   }
 }
--- a/src/gateway/relay_choice.ts
+++ b/src/gateway/relay_choice.ts
@@ -1,4 +1,5 @@
 /** Chooses which nodes get a message directly, and which pass it on in their failure domain. */
+import {collectBy} from '../runtime/collect_by';
 import type {Clock} from '../runtime/types';
 import type {PeerMessage} from './peer_messages';
 import type {NodeRecord} from './types';
@@ -56,7 +57,8 @@
     const direct: NodeRecord[] = [];
     const relayed: NodeRecord[] = [];
     const count = FREQUENT_KINDS.has(kind) ? 1 : SAFE_RELAYS;
-    for (const [domain, members] of listDomains(nodes)) {
+    const domains = collectBy(nodes, node => node.failureDomain);
+    for (const [domain, members] of domains) {
       if (domain === ownDomain || members.length < MIN_RELAYED_NODES) {
         direct.push(...members);
       } else relayed.push(...chooseRelays(members, count));
@@ -80,13 +82,3 @@
     });
   }
 }
-
-function listDomains(nodes: readonly NodeRecord[]): Map<string, NodeRecord[]> {
-  const groups = new Map<string, NodeRecord[]>();
-  for (const node of nodes) {
-    const group = groups.get(node.failureDomain) ?? [];
-    group.push(node);
-    groups.set(node.failureDomain, group);
-  }
-  return groups;
-}
--- a/src/gateway/route_table.ts
+++ b/src/gateway/route_table.ts
@@ -1,4 +1,5 @@
 /** Finds the route of a request. */
+import {collectBy} from '../runtime/collect_by';
 import type {Route, WeightedService} from './types';
 
 /** Routes by host, the longest prefixes first. */
@@ -9,12 +10,7 @@
 
 /** Creates a table of routes. */
 export function createRouteTable(routes: readonly Route[]): RouteTable {
-  const byHost = new Map<string, Route[]>();
-  for (const route of routes) {
-    const known = byHost.get(route.host) ?? [];
-    known.push(route);
-    byHost.set(route.host, known);
-  }
+  const byHost = collectBy(routes, route => route.host);
   for (const list of byHost.values()) {
     list.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
   }
--- /dev/null
+++ b/src/gateway/server_call.ts
@@ -0,0 +1,42 @@
+/** Sends a caller's request to a backend server. */
+import type {CallHandler, OpenCall} from './connections';
+import type {Exchange} from './exchange';
+import type {FlowContext} from './flow_context';
+import type {RequestTask} from './request_task';
+import type {AnswerFacts, BackendEntry, SendOptions} from './types';
+
+/** A request to a backend server on behalf of a caller. */
+export interface ServerCallOptions {
+  readonly context: Pick<FlowContext, 'connections' | 'protocol'>;
+  readonly task: RequestTask;
+  readonly server: BackendEntry;
+  readonly handler: CallHandler;
+  /** What is said to the server beside its id and the time left. */
+  readonly more?: Omit<SendOptions, 'deadlineMs' | 'serverId'>;
+}
+
+/** Sends the request as the caller sent it; only headers of the system are added. */
+export function sendToServer(options: ServerCallOptions): OpenCall {
+  const {context, task, server, handler} = options;
+  const {exchange} = task;
+  return context.connections.call({
+    server,
+    method: exchange.method,
+    path: exchange.target,
+    headers: context.protocol.buildHeaders(exchange.rawHeaders, {
+      deadlineMs: task.getRemainingMs(),
+      serverId: server.id,
+      ...options.more,
+    }),
+    ...(exchange.body === undefined ? {} : {body: exchange.body}),
+    handler,
+  });
+}
+
+/** Tells whether an answer names another request than the one sent. */
+export function isOtherAnswer(facts: AnswerFacts, exchange: Exchange): boolean {
+  return (
+    facts.requestId !== undefined &&
+    facts.requestId !== exchange.request.requestId
+  );
+}
--- a/src/gateway/service_flow.ts
+++ b/src/gateway/service_flow.ts
@@ -4,6 +4,7 @@
 import type {OpenCall} from './connections';
 import type {FlowContext} from './flow_context';
 import type {RequestTask} from './request_task';
+import {sendToServer} from './server_call';
 import {tryChooseServer} from './service_choice';
 import type {ServiceLoads} from './service_loads';
 import {type BackendEntry, type CallFailure, RequestKind} from './types';
@@ -19,6 +20,9 @@
 /** Servers tried without a connection before the request is refused. */
 const MAX_CONNECT_TRIES = 3;
 
+/** Status of a server that is not the one meant. */
+const STATUS_MISDIRECTED = 421;
+
 /** Serves one request. */
 export function runServiceFlow(
   context: FlowContext,
@@ -72,11 +76,11 @@
       holdBytes: route.kind === RequestKind.Stream ? 0 : HOLD_BYTES,
       isErrorRepeatable: () => isIdempotent && canRunAgain(),
       onEnd: status => {
-        settleTry(server, context.clock.getMonotonicMs() - sentAtMs);
+        settleTry(context.clock.getMonotonicMs() - sentAtMs);
         task.complete(status, server.id);
       },
       onFailure: failure => {
-        settleTry(server, undefined);
+        settleTry();
         handleFailure(server, failure);
       },
     });
@@ -86,24 +90,14 @@
           handleSlowTry,
         )
       : undefined;
-    const opened = context.connections.call({
-      server,
-      method: exchange.method,
-      path: exchange.target,
-      headers: context.protocol.buildHeaders(exchange.rawHeaders, {
-        deadlineMs: remainingMs,
-        serverId: server.id,
-      }),
-      ...(exchange.body === undefined ? {} : {body: exchange.body}),
-      handler: relay,
-    });
+    const opened = sendToServer({context, task, server, handler: relay});
     call = opened;
     relay.attach(opened);
 
-    function settleTry(used: BackendEntry, answerMs: number | undefined): void {
+    function settleTry(answerMs?: number): void {
       tryTimer?.cancel();
-      loads.recordEnd(used.id, answerMs);
-      if (answerMs !== undefined) context.health.recordSuccess(used.id, 1);
+      loads.recordEnd(server.id, answerMs);
+      if (answerMs !== undefined) context.health.recordSuccess(server.id, 1);
     }
 
     function handleSlowTry(): void {
@@ -121,7 +115,8 @@
   function handleFailure(server: BackendEntry, failure: CallFailure): void {
     if (failure.verdict === Verdict.NotRun) runCount--;
     else mayHaveRun = true;
-    if (failure.message !== 'server answered 421') {
+    // An address that another server has taken over says nothing of this one.
+    if (failure.status !== STATUS_MISDIRECTED) {
       context.health.recordFailure(
         server.id,
         failure.reason,
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -3,8 +3,8 @@
  * fetches the KV cache and streams the answer, or a decode engine does both.
  */
 import {Verdict} from '../verdict';
-import {createSplitterFor} from './answer_relay';
 import {type DecodeCall, startDecodeCall} from './decode_call';
+import {createEventSplitter} from './event_splitter';
 import type {FlowContext} from './flow_context';
 import {
   type PlacementInput,
@@ -48,7 +48,7 @@
   const {exchange, route} = task;
   const {clock, health} = context;
   const excluded = new Set<string>();
-  const splitter = createSplitterFor(route.isResumable);
+  const splitter = route.isResumable ? createEventSplitter() : undefined;
   const budget = context.getBudget(task.service);
   const records = createStreamRecords(
     context,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -76,6 +76,14 @@
   readonly idleTimeoutMs: number;
 }
 
+/** Limits where a configuration says none, or none is known; a large header and body of ordinary web servers. */
+export const DEFAULT_CALLER_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 4_194_304,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+
 /** The operator's configuration. */
 export interface GatewayConfig {
   readonly version: number;
@@ -211,14 +219,9 @@
 /** A failed call of a backend server. */
 export interface CallFailure {
   readonly verdict: Verdict;
-  readonly reason:
-    | 'connect'
-    | 'timeout'
-    | 'reset'
-    | 'mismatch'
-    | 'rejected'
-    | 'stalled'
-    | 'cancelled';
+  readonly reason: 'connect' | 'reset' | 'mismatch' | 'rejected' | 'stalled';
+  /** Status of the server's answer, when it rejected the request. */
+  readonly status?: number;
   readonly message: string;
 }
 
--- a/src/platform/operator_config.ts
+++ b/src/platform/operator_config.ts
@@ -1,6 +1,7 @@
 /** Decodes the operator's configuration. */
 import {
   type BackendService,
+  DEFAULT_CALLER_LIMITS,
   type EngineLimits,
   type GatewayConfig,
   RequestKind,
@@ -24,14 +25,6 @@
 /** Route settings that the configuration leaves out. */
 const DEFAULT_TIMEOUT_MS = 5_000;
 const DEFAULT_OBJECTIVE_MS = 1_000;
-/** Limits that the configuration leaves out; a large header and body of ordinary web servers. */
-const DEFAULT_LIMITS = {
-  maxHeaderBytes: 16_384,
-  maxBodyBytes: 4_194_304,
-  headerTimeoutMs: 3_000,
-  idleTimeoutMs: 15_000,
-};
-
 /** Decodes a configuration; returns undefined when it has no version or routes. */
 export function tryParseConfig(text: string): GatewayConfig | undefined {
   const fields = tryFields(tryParseJson(text));
@@ -46,13 +39,16 @@
     ),
     limits: {
       maxHeaderBytes:
-        tryNumber(limits['maxHeaderBytes']) ?? DEFAULT_LIMITS.maxHeaderBytes,
+        tryNumber(limits['maxHeaderBytes']) ??
+        DEFAULT_CALLER_LIMITS.maxHeaderBytes,
       maxBodyBytes:
-        tryNumber(limits['maxBodyBytes']) ?? DEFAULT_LIMITS.maxBodyBytes,
+        tryNumber(limits['maxBodyBytes']) ?? DEFAULT_CALLER_LIMITS.maxBodyBytes,
       headerTimeoutMs:
-        tryNumber(limits['headerTimeoutMs']) ?? DEFAULT_LIMITS.headerTimeoutMs,
+        tryNumber(limits['headerTimeoutMs']) ??
+        DEFAULT_CALLER_LIMITS.headerTimeoutMs,
       idleTimeoutMs:
-        tryNumber(limits['idleTimeoutMs']) ?? DEFAULT_LIMITS.idleTimeoutMs,
+        tryNumber(limits['idleTimeoutMs']) ??
+        DEFAULT_CALLER_LIMITS.idleTimeoutMs,
     },
   };
 }
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -51,8 +51,6 @@
     waitMs: number,
   ): Promise<Result<RecordPage, StoreFailure>>;
   listNewest(topic: string): Promise<Result<NewestPage, StoreFailure>>;
-  /** Returns how many calls were made since the start. */
-  getCallCount(): number;
   close(): void;
 }
 
@@ -76,12 +74,10 @@
   const origin = `http://${options.host}:${options.port}`;
   // A waiting read holds its connection, so it has one of its own.
   const connections = {calls: openClient(), waits: openClient()};
-  let callCount = 0;
   return {
     append,
     read,
     listNewest,
-    getCallCount: () => callCount,
     close: () => {
       void connections.calls.destroy();
       void connections.waits.destroy();
@@ -165,7 +161,6 @@
     path: string,
     call: {body?: Buffer; waitMs?: number; hasEffect?: boolean},
   ): Promise<Result<Buffer, StoreFailure>> {
-    callCount++;
     const waitMs = call.waitMs ?? 0;
     const slot = waitMs > 0 ? 'waits' : 'calls';
     const client = connections[slot];
--- /dev/null
+++ b/src/runtime/collect_by.ts
@@ -0,0 +1,16 @@
+/** Groups of items. */
+
+/** Collects the items under their keys, in their order. */
+export function collectBy<Item>(
+  items: Iterable<Item>,
+  getKey: (item: Item) => string,
+): Map<string, Item[]> {
+  const groups = new Map<string, Item[]>();
+  for (const item of items) {
+    const key = getKey(item);
+    const group = groups.get(key) ?? [];
+    group.push(item);
+    groups.set(key, group);
+  }
+  return groups;
+}
--- a/src/runtime/listener.ts
+++ b/src/runtime/listener.ts
@@ -13,6 +13,7 @@
 import type {AddressInfo} from 'node:net';
 import {toNodeHandler} from 'h3';
 import {createByteMeter} from './byte_meter';
+import {listen} from './listen';
 import type {Listener, ListenerLimits, ListenerOptions} from './listener_types';
 import {loadTlsContext, watchTlsFiles} from './tls_files';
 
@@ -39,7 +40,7 @@
   const server = createServer(options, limits, createHandler());
   server.maxConnections = limits.maxConnections;
   const bytes = createByteMeter(server);
-  await listen(server, host, options.port ?? 0);
+  await listen(server, {host, port: options.port ?? 0});
   const stopWatching =
     tls === undefined
       ? () => undefined
@@ -135,13 +136,3 @@
   }
   return request.headers['transfer-encoding'] === undefined ? undefined : 411;
 }
-
-function listen(server: Server, host: string, port: number): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, () => {
-      server.off('error', reject);
-      resolve();
-    });
-  });
-}
--- a/test/gateway/placement.test.ts
+++ b/test/gateway/placement.test.ts
@@ -9,7 +9,7 @@
 import {createPrefillBook} from '../../src/gateway/prefill_book';
 import {createPrefixDirectory} from '../../src/gateway/prefix_directory';
 import {EngineStage} from '../../src/gateway/types';
-import {createEntry} from './support';
+import {createEntry, ENGINE_LIMITS} from './support';
 
 const ENGINES = ['p1', 'p2', 'p3', 'p4'].map(id =>
   createEntry({id, stage: EngineStage.Prefill}),
@@ -95,14 +95,7 @@
       nodeName: 'front-1',
       homes: createHomeEngines(),
       engines,
-      engine: {
-        maxRunning: 64,
-        kvTokens: 450_000,
-        kvBytesPerToken: 163_840,
-        linkMbps: 1_600_000,
-        stageChangeMs: 3_000,
-        handleLifetimeMs: 5_000,
-      },
+      engine: ENGINE_LIMITS,
       tokens: 17_000,
       sourceDomain: 'a',
       path: PATH,
@@ -150,14 +143,7 @@
         nodeName,
         homes,
         engines: engines.filter(({id}) => id !== lost),
-        engine: {
-          maxRunning: 64,
-          kvTokens: 450_000,
-          kvBytesPerToken: 163_840,
-          linkMbps: 1_600_000,
-          stageChangeMs: 3_000,
-          handleLifetimeMs: 5_000,
-        },
+        engine: ENGINE_LIMITS,
         tokens: 2_000,
         sourceDomain: index % 2 === 0 ? 'a' : 'b',
         path: PATH,
--- a/test/gateway/stream_records.test.ts
+++ b/test/gateway/stream_records.test.ts
@@ -7,16 +7,8 @@
 import {createStreamCounts} from '../../src/gateway/stream_counts';
 import {createStreamRecords} from '../../src/gateway/stream_records';
 import {createSystemClock} from '../../src/runtime/system_clock';
-import {createEntry} from './support';
+import {createEntry, ENGINE_LIMITS} from './support';
 
-const ENGINE = {
-  maxRunning: 64,
-  kvTokens: 450_000,
-  kvBytesPerToken: 163_840,
-  linkMbps: 1_600_000,
-  stageChangeMs: 3_000,
-  handleLifetimeMs: 5_000,
-};
 const MODEL = {
   promptTokens: 1_500,
   maxOutputTokens: 10,
@@ -36,7 +28,7 @@
   };
   const records = createStreamRecords(
     context as FlowContext,
-    ENGINE,
+    ENGINE_LIMITS,
     MODEL,
     'job',
   );
--- a/test/gateway/support.ts
+++ b/test/gateway/support.ts
@@ -6,7 +6,21 @@
   CallHandler,
   Connections,
 } from '../../src/gateway/connections';
-import type {BackendEntry, CallFailure} from '../../src/gateway/types';
+import type {
+  BackendEntry,
+  CallFailure,
+  EngineLimits,
+} from '../../src/gateway/types';
+
+/** Sizes of an engine like those of the deployments. */
+export const ENGINE_LIMITS: EngineLimits = {
+  maxRunning: 64,
+  kvTokens: 450_000,
+  kvBytesPerToken: 163_840,
+  linkMbps: 1_600_000,
+  stageChangeMs: 3_000,
+  handleLifetimeMs: 5_000,
+};
 
 /** Creates an entry of service discovery. */
 export function createEntry(options: Partial<BackendEntry> = {}): BackendEntry {
--- a/test/platform/following.test.ts
+++ b/test/platform/following.test.ts
@@ -1,11 +1,13 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {listFreePorts} from '../support/program';
+import type {ServerStandin} from './server_standin';
 import {
   buildConfig,
-  findFreePorts,
   isNodeReady,
   type RunningNode,
   startSystem,
+  type TestSystem,
   waitUntil,
 } from './system';
 
@@ -44,6 +46,27 @@
   });
 }
 
+/** Starts nodes and one server, and waits until all nodes know it. */
+async function startWithServer(
+  nodes: number,
+  workMs?: number,
+): Promise<{
+  readonly system: TestSystem;
+  readonly server: ServerStandin;
+}> {
+  const system = await startSystem({nodes});
+  const server = await system.addServer({
+    id: 'app-1',
+    service: 'app',
+    zone: 'a',
+    ...(workMs === undefined ? {} : {workMs}),
+  });
+  await waitUntil('the server is known', () =>
+    hasUsable(system.nodes, ['app-1']),
+  );
+  return {system, server};
+}
+
 test('a node without a configuration is not ready and refuses as not run', async () => {
   const system = await startSystem({hasConfig: false});
   assert.equal(await isNodeReady(system.nodes[0]), false);
@@ -53,11 +76,7 @@
 });
 
 test('all nodes follow the store, and one of them reads it for the others', async () => {
-  const system = await startSystem({nodes: 4});
-  await system.addServer({id: 'app-1', service: 'app', zone: 'a'});
-  await waitUntil('all know the server', () =>
-    hasUsable(system.nodes, ['app-1']),
-  );
+  const {system} = await startWithServer(4);
   await new Promise(resolve => setTimeout(resolve, 1_500));
   const callsBefore = system.store.calls.length;
   await new Promise(resolve => setTimeout(resolve, 2_000));
@@ -144,15 +163,7 @@
 });
 
 test('requests are served while the store is away, and entries that lapsed come back', async () => {
-  const system = await startSystem({nodes: 2});
-  const server = await system.addServer({
-    id: 'app-1',
-    service: 'app',
-    zone: 'a',
-  });
-  await waitUntil('the server is known', () =>
-    hasUsable(system.nodes, ['app-1']),
-  );
+  const {system, server} = await startWithServer(2);
   system.store.setFault('refusing');
   await new Promise(resolve => setTimeout(resolve, 1_800));
   assert.equal((await system.send({path: '/look/x'})).status, 200);
@@ -170,15 +181,7 @@
 });
 
 test('an entry that does not come back after an outage is gone', async () => {
-  const system = await startSystem({});
-  const server = await system.addServer({
-    id: 'app-1',
-    service: 'app',
-    zone: 'a',
-  });
-  await waitUntil('the server is known', () =>
-    hasUsable(system.nodes, ['app-1']),
-  );
+  const {system, server} = await startWithServer(1);
   system.store.setFault('refusing');
   await new Promise(resolve => setTimeout(resolve, 1_800));
   server.withdraw();
@@ -192,11 +195,7 @@
 });
 
 test('a node that the store turns away starts from what other nodes know', async () => {
-  const system = await startSystem({nodes: 2});
-  await system.addServer({id: 'app-1', service: 'app', zone: 'a'});
-  await waitUntil('the server is known', () =>
-    hasUsable(system.nodes, ['app-1']),
-  );
+  const {system} = await startWithServer(2);
   system.store.setFault('silent');
   const late = await system.addNode();
   await waitUntil('the late node is ready', () => isNodeReady(late), 3_000);
@@ -225,16 +224,8 @@
 });
 
 test('a node that the store turns away follows configurations and servers through the others', async () => {
-  const system = await startSystem({nodes: 3});
-  const server = await system.addServer({
-    id: 'app-1',
-    service: 'app',
-    zone: 'a',
-  });
-  await waitUntil('the server is known', () =>
-    hasUsable(system.nodes, ['app-1']),
-  );
-  const [closedPort] = await findFreePorts(1);
+  const {system, server} = await startWithServer(3);
+  const [closedPort] = await listFreePorts(1);
   const cut = await system.addNode(closedPort);
   await waitUntil('the cut node is ready', () => isNodeReady(cut), 3_000);
   system.store.put('keyed.op', 'config', buildConfig(2));
@@ -296,11 +287,7 @@
 });
 
 test('a node that stops says so and finishes what is open', async () => {
-  const system = await startSystem({});
-  await system.addServer({id: 'app-1', service: 'app', zone: 'a', workMs: 600});
-  await waitUntil('the server is known', () =>
-    hasUsable(system.nodes, ['app-1']),
-  );
+  const {system} = await startWithServer(1, 600);
   const answer = system.send({path: '/order/x'});
   await new Promise(resolve => setTimeout(resolve, 100));
   const stopped = system.nodes[0].gateway.stop();
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -7,7 +7,8 @@
 import {join} from 'node:path';
 import {before, test} from 'node:test';
 import {startStoreStandin} from './store_standin';
-import {buildConfig, buildSettings, findFreePorts, waitUntil} from './system';
+import {listFreePorts} from '../support/program';
+import {buildConfig, buildSettings, waitUntil} from './system';
 
 const PROGRAM = join(mkdtempSync(join(tmpdir(), 'anvilstack-')), 'gateway.cjs');
 
@@ -40,7 +41,7 @@
 }
 
 test('a process that cannot listen ends with 1 and says why', async () => {
-  const ports = await findFreePorts(4);
+  const ports = await listFreePorts(4);
   const other = createServer();
   await new Promise<void>(resolve => other.listen(0, '127.0.0.1', resolve));
   const taken = (other.address() as AddressInfo).port;
@@ -61,7 +62,7 @@
 });
 
 test('SIGTERM ends a process with 0 within the time that it has', async () => {
-  const ports = await findFreePorts(4);
+  const ports = await listFreePorts(4);
   const store = await startStoreStandin();
   store.put('keyed.op', 'config', buildConfig(1));
   const startedAt = performance.now();
--- a/test/platform/system.ts
+++ b/test/platform/system.ts
@@ -1,6 +1,5 @@
 /** A whole system in one process: stand-ins of the platform and real gateways. */
 import {type Agent, request as sendRequest} from 'node:http';
-import {createServer} from 'node:net';
 import {createLogger} from '../../src/diagnostics/log';
 import {createGateway, type Gateway} from '../../src/gateway';
 import {
@@ -10,6 +9,7 @@
   parseNodeSettings,
 } from '../../src/platform';
 import {createSystemClock} from '../../src/runtime/system_clock';
+import {listFreePorts} from '../support/program';
 import {
   type ServerStandin,
   type ServerStandinOptions,
@@ -152,7 +152,7 @@
 
   async function addNode(storePort = store.port): Promise<RunningNode> {
     const name = `front-${nodes.length + 1}`;
-    const ports = await findFreePorts(4);
+    const ports = await listFreePorts(4);
     const text = buildSettings(name, ports, storePort, seeds);
     seeds.push(`127.0.0.1:${ports[2]}`);
     const settings = parseNodeSettings(text, 'boot.toml').unwrap();
@@ -182,30 +182,6 @@
   }
 }
 
-/** Ports below those that the system gives to outgoing connections. */
-const PORTS = {first: 12_000, count: 20_000};
-let nextPort = process.pid * 64;
-
-/** Finds ports that nothing listens on, and that no connection takes before they are used. */
-export async function findFreePorts(count: number): Promise<number[]> {
-  const ports: number[] = [];
-  while (ports.length < count) {
-    const port = PORTS.first + (nextPort++ % PORTS.count);
-    if (await isPortFree(port)) ports.push(port);
-  }
-  return ports;
-}
-
-function isPortFree(port: number): Promise<boolean> {
-  return new Promise(resolve => {
-    const server = createServer();
-    server.once('error', () => resolve(false));
-    server.listen(port, '127.0.0.1', () => {
-      server.close(() => resolve(true));
-    });
-  });
-}
-
 /** Builds the settings file of a node; the ports are those for callers, readiness, control and peers. */
 export function buildSettings(
   name: string,
--- a/test/soak/gateway_processes.ts
+++ b/test/soak/gateway_processes.ts
@@ -3,7 +3,8 @@
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
-import {buildSettings, findFreePorts} from '../platform/system';
+import {buildSettings} from '../platform/system';
+import {listFreePorts} from '../support/program';
 
 /** Path of the program, as `node scripts/build_gateway.mjs` writes it. */
 const PROGRAM = 'target/anvilstack.cjs';
@@ -43,7 +44,7 @@
   const nodes: NodeProcess[] = [];
   for (let index = 0; index < count; index++) {
     const name = `front-${index + 1}`;
-    const ports = await findFreePorts(4);
+    const ports = await listFreePorts(4);
     const path = join(folder, `${name}.toml`);
     writeFileSync(path, buildSettings(name, ports, storePort, seeds));
     seeds.push(`127.0.0.1:${ports[2]}`);
