Mend a test that counted on the first waiting reads being over

At its start each node reads the store and begins a read that waits 1.5 s for a configuration; it goes on after the node has left reading to another one. The test wrote version 2 after 1.5 s by the clock, so on a slower machine that first read of each node was still open and gave the version, and no node had to load it.

Ruled out: the log line coming after the version (same turn of the event loop), and all nodes still reading (they had left it).

The test now waits until all but one node have logged that they leave reading and the store's stand-in sees one waiting read at most; so do the two other tests that paused 1.5 s for the same reason. Their checks are unchanged.

--- a/test/platform/following.test.ts
+++ b/test/platform/following.test.ts
@@ -67,6 +67,22 @@
   return {system, server};
 }
 
+/** Waits until one node reads for the others, and the waiting reads that they began at their start are over. */
+async function waitForOneReader(system: TestSystem): Promise<void> {
+  await waitUntil('the others leave reading to one node', () => {
+    const others = system.nodes.filter(node =>
+      node.lines.some(
+        line => line['message'] === 'leaves reading the store to a node',
+      ),
+    );
+    return others.length === system.nodes.length - 1;
+  });
+  await waitUntil(
+    'only one node waits for a configuration',
+    () => system.store.countWaiting('keyed.op') <= 1,
+  );
+}
+
 test('a node without a configuration is not ready and refuses as not run', async () => {
   const system = await startSystem({hasConfig: false});
   assert.equal(await isNodeReady(system.nodes[0]), false);
@@ -77,7 +93,7 @@
 
 test('all nodes follow the store, and one of them reads it for the others', async () => {
   const {system} = await startWithServer(4);
-  await new Promise(resolve => setTimeout(resolve, 1_500));
+  await waitForOneReader(system);
   const callsBefore = system.store.calls.length;
   await new Promise(resolve => setTimeout(resolve, 2_000));
   const calls = system.store.calls.slice(callsBefore);
@@ -206,7 +222,7 @@
 test('nodes read a new configuration from the store, not from the node that reads for them', async () => {
   const system = await startSystem({nodes: 6});
   await waitUntil('version 1', () => hasVersion(system.nodes, 1));
-  await new Promise(resolve => setTimeout(resolve, 1_500));
+  await waitForOneReader(system);
   const linesBefore = system.nodes.map(node => node.lines.length);
   system.store.put('keyed.op', 'config', buildConfig(2));
   await waitUntil('version 2', () => hasVersion(system.nodes, 2));
@@ -246,7 +262,7 @@
 test('a storm of configurations costs a node one read for several', async () => {
   const system = await startSystem({nodes: 4});
   await waitUntil('version 1', () => hasVersion(system.nodes, 1));
-  await new Promise(resolve => setTimeout(resolve, 1_500));
+  await waitForOneReader(system);
   const callsBefore = system.store.calls.length;
   const versions = 10;
   for (let version = 2; version < 2 + versions; version++) {
--- a/test/platform/store_standin.ts
+++ b/test/platform/store_standin.ts
@@ -23,6 +23,8 @@
   /** Deletes all records; the newest of each key stays readable as such. */
   compact(topic: string): void;
   listRecords(topic: string): readonly Buffer[];
+  /** Counts the reads of a topic that wait for a record. */
+  countWaiting(topic: string): number;
   close(): void;
 }
 
@@ -56,6 +58,7 @@
       topic.records = [];
     },
     listRecords: name => getTopic(name).records,
+    countWaiting: name => getTopic(name).waiting.size,
     close: () => {
       server.close();
       server.closeAllConnections();
