Tell large fleets of a read only when its end is not as predicted

Ruled out: timers (25 a second for each node), hello messages (184 at the start), configuration and list of servers (4 datagrams a second).

Among 32 nodes or more, 'placed' now carries the predicted end, and the receivers take the prompt as read then. 'overdue' is sent at 50 ms over it, 'read' only when the end was more than 50 ms off. Smaller fleets are told as before. Tests fail before.

--- a/src/gateway/node_messages.ts
+++ b/src/gateway/node_messages.ts
@@ -64,6 +64,9 @@
         book.add({...message, id: message.jobId}, nowMs);
         prefixes.recordRead(message.serverId, message.parts);
         return;
+      case 'overdue':
+        book.retain(message.jobId, nowMs);
+        return;
       case 'read':
         handleRead(message, nowMs);
         return;
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -35,6 +35,14 @@
   readonly costMs: number;
   /** Parts that the engine keeps afterwards. */
   readonly parts: readonly PromptPart[];
+  /** Predicted time until it is read, in milliseconds; the receiver takes it as read then unless told otherwise. Absent when the end is always told. */
+  readonly endsInMs?: number;
+}
+
+/** A prompt is not read although its predicted end is over; `read` follows. */
+export interface OverdueMessage {
+  readonly kind: 'overdue';
+  readonly jobId: string;
 }
 
 /** A prompt was read or given up. */
@@ -71,6 +79,7 @@
   | HelloMessage
   | StateMessage
   | PlacedMessage
+  | OverdueMessage
   | ReadMessage
   | SuspectMessage
   | OrderedMessage
@@ -88,6 +97,7 @@
   'hello',
   'state',
   'placed',
+  'overdue',
   'read',
   'suspect',
   'ordered',
--- a/src/gateway/prefill_book.ts
+++ b/src/gateway/prefill_book.ts
@@ -6,11 +6,15 @@
   readonly serverId: string;
   /** Predicted time to read it, in milliseconds. */
   readonly costMs: number;
+  /** Predicted time until it is read, in milliseconds, when it counts as read then; absent when its end is always told. */
+  readonly endsInMs?: number;
 }
 
 /** Work ahead at each engine. */
 export interface PrefillBook {
   add(job: PrefillJob, nowMs: number): void;
+  /** Keeps a job that is not read although its predicted end is over. */
+  retain(jobId: string, nowMs: number): void;
   /** Removes a job that ended. */
   remove(jobId: string, nowMs: number): void;
   /** Returns how long a new job would wait, in milliseconds: engines read in order of arrival. */
@@ -22,7 +26,7 @@
 
 interface OpenJob extends PrefillJob {
   /** When the job is dropped even though nobody said that it ended. */
-  readonly expiresAtMs: number;
+  expiresAtMs: number;
 }
 
 interface Engine {
@@ -31,8 +35,12 @@
   headStartMs: number;
 }
 
+/** How far from its predicted end a prompt may be read without a word, in milliseconds: a tenth of the usual objective. */
+export const READ_TOLERANCE_MS = 50;
 /** Slack before a job whose end was never heard of is dropped, in milliseconds: lost datagrams. */
 const EXPIRY_SLACK_MS = 500;
+/** How long after its predicted end a job counts as read, in milliseconds: the tolerance of its sender, and the way of a message. */
+const SILENCE_SLACK_MS = READ_TOLERANCE_MS + 30;
 /** How many times longer than predicted a job may take before it is dropped. */
 const EXPIRY_FACTOR = 2;
 
@@ -42,6 +50,7 @@
   const places = new Map<string, string>();
   return {
     add,
+    retain,
     remove,
     getWaitMs,
     countJobs: serverId => engines.get(serverId)?.jobs.size ?? 0,
@@ -57,14 +66,22 @@
     sweep(engine, nowMs);
     if (engine.jobs.size === 0) engine.headStartMs = nowMs;
     const waitMs = getWaitMs(job.serverId, nowMs);
-    engine.jobs.set(job.id, {
-      ...job,
-      expiresAtMs:
-        nowMs + EXPIRY_FACTOR * (waitMs + job.costMs) + EXPIRY_SLACK_MS,
-    });
+    const lifeMs =
+      job.endsInMs === undefined
+        ? EXPIRY_FACTOR * (waitMs + job.costMs) + EXPIRY_SLACK_MS
+        : job.endsInMs + SILENCE_SLACK_MS;
+    engine.jobs.set(job.id, {...job, expiresAtMs: nowMs + lifeMs});
     places.set(job.id, job.serverId);
   }
 
+  function retain(jobId: string, nowMs: number): void {
+    const serverId = places.get(jobId);
+    const engine = serverId === undefined ? undefined : engines.get(serverId);
+    const job = engine?.jobs.get(jobId);
+    if (job === undefined) return;
+    job.expiresAtMs = nowMs + EXPIRY_FACTOR * job.costMs + EXPIRY_SLACK_MS;
+  }
+
   function remove(jobId: string, nowMs: number): void {
     const serverId = places.get(jobId);
     const engine = serverId === undefined ? undefined : engines.get(serverId);
@@ -94,6 +111,9 @@
       if (nowMs < job.expiresAtMs) continue;
       engine.jobs.delete(job.id);
       places.delete(job.id);
+      if (job.endsInMs === undefined) continue;
+      const readAtMs = job.expiresAtMs - SILENCE_SLACK_MS;
+      engine.headStartMs = Math.max(engine.headStartMs, readAtMs);
     }
   }
 
--- a/src/gateway/relay_choice.ts
+++ b/src/gateway/relay_choice.ts
@@ -34,6 +34,7 @@
 /** Messages that come for each request: one that is lost is made up for by later ones. */
 const FREQUENT_KINDS: ReadonlySet<PeerMessage['kind']> = new Set([
   'placed',
+  'overdue',
   'read',
 ]);
 /** Nodes of each domain that pass on any other message, so that one that is down loses none. */
--- a/src/gateway/stream_records.ts
+++ b/src/gateway/stream_records.ts
@@ -1,8 +1,10 @@
 /** Notes where the prompt of a request is read and who generates, and tells the other nodes. */
+import type {Timer} from '../runtime/types';
 import {computeTransferMs} from './engine_costs';
 import type {FlowContext} from './flow_context';
 import type {PeerMessage} from './peer_messages';
 import {listSharedParts, type PrefillPlace} from './placement';
+import {READ_TOLERANCE_MS} from './prefill_book';
 import type {EngineLimits, ModelRequest} from './types';
 
 /** Records of one request. */
@@ -19,7 +21,7 @@
 
 /** Expected time of one output token, in milliseconds, from the sheets' step time. */
 const TOKEN_MS = 4.5;
-/** Nodes from which on short reads are not told: with more nodes each hears of more requests. */
+/** Nodes from which on short reads and reads as predicted are not told: with more nodes each hears of more requests. */
 const MANY_NODES = 32;
 /** Longest read that is not told among many nodes, in milliseconds: a tenth of the shortest objective. */
 const SHORT_READ_MS = 30;
@@ -33,15 +35,18 @@
 ): StreamRecords {
   let serverId: string | undefined;
   let isTold = true;
+  /** When the prompt is predicted to be read, if the others take it as read then. */
+  let silentEndMs: number | undefined;
+  let overdue: Timer | undefined;
   return {recordPlaced, recordRead, recordGivenUp, recordEnd};
 
   function recordPlaced(place: PrefillPlace): void {
     serverId = place.server.id;
-    isTold = place.readMs >= SHORT_READ_MS || context.countPeers() < MANY_NODES;
-    context.book.add(
-      {id: jobId, serverId, costMs: place.readMs},
-      context.clock.getMonotonicMs(),
-    );
+    silentEndMs = undefined;
+    const nowMs = context.clock.getMonotonicMs();
+    const isLarge = context.countPeers() >= MANY_NODES;
+    isTold = place.readMs >= SHORT_READ_MS || !isLarge;
+    context.book.add({id: jobId, serverId, costMs: place.readMs}, nowMs);
     context.prefixes.recordRead(serverId, model.parts);
     notify({
       kind: 'placed',
@@ -49,9 +54,28 @@
       serverId,
       costMs: Math.round(place.readMs),
       parts: listSharedParts(model),
+      ...(isLarge ? {endsInMs: Math.round(place.waitMs + place.readMs)} : {}),
+    });
+    if (isLarge && isTold) watchEnd(place.waitMs + place.readMs);
+  }
+
+  /** Tells the others when the prompt is not read at its predicted end. */
+  function watchEnd(endsInMs: number): void {
+    silentEndMs = context.clock.getMonotonicMs() + endsInMs;
+    overdue = context.clock.schedule(endsInMs + READ_TOLERANCE_MS, () => {
+      silentEndMs = undefined;
+      notify({kind: 'overdue', jobId});
     });
   }
 
+  /** True when the others take the prompt as read about now without a word. */
+  function isAsPredicted(nowMs: number): boolean {
+    return (
+      silentEndMs !== undefined &&
+      Math.abs(nowMs - silentEndMs) <= READ_TOLERANCE_MS
+    );
+  }
+
   function recordRead(decodeId: string, ratio?: number): void {
     if (serverId === undefined) return;
     const nowMs = context.clock.getMonotonicMs();
@@ -59,6 +83,11 @@
     context.book.remove(jobId, nowMs);
     context.streams.add(decodeId, jobId, nowMs + runMs);
     if (ratio !== undefined) context.health.recordSuccess(serverId, ratio);
+    overdue?.cancel();
+    if (isAsPredicted(nowMs)) {
+      serverId = undefined;
+      return;
+    }
     notify({
       kind: 'read',
       jobId,
@@ -74,6 +103,7 @@
   function recordGivenUp(): void {
     if (serverId === undefined) return;
     context.book.remove(jobId, context.clock.getMonotonicMs());
+    overdue?.cancel();
     notify({kind: 'read', jobId, serverId, isRead: false});
     serverId = undefined;
   }
--- a/test/gateway/placement.test.ts
+++ b/test/gateway/placement.test.ts
@@ -125,6 +125,22 @@
   assert.equal(book.countJobs('p1'), 0);
 });
 
+test('a job whose end is told only when it is not as predicted', () => {
+  const book = createPrefillBook();
+  book.add({id: 'j', serverId: 'p1', costMs: 100, endsInMs: 100}, 0);
+  book.add({id: 'k', serverId: 'p1', costMs: 100, endsInMs: 200}, 0);
+  assert.equal(book.getWaitMs('p1', 40), 160);
+  // The first counts as read at 100 ms: the second has been read for 90 ms since.
+  assert.equal(book.getWaitMs('p1', 190), 10);
+  assert.equal(book.countJobs('p1'), 1);
+  book.retain('k', 250);
+  assert.equal(book.countJobs('p1'), 1);
+  assert.equal(book.getWaitMs('p1', 400), 0);
+  assert.equal(book.countJobs('p1'), 1);
+  book.remove('k', 410);
+  assert.equal(book.countJobs('p1'), 0);
+});
+
 test('a node keeps to four decode engines of each failure domain, and the nodes together use all', () => {
   const engines = ['a', 'b'].flatMap(domain =>
     Array.from({length: 16}, (_, index) =>
--- a/test/gateway/stream_records.test.ts
+++ b/test/gateway/stream_records.test.ts
@@ -6,7 +6,7 @@
 import {createPrefixDirectory} from '../../src/gateway/prefix_directory';
 import {createStreamCounts} from '../../src/gateway/stream_counts';
 import {createStreamRecords} from '../../src/gateway/stream_records';
-import {createSystemClock} from '../../src/runtime/system_clock';
+import {createVirtualClock} from '../../src/runtime';
 import {createEntry, ENGINE_LIMITS} from './support';
 
 const MODEL = {
@@ -15,11 +15,16 @@
   parts: [{id: 'shared', tokens: 350}],
 };
 
-/** Records the course of one request and returns what the other nodes are told. */
-function listTold(peers: number, readMs: number): string[] {
+/** Records the course of one request, read when `tookMs` are over, and returns what the other nodes are told. */
+async function listTold(
+  peers: number,
+  readMs: number,
+  tookMs: number,
+): Promise<string[]> {
+  const clock = createVirtualClock();
   const told: PeerMessage[] = [];
   const context: Partial<FlowContext> = {
-    clock: createSystemClock(),
+    clock,
     book: createPrefillBook(),
     prefixes: createPrefixDirectory(() => 1_000_000),
     streams: createStreamCounts(),
@@ -34,15 +39,29 @@
   );
   const server = createEntry({id: 'p1'});
   records.recordPlaced({server, waitMs: 0, readMs, cachedTokens: 0});
+  await clock.advance(tookMs);
   records.recordRead('d1');
+  await clock.advance(1_000);
   return told.map(message => message.kind);
 }
 
-test('in a small fleet every node hears of every read', () => {
-  assert.deepEqual(listTold(13, 10), ['placed', 'read']);
+test('in a small fleet every node hears of every read', async () => {
+  assert.deepEqual(await listTold(13, 10, 10), ['placed', 'read']);
+  assert.deepEqual(await listTold(13, 200, 200), ['placed', 'read']);
 });
 
-test('in a large fleet the nodes hear of long reads only', () => {
-  assert.deepEqual(listTold(105, 10), []);
-  assert.deepEqual(listTold(105, 80), ['placed', 'read']);
+test('in a large fleet the nodes hear of long reads only', async () => {
+  assert.deepEqual(await listTold(105, 10, 0), []);
+  assert.deepEqual(await listTold(105, 80, 0), ['placed', 'read']);
+});
+
+test('in a large fleet the nodes hear nothing more of a read that ends as predicted', async () => {
+  assert.deepEqual(await listTold(105, 200, 170), ['placed']);
+  assert.deepEqual(await listTold(105, 200, 240), ['placed']);
+  assert.deepEqual(await listTold(105, 200, 100), ['placed', 'read']);
+  assert.deepEqual(await listTold(105, 200, 400), [
+    'placed',
+    'overdue',
+    'read',
+  ]);
 });
