Test the gateway under disturbances of larger fleets, and reloads by SIGHUP

The stand-in of a server can now crash and come back on its port, and fall silent on open connections.

Shown to fail on changed copies of the build: flapping without another server after a failed connection; a mute server, and idle connections that are no longer answered, without the bound on a try.

Not shown to fail: the mute server without ejection (its open requests keep callers away by themselves), and jumps of the time of day with the request's own clock on the time of day.

--- /dev/null
+++ b/test/platform/disturbances.test.ts
@@ -0,0 +1,164 @@
+/** Disturbances of larger fleets: servers that come and go, lie or fall silent, large configurations, clocks that jump. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createSystemClock} from '../../src/runtime/system_clock';
+import type {ServerStandin} from './server_standin';
+import {
+  buildConfig,
+  type CallerAnswer,
+  isNodeReady,
+  startSystem,
+  type TestSystem,
+  waitUntil,
+} from './system';
+
+/** Bound of the deployments for configurations, in milliseconds. */
+const APPLY_BOUND_MS = 2_000;
+/** Callers that send beside each other, so that an idle connection alone doesn't choose the server. */
+const CALLERS = 4;
+/** Pause between the requests of a caller, in milliseconds. */
+const PAUSE_MS = 25;
+
+/** Adds two servers of the plain service; returns the one that has answered a request first, then the other. */
+async function addApps(
+  system: TestSystem,
+  workMs = 1,
+): Promise<ServerStandin[]> {
+  const apps: ServerStandin[] = [];
+  for (const id of ['app-1', 'app-2']) {
+    apps.push(await system.addServer({id, service: 'app', zone: 'a', workMs}));
+  }
+  await waitUntil('the node is ready', () => isNodeReady(system.nodes[0]));
+  await waitUntil('both servers are known', async () => {
+    const url = `http://127.0.0.1:${system.nodes[0].controlPort}/snapshot`;
+    const snapshot = (await (await fetch(url)).json()) as {entries: unknown[]};
+    return snapshot.entries.length === apps.length;
+  });
+  assert.equal((await system.send({path: '/look/x'})).status, 200);
+  return apps.sort((left, right) => right.runs.length - left.runs.length);
+}
+
+/** Sends idempotent requests one after the other while `lastMs` are not over. */
+async function sendFor(
+  system: TestSystem,
+  lastMs: number,
+): Promise<CallerAnswer[]> {
+  const answers: CallerAnswer[] = [];
+  const endsAt = performance.now() + lastMs;
+  while (performance.now() < endsAt) {
+    answers.push(await system.send({path: '/look/x'}));
+    await new Promise(resolve => setTimeout(resolve, PAUSE_MS));
+  }
+  return answers;
+}
+
+function listStatuses(answers: readonly CallerAnswer[]): number[] {
+  return [...new Set(answers.map(answer => answer.status))];
+}
+
+test('a server that goes down and up by turns, with its entry left, costs no idempotent request its answer', async () => {
+  const system = await startSystem({});
+  const [flapping, sound] = await addApps(system);
+  const turns = (async () => {
+    for (let turn = 0; turn < 4; turn++) {
+      await flapping.crash();
+      await new Promise(resolve => setTimeout(resolve, 300));
+      await flapping.restart();
+      await new Promise(resolve => setTimeout(resolve, 300));
+    }
+  })();
+  const answers = await sendFor(system, 2_400);
+  await turns;
+  assert.deepEqual(listStatuses(answers), [200]);
+  const runsBefore = flapping.runs.length;
+  await sound.crash();
+  await waitUntil('the server is used again', async () => {
+    await system.send({path: '/look/x'});
+    return flapping.runs.length > runsBefore;
+  });
+  await system.close();
+});
+
+test('a server that is listed and listens, and answers nothing, is left out after its first requests', async () => {
+  const system = await startSystem({});
+  const [mute, sound] = await addApps(system);
+  mute.setFault('mute');
+  const mutedRuns = mute.runs.length;
+  const soundRuns = sound.runs.length;
+  const callers = Array.from({length: CALLERS}, () => sendFor(system, 3_000));
+  const answers = (await Promise.all(callers)).flat();
+  assert.deepEqual(listStatuses(answers), [200]);
+  // Each caller meets it at first, and again after 1 s and after longer pauses: four times at most in 3 s.
+  const triesMax = 4 * CALLERS;
+  const tries = mute.runs.length - mutedRuns;
+  assert.ok(tries <= triesMax, `${tries} of ${answers.length}`);
+  assert.ok(sound.runs.length - soundRuns >= answers.length - triesMax);
+  // Answers of health checks would have said nothing: none are asked for.
+  const paths = [...mute.runs, ...sound.runs].map(run => run.path);
+  assert.ok(!paths.includes('/healthz'));
+  await system.close();
+});
+
+test('requests on idle connections that a server no longer answers are answered elsewhere', async () => {
+  const system = await startSystem({});
+  const apps = await addApps(system);
+  apps[0].ignoreConnections();
+  const answers = await sendFor(system, 2_000);
+  assert.deepEqual(listStatuses(answers), [200]);
+  assert.ok(answers.every(answer => answer.elapsedMs < 1_500));
+  await system.close();
+});
+
+test('a configuration that grows by 1,400 routes is in force within its bound, and requests are served meanwhile', async () => {
+  const system = await startSystem({nodes: 3});
+  await addApps(system);
+  const small = JSON.parse(buildConfig(2)) as {routes: object[]};
+  const routes = Array.from({length: 1_400}, (_, index) => ({
+    ...small.routes[0],
+    name: `more-${index}`,
+    pathPrefix: `/more-${index}/`,
+  }));
+  const serving = sendFor(system, 1_500);
+  system.store.put(
+    'keyed.op',
+    'config',
+    buildConfig(2, {routes: [...small.routes, ...routes]}),
+  );
+  await waitUntil(
+    'all nodes serve the last of the new routes',
+    async () => {
+      const answers = await Promise.all(
+        system.nodes.map((_node, index) =>
+          system.send({path: '/more-1399/x'}, index),
+        ),
+      );
+      return answers.every(answer => answer.status === 200);
+    },
+    APPLY_BOUND_MS,
+  );
+  assert.deepEqual(listStatuses(await serving), [200]);
+  await system.close();
+});
+
+test('a time of day that jumps changes nothing for requests, servers and configurations', async () => {
+  const base = createSystemClock();
+  let offsetMs = 0;
+  const clock = {...base, getWallMs: () => base.getWallMs() + offsetMs};
+  const system = await startSystem({nodes: 2, clock});
+  await addApps(system, 150);
+  for (const jumpMs of [3_600_000, -7_200_000]) {
+    const serving = sendFor(system, 700);
+    // A request is open when the time jumps.
+    await new Promise(resolve => setTimeout(resolve, 80));
+    offsetMs += jumpMs;
+    assert.deepEqual(listStatuses(await serving), [200]);
+    assert.equal(await isNodeReady(system.nodes[0]), true);
+  }
+  system.store.put('keyed.op', 'config', buildConfig(2, {routes: []}));
+  await waitUntil(
+    'the configuration without routes is in force',
+    async () => (await system.send({path: '/look/x'})).status === 404,
+    APPLY_BOUND_MS,
+  );
+  await system.close();
+});
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -16,12 +16,22 @@
   execFileSync(process.execPath, ['scripts/build_gateway.mjs', PROGRAM]);
 });
 
+interface RunningProcess {
+  readonly settingsPath: string;
+  readonly kill: (signal: NodeJS.Signals) => void;
+  readonly getOutput: () => string;
+}
+
 interface Ended {
   readonly code: number | null;
   readonly output: string;
 }
 
-function runGateway(settings: string, signalAfter?: () => Promise<void>) {
+/** Runs a gateway; with `act` it gets SIGTERM once that has ended. */
+function runGateway(
+  settings: string,
+  act?: (running: RunningProcess) => Promise<void>,
+): Promise<Ended> {
   const path = join(mkdtempSync(join(tmpdir(), 'anvilstack-')), 'boot.toml');
   writeFileSync(path, settings);
   const child = spawn(process.execPath, [PROGRAM], {
@@ -31,7 +41,12 @@
   child.stdout.on('data', chunk => (output += String(chunk)));
   child.stderr.on('data', chunk => (output += String(chunk)));
   const limit = setTimeout(() => child.kill('SIGKILL'), 15_000);
-  void signalAfter?.().then(() => child.kill('SIGTERM'));
+  const running = {
+    settingsPath: path,
+    kill: (signal: NodeJS.Signals) => void child.kill(signal),
+    getOutput: () => output,
+  };
+  void act?.(running).then(() => child.kill('SIGTERM'));
   return new Promise<Ended>(resolve => {
     child.on('exit', code => {
       clearTimeout(limit);
@@ -80,3 +95,25 @@
   assert.ok(performance.now() - startedAt < 12_000);
   store.close();
 });
+
+test('SIGHUP reads the settings again; faulty ones are named, and the process goes on', async () => {
+  const ports = await listFreePorts(4);
+  const store = await startStoreStandin();
+  const settings = buildSettings('front-1', ports, store.port, []);
+  const ended = await runGateway(settings, async running => {
+    const waitForLine = (pattern: RegExp) =>
+      waitUntil(String(pattern), () => pattern.test(running.getOutput()));
+    await waitForLine(/"message":"gateway started"/);
+    running.kill('SIGHUP');
+    await waitForLine(/"level":"info","message":"settings were read again"/);
+    writeFileSync(running.settingsPath, 'nodeName = "n"\n');
+    running.kill('SIGHUP');
+    await waitForLine(
+      /"level":"error","message":"settings were read again".*boot\.toml: key 'portRange'/,
+    );
+    const response = await fetch(`http://127.0.0.1:${ports[1]}/readyz`);
+    assert.equal(response.status, 503);
+  });
+  assert.equal(ended.code, 0);
+  store.close();
+});
--- a/test/platform/server_standin.ts
+++ b/test/platform/server_standin.ts
@@ -4,7 +4,7 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import type {StoreStandin} from './store_standin';
 
 /** A request that a server has received. */
@@ -37,6 +37,12 @@
   readonly prefills: SeenRequest[];
   readonly orders: Array<Record<string, unknown>>;
   setFault(fault: ServerFault): void;
+  /** Answers nothing more on the connections that are open now, and doesn't close them. */
+  ignoreConnections(): void;
+  /** Stops listening and breaks all connections; the entry stays. */
+  crash(): Promise<void>;
+  /** Listens again on the same port. */
+  restart(): Promise<void>;
   /** Number of requests whose caller left before the answer was whole. */
   countLeft(): number;
   /** Writes the server's entry. */
@@ -72,12 +78,17 @@
   let stage = options.stage;
   let fault: ServerFault = 'none';
   let leftCount = 0;
+  const open = new Set<Socket>();
+  const ignored = new WeakSet<Socket>();
   const server = createServer((request, response) => {
+    if (ignored.has(request.socket)) return;
     void readAll(request).then(body => handle(request, response, body));
   });
-  await new Promise<void>(resolve => {
-    server.listen(options.port ?? 0, '127.0.0.1', resolve);
+  server.on('connection', (socket: Socket) => {
+    open.add(socket);
+    socket.on('close', () => open.delete(socket));
   });
+  await listen(options.port ?? 0);
   const {port} = server.address() as AddressInfo;
   publish();
   return {
@@ -89,6 +100,15 @@
     setFault: next => {
       fault = next;
     },
+    ignoreConnections: () => {
+      for (const socket of open) ignored.add(socket);
+    },
+    crash: async () => {
+      const closed = new Promise(resolve => server.close(resolve));
+      for (const socket of open) socket.resetAndDestroy();
+      await closed;
+    },
+    restart: () => listen(port),
     countLeft: () => leftCount,
     publish,
     withdraw: () => store.put('keyed.servers', id),
@@ -98,6 +118,10 @@
     },
   };
 
+  function listen(onPort: number): Promise<void> {
+    return new Promise(resolve => server.listen(onPort, '127.0.0.1', resolve));
+  }
+
   function publish(state: 'ready' | 'draining' = 'ready'): void {
     const entry = {
       service: options.service,
--- a/test/platform/system.ts
+++ b/test/platform/system.ts
@@ -8,6 +8,7 @@
   createStoreClient,
   parseNodeSettings,
 } from '../../src/platform';
+import type {Clock} from '../../src/runtime';
 import {createSystemClock} from '../../src/runtime/system_clock';
 import {listFreePorts} from '../support/program';
 import {
@@ -122,6 +123,7 @@
 export async function startSystem(options: {
   readonly nodes?: number;
   readonly hasConfig?: boolean;
+  readonly clock?: Clock;
 }): Promise<TestSystem> {
   const store = await startStoreStandin();
   if (options.hasConfig !== false)
@@ -163,7 +165,7 @@
       settings,
       store: createFleetStore(client),
       protocol: createBackendProtocol(),
-      clock: createSystemClock(),
+      clock: options.clock ?? createSystemClock(),
       logger: createLogger({
         node: name,
         write: line => lines.push(JSON.parse(line) as Record<string, unknown>),
