Check that leaving servers are noticed after the time of day has jumped

The last commit's test passed even with every clock of the gateway on the time of day: a waiting read brings configurations without a timer. The list of servers is polled, so the test now drains a server after the jumps; it fails on a copy of the build with the time of day in place of the monotonic clock.

--- a/test/platform/disturbances.test.ts
+++ b/test/platform/disturbances.test.ts
@@ -145,7 +145,7 @@
   let offsetMs = 0;
   const clock = {...base, getWallMs: () => base.getWallMs() + offsetMs};
   const system = await startSystem({nodes: 2, clock});
-  await addApps(system, 150);
+  const [used, other] = await addApps(system, 150);
   for (const jumpMs of [3_600_000, -7_200_000]) {
     const serving = sendFor(system, 700);
     // A request is open when the time jumps.
@@ -154,6 +154,20 @@
     assert.deepEqual(listStatuses(await serving), [200]);
     assert.equal(await isNodeReady(system.nodes[0]), true);
   }
+  used.publish('draining');
+  await waitUntil(
+    'the leaving server gets no more requests',
+    async () => {
+      const before = used.runs.length;
+      await Promise.all(
+        system.nodes.map((_node, index) =>
+          system.send({path: '/look/x'}, index),
+        ),
+      );
+      return used.runs.length === before && other.runs.length > 0;
+    },
+    APPLY_BOUND_MS,
+  );
   system.store.put('keyed.op', 'config', buildConfig(2, {routes: []}));
   await waitUntil(
     'the configuration without routes is in force',
