End an outage of the store only after a recent failure

A success now ends an outage only when the last failure is at most 2 s old. The new test fails before.

--- a/src/gateway/store_reader.ts
+++ b/src/gateway/store_reader.ts
@@ -34,14 +34,18 @@
     nextOffset: number,
     isWhole: boolean,
   ) => void;
-  /** Called when the list is read again after failures for this long, in milliseconds. */
+  /** Called when the list is read again after failures for this long, in milliseconds, the last a short time ago. */
   readonly onOutageEnd: (outageMs: number) => void;
 }
 
+/** Age of the last failure up to which a success ends an outage, in milliseconds: some polls of a reading node. A node that reads seldom can't tell when the outage ended. */
+const RECENT_FAILURE_MS = 2_000;
+
 /** Creates a reader. */
 export function createStoreReader(options: StoreReaderOptions): StoreReader {
   const {store, clock, logger} = options;
   let failingSinceMs: number | undefined;
+  let lastFailureMs = Number.NEGATIVE_INFINITY;
   return {readEntries, readConfig, getFailingSinceMs: () => failingSinceMs};
 
   async function readEntries(fromOffset: number): Promise<boolean> {
@@ -91,15 +95,18 @@
 
   function recordSuccess(): void {
     if (failingSinceMs === undefined) return;
-    const outageMs = clock.getMonotonicMs() - failingSinceMs;
+    const nowMs = clock.getMonotonicMs();
+    const outageMs = nowMs - failingSinceMs;
+    const sinceFailureMs = nowMs - lastFailureMs;
     failingSinceMs = undefined;
-    logger.log('info', 'store answers again', {outageMs});
-    options.onOutageEnd(outageMs);
+    logger.log('info', 'store answers again', {outageMs, sinceFailureMs});
+    if (sinceFailureMs <= RECENT_FAILURE_MS) options.onOutageEnd(outageMs);
   }
 
   function recordFailure(failure: StoreFailure): false {
+    lastFailureMs = clock.getMonotonicMs();
     if (failingSinceMs === undefined) {
-      failingSinceMs = clock.getMonotonicMs();
+      failingSinceMs = lastFailureMs;
       logger.log('warn', 'store does not answer', {reason: failure.message});
     }
     return false;
--- /dev/null
+++ b/test/gateway/store_reader.test.ts
@@ -0,0 +1,54 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {Err, Ok} from 'ts-results';
+import {createLogger} from '../../src/diagnostics/log';
+import type {FleetStore, StoreFailure} from '../../src/gateway';
+import {createStoreReader} from '../../src/gateway/store_reader';
+import {createVirtualClock} from '../../src/runtime';
+
+const SILENT: StoreFailure = {
+  kind: 'unavailable',
+  mayHaveTakenEffect: false,
+  message: 'silent',
+};
+
+/** Reads the list at each time, in milliseconds; the reads before `silentUntilMs` fail. Returns the outages reported. */
+async function listOutages(
+  readAtMs: readonly number[],
+  silentUntilMs: number,
+): Promise<number[]> {
+  const clock = createVirtualClock();
+  const outages: number[] = [];
+  const store: Partial<FleetStore> = {
+    readEntries: () =>
+      Promise.resolve(
+        clock.getMonotonicMs() < silentUntilMs
+          ? Err(SILENT)
+          : Ok({changes: [], nextOffset: 1}),
+      ),
+  };
+  const reader = createStoreReader({
+    store: store as FleetStore,
+    clock,
+    logger: createLogger({node: 'front-1', write: () => undefined}),
+    onConfig: () => undefined,
+    onEntries: () => undefined,
+    onOutageEnd: outageMs => outages.push(outageMs),
+  });
+  for (const atMs of readAtMs) {
+    await clock.runUntil(atMs);
+    await reader.readEntries(1);
+  }
+  return outages;
+}
+
+test('an outage ends with the first read after failures that came one after another', async () => {
+  assert.deepEqual(
+    await listOutages([500, 1_500, 2_500, 3_000, 3_500], 2_900),
+    [2_500],
+  );
+});
+
+test('a failure long ago is no outage that ends with the next read', async () => {
+  assert.deepEqual(await listOutages([500, 1_000, 15_000], 2_000), []);
+});
