--- a/src/gateway/stream_records.ts
+++ b/src/gateway/stream_records.ts
@@ -23,8 +23,8 @@
 const TOKEN_MS = 4.5;
 /** Nodes from which on short reads and reads as predicted are not told: with more nodes each hears of more requests. */
 const MANY_NODES = 32;
-/** Longest read that is not told among many nodes, in milliseconds: a tenth of the shortest objective. */
-const SHORT_READ_MS = 30;
+/** Longest read that is not told among many nodes, in milliseconds: a fifth of the shortest objective. */
+const SHORT_READ_MS = 60;
 
 /** Creates the records of a request. */
 export function createStreamRecords(
