Keep one copy of what the nodes, the book of prompts and the store's reader count

Found in a second reading of the change; behaviour stays as it is.

- Nodes of the own failure domain and nodes with lower names were picked out of the list in two places each: peers has listNear and countBefore.
The follower and the loader no longer take a failure domain of their own.
- The follower went over all nodes at each tick of 50 ms; it does so only while its state is old.
- retain and remove looked a job up in the same way, and its longest life was worked out twice.
- The reader kept first and last failure apart; they are one state.
- A request's records summed wait and read three times, and returned early past the reset of their state.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -96,7 +96,6 @@
   });
   const follower = createStoreFollower({
     nodeName: self.name,
-    failureDomain: self.failureDomain,
     store,
     state,
     peers,
@@ -119,8 +118,7 @@
     protocol,
     clock,
     logger,
-    countNodesBefore: () =>
-      peers.list().filter(node => node.name < self.name).length,
+    countNodesBefore: peers.countBefore,
     isCurrent: () => follower.getAgeMs() < MAX_PLANNING_AGE_MS,
     onOrder: (serverId, stage) =>
       peers.notify({kind: 'ordered', serverId, stage}),
--- a/src/gateway/missing_loader.ts
+++ b/src/gateway/missing_loader.ts
@@ -16,7 +16,6 @@
 
 /** Options of the loader. */
 export interface MissingLoaderOptions {
-  readonly failureDomain: string;
   readonly records: KnownRecords;
   readonly reader: StoreReader;
   readonly peers: Peers;
@@ -125,9 +124,7 @@
   }
 
   function tryChooseNearNode(): string | undefined {
-    const near = peers
-      .list()
-      .filter(node => node.failureDomain === options.failureDomain);
+    const near = peers.listNear();
     return near[Math.floor(options.getRandom() * near.length)]?.name;
   }
 
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -17,7 +17,11 @@
   /** Takes note of a node; returns true when it is new. */
   add(node: NodeRecord): boolean;
   list(): readonly NodeRecord[];
+  /** Lists the nodes of this node's failure domain. */
+  listNear(): readonly NodeRecord[];
   count(): number;
+  /** Counts the nodes whose names are lower than this node's. */
+  countBefore(): number;
   tryFind(name: string): NodeRecord | undefined;
   /** Sends a message to every known node; in large failure domains a node of theirs passes it on. */
   notify(message: PeerMessage): void;
@@ -41,8 +45,8 @@
 export function createPeers(options: PeersOptions): Peers {
   const {self, clock, getRandom} = options;
   const nodes = new Map<string, NodeRecord>();
-  /** The same nodes by failure domain. */
-  let domains: ReadonlyMap<string, readonly NodeRecord[]> = new Map();
+  /** The same nodes by failure domain; undefined until they are grouped again. */
+  let domains: ReadonlyMap<string, readonly NodeRecord[]> | undefined;
   const relays = createRelayChoice({
     ownDomain: self.failureDomain,
     clock,
@@ -54,7 +58,10 @@
     open,
     add,
     list: () => [...nodes.values()],
+    listNear,
     count: () => nodes.size,
+    countBefore: () =>
+      [...nodes.keys()].filter(name => name < self.name).length,
     tryFind: name => nodes.get(name),
     notify,
     send,
@@ -99,13 +106,21 @@
     if (node.name === self.name) return false;
     const known = nodes.get(node.name);
     nodes.set(node.name, node);
-    domains = collectBy([...nodes.values()], item => item.failureDomain);
+    domains = undefined;
     return known === undefined || known.host !== node.host;
   }
 
+  function getDomains(): ReadonlyMap<string, readonly NodeRecord[]> {
+    return (domains ??= collectBy(nodes.values(), node => node.failureDomain));
+  }
+
+  function listNear(): readonly NodeRecord[] {
+    return getDomains().get(self.failureDomain) ?? [];
+  }
+
   function notify(message: PeerMessage): void {
     if (nodes.size === 0) return;
-    const {direct, relayed} = relays.choose(domains, message.kind);
+    const {direct, relayed} = relays.choose(getDomains(), message.kind);
     const datagram = encodeMessage(message);
     for (const node of direct) sendDatagram(node, datagram);
     if (relayed.length === 0) return;
@@ -116,9 +131,7 @@
   /** Sends a message from another failure domain to the nodes of this one. */
   function sendToDomain(message: PeerMessage): void {
     const datagram = encodeMessage({...message, isForPassing: undefined});
-    for (const node of domains.get(self.failureDomain) ?? []) {
-      sendDatagram(node, datagram);
-    }
+    for (const node of listNear()) sendDatagram(node, datagram);
   }
 
   function send(node: NodeRecord, message: PeerMessage): void {
--- a/src/gateway/prefill_book.ts
+++ b/src/gateway/prefill_book.ts
@@ -68,30 +68,30 @@
     const waitMs = getWaitMs(job.serverId, nowMs);
     const lifeMs =
       job.endsInMs === undefined
-        ? EXPIRY_FACTOR * (waitMs + job.costMs) + EXPIRY_SLACK_MS
+        ? computeLongestMs(waitMs + job.costMs)
         : job.endsInMs + SILENCE_SLACK_MS;
     engine.jobs.set(job.id, {...job, expiresAtMs: nowMs + lifeMs});
     places.set(job.id, job.serverId);
   }
 
   function retain(jobId: string, nowMs: number): void {
-    const serverId = places.get(jobId);
-    const engine = serverId === undefined ? undefined : engines.get(serverId);
-    const job = engine?.jobs.get(jobId);
+    const job = tryFindEngine(jobId)?.jobs.get(jobId);
     if (job === undefined) return;
-    job.expiresAtMs = nowMs + EXPIRY_FACTOR * job.costMs + EXPIRY_SLACK_MS;
+    job.expiresAtMs = nowMs + computeLongestMs(job.costMs);
   }
 
   function remove(jobId: string, nowMs: number): void {
-    const serverId = places.get(jobId);
-    const engine = serverId === undefined ? undefined : engines.get(serverId);
-    const job = engine?.jobs.get(jobId);
-    if (engine === undefined || job === undefined) return;
-    engine.jobs.delete(jobId);
+    const engine = tryFindEngine(jobId);
+    if (engine?.jobs.delete(jobId) !== true) return;
     places.delete(jobId);
     engine.headStartMs = nowMs;
   }
 
+  function tryFindEngine(jobId: string): Engine | undefined {
+    const serverId = places.get(jobId);
+    return serverId === undefined ? undefined : engines.get(serverId);
+  }
+
   function getWaitMs(serverId: string, nowMs: number): number {
     const engine = engines.get(serverId);
     if (engine === undefined) return 0;
@@ -124,3 +124,8 @@
     engines.delete(serverId);
   }
 }
+
+/** Returns how long a job of this predicted time stays in the book when nobody says that it ended, in milliseconds. */
+function computeLongestMs(predictedMs: number): number {
+  return EXPIRY_FACTOR * predictedMs + EXPIRY_SLACK_MS;
+}
--- a/src/gateway/store_follower.ts
+++ b/src/gateway/store_follower.ts
@@ -29,7 +29,6 @@
 /** Options of the follower. */
 export interface StoreFollowerOptions {
   readonly nodeName: string;
-  readonly failureDomain: string;
   readonly store: FleetStore;
   readonly state: FleetState;
   readonly peers: Peers;
@@ -100,7 +99,6 @@
     },
   });
   const loader = createMissingLoader({
-    failureDomain: options.failureDomain,
     records,
     reader,
     peers,
@@ -168,6 +166,8 @@
     }
     // A node that lacks something while another reads loads it without reading for all.
     const ageMs = nowMs - Math.max(currentAtMs, readerFreshAtMs);
+    // The delay is counted over all nodes, so not at every tick.
+    if (ageMs <= TAKEOVER_AGE_MS) return;
     if (ageMs > TAKEOVER_AGE_MS + getTakeoverDelayMs()) {
       setReading(true, `state is ${Math.round(ageMs)} ms old`);
     }
@@ -183,9 +183,7 @@
   }
 
   function getTakeoverDelayMs(): number {
-    const names = peers.list().map(node => node.name);
-    const lower = names.filter(name => name < options.nodeName).length;
-    return (TAKEOVER_SPREAD_MS * lower) / (names.length + 1);
+    return (TAKEOVER_SPREAD_MS * peers.countBefore()) / (peers.count() + 1);
   }
 
   async function readStore(): Promise<void> {
--- a/src/gateway/store_reader.ts
+++ b/src/gateway/store_reader.ts
@@ -44,9 +44,9 @@
 /** Creates a reader. */
 export function createStoreReader(options: StoreReaderOptions): StoreReader {
   const {store, clock, logger} = options;
-  let failingSinceMs: number | undefined;
-  let lastFailureMs = Number.NEGATIVE_INFINITY;
-  return {readEntries, readConfig, getFailingSinceMs: () => failingSinceMs};
+  /** First and last of the failures since which no call succeeded. */
+  let failing: {readonly sinceMs: number; lastMs: number} | undefined;
+  return {readEntries, readConfig, getFailingSinceMs: () => failing?.sinceMs};
 
   async function readEntries(fromOffset: number): Promise<boolean> {
     if (fromOffset < 0) return loadEntries();
@@ -94,21 +94,21 @@
   }
 
   function recordSuccess(): void {
-    if (failingSinceMs === undefined) return;
+    if (failing === undefined) return;
     const nowMs = clock.getMonotonicMs();
-    const outageMs = nowMs - failingSinceMs;
-    const sinceFailureMs = nowMs - lastFailureMs;
-    failingSinceMs = undefined;
+    const outageMs = nowMs - failing.sinceMs;
+    const sinceFailureMs = nowMs - failing.lastMs;
+    failing = undefined;
     logger.log('info', 'store answers again', {outageMs, sinceFailureMs});
     if (sinceFailureMs <= RECENT_FAILURE_MS) options.onOutageEnd(outageMs);
   }
 
   function recordFailure(failure: StoreFailure): false {
-    lastFailureMs = clock.getMonotonicMs();
-    if (failingSinceMs === undefined) {
-      failingSinceMs = lastFailureMs;
+    const nowMs = clock.getMonotonicMs();
+    if (failing === undefined) {
       logger.log('warn', 'store does not answer', {reason: failure.message});
-    }
+      failing = {sinceMs: nowMs, lastMs: nowMs};
+    } else failing.lastMs = nowMs;
     return false;
   }
 }
--- a/src/gateway/stream_records.ts
+++ b/src/gateway/stream_records.ts
@@ -46,6 +46,7 @@
     const nowMs = context.clock.getMonotonicMs();
     const isLarge = context.countPeers() >= MANY_NODES;
     isTold = place.readMs >= SHORT_READ_MS || !isLarge;
+    const endsInMs = place.waitMs + place.readMs;
     context.book.add({id: jobId, serverId, costMs: place.readMs}, nowMs);
     context.prefixes.recordRead(serverId, model.parts);
     notify({
@@ -54,14 +55,14 @@
       serverId,
       costMs: Math.round(place.readMs),
       parts: listSharedParts(model),
-      ...(isLarge ? {endsInMs: Math.round(place.waitMs + place.readMs)} : {}),
+      ...(isLarge ? {endsInMs: Math.round(endsInMs)} : {}),
     });
-    if (isLarge && isTold) watchEnd(place.waitMs + place.readMs);
+    if (isLarge && isTold) watchEnd(nowMs, endsInMs);
   }
 
   /** Tells the others when the prompt is not read at its predicted end. */
-  function watchEnd(endsInMs: number): void {
-    silentEndMs = context.clock.getMonotonicMs() + endsInMs;
+  function watchEnd(nowMs: number, endsInMs: number): void {
+    silentEndMs = nowMs + endsInMs;
     overdue = context.clock.schedule(endsInMs + READ_TOLERANCE_MS, () => {
       silentEndMs = undefined;
       notify({kind: 'overdue', jobId});
@@ -84,19 +85,17 @@
     context.streams.add(decodeId, jobId, nowMs + runMs);
     if (ratio !== undefined) context.health.recordSuccess(serverId, ratio);
     overdue?.cancel();
-    if (isAsPredicted(nowMs)) {
-      serverId = undefined;
-      return;
+    if (!isAsPredicted(nowMs)) {
+      notify({
+        kind: 'read',
+        jobId,
+        serverId,
+        isRead: true,
+        decodeId,
+        runMs,
+        ...(ratio === undefined ? {} : {ratio}),
+      });
     }
-    notify({
-      kind: 'read',
-      jobId,
-      serverId,
-      isRead: true,
-      decodeId,
-      runMs,
-      ...(ratio === undefined ? {} : {ratio}),
-    });
     serverId = undefined;
   }
 
--- a/test/gateway/store_follower.test.ts
+++ b/test/gateway/store_follower.test.ts
@@ -54,10 +54,14 @@
     loadEntries: () => answer('loadEntries', {changes: [], nextOffset: 1}),
     readEntries: () => answer('readEntries', {changes: [], nextOffset: 1}),
   };
-  const peers: Partial<Peers> = {list: () => [], notify: () => undefined};
+  const peers: Partial<Peers> = {
+    listNear: () => [],
+    count: () => 0,
+    countBefore: () => 0,
+    notify: () => undefined,
+  };
   const follower = createStoreFollower({
     nodeName: 'front-9',
-    failureDomain: 'a',
     store: store as FleetStore,
     state: createFleetState(),
     peers: peers as Peers,
