--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -1,11 +1,12 @@
 import assert from 'node:assert/strict';
 import {createSocket, type Socket} from 'node:dgram';
 import {test} from 'node:test';
-import {createLogger} from '../../src/diagnostics/log';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {createPeers, type Peers} from '../../src/gateway/peers';
 import type {PeerMessage} from '../../src/gateway/peer_messages';
 import type {NodeRecord} from '../../src/gateway';
 import {createSystemClock} from '../../src/runtime/system_clock';
+import {SILENT_LOGGER} from './support';
 
 /** Time in which datagrams on loopback arrive, in milliseconds. */
 const ARRIVAL_MS = 150;
@@ -44,7 +45,7 @@
   await new Promise<void>(resolve => spare.socket.close(() => resolve()));
   const peers = createPeers({
     self: {...spare.record, name: 'self', failureDomain: 'a'},
-    logger: createLogger({node: 'self', write: () => undefined}),
+    logger: SILENT_LOGGER,
     clock: createSystemClock(),
     getRandom: Math.random,
     onMessage,
@@ -71,7 +72,7 @@
 };
 
 async function waitForArrivals(): Promise<void> {
-  await new Promise(resolve => setTimeout(resolve, ARRIVAL_MS));
+  await sleep(ARRIVAL_MS);
 }
 
 function countReceived(nodes: readonly FakeNode[]): number {
--- a/test/gateway/stage_control.test.ts
+++ b/test/gateway/stage_control.test.ts
@@ -1,7 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {Ok} from 'ts-results';
-import type {Logger} from '../../src/diagnostics/log';
 import type {BackendCall, Connections} from '../../src/gateway/connections';
 import {createFleetState} from '../../src/gateway/fleet_state';
 import {createStageControl} from '../../src/gateway/stage_control';
@@ -12,38 +11,23 @@
   type StageOrder,
 } from '../../src/gateway/types';
 import {createVirtualClock} from '../../src/runtime';
-import {createEntry} from './support';
+import {
+  createEntry,
+  EMPTY_CONFIG,
+  ENGINE_LIMITS,
+  SILENT_LOGGER,
+} from './support';
 
-const SILENT: Logger = {
-  log: () => undefined,
-  setLevel: () => undefined,
-  getLevel: () => 'info',
-  createChild: () => SILENT,
-};
 const CONFIG: GatewayConfig = {
-  version: 1,
-  routes: [],
+  ...EMPTY_CONFIG,
   services: [
     {
       name: 'llm',
       healthPath: '/',
       maxConnections: 10,
-      engine: {
-        maxRunning: 64,
-        kvTokens: 1,
-        kvBytesPerToken: 1,
-        linkMbps: 1,
-        stageChangeMs: 3_000,
-        handleLifetimeMs: 5_000,
-      },
+      engine: ENGINE_LIMITS,
     },
   ],
-  limits: {
-    maxHeaderBytes: 1,
-    maxBodyBytes: 1,
-    headerTimeoutMs: 1,
-    idleTimeoutMs: 1,
-  },
 };
 
 /** A control whose engines answer each call at once. */
@@ -76,7 +60,7 @@
     connections,
     protocol,
     clock,
-    logger: SILENT,
+    logger: SILENT_LOGGER,
     countNodesBefore: () => nodesBefore,
     isCurrent: () => true,
     onOrder: () => undefined,
--- a/test/gateway/store_follower.test.ts
+++ b/test/gateway/store_follower.test.ts
@@ -1,8 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {Err, Ok} from 'ts-results';
-import {createLogger} from '../../src/diagnostics/log';
-import type {FleetStore, StoreFailure} from '../../src/gateway';
+import type {FleetStore} from '../../src/gateway';
 import {createFleetState} from '../../src/gateway/fleet_state';
 import type {StateMessage} from '../../src/gateway/peer_messages';
 import type {Peers} from '../../src/gateway/peers';
@@ -11,23 +10,7 @@
   type StoreFollower,
 } from '../../src/gateway/store_follower';
 import {createVirtualClock} from '../../src/runtime';
-
-const SILENT: StoreFailure = {
-  kind: 'unavailable',
-  mayHaveTakenEffect: false,
-  message: 'silent',
-};
-const CONFIG = {
-  version: 1,
-  routes: [],
-  services: [],
-  limits: {
-    maxHeaderBytes: 1,
-    maxBodyBytes: 1,
-    headerTimeoutMs: 1,
-    idleTimeoutMs: 1,
-  },
-};
+import {EMPTY_CONFIG, SILENT_LOGGER, SILENT_STORE} from './support';
 
 interface Follower {
   readonly clock: ReturnType<typeof createVirtualClock>;
@@ -43,10 +26,11 @@
   let isSilent = false;
   const answer = <T>(name: string, value: T) => {
     calls.push(name);
-    return Promise.resolve(isSilent ? Err(SILENT) : Ok(value));
+    return Promise.resolve(isSilent ? Err(SILENT_STORE) : Ok(value));
   };
   const store: Partial<FleetStore> = {
-    loadConfig: () => answer('loadConfig', {config: CONFIG, nextOffset: 1}),
+    loadConfig: () =>
+      answer('loadConfig', {config: EMPTY_CONFIG, nextOffset: 1}),
     waitForConfig: async (_offset, waitMs) => {
       await clock.sleep(waitMs);
       return answer('waitForConfig', {nextOffset: 1});
@@ -66,7 +50,7 @@
     state: createFleetState(),
     peers: peers as Peers,
     clock,
-    logger: createLogger({node: 'front-9', write: () => undefined}),
+    logger: SILENT_LOGGER,
     fetchSnapshot: () => Promise.resolve(undefined),
     getRandom: () => 0.5,
     onChange: () => undefined,
--- a/test/gateway/store_reader.test.ts
+++ b/test/gateway/store_reader.test.ts
@@ -1,16 +1,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {Err, Ok} from 'ts-results';
-import {createLogger} from '../../src/diagnostics/log';
-import type {FleetStore, StoreFailure} from '../../src/gateway';
+import type {FleetStore} from '../../src/gateway';
 import {createStoreReader} from '../../src/gateway/store_reader';
 import {createVirtualClock} from '../../src/runtime';
-
-const SILENT: StoreFailure = {
-  kind: 'unavailable',
-  mayHaveTakenEffect: false,
-  message: 'silent',
-};
+import {SILENT_LOGGER, SILENT_STORE} from './support';
 
 /** Reads the list at each time, in milliseconds; the reads before `silentUntilMs` fail. Returns the outages reported. */
 async function listOutages(
@@ -23,14 +17,14 @@
     readEntries: () =>
       Promise.resolve(
         clock.getMonotonicMs() < silentUntilMs
-          ? Err(SILENT)
+          ? Err(SILENT_STORE)
           : Ok({changes: [], nextOffset: 1}),
       ),
   };
   const reader = createStoreReader({
     store: store as FleetStore,
     clock,
-    logger: createLogger({node: 'front-1', write: () => undefined}),
+    logger: SILENT_LOGGER,
     onConfig: () => undefined,
     onEntries: () => undefined,
     onOutageEnd: outageMs => outages.push(outageMs),
--- a/test/gateway/support.ts
+++ b/test/gateway/support.ts
@@ -6,11 +6,15 @@
   CallHandler,
   Connections,
 } from '../../src/gateway/connections';
-import type {
-  BackendEntry,
-  CallFailure,
-  EngineLimits,
+import {
+  type BackendEntry,
+  type CallFailure,
+  DEFAULT_CALLER_LIMITS,
+  type EngineLimits,
+  type GatewayConfig,
+  type StoreFailure,
 } from '../../src/gateway/types';
+import {createLogger} from '../../src/diagnostics/log';
 
 /** Sizes of an engine like those of the deployments. */
 export const ENGINE_LIMITS: EngineLimits = {
@@ -22,6 +26,27 @@
   handleLifetimeMs: 5_000,
 };
 
+/** A configuration with nothing in it. */
+export const EMPTY_CONFIG: GatewayConfig = {
+  version: 1,
+  routes: [],
+  services: [],
+  limits: DEFAULT_CALLER_LIMITS,
+};
+
+/** A store that does not answer. */
+export const SILENT_STORE: StoreFailure = {
+  kind: 'unavailable',
+  mayHaveTakenEffect: false,
+  message: 'silent',
+};
+
+/** Takes lines and writes none. */
+export const SILENT_LOGGER = createLogger({
+  node: 'front-1',
+  write: () => undefined,
+});
+
 /** Creates an entry of service discovery. */
 export function createEntry(options: Partial<BackendEntry> = {}): BackendEntry {
   return {
--- a/test/platform/disturbances.test.ts
+++ b/test/platform/disturbances.test.ts
@@ -1,12 +1,14 @@
 /** Disturbances of larger fleets: servers that come and go, lie or fall silent, large configurations, clocks that jump. */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {createSystemClock} from '../../src/runtime/system_clock';
 import type {ServerStandin} from './server_standin';
 import {
   buildConfig,
   type CallerAnswer,
   isNodeReady,
+  loadSnapshot,
   startSystem,
   type TestSystem,
   waitUntil,
@@ -30,9 +32,8 @@
   }
   await waitUntil('the node is ready', () => isNodeReady(system.nodes[0]));
   await waitUntil('both servers are known', async () => {
-    const url = `http://127.0.0.1:${system.nodes[0].controlPort}/snapshot`;
-    const snapshot = (await (await fetch(url)).json()) as {entries: unknown[]};
-    return snapshot.entries.length === apps.length;
+    const {entries} = await loadSnapshot(system.nodes[0]);
+    return entries.length === apps.length;
   });
   assert.equal((await system.send({path: '/look/x'})).status, 200);
   return apps.sort((left, right) => right.runs.length - left.runs.length);
@@ -47,7 +48,7 @@
   const endsAt = performance.now() + lastMs;
   while (performance.now() < endsAt) {
     answers.push(await system.send({path: '/look/x'}));
-    await new Promise(resolve => setTimeout(resolve, PAUSE_MS));
+    await sleep(PAUSE_MS);
   }
   return answers;
 }
@@ -62,9 +63,9 @@
   const turns = (async () => {
     for (let turn = 0; turn < 4; turn++) {
       await flapping.crash();
-      await new Promise(resolve => setTimeout(resolve, 300));
+      await sleep(300);
       await flapping.restart();
-      await new Promise(resolve => setTimeout(resolve, 300));
+      await sleep(300);
     }
   })();
   const answers = await sendFor(system, 2_400);
@@ -149,7 +150,7 @@
   for (const jumpMs of [3_600_000, -7_200_000]) {
     const serving = sendFor(system, 700);
     // A request is open when the time jumps.
-    await new Promise(resolve => setTimeout(resolve, 80));
+    await sleep(80);
     offsetMs += jumpMs;
     assert.deepEqual(listStatuses(await serving), [200]);
     assert.equal(await isNodeReady(system.nodes[0]), true);
--- a/test/platform/following.test.ts
+++ b/test/platform/following.test.ts
@@ -1,10 +1,12 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {listFreePorts} from '../support/program';
 import type {ServerStandin} from './server_standin';
 import {
   buildConfig,
   isNodeReady,
+  loadSnapshot,
   type RunningNode,
   startSystem,
   type TestSystem,
@@ -14,19 +16,6 @@
 /** Bound of the deployments for configurations and leaving servers, in milliseconds. */
 const APPLY_BOUND_MS = 2_000;
 
-interface SnapshotBody {
-  readonly config?: {readonly version: number};
-  readonly entries: ReadonlyArray<{
-    readonly id: string;
-    readonly isLeaving: boolean;
-  }>;
-}
-
-async function loadSnapshot(node: RunningNode): Promise<SnapshotBody> {
-  const url = `http://127.0.0.1:${node.controlPort}/snapshot`;
-  return (await fetch(url).then(response => response.json())) as SnapshotBody;
-}
-
 async function hasVersion(
   nodes: readonly RunningNode[],
   version: number,
@@ -95,7 +84,7 @@
   const {system} = await startWithServer(4);
   await waitForOneReader(system);
   const callsBefore = system.store.calls.length;
-  await new Promise(resolve => setTimeout(resolve, 2_000));
+  await sleep(2_000);
   const calls = system.store.calls.slice(callsBefore);
   // Two seconds of one reader: four polls, and two waiting reads begun.
   assert.ok(calls.length <= 9, `${calls.length} calls: ${calls.join(' ')}`);
@@ -114,7 +103,7 @@
   system.store.put('keyed.op', 'config', buildConfig(5));
   await waitUntil('version 5', () => hasVersion(system.nodes, 5));
   system.store.put('keyed.op', 'config', buildConfig(4));
-  await new Promise(resolve => setTimeout(resolve, 800));
+  await sleep(800);
   assert.equal(await hasVersion(system.nodes, 5), true);
   await system.close();
 });
@@ -181,17 +170,17 @@
 test('requests are served while the store is away, and entries that lapsed come back', async () => {
   const {system, server} = await startWithServer(2);
   system.store.setFault('refusing');
-  await new Promise(resolve => setTimeout(resolve, 1_800));
+  await sleep(1_800);
   assert.equal((await system.send({path: '/look/x'})).status, 200);
   server.withdraw();
   system.store.setFault('none');
   const endsAt = performance.now() + 1_500;
   while (performance.now() < endsAt) {
     assert.equal((await system.send({path: '/look/x'})).status, 200);
-    await new Promise(resolve => setTimeout(resolve, 50));
+    await sleep(50);
   }
   server.publish();
-  await new Promise(resolve => setTimeout(resolve, 1_500));
+  await sleep(1_500);
   assert.equal((await system.send({path: '/look/x'})).status, 200);
   await system.close();
 });
@@ -199,7 +188,7 @@
 test('an entry that does not come back after an outage is gone', async () => {
   const {system, server} = await startWithServer(1);
   system.store.setFault('refusing');
-  await new Promise(resolve => setTimeout(resolve, 1_800));
+  await sleep(1_800);
   server.withdraw();
   system.store.setFault('none');
   await waitUntil(
@@ -267,7 +256,7 @@
   const versions = 10;
   for (let version = 2; version < 2 + versions; version++) {
     system.store.put('keyed.op', 'config', buildConfig(version));
-    await new Promise(resolve => setTimeout(resolve, 100));
+    await sleep(100);
   }
   await waitUntil(
     'the last version within its bound',
@@ -305,7 +294,7 @@
 test('a node that stops says so and finishes what is open', async () => {
   const {system} = await startWithServer(1, 600);
   const answer = system.send({path: '/order/x'});
-  await new Promise(resolve => setTimeout(resolve, 100));
+  await sleep(100);
   const stopped = system.nodes[0].gateway.stop();
   assert.equal(await isNodeReady(system.nodes[0]), false);
   assert.equal((await answer).status, 200);
--- a/test/platform/limits.test.ts
+++ b/test/platform/limits.test.ts
@@ -2,10 +2,12 @@
 import assert from 'node:assert/strict';
 import {connect, type Socket} from 'node:net';
 import {after, before, test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {ServerStandin} from './server_standin';
 import {
   buildConfig,
   isNodeReady,
+  loadSnapshot,
   startSystem,
   type TestSystem,
   waitUntil,
@@ -32,11 +34,8 @@
     servers.push(await system.addServer({id, service: 'app', zone: 'a'}));
   }
   await waitUntil('the node is ready and knows all', async () => {
-    const url = `http://127.0.0.1:${system.nodes[0].controlPort}/snapshot`;
-    const body = (await fetch(url).then(response => response.json())) as {
-      entries: unknown[];
-    };
-    return body.entries.length === 3 && isNodeReady(system.nodes[0]);
+    const {entries} = await loadSnapshot(system.nodes[0]);
+    return entries.length === 3 && isNodeReady(system.nodes[0]);
   });
 });
 
@@ -73,7 +72,7 @@
   for (const {text, pauseMs} of parts) {
     if (!socket.writable) return;
     socket.write(text);
-    await new Promise(resolve => setTimeout(resolve, pauseMs ?? 0));
+    await sleep(pauseMs ?? 0);
   }
 }
 
--- a/test/platform/serving.test.ts
+++ b/test/platform/serving.test.ts
@@ -1,7 +1,13 @@
 import assert from 'node:assert/strict';
 import {after, before, test} from 'node:test';
 import type {ServerStandin} from './server_standin';
-import {isNodeReady, startSystem, type TestSystem, waitUntil} from './system';
+import {
+  isNodeReady,
+  loadSnapshot,
+  startSystem,
+  type TestSystem,
+  waitUntil,
+} from './system';
 
 const TOKENS = {tokens: '1000,10', parts: 'aa:800,bb:200'};
 let system: TestSystem;
@@ -20,9 +26,7 @@
     await addServer('writer-2', 'decode'),
   ];
   await waitUntil('the node is ready and knows all servers', async () => {
-    const {entries} = (await fetch(
-      `http://127.0.0.1:${system.nodes[0].controlPort}/snapshot`,
-    ).then(response => response.json())) as {entries: unknown[]};
+    const {entries} = await loadSnapshot(system.nodes[0]);
     return entries.length === 5 && isNodeReady(system.nodes[0]);
   });
 });
--- a/test/platform/system.ts
+++ b/test/platform/system.ts
@@ -216,6 +216,21 @@
 `;
 }
 
+/** What a node knows, as it tells other nodes. */
+export interface SnapshotBody {
+  readonly config?: {readonly version: number};
+  readonly entries: ReadonlyArray<{
+    readonly id: string;
+    readonly isLeaving: boolean;
+  }>;
+}
+
+/** Loads what a node knows. */
+export async function loadSnapshot(node: RunningNode): Promise<SnapshotBody> {
+  const url = `http://127.0.0.1:${node.controlPort}/snapshot`;
+  return (await fetch(url).then(response => response.json())) as SnapshotBody;
+}
+
 let requestCount = 0;
 
 /** Sends a request as a caller does and resolves when the answer has ended. */
