Act on what servers say in their answers: that they leave, and that they want a pause

Cause: a leaving server was known by its entry in the store only, and a 503 with Retry-After was an ordinary refusal, so that a node went on sending.

- The head of every answer of a backend server is looked at, whatever call it answers: runs, prefill calls, reports, orders.
- A server that says that it leaves is not chosen from that moment on, in touch with the store or not; the other nodes are told.
The mark holds for one start of the server: an entry that lapses and comes back does not end it, a server that starts again under the same id is another one.
- A pause is this node's alone.
Paused servers are left out before placing and get no reports and orders; when all of a service want one, callers are refused at once with the shortest time left.
- A 503 without the server's promise is still 'may have run'.

--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -51,6 +51,12 @@
   readonly connectTimeoutMs?: number;
   /** Idle time after which a connection is closed, in milliseconds, unless its server says less. */
   readonly idleTimeoutMs?: number;
+  /** Hears the head of every answer, before the call's own handler. */
+  readonly onHead?: (
+    server: BackendEntry,
+    status: number,
+    rawHeaders: readonly string[],
+  ) => void;
 }
 
 /** Several round trips between failure domains, and well within the shortest objective. */
@@ -102,6 +108,8 @@
     const open = createOpenCall({
       handler: request.handler,
       connection,
+      onHead: (status, rawHeaders) =>
+        options.onHead?.(request.server, status, rawHeaders),
       release: isReusable => {
         if (isReusable && servers.has(request.server.id)) {
           connections.idle.push(connection);
@@ -226,6 +234,7 @@
 interface OpenCallOptions {
   readonly handler: CallHandler;
   readonly connection: Connection;
+  readonly onHead: (status: number, rawHeaders: readonly string[]) => void;
   /** Takes the connection back. */
   readonly release: (isReusable: boolean) => void;
 }
@@ -285,6 +294,7 @@
     if (isDone || status < 200) return;
     const rawHeaders = listRawHeaders(started);
     connection.isUnframed = !hasFraming(rawHeaders);
+    options.onHead(status, rawHeaders);
     const failure = handler.onAnswer(status, rawHeaders);
     if (failure !== undefined) fail(failure);
   }
--- a/src/gateway/fleet_state.ts
+++ b/src/gateway/fleet_state.ts
@@ -22,6 +22,8 @@
   replaceEntries(changes: readonly EntryChange[], nowMs: number): EntryChange[];
   /** Keeps entries that vanish for a while after an outage of the store. */
   startGrace(untilMs: number): void;
+  /** Takes a server's own word that it leaves, whatever its entry says; returns true when it was not known. */
+  recordLeaving(id: string, startedAtMs: number): boolean;
   /** Lists the servers that may be sent requests. */
   listUsable(service: string): readonly BackendEntry[];
   tryGetUsable(id: string): BackendEntry | undefined;
@@ -39,6 +41,8 @@
   const entries = new Map<string, BackendEntry>();
   /** Entries that vanished just after an outage, still used. */
   const vanished = new Map<string, BackendEntry>();
+  /** Starts of the servers that say themselves that they leave; a later start under the same id is another server. */
+  const leaving = new Map<string, number>();
   let graceUntilMs = 0;
   let usable = new Map<string, BackendEntry[]>();
   let digest: string | undefined;
@@ -52,10 +56,11 @@
     startGrace: untilMs => {
       graceUntilMs = untilMs;
     },
+    recordLeaving,
     listUsable: service => usable.get(service) ?? [],
     tryGetUsable: id => {
       const entry = entries.get(id) ?? vanished.get(id);
-      return entry === undefined || entry.isLeaving ? undefined : entry;
+      return entry === undefined || isLeaving(entry) ? undefined : entry;
     },
     listEntries: () => [...entries.values()],
     sweep,
@@ -100,6 +105,9 @@
       return true;
     }
     vanished.delete(change.id);
+    if (leaving.get(change.id) !== change.entry.startedAtMs) {
+      leaving.delete(change.id);
+    }
     if (before !== undefined && isSame(before, change.entry)) return false;
     entries.set(change.id, change.entry);
     return true;
@@ -111,11 +119,22 @@
     updateUsable();
   }
 
+  function recordLeaving(id: string, startedAtMs: number): boolean {
+    if (leaving.get(id) === startedAtMs) return false;
+    leaving.set(id, startedAtMs);
+    updateUsable();
+    return true;
+  }
+
+  function isLeaving(entry: BackendEntry): boolean {
+    return entry.isLeaving || leaving.get(entry.id) === entry.startedAtMs;
+  }
+
   function updateUsable(): void {
     digest = undefined;
     const listed = [...entries.values(), ...vanished.values()];
     usable = collectBy(
-      listed.filter(entry => !entry.isLeaving),
+      listed.filter(entry => !isLeaving(entry)),
       entry => entry.service,
     );
   }
--- a/src/gateway/flow_context.ts
+++ b/src/gateway/flow_context.ts
@@ -10,6 +10,7 @@
 import type {PrefillBook} from './prefill_book';
 import type {PrefixDirectory} from './prefix_directory';
 import type {HealthBook} from './server_health';
+import type {ServerPauses} from './server_pauses';
 import type {StreamCounts} from './stream_counts';
 import type {BackendProtocol} from './types';
 
@@ -23,6 +24,7 @@
   readonly clock: Clock;
   readonly metrics: GatewayMetrics;
   readonly health: HealthBook;
+  readonly pauses: ServerPauses;
   readonly book: PrefillBook;
   readonly prefixes: PrefixDirectory;
   readonly homes: HomeEngines;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -16,6 +16,7 @@
 import {createPrefixDirectory} from './prefix_directory';
 import {createRetryShares} from './retry_shares';
 import {createHealthBook} from './server_health';
+import {createServerPauses} from './server_pauses';
 import {createServiceLoads} from './service_loads';
 import type {Address, GatewaySettings} from './settings';
 import {tryFetchSnapshot} from './snapshot_client';
@@ -23,6 +24,7 @@
 import {createStoreFollower} from './store_follower';
 import {createStreamCounts} from './stream_counts';
 import {
+  type BackendEntry,
   type BackendProtocol,
   DEFAULT_CALLER_LIMITS,
   type EntryChange,
@@ -73,7 +75,8 @@
   };
   const metrics = createGatewayMetrics();
   const state = createFleetState();
-  const connections = createConnections();
+  const connections = createConnections({onHead: takeNotice});
+  const pauses = createServerPauses(clock);
   const book = createPrefillBook();
   const streams = createStreamCounts();
   const loads = createServiceLoads();
@@ -115,6 +118,7 @@
       leaseMs: settings.bounds.leaseMs,
     }),
     connections,
+    pauses,
     protocol,
     clock,
     logger,
@@ -135,6 +139,7 @@
     clock,
     metrics,
     health,
+    pauses,
     book,
     prefixes,
     homes: createHomeEngines(),
@@ -152,8 +157,10 @@
   const messages = createNodeMessages({
     self,
     store,
+    state,
     peers,
     clock,
+    logger,
     follower,
     stages,
     book,
@@ -251,6 +258,30 @@
     return address.host === host && address.port === port;
   }
 
+  /** Acts at once on what a server says of itself, whatever call it answers. */
+  function takeNotice(
+    server: BackendEntry,
+    status: number,
+    rawHeaders: readonly string[],
+  ): void {
+    const notice = protocol.tryParseNotice(status, rawHeaders);
+    if (notice === undefined) return;
+    const {id, startedAtMs} = server;
+    if (notice.pauseMs > 0) {
+      pauses.record(server, notice.pauseMs);
+      logger.log('info', 'backend server asks for a pause', {
+        serverId: id,
+        pauseMs: notice.pauseMs,
+      });
+    }
+    if (!notice.isLeaving || !state.recordLeaving(id, startedAtMs)) return;
+    logger.log('info', 'backend server says that it leaves', {
+      serverId: id,
+      startedAtMs,
+    });
+    peers.notify({kind: 'leaving', serverId: id, startedAtMs});
+  }
+
   function handleFleetChange(
     changes: readonly EntryChange[],
     isConfigNew: boolean,
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -23,6 +23,7 @@
   PromptPart,
   Route,
   SendOptions,
+  ServerNotice,
   StageOrder,
   StageReport,
   StoreFailure,
--- a/src/gateway/node_messages.ts
+++ b/src/gateway/node_messages.ts
@@ -1,6 +1,8 @@
 /** Makes this node known to the others, and takes what they tell. */
+import type {Logger} from '../diagnostics/log';
 import type {Clock} from '../runtime/types';
-import type {PeerMessage, ReadMessage} from './peer_messages';
+import type {FleetState} from './fleet_state';
+import type {LeavingMessage, PeerMessage, ReadMessage} from './peer_messages';
 import type {Peers} from './peers';
 import type {PrefillBook} from './prefill_book';
 import type {PrefixDirectory} from './prefix_directory';
@@ -24,8 +26,10 @@
 export interface NodeMessagesOptions {
   readonly self: NodeRecord;
   readonly store: FleetStore;
+  readonly state: FleetState;
   readonly peers: Peers;
   readonly clock: Clock;
+  readonly logger: Logger;
   readonly follower: StoreFollower;
   readonly stages: StageControl;
   readonly book: PrefillBook;
@@ -76,9 +80,21 @@
       case 'suspect':
         health.recordSuspicion(message.serverId, message.reason);
         return;
+      case 'leaving':
+        handleLeaving(message);
+        return;
     }
   }
 
+  function handleLeaving(message: LeavingMessage): void {
+    const {serverId, startedAtMs} = message;
+    if (!options.state.recordLeaving(serverId, startedAtMs)) return;
+    options.logger.log('info', 'a node says that a backend server leaves', {
+      serverId,
+      startedAtMs,
+    });
+  }
+
   function handleRead(message: ReadMessage, nowMs: number): void {
     book.remove(message.jobId, nowMs);
     if (!message.isRead) return;
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -67,6 +67,14 @@
   readonly reason: string;
 }
 
+/** A server said in an answer that it leaves. */
+export interface LeavingMessage {
+  readonly kind: 'leaving';
+  readonly serverId: string;
+  /** Start of the server's process, in milliseconds since the Unix epoch. */
+  readonly startedAtMs: number;
+}
+
 /** An engine was ordered to another stage. */
 export interface OrderedMessage {
   readonly kind: 'ordered';
@@ -82,6 +90,7 @@
   | OverdueMessage
   | ReadMessage
   | SuspectMessage
+  | LeavingMessage
   | OrderedMessage
 ) & {
   /** True when the receiver passes the message on to the other nodes of its failure domain. */
@@ -100,6 +109,7 @@
   'overdue',
   'read',
   'suspect',
+  'leaving',
   'ordered',
 ]);
 
--- a/src/gateway/service_flow.ts
+++ b/src/gateway/service_flow.ts
@@ -44,7 +44,10 @@
   function start(): void {
     const server = chooseServer();
     if (server === undefined) {
-      task.fail(getVerdict(), 'no server of the service is available');
+      const pauseMs = context.pauses.tryGetShortestMs(
+        context.state.listUsable(task.service),
+      );
+      task.fail(getVerdict(), 'no server of the service is available', pauseMs);
       return;
     }
     send(server);
@@ -52,7 +55,9 @@
 
   function chooseServer(): BackendEntry | undefined {
     const servers = context.health.listHealthy(
-      context.state.listUsable(task.service),
+      context.state
+        .listUsable(task.service)
+        .filter(server => !context.pauses.isPaused(server)),
     );
     const untried = servers.filter(server => !tried.has(server.id));
     return tryChooseServer(
--- a/src/gateway/stage_control.ts
+++ b/src/gateway/stage_control.ts
@@ -5,6 +5,7 @@
 import type {Connections} from './connections';
 import type {FleetState} from './fleet_state';
 import {sendOwnCall} from './own_call';
+import type {ServerPauses} from './server_pauses';
 import {planStages, type StageChange, type StagePlan} from './stage_plan';
 import {
   type BackendEntry,
@@ -29,6 +30,7 @@
   readonly state: FleetState;
   readonly authority: Authority;
   readonly connections: Connections;
+  readonly pauses: ServerPauses;
   readonly protocol: BackendProtocol;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -162,6 +164,12 @@
 
   async function sendOrder(change: StageChange, grant: Grant): Promise<void> {
     const {server, stage} = change;
+    if (options.pauses.isPaused(server)) {
+      logger.log('info', 'engine gets no order: it asked for a pause', {
+        serverId: server.id,
+      });
+      return;
+    }
     const report = await readReport(server);
     if (report === undefined || report.isBusy || report.stage === stage) {
       logger.log('info', 'engine gets no order', {
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -73,7 +73,7 @@
     // A decode engine that reads by itself delays all of its streams.
     const place = prefill ?? tryChooseDirect(input);
     if (place === undefined) {
-      task.fail(getVerdict(), 'no engine is available');
+      failWithoutEngine('no engine is available');
       return;
     }
     const predictedMs = place.waitMs + place.readMs + FIRST_EVENT_OVERHEAD_MS;
@@ -106,7 +106,20 @@
   function listEngines(): BackendEntry[] {
     return health
       .listHealthy(context.state.listUsable(task.service))
-      .filter(({id}) => !excluded.has(id) && !context.isChanging(id));
+      .filter(
+        server =>
+          !excluded.has(server.id) &&
+          !context.isChanging(server.id) &&
+          !context.pauses.isPaused(server),
+      );
+  }
+
+  /** Ends the request; when all engines asked for a pause, the caller may come back after the shortest one. */
+  function failWithoutEngine(reason: string): void {
+    const pauseMs = context.pauses.tryGetShortestMs(
+      context.state.listUsable(task.service),
+    );
+    task.fail(getVerdict(), reason, pauseMs);
   }
 
   function sendPrefill(place: PrefillPlace): void {
@@ -174,7 +187,7 @@
     if (decode === undefined) {
       records.recordGivenUp();
       releaseKv();
-      task.fail(getVerdict(), 'no decode engine is available');
+      failWithoutEngine('no decode engine is available');
       return;
     }
     records.recordRead(decode.id, computeRatio(place, observedMs));
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -168,6 +168,14 @@
   readonly isEncoded: boolean;
 }
 
+/** What a server says of itself beside its answer. */
+export interface ServerNotice {
+  /** True when it leaves and takes no new requests. */
+  readonly isLeaving: boolean;
+  /** How long it wants nothing from this node, in milliseconds; 0 when it asks for no pause. */
+  readonly pauseMs: number;
+}
+
 /** An engine's own view of its work, some hundred milliseconds old. */
 export interface StageReport {
   readonly stage?: EngineStage;
@@ -204,6 +212,11 @@
   /** Builds the headers of an answer for the caller as a flat list. */
   buildAnswerHeaders(rawHeaders: readonly string[]): string[];
   parseAnswer(status: number, rawHeaders: readonly string[]): AnswerFacts;
+  /** Returns what the head of any answer says of its server, or undefined when it says nothing. */
+  tryParseNotice(
+    status: number,
+    rawHeaders: readonly string[],
+  ): ServerNotice | undefined;
   /** Returns the handle of a prefilled KV cache, or undefined when the answer is malformed. */
   parsePrefillAnswer(body: Buffer): string | undefined;
   /** Headers that tell the caller when to come back, as a flat list. */
--- a/src/platform/backend_protocol.ts
+++ b/src/platform/backend_protocol.ts
@@ -7,6 +7,7 @@
   ModelRequest,
   OwnCall,
   SendOptions,
+  ServerNotice,
   StageOrder,
   StageReport,
 } from '../gateway';
@@ -25,6 +26,8 @@
   Urgency: 'Anvilstack-Request-Urgency',
   Stage: 'Anvilstack-Stage',
   KvSource: 'Anvilstack-Kv-Source',
+  Leaving: 'Server-Leaving',
+  RetryAfter: 'Retry-After',
 } as const;
 
 /** Headers of one connection, which no hop passes on. */
@@ -55,6 +58,7 @@
 );
 /** Largest urgency number of the servers; larger ranks count as this one. */
 const MAX_URGENCY = 9;
+const STATUS_UNAVAILABLE = 503;
 
 /** Creates the platform's wire format. */
 export function createBackendProtocol(): BackendProtocol {
@@ -63,6 +67,7 @@
     buildHeaders,
     buildAnswerHeaders,
     parseAnswer,
+    tryParseNotice,
     parsePrefillAnswer,
     buildRetryHeaders,
     buildRelease: kv => ({
@@ -179,6 +184,24 @@
   };
 }
 
+function tryParseNotice(
+  status: number,
+  rawHeaders: readonly string[],
+): ServerNotice | undefined {
+  const isLeaving = findHeader(rawHeaders, Header.Leaving) === '1';
+  const pauseMs =
+    status === STATUS_UNAVAILABLE
+      ? parseSecondsMs(findHeader(rawHeaders, Header.RetryAfter))
+      : 0;
+  return isLeaving || pauseMs > 0 ? {isLeaving, pauseMs} : undefined;
+}
+
+/** Servers state seconds, fractions too; a date or anything else is no pause. */
+function parseSecondsMs(text: string | undefined): number {
+  const seconds = Number(text ?? '');
+  return Number.isFinite(seconds) ? Math.max(0, seconds * 1_000) : 0;
+}
+
 function parsePrefillAnswer(body: Buffer): string | undefined {
   const fields = tryFields(tryParseJson(body.toString('utf8')));
   return tryText(fields?.['transferHandle']);
@@ -221,7 +244,7 @@
 
 function buildRetryHeaders(requestId: string, retryAfterMs: number): string[] {
   const seconds = Math.max(0, retryAfterMs / 1_000).toFixed(3);
-  return ['Retry-After', seconds, Header.RequestId, requestId];
+  return [Header.RetryAfter, seconds, Header.RequestId, requestId];
 }
 
 function findHeader(
--- a/test/gateway/stage_control.test.ts
+++ b/test/gateway/stage_control.test.ts
@@ -3,6 +3,7 @@
 import {Ok} from 'ts-results';
 import type {BackendCall, Connections} from '../../src/gateway/connections';
 import {createFleetState} from '../../src/gateway/fleet_state';
+import {createServerPauses} from '../../src/gateway/server_pauses';
 import {createStageControl} from '../../src/gateway/stage_control';
 import {
   type BackendProtocol,
@@ -53,6 +54,7 @@
   } as unknown as BackendProtocol;
   const control = createStageControl({
     nodeName: 'n1',
+    pauses: createServerPauses(clock),
     state,
     authority: {
       tryTake: async () => Ok({fencingNumber: 1, isValid: () => true}),
--- /dev/null
+++ b/test/platform/server_notices.test.ts
@@ -0,0 +1,196 @@
+/** What servers say of themselves in their answers: that they leave, and that they want a pause. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {ServerStandin} from './server_standin';
+import {
+  isNodeReady,
+  loadSnapshot,
+  startSystem,
+  type TestSystem,
+  waitUntil,
+} from './system';
+
+const PROMPT = {tokens: '1000,3', parts: 'aa:800,bb:200'};
+/** Requests that show that a server is not chosen any more. */
+const MANY = 20;
+/** Calls that reach a server in spite of its pause without harm: BUDGET of the platform's rules. */
+const PAUSE_CALLS_MAX = 2;
+/** Time after the answer from which on the pause binds, in milliseconds. */
+const PAUSE_NOTICE_MS = 500;
+
+async function startWith(
+  nodes: number,
+  servers: ReadonlyArray<[string, 'app' | 'prefill' | 'decode']>,
+): Promise<{system: TestSystem; list: ServerStandin[]}> {
+  const system = await startSystem({nodes});
+  const list: ServerStandin[] = [];
+  for (const [id, kind] of servers) {
+    const stage = kind === 'app' ? undefined : kind;
+    const service = kind === 'app' ? 'app' : 'llm';
+    list.push(await system.addServer({id, service, zone: 'a', stage}));
+  }
+  for (const node of system.nodes) {
+    await waitUntil('the node knows all servers', async () => {
+      const {entries} = await loadSnapshot(node);
+      return entries.length === list.length && isNodeReady(node);
+    });
+  }
+  return {system, list};
+}
+
+async function sendMany(
+  system: TestSystem,
+  path: string,
+  more: object = {},
+): Promise<number[]> {
+  const statuses: number[] = [];
+  for (let index = 0; index < MANY; index++) {
+    const nodeIndex = index % system.nodes.length;
+    const answer = await system.send({path, ...more}, nodeIndex);
+    statuses.push(answer.status);
+  }
+  return statuses;
+}
+
+function countCalls(server: ServerStandin): number {
+  return server.arrivalsAtMs.length;
+}
+
+test('a server that says in an answer that it leaves gets nothing more from any node', async () => {
+  const {system, list} = await startWith(2, [
+    ['app-1', 'app'],
+    ['app-2', 'app'],
+  ]);
+  const [leaving, other] = list;
+  leaving.setLeaving(true);
+  other.setFault('full');
+  await system.send({path: '/look/x'});
+  other.setFault('none');
+  assert.ok(countCalls(leaving) > 0);
+  await waitUntil('the other node heard of it', () =>
+    system.nodes[1].lines.some(
+      ({message}) => message === 'a node says that a backend server leaves',
+    ),
+  );
+  const before = countCalls(leaving);
+  const statuses = await sendMany(system, '/order/x');
+  assert.deepEqual([...new Set(statuses)], [200]);
+  assert.equal(countCalls(leaving), before);
+  // Its entry is written again, as by a server whose entry lapsed in an outage.
+  leaving.withdraw();
+  await sleep(700);
+  leaving.publish();
+  await sleep(700);
+  await sendMany(system, '/order/x');
+  assert.equal(countCalls(leaving), before);
+  // A server that starts under the same id is another one.
+  leaving.setLeaving(false);
+  leaving.publish('ready', 1_700_000_009_000);
+  await other.crash();
+  await waitUntil('the new server is used', async () => {
+    await system.send({path: '/look/x'});
+    return countCalls(leaving) > before;
+  });
+  await system.close();
+});
+
+test('a prefill engine that says that it leaves reads no further prompt', async () => {
+  const {system, list} = await startWith(1, [
+    ['reader-1', 'prefill'],
+    ['reader-2', 'prefill'],
+    ['writer-1', 'decode'],
+    ['writer-2', 'decode'],
+  ]);
+  const readers = list.slice(0, 2);
+  for (const reader of readers) reader.setLeaving(true);
+  await system.send({path: '/ask/x', ...PROMPT});
+  const leaving = readers.find(reader => countCalls(reader) > 0);
+  assert.ok(leaving !== undefined);
+  for (const reader of readers) {
+    if (reader !== leaving) reader.setLeaving(false);
+  }
+  const before = countCalls(leaving);
+  const statuses = await sendMany(system, '/ask/x', PROMPT);
+  assert.deepEqual([...new Set(statuses)], [200]);
+  assert.equal(countCalls(leaving), before);
+  await system.close();
+});
+
+test('a server that asks for a pause gets nothing before its end, and requests after it', async () => {
+  const {system, list} = await startWith(1, [
+    ['app-1', 'app'],
+    ['app-2', 'app'],
+  ]);
+  const [pausing, other] = list;
+  pausing.setPause('1.5');
+  other.setFault('full');
+  await system.send({path: '/look/x'});
+  other.setFault('none');
+  const askedAtMs = pausing.arrivalsAtMs.at(-1) ?? 0;
+  const endsAtMs = askedAtMs + 1_500;
+  pausing.setPause(undefined);
+  while (performance.now() < endsAtMs - 50) {
+    const answer = await system.send({path: '/order/x'});
+    assert.equal(answer.status, 200);
+    await sleep(10);
+  }
+  const inPause = pausing.arrivalsAtMs.filter(
+    atMs => atMs > askedAtMs + PAUSE_NOTICE_MS && atMs < endsAtMs,
+  );
+  assert.ok(inPause.length <= PAUSE_CALLS_MAX, `${inPause.length} calls`);
+  await sleep(100);
+  await other.crash();
+  const answer = await system.send({path: '/look/x'});
+  assert.equal(answer.status, 200);
+  await system.close();
+});
+
+test('requests are refused at once with the shortest time left when all servers ask for a pause', async () => {
+  const {system, list} = await startWith(1, [
+    ['app-1', 'app'],
+    ['app-2', 'app'],
+    ['reader-1', 'prefill'],
+    ['writer-1', 'decode'],
+    ['writer-2', 'decode'],
+  ]);
+  list[0].setPause('3');
+  list[1].setPause('1.2');
+  for (const engine of list.slice(2)) engine.setPause('2');
+  await system.send({path: '/look/x'});
+  await system.send({path: '/look/x'});
+  const refused = await system.send({path: '/order/x'});
+  assert.equal(refused.status, 503);
+  const retryAfterS = Number(refused.headers['retry-after']);
+  assert.ok(retryAfterS > 0.5 && retryAfterS <= 1.2, `${retryAfterS} s`);
+  for (let tries = 0; tries < 3; tries++) {
+    await system.send({path: '/ask/x', ...PROMPT});
+  }
+  const calls = list.slice(2).map(countCalls);
+  const stream = await system.send({path: '/ask/x', ...PROMPT});
+  assert.equal(stream.status, 503);
+  assert.ok(Number(stream.headers['retry-after']) > 1);
+  assert.deepEqual(list.slice(2).map(countCalls), calls);
+  await system.close();
+});
+
+test('a 503 with Retry-After but without a promise is not told as a refusal', async () => {
+  const {system, list} = await startWith(1, [['app-1', 'app']]);
+  list[0].setFault('busy-after-run');
+  const answer = await system.send({path: '/order/x', id: 'ran'});
+  assert.equal(answer.status, 502);
+  assert.equal(list[0].runs.length, 1);
+  await system.close();
+});
+
+test('a value of Retry-After that is no number of seconds is no pause', async () => {
+  const {system, list} = await startWith(1, [['app-1', 'app']]);
+  for (const value of ['Wed, 21 Oct 2026 07:28:00 GMT', '-3', 'Infinity']) {
+    list[0].setPause(value);
+    await system.send({path: '/look/x'});
+    list[0].setPause(undefined);
+    const answer = await system.send({path: '/look/x'});
+    assert.equal(answer.status, 200, value);
+  }
+  await system.close();
+});
--- a/test/platform/server_standin.ts
+++ b/test/platform/server_standin.ts
@@ -26,7 +26,8 @@
   | 'mute'
   | 'other-id'
   | 'no-seal'
-  | 'no-kv';
+  | 'no-kv'
+  | 'busy-after-run';
 
 /** The stand-in. */
 export interface ServerStandin {
@@ -36,7 +37,13 @@
   readonly runs: SeenRequest[];
   readonly prefills: SeenRequest[];
   readonly orders: Array<Record<string, unknown>>;
+  /** When each call came, whatever became of it, on the monotonic clock, in milliseconds. */
+  readonly arrivalsAtMs: number[];
   setFault(fault: ServerFault): void;
+  /** Says in all answers from now on that the server leaves. */
+  setLeaving(isLeaving: boolean): void;
+  /** Turns calls away with 503 and this value of `Retry-After`; undefined serves them again. */
+  setPause(retryAfter: string | undefined): void;
   /** Answers nothing more on the connections that are open now, and doesn't close them. */
   ignoreConnections(): void;
   /** Stops listening and breaks all connections; the entry stays. */
@@ -46,7 +53,7 @@
   /** Number of requests whose caller left before the answer was whole. */
   countLeft(): number;
   /** Writes the server's entry. */
-  publish(state?: 'ready' | 'draining'): void;
+  publish(state?: 'ready' | 'draining', born?: number): void;
   /** Drops the server's entry. */
   withdraw(): void;
   close(): void;
@@ -78,10 +85,15 @@
   let stage = options.stage;
   let fault: ServerFault = 'none';
   let leftCount = 0;
+  let isLeaving = false;
+  let pause: string | undefined;
+  const arrivalsAtMs: number[] = [];
   const open = new Set<Socket>();
   const ignored = new WeakSet<Socket>();
   const server = createServer((request, response) => {
     if (ignored.has(request.socket)) return;
+    arrivalsAtMs.push(performance.now());
+    if (isLeaving) response.setHeader('Server-Leaving', '1');
     void readAll(request).then(body => handle(request, response, body));
   });
   server.on('connection', (socket: Socket) => {
@@ -97,6 +109,13 @@
     runs,
     prefills,
     orders,
+    arrivalsAtMs,
+    setLeaving: next => {
+      isLeaving = next;
+    },
+    setPause: next => {
+      pause = next;
+    },
     setFault: next => {
       fault = next;
     },
@@ -122,7 +141,10 @@
     return new Promise(resolve => server.listen(onPort, '127.0.0.1', resolve));
   }
 
-  function publish(state: 'ready' | 'draining' = 'ready'): void {
+  function publish(
+    state: 'ready' | 'draining' = 'ready',
+    born = 1_700_000_000_000,
+  ): void {
     const entry = {
       service: options.service,
       address: `127.0.0.1:${port}`,
@@ -132,7 +154,7 @@
       state,
       coldLeftMs: 0,
       seq: 1,
-      born: 1_700_000_000_000,
+      born,
       ...(stage === undefined ? {} : {stage, models: [{name: 'm'}]}),
     };
     store.put('keyed.servers', id, JSON.stringify(entry));
@@ -149,6 +171,14 @@
       response.end();
       return;
     }
+    if (pause !== undefined) {
+      response.writeHead(503, {
+        'Anvilstack-Not-Executed': '1',
+        'Retry-After': pause,
+      });
+      response.end();
+      return;
+    }
     if (request.url === '/report') return sendReport(response);
     if (request.url === '/order') return takeOrder(response, body);
     if (request.url?.startsWith('/kv-handle/')) {
@@ -205,6 +235,11 @@
       response.end('failed');
       return;
     }
+    if (fault === 'busy-after-run') {
+      response.writeHead(503, {...headers, 'Retry-After': '1'});
+      response.end();
+      return;
+    }
     if (stage !== undefined) return sendEvents(response, seen, headers);
     const body = `${id} did ${seen.method} ${seen.path}`;
     const length = String(Buffer.byteLength(body));
