Learn the engines' speeds and the streams' times from answers

Cause: speeds were those of the first sheets.

- engine_speeds: observed over sheet time of reads as a quotient of fading sums, for each service; mean time of streams for each route.
- A generating engine whose slots are taken is chosen with the wait for the next free one.
- A prefill engine that turned a prompt away as full is left out until it has fewer prompts than then; before, the wrong speeds alone kept queues short.

Ruled out: decode slots as the cause of late bulk prompts (they hold a slot for 8 ms at the median, 30 ms at p75); the urgent kind holds one for 3.4 s.

--- a/src/gateway/flow_context.ts
+++ b/src/gateway/flow_context.ts
@@ -2,6 +2,7 @@
 import type {RetryBudget} from '../routing/retry_budget';
 import type {Clock} from '../runtime/types';
 import type {Connections} from './connections';
+import type {EngineSpeedBook} from './engine_speeds';
 import type {FleetState} from './fleet_state';
 import type {GatewayMetrics} from './gateway_metrics';
 import type {HomeEngines} from './home_engines';
@@ -25,6 +26,7 @@
   readonly metrics: GatewayMetrics;
   readonly health: HealthBook;
   readonly pauses: ServerPauses;
+  readonly speeds: EngineSpeedBook;
   readonly book: PrefillBook;
   readonly prefixes: PrefixDirectory;
   readonly homes: HomeEngines;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
 import {createAuthority} from './authority';
 import {createConnections} from './connections';
 import {createControlListeners} from './control_listener';
+import {createEngineSpeeds} from './engine_speeds';
 import {createExchangeRouter} from './exchange_router';
 import {createFleetState} from './fleet_state';
 import type {FlowContext} from './flow_context';
@@ -77,6 +78,7 @@
   const state = createFleetState();
   const connections = createConnections({onHead: takeNotice});
   const pauses = createServerPauses(clock);
+  const speeds = createEngineSpeeds();
   const book = createPrefillBook();
   const streams = createStreamCounts();
   const loads = createServiceLoads();
@@ -104,6 +106,7 @@
     peers,
     clock,
     logger,
+    speeds,
     fetchSnapshot: loadSnapshot,
     getRandom,
     onChange: handleFleetChange,
@@ -140,6 +143,7 @@
     metrics,
     health,
     pauses,
+    speeds,
     book,
     prefixes,
     homes: createHomeEngines(),
@@ -163,6 +167,7 @@
     logger,
     follower,
     stages,
+    speeds,
     book,
     prefixes,
     streams,
@@ -182,6 +187,7 @@
     getSnapshot: () => ({
       ...follower.getSnapshot(),
       nodes: [self, ...peers.list()],
+      speeds: speeds.listFigures(),
     }),
     renderMetrics: metrics.render,
   });
@@ -248,6 +254,7 @@
       const snapshot = await tryFetchSnapshot(address, knownVersion);
       if (snapshot === undefined) continue;
       messages.addNodes(snapshot.nodes ?? []);
+      speeds.addFigures(snapshot.speeds ?? []);
       return snapshot;
     }
     return undefined;
--- a/src/gateway/node_messages.ts
+++ b/src/gateway/node_messages.ts
@@ -1,6 +1,7 @@
 /** Makes this node known to the others, and takes what they tell. */
 import type {Logger} from '../diagnostics/log';
 import type {Clock} from '../runtime/types';
+import type {EngineSpeedBook} from './engine_speeds';
 import type {FleetState} from './fleet_state';
 import type {LeavingMessage, PeerMessage, ReadMessage} from './peer_messages';
 import type {Peers} from './peers';
@@ -10,6 +11,7 @@
 import type {StageControl} from './stage_control';
 import type {StoreFollower} from './store_follower';
 import type {StreamCounts} from './stream_counts';
+import {recordSample} from './stream_records';
 import type {FleetStore, NodeRecord} from './types';
 
 /** The exchange of knowledge with the other nodes. */
@@ -32,6 +34,7 @@
   readonly logger: Logger;
   readonly follower: StoreFollower;
   readonly stages: StageControl;
+  readonly speeds: EngineSpeedBook;
   readonly book: PrefillBook;
   readonly prefixes: PrefixDirectory;
   readonly streams: StreamCounts;
@@ -99,8 +102,8 @@
     book.remove(message.jobId, nowMs);
     if (!message.isRead) return;
     health.recordSign(message.serverId);
-    if (message.ratio !== undefined) {
-      health.recordSuccess(message.serverId, message.ratio);
+    if (message.sample !== undefined) {
+      recordSample(options, message.serverId, message.sample);
     }
     if (message.decodeId === undefined) return;
     const untilMs = nowMs + (message.runMs ?? 0);
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -1,4 +1,5 @@
 /** Messages between nodes: small, repeated or replaceable when one is lost. */
+import type {SpeedFigures} from './engine_speeds';
 import type {EngineStage, EntryChange, NodeRecord, PromptPart} from './types';
 
 /** A node says that it is there. */
@@ -25,6 +26,8 @@
   readonly ageMs: number;
   /** How long vanished entries are still used, in milliseconds; 0 when not. */
   readonly graceMs: number;
+  /** Speeds of the engines as the sender has measured them. */
+  readonly speeds?: readonly SpeedFigures[];
 }
 
 /** A prompt was sent to an engine. */
@@ -45,6 +48,14 @@
   readonly jobId: string;
 }
 
+/** What reading a prompt took, its wait included. */
+export interface ReadSample {
+  readonly service: string;
+  /** Time by the sheets' speeds, in milliseconds. */
+  readonly sheetMs: number;
+  readonly observedMs: number;
+}
+
 /** A prompt was read or given up. */
 export interface ReadMessage {
   readonly kind: 'read';
@@ -52,8 +63,8 @@
   readonly serverId: string;
   /** False when the prompt was given up. */
   readonly isRead: boolean;
-  /** Observed over predicted time; absent when it says nothing about the engine. */
-  readonly ratio?: number;
+  /** What it took; absent when it says nothing about the engine. */
+  readonly sample?: ReadSample;
   /** Decode engine that goes on with it. */
   readonly decodeId?: string;
   /** How long its stream is expected to run, in milliseconds. */
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -3,11 +3,7 @@
  * predicted end of reading, then a decode engine close to it.
  */
 import {collectBy} from '../runtime/collect_by';
-import {
-  computeReadMs,
-  computeTransferMs,
-  DECODE_READ_FACTOR,
-} from './engine_costs';
+import {computeTransferMs, DECODE_READ_FACTOR} from './engine_costs';
 import type {HomeEngines} from './home_engines';
 import {computePathMs, type PathView} from './path_costs';
 import type {PrefillBook} from './prefill_book';
@@ -41,6 +37,11 @@
   readonly path: PathView;
   /** True when parts that no node knows of may be kept at their homes: the nodes have restarted, the engines not. */
   readonly isHomeWarm: boolean;
+  /** Predicted time to read a prompt of which some tokens are kept, at an engine of usual speed, in milliseconds. */
+  readonly predictReadMs: (
+    promptTokens: number,
+    cachedTokens: number,
+  ) => number;
   /** Observed over predicted time of a server's work; 1 when unknown. */
   readonly getSlowdown: (serverId: string) => number;
   readonly nowMs: number;
@@ -58,6 +59,8 @@
   readonly path: PathView;
   /** Streams that each engine is believed to run. */
   readonly countStreams: (serverId: string) => number;
+  /** How long a stream that comes now waits for a slot of the engine, in milliseconds. */
+  readonly getSlotWaitMs: (server: BackendEntry) => number;
 }
 
 /**
@@ -93,7 +96,10 @@
 ): PrefillPlace | undefined {
   let best: PrefillPlace | undefined;
   let bestScore = Number.POSITIVE_INFINITY;
-  const engines = input.engines.filter(server => server.stage === stage);
+  const engines = input.engines.filter(
+    server =>
+      server.stage === stage && !input.book.isFull(server.id, input.nowMs),
+  );
   const shared = listSharedParts(input.request);
   const homeId = tryFindHome(input, shared, engines);
   for (const server of engines) {
@@ -136,7 +142,7 @@
   return {
     server,
     waitMs: book.getWaitMs(server.id, nowMs),
-    readMs: computeReadMs(request.promptTokens, cachedTokens) * slowdown,
+    readMs: input.predictReadMs(request.promptTokens, cachedTokens) * slowdown,
     cachedTokens,
   };
 }
@@ -150,7 +156,7 @@
     .filter(part => input.prefixes.isKeptElsewhere(place.server.id, part.id))
     .reduce((sum, part) => sum + part.tokens, 0);
   const lostTokens = Math.max(0, againTokens - place.cachedTokens);
-  const againMs = computeReadMs(lostTokens, 0) * REREAD_WEIGHT;
+  const againMs = input.predictReadMs(lostTokens, 0) * REREAD_WEIGHT;
   const pathMs = computePathMs(place.server, input.path);
   return place.waitMs + place.readMs + againMs + pathMs;
 }
@@ -172,7 +178,10 @@
     const pathMs = computePathMs(server, input.path);
     const streams = input.countStreams(server.id);
     const score =
-      transferMs + pathMs + streams * (STREAM_COST_MS + transferMs / 2);
+      transferMs +
+      pathMs +
+      input.getSlotWaitMs(server) +
+      streams * (STREAM_COST_MS + transferMs / 2);
     if (score >= bestScore) continue;
     best = server;
     bestScore = score;
--- a/src/gateway/prefill_book.ts
+++ b/src/gateway/prefill_book.ts
@@ -21,6 +21,10 @@
   getWaitMs(serverId: string, nowMs: number): number;
   /** Returns the number of open jobs at an engine. */
   countJobs(serverId: string): number;
+  /** Notes that an engine turned away a job that is still in the book, as full. */
+  recordFull(serverId: string, nowMs: number): void;
+  /** True while an engine has about as many jobs as when it was full. */
+  isFull(serverId: string, nowMs: number): boolean;
   removeServer(serverId: string): void;
 }
 
@@ -33,6 +37,8 @@
   readonly jobs: Map<string, OpenJob>;
   /** When the engine began to work on what it reads now. */
   headStartMs: number;
+  /** Jobs beside the one that was turned away, and when that was. */
+  full?: {readonly jobCount: number; readonly atMs: number};
 }
 
 /** How far from its predicted end a prompt may be read without a word, in milliseconds: a tenth of the usual objective. */
@@ -41,6 +47,10 @@
 const EXPIRY_SLACK_MS = 500;
 /** How long after its predicted end a job counts as read, in milliseconds: the tolerance of its sender, and the way of a message. */
 const SILENCE_SLACK_MS = READ_TOLERANCE_MS + 30;
+/** Part of the jobs at which an engine was full that it gets again: the nodes hear of each other's jobs late. */
+const REFILL_PART = 0.9;
+/** How long an engine's word that it is full counts, in milliseconds. */
+const FULL_MEMORY_MS = 5_000;
 /** How many times longer than predicted a job may take before it is dropped. */
 const EXPIRY_FACTOR = 2;
 
@@ -54,6 +64,8 @@
     remove,
     getWaitMs,
     countJobs: serverId => engines.get(serverId)?.jobs.size ?? 0,
+    recordFull,
+    isFull,
     removeServer,
   };
 
@@ -106,6 +118,21 @@
     return Math.max(0, waitMs - progressMs);
   }
 
+  function recordFull(serverId: string, nowMs: number): void {
+    const engine = engines.get(serverId);
+    if (engine === undefined) return;
+    const jobCount = Math.max(1, engine.jobs.size - 1);
+    engine.full = {jobCount, atMs: nowMs};
+  }
+
+  function isFull(serverId: string, nowMs: number): boolean {
+    const engine = engines.get(serverId);
+    if (engine?.full === undefined) return false;
+    if (nowMs - engine.full.atMs > FULL_MEMORY_MS) return false;
+    sweep(engine, nowMs);
+    return engine.jobs.size >= REFILL_PART * engine.full.jobCount;
+  }
+
   function sweep(engine: Engine, nowMs: number): void {
     for (const job of engine.jobs.values()) {
       if (nowMs < job.expiresAtMs) continue;
--- a/src/gateway/prefill_call.ts
+++ b/src/gateway/prefill_call.ts
@@ -72,10 +72,13 @@
     const facts = protocol.parseAnswer(status, rawHeaders);
     const isOther = isOtherAnswer(facts, exchange);
     if (status === 200 && !isOther) return;
-    return createFailure(
-      isOther ? 'mismatch' : 'rejected',
-      `prefill engine answered ${status}`,
-    );
+    return {
+      ...createFailure(
+        isOther ? 'mismatch' : 'rejected',
+        `prefill engine answered ${status}`,
+      ),
+      status,
+    };
   }
 
   function handleEnd(): void {
--- a/src/gateway/snapshot.ts
+++ b/src/gateway/snapshot.ts
@@ -1,4 +1,5 @@
 /** What a node knows, for one that catches up, and how it is asked for. */
+import type {SpeedFigures} from './engine_speeds';
 import type {BackendEntry, GatewayConfig, NodeRecord} from './types';
 
 /** What a node knows. */
@@ -12,6 +13,8 @@
   readonly ageMs: number;
   /** Nodes known, for one that starts while the store does not answer it. */
   readonly nodes?: readonly NodeRecord[];
+  /** Learned speeds of the engines, for a node that has measured none. */
+  readonly speeds?: readonly SpeedFigures[];
 }
 
 /** Path of the snapshot on the control address. */
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -6,6 +6,7 @@
 import {type DecodeCall, startDecodeCall} from './decode_call';
 import {createEventSplitter} from './event_splitter';
 import type {FlowContext} from './flow_context';
+import type {ReadSample} from './peer_messages';
 import {
   type PlacementInput,
   type PrefillPlace,
@@ -17,12 +18,13 @@
 import type {RequestTask} from './request_task';
 import {computeRetryAfterMs, getPatienceMs} from './stream_admission';
 import {createStreamRecords} from './stream_records';
-import type {
-  BackendEntry,
-  CallFailure,
-  EngineLimits,
-  KvReference,
-  ModelRequest,
+import {
+  type BackendEntry,
+  type CallFailure,
+  type EngineLimits,
+  EngineStage,
+  type KvReference,
+  type ModelRequest,
 } from './types';
 
 /** Time of a stream's way besides reading and moving the prompt, in milliseconds: hops and the first step. */
@@ -35,8 +37,8 @@
 const MAX_DECODE_TRIES = 3;
 /** Time of the way to an engine and back, in milliseconds. */
 const HOP_MS = 5;
-/** Shortest predicted read that says something about an engine's speed, in milliseconds. */
-const MIN_RATIO_MS = 40;
+/** Shortest read by the sheets' speeds that says something about an engine's speed, in milliseconds. */
+const MIN_SAMPLE_MS = 40;
 
 /** Serves one request. */
 export function runStreamFlow(
@@ -52,6 +54,7 @@
   const budget = context.getBudget(task.service);
   const records = createStreamRecords(
     context,
+    task,
     engine,
     model,
     `${context.path.ownDomain}/${exchange.request.requestId}`,
@@ -71,9 +74,14 @@
     const input = createInput();
     const prefill = tryChoosePrefill(input);
     // A decode engine that reads by itself delays all of its streams.
-    const place = prefill ?? tryChooseDirect(input);
+    const hasReaders = input.engines.some(
+      ({stage}) => stage === EngineStage.Prefill,
+    );
+    const place = prefill ?? (hasReaders ? undefined : tryChooseDirect(input));
     if (place === undefined) {
-      failWithoutEngine('no engine is available');
+      failWithoutEngine(
+        hasReaders ? 'engines are full' : 'no engine is available',
+      );
       return;
     }
     const predictedMs = place.waitMs + place.readMs + FIRST_EVENT_OVERHEAD_MS;
@@ -98,6 +106,8 @@
       homes: context.homes,
       path: context.path,
       isHomeWarm: context.isHomeWarm,
+      predictReadMs: (promptTokens, cachedTokens) =>
+        context.speeds.predictReadMs(task.service, promptTokens, cachedTokens),
       getSlowdown: health.getSlowdown,
       nowMs: clock.getMonotonicMs(),
     };
@@ -141,8 +151,12 @@
   }
 
   function retryPrefill(server: BackendEntry, failure: CallFailure): void {
+    // A full engine is sound: it is left out by the number of its prompts.
+    const isFull = failure.reason === 'rejected' && failure.status === 503;
+    if (isFull) context.book.recordFull(server.id, clock.getMonotonicMs());
+    else recordFailed(server, failure);
     records.recordGivenUp();
-    recordFailed(server, failure);
+    excluded.add(server.id);
     const isAgain =
       prefillTries < MAX_PREFILL_TRIES &&
       task.getRemainingMs() > MIN_TRY_MS &&
@@ -190,19 +204,22 @@
       failWithoutEngine('no decode engine is available');
       return;
     }
-    records.recordRead(decode.id, computeRatio(place, observedMs));
+    records.recordRead(decode.id, tryCreateSample(place, observedMs));
     sendDecode(decode);
   }
 
-  /** Tells how much slower than the sheets' speed an engine reads; short reads say little. */
-  function computeRatio(
+  /** Compares what a read took with the sheets' speed; short reads say little. */
+  function tryCreateSample(
     place: PrefillPlace,
     observedMs: number,
-  ): number | undefined {
-    const slowdown = health.getSlowdown(place.server.id);
-    const plainMs = (place.waitMs + place.readMs) / slowdown;
-    if (plainMs < MIN_RATIO_MS) return undefined;
-    return (observedMs - HOP_MS) / plainMs;
+  ): ReadSample | undefined {
+    const {service} = task;
+    const factor =
+      health.getSlowdown(place.server.id) *
+      context.speeds.getReadFactor(service);
+    const sheetMs = (place.waitMs + place.readMs) / factor;
+    if (sheetMs < MIN_SAMPLE_MS) return undefined;
+    return {service, sheetMs, observedMs: Math.max(0, observedMs - HOP_MS)};
   }
 
   function tryChooseDecodeNear(
@@ -218,11 +235,14 @@
       sourceDomain,
       path: context.path,
       countStreams: serverId => context.streams.count(serverId, nowMs),
+      getSlotWaitMs: server =>
+        context.streams.getWaitMs(server.id, server.maxRunning, nowMs),
     });
   }
 
   /** Sends the request to a decode engine; `direct` when it reads the prompt by itself. */
   function sendDecode(server: BackendEntry, direct?: PrefillPlace): void {
+    const sentAtMs = clock.getMonotonicMs();
     decodeTries++;
     runCount++;
     task.log('sent to decode engine', {
@@ -249,6 +269,11 @@
       },
       onEnd: status => {
         records.recordEnd(server.id);
+        context.speeds.recordRun(
+          task.service,
+          route.name,
+          clock.getMonotonicMs() - sentAtMs,
+        );
         health.recordSuccess(server.id, 1);
         task.complete(status, server.id);
       },
--- a/src/gateway/stream_records.ts
+++ b/src/gateway/stream_records.ts
@@ -2,33 +2,45 @@
 import type {Timer} from '../runtime/types';
 import {computeTransferMs} from './engine_costs';
 import type {FlowContext} from './flow_context';
-import type {PeerMessage} from './peer_messages';
+import type {PeerMessage, ReadSample} from './peer_messages';
 import {listSharedParts, type PrefillPlace} from './placement';
 import {READ_TOLERANCE_MS} from './prefill_book';
+import type {RequestTask} from './request_task';
 import type {EngineLimits, ModelRequest} from './types';
 
 /** Records of one request. */
 export interface StreamRecords {
   /** Notes that an engine was sent the prompt. */
   recordPlaced(place: PrefillPlace): void;
-  /** Notes that the prompt was read; `ratio` is observed over predicted time, if it says something. */
-  recordRead(decodeId: string, ratio?: number): void;
+  /** Notes that the prompt was read, and what it took if that says something. */
+  recordRead(decodeId: string, sample?: ReadSample): void;
   /** Notes that the prompt will not be read there. */
   recordGivenUp(): void;
   /** Notes that the stream at a decode engine has ended. */
   recordEnd(decodeId: string): void;
 }
 
-/** Expected time of one output token, in milliseconds, from the sheets' step time. */
-const TOKEN_MS = 4.5;
 /** Nodes from which on short reads and reads as predicted are not told: with more nodes each hears of more requests. */
 const MANY_NODES = 32;
 /** Longest read that is not told among many nodes, in milliseconds: a fifth of the shortest objective. */
 const SHORT_READ_MS = 60;
 
+/** Learns the speed of an engine, and of all of its service, from a prompt that it has read. */
+export function recordSample(
+  book: Pick<FlowContext, 'health' | 'speeds'>,
+  serverId: string,
+  sample: ReadSample,
+): void {
+  const {service, sheetMs, observedMs} = sample;
+  const expectedMs = sheetMs * book.speeds.getReadFactor(service);
+  book.health.recordSuccess(serverId, observedMs / expectedMs);
+  book.speeds.recordRead(service, sheetMs, observedMs);
+}
+
 /** Creates the records of a request. */
 export function createStreamRecords(
   context: FlowContext,
+  task: Pick<RequestTask, 'service' | 'route'>,
   engine: EngineLimits,
   model: ModelRequest,
   jobId: string,
@@ -77,13 +89,13 @@
     );
   }
 
-  function recordRead(decodeId: string, ratio?: number): void {
+  function recordRead(decodeId: string, sample?: ReadSample): void {
     if (serverId === undefined) return;
     const nowMs = context.clock.getMonotonicMs();
     const runMs = computeRunMs();
     context.book.remove(jobId, nowMs);
     context.streams.add(decodeId, jobId, nowMs + runMs);
-    if (ratio !== undefined) context.health.recordSuccess(serverId, ratio);
+    if (sample !== undefined) recordSample(context, serverId, sample);
     overdue?.cancel();
     if (!isAsPredicted(nowMs)) {
       notify({
@@ -93,7 +105,7 @@
         isRead: true,
         decodeId,
         runMs,
-        ...(ratio === undefined ? {} : {ratio}),
+        ...(sample === undefined ? {} : {sample}),
       });
     }
     serverId = undefined;
@@ -117,6 +129,7 @@
 
   function computeRunMs(): number {
     const transferMs = computeTransferMs(model.promptTokens, engine, true);
-    return Math.round(transferMs + model.maxOutputTokens * TOKEN_MS);
+    const runMs = context.speeds.predictRunMs(task.service, task.route.name);
+    return Math.round(transferMs + runMs);
   }
 }
--- a/test/gateway/placement.test.ts
+++ b/test/gateway/placement.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {computeReadMs} from '../../src/gateway/engine_costs';
 import {createHomeEngines} from '../../src/gateway/home_engines';
 import {
   type PlacementInput,
@@ -8,6 +9,7 @@
 } from '../../src/gateway/placement';
 import {createPrefillBook} from '../../src/gateway/prefill_book';
 import {createPrefixDirectory} from '../../src/gateway/prefix_directory';
+import {createStreamCounts} from '../../src/gateway/stream_counts';
 import {EngineStage} from '../../src/gateway/types';
 import {createEntry, ENGINE_LIMITS} from './support';
 
@@ -33,6 +35,7 @@
     homes: createHomeEngines(),
     path: PATH,
     isHomeWarm: false,
+    predictReadMs: computeReadMs,
     getSlowdown: () => 1,
     nowMs: 0,
     ...options,
@@ -100,11 +103,63 @@
       sourceDomain: 'a',
       path: PATH,
       countStreams: id => (id === 'a' ? streams : 0),
+      getSlotWaitMs: () => 0,
     })?.id;
   assert.equal(choose(0), 'a');
   assert.equal(choose(20), 'b');
 });
 
+test('a decode engine whose slots are taken is left to others until one is free', () => {
+  const streams = createStreamCounts();
+  const engines = ['near', 'far'].map(id =>
+    createEntry({
+      id,
+      failureDomain: id,
+      stage: EngineStage.Decode,
+      maxRunning: 12,
+    }),
+  );
+  for (let index = 0; index < 12; index++) {
+    streams.add('near', `s${index}`, 3_400 + index);
+  }
+  const choose = (nowMs: number) =>
+    tryChooseDecode({
+      nodeName: 'front-1',
+      homes: createHomeEngines(),
+      engines,
+      engine: ENGINE_LIMITS,
+      tokens: 200,
+      sourceDomain: 'near',
+      path: PATH,
+      countStreams: () => 0,
+      getSlotWaitMs: ({id, maxRunning}) =>
+        streams.getWaitMs(id, maxRunning, nowMs),
+    })?.id;
+  assert.equal(streams.getWaitMs('near', 12, 3_000), 400);
+  assert.equal(streams.getWaitMs('near', 11, 3_000), 401);
+  assert.equal(choose(3_000), 'far');
+  assert.equal(choose(3_400), 'near');
+});
+
+test('an engine that turned a prompt away as full is left out until it has read some', () => {
+  const book = createPrefillBook();
+  for (let index = 0; index < 20; index++) {
+    book.add({id: `j${index}`, serverId: 'p1', costMs: 10}, 0);
+  }
+  assert.equal(book.isFull('p1', 0), false);
+  book.recordFull('p1', 0);
+  book.remove('j19', 0);
+  assert.equal(book.isFull('p1', 0), true);
+  for (let index = 0; index < 4; index++) book.remove(`j${index}`, 50);
+  assert.equal(book.isFull('p1', 50), false);
+  for (let index = 0; index < 4; index++) {
+    book.add({id: `k${index}`, serverId: 'p1', costMs: 10}, 60);
+  }
+  assert.equal(book.isFull('p1', 60), true);
+  // What was full some seconds ago says little: engines and their load change.
+  assert.equal(book.isFull('p1', 10_000), false);
+});
+
 test('a directory forgets the parts that were used longest ago', () => {
   const prefixes = createPrefixDirectory(() => 1_000);
   const parts = (id: string) => [{id, tokens: 400}];
@@ -164,6 +219,7 @@
         sourceDomain: index % 2 === 0 ? 'a' : 'b',
         path: PATH,
         countStreams: id => used.get(id) ?? 0,
+        getSlotWaitMs: () => 0,
       });
       assert.ok(chosen !== undefined);
       used.set(chosen.id, (used.get(chosen.id) ?? 0) + 1);
--- a/test/gateway/stream_records.test.ts
+++ b/test/gateway/stream_records.test.ts
@@ -1,11 +1,13 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {createEngineSpeeds} from '../../src/gateway/engine_speeds';
 import type {FlowContext} from '../../src/gateway/flow_context';
 import type {PeerMessage} from '../../src/gateway/peer_messages';
 import {createPrefillBook} from '../../src/gateway/prefill_book';
 import {createPrefixDirectory} from '../../src/gateway/prefix_directory';
 import {createStreamCounts} from '../../src/gateway/stream_counts';
 import {createStreamRecords} from '../../src/gateway/stream_records';
+import type {Route} from '../../src/gateway/types';
 import {createVirtualClock} from '../../src/runtime';
 import {createEntry, ENGINE_LIMITS} from './support';
 
@@ -25,6 +27,7 @@
   const told: PeerMessage[] = [];
   const context: Partial<FlowContext> = {
     clock,
+    speeds: createEngineSpeeds(),
     book: createPrefillBook(),
     prefixes: createPrefixDirectory(() => 1_000_000),
     streams: createStreamCounts(),
@@ -33,6 +36,7 @@
   };
   const records = createStreamRecords(
     context as FlowContext,
+    {service: 'llm', route: {name: 'ask'} as Route},
     ENGINE_LIMITS,
     MODEL,
     'job',
