Plan the split of the engines by demand, and let generating engines read small prompts

Cause: a constant quarter of the engines generated, whatever arrived.

- Each node tells its demand to the five that give orders first: fifty messages a second at each of them at most.
- Engines with few slots generate in greater number from the start.
- A generating engine reads a prompt itself when that takes it no longer than the transfer that it saves; each stream there counts against it.
- The line 'split of the engines was planned' says best split, use and cause, for declined changes too.

test/gateway/stages, stage_control: entries of engines had the slots of plain servers (4); they have the sheets' 64 now.

--- /dev/null
+++ b/src/gateway/fleet_demand.ts
@@ -0,0 +1,112 @@
+/** The work that arrives at all nodes, gathered by the few nodes that plan the engines' stages. */
+import {
+  addStageDemands,
+  createStageDemandMeter,
+  NO_STAGE_DEMAND,
+  type StageDemand,
+} from '../planning/stage_demand';
+import type {StageLoad} from '../planning/stage_split';
+import type {Clock, Timer} from '../runtime/types';
+import type {DemandMessage} from './peer_messages';
+import type {Peers} from './peers';
+import type {EngineLimits} from './types';
+
+/** Demand of the fleet. */
+export interface FleetDemand {
+  start(): void;
+  /** Takes note of a request that arrived at this node. */
+  record(service: string, work: StageDemand): void;
+  handle(message: DemandMessage): void;
+  /** Returns how many engines the work keeps busy; undefined when no request was seen lately. */
+  tryGetLoad(service: string, engine: EngineLimits): StageLoad | undefined;
+  stop(): void;
+}
+
+/** Options of the demand. */
+export interface FleetDemandOptions {
+  readonly nodeName: string;
+  readonly clock: Clock;
+  readonly peers: Pick<Peers, 'count' | 'listFirst' | 'send'>;
+}
+
+/** Nodes that are told: those that give orders first; more than one may be down. */
+const PLANNER_COUNT = 5;
+/** Shortest interval of telling, in milliseconds. */
+const MIN_INTERVAL_MS = 500;
+/** What each node adds to the interval, in milliseconds, so that a planner gets fifty messages a second at most. */
+const INTERVAL_PER_NODE_MS = 20;
+/** Intervals after which a node that tells nothing more no longer counts. */
+const MEMORY_INTERVALS = 3;
+const MS_PER_S = 1_000;
+
+/** Creates the demand of a fleet in which nothing has arrived. */
+export function createFleetDemand(options: FleetDemandOptions): FleetDemand {
+  const {clock, peers} = options;
+  const meter = createStageDemandMeter(clock);
+  const reports = new Map<string, {message: DemandMessage; atMs: number}>();
+  let timer: Timer | undefined;
+  return {
+    start: sendDemand,
+    record: meter.record,
+    handle: message => {
+      reports.set(message.from, {message, atMs: clock.getMonotonicMs()});
+    },
+    tryGetLoad,
+    stop: () => timer?.cancel(),
+  };
+
+  function getIntervalMs(): number {
+    return Math.max(MIN_INTERVAL_MS, INTERVAL_PER_NODE_MS * peers.count());
+  }
+
+  function sendDemand(): void {
+    timer = clock.schedule(getIntervalMs(), sendDemand);
+    const message = createMessage();
+    if (message.services.length === 0) return;
+    for (const node of peers.listFirst(PLANNER_COUNT)) {
+      peers.send(node, message);
+    }
+  }
+
+  function createMessage(): DemandMessage {
+    const services = meter.list().map(({service, demand}) => ({
+      service,
+      readMs: Math.round(demand.readMs),
+      slotMs: Math.round(demand.slotMs),
+      memoryTokenMs: Math.round(demand.memoryTokenMs),
+      moveMs: Math.round(demand.moveMs),
+    }));
+    return {kind: 'demand', from: options.nodeName, services};
+  }
+
+  function tryGetLoad(
+    service: string,
+    engine: EngineLimits,
+  ): StageLoad | undefined {
+    const oldestMs =
+      clock.getMonotonicMs() - MEMORY_INTERVALS * getIntervalMs();
+    const messages = [createMessage()];
+    for (const [from, {message, atMs}] of reports) {
+      if (atMs < oldestMs) reports.delete(from);
+      else messages.push(message);
+    }
+    const demand = messages
+      .flatMap(message => message.services)
+      .filter(item => item.service === service)
+      .reduce<StageDemand>(addStageDemands, NO_STAGE_DEMAND);
+    if (demand.readMs + demand.slotMs === 0) return undefined;
+    return computeLoad(demand, engine);
+  }
+}
+
+/** A generating engine is full when its slots, its memory or its link are. */
+function computeLoad(demand: StageDemand, engine: EngineLimits): StageLoad {
+  return {
+    readEngines: demand.readMs / MS_PER_S,
+    generateEngines: Math.max(
+      demand.slotMs / MS_PER_S / Math.max(1, engine.maxRunning),
+      demand.memoryTokenMs / MS_PER_S / Math.max(1, engine.kvTokens),
+      demand.moveMs / MS_PER_S,
+    ),
+  };
+}
--- a/src/gateway/flow_context.ts
+++ b/src/gateway/flow_context.ts
@@ -3,6 +3,7 @@
 import type {Clock} from '../runtime/types';
 import type {Connections} from './connections';
 import type {EngineSpeedBook} from './engine_speeds';
+import type {FleetDemand} from './fleet_demand';
 import type {FleetState} from './fleet_state';
 import type {GatewayMetrics} from './gateway_metrics';
 import type {HomeEngines} from './home_engines';
@@ -34,6 +35,7 @@
   readonly isHomeWarm: boolean;
   readonly streams: StreamCounts;
   readonly waiting: WaitingPrompts;
+  readonly demand: FleetDemand;
   /** True while an engine is on its way to another stage. */
   readonly isChanging: (serverId: string) => boolean;
   readonly getRandom: () => number;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,6 +6,7 @@
 import {createControlListeners} from './control_listener';
 import {createEngineSpeeds} from './engine_speeds';
 import {createExchangeRouter} from './exchange_router';
+import {createFleetDemand} from './fleet_demand';
 import {createFleetState} from './fleet_state';
 import type {FlowContext} from './flow_context';
 import {createFrontListener} from './front_listener';
@@ -112,6 +113,7 @@
     getRandom,
     onChange: handleFleetChange,
   });
+  const demand = createFleetDemand({nodeName: self.name, clock, peers});
   const stages = createStageControl({
     nodeName: self.name,
     state,
@@ -127,6 +129,7 @@
     clock,
     logger,
     countNodesBefore: peers.countBefore,
+    tryGetLoad: demand.tryGetLoad,
     isCurrent: () => follower.getAgeMs() < MAX_PLANNING_AGE_MS,
     onOrder: (serverId, stage) =>
       peers.notify({kind: 'ordered', serverId, stage}),
@@ -150,6 +153,7 @@
     homes: createHomeEngines(),
     isHomeWarm: !settings.isFirstStart,
     streams,
+    demand,
     waiting: createWaitingPrompts({
       clock,
       getRandom,
@@ -173,6 +177,7 @@
     logger,
     follower,
     stages,
+    demand,
     speeds,
     book,
     prefixes,
@@ -205,6 +210,7 @@
     await Promise.all([front.open(), control.open(), peers.open()]);
     follower.start();
     stages.start();
+    demand.start();
     void messages.publishSelf();
     logger.log('info', 'gateway started', {
       callers: `${settings.callers.host}:${settings.callers.port}`,
@@ -236,6 +242,7 @@
     messages.stop();
     follower.stop();
     stages.stop();
+    demand.stop();
     front.close();
     control.close();
     peers.close();
--- a/src/gateway/node_messages.ts
+++ b/src/gateway/node_messages.ts
@@ -2,6 +2,7 @@
 import type {Logger} from '../diagnostics/log';
 import type {Clock} from '../runtime/types';
 import type {EngineSpeedBook} from './engine_speeds';
+import type {FleetDemand} from './fleet_demand';
 import type {FleetState} from './fleet_state';
 import type {LeavingMessage, PeerMessage, ReadMessage} from './peer_messages';
 import type {Peers} from './peers';
@@ -34,6 +35,7 @@
   readonly logger: Logger;
   readonly follower: StoreFollower;
   readonly stages: StageControl;
+  readonly demand: FleetDemand;
   readonly speeds: EngineSpeedBook;
   readonly book: PrefillBook;
   readonly prefixes: PrefixDirectory;
@@ -83,6 +85,9 @@
       case 'suspect':
         health.recordSuspicion(message.serverId, message.reason);
         return;
+      case 'demand':
+        options.demand.handle(message);
+        return;
       case 'leaving':
         handleLeaving(message);
         return;
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -1,4 +1,5 @@
 /** Messages between nodes: small, repeated or replaceable when one is lost. */
+import type {StageDemand} from '../planning/stage_demand';
 import type {SpeedFigures} from './engine_speeds';
 import type {EngineStage, EntryChange, NodeRecord, PromptPart} from './types';
 
@@ -86,6 +87,13 @@
   readonly startedAtMs: number;
 }
 
+/** Work that arrived at a node lately, by service, as of a second. */
+export interface DemandMessage {
+  readonly kind: 'demand';
+  readonly from: string;
+  readonly services: ReadonlyArray<{readonly service: string} & StageDemand>;
+}
+
 /** An engine was ordered to another stage. */
 export interface OrderedMessage {
   readonly kind: 'ordered';
@@ -102,6 +110,7 @@
   | ReadMessage
   | SuspectMessage
   | LeavingMessage
+  | DemandMessage
   | OrderedMessage
 ) & {
   /** True when the receiver passes the message on to the other nodes of its failure domain. */
@@ -121,6 +130,7 @@
   'read',
   'suspect',
   'leaving',
+  'demand',
   'ordered',
 ]);
 
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -20,6 +20,8 @@
   /** Lists the nodes of this node's failure domain. */
   listNear(): readonly NodeRecord[];
   count(): number;
+  /** Lists the nodes with the lowest names, at most `count`. */
+  listFirst(count: number): readonly NodeRecord[];
   /** Counts the nodes whose names are lower than this node's. */
   countBefore(): number;
   tryFind(name: string): NodeRecord | undefined;
@@ -60,6 +62,10 @@
     list: () => [...nodes.values()],
     listNear,
     count: () => nodes.size,
+    listFirst: count =>
+      [...nodes.values()]
+        .sort((left, right) => (left.name < right.name ? -1 : 1))
+        .slice(0, count),
     countBefore: () =>
       [...nodes.keys()].filter(name => name < self.name).length,
     tryFind: name => nodes.get(name),
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -44,9 +44,21 @@
   ) => number;
   /** Observed over predicted time of a server's work; 1 when unknown. */
   readonly getSlowdown: (serverId: string) => number;
+  /** Streams that each generating engine is believed to run. */
+  readonly countStreams: (serverId: string) => number;
+  /** How long a stream that comes now waits for a slot of the engine, in milliseconds. */
+  readonly getSlotWaitMs: (server: BackendEntry) => number;
+  /** Time from the end of reading at a prefill engine to the begin of generating at another, in milliseconds. */
+  readonly moveMs: number;
   readonly nowMs: number;
 }
 
+interface ScoredPlace {
+  readonly place: PrefillPlace;
+  /** Predicted end of reading and what it costs others, in milliseconds. */
+  readonly score: number;
+}
+
 /** What the choice of a decode engine looks at. */
 export interface DecodeInput {
   readonly nodeName: string;
@@ -72,30 +84,44 @@
 const HOME_BONUS = 0.5;
 /** What one running stream adds to the choice of a decode engine, in milliseconds: transfers queue behind each other. */
 const STREAM_COST_MS = 2;
+/** What one stream beside a read at a generating engine counts, as a part of the read's time, by which the stream pauses. */
+const STREAM_DELAY_WEIGHT = 0.3;
+/** Longest read at a generating engine while others read, as a part of the time that it saves. */
+const MAX_DIRECT_PART = 1;
 /** Decode engines of each failure domain that a node uses: enough to balance streams, few enough to keep connections in use. */
 const DECODE_ENGINES_PER_DOMAIN = 4;
 
-/** Returns the best place to read a prompt, or undefined when there is none. */
+/** Returns the best prefill engine to read a prompt, or undefined when there is none. */
 export function tryChoosePrefill(
   input: PlacementInput,
 ): PrefillPlace | undefined {
-  return tryChoosePlace(input, EngineStage.Prefill, 1);
+  return tryChoosePlace(input, EngineStage.Prefill)?.place;
 }
 
-/** Returns the best decode engine that reads the prompt by itself, or undefined. */
-export function tryChooseDirect(
+/**
+ * Returns the best place to read a prompt, or undefined when there is none.
+ * A generating engine that reads by itself needs no transfer, but delays its
+ * streams, so it serves for small prompts, and where nothing else reads.
+ */
+export function tryChooseReader(
   input: PlacementInput,
 ): PrefillPlace | undefined {
-  return tryChoosePlace(input, EngineStage.Decode, DECODE_READ_FACTOR);
+  const prefill = tryChoosePlace(input, EngineStage.Prefill);
+  const direct = tryChoosePlace(input, EngineStage.Decode);
+  if (prefill === undefined || direct === undefined) {
+    return (prefill ?? direct)?.place;
+  }
+  const isSmall = direct.place.readMs <= MAX_DIRECT_PART * input.moveMs;
+  if (!isSmall) return prefill.place;
+  const apartScore = prefill.score + input.moveMs;
+  return direct.score < apartScore ? direct.place : prefill.place;
 }
 
 function tryChoosePlace(
   input: PlacementInput,
   stage: EngineStage,
-  readFactor: number,
-): PrefillPlace | undefined {
-  let best: PrefillPlace | undefined;
-  let bestScore = Number.POSITIVE_INFINITY;
+): ScoredPlace | undefined {
+  let best: ScoredPlace | undefined;
   const engines = input.engines.filter(
     server =>
       server.stage === stage && !input.book.isFull(server.id, input.nowMs),
@@ -104,13 +130,12 @@
   const homeId = tryFindHome(input, shared, engines);
   for (const server of engines) {
     const isHome = server.id === homeId;
-    const place = predictPlace(input, shared, server, readFactor, isHome);
+    const place = predictPlace(input, shared, server, isHome);
     const score =
       computeScore(input, shared, place) -
       (isHome ? HOME_BONUS * place.readMs : 0);
-    if (score >= bestScore) continue;
-    best = place;
-    bestScore = score;
+    if (best !== undefined && score >= best.score) continue;
+    best = {place, score};
   }
   return best;
 }
@@ -130,7 +155,6 @@
   input: PlacementInput,
   shared: readonly PromptPart[],
   server: BackendEntry,
-  readFactor: number,
   isHome: boolean,
 ): PrefillPlace {
   const {request, book, prefixes, nowMs} = input;
@@ -138,10 +162,13 @@
     isHome && input.isHomeWarm
       ? shared.reduce((sum, part) => sum + part.tokens, 0)
       : prefixes.getCachedTokens(server.id, shared);
+  const isDirect = server.stage === EngineStage.Decode;
+  const readFactor = isDirect ? DECODE_READ_FACTOR : 1;
   const slowdown = input.getSlowdown(server.id) * readFactor;
+  const waitMs = book.getWaitMs(server.id, nowMs);
   return {
     server,
-    waitMs: book.getWaitMs(server.id, nowMs),
+    waitMs: isDirect ? Math.max(waitMs, input.getSlotWaitMs(server)) : waitMs,
     readMs: input.predictReadMs(request.promptTokens, cachedTokens) * slowdown,
     cachedTokens,
   };
@@ -158,7 +185,11 @@
   const lostTokens = Math.max(0, againTokens - place.cachedTokens);
   const againMs = input.predictReadMs(lostTokens, 0) * REREAD_WEIGHT;
   const pathMs = computePathMs(place.server, input.path);
-  return place.waitMs + place.readMs + againMs + pathMs;
+  const delayMs =
+    place.server.stage === EngineStage.Decode
+      ? place.readMs * STREAM_DELAY_WEIGHT * input.countStreams(place.server.id)
+      : 0;
+  return place.waitMs + place.readMs + againMs + pathMs + delayMs;
 }
 
 /** Lists the parts of a prompt that other requests may share. */
--- a/src/gateway/stage_control.ts
+++ b/src/gateway/stage_control.ts
@@ -1,5 +1,6 @@
 /** Brings the engines to the planned stages, one holder of authority at a time. */
 import type {Logger} from '../diagnostics/log';
+import type {StageLoad} from '../planning/stage_split';
 import type {Clock, Timer} from '../runtime/types';
 import type {Authority, Grant} from './authority';
 import type {Connections} from './connections';
@@ -10,6 +11,8 @@
 import {
   type BackendEntry,
   type BackendProtocol,
+  type BackendService,
+  type EngineLimits,
   EngineStage,
   type StageReport,
 } from './types';
@@ -38,6 +41,11 @@
   readonly countNodesBefore: () => number;
   /** True while this node knows the state of the store. */
   readonly isCurrent: () => boolean;
+  /** Returns how many engines the work that arrives keeps busy; undefined when unknown. */
+  readonly tryGetLoad: (
+    service: string,
+    engine: EngineLimits,
+  ) => StageLoad | undefined;
   readonly onOrder: (serverId: string, stage: EngineStage) => void;
 }
 
@@ -68,6 +76,8 @@
   const startedAtMs = clock.getMonotonicMs();
   /** When each planned change was first seen. */
   const plannedSinceMs = new Map<string, number>();
+  /** The last split of each service that was logged. */
+  const splits = new Map<string, string>();
   let isActing = false;
   let pausedUntilMs = 0;
   let timer: Timer | undefined;
@@ -117,11 +127,32 @@
     const services = state.getConfig()?.services ?? [];
     return services
       .filter(service => service.engine !== undefined)
-      .map(service =>
-        planStages(state.listUsable(service.name).map(applyOrder), {
-          tolerancePart: isStarting() ? 0 : SERVING_TOLERANCE,
-        }),
-      );
+      .map(createPlan);
+  }
+
+  function createPlan(service: BackendService): StagePlan {
+    const load =
+      service.engine === undefined
+        ? undefined
+        : options.tryGetLoad(service.name, service.engine);
+    const plan = planStages(state.listUsable(service.name).map(applyOrder), {
+      tolerancePart: isStarting() ? 0 : SERVING_TOLERANCE,
+      ...(load === undefined ? {} : {load}),
+    });
+    logSplit(service.name, plan);
+    return plan;
+  }
+
+  /** Writes a line when the split that fits the load, or the reason to keep the present one, has changed. */
+  function logSplit(service: string, {split}: StagePlan): void {
+    if (split === undefined) return;
+    const key = `${split.best} ${split.generating} ${split.cause}`;
+    if (splits.get(service) === key) return;
+    splits.set(service, key);
+    logger.log('info', 'split of the engines was planned', {
+      service,
+      ...split,
+    });
   }
 
   /** Counts an engine under the stage that it was ordered to. */
--- a/src/gateway/stage_plan.ts
+++ b/src/gateway/stage_plan.ts
@@ -1,4 +1,9 @@
 /** Plans how many engines read prompts and how many generate. */
+import {
+  planSplit,
+  type SplitPlan,
+  type StageLoad,
+} from '../planning/stage_split';
 import {type BackendEntry, EngineStage} from './types';
 
 /** One engine that should work on another stage. */
@@ -12,12 +17,16 @@
   readonly wantedDecode: number;
   readonly presentDecode: number;
   readonly changes: readonly StageChange[];
+  /** The split that the load asks for, when the load is known. */
+  readonly split?: SplitPlan;
 }
 
 /** Options of a plan. */
 export interface StagePlanOptions {
-  /** Part of the engines that generate. */
+  /** Part of the engines that generate while no load is known. */
   readonly decodePart?: number;
+  /** Work that arrives; goes before the part. */
+  readonly load?: StageLoad;
   /**
    * Part of the wanted generating engines that may be missing: a change
    * takes a reading engine away for seconds.
@@ -32,6 +41,10 @@
 const DEFAULT_DECODE_PART = 0.25;
 /** Engines that generate at least, so that the loss of one ends no service. */
 const MIN_DECODE = 2;
+/** Slots of the generating engines together at least: a long answer holds one for seconds. */
+const MIN_SLOTS = 32;
+/** Part of the engines that the slots may ask for. */
+const MAX_SLOT_PART = 0.4;
 
 /** Plans the changes that bring the engines of a service to the wanted stages. */
 export function planStages(
@@ -42,15 +55,31 @@
   const prefill = engines.filter(item => item.stage === EngineStage.Prefill);
   const count = decode.length + prefill.length;
   const part = options.decodePart ?? DEFAULT_DECODE_PART;
-  const wantedDecode = Math.min(
-    Math.max(MIN_DECODE, Math.round(count * part)),
-    count - 1,
-  );
+  const split =
+    options.load === undefined || count < MIN_DECODE
+      ? undefined
+      : planSplit({
+          load: options.load,
+          engines: count,
+          presentGenerating: decode.length,
+          minGenerating: computeLeastDecode(engines),
+        });
+  const wantedDecode =
+    split?.generating ??
+    Math.min(
+      Math.max(computeLeastDecode(engines), Math.round(count * part)),
+      count - 1,
+    );
   const surplus = decode.length - wantedDecode;
-  const plan = {wantedDecode, presentDecode: decode.length};
+  const plan = {
+    wantedDecode,
+    presentDecode: decode.length,
+    ...(split === undefined ? {} : {split}),
+  };
   if (
     count < MIN_DECODE ||
-    isTolerated(surplus, wantedDecode, decode, prefill, options)
+    (split === undefined &&
+      isTolerated(surplus, wantedDecode, decode, prefill, options))
   ) {
     return {...plan, changes: []};
   }
@@ -67,6 +96,16 @@
   return {...plan, changes};
 }
 
+/** Engines with few slots are needed in greater number. */
+function computeLeastDecode(engines: readonly BackendEntry[]): number {
+  const slots = Math.max(1, engines[0]?.maxRunning ?? 1);
+  const forSlots = Math.min(
+    Math.ceil(MIN_SLOTS / slots),
+    Math.floor(engines.length * MAX_SLOT_PART),
+  );
+  return Math.max(MIN_DECODE, forSlots);
+}
+
 /** Generating engines in surplus are idle, so that changing them costs no service. */
 function isTolerated(
   surplus: number,
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -4,6 +4,7 @@
  */
 import {Verdict} from '../verdict';
 import {type DecodeCall, startDecodeCall} from './decode_call';
+import {computeTransferMs} from './engine_costs';
 import {createEventSplitter} from './event_splitter';
 import type {FlowContext} from './flow_context';
 import type {ReadSample} from './peer_messages';
@@ -11,8 +12,7 @@
   type PlacementInput,
   type PrefillPlace,
   tryChooseDecode,
-  tryChooseDirect,
-  tryChoosePrefill,
+  tryChooseReader,
 } from './placement';
 import {type PrefillCall, startPrefillCall} from './prefill_call';
 import type {RequestTask} from './request_task';
@@ -40,6 +40,8 @@
 const MAX_PREFILL_TRIES = 3;
 /** Most decode engines asked for one request, those that refused included. */
 const MAX_DECODE_TRIES = 3;
+/** Time of the second way to an engine when a prompt is read apart, in milliseconds: round trip and this node's work. */
+const MOVE_HOPS_MS = 6;
 /** Time of the way to an engine and back, in milliseconds. */
 const HOP_MS = 5;
 /** Shortest read by the sheets' speeds that says something about an engine's speed, in milliseconds. */
@@ -71,6 +73,7 @@
   let decodeTries = 0;
   let runCount = 0;
   let mayHaveRun = false;
+  let isDemandRecorded = false;
   let leaveWaiting: () => void = () => undefined;
   budget.recordRequest();
   task.onStop(stop);
@@ -97,13 +100,8 @@
   /** Returns false when the prompt should wait. */
   function tryStart(): boolean {
     const input = createInput();
-    const prefill = tryChoosePrefill(input);
-    const hasReaders = input.engines.some(
-      ({stage}) => stage === EngineStage.Prefill,
-    );
-    // A decode engine that reads by itself delays all of its streams.
-    const place = prefill ?? (hasReaders ? undefined : tryChooseDirect(input));
-    if (place === undefined && !hasReaders) {
+    const place = tryChooseReader(input);
+    if (place === undefined && input.engines.length === 0) {
       failWithoutEngine('no engine is available');
       return true;
     }
@@ -112,17 +110,34 @@
       ...(place === undefined ? {} : {waitMs: place.waitMs}),
       workMs: (place?.readMs ?? 0) + FIRST_EVENT_OVERHEAD_MS,
     });
+    if (place !== undefined) recordDemand(place);
     if (admission === Admission.Wait) return false;
     if (admission === Admission.Refuse || place === undefined) {
       refuse((place?.waitMs ?? 0) + (place?.readMs ?? 0));
       return true;
     }
     records.recordPlaced(place);
-    if (prefill === undefined) sendDecode(place.server, place);
-    else sendPrefill(place);
+    if (place.server.stage === EngineStage.Decode) {
+      sendDecode(place.server, place);
+    } else {
+      sendPrefill(place);
+    }
     return true;
   }
 
+  /** Counts the work of this request once, whether it is served or not. */
+  function recordDemand(place: PrefillPlace): void {
+    if (isDemandRecorded) return;
+    isDemandRecorded = true;
+    const slotMs = context.speeds.predictRunMs(task.service, route.name);
+    context.demand.record(task.service, {
+      readMs: place.readMs,
+      slotMs,
+      memoryTokenMs: slotMs * model.promptTokens,
+      moveMs: computeTransferMs(model.promptTokens, engine, false),
+    });
+  }
+
   function getTimes() {
     return {
       route,
@@ -149,6 +164,11 @@
       predictReadMs: (promptTokens, cachedTokens) =>
         context.speeds.predictReadMs(task.service, promptTokens, cachedTokens),
       getSlowdown: health.getSlowdown,
+      countStreams: serverId =>
+        context.streams.count(serverId, clock.getMonotonicMs()),
+      getSlotWaitMs,
+      moveMs:
+        computeTransferMs(model.promptTokens, engine, false) + MOVE_HOPS_MS,
       nowMs: clock.getMonotonicMs(),
     };
   }
@@ -286,7 +306,7 @@
 
   /** Sends the request to a decode engine; `direct` when it reads the prompt by itself. */
   function sendDecode(server: BackendEntry, direct?: PrefillPlace): void {
-    const sentAtMs = clock.getMonotonicMs();
+    let headAtMs = clock.getMonotonicMs();
     decodeTries++;
     runCount++;
     task.log('sent to decode engine', {
@@ -308,6 +328,7 @@
       ...(splitter === undefined ? {} : {splitter}),
       canRunAgain,
       onHead: () => {
+        headAtMs = clock.getMonotonicMs();
         // The KV cache was fetched, or the prompt was read.
         kv = undefined;
         records.recordRead(server.id);
@@ -317,7 +338,7 @@
         context.speeds.recordRun(
           task.service,
           route.name,
-          clock.getMonotonicMs() - sentAtMs,
+          clock.getMonotonicMs() - headAtMs,
         );
         health.recordSuccess(server.id, 1);
         task.complete(status, server.id);
--- a/src/planning/index.ts
+++ b/src/planning/index.ts
@@ -14,6 +14,14 @@
 export {planBySkiRental} from './ski_rental';
 export {listRoleOrders, listRoleTargets} from './role_targets';
 export type {RoleTargetChange} from './role_targets';
+export {
+  addStageDemands,
+  createStageDemandMeter,
+  NO_STAGE_DEMAND,
+} from './stage_demand';
+export type {StageDemand, StageDemandMeter} from './stage_demand';
+export {planSplit} from './stage_split';
+export type {SplitInput, SplitPlan, StageLoad} from './stage_split';
 export {planByThresholds} from './thresholds';
 export {
   createPlannerWeights,
--- /dev/null
+++ b/src/planning/stage_split.ts
@@ -0,0 +1,77 @@
+/** Plans how many engines of a service read prompts and how many generate, by the load on each stage. Pure. */
+
+/** Work that arrives, as the number of engines that it keeps busy. */
+export interface StageLoad {
+  readonly readEngines: number;
+  readonly generateEngines: number;
+}
+
+/** What the plan looks at. */
+export interface SplitInput {
+  readonly load: StageLoad;
+  /** Engines of both stages, those on their way included. */
+  readonly engines: number;
+  readonly presentGenerating: number;
+  /** Engines that generate at least. */
+  readonly minGenerating: number;
+}
+
+/** A planned split. */
+export interface SplitPlan {
+  readonly generating: number;
+  /** The best split, whether it is worth its changes or not. */
+  readonly best: number;
+  /** Part of the engines' time that the busier stage takes, now and with the best split. */
+  readonly presentUse: number;
+  readonly bestUse: number;
+  /** Why, for a person. */
+  readonly cause: string;
+}
+
+/** Engines to spare for generating: streams hold their slots for long, and one without a slot waits for another's end. */
+const GENERATE_HEADROOM = 1.4;
+/** Use below which every split serves. */
+const RELAXED_USE = 0.5;
+/** Part by which the use must fall for a change: it takes each engine away for seconds, and the load moves by itself. */
+const MIN_GAIN = 0.3;
+/** Part of the engines that change at once. */
+const MAX_CHANGED_PART = 0.13;
+
+/** Plans the split. */
+export function planSplit(input: SplitInput): SplitPlan {
+  const {engines, minGenerating, presentGenerating} = input;
+  const least = Math.min(minGenerating, engines - 1);
+  let best = least;
+  for (let count = least; count < engines; count++) {
+    if (computeUse(input, count) < computeUse(input, best)) best = count;
+  }
+  const presentUse = computeUse(input, presentGenerating);
+  const bestUse = computeUse(input, best);
+  const plan = {best, presentUse, bestUse};
+  const keep = (cause: string): SplitPlan => ({
+    ...plan,
+    generating: presentGenerating,
+    cause,
+  });
+  if (presentGenerating >= least && presentGenerating < engines) {
+    if (best === presentGenerating) return keep('the split fits the load');
+    if (presentUse < RELAXED_USE) return keep('no stage is busy');
+    if (bestUse > presentUse * (1 - MIN_GAIN)) {
+      return keep('the change gains too little');
+    }
+  }
+  const reach = Math.max(1, Math.round(MAX_CHANGED_PART * engines));
+  const change = Math.min(reach, Math.max(-reach, best - presentGenerating));
+  const generating = Math.max(least, presentGenerating + change);
+  return {...plan, generating, cause: 'the load has moved'};
+}
+
+/** Returns the part of its engines' time that the busier stage takes; above 1 its work waits. */
+function computeUse({load, engines}: SplitInput, generating: number): number {
+  const reading = engines - generating;
+  const readUse = load.readEngines / Math.max(reading, Number.EPSILON);
+  const generateUse =
+    (GENERATE_HEADROOM * load.generateEngines) /
+    Math.max(generating, Number.EPSILON);
+  return Math.max(readUse, generateUse);
+}
--- /dev/null
+++ b/test/gateway/fleet_demand.test.ts
@@ -0,0 +1,84 @@
+/** The demand of all nodes, as the few hear it that plan stages. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createFleetDemand} from '../../src/gateway/fleet_demand';
+import type {DemandMessage, PeerMessage} from '../../src/gateway/peer_messages';
+import type {NodeRecord} from '../../src/gateway/types';
+import {createVirtualClock} from '../../src/runtime';
+import {ENGINE_LIMITS} from './support';
+
+const WORK = {readMs: 100, slotMs: 640, memoryTokenMs: 0, moveMs: 0};
+
+function createNode(nodeCount: number) {
+  const clock = createVirtualClock();
+  const sent: Array<{to: string; message: PeerMessage}> = [];
+  const demand = createFleetDemand({
+    nodeName: 'front-9',
+    clock,
+    peers: {
+      count: () => nodeCount,
+      listFirst: count =>
+        Array.from(
+          {length: Math.min(count, nodeCount)},
+          (_, index) => ({name: `front-${index}`}) as NodeRecord,
+        ),
+      send: (node, message) => sent.push({to: node.name, message}),
+    },
+  });
+  return {clock, demand, sent};
+}
+
+test('each node tells the five that plan first, less often in a large fleet', async () => {
+  for (const [nodes, expected] of [
+    [14, 5 * 10],
+    [200, 5 * 1],
+  ]) {
+    const {clock, demand, sent} = createNode(nodes);
+    demand.start();
+    demand.record('llm', WORK);
+    await clock.advance(5_100);
+    demand.stop();
+    assert.equal(sent.length, expected);
+    assert.ok(sent.every(({message}) => message.kind === 'demand'));
+  }
+});
+
+test('the work of all nodes counts, and that of a node which is gone no longer', async () => {
+  const {clock, demand} = createNode(2);
+  assert.equal(demand.tryGetLoad('llm', ENGINE_LIMITS), undefined);
+  const message: DemandMessage = {
+    kind: 'demand',
+    from: 'front-1',
+    services: [
+      {
+        service: 'llm',
+        readMs: 2_000,
+        slotMs: 192_000,
+        memoryTokenMs: 0,
+        moveMs: 0,
+      },
+    ],
+  };
+  demand.handle(message);
+  demand.handle({...message, from: 'front-2'});
+  demand.handle({...message, from: 'front-2'});
+  const load = demand.tryGetLoad('llm', ENGINE_LIMITS);
+  assert.equal(load?.readEngines, 4);
+  assert.equal(load?.generateEngines, 6);
+  assert.equal(demand.tryGetLoad('other', ENGINE_LIMITS), undefined);
+  await clock.advance(5_000);
+  assert.equal(demand.tryGetLoad('llm', ENGINE_LIMITS), undefined);
+});
+
+test('an engine is full when its memory or its link is, whatever its slots', () => {
+  const {demand} = createNode(0);
+  const {kvTokens} = ENGINE_LIMITS;
+  demand.record('llm', {
+    readMs: 0,
+    slotMs: 12_000,
+    memoryTokenMs: 12_000 * 2 * kvTokens,
+    moveMs: 0,
+  });
+  const load = demand.tryGetLoad('llm', ENGINE_LIMITS);
+  assert.ok(Math.abs((load?.generateEngines ?? 0) - 2) < 0.01);
+});
--- a/test/gateway/placement.test.ts
+++ b/test/gateway/placement.test.ts
@@ -6,6 +6,7 @@
   type PlacementInput,
   tryChooseDecode,
   tryChoosePrefill,
+  tryChooseReader,
 } from '../../src/gateway/placement';
 import {createPrefillBook} from '../../src/gateway/prefill_book';
 import {createPrefixDirectory} from '../../src/gateway/prefix_directory';
@@ -37,6 +38,9 @@
     isHomeWarm: false,
     predictReadMs: computeReadMs,
     getSlowdown: () => 1,
+    countStreams: () => 0,
+    getSlotWaitMs: () => 0,
+    moveMs: 20,
     nowMs: 0,
     ...options,
   };
@@ -109,6 +113,23 @@
   assert.equal(choose(20), 'b');
 });
 
+test('a generating engine reads a prompt that takes it less time than a transfer, while it has few streams', () => {
+  const writer = createEntry({id: 'd1', stage: EngineStage.Decode});
+  const small = {promptTokens: 141, maxOutputTokens: 90, parts: []};
+  const input = createInput({
+    engines: [...ENGINES, writer],
+    request: small,
+    predictReadMs: tokens => tokens / 330,
+    moveMs: 6,
+  });
+  assert.equal(tryChooseReader(input)?.server.id, 'd1');
+  const busy = {...input, getSlotWaitMs: () => 400};
+  assert.notEqual(tryChooseReader(busy)?.server.id, 'd1');
+  const large = {...input, request: {...small, promptTokens: 9_190}};
+  assert.notEqual(tryChooseReader(large)?.server.id, 'd1');
+  assert.equal(tryChooseReader({...large, engines: [writer]})?.server.id, 'd1');
+});
+
 test('a decode engine whose slots are taken is left to others until one is free', () => {
   const streams = createStreamCounts();
   const engines = ['near', 'far'].map(id =>
--- a/test/gateway/stage_control.test.ts
+++ b/test/gateway/stage_control.test.ts
@@ -55,6 +55,7 @@
   const control = createStageControl({
     nodeName: 'n1',
     pauses: createServerPauses(clock),
+    tryGetLoad: () => undefined,
     state,
     authority: {
       tryTake: async () => Ok({fencingNumber: 1, isValid: () => true}),
@@ -68,7 +69,8 @@
     onOrder: () => undefined,
   });
   const addEngine = (id: string, stage: EngineStage) => {
-    const entry = createEntry({id, service: 'llm', stage});
+    const {maxRunning} = ENGINE_LIMITS;
+    const entry = createEntry({id, service: 'llm', stage, maxRunning});
     state.applyChanges([{id, entry}], clock.getMonotonicMs());
   };
   return {clock, control, addEngine, orders};
--- a/test/gateway/stages.test.ts
+++ b/test/gateway/stages.test.ts
@@ -5,11 +5,15 @@
 import {planStages} from '../../src/gateway/stage_plan';
 import {EngineStage, type FleetStore} from '../../src/gateway/types';
 import {createVirtualClock} from '../../src/runtime';
-import {createEntry} from './support';
+import {createEntry, ENGINE_LIMITS} from './support';
 
 const LEASE_MS = 3_000;
 
-function createEngines(prefill: number, decode: number) {
+function createEngines(
+  prefill: number,
+  decode: number,
+  maxRunning = ENGINE_LIMITS.maxRunning,
+) {
   const stages = [
     ...Array.from({length: prefill}, () => EngineStage.Prefill),
     ...Array.from({length: decode}, () => EngineStage.Decode),
@@ -18,6 +22,7 @@
     createEntry({
       id: `e${index}`,
       stage,
+      maxRunning,
       failureDomain: `domain-${index % 3}`,
     }),
   );
@@ -48,6 +53,24 @@
   assert.equal(planStages(createEngines(9, 4), options).changes.length, 1);
 });
 
+test('engines with few slots generate in greater number, but leave most to read', () => {
+  assert.equal(planStages(createEngines(5, 3, 12)).changes.length, 0);
+  assert.equal(planStages(createEngines(6, 2, 12)).wantedDecode, 3);
+  assert.equal(planStages(createEngines(6, 2, 4)).wantedDecode, 3);
+});
+
+test('the split follows the load when it is known', () => {
+  const load = {readEngines: 4, generateEngines: 4};
+  const plan = planStages(createEngines(11, 2), {load});
+  assert.equal(plan.split?.cause, 'the load has moved');
+  assert.equal(plan.wantedDecode, 4);
+  assert.ok(plan.changes.every(item => item.stage === EngineStage.Decode));
+  const calm = planStages(createEngines(11, 2), {
+    load: {readEngines: 1, generateEngines: 0.5},
+  });
+  assert.equal(calm.changes.length, 0);
+});
+
 test('no engines need no changes', () => {
   assert.equal(planStages([]).changes.length, 0);
   assert.equal(planStages(createEngines(1, 0)).changes.length, 0);
