Bound the answers to calls of the gateway's own, and weigh bytes between domains

Heads without end, lines without end and interim answers without end were bounded before (undici's head limit, the stall watch, the route's timeout); test/platform/endless_bytes.test.ts plays all five, to prefill calls and to requests that may have run.

--- a/src/gateway/own_call.ts
+++ b/src/gateway/own_call.ts
@@ -1,5 +1,6 @@
 /** Calls of the gateway's own to backend servers, with short answers. */
 import type {Connections} from './connections';
+import {createShortBody} from './short_body';
 import type {Clock, Timer} from '../runtime/types';
 import type {BackendEntry, OwnCall} from './types';
 
@@ -18,7 +19,7 @@
   timeoutMs: number,
 ): Promise<OwnAnswer | undefined> {
   return new Promise(resolve => {
-    const chunks: Buffer[] = [];
+    const body = createShortBody();
     let status = 0;
     let timer: Timer | undefined = undefined;
     const opened = connections.call({
@@ -28,15 +29,19 @@
         onAnswer: answerStatus => {
           status = answerStatus;
         },
-        onData: chunk => chunks.push(chunk),
-        onEnd: () => settle({status, body: Buffer.concat(chunks)}),
+        onData: chunk => {
+          if (!body.add(chunk)) cancelCall();
+        },
+        onEnd: () => settle({status, body: body.read()}),
         onFailure: () => settle(undefined),
       },
     });
-    timer = clock.schedule(timeoutMs, () => {
+    timer = clock.schedule(timeoutMs, cancelCall);
+
+    function cancelCall(): void {
       opened.cancel();
       settle(undefined);
-    });
+    }
 
     function settle(answer: OwnAnswer | undefined): void {
       timer?.cancel();
--- a/src/gateway/path_costs.ts
+++ b/src/gateway/path_costs.ts
@@ -9,15 +9,23 @@
   readonly hasConnection: (serverId: string) => boolean;
 }
 
-/** Round trips to another failure domain, and the price of sending a body there, in milliseconds. */
+/** Round trips to another failure domain, in milliseconds. */
 const CROSS_DOMAIN_MS = 3;
+/** Bytes to another failure domain that count as a millisecond: links between domains are shared by all. */
+const CROSS_BYTES_PER_MS = 2_000;
 /** Time and price of opening a connection, in milliseconds: a round trip and the server's handshake. */
 const NEW_CONNECTION_MS = 4;
 
-/** Returns what the way to a server costs, in milliseconds of predicted time. */
-export function computePathMs(server: BackendEntry, view: PathView): number {
+/** Returns what the way of a request to a server costs, in milliseconds of predicted time. */
+export function computePathMs(
+  server: BackendEntry,
+  view: PathView,
+  bodyBytes = 0,
+): number {
   const domainMs =
-    server.failureDomain === view.ownDomain ? 0 : CROSS_DOMAIN_MS;
+    server.failureDomain === view.ownDomain
+      ? 0
+      : CROSS_DOMAIN_MS + bodyBytes / CROSS_BYTES_PER_MS;
   const connectMs = view.hasConnection(server.id) ? 0 : NEW_CONNECTION_MS;
   return domainMs + connectMs;
 }
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -50,6 +50,8 @@
   readonly getSlotWaitMs: (server: BackendEntry) => number;
   /** Time from the end of reading at a prefill engine to the begin of generating at another, in milliseconds. */
   readonly moveMs: number;
+  /** Size of the request's body, which each engine is sent. */
+  readonly bodyBytes: number;
   readonly nowMs: number;
 }
 
@@ -69,6 +71,8 @@
   /** Failure domain of the engine that holds the KV cache. */
   readonly sourceDomain: string | undefined;
   readonly path: PathView;
+  /** Size of the request's body, which the engine is sent. */
+  readonly bodyBytes: number;
   /** Streams that each engine is believed to run. */
   readonly countStreams: (serverId: string) => number;
   /** How long a stream that comes now waits for a slot of the engine, in milliseconds. */
@@ -184,7 +188,7 @@
     .reduce((sum, part) => sum + part.tokens, 0);
   const lostTokens = Math.max(0, againTokens - place.cachedTokens);
   const againMs = input.predictReadMs(lostTokens, 0) * REREAD_WEIGHT;
-  const pathMs = computePathMs(place.server, input.path);
+  const pathMs = computePathMs(place.server, input.path, input.bodyBytes);
   const delayMs =
     place.server.stage === EngineStage.Decode
       ? place.readMs * STREAM_DELAY_WEIGHT * input.countStreams(place.server.id)
@@ -206,7 +210,7 @@
       input.sourceDomain !== undefined &&
       server.failureDomain !== input.sourceDomain;
     const transferMs = computeTransferMs(input.tokens, input.engine, isCross);
-    const pathMs = computePathMs(server, input.path);
+    const pathMs = computePathMs(server, input.path, input.bodyBytes);
     const streams = input.countStreams(server.id);
     const score =
       transferMs +
--- a/src/gateway/prefill_call.ts
+++ b/src/gateway/prefill_call.ts
@@ -4,6 +4,7 @@
 import type {PrefillPlace} from './placement';
 import type {RequestTask} from './request_task';
 import {isOtherAnswer, sendToServer} from './server_call';
+import {createShortBody} from './short_body';
 import {watchForStall} from './stall_watch';
 import type {CallFailure} from './types';
 
@@ -32,7 +33,7 @@
   const {exchange, route} = task;
   const {server} = place;
   const sentAtMs = clock.getMonotonicMs();
-  const chunks: Buffer[] = [];
+  const body = createShortBody();
   let isDone = false;
   const watch = watchForStall({
     clock,
@@ -51,7 +52,7 @@
     server,
     handler: {
       onAnswer: checkAnswer,
-      onData: chunk => chunks.push(chunk),
+      onData: takeChunk,
       onEnd: handleEnd,
       onFailure: fail,
     },
@@ -81,8 +82,14 @@
     };
   }
 
+  function takeChunk(chunk: Buffer): void {
+    if (isDone || body.add(chunk)) return;
+    call.cancel();
+    fail(createFailure('mismatch', 'answer is too long for a prefill answer'));
+  }
+
   function handleEnd(): void {
-    const handle = protocol.parsePrefillAnswer(Buffer.concat(chunks));
+    const handle = protocol.parsePrefillAnswer(body.read());
     if (handle === undefined) {
       fail(createFailure('mismatch', 'answer names no KV cache'));
       return;
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -169,6 +169,7 @@
       getSlotWaitMs,
       moveMs:
         computeTransferMs(model.promptTokens, engine, false) + MOVE_HOPS_MS,
+      bodyBytes: exchange.body?.length ?? 0,
       nowMs: clock.getMonotonicMs(),
     };
   }
@@ -294,6 +295,7 @@
       tokens: model.promptTokens,
       sourceDomain,
       path: context.path,
+      bodyBytes: exchange.body?.length ?? 0,
       countStreams: serverId => context.streams.count(serverId, nowMs),
       getSlotWaitMs,
     });
--- a/src/planning/stage_demand.ts
+++ b/src/planning/stage_demand.ts
@@ -21,7 +21,7 @@
 }
 
 /** Time over which arrivals are averaged, in milliseconds: several times what an engine is away for when its stage changes. */
-const AVERAGE_MS = 12_000;
+const AVERAGE_MS = 20_000;
 const MS_PER_S = 1_000;
 
 /** A demand without work. */
--- a/src/planning/stage_split.ts
+++ b/src/planning/stage_split.ts
@@ -29,11 +29,13 @@
 }
 
 /** Engines to spare for generating: streams hold their slots for long, and one without a slot waits for another's end. */
-const GENERATE_HEADROOM = 1.4;
-/** Use below which every split serves. */
-const RELAXED_USE = 0.5;
+const GENERATE_HEADROOM = 1.2;
+/** Use up to which a stage serves what arrives. */
+const RELAXED_USE = 0.8;
 /** Part by which the use must fall for a change: it takes each engine away for seconds, and the load moves by itself. */
 const MIN_GAIN = 0.3;
+/** The same where a stage cannot serve what arrives. */
+const MIN_OVERLOAD_GAIN = 0.2;
 /** Part of the engines that change at once. */
 const MAX_CHANGED_PART = 0.13;
 
@@ -56,7 +58,8 @@
   if (presentGenerating >= least && presentGenerating < engines) {
     if (best === presentGenerating) return keep('the split fits the load');
     if (presentUse < RELAXED_USE) return keep('no stage is busy');
-    if (bestUse > presentUse * (1 - MIN_GAIN)) {
+    const minGain = presentUse > 1 ? MIN_OVERLOAD_GAIN : MIN_GAIN;
+    if (bestUse > presentUse * (1 - minGain)) {
       return keep('the change gains too little');
     }
   }
--- a/test/gateway/placement.test.ts
+++ b/test/gateway/placement.test.ts
@@ -41,6 +41,7 @@
     countStreams: () => 0,
     getSlotWaitMs: () => 0,
     moveMs: 20,
+    bodyBytes: 0,
     nowMs: 0,
     ...options,
   };
@@ -106,6 +107,7 @@
       tokens: 17_000,
       sourceDomain: 'a',
       path: PATH,
+      bodyBytes: 0,
       countStreams: id => (id === 'a' ? streams : 0),
       getSlotWaitMs: () => 0,
     })?.id;
@@ -152,6 +154,7 @@
       tokens: 200,
       sourceDomain: 'near',
       path: PATH,
+      bodyBytes: 0,
       countStreams: () => 0,
       getSlotWaitMs: ({id, maxRunning}) =>
         streams.getWaitMs(id, maxRunning, nowMs),
@@ -239,6 +242,7 @@
         tokens: 2_000,
         sourceDomain: index % 2 === 0 ? 'a' : 'b',
         path: PATH,
+        bodyBytes: 0,
         countStreams: id => used.get(id) ?? 0,
         getSlotWaitMs: () => 0,
       });
--- /dev/null
+++ b/test/platform/endless_bytes.test.ts
@@ -0,0 +1,163 @@
+/** Servers whose bytes are no answer and come without end, in a head or in a body. */
+import assert from 'node:assert/strict';
+import {createServer, type Server, type Socket} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import {test} from 'node:test';
+import {
+  isNodeReady,
+  loadSnapshot,
+  startSystem,
+  type TestSystem,
+  waitUntil,
+} from './system';
+
+/** Interval of the bytes, in milliseconds. */
+const INTERVAL_MS = 1;
+/** Most bytes that one call of a server may take before its connection is closed. */
+const MAX_CALL_BYTES = 600_000;
+const KB_LINE = `X-Filler: ${'x'.repeat(1_000)}\r\n`;
+const PROMPT = {tokens: '8000,3', parts: 'aa:800,bb:200'};
+
+/** What a server sends first, and then again and again. */
+interface EndlessBytes {
+  readonly first: string;
+  readonly next: string;
+}
+
+const ENDLESS: Readonly<Record<string, EndlessBytes>> = {
+  'lines of a head': {first: 'HTTP/1.1 200 OK\r\n', next: KB_LINE},
+  'a line without its end': {
+    first: 'HTTP/1.1 200 OK\r\nX-Line: ',
+    next: 'x'.repeat(1_000),
+  },
+  'interim answers': {
+    first: '',
+    next: `HTTP/1.1 102 Processing\r\nX-Filler: ${'x'.repeat(900)}\r\n\r\n`,
+  },
+  'an answer in chunks': {
+    first: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+    next: `3e8\r\n${'x'.repeat(1_000)}\r\n`,
+  },
+  'an answer without a length': {
+    first: 'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n',
+    next: 'x'.repeat(1_000),
+  },
+};
+
+interface EndlessServer {
+  readonly port: number;
+  /** Bytes sent on each connection that asked for something, the open ones included. */
+  readonly sentBytes: number[];
+  countOpen(): number;
+  close(): void;
+}
+
+/** Starts a server that sends bytes without end to whoever sends it anything. */
+async function startEndless(bytes: EndlessBytes): Promise<EndlessServer> {
+  const open = new Set<Socket>();
+  const sentBytes: number[] = [];
+  const server: Server = createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      const index = sentBytes.push(0) - 1;
+      open.add(socket);
+      const send = (text: string) => {
+        if (socket.destroyed || socket.writableNeedDrain) return;
+        socket.write(text);
+        sentBytes[index] += text.length;
+      };
+      if (bytes.first !== '') send(bytes.first);
+      const timer = setInterval(() => send(bytes.next), INTERVAL_MS);
+      socket.on('close', () => {
+        clearInterval(timer);
+        open.delete(socket);
+      });
+    });
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  return {
+    port: (server.address() as AddressInfo).port,
+    sentBytes,
+    countOpen: () => open.size,
+    close: () => {
+      server.close();
+      for (const socket of open) socket.destroy();
+    },
+  };
+}
+
+function publish(
+  system: TestSystem,
+  port: number,
+  service: string,
+  stage?: string,
+): void {
+  const entry = {
+    service,
+    address: `127.0.0.1:${port}`,
+    zone: 'a',
+    version: 'v1',
+    maxBatch: 8,
+    state: 'ready',
+    coldLeftMs: 0,
+    seq: 1,
+    born: 1_700_000_000_000,
+    ...(stage === undefined ? {} : {stage, models: [{name: 'm'}]}),
+  };
+  system.store.put('keyed.servers', 'endless', JSON.stringify(entry));
+}
+
+async function waitForServers(system: TestSystem, count: number) {
+  await waitUntil('the node knows all servers', async () => {
+    const {entries} = await loadSnapshot(system.nodes[0]);
+    return entries.length === count && isNodeReady(system.nodes[0]);
+  });
+}
+
+for (const [name, bytes] of Object.entries(ENDLESS)) {
+  test(`a prefill engine that sends ${name} without end is given up, and the prompt is read elsewhere`, async () => {
+    const system = await startSystem({});
+    const endless = await startEndless(bytes);
+    for (const id of ['writer-1', 'writer-2']) {
+      await system.addServer({id, service: 'llm', zone: 'a', stage: 'decode'});
+    }
+    publish(system, endless.port, 'llm', 'prefill');
+    await waitForServers(system, 3);
+    const [app] = [
+      await system.addServer({id: 'app-1', service: 'app', zone: 'a'}),
+    ];
+    await waitForServers(system, 4);
+    const stream = system.send({path: '/ask/x', ...PROMPT});
+    const plain = await system.send({path: '/order/x'});
+    assert.equal(plain.status, 200);
+    assert.equal(app.runs.length, 1);
+    // No reader is left, so that a generating engine reads it.
+    assert.equal((await stream).status, 200);
+    await waitUntil(
+      'its connections are closed',
+      () => endless.countOpen() === 0,
+    );
+    assert.ok(endless.sentBytes.length > 0);
+    assert.ok(
+      endless.sentBytes.every(sent => sent < MAX_CALL_BYTES),
+      `${endless.sentBytes.join(', ')} bytes`,
+    );
+    endless.close();
+    await system.close();
+  });
+
+  test(`a request that may have run ends by its time limit when its server sends ${name} without end`, async () => {
+    const system = await startSystem({});
+    const endless = await startEndless(bytes);
+    publish(system, endless.port, 'app');
+    await waitForServers(system, 1);
+    const answer = await system.send({path: '/order/x'});
+    assert.ok([502, 504].includes(answer.status), `status ${answer.status}`);
+    await waitUntil(
+      'its connections are closed',
+      () => endless.countOpen() === 0,
+    );
+    endless.close();
+    await system.close();
+  });
+}
