Keep the usual split unless a stage is short of engines, and tell of long streams in large fleets

The usual split stands, and the demand moves it only where a stage is short.

- Among many nodes, a stream that takes 100 ms or more of an engine with its slot is told to every node, so that full engines are known.
- Waiting prompts start on half as many nodes as there are engines, not on four: at 195 nodes one of a node would have waited 400 ms for its turn.

--- a/src/gateway/fleet_state.ts
+++ b/src/gateway/fleet_state.ts
@@ -28,6 +28,8 @@
   listUsable(service: string): readonly BackendEntry[];
   tryGetUsable(id: string): BackendEntry | undefined;
   listEntries(): BackendEntry[];
+  /** Counts the model engines that may be sent requests. */
+  countEngines(): number;
   /** Ends the grace of entries whose time is over. */
   sweep(nowMs: number): void;
   /** Identifies the list of entries; equal on nodes that know the same. */
@@ -45,6 +47,7 @@
   const leaving = new Map<string, number>();
   let graceUntilMs = 0;
   let usable = new Map<string, BackendEntry[]>();
+  let engineCount = 0;
   let digest: string | undefined;
   return {
     getConfig: () => config,
@@ -63,6 +66,7 @@
       return entry === undefined || isLeaving(entry) ? undefined : entry;
     },
     listEntries: () => [...entries.values()],
+    countEngines: () => engineCount,
     sweep,
     getDigest: () => (digest ??= computeDigest(entries)),
   };
@@ -133,10 +137,9 @@
   function updateUsable(): void {
     digest = undefined;
     const listed = [...entries.values(), ...vanished.values()];
-    usable = collectBy(
-      listed.filter(entry => !isLeaving(entry)),
-      entry => entry.service,
-    );
+    const staying = listed.filter(entry => !isLeaving(entry));
+    usable = collectBy(staying, entry => entry.service);
+    engineCount = staying.filter(({stage}) => stage !== undefined).length;
   }
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -158,6 +158,7 @@
       clock,
       getRandom,
       countPeers: peers.count,
+      countEngines: state.countEngines,
     }),
     isChanging: stages.isChanging,
     getRandom,
--- a/src/gateway/stage_plan.ts
+++ b/src/gateway/stage_plan.ts
@@ -55,6 +55,11 @@
   const prefill = engines.filter(item => item.stage === EngineStage.Prefill);
   const count = decode.length + prefill.length;
   const part = options.decodePart ?? DEFAULT_DECODE_PART;
+  const leastDecode = computeLeastDecode(engines);
+  const usualDecode = Math.min(
+    Math.max(leastDecode, Math.round(count * part)),
+    count - 1,
+  );
   const split =
     options.load === undefined || count < MIN_DECODE
       ? undefined
@@ -62,14 +67,10 @@
           load: options.load,
           engines: count,
           presentGenerating: decode.length,
-          minGenerating: computeLeastDecode(engines),
+          usualGenerating: usualDecode,
+          minGenerating: leastDecode,
         });
-  const wantedDecode =
-    split?.generating ??
-    Math.min(
-      Math.max(computeLeastDecode(engines), Math.round(count * part)),
-      count - 1,
-    );
+  const wantedDecode = split?.generating ?? usualDecode;
   const surplus = decode.length - wantedDecode;
   const plan = {
     wantedDecode,
@@ -78,7 +79,7 @@
   };
   if (
     count < MIN_DECODE ||
-    (split === undefined &&
+    (wantedDecode === usualDecode &&
       isTolerated(surplus, wantedDecode, decode, prefill, options))
   ) {
     return {...plan, changes: []};
@@ -101,7 +102,7 @@
   const slots = Math.max(1, engines[0]?.maxRunning ?? 1);
   const forSlots = Math.min(
     Math.ceil(MIN_SLOTS / slots),
-    Math.floor(engines.length * MAX_SLOT_PART),
+    Math.ceil(engines.length * MAX_SLOT_PART),
   );
   return Math.max(MIN_DECODE, forSlots);
 }
--- a/src/gateway/stream_records.ts
+++ b/src/gateway/stream_records.ts
@@ -37,6 +37,9 @@
   book.speeds.recordRead(service, sheetMs, observedMs);
 }
 
+/** Time of an engine that a stream takes with its slot from which on every node hears of it, in milliseconds: the wait for a slot would exceed an objective. */
+const LONG_RUN_MS = 100;
+
 /** Creates the records of a request. */
 export function createStreamRecords(
   context: FlowContext,
@@ -45,6 +48,8 @@
   model: ModelRequest,
   jobId: string,
 ): StreamRecords {
+  const runMs = computeRunMs();
+  const isLongRun = runMs / engine.maxRunning >= LONG_RUN_MS;
   let serverId: string | undefined;
   let isTold = true;
   /** When the prompt is predicted to be read, if the others take it as read then. */
@@ -57,7 +62,7 @@
     silentEndMs = undefined;
     const nowMs = context.clock.getMonotonicMs();
     const isLarge = context.countPeers() >= MANY_NODES;
-    isTold = place.readMs >= SHORT_READ_MS || !isLarge;
+    isTold = place.readMs >= SHORT_READ_MS || isLongRun || !isLarge;
     const endsInMs = place.waitMs + place.readMs;
     context.book.add({id: jobId, serverId, costMs: place.readMs}, nowMs);
     context.prefixes.recordRead(serverId, model.parts);
@@ -92,12 +97,11 @@
   function recordRead(decodeId: string, sample?: ReadSample): void {
     if (serverId === undefined) return;
     const nowMs = context.clock.getMonotonicMs();
-    const runMs = computeRunMs();
     context.book.remove(jobId, nowMs);
     context.streams.add(decodeId, jobId, nowMs + runMs);
     if (sample !== undefined) recordSample(context, serverId, sample);
     overdue?.cancel();
-    if (!isAsPredicted(nowMs)) {
+    if (isLongRun || !isAsPredicted(nowMs)) {
       notify({
         kind: 'read',
         jobId,
@@ -129,7 +133,7 @@
 
   function computeRunMs(): number {
     const transferMs = computeTransferMs(model.promptTokens, engine, true);
-    const runMs = context.speeds.predictRunMs(task.service, task.route.name);
-    return Math.round(transferMs + runMs);
+    const slotMs = context.speeds.predictRunMs(task.service, task.route.name);
+    return Math.round(transferMs + slotMs);
   }
 }
--- a/src/gateway/waiting_prompts.ts
+++ b/src/gateway/waiting_prompts.ts
@@ -27,12 +27,13 @@
   readonly getRandom: () => number;
   /** Number of other nodes, which look for free engines as well. */
   readonly countPeers: () => number;
+  readonly countEngines: () => number;
 }
 
 /** Interval of looking for a free engine, in milliseconds: within it other nodes hear of a prompt that was sent. */
 const CHECK_INTERVAL_MS = 8;
-/** Nodes that send a waiting prompt in one interval: more would all choose the same free engine. */
-const STARTS_PER_INTERVAL = 4;
+/** Nodes that send a waiting prompt in one interval, for each engine: more would choose the same free engine. */
+const STARTS_PER_ENGINE = 0.5;
 /** Weight of the newest interval between two starts in their average. */
 const NEWEST_WEIGHT = 0.2;
 
@@ -66,8 +67,8 @@
   function checkAll(): void {
     timer = undefined;
     expirePrompts();
-    const share = STARTS_PER_INTERVAL / (options.countPeers() + 1);
-    if (getRandom() < share) startOne();
+    const starts = STARTS_PER_ENGINE * options.countEngines();
+    if (getRandom() < starts / (options.countPeers() + 1)) startOne();
     if (prompts.size > 0) timer = schedule();
   }
 
--- a/src/planning/stage_split.ts
+++ b/src/planning/stage_split.ts
@@ -12,6 +12,8 @@
   /** Engines of both stages, those on their way included. */
   readonly engines: number;
   readonly presentGenerating: number;
+  /** Engines that generate while no stage is short of them. */
+  readonly usualGenerating: number;
   /** Engines that generate at least. */
   readonly minGenerating: number;
 }
@@ -21,8 +23,8 @@
   readonly generating: number;
   /** The best split, whether it is worth its changes or not. */
   readonly best: number;
-  /** Part of the engines' time that the busier stage takes, now and with the best split. */
-  readonly presentUse: number;
+  /** Part of the engines' time that the busier stage takes, with the usual split and with the best one. */
+  readonly usualUse: number;
   readonly bestUse: number;
   /** Why, for a person. */
   readonly cause: string;
@@ -39,29 +41,27 @@
 /** Part of the engines that change at once. */
 const MAX_CHANGED_PART = 0.13;
 
-/** Plans the split. */
+/** Plans the split: the usual one, unless a stage is short of engines with it. */
 export function planSplit(input: SplitInput): SplitPlan {
-  const {engines, minGenerating, presentGenerating} = input;
+  const {engines, minGenerating, presentGenerating, usualGenerating} = input;
   const least = Math.min(minGenerating, engines - 1);
   let best = least;
   for (let count = least; count < engines; count++) {
     if (computeUse(input, count) < computeUse(input, best)) best = count;
   }
-  const presentUse = computeUse(input, presentGenerating);
+  const usualUse = computeUse(input, usualGenerating);
   const bestUse = computeUse(input, best);
-  const plan = {best, presentUse, bestUse};
+  const plan = {best, usualUse, bestUse};
   const keep = (cause: string): SplitPlan => ({
     ...plan,
-    generating: presentGenerating,
+    generating: usualGenerating,
     cause,
   });
-  if (presentGenerating >= least && presentGenerating < engines) {
-    if (best === presentGenerating) return keep('the split fits the load');
-    if (presentUse < RELAXED_USE) return keep('no stage is busy');
-    const minGain = presentUse > 1 ? MIN_OVERLOAD_GAIN : MIN_GAIN;
-    if (bestUse > presentUse * (1 - minGain)) {
-      return keep('the change gains too little');
-    }
+  if (best === usualGenerating) return keep('the usual split fits the load');
+  if (usualUse < RELAXED_USE) return keep('no stage is busy');
+  const minGain = usualUse > 1 ? MIN_OVERLOAD_GAIN : MIN_GAIN;
+  if (bestUse > usualUse * (1 - minGain)) {
+    return keep('another split gains too little');
   }
   const reach = Math.max(1, Math.round(MAX_CHANGED_PART * engines));
   const change = Math.min(reach, Math.max(-reach, best - presentGenerating));
--- a/test/gateway/waiting_prompts.test.ts
+++ b/test/gateway/waiting_prompts.test.ts
@@ -46,6 +46,7 @@
     clock,
     getRandom: () => 0.5,
     countPeers: () => peers,
+    countEngines: () => 8,
   });
   let hasRoom = false;
   const add = (name: string, more: Partial<WaitingPrompt> = {}) =>
@@ -104,6 +105,19 @@
   assert.equal(waiting.count(), 0);
 });
 
+test('of many nodes few start a prompt at the same time, more where engines are many', async () => {
+  // With a chance of one half, 4 starts in an interval let 8 nodes start at most.
+  const few = createList(6);
+  const many = createList(9);
+  for (const {add, setRoom, clock} of [few, many]) {
+    add('a');
+    setRoom(true);
+    await clock.advance(50);
+  }
+  assert.deepEqual(few.started, ['a']);
+  assert.deepEqual(many.started, []);
+});
+
 test('a waiting prompt is given up at its time, and one whose caller left is forgotten', async () => {
   const {clock, started, add, setRoom} = createList(0);
   add('a');
