Go on with a resumable stream however long it has run

Cause: the patience of the caller was counted from the begin of the request, also when the answer had begun: a stream that broke off after 2 s was cut instead of going on at another server. The time counts from the break then. test/platform/late_break.test.ts fails without it (cut at 2.4 s of 3.5 s).

--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -73,6 +73,8 @@
   let decodeTries = 0;
   let runCount = 0;
   let mayHaveRun = false;
+  /** When a server last broke off. */
+  let brokenAtMs = clock.getMonotonicMs();
   let isDemandRecorded = false;
   let leaveWaiting: () => void = () => undefined;
   budget.recordRequest();
@@ -138,10 +140,14 @@
     });
   }
 
+  /** A caller that has a part of the answer waits for the next one, not for the first. */
   function getTimes() {
+    const elapsedMs = exchange.hasAnswerBegun()
+      ? clock.getMonotonicMs() - brokenAtMs
+      : task.getElapsedMs();
     return {
       route,
-      elapsedMs: task.getElapsedMs(),
+      elapsedMs,
       remainingMs: task.getRemainingMs(),
     };
   }
@@ -355,6 +361,7 @@
   ): void {
     decodeCall = undefined;
     if (task.isOver()) return;
+    brokenAtMs = clock.getMonotonicMs();
     records.recordGivenUp();
     records.recordEnd(server.id);
     if (failure.verdict === Verdict.NotRun) runCount--;
--- /dev/null
+++ b/test/platform/late_break.test.ts
@@ -0,0 +1,60 @@
+/** Streams whose server breaks off long after their first event. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+  buildConfig,
+  isNodeReady,
+  loadSnapshot,
+  startSystem,
+  waitUntil,
+} from './system';
+
+/** Callers wait so long for a first event, in milliseconds. */
+const PATIENCE_MS = 2_000;
+const EVENTS = 70;
+const GAP_MS = 50;
+
+test('a resumable stream goes on at another server however long it has run', async () => {
+  const system = await startSystem({hasConfig: false});
+  const {routes} = JSON.parse(buildConfig(1)) as {routes: object[]};
+  const longer = routes.map(route => ({...route, timeoutMs: 9_000}));
+  system.store.put('keyed.op', 'config', buildConfig(1, {routes: longer}));
+  const add = (id: string, stage: 'prefill' | 'decode') =>
+    system.addServer({
+      id,
+      service: 'llm',
+      zone: 'a',
+      stage,
+      events: EVENTS,
+      gapMs: GAP_MS,
+    });
+  await add('reader-1', 'prefill');
+  const writers = [
+    await add('writer-1', 'decode'),
+    await add('writer-2', 'decode'),
+  ];
+  await waitUntil('the node knows all servers', async () => {
+    const {entries} = await loadSnapshot(system.nodes[0]);
+    return entries.length === 3 && isNodeReady(system.nodes[0]);
+  });
+  const answer = system.send({
+    path: '/resume/x',
+    tokens: '1000,70',
+    parts: 'aa:800,bb:200',
+    deadlineMs: 9_000,
+  });
+  await sleep(PATIENCE_MS + 400);
+  await writers.find(writer => writer.runs.length > 0)?.crash();
+  const {status, isWhole, body} = await answer;
+  assert.equal(status, 200);
+  assert.equal(isWhole, true);
+  const ids = [...body.matchAll(/^id: (\d+)$/gm)].map(match =>
+    Number(match[1]),
+  );
+  assert.deepEqual(
+    ids,
+    Array.from({length: EVENTS}, (_, index) => index + 1),
+  );
+  await system.close();
+});
