Look at two waiting prompts in one interval, and revert telling of shorter reads

All waiting prompts were placed anew in each interval: 31 engines each time, on nodes of a quarter of a core. The test fails with the sources before (200 looks in an interval).

--- a/src/gateway/stream_records.ts
+++ b/src/gateway/stream_records.ts
@@ -22,9 +22,8 @@
 
 /** Nodes from which on short reads and reads as predicted are not told: with more nodes each hears of more requests. */
 const MANY_NODES = 32;
-/** Reads below this part of their objective, and below this many milliseconds, are not told among many nodes. */
-const SHORT_READ_PART = 0.1;
-const MAX_SHORT_READ_MS = 60;
+/** Longest read that is not told among many nodes, in milliseconds: a fifth of the shortest objective. */
+const SHORT_READ_MS = 60;
 
 /** Learns the speed of an engine, and of all of its service, from a prompt that it has read. */
 export function recordSample(
@@ -49,10 +48,6 @@
   model: ModelRequest,
   jobId: string,
 ): StreamRecords {
-  const shortReadMs = Math.min(
-    MAX_SHORT_READ_MS,
-    SHORT_READ_PART * task.route.objectiveMs,
-  );
   const runMs = computeRunMs();
   const isLongRun = runMs / engine.maxRunning >= LONG_RUN_MS;
   let serverId: string | undefined;
@@ -67,7 +62,7 @@
     silentEndMs = undefined;
     const nowMs = context.clock.getMonotonicMs();
     const isLarge = context.countPeers() >= MANY_NODES;
-    isTold = place.readMs >= shortReadMs || isLongRun || !isLarge;
+    isTold = place.readMs >= SHORT_READ_MS || isLongRun || !isLarge;
     const endsInMs = place.waitMs + place.readMs;
     context.book.add({id: jobId, serverId, costMs: place.readMs}, nowMs);
     context.prefixes.recordRead(serverId, model.parts);
--- a/src/gateway/waiting_prompts.ts
+++ b/src/gateway/waiting_prompts.ts
@@ -95,13 +95,21 @@
 
   /** One at a time: the prompt sent changes the engines' waits. */
   function startOne(): void {
-    const inOrder = [...prompts].sort((left, right) => left.rank - right.rank);
-    for (const prompt of inOrder) {
-      if (!prompts.has(prompt)) continue;
-      // Taken out first: a start that fails may add the request again.
+    for (const prompt of chooseCandidates()) {
+      if (!prompt.tryStart()) continue;
       prompts.delete(prompt);
-      if (prompt.tryStart()) return recordStart();
-      prompts.add(prompt);
+      recordStart();
+      return;
     }
   }
+
+  /** The first by rank and arrival, and one of the others, which another engine may serve. */
+  function chooseCandidates(): WaitingPrompt[] {
+    const [first, ...others] = [...prompts].sort(
+      (left, right) => left.rank - right.rank,
+    );
+    if (first === undefined) return [];
+    const other = others[Math.floor(getRandom() * others.length)];
+    return other === undefined ? [first] : [first, other];
+  }
 }
--- a/test/gateway/stream_records.test.ts
+++ b/test/gateway/stream_records.test.ts
@@ -23,7 +23,6 @@
   readMs: number,
   tookMs: number,
   runMs = 20,
-  objectiveMs = 600,
 ): Promise<string[]> {
   const clock = createVirtualClock();
   const told: PeerMessage[] = [];
@@ -40,7 +39,7 @@
   };
   const records = createStreamRecords(
     context as FlowContext,
-    {service: 'llm', route: {name: 'ask', objectiveMs} as Route},
+    {service: 'llm', route: {name: 'ask'} as Route},
     ENGINE_LIMITS,
     MODEL,
     'job',
@@ -79,8 +78,3 @@
   assert.deepEqual(await listTold(105, 2, 2, longMs), ['placed', 'read']);
   assert.deepEqual(await listTold(105, 2, 2, 700), []);
 });
-
-test('in a large fleet the nodes hear of reads that are long for their objective', async () => {
-  assert.deepEqual(await listTold(105, 20, 20, 20, 150), ['placed']);
-  assert.deepEqual(await listTold(105, 10, 10, 20, 150), []);
-});
--- a/test/gateway/waiting_prompts.test.ts
+++ b/test/gateway/waiting_prompts.test.ts
@@ -118,6 +118,21 @@
   assert.deepEqual(many.started, []);
 });
 
+test('however many prompts wait, few are looked at in one interval', async () => {
+  const {clock, add} = createList(0);
+  let looks = 0;
+  for (let index = 0; index < 200; index++) {
+    add(`p${index}`, {
+      tryStart: () => {
+        looks++;
+        return false;
+      },
+    });
+  }
+  await clock.advance(400);
+  assert.ok(looks <= 2 * 50, `${looks} looks in 50 intervals`);
+});
+
 test('a waiting prompt is given up at its time, and one whose caller left is forgotten', async () => {
   const {clock, started, add, setRoom} = createList(0);
   add('a');
