--- a/src/gateway/engine_speeds.ts
+++ b/src/gateway/engine_speeds.ts
@@ -74,9 +74,7 @@
       speeds.samples++;
     },
     recordRun: (service, route, runMs) => {
-      const run = getRun(service, route);
-      run.observed = run.observed * FADE + runMs;
-      run.expected = run.expected * FADE + 1;
+      addFaded(getRun(service, route), runMs, 1);
     },
     getReadFactor,
     listFigures: () => [...services].map(formatFigures),
@@ -165,6 +163,14 @@
           known * expected * MAX_DEVIATION,
           Math.max((known * expected) / MAX_DEVIATION, observed),
         );
-  sums.observed = sums.observed * FADE + bounded;
+  addFaded(sums, bounded, expected);
+}
+
+function addFaded(
+  sums: FadingQuotient,
+  observed: number,
+  expected: number,
+): void {
+  sums.observed = sums.observed * FADE + observed;
   sums.expected = sums.expected * FADE + expected;
 }
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -95,13 +95,6 @@
 /** Decode engines of each failure domain that a node uses: enough to balance streams, few enough to keep connections in use. */
 const DECODE_ENGINES_PER_DOMAIN = 4;
 
-/** Returns the best prefill engine to read a prompt, or undefined when there is none. */
-export function tryChoosePrefill(
-  input: PlacementInput,
-): PrefillPlace | undefined {
-  return tryChoosePlace(input, EngineStage.Prefill)?.place;
-}
-
 /**
  * Returns the best place to read a prompt, or undefined when there is none.
  * A generating engine that reads by itself needs no transfer, but delays its
--- a/src/gateway/stage_control.ts
+++ b/src/gateway/stage_control.ts
@@ -11,7 +11,6 @@
 import {
   type BackendEntry,
   type BackendProtocol,
-  type BackendService,
   type EngineLimits,
   EngineStage,
   type StageReport,
@@ -125,21 +124,18 @@
 
   function listPlans(): StagePlan[] {
     const services = state.getConfig()?.services ?? [];
-    return services
-      .filter(service => service.engine !== undefined)
-      .map(createPlan);
+    return services.flatMap(({name, engine}) =>
+      engine === undefined ? [] : [createPlan(name, engine)],
+    );
   }
 
-  function createPlan(service: BackendService): StagePlan {
-    const load =
-      service.engine === undefined
-        ? undefined
-        : options.tryGetLoad(service.name, service.engine);
-    const plan = planStages(state.listUsable(service.name).map(applyOrder), {
+  function createPlan(service: string, engine: EngineLimits): StagePlan {
+    const load = options.tryGetLoad(service, engine);
+    const plan = planStages(state.listUsable(service).map(applyOrder), {
       tolerancePart: isStarting() ? 0 : SERVING_TOLERANCE,
       ...(load === undefined ? {} : {load}),
     });
-    logSplit(service.name, plan);
+    logSplit(service, plan);
     return plan;
   }
 
--- a/src/gateway/stream_records.ts
+++ b/src/gateway/stream_records.ts
@@ -24,6 +24,8 @@
 const MANY_NODES = 32;
 /** Longest read that is not told among many nodes, in milliseconds: a fifth of the shortest objective. */
 const SHORT_READ_MS = 60;
+/** Time of an engine that a stream takes with its slot from which on every node hears of it, in milliseconds: the wait for a slot would exceed an objective. */
+const LONG_RUN_MS = 100;
 
 /** Learns the speed of an engine, and of all of its service, from a prompt that it has read. */
 export function recordSample(
@@ -37,9 +39,6 @@
   book.speeds.recordRead(service, sheetMs, observedMs);
 }
 
-/** Time of an engine that a stream takes with its slot from which on every node hears of it, in milliseconds: the wait for a slot would exceed an objective. */
-const LONG_RUN_MS = 100;
-
 /** Creates the records of a request. */
 export function createStreamRecords(
   context: FlowContext,
--- a/test/gateway/placement.test.ts
+++ b/test/gateway/placement.test.ts
@@ -5,7 +5,6 @@
 import {
   type PlacementInput,
   tryChooseDecode,
-  tryChoosePrefill,
   tryChooseReader,
 } from '../../src/gateway/placement';
 import {createPrefillBook} from '../../src/gateway/prefill_book';
@@ -50,7 +49,7 @@
 test('a prompt goes to the engine that keeps its shared part', () => {
   const input = createInput();
   input.prefixes.recordRead('p3', REQUEST.parts);
-  const place = tryChoosePrefill(input);
+  const place = tryChooseReader(input);
   assert.equal(place?.server.id, 'p3');
   assert.equal(place?.cachedTokens, 13_000);
 });
@@ -59,17 +58,17 @@
   const input = createInput();
   input.prefixes.recordRead('p3', REQUEST.parts);
   input.book.add({id: 'j', serverId: 'p3', costMs: 300}, 0);
-  assert.equal(tryChoosePrefill(input)?.server.id, 'p3');
+  assert.equal(tryChooseReader(input)?.server.id, 'p3');
   input.book.add({id: 'k', serverId: 'p3', costMs: 900}, 0);
-  assert.notEqual(tryChoosePrefill(input)?.server.id, 'p3');
+  assert.notEqual(tryChooseReader(input)?.server.id, 'p3');
 });
 
 test('nodes that know nothing choose the same engine, and expect the part there after a restart', () => {
-  const first = tryChoosePrefill(createInput());
-  const second = tryChoosePrefill(createInput());
+  const first = tryChooseReader(createInput());
+  const second = tryChooseReader(createInput());
   assert.equal(first?.server.id, second?.server.id);
   assert.equal(first?.cachedTokens, 0);
-  const restarted = tryChoosePrefill(createInput({isHomeWarm: true}));
+  const restarted = tryChooseReader(createInput({isHomeWarm: true}));
   assert.equal(restarted?.server.id, first?.server.id);
   assert.equal(restarted?.cachedTokens, 13_000);
 });
@@ -85,7 +84,7 @@
 
 test('a slow engine is chosen only when the others wait for longer', () => {
   const getSlowdown = (id: string) => (id === 'p1' ? 1 : 1.4);
-  const place = tryChoosePrefill(
+  const place = tryChooseReader(
     createInput({
       getSlowdown,
       request: {...REQUEST, parts: REQUEST.parts.slice(1)},
