Log the limits that servers state, and count the requests sent to limited servers

The adapter decodes the header, a line is written when a node sees a limit stated, changed or ended, and a counter by server shows what a node sends to a limited server. No decision uses them yet.

The head of an answer is now read by a function that is created with the request, so that an answer without a limit can be compared with the time at which its request was sent.

--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -52,14 +52,16 @@
   readonly connectTimeoutMs?: number;
   /** Idle time after which a connection is closed, in milliseconds, unless its server states a keep-alive time-out. */
   readonly idleTimeoutMs?: number;
-  /** Called with the head of every answer, before the handler of the call. */
-  readonly onHead?: (
-    server: BackendEntry,
-    status: number,
-    rawHeaders: readonly string[],
-  ) => void;
+  /** Called for every request before it is sent. */
+  readonly onCall?: (server: BackendEntry) => HeadListener;
 }
 
+/** Receives the head of the answer to one request, before the handler of the call. */
+export type HeadListener = (
+  status: number,
+  rawHeaders: readonly string[],
+) => void;
+
 /** Time-out if the options give none: many round trips of a few milliseconds between failure domains, and no longer than the shortest latency objective. */
 const DEFAULT_CONNECT_TIMEOUT_MS = 300;
 /** Idle time-out if the options give none: shorter than the keep-alive time-outs that servers state. */
@@ -103,14 +105,14 @@
   };
 
   function call(request: BackendCall): OpenCall {
+    const onHead = options.onCall?.(request.server);
     const connections = getConnections(request.server.id);
     const connection = takeIdle(connections) ?? openConnection(request.server);
     connections.all.add(connection);
     const open = createOpenCall({
       handler: request.handler,
       connection,
-      onHead: (status, rawHeaders) =>
-        options.onHead?.(request.server, status, rawHeaders),
+      ...(onHead === undefined ? {} : {onHead}),
       release: isReusable => {
         if (isReusable && servers.has(request.server.id)) {
           connections.idle.push(connection);
@@ -236,7 +238,7 @@
 interface OpenCallOptions {
   readonly handler: CallHandler;
   readonly connection: Connection;
-  readonly onHead: (status: number, rawHeaders: readonly string[]) => void;
+  readonly onHead?: HeadListener;
   /** Returns the connection to the idle ones, or closes it when it cannot be reused. */
   readonly release: (isReusable: boolean) => void;
 }
@@ -297,7 +299,7 @@
     if (isDone || status < 200) return;
     const rawHeaders = listRawHeaders(started);
     connection.isUnframed = !hasFraming(rawHeaders);
-    options.onHead(status, rawHeaders);
+    options.onHead?.(status, rawHeaders);
     const failure = handler.onAnswer(status, rawHeaders);
     if (failure !== undefined) fail(failure);
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -18,6 +18,8 @@
 import {createPrefixDirectory} from './prefix_directory';
 import {createRetryShares} from './retry_shares';
 import {createHealthTracker} from './server_health';
+import {createServerLimits} from './server_limits';
+import {createServerNotices} from './server_notices';
 import {createServerPauses} from './server_pauses';
 import {createServiceLoads} from './service_loads';
 import type {Address, GatewaySettings} from './settings';
@@ -26,7 +28,6 @@
 import {createStoreFollower} from './store_follower';
 import {createStreamCounts} from './stream_counts';
 import {
-  type BackendEntry,
   type BackendProtocol,
   DEFAULT_CALLER_LIMITS,
   type EntryChange,
@@ -78,8 +79,8 @@
   };
   const metrics = createGatewayMetrics();
   const state = createFleetState();
-  const connections = createConnections({onHead: handleServerNotice});
   const pauses = createServerPauses(clock);
+  const limits = createServerLimits({clock, logger, metrics});
   const speeds = createEngineSpeedEstimator();
   const prefillQueues = createPrefillQueues();
   const streams = createStreamCounts();
@@ -92,6 +93,15 @@
     getRandom,
     onMessage: message => messageHandler.handle(message),
   });
+  const notices = createServerNotices({
+    protocol,
+    state,
+    pauses,
+    limits,
+    peers,
+    logger,
+  });
+  const connections = createConnections({onCall: notices.recordCall});
   const health = createHealthTracker({
     clock,
     logger,
@@ -279,30 +289,6 @@
     return address.host === host && address.port === port;
   }
 
-  /** Handles the notice in a response's head before the response itself, whichever call it belongs to. */
-  function handleServerNotice(
-    server: BackendEntry,
-    status: number,
-    rawHeaders: readonly string[],
-  ): void {
-    const notice = protocol.tryParseNotice(status, rawHeaders);
-    if (notice === undefined) return;
-    const {id, startedAtMs} = server;
-    if (notice.pauseMs > 0) {
-      pauses.record(server, notice.pauseMs);
-      logger.log('info', 'backend server requested a pause', {
-        serverId: id,
-        pauseMs: notice.pauseMs,
-      });
-    }
-    if (!notice.isLeaving || !state.recordLeaving(id, startedAtMs)) return;
-    logger.log('info', 'backend server reports that it is leaving', {
-      serverId: id,
-      startedAtMs,
-    });
-    peers.notify({kind: 'leaving', serverId: id, startedAtMs});
-  }
-
   function handleFleetChange(
     changes: readonly EntryChange[],
     isConfigNew: boolean,
@@ -318,7 +304,9 @@
       health.remove(id);
       loads.remove(id);
     }
-    connections.retainOnly(new Set(state.listEntries().map(entry => entry.id)));
+    const listedIds = new Set(state.listEntries().map(entry => entry.id));
+    connections.retainOnly(listedIds);
+    limits.retainOnly(listedIds);
   }
 
   function getKvTokens(serverId: string): number {
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -10,6 +10,8 @@
   recordRetry(service: string, reason: string): void;
   /** Records the predicted and the observed time of a prefill, including its wait, in milliseconds. */
   recordPrefill(predictedMs: number, observedMs: number): void;
+  /** Records a request to a server that has stated a limit. */
+  recordLimitedSend(serverId: string): void;
   /** Adds a gauge whose value is read when the metrics are rendered. */
   addGauge(name: string, help: string, read: () => number): void;
   render(): string;
@@ -34,6 +36,10 @@
     name: 'anvilstack_gateway_prefill_ms',
     help: 'Predicted and observed time of reading a prompt, including its wait.',
   });
+  const limitedSends = metrics.addCounter({
+    name: 'anvilstack_gateway_limited_server_requests_total',
+    help: 'Requests of this node to servers while they state a limit, by server.',
+  });
   return {
     recordEnd: (route, outcome, elapsedMs) => {
       requests.add(1, {kind: route.kind, rank: String(route.rank), outcome});
@@ -44,6 +50,7 @@
       prefills.record(predictedMs, {value: 'predicted'});
       prefills.record(observedMs, {value: 'observed'});
     },
+    recordLimitedSend: serverId => limitedSends.add(1, {serverId}),
     addGauge: (name, help, read) => metrics.addGauge({name, help, read}),
     render: metrics.render,
   };
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -174,6 +174,10 @@
   readonly isLeaving: boolean;
   /** How long this node should send the server no requests, in milliseconds; 0 when it requests no pause. */
   readonly pauseMs: number;
+  /** Requests per second that the server takes from all nodes together, until an answer no longer states it. */
+  readonly limitPerS?: number;
+  /** Text of a stated limit that is not a number. */
+  readonly malformedLimit?: string;
 }
 
 /** An engine's report on its stage; can be a few hundred milliseconds old. */
--- a/src/platform/backend_protocol.ts
+++ b/src/platform/backend_protocol.ts
@@ -42,7 +42,10 @@
   /** `1` when the server drains and takes no new requests. */
   Leaving: 'Server-Leaving',
   RetryAfter: 'Retry-After',
+  /** Requests per second, as a decimal number, that the server takes from all nodes together. */
+  ServerLimit: 'Server-Limit',
 } as const;
+const DECIMAL_NUMBER = /^(\d+\.?\d*|\.\d+)$/;
 
 /** Hop-by-hop headers, which are not forwarded. */
 const HOP_BY_HOP_HEADERS = new Set([
@@ -208,7 +211,19 @@
     status === STATUS_UNAVAILABLE
       ? parseRetryAfterMs(findHeader(rawHeaders, Header.RetryAfter))
       : 0;
-  return isLeaving || pauseMs > 0 ? {isLeaving, pauseMs} : undefined;
+  const limit = parseLimit(findHeader(rawHeaders, Header.ServerLimit));
+  return isLeaving || pauseMs > 0 || limit !== undefined
+    ? {isLeaving, pauseMs, ...limit}
+    : undefined;
+}
+
+function parseLimit(
+  text: string | undefined,
+): Pick<ServerNotice, 'limitPerS' | 'malformedLimit'> | undefined {
+  if (text === undefined) return undefined;
+  return DECIMAL_NUMBER.test(text)
+    ? {limitPerS: Number(text)}
+    : {malformedLimit: text};
 }
 
 /** Parses `Retry-After`; servers send seconds, with fractions too. A date or any other value counts as no pause. */
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -185,3 +185,21 @@
     '9',
   ]);
 });
+
+test('a limit is decoded as a decimal number; other texts are reported as malformed', () => {
+  const {tryParseNotice} = createBackendProtocol();
+  const parse = (text: string) => tryParseNotice(200, ['Server-Limit', text]);
+  const base = {isLeaving: false, pauseMs: 0};
+  for (const [text, limitPerS] of [
+    ['4.3', 4.3],
+    ['0', 0],
+    ['.5', 0.5],
+    ['1200', 1_200],
+  ] as const) {
+    assert.deepEqual(parse(text), {...base, limitPerS});
+  }
+  for (const text of ['', '-1', 'NaN', 'Infinity', '0x10', '1e3', '4,3']) {
+    assert.deepEqual(parse(text), {...base, malformedLimit: text});
+  }
+  assert.equal(tryParseNotice(200, ['Content-Length', '0']), undefined);
+});
