--- a/test/platform/server_notices.test.ts
+++ b/test/platform/server_notices.test.ts
@@ -54,7 +54,7 @@
 }
 
 function countCalls(server: ServerStandin): number {
-  return server.arrivalsAtMs.length;
+  return server.arrivals.length;
 }
 
 test('a server that announces in a response that it leaves gets no further requests from any node', async () => {
@@ -128,7 +128,7 @@
   other.setFault('full');
   await system.send({path: '/look/x'});
   other.setFault('none');
-  const askedAtMs = pausing.arrivalsAtMs.at(-1) ?? 0;
+  const askedAtMs = pausing.arrivals.at(-1)?.atMs ?? 0;
   const endsAtMs = askedAtMs + 1_500;
   pausing.setPause(undefined);
   while (performance.now() < endsAtMs - 50) {
@@ -136,8 +136,8 @@
     assert.equal(answer.status, 200);
     await sleep(10);
   }
-  const inPause = pausing.arrivalsAtMs.filter(
-    atMs => atMs > askedAtMs + PAUSE_EFFECT_DELAY_MS && atMs < endsAtMs,
+  const inPause = pausing.arrivals.filter(
+    ({atMs}) => atMs > askedAtMs + PAUSE_EFFECT_DELAY_MS && atMs < endsAtMs,
   );
   assert.ok(inPause.length <= MAX_CALLS_IN_PAUSE, `${inPause.length} calls`);
   await sleep(100);
--- a/test/platform/server_standin.ts
+++ b/test/platform/server_standin.ts
@@ -16,6 +16,14 @@
   readonly body: string;
 }
 
+/** The arrival of a call. */
+export interface Arrival {
+  /** Id of the caller's request; undefined for the gateway's own calls. */
+  readonly id: string | undefined;
+  /** On the monotonic clock, in milliseconds. */
+  readonly atMs: number;
+}
+
 /**
  * Fault that the server shows until it is changed. `full` refuses requests
  * without running them, `no-kv` does so with the next request that has a KV source,
@@ -42,13 +50,15 @@
   readonly prefills: ReceivedRequest[];
   /** Bodies of the accepted stage orders, in order. */
   readonly orders: Array<Record<string, unknown>>;
-  /** Arrival time of each call, refused ones included, on the monotonic clock, in milliseconds. */
-  readonly arrivalsAtMs: number[];
+  /** All calls in order of arrival, refused ones included. */
+  readonly arrivals: Arrival[];
   setFault(fault: ServerFault): void;
   /** Sets whether all responses carry the header that announces that the server leaves. */
   setLeaving(isLeaving: boolean): void;
   /** Refuses calls with 503 and this value of `Retry-After`; undefined serves them again. */
   setPause(retryAfter: string | undefined): void;
+  /** States this limit, in requests per second, in all answers; undefined states none. */
+  setLimit(limitPerS: number | undefined): void;
   /** Stops responding on the connections that are open now, without closing them. */
   ignoreConnections(): void;
   /** Stops listening and resets all connections; the entry in the store stays. */
@@ -93,13 +103,16 @@
   let abortedCount = 0;
   let isLeaving = false;
   let pauseRetryAfter: string | undefined;
-  const arrivalsAtMs: number[] = [];
+  let limit: number | undefined;
+  const arrivals: Arrival[] = [];
   const openSockets = new Set<Socket>();
   const ignoredSockets = new WeakSet<Socket>();
   const server = createServer((request, response) => {
     if (ignoredSockets.has(request.socket)) return;
-    arrivalsAtMs.push(performance.now());
+    const id = request.headers['anvilstack-request-id'];
+    arrivals.push({id: id?.toString(), atMs: performance.now()});
     if (isLeaving) response.setHeader('Server-Leaving', '1');
+    if (limit !== undefined) response.setHeader('Server-Limit', String(limit));
     void readAll(request).then(body => handle(request, response, body));
   });
   server.on('connection', (socket: Socket) => {
@@ -115,13 +128,16 @@
     runs,
     prefills,
     orders,
-    arrivalsAtMs,
+    arrivals,
     setLeaving: next => {
       isLeaving = next;
     },
     setPause: next => {
       pauseRetryAfter = next;
     },
+    setLimit: next => {
+      limit = next;
+    },
     setFault: next => {
       fault = next;
     },
--- a/test/replay/examples.test.ts
+++ b/test/replay/examples.test.ts
@@ -1,6 +1,6 @@
 /** The committed traces equal those generated from their seeds, and their replays meet the stated bounds. */
 import assert from 'node:assert/strict';
-import {existsSync, readdirSync, readFileSync} from 'node:fs';
+import {readdirSync, readFileSync} from 'node:fs';
 import {join} from 'node:path';
 import {test} from 'node:test';
 import {
@@ -14,21 +14,13 @@
   replayTrace,
   SAFETY_BOUNDS,
 } from '../../src/replay';
+import {getKnownRedOptions} from '../support/known_red';
 
 const DIRECTORY = 'examples/traces';
-const KNOWN_RED_FILE = 'KNOWN-RED.txt';
 
 const names = readdirSync(DIRECTORY)
   .filter(file => file.endsWith('.jsonl'))
   .map(file => file.replace('.jsonl', ''));
-const knownRed = existsSync(KNOWN_RED_FILE)
-  ? readFileSync(KNOWN_RED_FILE, 'utf8')
-  : '';
-
-/** A test listed in KNOWN-RED.txt runs and is printed; it does not fail the run. */
-function getOptions(title: string): {todo?: string} {
-  return knownRed.includes(title) ? {todo: KNOWN_RED_FILE} : {};
-}
 
 function readExample(name: string, suffix: string): string {
   return readFileSync(join(DIRECTORY, `${name}${suffix}`), 'utf8');
@@ -52,7 +44,7 @@
 
 for (const name of names) {
   const title = `trace ${name} meets its stated outcome`;
-  test(title, getOptions(title), async () => {
+  test(title, getKnownRedOptions(title), async () => {
     const trace = parseTrace(readExample(name, '.jsonl')).unwrap();
     const bounds = parseOutcomeBounds(
       readExample(name, '.outcome.json'),
--- a/test/soak/gateway_processes.ts
+++ b/test/soak/gateway_processes.ts
@@ -7,7 +7,7 @@
 import {listFreePorts} from '../support/program';
 
 /** Output path of `node scripts/build_gateway.mjs`. */
-const PROGRAM = 'target/anvilstack.cjs';
+const DEFAULT_PROGRAM = 'target/anvilstack.cjs';
 
 /** Delay before a process that exited with an error is restarted, in milliseconds. */
 const RESTART_DELAY_MS = 200;
@@ -17,6 +17,7 @@
   readonly name: string;
   readonly callersPort: number;
   readonly readyPort: number;
+  readonly peerPort: number;
   /** Number of times that the process was started. */
   getIncarnation(): number;
   signal(signal: NodeJS.Signals): void;
@@ -35,10 +36,11 @@
   close(): Promise<void>;
 }
 
-/** Starts `count` nodes whose store address is a loopback port. */
+/** Starts `count` nodes of a built program whose store address is a loopback port. */
 export async function startNodeProcesses(
   count: number,
   storePort: number,
+  program = DEFAULT_PROGRAM,
 ): Promise<NodeProcesses> {
   const folder = mkdtempSync(join(tmpdir(), 'anvilstack-soak-'));
   const seeds: string[] = [];
@@ -49,7 +51,7 @@
     const path = join(folder, `${name}.toml`);
     writeFileSync(path, buildSettings(name, ports, storePort, seeds));
     seeds.push(`127.0.0.1:${ports[2]}`);
-    nodes.push(createNode(name, path, ports));
+    nodes.push(createNode(name, program, path, ports));
   }
   for (const node of nodes) node.start();
   process.once('exit', () => {
@@ -67,6 +69,7 @@
 
 function createNode(
   name: string,
+  program: string,
   settingsPath: string,
   ports: readonly number[],
 ): NodeProcess {
@@ -78,6 +81,7 @@
     name,
     callersPort: ports[0],
     readyPort: ports[1],
+    peerPort: ports[3],
     getIncarnation: () => incarnation,
     signal: signal => {
       child?.kill(signal);
@@ -95,7 +99,7 @@
 
   function start(): void {
     incarnation++;
-    const started = spawn(process.execPath, [PROGRAM], {
+    const started = spawn(process.execPath, [program], {
       env: {PATH: process.env['PATH'], ANVILSTACK_NODE_FILE: settingsPath},
       stdio: ['ignore', 'pipe', 'pipe'],
     });
