Refuse at once what the limits of servers leave no room for

Cause: prompts that found no room waited at their node for up to 2 s. Room is handed out at the same rate either way, so the wait gained nothing: callers that were served waited behind those that were not, past their objective of 300 ms.

A prompt that finds room for neither its prefill nor its decode is now refused with the time until there is room, at least 0.1 s. Only a prompt whose decode engines stated their limits after its prefill had begun still waits for one.

--- a/src/gateway/service_flow.ts
+++ b/src/gateway/service_flow.ts
@@ -10,7 +10,7 @@
 import type {RequestTask} from './request_task';
 import {sendToServer} from './server_call';
 import {tryChooseServer} from './service_choice';
-import {tryGetShortestWaitMs} from './server_waits';
+import {tryGetRetryAfterMs} from './server_waits';
 import type {ServiceLoads} from './service_loads';
 import {type BackendEntry, type CallFailure, RequestKind} from './types';
 
@@ -49,11 +49,15 @@
   function start(): void {
     const server = chooseServer();
     if (server === undefined) {
-      const waitMs = tryGetShortestWaitMs(
+      const retryAfterMs = tryGetRetryAfterMs(
         context,
         context.state.listUsable(task.service),
       );
-      task.fail(getVerdict(), 'no server of the service is available', waitMs);
+      task.fail(
+        getVerdict(),
+        'no server of the service is available',
+        retryAfterMs,
+      );
       return;
     }
     send(server);
--- a/src/gateway/stream_admission.ts
+++ b/src/gateway/stream_admission.ts
@@ -28,7 +28,7 @@
 const OBJECTIVE_MULTIPLIER = 4;
 const PAUSE_OBJECTIVE_MULTIPLIER = 8;
 /** Lower bound on the retry-after time of a refused caller, in milliseconds. */
-const MIN_RETRY_AFTER_MS = 100;
+export const MIN_RETRY_AFTER_MS = 100;
 /** Fraction of the objective that a prompt may wait at an engine although it will miss the objective, so that large prompts are served too. */
 const LATE_WAIT_FRACTION = 0.25;
 /** Fraction of the caller's time-out that is reserved for sending the first event back to it. */
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -18,7 +18,7 @@
 } from './placement';
 import {type PrefillCall, startPrefillCall} from './prefill_call';
 import type {RequestTask} from './request_task';
-import {tryGetShortestWaitMs} from './server_waits';
+import {tryGetRetryAfterMs} from './server_waits';
 import {
   Admission,
   chooseAdmission,
@@ -93,10 +93,7 @@
   function start(): void {
     if (tryStart()) return;
     const budgetMs = getFirstEventBudgetMs(getAdmissionTimes());
-    const waitMs = Math.max(
-      context.waitingPrompts.predictWaitMs(),
-      tryGetEngineWaitMs() ?? 0,
-    );
+    const waitMs = context.waitingPrompts.predictWaitMs();
     if (waitMs > budgetMs) {
       refuse(waitMs);
       return;
@@ -115,8 +112,7 @@
     const input = createInput();
     const placement = tryChoosePrefill(input);
     if (placement === undefined && input.engines.length === 0) {
-      if (listAvailable().length > 0) return false;
-      failWithoutEngine('no engine is available');
+      failWithoutEngine();
       return true;
     }
     const admission = chooseAdmission({
@@ -133,7 +129,8 @@
     const {server} = placement;
     const isDirect = server.stage === EngineStage.Decode;
     if (!isDirect && !reservation.tryReserve(server.failureDomain)) {
-      return false;
+      failWithoutDecodeEngine();
+      return true;
     }
     records.recordPlaced(placement);
     if (isDirect) sendDecode(server, placement);
@@ -216,15 +213,19 @@
   }
 
   /** Ends the request. When pauses or limits hold back all engines, the caller may retry after the shortest wait. */
-  function failWithoutEngine(reason: string): void {
-    task.fail(getVerdict(), reason, tryGetEngineWaitMs());
+  function failWithoutEngine(): void {
+    const engines = context.state.listUsable(task.service);
+    const retryAfterMs = tryGetRetryAfterMs(context, engines);
+    task.fail(getVerdict(), 'no engine is available', retryAfterMs);
   }
 
-  function tryGetEngineWaitMs(): number | undefined {
-    return tryGetShortestWaitMs(
+  function failWithoutDecodeEngine(): void {
+    const engines = context.state.listUsable(task.service);
+    const retryAfterMs = tryGetRetryAfterMs(
       context,
-      context.state.listUsable(task.service),
+      engines.filter(isDecodeEngine),
     );
+    task.fail(getVerdict(), 'no decode engine is available', retryAfterMs);
   }
 
   function sendPrefill(placement: PrefillPlacement): void {
@@ -300,7 +301,7 @@
     if (decode !== undefined) submitToDecode(decode, sample);
     else if (listAvailable().some(isDecodeEngine)) {
       waitForDecode(server.failureDomain, sample);
-    } else failWithoutDecode();
+    } else cancelPrefilled();
   }
 
   function submitToDecode(decode: BackendEntry, sample?: PrefillSample): void {
@@ -310,7 +311,7 @@
 
   /** Waits for a decode engine when their limits were stated only after the prompt had been sent. */
   function waitForDecode(sourceDomain: string, sample?: PrefillSample): void {
-    task.log('waits for a decode engine', {waitMs: tryGetEngineWaitMs()});
+    task.log('waits for a decode engine', {serverId: kv?.serverId});
     cancelWaiting = context.waitingPrompts.add({
       rank: route.rank,
       expiresAtMs:
@@ -320,14 +321,14 @@
         if (decode !== undefined) submitToDecode(decode, sample);
         return decode !== undefined;
       },
-      onExpired: failWithoutDecode,
+      onExpired: cancelPrefilled,
     });
   }
 
-  function failWithoutDecode(): void {
+  function cancelPrefilled(): void {
     records.recordAbandoned();
     releaseKv();
-    failWithoutEngine('no decode engine is available');
+    failWithoutDecodeEngine();
   }
 
   /** Compares the observed time of a prefill with its nominal time. Returns undefined for short prefills, which say little about the engine's speed. */
--- a/test/platform/limited_fleet.ts
+++ b/test/platform/limited_fleet.ts
@@ -1,10 +1,13 @@
 /** Gateway processes before servers that state limits, under open-loop traffic. */
 import {execFileSync} from 'node:child_process';
+import {createSocket} from 'node:dgram';
+import {once} from 'node:events';
 import {mkdtempSync} from 'node:fs';
 import {Agent} from 'node:http';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {encodeMessage, type PeerMessage} from '../../src/gateway/peer_messages';
 import {createDraw} from '../soak/schedule';
 import {
   type NodeProcess,
@@ -38,11 +41,15 @@
   readonly requests: ReadonlyMap<string, SentRequest>;
   /** Lets a server state a limit from now on, in requests per second, or none. */
   setLimit(serverId: string, limitPerS: number | undefined): void;
+  /** Cuts a node off from the other nodes, but not from the servers, or lets it hear them again. */
+  setCutOff(node: NodeProcess, isCutOff: boolean): void;
   /** Sends requests to `paths` in turn at a mean rate until `durationMs` has passed; nodes with lower indexes get more of them. */
   sendTraffic(options: {
     readonly paths: readonly string[];
     readonly ratePerS: number;
     readonly durationMs: number;
+    /** Shared and other tokens of model requests. */
+    readonly tokens?: readonly [number, number];
   }): Promise<void>;
   /** Describes the limits that were exceeded; requests that one of the excluded nodes sent do not count. */
   listViolations(excluded?: ReadonlySet<NodeProcess>): string[];
@@ -51,6 +58,9 @@
 
 /** Time that the servers work on a request, in milliseconds. */
 const WORK_MS = 5;
+/** Shared and other tokens of a model request unless the traffic states others. */
+const DEFAULT_TOKENS = [600, 300] as const;
+const HOST = '127.0.0.1';
 const START_LIMIT_MS = 15_000;
 
 const program = join(mkdtempSync(join(tmpdir(), 'anvilstack-')), 'gateway.cjs');
@@ -83,6 +93,9 @@
   );
   const {nodes} = processes;
   const agent = new Agent({keepAlive: true});
+  const socket = createSocket('udp4');
+  socket.bind(0, HOST);
+  await once(socket, 'listening');
   const requests = new Map<string, SentRequest>();
   for (const node of nodes) {
     await waitUntil(
@@ -96,10 +109,12 @@
     servers,
     requests,
     setLimit,
+    setCutOff,
     sendTraffic,
     listViolations,
     close: async () => {
       agent.destroy();
+      socket.close();
       await processes.close();
       for (const server of servers.values()) server.close();
       store.close();
@@ -132,15 +147,49 @@
     changes.get(serverId)?.push({atMs: performance.now(), limitPerS});
   }
 
+  function setCutOff(node: NodeProcess, isCutOff: boolean): void {
+    for (const other of nodes) {
+      if (other === node) continue;
+      sendAddress(node, other, isCutOff);
+      sendAddress(other, node, isCutOff);
+    }
+  }
+
+  /** Tells a node the address of another one; with `isWrong`, that of this process, which ignores what it gets. */
+  function sendAddress(
+    node: NodeProcess,
+    other: NodeProcess,
+    isWrong: boolean,
+  ): void {
+    const message: PeerMessage = {
+      kind: 'hello',
+      node: {
+        name: other.name,
+        host: HOST,
+        peerPort: isWrong ? socket.address().port : other.peerPort,
+        controlPort: other.readyPort,
+        failureDomain: 'a',
+      },
+      wantsReply: false,
+    };
+    socket.send(encodeMessage(message), node.peerPort, HOST);
+  }
+
   async function sendTraffic(traffic: {
     readonly paths: readonly string[];
     readonly ratePerS: number;
     readonly durationMs: number;
+    readonly tokens?: readonly [number, number];
   }): Promise<void> {
     const endsAtMs = performance.now() + traffic.durationMs;
     const open: Array<Promise<void>> = [];
     for (let count = 0; performance.now() < endsAtMs; count++) {
-      open.push(sendOne(traffic.paths[count % traffic.paths.length]));
+      open.push(
+        sendOne(
+          traffic.paths[count % traffic.paths.length],
+          traffic.tokens ?? DEFAULT_TOKENS,
+        ),
+      );
       await sleep((1_000 / traffic.ratePerS) * (0.5 + draw(1_000) / 1_000));
     }
     await Promise.all(open);
@@ -152,7 +201,10 @@
     return nodes[index < 0 ? nodes.length - 1 : index];
   }
 
-  async function sendOne(path: string): Promise<void> {
+  async function sendOne(
+    path: string,
+    [shared, other]: readonly [number, number],
+  ): Promise<void> {
     const node = chooseNode();
     const id = `q${requests.size}`;
     const isModel = path.startsWith('/ask') || path.startsWith('/resume');
@@ -163,7 +215,12 @@
       id,
       agent,
       abortAfterMs: 4_000,
-      ...(isModel ? {tokens: '900,9', parts: `s${draw(5)}:600,${id}:300`} : {}),
+      ...(isModel
+        ? {
+            tokens: `${shared + other},9`,
+            parts: `s${draw(5)}:${shared},${id}:${other}`,
+          }
+        : {}),
     }).catch(() => undefined);
   }
 
@@ -184,7 +241,7 @@
 }
 
 async function isReady(node: NodeProcess): Promise<boolean> {
-  const url = `http://127.0.0.1:${node.readyPort}/readyz`;
+  const url = `http://${HOST}:${node.readyPort}/readyz`;
   const response = await fetch(url).catch(() => undefined);
   await response?.text();
   return response?.status === 200;
--- a/test/platform/server_limits.test.ts
+++ b/test/platform/server_limits.test.ts
@@ -49,3 +49,107 @@
   const limitedCount = LIMITED_IDS.length * LIMIT_PER_S * unlimitedS;
   assert.ok(afterEnd.length > 2 * limitedCount, `${afterEnd.length}`);
 });
+
+test('callers are served up to the limits of all servers together, and others are refused at once with Retry-After', async () => {
+  const fleet = await startLimitedFleet({
+    nodes: 6,
+    apps: 3,
+    prefill: 3,
+    decode: 2,
+  });
+  const traffic = [
+    fleet.sendTraffic({
+      paths: ['/look/x', '/order/x'],
+      ratePerS: 50,
+      durationMs: 8_000,
+    }),
+    fleet.sendTraffic({
+      paths: ['/ask/x', '/resume/x'],
+      ratePerS: 20,
+      durationMs: 8_000,
+      tokens: [4_000, 2_000],
+    }),
+  ];
+  await sleep(1_000);
+  for (const id of fleet.servers.keys()) fleet.setLimit(id, 4);
+  await sleep(1_000);
+  const fromMs = performance.now();
+  const {nodes} = fleet.processes;
+  const earlierChunks = nodes.map(node => node.listLines().length);
+  await Promise.all(traffic);
+  const durationS = (performance.now() - fromMs) / 1_000;
+  const sent = [...fleet.requests.values()].filter(
+    ({sentAtMs}) => sentAtMs >= fromMs,
+  );
+  const answers = sent.map(({answer}) => answer);
+  const servers = [...fleet.servers.values()];
+  const violations = fleet.listViolations();
+  const waits = nodes
+    .map((node, index) => node.listLines().slice(earlierChunks[index]).join(''))
+    .flatMap(text => text.match(/waits for an engine/g) ?? []);
+  const prefills = servers.flatMap(server => server.prefills).length;
+  const transfers = servers
+    .flatMap(server => server.runs)
+    .filter(run => run.headers['anvilstack-kv-source'] !== undefined).length;
+  await fleet.close();
+  assert.deepEqual(violations, []);
+  assert.equal(waits.length, 0);
+  for (const answer of answers) {
+    assert.ok(answer?.status === 200 || answer?.status === 503);
+    if (answer.status === 503) assert.ok(answer.headers['retry-after']);
+  }
+  for (const [paths, serverCount] of [
+    ['/look /order', 3],
+    ['/ask /resume', 2],
+  ] as const) {
+    const served = sent.filter(
+      ({path, answer}) =>
+        answer?.status === 200 && paths.includes(path.slice(0, -2)),
+    );
+    const admitted = serverCount * 4 * durationS;
+    assert.ok(served.length >= 0.8 * admitted, `${paths}: ${served.length}`);
+  }
+  assert.ok(prefills <= transfers + 10, `${prefills} prefills, ${transfers}`);
+});
+
+test('a limit holds over all processes while some of them are killed, frozen, stopped and cut off from the others', async () => {
+  const fleet = await startLimitedFleet({nodes: 8, apps: 3, decode: 3});
+  const {nodes} = fleet.processes;
+  const traffic = [
+    fleet.sendTraffic({
+      paths: ['/look/x', '/order/x'],
+      ratePerS: 60,
+      durationMs: 15_000,
+    }),
+    fleet.sendTraffic({
+      paths: ['/ask/x', '/resume/x'],
+      ratePerS: 30,
+      durationMs: 15_000,
+    }),
+  ];
+  await sleep(500);
+  for (const id of fleet.servers.keys()) fleet.setLimit(id, 3);
+  await sleep(1_500);
+  nodes[0].signal('SIGKILL');
+  await nodes[0].waitForExit();
+  nodes[0].start();
+  nodes[1].signal('SIGSTOP');
+  fleet.setCutOff(nodes[2], true);
+  await sleep(2_500);
+  nodes[1].signal('SIGCONT');
+  nodes[3].signal('SIGTERM');
+  await sleep(2_500);
+  fleet.setCutOff(nodes[2], false);
+  for (const id of fleet.servers.keys()) fleet.setLimit(id, 6);
+  await nodes[3].waitForExit();
+  nodes[3].start();
+  nodes[4].signal('SIGKILL');
+  nodes[5].signal('SIGKILL');
+  await Promise.all([nodes[4].waitForExit(), nodes[5].waitForExit()]);
+  nodes[4].start();
+  nodes[5].start();
+  await Promise.all(traffic);
+  const violations = fleet.listViolations();
+  await fleet.close();
+  assert.deepEqual(violations, []);
+});
