Divide the retry budget by the nodes that are known now, not by those known at the first request

A node's share of the fleet's retries was fixed when the first request for a service came.

The capacity of a budget is now a function; the share follows the number of known nodes, and what was saved up beyond it is dropped. What remains: a share is at least one retry, so the sum exceeds a budget that is smaller than the number of nodes.

--- a/src/gateway/retry_shares.ts
+++ b/src/gateway/retry_shares.ts
@@ -23,12 +23,14 @@
     const known = budgets.get(service);
     if (known !== undefined) return known;
     const {retryRatio, retrySlack} = options.bounds;
-    const nodes = Math.max(MIN_BUDGET_NODES, options.countNodes());
-    const share = Math.max(1, (retrySlack / nodes) * BUDGET_FRACTION);
+    const getShare = (): number => {
+      const nodes = Math.max(MIN_BUDGET_NODES, options.countNodes());
+      return Math.max(1, (retrySlack / nodes) * BUDGET_FRACTION);
+    };
     const created = createRetryBudget({
       ratio: retryRatio * BUDGET_FRACTION,
-      capacity: share,
-      initial: share,
+      getCapacity: getShare,
+      initial: getShare(),
     });
     budgets.set(service, created);
     return created;
--- a/src/routing/retry_budget.ts
+++ b/src/routing/retry_budget.ts
@@ -15,25 +15,26 @@
 export interface RetryBudgetOptions {
   /** Retries added for each new request. */
   readonly ratio?: number;
-  /** Most retries saved up. */
-  readonly capacity?: number;
+  /** Returns the most retries that may be saved up, which may vary. */
+  readonly getCapacity?: () => number;
   /** Retries available at the start. */
   readonly initial?: number;
 }
 
-const DEFAULTS = {ratio: 0.05, capacity: 8, initial: 2};
+const DEFAULTS = {ratio: 0.05, getCapacity: () => 8, initial: 2};
 
 /** Creates a budget. */
 export function createRetryBudget(
   options: RetryBudgetOptions = {},
 ): RetryBudget {
-  const {ratio, capacity, initial} = {...DEFAULTS, ...options};
+  const {ratio, getCapacity, initial} = {...DEFAULTS, ...options};
   let tokens = initial;
   return {
     recordRequest: () => {
-      tokens = Math.min(capacity, tokens + ratio);
+      tokens = Math.min(getCapacity(), tokens + ratio);
     },
     tryTake: () => {
+      tokens = Math.min(getCapacity(), tokens);
       if (tokens < 1) return false;
       tokens--;
       return true;
