Write the last log lines before a gateway process exits, and count lines that cannot be written

Operators missed the line 'gateway stopped' after planned stops: the process exited with lines still queued in the asynchronous writer. The writer's callback also took no notice of an error or of a partial write, so lines were lost without being counted.

The writer is a module of its own: it goes on where a partial write ended, repeats a write that a full pipe refused, counts what cannot be written, and is drained for at most 0.4 s before the exit, within the half second that a stop leaves to the platform.

--- a/src/gateway_process.ts
+++ b/src/gateway_process.ts
@@ -1,5 +1,4 @@
 /** Runs a gateway with the platform's store and protocol until SIGTERM. */
-import {write} from 'node:fs';
 import {createLogger, type Logger} from './diagnostics/log';
 import {createGateway} from './gateway';
 import {
@@ -9,15 +8,16 @@
   loadNodeSettings,
   SETTINGS_PATH_VARIABLE,
 } from './platform';
+import {createDescriptorWrite, createLineWriter} from './runtime/line_writer';
 import {createSystemClock} from './runtime/system_clock';
 import {watchUnhandledErrors} from './runtime/unhandled_errors';
 
 const EXIT_SUCCESS = 0;
 const EXIT_FAILED = 1;
 const EXIT_BAD_SETTINGS = 2;
-/** Maximum number of queued log lines; further ones are dropped. Holds some seconds of lines under load. */
-const MAX_QUEUED_LINES = 2_000;
 const STDOUT_FD = 1;
+/** Time to write the last log lines, in milliseconds; it ends before the platform kills the process. */
+const LOG_DRAIN_MS = 400;
 
 /** Runs a gateway with a settings file, by default the one that the platform's environment variable names; returns the exit code. */
 export async function runGatewayProcess(
@@ -32,9 +32,10 @@
     process.stderr.write(`${settings.val}\n`);
     return EXIT_BAD_SETTINGS;
   }
+  const lines = createLineWriter({write: createDescriptorWrite(STDOUT_FD)});
   const logger = createLogger({
     node: settings.val.nodeName,
-    write: createLineWriter(),
+    write: lines.write,
   });
   watchReload(path, logger);
   watchUnhandledErrors(error => {
@@ -60,6 +61,7 @@
   await new Promise(resolve => process.once('SIGTERM', resolve));
   await gateway.stop();
   client.close();
+  await lines.drain(LOG_DRAIN_MS);
   return EXIT_SUCCESS;
 }
 
@@ -72,34 +74,3 @@
     });
   });
 }
-
-/** Creates a writer that does not block; lines beyond its queue's capacity are dropped and counted. */
-function createLineWriter(): (line: string) => void {
-  let queuedLines: string[] = [];
-  let isWriting = false;
-  let droppedCount = 0;
-  return line => {
-    if (queuedLines.length >= MAX_QUEUED_LINES) {
-      droppedCount++;
-      return;
-    }
-    queuedLines.push(line);
-    if (!isWriting) writeQueued();
-  };
-
-  function writeQueued(): void {
-    isWriting = true;
-    if (droppedCount > 0) {
-      queuedLines.push(
-        JSON.stringify({message: 'log lines dropped', droppedCount}),
-      );
-      droppedCount = 0;
-    }
-    const text = queuedLines.map(line => `${line.trimEnd()}\n`).join('');
-    queuedLines = [];
-    write(STDOUT_FD, text, () => {
-      isWriting = false;
-      if (queuedLines.length > 0) writeQueued();
-    });
-  }
-}
