Let servers state limits in the soak

Each run of the soak draws limits of 0 to 11 requests a second for a third of the servers, changed once in their time, and checks the rule on the sum over all nodes that were not killed, stopped or paused in the run.

--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -27,6 +27,14 @@
   readonly fault: Fault;
 }
 
+/** A server that states limits on its requests, the second one from the middle of the time on. */
+export interface TimedLimit {
+  readonly server: number;
+  readonly atMs: number;
+  readonly durationMs: number;
+  readonly limitsPerS: readonly [number, number];
+}
+
 /** Draws a random integer from 0 to `below - 1`; the same seed gives the same sequence. */
 export type Draw = (below: number) => number;
 
@@ -49,6 +57,9 @@
 ];
 const MIN_FAULT_MS = 200;
 const MAX_FAULT_MS = 2_500;
+const MIN_LIMIT_MS = 2_000;
+/** Upper bound on the limits of servers, in requests per second: lower than their load without one. */
+const MAX_LIMIT_PER_S = 12;
 
 /** Creates a seeded source of random integers. */
 export function createDraw(seed: number): Draw {
@@ -72,6 +83,21 @@
   })).sort((left, right) => left.atMs - right.atMs);
 }
 
+/** Draws a limit for some of the servers; they hold beside the faults of the schedule. */
+export function buildLimits(options: {
+  readonly draw: Draw;
+  readonly runDurationMs: number;
+  readonly servers: number;
+}): TimedLimit[] {
+  const {draw, runDurationMs} = options;
+  return Array.from({length: options.servers}, (_, server) => ({
+    server,
+    atMs: draw(runDurationMs / 2),
+    durationMs: MIN_LIMIT_MS + draw(runDurationMs - MIN_LIMIT_MS),
+    limitsPerS: [draw(MAX_LIMIT_PER_S), draw(MAX_LIMIT_PER_S)] as const,
+  })).filter(() => draw(3) === 0);
+}
+
 function createFault(options: {
   readonly draw: Draw;
   readonly nodes: number;
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -32,6 +32,7 @@
     context.diagnostic(`${result.answered} of ${result.requests} answered`);
     const report = [
       JSON.stringify(result.schedule),
+      JSON.stringify(result.limits),
       ...result.lines.slice(-400),
     ].join('\n');
     assert.deepEqual(result.violations, [], report);
--- a/test/soak/violations.ts
+++ b/test/soak/violations.ts
@@ -1,11 +1,14 @@
 /** Checks the responses that callers got against the requests that servers ran. */
 import type {ServerStandin} from '../platform/server_standin';
+import {listLimitViolations} from '../platform/limit_check';
 import type {CallerAnswer} from '../platform/system';
 
 /** A request of the soak test; `kind` is the name of its route. */
 export interface SoakRequest {
   readonly id: string;
   readonly kind: 'look' | 'order' | 'ask' | 'resume';
+  /** Name of the node that got the request. */
+  readonly node: string;
   readonly answer?: CallerAnswer;
 }
 
@@ -81,6 +84,24 @@
     : [`${id} got the body ${answer.body}`];
 }
 
+/** Lists the limits of servers that nodes exceeded together, leaving out those that were killed, stopped or paused in the run. */
+export function listExceededLimits(
+  requests: readonly SoakRequest[],
+  servers: readonly ServerStandin[],
+  disturbedNodes: ReadonlySet<string>,
+): string[] {
+  const nodes = new Map(requests.map(({id, node}) => [id, node]));
+  return servers.flatMap(({id, arrivals, limitChanges}) =>
+    listLimitViolations(
+      id,
+      arrivals.filter(
+        arrival => !disturbedNodes.has(nodes.get(arrival.id ?? '') ?? ''),
+      ),
+      limitChanges,
+    ),
+  );
+}
+
 /** Checks that the fencing numbers of an engine's orders never fall and that each has a single holder. */
 function listOrderViolations(server: ServerStandin): string[] {
   const violations: string[] = [];
