Tell other nodes only the limits that a node has seen in answers itself

Found by reading the fix again: a limit that a node had from another one was passed on with its age since it arrived, so that each hop made it newer by the time in transit. It could revive a limit at a node that had seen its end (new test, which fails without this change); on the model the end was still noticed, because the nodes that passed it on soon saw the end as well.

A report now carries the limit only if its sender has read it in an answer; the sender's rate goes with every report.

--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -101,17 +101,23 @@
   readonly stage: EngineStage;
 }
 
-/** The limit that a server states, as far as the sender knows, and the sender's requests to the server. */
+/** The limit of a server's requests, as stated in an answer. */
+export interface StatedLimit {
+  /** Requests per second from all nodes together; absent when the server states no limit any more. */
+  readonly limitPerS?: number;
+  /** Time since the server stated this, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/** What a node has seen of a server's limit, and its requests to the server. */
 export interface LimitMessage {
   readonly kind: 'limit';
   readonly from: string;
   readonly serverId: string;
   /** Start time of the server's process, in milliseconds since the Unix epoch. */
   readonly startedAtMs: number;
-  /** Requests per second from all nodes together; absent when the server states no limit any more. */
-  readonly limitPerS?: number;
-  /** Time since the server stated this, in milliseconds. */
-  readonly ageMs: number;
+  /** Absent when the sender knows the limit only from other nodes: passed on, it would appear newer with each message. */
+  readonly stated?: StatedLimit;
   /** Decaying average of the sender's requests per second. */
   readonly ratePerS: number;
 }
--- a/src/gateway/server_limits.ts
+++ b/src/gateway/server_limits.ts
@@ -49,6 +49,8 @@
   limitPerS: number | undefined;
   /** When this was last stated, on the monotonic clock, in milliseconds. */
   statedAtMs: number;
+  /** True when this node has seen this in an answer itself. */
+  isSeen: boolean;
   readonly rate: FleetRate;
   /** Requests that are counted in the rate, but not sent yet. */
   reservedCount: number;
@@ -173,7 +175,13 @@
     const statedAtMs =
       limitPerS === undefined ? sentAtMs : clock.getMonotonicMs();
     const {id, startedAtMs} = server;
-    const change = applyLimit(id, startedAtMs, limitPerS, statedAtMs);
+    const state = states.get(formatKey(id, startedAtMs));
+    if (state === undefined && limitPerS === undefined) return;
+    const change = applyLimit(
+      state ?? createState(id, startedAtMs),
+      {limitPerS, statedAtMs},
+      true,
+    );
     if (change === undefined) return;
     logger.log('info', 'backend server states another limit', {
       serverId: id,
@@ -183,20 +191,15 @@
     notify(createMessage(change.state));
   }
 
-  /** Applies a limit unless a newer one is known; returns the state if the limit has changed. */
+  /** Applies a limit unless a newer one is known; returns the previous one if it has changed. */
   function applyLimit(
-    serverId: string,
-    startedAtMs: number,
-    limitPerS: number | undefined,
-    statedAtMs: number,
+    state: LimitState,
+    {limitPerS, statedAtMs}: Pick<LimitState, 'limitPerS' | 'statedAtMs'>,
+    isSeen: boolean,
   ): {state: LimitState; previousPerS: number | undefined} | undefined {
-    const known = states.get(formatKey(serverId, startedAtMs));
-    if (known === undefined && limitPerS === undefined) return undefined;
-    const state = known ?? createState(serverId, startedAtMs);
     if (state.statedAtMs >= statedAtMs) return undefined;
     const previousPerS = state.limitPerS;
-    state.statedAtMs = statedAtMs;
-    state.limitPerS = limitPerS;
+    Object.assign(state, {limitPerS, statedAtMs, isSeen});
     if (limitPerS === undefined) state.reservedCount = 0;
     return previousPerS === limitPerS ? undefined : {state, previousPerS};
   }
@@ -207,6 +210,7 @@
       startedAtMs,
       limitPerS: undefined,
       statedAtMs: Number.NEGATIVE_INFINITY,
+      isSeen: false,
       rate: createFleetRate(),
       reservedCount: 0,
       reportTimer: undefined,
@@ -217,34 +221,40 @@
   }
 
   function handle(message: LimitMessage): void {
-    const {serverId, startedAtMs, limitPerS, ageMs} = message;
+    const {serverId, startedAtMs, stated, from} = message;
     const nowMs = clock.getMonotonicMs();
-    const change = applyLimit(serverId, startedAtMs, limitPerS, nowMs - ageMs);
-    if (change !== undefined) {
-      logger.log('info', 'another node reports the limit of a backend server', {
-        serverId,
-        limitPerS: limitPerS ?? null,
-        previousPerS: change.previousPerS ?? null,
-        from: message.from,
-        ageMs,
-      });
-    }
-    const state = states.get(formatKey(serverId, startedAtMs));
-    if (state === undefined) return;
-    state.rate.recordReport(message.from, message.ratePerS, nowMs);
+    const state =
+      states.get(formatKey(serverId, startedAtMs)) ??
+      createState(serverId, startedAtMs);
+    state.rate.recordReport(from, message.ratePerS, nowMs);
+    if (stated === undefined) return;
+    const {limitPerS, ageMs} = stated;
+    const statedAtMs = nowMs - ageMs;
+    const change = applyLimit(state, {limitPerS, statedAtMs}, false);
+    if (change === undefined) return;
+    logger.log('info', 'another node reports the limit of a backend server', {
+      serverId,
+      limitPerS: limitPerS ?? null,
+      previousPerS: change.previousPerS ?? null,
+      from,
+      ageMs,
+    });
   }
 
   function createMessage(state: LimitState): LimitMessage {
     const {serverId, startedAtMs, limitPerS, statedAtMs} = state;
     const nowMs = clock.getMonotonicMs();
     const {timeConstantMs} = computeAllowance(state);
+    const stated = {
+      ...(limitPerS === undefined ? {} : {limitPerS}),
+      ageMs: Math.round(nowMs - statedAtMs),
+    };
     return {
       kind: 'limit',
       from: options.nodeName,
       serverId,
       startedAtMs,
-      ...(limitPerS === undefined ? {} : {limitPerS}),
-      ageMs: Math.round(nowMs - statedAtMs),
+      ...(state.isSeen ? {stated} : {}),
       ratePerS: state.rate.getOwnPerS(nowMs, timeConstantMs),
     };
   }
--- a/test/gateway/server_limits.test.ts
+++ b/test/gateway/server_limits.test.ts
@@ -1,7 +1,11 @@
 /** The sum of all nodes' requests to a server that states a limit. */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import type {LimitMessage} from '../../src/gateway/peer_messages';
+import {createServerLimits} from '../../src/gateway/server_limits';
+import {createVirtualClock} from '../../src/runtime';
 import {createLimitedFleetModel} from './limited_fleet_model';
+import {createEntry, SILENT_LOGGER} from './support';
 
 /** Longest part of the limit that may stay unused under more requests than it admits. */
 const MAX_UNUSED_FRACTION = 0.15;
@@ -108,3 +112,46 @@
     }
   });
 }
+
+test('the end of a limit is noticed although messages of other nodes about it are still on their way', async () => {
+  for (const limitPerS of [4.3, 50, 900]) {
+    const model = createLimitedFleetModel({nodes: 12, maxDelayMs: 80});
+    model.setLimit(limitPerS);
+    await model.offer({ratePerS: 1_000, durationMs: 5_000});
+    model.setLimit(undefined);
+    await model.offer({ratePerS: 1_000, durationMs: 3_000});
+    const atMs = model.clock.getMonotonicMs() - MS_PER_S;
+    const last = model.arrivals.filter(arrival => arrival.atMs > atMs);
+    assert.ok(last.length > 900, `${limitPerS}/s: ${last.length}`);
+  }
+});
+
+test('a node that knows a limit only from others does not revive it at a node that has seen its end', async () => {
+  const clock = createVirtualClock();
+  const server = createEntry();
+  const createNode = (nodeName: string) => {
+    const sent: LimitMessage[] = [];
+    const limits = createServerLimits({
+      nodeName,
+      clock,
+      logger: SILENT_LOGGER,
+      metrics: {recordLimitedSend: () => undefined},
+      getReach: () => 1,
+      notify: message => sent.push(message),
+    });
+    return {limits, sent};
+  };
+  const [first, second, third] = ['a', 'b', 'c'].map(createNode);
+  first.limits.recordSend(server)(5);
+  await clock.advance(10);
+  third.limits.handle(first.sent[0]);
+  await clock.advance(1);
+  const recordLimit = third.limits.recordSend(server);
+  await clock.advance(40);
+  second.limits.handle(first.sent[0]);
+  second.limits.recordSend(server);
+  recordLimit(undefined);
+  await clock.advance(10);
+  for (const message of second.sent) third.limits.handle(message);
+  assert.equal(third.limits.isLimited(server), false);
+});
