Move the choice of engines for a model request out of the stream flow

The list of usable engines, the placement's input and the times for callers to come back are one module now.

--- /dev/null
+++ b/src/gateway/stream_engines.ts
@@ -0,0 +1,125 @@
+/** Lists and chooses the engines for one model request. */
+import {computeTransferMs} from './engine_costs';
+import type {FlowContext} from './flow_context';
+import {
+  type PlacementInput,
+  tryChooseDecode,
+  tryChoosePrefill,
+} from './placement';
+import type {RequestTask} from './request_task';
+import {tryGetRetryAfterMs} from './server_waits';
+import {
+  type BackendEntry,
+  type EngineLimits,
+  EngineStage,
+  type ModelRequest,
+} from './types';
+
+/** The engines for one model request. */
+export interface StreamEngines {
+  /** Lists the engines that can be used apart from their limits. */
+  listAvailable(): BackendEntry[];
+  /** Chooses an engine for the prefill; `hasEngines` is false when there is none to choose from. */
+  choosePrefill(): {
+    placement: ReturnType<typeof tryChoosePrefill>;
+    hasEngines: boolean;
+  };
+  /** Chooses a decode engine near the KV cache; undefined when there is none. */
+  tryChooseDecode(sourceDomain: string | undefined): BackendEntry | undefined;
+  hasDecodeEngine(): boolean;
+  /** How long a stream that comes now waits for a slot of the engine, in milliseconds. */
+  getSlotWaitMs(server: BackendEntry): number;
+  /** Excludes an engine that failed this request. */
+  remove(serverId: string): void;
+  /** Returns the time after which the caller may retry when pauses or limits hold back all engines, or all of a stage, in milliseconds. */
+  tryGetRetryAfterMs(stage?: EngineStage): number | undefined;
+}
+
+/** Overhead of a second call when prefill and decode run on different engines, in milliseconds: a round trip and this node's processing. */
+const HANDOFF_OVERHEAD_MS = 6;
+
+/** Creates the engines for a request. */
+export function createStreamEngines(
+  context: FlowContext,
+  engine: EngineLimits,
+  model: ModelRequest,
+  task: RequestTask,
+): StreamEngines {
+  const {clock} = context;
+  const {exchange} = task;
+  const excluded = new Set<string>();
+  return {
+    listAvailable,
+    choosePrefill: () => {
+      const input = createInput();
+      return {
+        placement: tryChoosePrefill(input),
+        hasEngines: input.engines.length > 0,
+      };
+    },
+    tryChooseDecode: sourceDomain =>
+      tryChooseDecode({
+        ...createInput(),
+        nodeName: context.nodeName,
+        engine,
+        promptTokens: model.promptTokens,
+        sourceDomain,
+      }),
+    hasDecodeEngine: () =>
+      listAvailable().some(server => server.stage === EngineStage.Decode),
+    getSlotWaitMs,
+    remove: serverId => {
+      excluded.add(serverId);
+    },
+    tryGetRetryAfterMs: stage =>
+      tryGetRetryAfterMs(
+        context,
+        context.state
+          .listUsable(task.service)
+          .filter(server => stage === undefined || server.stage === stage),
+      ),
+  };
+
+  function createInput(): PlacementInput {
+    const nowMs = clock.getMonotonicMs();
+    return {
+      request: model,
+      engines: listAvailable().filter(context.limits.canSend),
+      prefillQueues: context.prefillQueues,
+      prefixes: context.prefixes,
+      affinity: context.affinity,
+      path: context.path,
+      isHomeCacheWarm: context.isHomeCacheWarm,
+      predictPrefillMs: (promptTokens, cachedTokens) =>
+        context.speeds.predictPrefillMs(
+          task.service,
+          promptTokens,
+          cachedTokens,
+        ),
+      getSlowdown: context.health.getSlowdown,
+      countStreams: serverId => context.streams.count(serverId, nowMs),
+      getSlotWaitMs,
+      handoffMs:
+        computeTransferMs(model.promptTokens, engine, false) +
+        HANDOFF_OVERHEAD_MS,
+      bodyBytes: exchange.body?.length ?? 0,
+      nowMs,
+    };
+  }
+
+  function listAvailable(): BackendEntry[] {
+    return context.health
+      .listHealthy(context.state.listUsable(task.service))
+      .filter(
+        server =>
+          !excluded.has(server.id) &&
+          !context.isChangingStage(server.id) &&
+          !context.pauses.isPaused(server),
+      );
+  }
+
+  function getSlotWaitMs(server: BackendEntry): number {
+    const nowMs = clock.getMonotonicMs();
+    return context.streams.getWaitMs(server.id, server.maxRunning, nowMs);
+  }
+}
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -10,21 +10,16 @@
 import {createEventSplitter} from './event_splitter';
 import type {FlowContext} from './flow_context';
 import type {PrefillSample} from './peer_messages';
-import {
-  type PlacementInput,
-  type PrefillPlacement,
-  tryChooseDecode,
-  tryChoosePrefill,
-} from './placement';
+import type {PrefillPlacement} from './placement';
 import {type PrefillCall, startPrefillCall} from './prefill_call';
 import type {RequestTask} from './request_task';
-import {tryGetRetryAfterMs} from './server_waits';
 import {
   Admission,
   chooseAdmission,
   computeRetryAfterMs,
   getFirstEventBudgetMs,
 } from './stream_admission';
+import {createStreamEngines} from './stream_engines';
 import {createStreamRecords} from './stream_records';
 import {
   type BackendEntry,
@@ -43,8 +38,6 @@
 const MAX_PREFILL_TRIES = 3;
 /** Maximum number of decode attempts for one request, including those that an engine rejected. */
 const MAX_DECODE_TRIES = 3;
-/** Overhead of a second call when prefill and decode run on different engines, in milliseconds: a round trip and this node's processing. */
-const HANDOFF_OVERHEAD_MS = 6;
 /** Round trip to an engine, in milliseconds. */
 const ROUND_TRIP_MS = 5;
 /** Shortest prefill by nominal speeds that is used to measure an engine's speed, in milliseconds. */
@@ -59,7 +52,6 @@
 ): void {
   const {exchange, route} = task;
   const {clock, health} = context;
-  const excluded = new Set<string>();
   const splitter = route.isResumable ? createEventSplitter() : undefined;
   const budget = context.getRetryBudget(task.service);
   const records = createStreamRecords(
@@ -69,10 +61,11 @@
     model,
     `${context.path.localDomain}/${exchange.request.requestId}`,
   );
+  const engines = createStreamEngines(context, engine, model, task);
   const reservation = createDecodeReservation({
     limits: context.limits,
-    listAvailable,
-    tryChooseDecode: tryChooseDecodeNear,
+    listAvailable: engines.listAvailable,
+    tryChooseDecode: engines.tryChooseDecode,
   });
   let prefillCall: PrefillCall | undefined;
   let decodeCall: DecodeCall | undefined;
@@ -109,9 +102,8 @@
 
   /** Sends the prompt or ends the request; returns false when the prompt has to wait. */
   function tryStart(): boolean {
-    const input = createInput();
-    const placement = tryChoosePrefill(input);
-    if (placement === undefined && input.engines.length === 0) {
+    const {placement, hasEngines} = engines.choosePrefill();
+    if (!hasEngines) {
       failWithoutEngine();
       return true;
     }
@@ -169,62 +161,14 @@
     task.fail(getVerdict(), 'engines are busy', retryAfterMs);
   }
 
-  function createInput(): PlacementInput {
-    return {
-      request: model,
-      engines: listEngines(),
-      prefillQueues: context.prefillQueues,
-      prefixes: context.prefixes,
-      affinity: context.affinity,
-      path: context.path,
-      isHomeCacheWarm: context.isHomeCacheWarm,
-      predictPrefillMs: (promptTokens, cachedTokens) =>
-        context.speeds.predictPrefillMs(
-          task.service,
-          promptTokens,
-          cachedTokens,
-        ),
-      getSlowdown: health.getSlowdown,
-      countStreams: serverId =>
-        context.streams.count(serverId, clock.getMonotonicMs()),
-      getSlotWaitMs,
-      handoffMs:
-        computeTransferMs(model.promptTokens, engine, false) +
-        HANDOFF_OVERHEAD_MS,
-      bodyBytes: exchange.body?.length ?? 0,
-      nowMs: clock.getMonotonicMs(),
-    };
-  }
-
-  function listEngines(): BackendEntry[] {
-    return listAvailable().filter(context.limits.canSend);
-  }
-
-  /** Lists the engines that can be used apart from their limits. */
-  function listAvailable(): BackendEntry[] {
-    return health
-      .listHealthy(context.state.listUsable(task.service))
-      .filter(
-        server =>
-          !excluded.has(server.id) &&
-          !context.isChangingStage(server.id) &&
-          !context.pauses.isPaused(server),
-      );
-  }
-
   /** Ends the request. When pauses or limits hold back all engines, the caller may retry after the shortest wait. */
   function failWithoutEngine(): void {
-    const engines = context.state.listUsable(task.service);
-    const retryAfterMs = tryGetRetryAfterMs(context, engines);
+    const retryAfterMs = engines.tryGetRetryAfterMs();
     task.fail(getVerdict(), 'no engine is available', retryAfterMs);
   }
 
   function failWithoutDecodeEngine(): void {
-    const engines = context.state.listUsable(task.service);
-    const retryAfterMs = tryGetRetryAfterMs(
-      context,
-      engines.filter(isDecodeEngine),
-    );
+    const retryAfterMs = engines.tryGetRetryAfterMs(EngineStage.Decode);
     task.fail(getVerdict(), 'no decode engine is available', retryAfterMs);
   }
 
@@ -254,7 +198,7 @@
     else recordFailure(server, failure);
     records.recordAbandoned();
     reservation.cancel();
-    excluded.add(server.id);
+    engines.remove(server.id);
     const isAgain =
       prefillTries < MAX_PREFILL_TRIES &&
       task.getRemainingMs() > MIN_TRY_MS &&
@@ -276,7 +220,7 @@
   function recordFailure(server: BackendEntry, failure: CallFailure): void {
     const isCertain =
       failure.reason === 'connect' || failure.reason === 'stalled';
-    excluded.add(server.id);
+    engines.remove(server.id);
     health.recordFailure(server.id, failure.reason, isCertain);
   }
 
@@ -291,7 +235,7 @@
     kv = {serverId: server.id, host: server.host, port: server.port, handle};
     const sample = tryCreateSample(placement, observedMs);
     const decode =
-      reservation.tryTake() ?? tryChooseDecodeNear(server.failureDomain);
+      reservation.tryTake() ?? engines.tryChooseDecode(server.failureDomain);
     task.log('prefill completed', {
       serverId: server.id,
       predictedMs: Math.round(predictedMs),
@@ -299,7 +243,7 @@
       decodeId: decode?.id,
     });
     if (decode !== undefined) submitToDecode(decode, sample);
-    else if (listAvailable().some(isDecodeEngine)) {
+    else if (engines.hasDecodeEngine()) {
       waitForDecode(server.failureDomain, sample);
     } else cancelPrefilled();
   }
@@ -317,7 +261,7 @@
       expiresAtMs:
         clock.getMonotonicMs() + getFirstEventBudgetMs(getAdmissionTimes()),
       tryStart: () => {
-        const decode = tryChooseDecodeNear(sourceDomain);
+        const decode = engines.tryChooseDecode(sourceDomain);
         if (decode !== undefined) submitToDecode(decode, sample);
         return decode !== undefined;
       },
@@ -349,29 +293,6 @@
     };
   }
 
-  function tryChooseDecodeNear(
-    sourceDomain: string | undefined,
-  ): BackendEntry | undefined {
-    const nowMs = clock.getMonotonicMs();
-    return tryChooseDecode({
-      nodeName: context.nodeName,
-      affinity: context.affinity,
-      engines: listEngines(),
-      engine,
-      promptTokens: model.promptTokens,
-      sourceDomain,
-      path: context.path,
-      bodyBytes: exchange.body?.length ?? 0,
-      countStreams: serverId => context.streams.count(serverId, nowMs),
-      getSlotWaitMs,
-    });
-  }
-
-  function getSlotWaitMs(server: BackendEntry): number {
-    const nowMs = clock.getMonotonicMs();
-    return context.streams.getWaitMs(server.id, server.maxRunning, nowMs);
-  }
-
   /** Sends the request to a decode engine; `directPlacement` is present when the engine prefills the prompt itself. */
   function sendDecode(
     server: BackendEntry,
@@ -396,7 +317,10 @@
       model,
       server,
       ...(kv === undefined ? {} : {kv}),
-      waitMs: Math.max(getSlotWaitMs(server), directPlacement?.waitMs ?? 0),
+      waitMs: Math.max(
+        engines.getSlotWaitMs(server),
+        directPlacement?.waitMs ?? 0,
+      ),
       prefillMs: directPlacement?.prefillMs ?? 0,
       ...(splitter === undefined ? {} : {splitter}),
       canRunAgain,
@@ -467,7 +391,9 @@
   /** Retries with the KV cache if the engine could not be reached, because the cache may still be available; otherwise starts again with the prefill. */
   function retryDecode(failure: CallFailure): void {
     const isKvAvailable = kv !== undefined && failure.reason === 'connect';
-    const decode = isKvAvailable ? tryChooseDecodeNear(undefined) : undefined;
+    const decode = isKvAvailable
+      ? engines.tryChooseDecode(undefined)
+      : undefined;
     if (decode !== undefined) {
       sendDecode(decode);
       return;
@@ -512,10 +438,6 @@
   }
 }
 
-function isDecodeEngine(server: BackendEntry): boolean {
-  return server.stage === EngineStage.Decode;
-}
-
 function formatPlacement(
   placement: PrefillPlacement,
 ): Readonly<Record<string, unknown>> {
