--- a/test/platform/server_limits.test.ts
+++ b/test/platform/server_limits.test.ts
@@ -2,10 +2,39 @@
 import assert from 'node:assert/strict';
 import {before, test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {buildFleetProgram, startLimitedFleet} from './limited_fleet';
+import {
+  buildFleetProgram,
+  type LimitedFleet,
+  startLimitedFleet,
+} from './limited_fleet';
 
 before(buildFleetProgram);
 
+/** Sends requests to both services, to each at its own mean rate. */
+async function sendMixedTraffic(
+  fleet: LimitedFleet,
+  traffic: {
+    readonly durationMs: number;
+    readonly serviceRatePerS: number;
+    readonly modelRatePerS: number;
+    readonly tokens?: readonly [number, number];
+  },
+): Promise<void> {
+  const {serviceRatePerS, modelRatePerS, ...options} = traffic;
+  await Promise.all([
+    fleet.sendTraffic({
+      paths: ['/look/x', '/order/x'],
+      ratePerS: serviceRatePerS,
+      ...options,
+    }),
+    fleet.sendTraffic({
+      paths: ['/ask/x', '/resume/x'],
+      ratePerS: modelRatePerS,
+      ...options,
+    }),
+  ]);
+}
+
 const LIMITED_IDS = ['app-1', 'app-2', 'r-1', 'w-1', 'w-2'];
 const LIMIT_PER_S = 2;
 
@@ -16,25 +45,18 @@
     prefill: 2,
     decode: 3,
   });
-  const traffic = [
-    fleet.sendTraffic({
-      paths: ['/look/x', '/order/x'],
-      ratePerS: 60,
-      durationMs: 10_000,
-    }),
-    fleet.sendTraffic({
-      paths: ['/ask/x', '/resume/x'],
-      ratePerS: 30,
-      durationMs: 10_000,
-    }),
-  ];
+  const traffic = sendMixedTraffic(fleet, {
+    durationMs: 10_000,
+    serviceRatePerS: 60,
+    modelRatePerS: 30,
+  });
   await sleep(1_000);
   for (const id of LIMITED_IDS) fleet.setLimit(id, LIMIT_PER_S);
   await sleep(6_500);
   for (const id of LIMITED_IDS) fleet.setLimit(id, undefined);
   await sleep(500);
   const endedAtMs = performance.now();
-  await Promise.all(traffic);
+  await traffic;
   const unlimitedS = (performance.now() - endedAtMs) / 1_000;
   const violations = fleet.listViolations();
   const failed = [...fleet.requests.values()].filter(
@@ -57,26 +79,19 @@
     prefill: 3,
     decode: 2,
   });
-  const traffic = [
-    fleet.sendTraffic({
-      paths: ['/look/x', '/order/x'],
-      ratePerS: 50,
-      durationMs: 8_000,
-    }),
-    fleet.sendTraffic({
-      paths: ['/ask/x', '/resume/x'],
-      ratePerS: 20,
-      durationMs: 8_000,
-      tokens: [4_000, 2_000],
-    }),
-  ];
+  const traffic = sendMixedTraffic(fleet, {
+    durationMs: 8_000,
+    serviceRatePerS: 50,
+    modelRatePerS: 20,
+    tokens: [4_000, 2_000],
+  });
   await sleep(1_000);
   for (const id of fleet.servers.keys()) fleet.setLimit(id, 4);
   await sleep(1_000);
   const fromMs = performance.now();
   const {nodes} = fleet.processes;
   const earlierChunks = nodes.map(node => node.listLines().length);
-  await Promise.all(traffic);
+  await traffic;
   const durationS = (performance.now() - fromMs) / 1_000;
   const sent = [...fleet.requests.values()].filter(
     ({sentAtMs}) => sentAtMs >= fromMs,
@@ -115,18 +130,11 @@
 test('a limit holds over all processes while some of them are killed, frozen, stopped and cut off from the others', async () => {
   const fleet = await startLimitedFleet({nodes: 8, apps: 3, decode: 3});
   const {nodes} = fleet.processes;
-  const traffic = [
-    fleet.sendTraffic({
-      paths: ['/look/x', '/order/x'],
-      ratePerS: 60,
-      durationMs: 15_000,
-    }),
-    fleet.sendTraffic({
-      paths: ['/ask/x', '/resume/x'],
-      ratePerS: 30,
-      durationMs: 15_000,
-    }),
-  ];
+  const traffic = sendMixedTraffic(fleet, {
+    durationMs: 15_000,
+    serviceRatePerS: 60,
+    modelRatePerS: 30,
+  });
   await sleep(500);
   for (const id of fleet.servers.keys()) fleet.setLimit(id, 3);
   await sleep(1_500);
@@ -148,7 +156,7 @@
   await Promise.all([nodes[4].waitForExit(), nodes[5].waitForExit()]);
   nodes[4].start();
   nodes[5].start();
-  await Promise.all(traffic);
+  await traffic;
   const violations = fleet.listViolations();
   await fleet.close();
   assert.deepEqual(violations, []);
