--- a/test/platform/server_limits.test.ts
+++ b/test/platform/server_limits.test.ts
@@ -117,7 +117,8 @@
   assert.equal(waits.length, 0);
   assert.equal(refusedAfterEnd.length, 0);
   for (const answer of answers) {
-    assert.ok(answer?.status === 200 || answer?.status === 503);
+    const isExpected = answer?.status === 200 || answer?.status === 503;
+    assert.ok(isExpected, `${answer?.status}: ${answer?.body}`);
     if (answer.status === 503) assert.ok(answer.headers['retry-after']);
   }
   for (const [paths, serverCount] of [
--- a/test/platform/server_notices.test.ts
+++ b/test/platform/server_notices.test.ts
@@ -31,9 +31,13 @@
     servers.push(await system.addServer({id, service, zone: 'a', stage}));
   }
   for (const node of system.nodes) {
-    await waitUntil('the node knows all servers', async () => {
-      const {entries} = await loadSnapshot(node);
-      return entries.length === servers.length && isNodeReady(node);
+    await waitUntil('the node knows all servers and nodes', async () => {
+      const snapshot = await loadSnapshot(node);
+      return (
+        snapshot.entries.length === servers.length &&
+        snapshot.nodes?.length === nodes &&
+        isNodeReady(node)
+      );
     });
   }
   return {system, servers};
--- a/test/platform/system.ts
+++ b/test/platform/system.ts
@@ -222,6 +222,7 @@
 /** State that a node offers to other nodes: its configuration and the entries of backend servers. */
 export interface SnapshotBody {
   readonly config?: {readonly version: number};
+  readonly nodes?: readonly unknown[];
   readonly entries: ReadonlyArray<{
     readonly id: string;
     readonly isLeaving: boolean;
