Drop an unused way to excuse nodes from the tests of limits

No caller of listViolations excluded a node: the tests hold all processes to the limits. The check is the same.

--- a/test/platform/limited_fleet.ts
+++ b/test/platform/limited_fleet.ts
@@ -51,8 +51,8 @@
     /** Shared and other tokens of model requests. */
     readonly tokens?: readonly [number, number];
   }): Promise<void>;
-  /** Describes the limits that were exceeded; requests that one of the excluded nodes sent do not count. */
-  listViolations(excluded?: ReadonlySet<NodeProcess>): string[];
+  /** Describes the limits that all nodes together exceeded. */
+  listViolations(): string[];
   close(): Promise<void>;
 }
 
@@ -221,18 +221,9 @@
     }).catch(() => undefined);
   }
 
-  function listViolations(
-    excluded: ReadonlySet<NodeProcess> = new Set(),
-  ): string[] {
-    return [...servers.values()].flatMap(server =>
-      listLimitViolations(
-        server.id,
-        server.arrivals.filter(({id}) => {
-          const node = requests.get(id ?? '')?.node;
-          return node === undefined || !excluded.has(node);
-        }),
-        server.limitChanges,
-      ),
+  function listViolations(): string[] {
+    return [...servers.values()].flatMap(({id, arrivals, limitChanges}) =>
+      listLimitViolations(id, arrivals, limitChanges),
     );
   }
 }
