Grant what a limit rises by over time

Cause: the fleet's rate at a server is an average over 1 s. After a rise it is far below the new limit, so all nodes together send one second's worth of the new limit at once. For a server that was idle under a constant limit this is within the rule, as the limit counts for the whole window; after a rise, the lower limit counts for most of it.

Ruled out: late reports between nodes, as the model fails without load.

Change: each node counts a rise as use that decays with the same time constant. A fall cancels what is left of earlier rises.

--- a/src/gateway/fleet_rate.ts
+++ b/src/gateway/fleet_rate.ts
@@ -10,8 +10,14 @@
   recordSend(nowMs: number, timeConstantMs: number): void;
   /** Replaces the rate of another node. */
   recordReport(node: string, ratePerS: number, nowMs: number): void;
+  /** Counts the rise of a limit as use that decays, so that the fleet gets the additional requests over time instead of at once; a fall (negative) cancels what is left of earlier rises. */
+  recordLimitChange(
+    changePerS: number,
+    nowMs: number,
+    timeConstantMs: number,
+  ): void;
   getOwnPerS(nowMs: number, timeConstantMs: number): number;
-  /** Returns the sum over all nodes. */
+  /** Returns the sum over all nodes and what is withheld after a rise of the limit. */
   getTotalPerS(nowMs: number, timeConstantMs: number): number;
 }
 
@@ -27,6 +33,7 @@
 /** Creates rates of 0. */
 export function createFleetRate(): FleetRate {
   let own: Rate = {perS: 0, atMs: 0};
+  let withheld: Rate = {perS: 0, atMs: 0};
   const others = new Map<string, Rate>();
   return {
     recordSend: (nowMs, timeConstantMs) => {
@@ -37,13 +44,19 @@
     recordReport: (node, ratePerS, nowMs) => {
       others.set(node, {perS: ratePerS, atMs: nowMs});
     },
+    recordLimitChange: (changePerS, nowMs, timeConstantMs) => {
+      const leftPerS = computeDecayed(withheld, nowMs, timeConstantMs);
+      withheld = {perS: Math.max(0, leftPerS + changePerS), atMs: nowMs};
+    },
     getOwnPerS: (nowMs, timeConstantMs) =>
       computeDecayed(own, nowMs, timeConstantMs),
     getTotalPerS,
   };
 
   function getTotalPerS(nowMs: number, timeConstantMs: number): number {
-    let totalPerS = computeDecayed(own, nowMs, timeConstantMs);
+    let totalPerS =
+      computeDecayed(own, nowMs, timeConstantMs) +
+      computeDecayed(withheld, nowMs, timeConstantMs);
     for (const [node, rate] of others) {
       const perS = computeDecayed(rate, nowMs, timeConstantMs);
       if (perS < MIN_RATE_PER_S) others.delete(node);
--- a/src/gateway/server_limits.ts
+++ b/src/gateway/server_limits.ts
@@ -107,7 +107,9 @@
     return state?.limitPerS === undefined ? undefined : state;
   }
 
-  function computeAllowance({limitPerS = 0}: LimitState): Allowance {
+  function computeAllowance({
+    limitPerS = 0,
+  }: Pick<LimitState, 'limitPerS'>): Allowance {
     const reach = options.getReach();
     const share = reach > MAJORITY ? 1 : reach;
     const perS = Math.max(MIN_LIMIT_PER_S, limitPerS) * share;
@@ -201,7 +203,14 @@
     const previousPerS = state.limitPerS;
     Object.assign(state, {limitPerS, statedAtMs, isSeen});
     if (limitPerS === undefined) state.reservedCount = 0;
-    return previousPerS === limitPerS ? undefined : {state, previousPerS};
+    if (previousPerS === limitPerS) return undefined;
+    if (previousPerS !== undefined && limitPerS !== undefined) {
+      const {perS, timeConstantMs} = computeAllowance(state);
+      const changePerS =
+        perS - computeAllowance({limitPerS: previousPerS}).perS;
+      state.rate.recordLimitChange(changePerS, statedAtMs, timeConstantMs);
+    }
+    return {state, previousPerS};
   }
 
   function createState(serverId: string, startedAtMs: number): LimitState {
--- a/test/gateway/server_limits.test.ts
+++ b/test/gateway/server_limits.test.ts
@@ -58,6 +58,29 @@
   }
 });
 
+for (const [fromPerS, toPerS] of [
+  [0, 10],
+  [0, 30],
+  [1, 12],
+  [2, 40],
+]) {
+  test(`a limit that rises from ${fromPerS}/s to ${toPerS}/s is not exceeded right after, and then used up`, async () => {
+    for (let seed = 1; seed <= 5; seed++) {
+      const model = createLimitedFleetModel({nodes: 12, seed});
+      model.setLimit(fromPerS);
+      await model.offer({ratePerS: 300, skew: 0.3, durationMs: 10_000});
+      model.setLimit(toPerS);
+      await model.offer({ratePerS: 300, skew: 0.3, durationMs: 6_000});
+      const before = model.arrivals.length;
+      await model.offer({ratePerS: 300, skew: 0.3, durationMs: DURATION_MS});
+      assert.deepEqual(model.listViolations(), [], `seed ${seed}`);
+      const used = model.arrivals.length - before;
+      const admitted = (toPerS * DURATION_MS) / MS_PER_S;
+      assert.ok(used >= (1 - MAX_UNUSED_FRACTION) * admitted, `${used}`);
+    }
+  });
+}
+
 test('a limit holds while nodes start again one after the other', async () => {
   for (let seed = 1; seed <= 5; seed++) {
     const model = createLimitedFleetModel({nodes: 12, seed});
