--- a/src/gateway/decode_reservation.ts
+++ b/src/gateway/decode_reservation.ts
@@ -1,6 +1,6 @@
 /** Reserves a decode engine before a prompt is prefilled, because a prefill is wasted when the limits of the decode engines then leave no room. */
 import type {ServerLimits} from './server_limits';
-import {type BackendEntry, EngineStage} from './types';
+import type {BackendEntry} from './types';
 
 /** The reservation of one model request. */
 export interface DecodeReservation {
@@ -14,9 +14,9 @@
 
 /** Options of a reservation. */
 export interface DecodeReservationOptions {
-  readonly limits: Pick<ServerLimits, 'isLimited' | 'claim'>;
-  /** Lists the engines that can be used apart from their limits. */
-  readonly listAvailable: () => readonly BackendEntry[];
+  readonly limits: Pick<ServerLimits, 'isLimited' | 'claim' | 'count'>;
+  /** Lists the decode engines that can be used apart from their limits. */
+  readonly listDecodeEngines: () => readonly BackendEntry[];
   /** Chooses a decode engine with room for a request. */
   readonly tryChooseDecode: (sourceDomain: string) => BackendEntry | undefined;
 }
@@ -25,12 +25,13 @@
 export function createDecodeReservation(
   options: DecodeReservationOptions,
 ): DecodeReservation {
-  const {limits, listAvailable} = options;
+  const {limits, listDecodeEngines} = options;
   let reserved: {serverId: string; release: () => void} | undefined;
   return {tryReserve, tryTake, cancel};
 
   function tryReserve(sourceDomain: string): boolean {
     cancel();
+    if (limits.count() === 0) return true;
     const engines = listDecodeEngines();
     if (engines.length === 0 || !engines.every(limits.isLimited)) return true;
     const server = options.tryChooseDecode(sourceDomain);
@@ -40,9 +41,9 @@
   }
 
   function tryTake(): BackendEntry | undefined {
-    const server = listDecodeEngines().find(
-      ({id}) => id === reserved?.serverId,
-    );
+    if (reserved === undefined) return undefined;
+    const {serverId} = reserved;
+    const server = listDecodeEngines().find(({id}) => id === serverId);
     if (server === undefined) cancel();
     reserved = undefined;
     return server;
@@ -52,10 +53,4 @@
     reserved?.release();
     reserved = undefined;
   }
-
-  function listDecodeEngines(): BackendEntry[] {
-    return listAvailable().filter(
-      server => server.stage === EngineStage.Decode,
-    );
-  }
 }
--- a/src/gateway/server_limits.ts
+++ b/src/gateway/server_limits.ts
@@ -88,20 +88,19 @@
     claim,
     recordSend,
     handle,
-    listMessages: () =>
-      [...states.values()]
-        .filter(state => state.limitPerS !== undefined)
-        .map(createMessage),
+    listMessages: () => listLimited().map(createMessage),
     retainOnly: serverIds => {
       for (const [key, {serverId}] of states) {
         if (!serverIds.has(serverId)) states.delete(key);
       }
     },
-    count: () =>
-      [...states.values()].filter(state => state.limitPerS !== undefined)
-        .length,
+    count: () => listLimited().length,
   };
 
+  function listLimited(): LimitState[] {
+    return [...states.values()].filter(state => state.limitPerS !== undefined);
+  }
+
   function tryFindLimited(server: BackendEntry): LimitState | undefined {
     const state = states.get(formatKey(server.id, server.startedAtMs));
     return state?.limitPerS === undefined ? undefined : state;
@@ -177,20 +176,17 @@
     const statedAtMs =
       limitPerS === undefined ? sentAtMs : clock.getMonotonicMs();
     const {id, startedAtMs} = server;
-    const state = states.get(formatKey(id, startedAtMs));
-    if (state === undefined && limitPerS === undefined) return;
-    const change = applyLimit(
-      state ?? createState(id, startedAtMs),
-      {limitPerS, statedAtMs},
-      true,
-    );
+    const known = states.get(formatKey(id, startedAtMs));
+    if (known === undefined && limitPerS === undefined) return;
+    const state = known ?? createState(id, startedAtMs);
+    const change = applyLimit(state, {limitPerS, statedAtMs}, true);
     if (change === undefined) return;
     logger.log('info', 'backend server states another limit', {
       serverId: id,
       limitPerS: limitPerS ?? null,
       previousPerS: change.previousPerS ?? null,
     });
-    notify(createMessage(change.state));
+    notify(createMessage(state));
   }
 
   /** Applies a limit unless a newer one is known; returns the previous one if it has changed. */
@@ -198,7 +194,7 @@
     state: LimitState,
     {limitPerS, statedAtMs}: Pick<LimitState, 'limitPerS' | 'statedAtMs'>,
     isSeen: boolean,
-  ): {state: LimitState; previousPerS: number | undefined} | undefined {
+  ): {previousPerS: number | undefined} | undefined {
     if (state.statedAtMs >= statedAtMs) return undefined;
     const previousPerS = state.limitPerS;
     Object.assign(state, {limitPerS, statedAtMs, isSeen});
@@ -210,7 +206,7 @@
         perS - computeAllowance({limitPerS: previousPerS}).perS;
       state.rate.recordLimitChange(changePerS, statedAtMs, timeConstantMs);
     }
-    return {state, previousPerS};
+    return {previousPerS};
   }
 
   function createState(serverId: string, startedAtMs: number): LimitState {
--- a/src/gateway/stream_engines.ts
+++ b/src/gateway/stream_engines.ts
@@ -17,8 +17,8 @@
 
 /** The engines for one model request. */
 export interface StreamEngines {
-  /** Lists the engines that can be used apart from their limits. */
-  listAvailable(): BackendEntry[];
+  /** Lists the decode engines that can be used apart from their limits. */
+  listDecodeEngines(): BackendEntry[];
   /** Chooses an engine for the prefill; `hasEngines` is false when there is none to choose from. */
   choosePrefill(): {
     placement: ReturnType<typeof tryChoosePrefill>;
@@ -26,7 +26,6 @@
   };
   /** Chooses a decode engine near the KV cache; undefined when there is none. */
   tryChooseDecode(sourceDomain: string | undefined): BackendEntry | undefined;
-  hasDecodeEngine(): boolean;
   /** How long a stream that comes now waits for a slot of the engine, in milliseconds. */
   getSlotWaitMs(server: BackendEntry): number;
   /** Excludes an engine that failed this request. */
@@ -49,7 +48,7 @@
   const {exchange} = task;
   const excluded = new Set<string>();
   return {
-    listAvailable,
+    listDecodeEngines,
     choosePrefill: () => {
       const input = createInput();
       return {
@@ -65,8 +64,6 @@
         promptTokens: model.promptTokens,
         sourceDomain,
       }),
-    hasDecodeEngine: () =>
-      listAvailable().some(server => server.stage === EngineStage.Decode),
     getSlotWaitMs,
     remove: serverId => {
       excluded.add(serverId);
@@ -107,6 +104,13 @@
     };
   }
 
+  function listDecodeEngines(): BackendEntry[] {
+    return listAvailable().filter(
+      server => server.stage === EngineStage.Decode,
+    );
+  }
+
+  /** Lists the engines that can be used apart from their limits. */
   function listAvailable(): BackendEntry[] {
     return context.health
       .listHealthy(context.state.listUsable(task.service))
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -64,7 +64,7 @@
   const engines = createStreamEngines(context, engine, model, task);
   const reservation = createDecodeReservation({
     limits: context.limits,
-    listAvailable: engines.listAvailable,
+    listDecodeEngines: engines.listDecodeEngines,
     tryChooseDecode: engines.tryChooseDecode,
   });
   let prefillCall: PrefillCall | undefined;
@@ -243,7 +243,7 @@
       decodeId: decode?.id,
     });
     if (decode !== undefined) submitToDecode(decode, sample);
-    else if (engines.hasDecodeEngine()) {
+    else if (engines.listDecodeEngines().length > 0) {
       waitForDecode(server.failureDomain, sample);
     } else cancelPrefilled();
   }
