Let the engines' stages follow the limits that engines state

What callers see: each prompt needs one request to a decode engine, and a fourth of the engines decode. When all engines limit their requests, the limits of these few refuse most prompts while those of the prefill engines are hardly used.

Cause: the planner compares the load with the number of engines and does not know that a limited engine can be used only in part.

Change: nodes report the requests to each stage with the load; an engine counts for the fraction of it that the arriving requests can use within its limit. Without limits the capacity is the number of engines, as before. Engines without a limit change to decode first, and limited ones change back first. The default split returns when the limits end.

Tests of the plan for 13 engines: before 3 engines decode, after 5, 7, 8.

--- a/src/gateway/fleet_demand.ts
+++ b/src/gateway/fleet_demand.ts
@@ -78,6 +78,8 @@
       slotMs: Math.round(demand.slotMs),
       memoryTokenMs: Math.round(demand.memoryTokenMs),
       moveMs: Math.round(demand.moveMs),
+      prefillRequests: Number(demand.prefillRequests.toFixed(2)),
+      decodeRequests: Number(demand.decodeRequests.toFixed(2)),
     }));
     return {kind: 'demand', from: options.nodeName, services};
   }
@@ -111,5 +113,9 @@
       demand.memoryTokenMs / MS_PER_S / Math.max(1, engine.kvTokens),
       demand.moveMs / MS_PER_S,
     ),
+    requests: {
+      prefillPerS: demand.prefillRequests,
+      decodePerS: demand.decodeRequests,
+    },
   };
 }
--- a/src/gateway/server_limits.ts
+++ b/src/gateway/server_limits.ts
@@ -15,6 +15,8 @@
   /** True when the server states no limit or the fleet's rate leaves room for a request. */
   canSend(server: BackendEntry): boolean;
   isLimited(server: BackendEntry): boolean;
+  /** Returns the limit that the server states, in requests per second; undefined when there is none. */
+  tryGetLimitPerS(server: BackendEntry): number | undefined;
   /** Returns the time until the fleet's rate leaves room for a request if no node sends one meanwhile, in milliseconds; 0 when there is room. */
   getWaitMs(server: BackendEntry): number;
   /** Counts a request that will be sent later; the returned function releases the place if it is not sent. */
@@ -84,6 +86,7 @@
   return {
     canSend: server => getWaitMs(server) === 0,
     isLimited: server => tryFindLimited(server) !== undefined,
+    tryGetLimitPerS: server => tryFindLimited(server)?.limitPerS,
     getWaitMs,
     claim,
     recordSend,
--- a/src/gateway/stage_control.ts
+++ b/src/gateway/stage_control.ts
@@ -34,7 +34,7 @@
   readonly authority: Authority;
   readonly connections: Connections;
   readonly pauses: Pick<ServerPauses, 'isPaused'>;
-  readonly limits: Pick<ServerLimits, 'canSend'>;
+  readonly limits: Pick<ServerLimits, 'canSend' | 'tryGetLimitPerS'>;
   readonly protocol: BackendProtocol;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -135,6 +135,7 @@
     const load = options.tryGetLoad(service, engine);
     const plan = planStages(state.listUsable(service).map(applyOrder), {
       maxMissingFraction: isStarting() ? 0 : SERVING_MAX_MISSING_FRACTION,
+      tryGetLimitPerS: options.limits.tryGetLimitPerS,
       ...(load === undefined ? {} : {load}),
     });
     logSplit(service, plan);
@@ -142,13 +143,14 @@
   }
 
   /** Logs the planned split when it or its cause has changed. */
-  function logSplit(service: string, {split}: StagePlan): void {
+  function logSplit(service: string, {split, limitedCount}: StagePlan): void {
     if (split === undefined) return;
     const key = `${split.best} ${split.generating} ${split.cause}`;
     if (loggedSplits.get(service) === key) return;
     loggedSplits.set(service, key);
     logger.log('info', 'engine split planned', {
       service,
+      limitedCount,
       ...split,
     });
   }
--- a/src/gateway/stage_plan.ts
+++ b/src/gateway/stage_plan.ts
@@ -4,6 +4,7 @@
   type SplitPlan,
   type StageLoad,
 } from '../planning/stage_split';
+import {createCapacityModel} from './stage_capacity';
 import {type BackendEntry, EngineStage} from './types';
 
 /** An engine that should change to another stage. */
@@ -16,6 +17,8 @@
 export interface StagePlan {
   readonly wantedDecode: number;
   readonly currentDecode: number;
+  /** Number of engines that limit their requests. */
+  readonly limitedCount: number;
   readonly changes: readonly StageChange[];
   /** The split planned for the load, when the load is known. */
   readonly split?: SplitPlan;
@@ -32,6 +35,8 @@
    * a change takes a prefill engine out of service for seconds.
    */
   readonly maxMissingFraction?: number;
+  /** Returns the limit that an engine states, in requests per second; undefined when there is none. */
+  readonly tryGetLimitPerS?: (engine: BackendEntry) => number | undefined;
 }
 
 /**
@@ -60,21 +65,36 @@
     Math.max(minDecode, Math.round(count * fraction)),
     count - 1,
   );
+  const {load, tryGetLimitPerS = () => undefined} = options;
+  const isLimited = (engine: BackendEntry) =>
+    tryGetLimitPerS(engine) !== undefined;
+  const limitedCount = engines.filter(isLimited).length;
   const split =
-    options.load === undefined || count < MIN_DECODE_ENGINES
+    load === undefined || count < MIN_DECODE_ENGINES
       ? undefined
       : planSplit({
-          load: options.load,
+          load,
           engines: count,
           currentDecode: decode.length,
           defaultDecode,
           minDecode,
+          ...(limitedCount === 0
+            ? {}
+            : {
+                getCapacity: createCapacityModel({
+                  decode,
+                  prefill,
+                  load,
+                  tryGetLimitPerS,
+                }),
+              }),
         });
   const wantedDecode = split?.generating ?? defaultDecode;
   const surplus = decode.length - wantedDecode;
   const plan = {
     wantedDecode,
     currentDecode: decode.length,
+    limitedCount,
     ...(split === undefined ? {} : {split}),
   };
   if (
@@ -86,14 +106,13 @@
   }
   const changes =
     surplus > 0
-      ? chooseFromLargestDomains(decode, surplus).map(server => ({
+      ? chooseEngines(decode, surplus, isLimited).map(server => ({
           server,
           stage: EngineStage.Prefill,
         }))
-      : chooseFromLargestDomains(prefill, -surplus).map(server => ({
-          server,
-          stage: EngineStage.Decode,
-        }));
+      : chooseEngines(prefill, -surplus, item => !isLimited(item)).map(
+          server => ({server, stage: EngineStage.Decode}),
+        );
   return {...plan, changes};
 }
 
@@ -121,6 +140,20 @@
   );
 }
 
+/** Chooses preferred engines and, when there are not enough of them, others. */
+function chooseEngines(
+  engines: readonly BackendEntry[],
+  count: number,
+  isPreferred: (engine: BackendEntry) => boolean,
+): BackendEntry[] {
+  const chosen = chooseFromLargestDomains(engines.filter(isPreferred), count);
+  const others = engines.filter(engine => !isPreferred(engine));
+  return [
+    ...chosen,
+    ...chooseFromLargestDomains(others, count - chosen.length),
+  ];
+}
+
 /** Chooses engines from the failure domains that have the most of them, so that the remaining ones stay spread out. */
 function chooseFromLargestDomains(
   engines: readonly BackendEntry[],
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -140,6 +140,8 @@
       slotMs,
       memoryTokenMs: slotMs * model.promptTokens,
       moveMs: computeTransferMs(model.promptTokens, engine, false),
+      prefillRequests: placement.server.stage === EngineStage.Decode ? 0 : 1,
+      decodeRequests: 1,
     });
   }
 
--- a/src/planning/index.ts
+++ b/src/planning/index.ts
@@ -21,7 +21,12 @@
 } from './stage_demand';
 export type {StageDemand, StageDemandMeter} from './stage_demand';
 export {planSplit} from './stage_split';
-export type {SplitInput, SplitPlan, StageLoad} from './stage_split';
+export type {
+  SplitInput,
+  SplitPlan,
+  StageCapacity,
+  StageLoad,
+} from './stage_split';
 export {planByThresholds} from './thresholds';
 export {
   createPlannerWeights,
--- a/src/planning/stage_demand.ts
+++ b/src/planning/stage_demand.ts
@@ -11,6 +11,10 @@
   readonly memoryTokenMs: number;
   /** Transfer time of KV caches, in milliseconds. */
   readonly moveMs: number;
+  /** Number of requests to prefill engines. */
+  readonly prefillRequests: number;
+  /** Number of requests to decode engines. */
+  readonly decodeRequests: number;
 }
 
 /** Measures the demand of one node by service. */
@@ -34,6 +38,8 @@
   slotMs: 0,
   memoryTokenMs: 0,
   moveMs: 0,
+  prefillRequests: 0,
+  decodeRequests: 0,
 };
 
 /**
@@ -80,6 +86,8 @@
     slotMs: left.slotMs + right.slotMs,
     memoryTokenMs: left.memoryTokenMs + right.memoryTokenMs,
     moveMs: left.moveMs + right.moveMs,
+    prefillRequests: left.prefillRequests + right.prefillRequests,
+    decodeRequests: left.decodeRequests + right.decodeRequests,
   };
 }
 
@@ -89,5 +97,7 @@
     slotMs: demand.slotMs * factor,
     memoryTokenMs: demand.memoryTokenMs * factor,
     moveMs: demand.moveMs * factor,
+    prefillRequests: demand.prefillRequests * factor,
+    decodeRequests: demand.decodeRequests * factor,
   };
 }
--- a/src/planning/stage_split.ts
+++ b/src/planning/stage_split.ts
@@ -7,6 +7,17 @@
 export interface StageLoad {
   readonly prefillEngines: number;
   readonly decodeEngines: number;
+  /** Arriving requests to the engines of each stage, per second; absent when unknown. */
+  readonly requests?: {
+    readonly prefillPerS: number;
+    readonly decodePerS: number;
+  };
+}
+
+/** Number of engines of each stage; an engine that can be used only in part counts as a fraction. */
+export interface StageCapacity {
+  readonly prefillEngines: number;
+  readonly decodeEngines: number;
 }
 
 /** Input of `planSplit`. */
@@ -20,6 +31,8 @@
   readonly defaultDecode: number;
   /** Least number of engines that decode. */
   readonly minDecode: number;
+  /** Returns the capacity of the stages for a number of decode engines; by default all engines can be used fully. */
+  readonly getCapacity?: (decodeCount: number) => StageCapacity;
 }
 
 /** A planned split. */
@@ -90,14 +103,17 @@
 
 /** Returns the utilization of the busier stage; above 1 its requests queue. */
 function computeStageUtilization(
-  {load, engines}: SplitInput,
+  {load, engines, getCapacity}: SplitInput,
   generating: number,
 ): number {
-  const prefillCount = engines - generating;
+  const capacity = getCapacity?.(generating) ?? {
+    prefillEngines: engines - generating,
+    decodeEngines: generating,
+  };
   const prefillUse =
-    load.prefillEngines / Math.max(prefillCount, Number.EPSILON);
+    load.prefillEngines / Math.max(capacity.prefillEngines, Number.EPSILON);
   const decodeUse =
     (DECODE_HEADROOM * load.decodeEngines) /
-    Math.max(generating, Number.EPSILON);
+    Math.max(capacity.decodeEngines, Number.EPSILON);
   return Math.max(prefillUse, decodeUse);
 }
--- a/test/gateway/fleet_demand.test.ts
+++ b/test/gateway/fleet_demand.test.ts
@@ -4,10 +4,11 @@
 import {createFleetDemand} from '../../src/gateway/fleet_demand';
 import type {DemandMessage, PeerMessage} from '../../src/gateway/peer_messages';
 import type {NodeRecord} from '../../src/gateway/types';
+import {NO_STAGE_DEMAND} from '../../src/planning/stage_demand';
 import {createVirtualClock} from '../../src/runtime';
 import {ENGINE_LIMITS} from './support';
 
-const WORK = {readMs: 100, slotMs: 640, memoryTokenMs: 0, moveMs: 0};
+const WORK = {...NO_STAGE_DEMAND, readMs: 100, slotMs: 640};
 
 function createNode(nodeCount: number) {
   const clock = createVirtualClock();
@@ -56,6 +57,8 @@
         slotMs: 192_000,
         memoryTokenMs: 0,
         moveMs: 0,
+        prefillRequests: 1.5,
+        decodeRequests: 2.25,
       },
     ],
   };
@@ -65,6 +68,7 @@
   const load = demand.tryGetLoad('llm', ENGINE_LIMITS);
   assert.equal(load?.prefillEngines, 4);
   assert.equal(load?.decodeEngines, 6);
+  assert.deepEqual(load?.requests, {prefillPerS: 3, decodePerS: 4.5});
   assert.equal(demand.tryGetLoad('other', ENGINE_LIMITS), undefined);
   await clock.advance(5_000);
   assert.equal(demand.tryGetLoad('llm', ENGINE_LIMITS), undefined);
@@ -74,10 +78,9 @@
   const {demand} = createNode(0);
   const {kvTokens} = ENGINE_LIMITS;
   demand.record('llm', {
-    readMs: 0,
+    ...NO_STAGE_DEMAND,
     slotMs: 20_000,
     memoryTokenMs: 20_000 * 2 * kvTokens,
-    moveMs: 0,
   });
   const load = demand.tryGetLoad('llm', ENGINE_LIMITS);
   assert.ok(Math.abs((load?.decodeEngines ?? 0) - 2) < 0.01);
--- a/test/gateway/stage_control.test.ts
+++ b/test/gateway/stage_control.test.ts
@@ -55,7 +55,7 @@
   const control = createStageControl({
     nodeName: 'n1',
     pauses: createServerPauses(clock),
-    limits: {canSend: () => true},
+    limits: {canSend: () => true, tryGetLimitPerS: () => undefined},
     tryGetLoad: () => undefined,
     state,
     authority: {
--- a/test/gateway/stages.test.ts
+++ b/test/gateway/stages.test.ts
@@ -73,6 +73,64 @@
   assert.equal(calm.changes.length, 0);
 });
 
+/** 66 requests per second, of which 40 take a prefill engine first. */
+const LIMITED_LOAD = {
+  prefillEngines: 6,
+  decodeEngines: 1,
+  requests: {prefillPerS: 40, decodePerS: 66},
+};
+
+test('more engines decode while all engines limit their requests, and the default split returns when the limits end', () => {
+  let engines = createEngines(10, 3);
+  const decodeCounts: number[] = [];
+  for (let round = 0; round < 6; round++) {
+    const plan = planStages(engines, {
+      load: LIMITED_LOAD,
+      tryGetLimitPerS: () => 4.3,
+    });
+    const changes = new Map(plan.changes.map(item => [item.server.id, item]));
+    engines = engines.map(item => ({
+      ...item,
+      stage: changes.get(item.id)?.stage ?? item.stage,
+    }));
+    decodeCounts.push(plan.wantedDecode);
+  }
+  assert.deepEqual(decodeCounts, [5, 7, 8, 8, 8, 8]);
+  const after = planStages(engines, {load: LIMITED_LOAD});
+  assert.equal(after.wantedDecode, 3);
+  assert.equal(after.changes.length, 5);
+});
+
+test('when only the decode engines limit their requests, others take their place', () => {
+  const engines = createEngines(10, 3);
+  const limitedIds = new Set(['e10', 'e11', 'e12']);
+  const tryGetLimitPerS = ({id}: {readonly id: string}) =>
+    limitedIds.has(id) ? 4.3 : undefined;
+  const options = {load: LIMITED_LOAD, tryGetLimitPerS};
+  const plan = planStages(engines, options);
+  assert.equal(plan.limitedCount, 3);
+  assert.equal(plan.changes.length, 2);
+  for (const {server, stage} of plan.changes) {
+    assert.equal(stage, EngineStage.Decode);
+    assert.ok(!limitedIds.has(server.id));
+  }
+});
+
+test('limits that leave room for all requests change nothing', () => {
+  const engines = createEngines(10, 3);
+  const options = {load: LIMITED_LOAD, tryGetLimitPerS: () => 60};
+  assert.deepEqual(planStages(engines, options).changes, []);
+});
+
+test('limits change no stages while nodes of an earlier version report no requests', () => {
+  const load = {
+    ...LIMITED_LOAD,
+    requests: {prefillPerS: Number.NaN, decodePerS: Number.NaN},
+  };
+  const options = {load, tryGetLimitPerS: () => 4.3};
+  assert.deepEqual(planStages(createEngines(10, 3), options).changes, []);
+});
+
 test('too few engines cause no changes', () => {
   assert.equal(planStages([]).changes.length, 0);
   assert.equal(planStages(createEngines(1, 0)).changes.length, 0);
--- a/test/planning/stage_split.test.ts
+++ b/test/planning/stage_split.test.ts
@@ -3,6 +3,7 @@
 import {test} from 'node:test';
 import {
   createStageDemandMeter,
+  NO_STAGE_DEMAND,
   planSplit,
   type SplitInput,
   type StageLoad,
@@ -69,6 +70,7 @@
   async function run(prefillEngines: number, decodeEngines: number) {
     for (let quarter = 0; quarter < 4; quarter++) {
       meter.record('llm', {
+        ...NO_STAGE_DEMAND,
         readMs: prefillEngines * 250,
         slotMs: decodeEngines * 250,
         memoryTokenMs: 0,
@@ -120,6 +122,7 @@
   for (let second = 0; second < 240; second++) {
     const load = phases[Math.floor(second / 60) % 2];
     meter.record('llm', {
+      ...NO_STAGE_DEMAND,
       readMs: load.prefillEngines * 1_000,
       slotMs: load.decodeEngines * 1_000,
       memoryTokenMs: 0,
--- a/test/platform/server_limits.test.ts
+++ b/test/platform/server_limits.test.ts
@@ -169,3 +169,41 @@
   await fleet.close();
   assert.deepEqual(violations, []);
 });
+
+test('engines change to decode while the limits of the decode engines refuse prompts, and back when the limits end', async () => {
+  const fleet = await startLimitedFleet({nodes: 6, prefill: 9, decode: 4});
+  const countDecode = () =>
+    [...fleet.servers.values()].filter(server => server.getStage() === 'decode')
+      .length;
+  const before = countDecode();
+  const traffic = sendMixedTraffic(fleet, {
+    durationMs: 24_000,
+    serviceRatePerS: 1,
+    modelRatePerS: 40,
+    tokens: [4_000, 2_000],
+  });
+  await sleep(1_000);
+  for (const id of fleet.servers.keys()) fleet.setLimit(id, 3);
+  await sleep(9_000);
+  const during = countDecode();
+  const fromMs = performance.now();
+  await sleep(4_000);
+  const untilMs = performance.now();
+  for (const id of fleet.servers.keys()) fleet.setLimit(id, undefined);
+  await traffic;
+  const after = countDecode();
+  const violations = fleet.listViolations();
+  const served = [...fleet.requests.values()].filter(
+    ({path, sentAtMs, answer}) =>
+      /^.(ask|resume)/.test(path) &&
+      answer?.status === 200 &&
+      sentAtMs >= fromMs &&
+      sentAtMs < untilMs,
+  );
+  await fleet.close();
+  assert.deepEqual(violations, []);
+  assert.deepEqual([before, after], [4, 4]);
+  assert.ok(during > 4, `${during}`);
+  const admittedBefore = (4 * 3 * (untilMs - fromMs)) / 1_000;
+  assert.ok(served.length >= 1.2 * admittedBefore, `${served.length}`);
+});
--- a/test/platform/server_standin.ts
+++ b/test/platform/server_standin.ts
@@ -53,6 +53,8 @@
   readonly orders: Array<Record<string, unknown>>;
   /** All calls in order of arrival, refused ones included. */
   readonly arrivals: Arrival[];
+  /** Returns the stage that the engine works in; undefined for a plain service. */
+  getStage(): 'prefill' | 'decode' | undefined;
   setFault(fault: ServerFault): void;
   /** Sets whether all responses carry the header that announces that the server leaves. */
   setLeaving(isLeaving: boolean): void;
@@ -133,6 +135,7 @@
     prefills,
     orders,
     arrivals,
+    getStage: () => stage,
     setLeaving: next => {
       isLeaving = next;
     },
