Draw test ports that are free for UDP as well

What was seen: once EADDRINUSE on a UDP port in the set-up of platform/limits.test.ts, beside another test run.

Cause: listFreePorts tried TCP only, but nodes bind one of the ports for UDP only, so a port that another process used stayed in the list. Between the listing and the use of a port another run can still take it; that was not seen.

--- a/test/support/program.ts
+++ b/test/support/program.ts
@@ -1,5 +1,6 @@
 /** Runs the built program in child processes. */
 import {type ChildProcess, spawn} from 'node:child_process';
+import {createSocket} from 'node:dgram';
 import {createServer} from 'node:net';
 
 /** A child process that runs the program. */
@@ -93,21 +94,34 @@
 
 let triedPortCount = 0;
 
-/** Returns different ports that are currently free on loopback. */
+/** Returns different ports that are currently free on loopback, for TCP and for UDP. */
 export async function listFreePorts(count: number): Promise<number[]> {
   const ports: number[] = [];
   while (ports.length < count) {
     const offset = process.pid * PORTS_PER_PROCESS + triedPortCount++;
     const port = FIRST_PORT + (offset % PORT_COUNT);
-    if (await isPortFree(port)) ports.push(port);
+    if ((await isTcpPortFree(port)) && (await isUdpPortFree(port))) {
+      ports.push(port);
+    }
   }
   return ports;
 }
 
-function isPortFree(port: number): Promise<boolean> {
+function isTcpPortFree(port: number): Promise<boolean> {
   return new Promise(resolve => {
     const server = createServer();
     server.once('error', () => resolve(false));
     server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
   });
 }
+
+function isUdpPortFree(port: number): Promise<boolean> {
+  return new Promise(resolve => {
+    const socket = createSocket('udp4');
+    socket.once('error', () => {
+      socket.close();
+      resolve(false);
+    });
+    socket.bind(port, '127.0.0.1', () => socket.close(() => resolve(true)));
+  });
+}
