Report requests to limited servers as a count instead of a rate

Cause: the time constant of the averages depends on the fraction of the limit that a node may use, and that is small until the first answers to its probes arrive. A node reported 0.1 of a request as a rate over its long time constant, which the others read as one over theirs; and a rise that it heard of then was withheld only for the small fraction, so that all of the limit was free when the probes were answered.

Change: nodes report a decaying count of requests, which does not depend on the time constant, and withhold a rise by the whole limit.

--- a/src/gateway/fleet_rate.ts
+++ b/src/gateway/fleet_rate.ts
@@ -1,75 +1,70 @@
 /**
- * The rate at which all nodes together send requests to one server. Each node
- * reports its own rate as an exponentially decaying average, so that the sum
- * of the reports is the fleet's rate and the next report replaces a lost one.
+ * The recent requests of all nodes to one server. Each node reports its own
+ * ones as an exponentially decaying count, so that the sum of the reports is
+ * the fleet's count and the next report replaces a lost one. Divided by the time
+ * constant, a count is the mean rate.
  */
 
-/** The rates of all nodes at one server, in requests per second; each function takes the time on the monotonic clock and the time constant of the averages, in milliseconds. */
+/** The decaying counts of all nodes at one server; each function takes the time on the monotonic clock and the time constant of the decay, in milliseconds. */
 export interface FleetRate {
   /** Adds a request of this node. */
   recordSend(nowMs: number, timeConstantMs: number): void;
-  /** Replaces the rate of another node. */
-  recordReport(node: string, ratePerS: number, nowMs: number): void;
-  /** Counts the rise of a limit as use that decays, so that the fleet gets the additional requests over time instead of at once; a fall (negative) cancels what is left of earlier rises. */
-  recordLimitChange(
-    changePerS: number,
-    nowMs: number,
-    timeConstantMs: number,
-  ): void;
-  getOwnPerS(nowMs: number, timeConstantMs: number): number;
-  /** Returns the sum over all nodes and what is withheld after a rise of the limit. */
-  getTotalPerS(nowMs: number, timeConstantMs: number): number;
+  /** Replaces the count of another node. */
+  recordReport(node: string, count: number, nowMs: number): void;
+  /** Counts additional requests that a limit admits as sent, so that the fleet gets them over time instead of at once; a negative number cancels what is left of them. */
+  withhold(count: number, nowMs: number, timeConstantMs: number): void;
+  getOwnCount(nowMs: number, timeConstantMs: number): number;
+  /** Returns the sum over all nodes and what is withheld. */
+  getTotalCount(nowMs: number, timeConstantMs: number): number;
 }
 
-interface Rate {
-  perS: number;
+interface DecayingCount {
+  count: number;
   atMs: number;
 }
 
-const MS_PER_S = 1_000;
-/** Rates below this are forgotten. */
-const MIN_RATE_PER_S = 0.001;
+/** Counts below this are forgotten. */
+const MIN_COUNT = 0.001;
 
-/** Creates rates of 0. */
+/** Creates counts of 0. */
 export function createFleetRate(): FleetRate {
-  let own: Rate = {perS: 0, atMs: 0};
-  let withheld: Rate = {perS: 0, atMs: 0};
-  const others = new Map<string, Rate>();
+  let own: DecayingCount = {count: 0, atMs: 0};
+  let withheld: DecayingCount = {count: 0, atMs: 0};
+  const others = new Map<string, DecayingCount>();
   return {
     recordSend: (nowMs, timeConstantMs) => {
-      const perS =
-        computeDecayed(own, nowMs, timeConstantMs) + MS_PER_S / timeConstantMs;
-      own = {perS, atMs: nowMs};
+      const count = computeDecayed(own, nowMs, timeConstantMs) + 1;
+      own = {count, atMs: nowMs};
     },
-    recordReport: (node, ratePerS, nowMs) => {
-      others.set(node, {perS: ratePerS, atMs: nowMs});
+    recordReport: (node, count, nowMs) => {
+      others.set(node, {count, atMs: nowMs});
     },
-    recordLimitChange: (changePerS, nowMs, timeConstantMs) => {
-      const leftPerS = computeDecayed(withheld, nowMs, timeConstantMs);
-      withheld = {perS: Math.max(0, leftPerS + changePerS), atMs: nowMs};
+    withhold: (count, nowMs, timeConstantMs) => {
+      const left = computeDecayed(withheld, nowMs, timeConstantMs);
+      withheld = {count: Math.max(0, left + count), atMs: nowMs};
     },
-    getOwnPerS: (nowMs, timeConstantMs) =>
+    getOwnCount: (nowMs, timeConstantMs) =>
       computeDecayed(own, nowMs, timeConstantMs),
-    getTotalPerS,
+    getTotalCount,
   };
 
-  function getTotalPerS(nowMs: number, timeConstantMs: number): number {
-    let totalPerS =
+  function getTotalCount(nowMs: number, timeConstantMs: number): number {
+    let total =
       computeDecayed(own, nowMs, timeConstantMs) +
       computeDecayed(withheld, nowMs, timeConstantMs);
-    for (const [node, rate] of others) {
-      const perS = computeDecayed(rate, nowMs, timeConstantMs);
-      if (perS < MIN_RATE_PER_S) others.delete(node);
-      totalPerS += perS;
+    for (const [node, other] of others) {
+      const count = computeDecayed(other, nowMs, timeConstantMs);
+      if (count < MIN_COUNT) others.delete(node);
+      total += count;
     }
-    return totalPerS;
+    return total;
   }
 }
 
 function computeDecayed(
-  rate: Rate,
+  {count, atMs}: DecayingCount,
   nowMs: number,
   timeConstantMs: number,
 ): number {
-  return rate.perS * Math.exp(-(nowMs - rate.atMs) / timeConstantMs);
+  return count * Math.exp(-(nowMs - atMs) / timeConstantMs);
 }
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -118,8 +118,8 @@
   readonly startedAtMs: number;
   /** Absent when the sender knows the limit only from other nodes: passed on, it would appear newer with each message. */
   readonly stated?: StatedLimit;
-  /** Decaying average of the sender's requests per second. */
-  readonly ratePerS: number;
+  /** Decaying count of the sender's requests. */
+  readonly recentCount: number;
 }
 
 /** Asks whether a node can be reached, or replies that it can. */
--- a/src/gateway/server_limits.ts
+++ b/src/gateway/server_limits.ts
@@ -61,12 +61,11 @@
   hasUnreported: boolean;
 }
 
-/** The limit that this node may use up, and the averages that fit it. */
+/** What this node may use up of a limit. */
 interface Allowance {
-  readonly perS: number;
+  /** Mean number of requests in one time constant. */
+  readonly count: number;
   readonly timeConstantMs: number;
-  /** What one request adds to the rate. */
-  readonly stepPerS: number;
 }
 
 const MS_PER_S = 1_000;
@@ -74,6 +73,8 @@
 const MIN_LIMIT_PER_S = 0.25;
 /** Shortest time constant of the rates, in milliseconds: a server that was idle takes at most one second's worth of requests at once. */
 const MIN_TIME_CONSTANT_MS = 1_000;
+/** A request may exceed the mean by this much, in requests, so that the mean is reached. */
+const COUNT_MARGIN = 0.5;
 /** A node that reaches at most this fraction of the nodes uses no more than that fraction of the limit, because the others may use all of it. */
 const MAJORITY = 0.5;
 /** Minimum interval between reports of this node's rate at one server, in milliseconds. */
@@ -109,25 +110,30 @@
     return state?.limitPerS === undefined ? undefined : state;
   }
 
-  function computeAllowance({
-    limitPerS = 0,
-  }: Pick<LimitState, 'limitPerS'>): Allowance {
-    const reach = options.getReach();
-    const share = reach > MAJORITY ? 1 : reach;
+  function computeAllowance(
+    {limitPerS = 0}: Pick<LimitState, 'limitPerS'>,
+    share = getShare(),
+  ): Allowance {
     const perS = Math.max(MIN_LIMIT_PER_S, limitPerS) * share;
     const timeConstantMs = Math.max(MIN_TIME_CONSTANT_MS, MS_PER_S / perS);
-    return {perS, timeConstantMs, stepPerS: MS_PER_S / timeConstantMs};
+    return {count: (perS * timeConstantMs) / MS_PER_S, timeConstantMs};
+  }
+
+  /** Returns the fraction of a limit that this node may use up. */
+  function getShare(): number {
+    const reach = options.getReach();
+    return reach > MAJORITY ? 1 : reach;
   }
 
   function getWaitMs(server: BackendEntry): number {
     const state = tryFindLimited(server);
     if (state === undefined) return 0;
-    const {perS, timeConstantMs, stepPerS} = computeAllowance(state);
-    const totalPerS = state.rate.getTotalPerS(
+    const {count, timeConstantMs} = computeAllowance(state);
+    const total = state.rate.getTotalCount(
       clock.getMonotonicMs(),
       timeConstantMs,
     );
-    const ratio = totalPerS / (perS - stepPerS / 2);
+    const ratio = total / (count - COUNT_MARGIN);
     return ratio <= 1 ? 0 : timeConstantMs * Math.log(ratio);
   }
 
@@ -204,10 +210,10 @@
     if (limitPerS === undefined) state.reservedCount = 0;
     if (previousPerS === limitPerS) return undefined;
     if (previousPerS !== undefined && limitPerS !== undefined) {
-      const {perS, timeConstantMs} = computeAllowance(state);
-      const changePerS =
-        perS - computeAllowance({limitPerS: previousPerS}).perS;
-      state.rate.recordLimitChange(changePerS, statedAtMs, timeConstantMs);
+      // The share may still be small because probing has just begun.
+      const {count, timeConstantMs} = computeAllowance(state, 1);
+      const previous = computeAllowance({limitPerS: previousPerS}, 1);
+      state.rate.withhold(count - previous.count, statedAtMs, timeConstantMs);
     }
     return {previousPerS};
   }
@@ -234,7 +240,7 @@
     const state =
       states.get(formatKey(serverId, startedAtMs)) ??
       createState(serverId, startedAtMs);
-    state.rate.recordReport(from, message.ratePerS, nowMs);
+    state.rate.recordReport(from, message.recentCount, nowMs);
     if (stated === undefined) return;
     const {limitPerS, ageMs} = stated;
     const statedAtMs = nowMs - ageMs;
@@ -263,7 +269,7 @@
       serverId,
       startedAtMs,
       ...(state.isSeen ? {stated} : {}),
-      ratePerS: state.rate.getOwnPerS(nowMs, timeConstantMs),
+      recentCount: state.rate.getOwnCount(nowMs, timeConstantMs),
     };
   }
 }
--- a/test/gateway/server_limits.test.ts
+++ b/test/gateway/server_limits.test.ts
@@ -3,7 +3,8 @@
 import {test} from 'node:test';
 import type {LimitMessage} from '../../src/gateway/peer_messages';
 import {createServerLimits} from '../../src/gateway/server_limits';
-import {createVirtualClock} from '../../src/runtime';
+import {type Clock, createVirtualClock} from '../../src/runtime';
+import {createDraw} from '../soak/schedule';
 import {createLimitedFleetModel} from './limited_fleet_model';
 import {createEntry, SILENT_LOGGER} from './support';
 
@@ -81,6 +82,30 @@
   });
 }
 
+/** Seeds that once found a violation. */
+const REGRESSION_SEEDS = [292];
+const RANDOM_SEED_COUNT = 30;
+const RANDOM_LIMITS_PER_S = [0, 0.5, 1, 3, 4.3, 8, 12, 20, 40];
+
+test('random limits hold with random numbers of nodes and random traffic', async () => {
+  const seeds = Array.from({length: RANDOM_SEED_COUNT}, (_, index) => index);
+  for (const seed of [...seeds, ...REGRESSION_SEEDS]) {
+    const draw = createDraw(seed);
+    const model = createLimitedFleetModel({
+      nodes: [1, 4, 12, 30][draw(4)],
+      seed,
+    });
+    for (let count = 0; count < 8; count++) {
+      const isLimited = draw(8) > 0;
+      model.setLimit(isLimited ? RANDOM_LIMITS_PER_S[draw(9)] : undefined);
+      const durationMs = 300 + draw(5_000);
+      const ratePerS = [20, 100, 300][draw(3)];
+      await model.offer({ratePerS, skew: draw(10) / 10, durationMs});
+    }
+    assert.deepEqual(model.listViolations(), [], `seed ${seed}`);
+  }
+});
+
 test('a limit holds while nodes start again one after the other', async () => {
   for (let seed = 1; seed <= 5; seed++) {
     const model = createLimitedFleetModel({nodes: 12, seed});
@@ -149,22 +174,56 @@
   }
 });
 
+function createNode(
+  nodeName: string,
+  {clock, getReach = () => 1}: {clock: Clock; getReach?: () => number},
+) {
+  const sent: LimitMessage[] = [];
+  const limits = createServerLimits({
+    nodeName,
+    clock,
+    logger: SILENT_LOGGER,
+    metrics: {recordLimitedSend: () => undefined},
+    getReach,
+    notify: message => sent.push(message),
+  });
+  return {limits, sent};
+}
+
+test('a request of a node that has just begun to probe the others counts fully at them', () => {
+  const server = createEntry();
+  const clock = createVirtualClock();
+  const probing = createNode('a', {clock, getReach: () => 0.1});
+  const other = createNode('b', {clock});
+  probing.limits.recordSend(server)(0.5);
+  other.limits.handle(probing.sent[0]);
+  assert.equal(other.limits.canSend(server), true);
+  probing.limits.recordSend(server);
+  other.limits.handle(probing.sent[1]);
+  assert.equal(other.limits.canSend(server), false);
+});
+
+test('a rise of a limit that a node hears of when it has just begun to probe the others is granted over time', async () => {
+  const server = createEntry();
+  const clock = createVirtualClock();
+  let reach = 1;
+  const {limits} = createNode('a', {clock, getReach: () => reach});
+  limits.recordSend(server)(0.5);
+  await clock.advance(4_000);
+  reach = 0.1;
+  limits.recordSend(server)(12);
+  reach = 1;
+  let count = 0;
+  for (; limits.canSend(server); count++) limits.recordSend(server);
+  assert.ok(count <= 1, `${count} requests at once`);
+});
+
 test('a node that knows a limit only from others does not revive it at a node that has seen its end', async () => {
   const clock = createVirtualClock();
   const server = createEntry();
-  const createNode = (nodeName: string) => {
-    const sent: LimitMessage[] = [];
-    const limits = createServerLimits({
-      nodeName,
-      clock,
-      logger: SILENT_LOGGER,
-      metrics: {recordLimitedSend: () => undefined},
-      getReach: () => 1,
-      notify: message => sent.push(message),
-    });
-    return {limits, sent};
-  };
-  const [first, second, third] = ['a', 'b', 'c'].map(createNode);
+  const [first, second, third] = ['a', 'b', 'c'].map(name =>
+    createNode(name, {clock}),
+  );
   first.limits.recordSend(server)(5);
   await clock.advance(10);
   third.limits.handle(first.sent[0]);
