--- a/test/platform/server_limits.test.ts
+++ b/test/platform/server_limits.test.ts
@@ -7,6 +7,7 @@
   type LimitedFleet,
   startLimitedFleet,
 } from './limited_fleet';
+import {waitUntil} from './system';
 
 before(buildFleetProgram);
 
@@ -39,6 +40,8 @@
 const LIMIT_PER_S = 2;
 /** Time in which the end of a limit is noticed at a server in use, in milliseconds. */
 const LIMIT_END_NOTICED_MS = 1_000;
+/** Time in which the stages of engines follow limits, in milliseconds. */
+const STAGES_FOLLOW_MS = 12_000;
 
 test('servers that state a limit get no more requests from all nodes together, and callers notice nothing while other servers are free', async () => {
   const fleet = await startLimitedFleet({
@@ -177,21 +180,28 @@
       .length;
   const before = countDecode();
   const traffic = sendMixedTraffic(fleet, {
-    durationMs: 24_000,
+    durationMs: 30_000,
     serviceRatePerS: 1,
     modelRatePerS: 40,
     tokens: [4_000, 2_000],
   });
   await sleep(1_000);
   for (const id of fleet.servers.keys()) fleet.setLimit(id, 3);
-  await sleep(9_000);
-  const during = countDecode();
+  await waitUntil(
+    'more engines decode',
+    () => countDecode() >= 6,
+    STAGES_FOLLOW_MS,
+  );
   const fromMs = performance.now();
   await sleep(4_000);
   const untilMs = performance.now();
   for (const id of fleet.servers.keys()) fleet.setLimit(id, undefined);
+  await waitUntil(
+    'the default number of engines decode',
+    () => countDecode() === before,
+    STAGES_FOLLOW_MS,
+  );
   await traffic;
-  const after = countDecode();
   const violations = fleet.listViolations();
   const served = [...fleet.requests.values()].filter(
     ({path, sentAtMs, answer}) =>
@@ -202,8 +212,7 @@
   );
   await fleet.close();
   assert.deepEqual(violations, []);
-  assert.deepEqual([before, after], [4, 4]);
-  assert.ok(during > 4, `${during}`);
+  assert.equal(before, 4);
   const admittedBefore = (4 * 3 * (untilMs - fromMs)) / 1_000;
   context.diagnostic(`${served.length} served, ${admittedBefore} before`);
   assert.ok(served.length >= 1.2 * admittedBefore, `${served.length}`);
