--- a/src/gateway/server_limits.ts
+++ b/src/gateway/server_limits.ts
@@ -1,7 +1,8 @@
 /**
  * Keeps the requests of all nodes to a server within the limit that the server
  * states in its answers. The nodes tell each other the limits that they see and
- * the rates at which they send, so that a node may use what the others leave.
+ * how many requests they have sent lately, so that a node may use what the others
+ * leave.
  */
 import type {Logger} from '../diagnostics/log';
 import type {Clock, Timer} from '../runtime/types';
@@ -54,7 +55,7 @@
   /** True when this node has seen this in an answer itself. */
   isSeen: boolean;
   readonly rate: FleetRate;
-  /** Requests that are counted in the rate, but not sent yet. */
+  /** Requests that are counted as sent, but not sent yet. */
   reservedCount: number;
   /** Runs for a while after each report, so that the requests sent meanwhile are reported together. */
   reportTimer: Timer | undefined;
@@ -71,13 +72,13 @@
 const MS_PER_S = 1_000;
 /** Requests per second that are sent in spite of a lower limit, because only an answer shows that the limit has ended. */
 const MIN_LIMIT_PER_S = 0.25;
-/** Shortest time constant of the rates, in milliseconds: a server that was idle takes at most one second's worth of requests at once. */
+/** Shortest time constant of the counts, in milliseconds: a server that was idle takes at most one second's worth of requests at once. */
 const MIN_TIME_CONSTANT_MS = 1_000;
 /** A request may exceed the mean by this much, in requests, so that the mean is reached. */
 const COUNT_MARGIN = 0.5;
 /** A node that reaches at most this fraction of the nodes uses no more than that fraction of the limit, because the others may use all of it. */
 const MAJORITY = 0.5;
-/** Minimum interval between reports of this node's rate at one server, in milliseconds. */
+/** Minimum interval between reports of this node's requests to one server, in milliseconds. */
 const MIN_REPORT_INTERVAL_MS = 20;
 
 /** Creates a list without any limits. */
