--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -43,6 +43,13 @@
 /** Shortest prefill by nominal speeds that is used to measure an engine's speed, in milliseconds. */
 const MIN_SAMPLE_MS = 40;
 
+/** When a decode call was sent and its answer began, on the monotonic clock, in milliseconds. */
+interface DecodeTimes {
+  readonly sentAtMs: number;
+  /** Undefined until the head of the answer has arrived. */
+  readonly headAtMs: number | undefined;
+}
+
 /** Serves one model request. */
 export function runStreamFlow(
   context: FlowContext,
@@ -300,11 +307,13 @@
     server: BackendEntry,
     directPlacement?: PrefillPlacement,
   ): void {
-    let headAtMs = clock.getMonotonicMs();
+    const sentAtMs = clock.getMonotonicMs();
+    let headAtMs: number | undefined;
     decodeTries++;
     runCount++;
     task.log('sent to decode engine', {
       serverId: server.id,
+      parts: model.parts.map(part => part.id),
       hasKv: kv !== undefined,
       lastEventId: splitter?.getLastId(),
       runCount,
@@ -337,22 +346,25 @@
         context.speeds.recordRun(
           task.service,
           route.name,
-          clock.getMonotonicMs() - headAtMs,
+          clock.getMonotonicMs() - (headAtMs ?? sentAtMs),
         );
         health.recordSuccess(server.id, 1);
         task.complete(status, server.id);
       },
-      onFailure: failure => handleDecodeFailure(server, failure),
+      onFailure: failure =>
+        handleDecodeFailure(server, failure, {sentAtMs, headAtMs}),
     });
   }
 
   function handleDecodeFailure(
     server: BackendEntry,
     failure: CallFailure,
+    times: DecodeTimes,
   ): void {
     decodeCall = undefined;
     if (task.isOver()) return;
     lastFailureAtMs = clock.getMonotonicMs();
+    const {sentAtMs, headAtMs} = times;
     records.recordAbandoned();
     records.recordEnd(server.id);
     if (failure.verdict === Verdict.NotRun) runCount--;
@@ -366,6 +378,10 @@
       reason: failure.reason,
       detail: failure.message,
       verdict: failure.verdict,
+      sinceSentMs: Math.round(lastFailureAtMs - sentAtMs),
+      ...(headAtMs === undefined
+        ? {}
+        : {sinceHeadMs: Math.round(lastFailureAtMs - headAtMs)}),
       isAgain,
     });
     if (!isAgain) {
