--- a/test/platform/limited_fleet.ts
+++ b/test/platform/limited_fleet.ts
@@ -15,7 +15,11 @@
   startNodeProcesses,
 } from '../soak/gateway_processes';
 import {listLimitViolations} from './limit_check';
-import {type ServerStandin, startServerStandin} from './server_standin';
+import {
+  type ServerStandin,
+  type ServerStandinOptions,
+  startServerStandin,
+} from './server_standin';
 import {startStoreStandin} from './store_standin';
 import {
   buildConfig,
@@ -77,6 +81,8 @@
   readonly prefill?: number;
   readonly decode?: number;
   readonly seed?: number;
+  /** Number of events of a stream and the time between them, in milliseconds. */
+  readonly stream?: Pick<ServerStandinOptions, 'events' | 'eventIntervalMs'>;
 }): Promise<LimitedFleet> {
   const draw = createDraw(options.seed ?? 1);
   const store = await startStoreStandin();
@@ -134,6 +140,7 @@
         zone: 'a',
         store,
         workMs: WORK_MS,
+        ...options.stream,
         ...(stage === undefined ? {} : {stage}),
       });
       servers.set(id, server);
--- a/test/platform/server_standin.ts
+++ b/test/platform/server_standin.ts
@@ -25,6 +25,11 @@
   readonly atMs: number;
 }
 
+/** The arrival of a call with the ids of the parts of its prompt, which are empty for other calls. */
+export interface PromptArrival extends Arrival {
+  readonly parts: readonly string[];
+}
+
 /**
  * Fault that the server shows until it is changed. `full` refuses requests
  * without running them, `no-kv` does so with the next request that has a KV source,
@@ -52,7 +57,7 @@
   /** Bodies of the accepted stage orders, in order. */
   readonly orders: Array<Record<string, unknown>>;
   /** All calls in order of arrival, refused ones included. */
-  readonly arrivals: Arrival[];
+  readonly arrivals: PromptArrival[];
   /** Returns the stage that the engine works in; undefined for a plain service. */
   getStage(): 'prefill' | 'decode' | undefined;
   setFault(fault: ServerFault): void;
@@ -70,6 +75,15 @@
   crash(): Promise<void>;
   /** Listens again on the same port. */
   restart(): Promise<void>;
+  /** Ends like a process that crashes: closes all connections, and listens again with a new start time after `downMs`. */
+  crashFor(downMs: number): Promise<void>;
+  /** Lets the server crash for `downMs` soon after it begins to write an answer to a prompt with one of these parts. */
+  setDeadlyParts(partIds: readonly string[], downMs: number): void;
+  /** When the server crashed because of a part, on the monotonic clock, in milliseconds. */
+  readonly partCrashes: ReadonlyArray<{
+    readonly partId: string;
+    readonly atMs: number;
+  }>;
   /** Number of requests whose connection closed before the response was complete. */
   countAborted(): number;
   /** Writes the server's entry to the store; `born` is the start of its process, in milliseconds since the Unix epoch. */
@@ -95,6 +109,11 @@
   readonly port?: number;
 }
 
+/** Start time of a server's first process, in milliseconds since the Unix epoch. */
+const FIRST_BORN_MS = 1_700_000_000_000;
+/** Time from the beginning of an answer to the crash that a deadly part causes, in milliseconds. */
+const CRASH_DELAY_MS = 40;
+
 /** Starts a server on a free loopback port and publishes its entry. */
 export async function startServerStandin(
   options: ServerStandinOptions,
@@ -109,14 +128,22 @@
   let isLeaving = false;
   let pauseRetryAfter: string | undefined;
   let limit: number | undefined;
+  let deadly = {partIds: new Set<string>(), downMs: 0};
+  let born = FIRST_BORN_MS;
+  let isDown = false;
+  const partCrashes: Array<{partId: string; atMs: number}> = [];
   const limitChanges: LimitChange[] = [];
-  const arrivals: Arrival[] = [];
+  const arrivals: PromptArrival[] = [];
   const openSockets = new Set<Socket>();
   const ignoredSockets = new WeakSet<Socket>();
   const server = createServer((request, response) => {
     if (ignoredSockets.has(request.socket)) return;
     const id = request.headers['anvilstack-request-id'];
-    arrivals.push({id: id?.toString(), atMs: performance.now()});
+    arrivals.push({
+      id: id?.toString(),
+      atMs: performance.now(),
+      parts: listPartIds(request),
+    });
     if (isLeaving) response.setHeader('Server-Leaving', '1');
     if (limit !== undefined) sendLimit(response, limit);
     void readAll(request).then(body => handle(request, response, body));
@@ -153,6 +180,11 @@
     ignoreConnections: () => {
       for (const socket of openSockets) ignoredSockets.add(socket);
     },
+    partCrashes,
+    setDeadlyParts: (partIds, downMs) => {
+      deadly = {partIds: new Set(partIds), downMs};
+    },
+    crashFor,
     crash: async () => {
       const closed = new Promise(resolve => server.close(resolve));
       for (const socket of openSockets) socket.resetAndDestroy();
@@ -184,10 +216,33 @@
     limitChanges.push({atMs: performance.now(), limitPerS});
   }
 
-  function publish(
-    state: 'ready' | 'draining' = 'ready',
-    born = 1_700_000_000_000,
-  ): void {
+  async function crashFor(downMs: number): Promise<void> {
+    if (isDown) return;
+    isDown = true;
+    const closed = new Promise(resolve => server.close(resolve));
+    for (const socket of openSockets) socket.destroy();
+    await closed;
+    await new Promise(resolve => setTimeout(resolve, downMs));
+    born++;
+    await listen(port);
+    publish();
+    isDown = false;
+  }
+
+  /** Crashes soon after the answer has begun if the prompt holds a deadly part; the last part is the request's own. */
+  function crashOnDeadlyPart(received: ReceivedRequest): void {
+    const partId = listPartIds(received)
+      .slice(0, -1)
+      .find(id => deadly.partIds.has(id));
+    if (partId === undefined) return;
+    setTimeout(() => {
+      if (isDown) return;
+      partCrashes.push({partId, atMs: performance.now()});
+      void crashFor(deadly.downMs);
+    }, CRASH_DELAY_MS);
+  }
+
+  function publish(state: 'ready' | 'draining' = 'ready', bornMs = born): void {
     const entry = {
       service: options.service,
       address: `127.0.0.1:${port}`,
@@ -197,7 +252,7 @@
       state,
       coldLeftMs: 0,
       seq: 1,
-      born,
+      born: bornMs,
       ...(stage === undefined ? {} : {stage, models: [{name: 'm'}]}),
     };
     store.put('keyed.servers', id, JSON.stringify(entry));
@@ -311,6 +366,7 @@
     const isResumed = received.headers['last-event-id'] !== undefined;
     let next = Number(received.headers['last-event-id'] ?? 0) + 1;
     response.writeHead(200, {...headers, 'Content-Type': 'text/event-stream'});
+    crashOnDeadlyPart(received);
     sendNext();
 
     function sendNext(): void {
@@ -367,6 +423,12 @@
   }
 }
 
+/** Lists the ids of the parts of a request's prompt. */
+function listPartIds({headers}: Pick<IncomingMessage, 'headers'>): string[] {
+  const text = String(headers['anvilstack-prompt-prefix'] ?? '');
+  return text === '' ? [] : text.split(',').map(part => part.split(':')[0]);
+}
+
 function hasKvSource(received: ReceivedRequest): boolean {
   return received.headers['anvilstack-kv-source'] !== undefined;
 }
