--- a/src/gateway/store_reader.ts
+++ b/src/gateway/store_reader.ts
@@ -3,6 +3,7 @@
 import type {Clock} from '../runtime/types';
 import type {
   EntryChange,
+  EntryPage,
   FleetStore,
   GatewayConfig,
   StoreFailure,
@@ -67,7 +68,7 @@
       return loadEntries();
     }
     recordSuccess();
-    options.onEntries(page.val.changes, page.val.nextOffset, false);
+    handleEntries(page.val, false);
     return true;
   }
 
@@ -75,10 +76,23 @@
     const page = await store.loadEntries();
     if (page.err) return recordFailure(page.val);
     recordSuccess();
-    options.onEntries(page.val.changes, page.val.nextOffset, true);
+    handleEntries(page.val, true);
     return true;
   }
 
+  function handleEntries(page: EntryPage, isFullList: boolean): void {
+    const unusableIds = page.changes
+      .filter(change => change.isUnusable)
+      .map(change => change.id);
+    if (unusableIds.length > 0) {
+      logger.log('warn', 'entries of backend servers cannot be used', {
+        offset: page.nextOffset,
+        serverIds: unusableIds,
+      });
+    }
+    options.onEntries(page.changes, page.nextOffset, isFullList);
+  }
+
   async function readConfig(
     fromOffset: number,
     waitMs: number,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -258,6 +258,8 @@
   readonly id: string;
   /** Undefined when the entry was removed or describes no usable server. */
   readonly entry?: BackendEntry;
+  /** True when there is an entry that describes no usable server. */
+  readonly isUnusable?: true;
 }
 
 /** The newest configuration and the offset at which to continue reading. */
--- a/src/platform/fleet_store.ts
+++ b/src/platform/fleet_store.ts
@@ -180,8 +180,9 @@
 }
 
 function createEntryChange(id: string, text: string | undefined): EntryChange {
-  const entry = text === undefined ? undefined : tryParseEntry(id, text);
-  return entry === undefined ? {id} : {id, entry};
+  if (text === undefined) return {id};
+  const entry = tryParseEntry(id, text);
+  return entry === undefined ? {id, isUnusable: true} : {id, entry};
 }
 
 function tryParseQuarantineRecord(
--- a/src/platform/server_entry.ts
+++ b/src/platform/server_entry.ts
@@ -2,10 +2,10 @@
 import {type BackendEntry, EngineStage} from '../gateway';
 import {
   tryGetFields,
-  tryGetNumber,
+  tryGetString,
+  tryGetWhole,
   tryParseJson,
   trySplitAddress,
-  tryGetString,
 } from './wire_decode';
 
 const STAGES: Readonly<Record<string, EngineStage>> = {
@@ -20,7 +20,7 @@
 
 /**
  * Decodes the entry of a backend server; returns undefined when the entry is
- * malformed, incomplete, or its state is neither ready nor draining.
+ * malformed, incomplete or out of range, or its state is neither ready nor draining.
  */
 export function tryParseEntry(
   id: string,
@@ -36,15 +36,24 @@
   if (state !== 'ready' && state !== 'draining') return undefined;
   const stage = tryParseStage(fields['stage']);
   if (fields['stage'] !== undefined && stage === undefined) return undefined;
+  // Despite its name, `maxBatch` limits the concurrent requests of plain services too.
+  const maxRunning = tryGetWhole(
+    fields['maxBatch'] === undefined ? 1 : fields['maxBatch'],
+    1,
+  );
+  const startedAtMs = tryGetWhole(
+    fields['born'] === undefined ? 0 : fields['born'],
+    0,
+  );
+  if (maxRunning === undefined || startedAtMs === undefined) return undefined;
   return {
     id,
     service,
     ...address,
     failureDomain,
-    // Despite its name, `maxBatch` limits the concurrent requests of plain services too.
-    maxRunning: tryGetNumber(fields['maxBatch']) ?? 1,
+    maxRunning,
     isLeaving: state === 'draining',
     ...(stage === undefined ? {} : {stage}),
-    startedAtMs: tryGetNumber(fields['born']) ?? 0,
+    startedAtMs,
   };
 }
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -140,6 +140,56 @@
   assert.equal(tryParseEntry('id', 'no json'), undefined);
 });
 
+test('an odd entry of another writer names no server, and the entries beside it hold', () => {
+  const entry = {
+    service: 's',
+    address: '10.0.0.1:80',
+    zone: 'z',
+    state: 'ready',
+    maxBatch: 8,
+    born: 1_700_000_000_000,
+  };
+  const text = JSON.stringify(entry);
+  const nested = '['.repeat(60_000) + ']'.repeat(60_000);
+  const faults: ReadonlyArray<readonly [string, string]> = [
+    ...[
+      'x y:80',
+      '10.0.0.1 :80',
+      '10.0.0.1/a:80',
+      'user@10.0.0.1:80',
+      '10.0.0.1\t:80',
+      '10.0.0.1:0',
+      '10.0.0.1:65536',
+      '10.0.0.1:080x',
+      '-:80',
+      '300.0.0.1:80',
+      'a..b:80',
+      `${'a'.repeat(300)}:80`,
+      ':80',
+    ].map(address => ['"10.0.0.1:80"', JSON.stringify(address)] as const),
+    ['"10.0.0.1:80"', '80'],
+    ...['0', '-1', '1.5', '"8"', '1e999', '[8]', 'null'].map(
+      value => ['"maxBatch":8', `"maxBatch":${value}`] as const,
+    ),
+    ...['1.5', '-1', '"x"', '1e999', '{}'].map(
+      value => ['1700000000000', value] as const,
+    ),
+    ['"ready"', '7'],
+    ['"z"', nested],
+    ['"s"', nested],
+  ];
+  assert.ok(tryParseEntry('id', text) !== undefined);
+  const used = faults.filter(([from, to]) => {
+    const odd = text.replace(from, to);
+    assert.notEqual(odd, text);
+    return tryParseEntry('id', odd) !== undefined;
+  });
+  assert.deepEqual(used, []);
+  assert.equal(tryParseEntry('id', nested), undefined);
+  const beside = `${text.slice(0, -1)},"more":${nested}}`;
+  assert.ok(tryParseEntry('id', beside) !== undefined);
+});
+
 test('records of keyed topics survive encoding and decoding', () => {
   assert.deepEqual(tryDecodeKeyedRecord(encodeKeyedRecord('k', 'value')), {
     key: 'k',
--- a/test/platform/following.test.ts
+++ b/test/platform/following.test.ts
@@ -312,3 +312,35 @@
   await stopped;
   await system.close();
 });
+
+test('odd entries of another writer end no node, keep none from following the list, and get no request', async () => {
+  const {system} = await startWithServer(3);
+  const base = {service: 'app', zone: 'a', state: 'ready', maxBatch: 8};
+  const nested = '['.repeat(60_000) + ']'.repeat(60_000);
+  const oddTexts = [
+    nested,
+    `{"service":${nested}}`,
+    JSON.stringify({...base, address: 'x y:80'}),
+    JSON.stringify({...base, address: '127.0.0.1:70000'}),
+    JSON.stringify({...base, address: '127.0.0.1:9'}).replace('8', '1e999'),
+    '\u0000\ufffd',
+  ];
+  for (const [index, text] of oddTexts.entries()) {
+    system.store.put('keyed.servers', `odd-${index}`, text);
+  }
+  await system.addServer({id: 'app-2', service: 'app', zone: 'a'});
+  await waitUntil('the server beside the odd entries is known', () =>
+    hasUsableServers(system.nodes, ['app-1', 'app-2']),
+  );
+  for (let count = 0; count < 30; count++) {
+    const answer = await system.send({path: '/order/x'}, count % 3);
+    assert.equal(answer.status, 200);
+  }
+  const reported = system.nodes.flatMap(node =>
+    node.lines.filter(
+      line => line['message'] === 'entries of backend servers cannot be used',
+    ),
+  );
+  await system.close();
+  assert.ok(reported.length > 0);
+});
