Believe a refusal on a used connection only if it names its request

Callers saw: 503, the promise that a request has not run, for a non-idempotent request that a server had run. A faulty server had written an earlier refusal once more, without a request id, before the answer.

Cause: only a wrong id was taken for an answer to another request, not a missing one.

Fix: on a connection that has carried an answer, a refusal without the request's id proves nothing (502, not sent again). On a new connection nothing can have been written before, so it is believed, and the connection is closed after it.

Evidence: the test failed before; stand-ins now echo ids in refusals, as the servers do.

--- a/src/gateway/answer_relay.ts
+++ b/src/gateway/answer_relay.ts
@@ -56,6 +56,7 @@
   function onAnswer(
     answerStatus: number,
     rawHeaders: readonly string[],
+    isFirstOnConnection: boolean,
   ): CallFailure | void {
     status = answerStatus;
     isFramed = hasFraming(rawHeaders);
@@ -63,6 +64,12 @@
     if (isMismatchedAnswer(head, exchange)) {
       return createMismatch('answer carries another request id');
     }
+    if (head.isNotRun && head.requestId === undefined) {
+      // Ends the connection: the server might write the refusal again, which could not be told from that of a later request.
+      return isFirstOnConnection
+        ? createRejection(Verdict.NotRun, status)
+        : createMismatch('refusal carries no request id');
+    }
     if (head.isNotRun) {
       rejection = createRejection(Verdict.NotRun, status);
       return;
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -6,8 +6,12 @@
 
 /** Receives an answer. No callback follows `onEnd` or `onFailure`. */
 export interface CallHandler {
-  /** Called with the head of the answer; a returned failure ends the call. */
-  onAnswer(status: number, rawHeaders: readonly string[]): CallFailure | void;
+  /** Called with the head of the answer, and whether it is the first one on its connection; a returned failure ends the call. */
+  onAnswer(
+    status: number,
+    rawHeaders: readonly string[],
+    isFirstOnConnection: boolean,
+  ): CallFailure | void;
   onData(chunk: Buffer): void;
   onEnd(): void;
   onFailure(failure: CallFailure): void;
@@ -79,6 +83,8 @@
   wasReset: boolean;
   /** True while the answer has no length and therefore ends with the connection. */
   isUnframed: boolean;
+  /** True once an answer has arrived on the open socket. */
+  hasAnswered: boolean;
 }
 
 interface ServerConnections {
@@ -160,6 +166,7 @@
           }
           openedCount++;
           connection.isOpen = true;
+          connection.hasAnswered = false;
           socket.on('close', () => {
             connection.isOpen = false;
           });
@@ -179,6 +186,7 @@
       isOpen: false,
       wasReset: false,
       isUnframed: false,
+      hasAnswered: false,
     };
     return connection;
   }
@@ -301,7 +309,9 @@
     const rawHeaders = listRawHeaders(started);
     connection.isUnframed = !hasFraming(rawHeaders);
     options.onHead?.(status, rawHeaders);
-    const failure = handler.onAnswer(status, rawHeaders);
+    const isFirst = !connection.hasAnswered;
+    connection.hasAnswered = true;
+    const failure = handler.onAnswer(status, rawHeaders, isFirst);
     if (failure !== undefined) fail(failure);
   }
 
--- /dev/null
+++ b/test/platform/broken_answers.test.ts
@@ -0,0 +1,72 @@
+/** Answers that a faulty server breaks off, joins to another one or writes again. */
+import assert from 'node:assert/strict';
+import {after, before, test} from 'node:test';
+import {startRawServer} from '../gateway/support';
+import type {ServerStandin} from './server_standin';
+import {
+  isNodeReady,
+  loadSnapshot,
+  startSystem,
+  type TestSystem,
+  waitUntil,
+} from './system';
+
+let system: TestSystem;
+let app: ServerStandin;
+
+before(async () => {
+  system = await startSystem({});
+  app = await system.addServer({id: 'app-1', service: 'app', zone: 'a'});
+  await waitUntil('the node knows all servers', async () => {
+    const {entries} = await loadSnapshot(system.nodes[0]);
+    return entries.length === 1 && isNodeReady(system.nodes[0]);
+  });
+});
+after(() => system.close());
+
+test('a refusal that a server writes again without an id does not tell the caller that its request has not run', async () => {
+  app.setFault('none');
+  assert.equal((await system.send({path: '/order/first'})).status, 200);
+  app.setFault('refuse-again');
+  const answer = await system.send({path: '/order/second', id: 'second'});
+  app.setFault('none');
+  assert.equal(app.runs.filter(run => run.id === 'second').length, 1);
+  assert.equal(answer.status, 502);
+  const next = await system.send({path: '/order/third', id: 'third'});
+  assert.equal(next.status, 200);
+  assert.match(next.body, /third$/);
+});
+
+test('a refusal without an id is believed as the first answer on a connection, which is not used again', async () => {
+  const lone = await startSystem({});
+  const ports: Array<number | undefined> = [];
+  const server = await startRawServer(socket => {
+    ports.push(socket.remotePort);
+    socket.write(
+      'HTTP/1.1 503 Service Unavailable\r\nAnvilstack-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n',
+    );
+  });
+  const entry = {
+    service: 'app',
+    address: `127.0.0.1:${server.entry.port}`,
+    zone: 'a',
+    state: 'ready',
+    maxBatch: 8,
+  };
+  lone.store.put('keyed.servers', 'raw', JSON.stringify(entry));
+  await waitUntil('the node is ready', () => isNodeReady(lone.nodes[0]));
+  const answer = await lone.send({path: '/order/x'});
+  server.close();
+  await lone.close();
+  assert.equal(answer.status, 503);
+  assert.equal(new Set(ports).size, ports.length);
+});
+
+test('a refusal that names its request tells the caller that it has not run', async () => {
+  await system.send({path: '/order/first'});
+  app.setFault('full');
+  const answer = await system.send({path: '/order/second', id: 'refused'});
+  app.setFault('none');
+  assert.equal(answer.status, 503);
+  assert.ok(app.runs.every(run => run.id !== 'refused'));
+});
--- a/test/platform/server_standin.ts
+++ b/test/platform/server_standin.ts
@@ -34,6 +34,10 @@
  * Fault that the server shows until it is changed. `full` refuses requests
  * without running them, `no-kv` does so with the next request that has a KV source,
  * `mute` never responds, and `busy-after-run` sends 503 for a request that ran.
+ * `refuse-again` writes a refusal without a request id before the answer to a
+ * request that ran. `unframed` answers without a length, `unframed-cut` ends such
+ * a stream inside an event, and `error-on-resume` resets streams midway and fails
+ * the requests that resume them.
  */
 export type ServerFault =
   | 'none'
@@ -45,7 +49,11 @@
   | 'other-id'
   | 'no-seal'
   | 'no-kv'
-  | 'busy-after-run';
+  | 'busy-after-run'
+  | 'refuse-again'
+  | 'unframed'
+  | 'unframed-cut'
+  | 'error-on-resume';
 
 /** A running stand-in. */
 export interface ServerStandin {
@@ -263,6 +271,10 @@
     response: ServerResponse,
     body: string,
   ): void {
+    const requestId = request.headers['anvilstack-request-id'];
+    if (requestId !== undefined) {
+      response.setHeader('Anvilstack-Request-Id', requestId);
+    }
     const targetId = request.headers['anvilstack-target-instance'];
     if (targetId !== undefined && targetId !== id) {
       response.writeHead(421, {'Anvilstack-Instance-Id': id});
@@ -339,6 +351,20 @@
       response.end('failed');
       return;
     }
+    if (fault === 'error-on-resume' && isResumed(received)) {
+      response.writeHead(500, headers);
+      response.end('failed to resume');
+      return;
+    }
+    if (fault === 'refuse-again') {
+      response.socket?.write(
+        'HTTP/1.1 503 Service Unavailable\r\nAnvilstack-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n',
+      );
+    }
+    if (fault === 'unframed' || fault === 'unframed-cut') {
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+    }
     if (fault === 'busy-after-run') {
       response.writeHead(503, {...headers, 'Retry-After': '1'});
       response.end();
@@ -347,7 +373,10 @@
     if (stage !== undefined) return sendEvents(response, received, headers);
     const body = `${id} did ${received.method} ${received.path}`;
     const length = String(Buffer.byteLength(body));
-    response.writeHead(200, {...headers, 'Content-Length': length});
+    response.writeHead(
+      200,
+      fault === 'unframed' ? headers : {...headers, 'Content-Length': length},
+    );
     if (fault !== 'reset-midway') {
       response.end(body);
       return;
@@ -363,7 +392,6 @@
     headers: Record<string, string>,
   ): void {
     const count = options.events ?? 3;
-    const isResumed = received.headers['last-event-id'] !== undefined;
     let next = Number(received.headers['last-event-id'] ?? 0) + 1;
     response.writeHead(200, {...headers, 'Content-Type': 'text/event-stream'});
     crashOnDeadlyPart(received);
@@ -377,7 +405,15 @@
       }
       response.write(`id: ${next}\ndata: piece ${next}\n\n`);
       next++;
-      if (fault === 'reset-midway' && !isResumed && next === 3) {
+      if (isResumed(received) || next !== 3) {
+        setTimeout(sendNext, options.eventIntervalMs ?? 1);
+        return;
+      }
+      if (fault === 'unframed-cut') {
+        response.end(`id: ${next}\ndata: pie`);
+        return;
+      }
+      if (fault === 'reset-midway' || fault === 'error-on-resume') {
         response.write(`id: ${next}\ndata: pie`);
         setTimeout(() => response.socket?.resetAndDestroy(), 5);
         return;
@@ -423,6 +459,10 @@
   }
 }
 
+function isResumed({headers}: ReceivedRequest): boolean {
+  return headers['last-event-id'] !== undefined;
+}
+
 /** Lists the ids of the parts of a request's prompt. */
 function listPartIds({headers}: Pick<IncomingMessage, 'headers'>): string[] {
   const text = String(headers['anvilstack-prompt-prefix'] ?? '');
