Cut a resumed stream whose next server answers with an error

Callers saw: a stream broke off after two events, the next server, asked with Last-Event-Id, answered 500, and the text of the error followed the second event; the stream then ended as complete.

Cause: an error that may not be discarded for another attempt was relayed like the first answer; only its head was left out, since the caller already had one.

Fix: once the caller has part of an answer, an error of a server is a failed attempt. When no other server may be asked, the caller's connection is cut, so that it does not take the stream for complete.

The same class elsewhere, by reading only: the product's own interface takes any status but 200 of an engine for a failure (backends/http_engine_client) and ends a stream that has begun by an error event of its own (entry/completion_response).

--- a/src/gateway/answer_relay.ts
+++ b/src/gateway/answer_relay.ts
@@ -78,6 +78,11 @@
     if (isSuccess && (!head.isSealed || head.isEncoded)) {
       return createMismatch('answer is unsealed or content-encoded');
     }
+    // The caller has part of a stream, to which an error of the server that was to resume it must not be joined.
+    if (!isSuccess && exchange.hasAnswerBegun()) {
+      rejection = createRejection(Verdict.MayHaveRun, status);
+      return;
+    }
     // Callers take these statuses as a guarantee that the request has not run.
     const isNotRunStatus = status === 429 || status === 503 || status === 408;
     if (isNotRunStatus || (status >= 500 && options.isErrorRetryable())) {
--- a/test/platform/broken_answers.test.ts
+++ b/test/platform/broken_answers.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import {after, before, test} from 'node:test';
 import {startRawServer} from '../gateway/support';
-import type {ServerStandin} from './server_standin';
+import type {ServerFault, ServerStandin} from './server_standin';
 import {
   isNodeReady,
   loadSnapshot,
@@ -13,17 +13,37 @@
 
 let system: TestSystem;
 let app: ServerStandin;
+let engines: ServerStandin[];
 
 before(async () => {
   system = await startSystem({});
   app = await system.addServer({id: 'app-1', service: 'app', zone: 'a'});
+  const addEngine = (id: string, stage: 'prefill' | 'decode') =>
+    system.addServer({id, service: 'llm', zone: 'a', stage});
+  await addEngine('reader-1', 'prefill');
+  engines = [
+    await addEngine('writer-1', 'decode'),
+    await addEngine('writer-2', 'decode'),
+  ];
   await waitUntil('the node knows all servers', async () => {
     const {entries} = await loadSnapshot(system.nodes[0]);
-    return entries.length === 1 && isNodeReady(system.nodes[0]);
+    return entries.length === 4 && isNodeReady(system.nodes[0]);
   });
 });
 after(() => system.close());
 
+const WHOLE_STREAM = [1, 2, 3]
+  .map(id => `id: ${id}\ndata: piece ${id}\n\n`)
+  .join('');
+
+function setEngineFault(fault: ServerFault): void {
+  for (const engine of engines) engine.setFault(fault);
+}
+
+function sendPrompt(path: string) {
+  return system.send({path, tokens: '900,9', parts: 'aa:600,bb:300'});
+}
+
 test('a refusal that a server writes again without an id does not tell the caller that its request has not run', async () => {
   app.setFault('none');
   assert.equal((await system.send({path: '/order/first'})).status, 200);
@@ -70,3 +90,11 @@
   assert.equal(answer.status, 503);
   assert.ok(app.runs.every(run => run.id !== 'refused'));
 });
+
+test('the error of the server that is to resume a stream is not joined to it, and the stream does not end as complete', async () => {
+  setEngineFault('error-on-resume');
+  const answer = await sendPrompt('/resume/x');
+  setEngineFault('none');
+  assert.equal(answer.isComplete, false);
+  assert.ok(WHOLE_STREAM.startsWith(answer.body), answer.body);
+});
