Take a stream that ends inside an event for broken off

Callers saw: a stream with neither a length nor chunks whose server broke off inside an event ended as complete, resumable or not, without a second try.

Cause: without framing the end of a connection is the end of the answer, unless it is a reset; what had been received of the last event was passed on.

Fix: a stream that ends inside an event has been broken off, whatever its framing: a resumable one goes on at another server from its last whole event, any other is cut. So has one without framing and without any event. Events end with each of the line ends that the format allows, not only with \\n. An answer of another type does not resume a stream.

Boundaries are tested for each length, chunk size and line end.

--- a/src/gateway/answer_relay.ts
+++ b/src/gateway/answer_relay.ts
@@ -1,7 +1,12 @@
 /** Relays a backend server's answer to the caller, or reports why it cannot. */
 import {Verdict} from '../verdict';
-import {type CallHandler, hasFraming, type OpenCall} from './connections';
-import type {EventSplitter} from './event_splitter';
+import type {CallHandler, OpenCall} from './connections';
+import {
+  createEventBoundary,
+  type EventSplitter,
+  isBlank,
+} from './event_splitter';
+import {findHeader, hasFraming} from './raw_headers';
 import type {RequestTask} from './request_task';
 import {isMismatchedAnswer} from './server_call';
 import type {BackendProtocol, CallFailure} from './types';
@@ -14,6 +19,8 @@
   readonly isErrorRetryable: () => boolean;
   /** Answers up to this size are buffered until they are complete, in bytes; with 0, data is passed on at once. */
   readonly maxBufferedBytes: number;
+  /** True when successful answers are streams of events unless they state another type. */
+  readonly isEventStream: boolean;
   /** Present when the stream can be resumed on another server. */
   readonly splitter?: EventSplitter;
   /** Called when the head of a successful answer has arrived. */
@@ -23,6 +30,13 @@
   readonly onFailure: (failure: CallFailure) => void;
 }
 
+const EVENT_TYPE = 'text/event-stream';
+const CUT_OFF: CallFailure = {
+  verdict: Verdict.MayHaveRun,
+  reason: 'reset',
+  message: 'stream ended inside an event',
+};
+
 /** A relay of one answer. */
 export interface AnswerRelay extends CallHandler {
   /** Sets the call whose answer is relayed; must be called before the answer arrives. */
@@ -36,6 +50,9 @@
   let call: OpenCall | undefined;
   let status = 0;
   let isFramed = true;
+  let isEventStream = false;
+  let receivedBytes = 0;
+  const boundary = createEventBoundary();
   let rejection: CallFailure | undefined;
   let pendingHeaders: readonly string[] | undefined;
   let bufferedChunks: Buffer[] = [];
@@ -89,6 +106,12 @@
       rejection = createRejection(Verdict.MayHaveRun, status);
       return;
     }
+    const type = findHeader(rawHeaders, 'Content-Type') ?? EVENT_TYPE;
+    isEventStream =
+      isSuccess && options.isEventStream && type.startsWith(EVENT_TYPE);
+    if (exchange.hasAnswerBegun() && !isEventStream) {
+      return createMismatch(`a stream was to be resumed by ${type}`);
+    }
     if (isSuccess) options.onHead?.();
     pendingHeaders = protocol.buildAnswerHeaders(rawHeaders);
     if (options.maxBufferedBytes === 0) sendBuffered();
@@ -96,6 +119,8 @@
 
   function onData(chunk: Buffer): void {
     if (rejection !== undefined) return;
+    receivedBytes += chunk.length;
+    if (isEventStream && options.splitter === undefined) boundary.push(chunk);
     const bytes = options.splitter?.push(chunk) ?? chunk;
     if (bytes.length === 0) return;
     if (pendingHeaders !== undefined) {
@@ -112,13 +137,25 @@
       options.onFailure(rejection);
       return;
     }
+    const remainder = options.splitter?.takeRemainder() ?? Buffer.alloc(0);
+    if (isEventStream && isCutOff(remainder)) {
+      options.onFailure(CUT_OFF);
+      return;
+    }
     sendBuffered();
-    const remainder = options.splitter?.takeRemainder();
-    if (remainder !== undefined && remainder.length > 0) writePart(remainder);
+    if (remainder.length > 0) writePart(remainder);
     exchange.end();
     options.onEnd(status, isFramed);
   }
 
+  /** True when a stream ended inside an event, or without any event and without framing that shows it to be complete. */
+  function isCutOff(remainder: Buffer): boolean {
+    if (receivedBytes === 0) return !isFramed;
+    return options.splitter === undefined
+      ? !boundary.isBetweenEvents()
+      : !isBlank(remainder);
+  }
+
   function sendBuffered(): void {
     if (pendingHeaders === undefined) return;
     // A resumed stream keeps the head that its first server sent.
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import {buildConnector, Client, type Dispatcher} from 'undici';
 import {Verdict} from '../verdict';
+import {hasFraming} from './raw_headers';
 import type {BackendEntry, CallFailure} from './types';
 
 /** Receives an answer. No callback follows `onEnd` or `onFailure`. */
@@ -231,15 +232,6 @@
   });
 }
 
-/** True when the head of an answer says where its body ends; otherwise it ends with the connection. */
-export function hasFraming(rawHeaders: readonly string[]): boolean {
-  return rawHeaders.some((name, index) => {
-    if (index % 2 === 1) return false;
-    const lower = name.toLowerCase();
-    return lower === 'content-length' || lower === 'transfer-encoding';
-  });
-}
-
 interface DispatchedCall extends OpenCall {
   readonly dispatchHandler: Dispatcher.DispatchHandler;
 }
--- a/src/gateway/decode_call.ts
+++ b/src/gateway/decode_call.ts
@@ -66,6 +66,7 @@
     task,
     protocol,
     maxBufferedBytes: 0,
+    isEventStream: true,
     isErrorRetryable: () => route.isResumable && options.canRunAgain(),
     ...(splitter === undefined ? {} : {splitter}),
     onHead: () => {
--- a/src/gateway/service_flow.ts
+++ b/src/gateway/service_flow.ts
@@ -35,6 +35,7 @@
   task: RequestTask,
 ): void {
   const {exchange, route} = task;
+  const isStream = route.kind === RequestKind.Stream;
   const isIdempotent = route.kind === RequestKind.Idempotent;
   const tried = new Set<string>();
   let call: OpenCall | undefined;
@@ -90,8 +91,8 @@
     const relay = createAnswerRelay({
       task,
       protocol: context.protocol,
-      maxBufferedBytes:
-        route.kind === RequestKind.Stream ? 0 : MAX_BUFFERED_BYTES,
+      maxBufferedBytes: isStream ? 0 : MAX_BUFFERED_BYTES,
+      isEventStream: isStream,
       isErrorRetryable: () => isIdempotent && canRunAgain(),
       onEnd: status => {
         recordTryEnd(context.clock.getMonotonicMs() - sentAtMs);
--- a/src/platform/backend_protocol.ts
+++ b/src/platform/backend_protocol.ts
@@ -1,15 +1,16 @@
 /** The platform's HTTP headers and calls between callers, the gateway and backend servers. */
-import type {
-  AnswerHead,
-  BackendProtocol,
-  CallerRequest,
-  KvReference,
-  ModelRequest,
-  ControlCall,
-  SendOptions,
-  ServerNotice,
-  StageOrder,
-  StageReport,
+import {
+  type AnswerHead,
+  type BackendProtocol,
+  type CallerRequest,
+  type ControlCall,
+  findHeader,
+  type KvReference,
+  type ModelRequest,
+  type SendOptions,
+  type ServerNotice,
+  type StageOrder,
+  type StageReport,
 } from '../gateway';
 import {tryParseStage} from './server_entry';
 import {
@@ -276,17 +277,3 @@
   const seconds = Math.max(0, retryAfterMs / 1_000).toFixed(3);
   return [Header.RetryAfter, seconds, Header.RequestId, requestId];
 }
-
-function findHeader(
-  rawHeaders: readonly string[],
-  wantedName: string,
-): string | undefined {
-  const lower = wantedName.toLowerCase();
-  for (let index = 0; index < rawHeaders.length; index += 2) {
-    const name = rawHeaders[index];
-    if (name.length === lower.length && name.toLowerCase() === lower) {
-      return rawHeaders[index + 1];
-    }
-  }
-  return undefined;
-}
--- /dev/null
+++ b/test/gateway/event_splitter.test.ts
@@ -0,0 +1,64 @@
+/** Boundaries between server-sent events, whatever the chunks in which they arrive. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  createEventBoundary,
+  createEventSplitter,
+} from '../../src/gateway/event_splitter';
+
+const LINE_ENDS = ['\n', '\r\n', '\r'];
+
+function buildStream(lineEnd: string): string {
+  return [1, 2, 3]
+    .map(id => `id: ${id}${lineEnd}data: piece ${id}${lineEnd}${lineEnd}`)
+    .join('');
+}
+
+function splitText(text: string, size: number): Buffer[] {
+  return Array.from({length: Math.ceil(text.length / size)}, (_, index) =>
+    Buffer.from(text.slice(index * size, (index + 1) * size)),
+  );
+}
+
+for (const lineEnd of LINE_ENDS) {
+  const name = JSON.stringify(lineEnd);
+  const text = buildStream(lineEnd);
+
+  test(`the end of each event and no other place is a boundary, with ${name}`, () => {
+    const eventLength = text.length / 3;
+    for (let size = 1; size <= 12; size++) {
+      for (let length = 1; length <= text.length; length++) {
+        const boundary = createEventBoundary();
+        for (const chunk of splitText(text.slice(0, length), size)) {
+          boundary.push(chunk);
+        }
+        assert.equal(
+          boundary.isBetweenEvents(),
+          length % eventLength === 0,
+          `${length} bytes in chunks of ${size}`,
+        );
+      }
+    }
+  });
+
+  test(`whole events are split off, with ${name}`, () => {
+    for (let size = 1; size <= 12; size++) {
+      const splitter = createEventSplitter();
+      const cut = text.slice(0, -4);
+      const passedOn = splitText(cut, size).map(chunk => splitter.push(chunk));
+      const whole = (text.length * 2) / 3;
+      assert.equal(Buffer.concat(passedOn).toString(), text.slice(0, whole));
+      assert.equal(splitter.getLastId(), '2');
+      assert.equal(splitter.takeRemainder().toString(), cut.slice(whole));
+    }
+  });
+}
+
+test('line ends after the last event are not inside an event', () => {
+  const boundary = createEventBoundary();
+  boundary.push(Buffer.from('data: x\n\n'));
+  boundary.push(Buffer.from('\n'));
+  assert.equal(boundary.isBetweenEvents(), true);
+  boundary.push(Buffer.from('d'));
+  assert.equal(boundary.isBetweenEvents(), false);
+});
--- a/test/platform/broken_answers.test.ts
+++ b/test/platform/broken_answers.test.ts
@@ -35,6 +35,7 @@
 const WHOLE_STREAM = [1, 2, 3]
   .map(id => `id: ${id}\ndata: piece ${id}\n\n`)
   .join('');
+const STREAM_PATHS = ['/ask/x', '/resume/x'];
 
 function setEngineFault(fault: ServerFault): void {
   for (const engine of engines) engine.setFault(fault);
@@ -98,3 +99,29 @@
   assert.equal(answer.isComplete, false);
   assert.ok(WHOLE_STREAM.startsWith(answer.body), answer.body);
 });
+
+for (const path of STREAM_PATHS) {
+  test(`a stream without a length that ends after an event is complete: ${path}`, async () => {
+    setEngineFault('unframed');
+    const answer = await sendPrompt(path);
+    setEngineFault('none');
+    assert.equal(answer.isComplete, true);
+    assert.equal(answer.body, WHOLE_STREAM);
+  });
+}
+
+test('a stream without a length that ends inside an event does not end as complete', async () => {
+  setEngineFault('unframed-cut');
+  const answer = await sendPrompt('/ask/x');
+  setEngineFault('none');
+  assert.equal(answer.isComplete, false);
+  assert.ok(!answer.body.includes('piece 3'), answer.body);
+});
+
+test('a resumable stream without a length that ends inside an event goes on at another server', async () => {
+  setEngineFault('unframed-cut');
+  const answer = await sendPrompt('/resume/x');
+  setEngineFault('none');
+  assert.equal(answer.isComplete, true);
+  assert.equal(answer.body, WHOLE_STREAM);
+});
