--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -35,6 +35,14 @@
   readonly limitsPerS: readonly [number, number];
 }
 
+/** A time in which some prompts hold a part that crashes engines. */
+export interface TimedDeadlyPart {
+  readonly atMs: number;
+  readonly durationMs: number;
+  /** Time that a crashed engine is away, in milliseconds. */
+  readonly downMs: number;
+}
+
 /** Draws a random integer from 0 to `below - 1`; the same seed gives the same sequence. */
 export type Draw = (below: number) => number;
 
@@ -98,6 +106,20 @@
   })).filter(() => draw(3) === 0);
 }
 
+/** Draws the time of a deadly part, from early in the run on; undefined for every third run. */
+export function buildDeadlyPart(options: {
+  readonly draw: Draw;
+  readonly runDurationMs: number;
+}): TimedDeadlyPart | undefined {
+  const {draw, runDurationMs} = options;
+  const timed = {
+    atMs: draw(runDurationMs / 4),
+    durationMs: draw(runDurationMs),
+    downMs: MIN_FAULT_MS + draw(MAX_FAULT_MS - MIN_FAULT_MS),
+  };
+  return draw(3) === 0 ? undefined : timed;
+}
+
 function createFault(options: {
   readonly draw: Draw;
   readonly nodes: number;
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -33,6 +33,7 @@
     const report = [
       JSON.stringify(result.schedule),
       JSON.stringify(result.limits),
+      JSON.stringify(result.deadlyPart),
       ...result.lines.slice(-400),
     ].join('\n');
     assert.deepEqual(result.violations, [], report);
--- a/test/soak/violations.ts
+++ b/test/soak/violations.ts
@@ -2,6 +2,7 @@
 import type {ServerStandin} from '../platform/server_standin';
 import {listLimitViolations} from '../platform/limit_check';
 import type {CallerAnswer} from '../platform/system';
+import {listDeadlyPartViolations} from '../platform/tainted_fleet';
 
 /** A request of the soak test; `kind` is the name of its route. */
 export interface SoakRequest {
@@ -102,6 +103,35 @@
   );
 }
 
+/** Lists requests with a deadly part that reached servers too late, leaving out those of disturbed nodes, and other parts that nodes blamed. */
+export function listDeadlyPartFaults(options: {
+  readonly requests: readonly SoakRequest[];
+  readonly servers: readonly ServerStandin[];
+  readonly partId: string;
+  readonly disturbedNodes: ReadonlySet<string>;
+  readonly lines: readonly string[];
+}): string[] {
+  const {requests, servers, partId, disturbedNodes, lines} = options;
+  const nodes = new Map(requests.map(({id, node}) => [id, node]));
+  const counted = servers.map(({partCrashes, arrivals}) => ({
+    partCrashes,
+    arrivals: arrivals.filter(
+      ({id}) => !disturbedNodes.has(nodes.get(id ?? '') ?? ''),
+    ),
+  }));
+  const blamed = [
+    ...lines
+      .join('')
+      .matchAll(/"message":"prompt part quarantined[^}]*"partId":"([^"]*)"/g),
+  ].map(match => match[1]);
+  return [
+    ...listDeadlyPartViolations(counted, [partId]),
+    ...blamed
+      .filter(blamedId => blamedId !== partId)
+      .map(blamedId => `${blamedId} was blamed for crashes`),
+  ];
+}
+
 /** Checks that the fencing numbers of an engine's orders never fall and that each has a single holder. */
 function listOrderViolations(server: ServerStandin): string[] {
   const violations: string[] = [];
