Count only begun answers against a part whose answers had all begun

The hazard of a part whose requests had all begun their answers is now the fraction of streams that break off after that.

Also: a record of a node with a port out of range would have ended the nodes that send to it; read with the checks of server entries (test).

--- a/src/gateway/crash_evidence.ts
+++ b/src/gateway/crash_evidence.ts
@@ -9,6 +9,8 @@
   readonly requestId: string;
   /** Ids of the parts that other requests may share, in prompt order. */
   readonly parts: readonly string[];
+  /** True when the head of its answer had arrived. */
+  readonly hasBegun: boolean;
 }
 
 /** Streams of one node that an engine broke off at one time. */
@@ -19,9 +21,10 @@
   /** Start time of the server's process, in milliseconds since the Unix epoch. */
   readonly startedAtMs: number;
   readonly streams: readonly BrokenStream[];
-  /** Decaying counts of the reporting node's recent streams, and of the young ones among them that broke off. */
+  /** Decaying counts of the reporting node's recent streams, of the young ones among them that broke off, and of those whose answers had begun. */
   readonly streamCount: number;
   readonly brokenCount: number;
+  readonly begunCount: number;
 }
 
 /** A part that crashes engines, and what the decision is based on. */
@@ -31,7 +34,7 @@
   readonly crashCount: number;
   /** Number of all crashes since the first of them. */
   readonly allCrashCount: number;
-  /** Fraction of all streams that break off young. */
+  /** Fraction of all streams that break off young, after their answers have begun if that holds for the part's requests. */
   readonly hazard: number;
   /** Upper bound on the probability that the crashes hit the part's requests by chance. */
   readonly probability: number;
@@ -68,6 +71,8 @@
   readonly firstCrashMs: number;
   /** Request that was hit, by the crash that hit it. */
   readonly requests: Map<Crash, string>;
+  /** True while the answers to all these requests had begun. */
+  hasBegun: boolean;
 }
 
 /** Crashes of different servers within this time have one cause, such as the loss of a rack, in milliseconds. */
@@ -130,9 +135,10 @@
     crash: Crash,
     streams: readonly BrokenStream[],
   ): Blame[] {
-    for (const {requestId, parts} of streams) {
-      partsByRequest.set(requestId, parts);
-      for (const partId of parts) addHit(partId, crash, requestId);
+    // Answers that had begun come first, as those are the likelier causes.
+    for (const stream of [...streams].sort(compareBegun)) {
+      partsByRequest.set(stream.requestId, stream.parts);
+      for (const partId of stream.parts) addHit(partId, crash, stream);
     }
     const blames: Blame[] = [];
     for (const {parts} of streams) {
@@ -173,10 +179,15 @@
   }
 
   /** Counts a request at most once, and at most one request for each crash. */
-  function addHit(partId: string, crash: Crash, requestId: string): void {
+  function addHit(
+    partId: string,
+    crash: Crash,
+    {requestId, hasBegun}: BrokenStream,
+  ): void {
     const doubt = doubts.get(partId) ?? {
       firstCrashMs: crash.atMs,
       requests: new Map<Crash, string>(),
+      hasBegun: true,
     };
     // Deleting first keeps the doubts in the order of their latest crashes.
     doubts.delete(partId);
@@ -184,6 +195,7 @@
     if (doubt.requests.has(crash)) return;
     if ([...doubt.requests.values()].includes(requestId)) return;
     doubt.requests.set(crash, requestId);
+    doubt.hasBegun &&= hasBegun;
   }
 
   /** Of several parts that explain the crashes, the last one affects the fewest other requests. */
@@ -205,10 +217,11 @@
    */
   function computeBlame(partId: string): Blame {
     const crashCount = countUnexplained(partId);
-    const firstCrashMs = doubts.get(partId)?.firstCrashMs ?? 0;
+    const doubt = doubts.get(partId);
+    const firstCrashMs = doubt?.firstCrashMs ?? 0;
     const all = crashes.filter(crash => crash.atMs >= firstCrashMs);
     const open = all.filter(crash => !crash.isExplained);
-    const hazard = computeHazard();
+    const hazard = computeHazard(doubt?.hasBegun ?? false);
     let probability = hazard ** Math.max(0, crashCount - 1);
     for (let hit = 0; hit < crashCount; hit++) {
       probability *= (open.length - hit) / all.length;
@@ -233,12 +246,12 @@
     }).length;
   }
 
-  function computeHazard(): number {
+  function computeHazard(hasBegun: boolean): number {
     let streamCount = PRIOR_STREAMS;
     let brokenCount = 0;
     for (const {report} of counts.values()) {
       streamCount += report.streamCount;
-      brokenCount += report.brokenCount;
+      brokenCount += hasBegun ? report.begunCount : report.brokenCount;
     }
     return Math.min(1, Math.max(MIN_HAZARD, brokenCount / streamCount));
   }
@@ -262,6 +275,10 @@
   }
 }
 
+function compareBegun(left: BrokenStream, right: BrokenStream): number {
+  return Number(right.hasBegun) - Number(left.hasBegun);
+}
+
 function removeOldest(map: Map<string, unknown>, maxSize: number): void {
   for (const key of map.keys()) {
     if (map.size <= maxSize) return;
--- a/src/gateway/crash_guard.ts
+++ b/src/gateway/crash_guard.ts
@@ -39,12 +39,12 @@
   isDoubted(model: ModelRequest): boolean;
   /** Counts a stream that is sent to an engine. */
   recordSent(): void;
-  /** Records a stream that broke off with its connection; `ageMs` is the time since its answer began, in milliseconds. */
+  /** Records a stream that broke off with its connection; `ageMs` is the time since its answer began, in milliseconds, or undefined before that. */
   recordBroken(
     server: BackendEntry,
     requestId: string,
     model: ModelRequest,
-    ageMs: number,
+    ageMs: number | undefined,
   ): void;
   /** Records a complete answer. One that is not framed may have been cut off by a crash that shows only later. */
   recordCompleted(
@@ -122,8 +122,12 @@
       ),
     recordSent: reports.recordSent,
     recordBroken: (server, requestId, model, ageMs) => {
-      if (ageMs >= YOUNG_MS) return;
-      reports.recordBroken(server, {requestId, parts: listPartIds(model)});
+      if ((ageMs ?? 0) >= YOUNG_MS) return;
+      reports.recordBroken(server, {
+        requestId,
+        parts: listPartIds(model),
+        hasBegun: ageMs !== undefined,
+      });
     },
     recordCompleted,
     handle,
--- a/src/gateway/crash_reports.ts
+++ b/src/gateway/crash_reports.ts
@@ -30,6 +30,7 @@
   const unreported = new Map<string, BrokenStream[]>();
   let streamCount = 0;
   let brokenCount = 0;
+  let begunCount = 0;
   let updatedAtMs = clock.getMonotonicMs();
   return {
     recordSent: () => {
@@ -42,6 +43,7 @@
   function recordBroken(server: BackendEntry, stream: BrokenStream): void {
     updateCounts();
     brokenCount++;
+    if (stream.hasBegun) begunCount++;
     const {id: serverId, startedAtMs} = server;
     const key = `${serverId} ${startedAtMs}`;
     const known = unreported.get(key);
@@ -61,6 +63,7 @@
         streams,
         streamCount,
         brokenCount,
+        begunCount,
       });
     });
   }
@@ -70,6 +73,7 @@
     const factor = Math.exp((updatedAtMs - nowMs) / TIME_CONSTANT_MS);
     streamCount *= factor;
     brokenCount *= factor;
+    begunCount *= factor;
     updatedAtMs = nowMs;
   }
 }
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -391,7 +391,8 @@
     const isKvRefused = kv !== undefined && failure.reason === 'rejected';
     if (!isKvRefused) recordFailure(server, failure);
     if (failure.reason === 'reset') {
-      const ageMs = lastFailureAtMs - (headAtMs ?? lastFailureAtMs);
+      const ageMs =
+        headAtMs === undefined ? undefined : lastFailureAtMs - headAtMs;
       const {requestId} = exchange.request;
       context.crashGuard.recordBroken(server, requestId, model, ageMs);
     }
--- a/src/platform/fleet_store.ts
+++ b/src/platform/fleet_store.ts
@@ -23,6 +23,7 @@
   tryGetNumber,
   tryParseJson,
   tryGetString,
+  trySplitAddress,
 } from './wire_decode';
 
 const Topic = {
@@ -199,12 +200,17 @@
 function tryParseNodeRecord(text: string): NodeRecord | undefined {
   const fields = tryGetFields(tryParseJson(text));
   const name = tryGetString(fields?.['name']);
-  const host = tryGetString(fields?.['host']);
-  const peerPort = tryGetNumber(fields?.['peerPort']);
-  const controlPort = tryGetNumber(fields?.['controlPort']);
   const failureDomain = tryGetString(fields?.['failureDomain']);
-  if (name === undefined || host === undefined) return undefined;
-  if (peerPort === undefined || controlPort === undefined) return undefined;
-  if (failureDomain === undefined) return undefined;
-  return {name, host, peerPort, controlPort, failureDomain};
+  const host = String(fields?.['host']);
+  const peer = trySplitAddress(`${host}:${String(fields?.['peerPort'])}`);
+  const control = trySplitAddress(`${host}:${String(fields?.['controlPort'])}`);
+  if (name === undefined || failureDomain === undefined) return undefined;
+  if (peer === undefined || control === undefined) return undefined;
+  return {
+    name,
+    host,
+    peerPort: peer.port,
+    controlPort: control.port,
+    failureDomain,
+  };
 }
--- a/test/gateway/crash_evidence.test.ts
+++ b/test/gateway/crash_evidence.test.ts
@@ -19,9 +19,10 @@
     from: 'front-1',
     serverId,
     startedAtMs: 1,
-    streams: [{requestId, parts}],
+    streams: [{requestId, parts, hasBegun: true}],
     streamCount: 400,
     brokenCount: 4,
+    begunCount: 4,
   };
 }
 
@@ -67,6 +68,28 @@
   ]);
 });
 
+/** Counts the crashes after which a part is blamed while many requests wait for answers that have not begun. */
+function countCrashesUntilBlame(hasBegun: boolean): number {
+  const evidence = createEvidence();
+  for (let count = 1; count <= 20; count++) {
+    const report = {
+      ...createReport(`e${count}`, `q${count}`, ['part']),
+      streams: [{requestId: `q${count}`, parts: ['part'], hasBegun}],
+      brokenCount: 100,
+      begunCount: 20,
+    };
+    const blames = evidence.recordCrash(report, count * SECOND_MS);
+    if (blames.length > 0) return count;
+  }
+  return Number.POSITIVE_INFINITY;
+}
+
+test('requests that only waited when engines crashed do not hide a part whose answers had begun', () => {
+  const crashes = countCrashesUntilBlame(true);
+  assert.ok(crashes <= 4, `${crashes} crashes`);
+  assert.ok(countCrashesUntilBlame(false) > crashes);
+});
+
 test('engines that crash at the same moment count as one crash', () => {
   const evidence = createEvidence();
   for (let count = 1; count <= 10; count++) {
@@ -112,14 +135,22 @@
   const report = createReport('e1', 'q1', ['part']);
   evidence.recordCrash(report, 1_000);
   evidence.recordCrash(
-    {...report, from: 'front-2', streams: [{requestId: 'q2', parts: ['part']}]},
+    {
+      ...report,
+      from: 'front-2',
+      streams: [{requestId: 'q2', parts: ['part'], hasBegun: true}],
+    },
     1_400,
   );
   assert.equal(evidence.countCrashes('part'), 1);
   assert.equal(evidence.hasCrashed('e1', 1, 900), true);
   assert.equal(evidence.hasCrashed('e1', 2, 900), false);
   evidence.recordCrash(
-    {...report, startedAtMs: 2, streams: [{requestId: 'q3', parts: ['part']}]},
+    {
+      ...report,
+      startedAtMs: 2,
+      streams: [{requestId: 'q3', parts: ['part'], hasBegun: true}],
+    },
     1_900,
   );
   assert.equal(evidence.countCrashes('part'), 2);
--- a/test/gateway/crash_model.ts
+++ b/test/gateway/crash_model.ts
@@ -134,9 +134,10 @@
       from: NODE,
       serverId: `e${engine}`,
       startedAtMs,
-      streams: broken,
+      streams: broken.map(stream => ({...stream, hasBegun: true})),
       streamCount,
       brokenCount,
+      begunCount: brokenCount,
     };
     for (const blame of evidence.recordCrash(report, nowMs)) {
       blamed.add(blame.partId);
--- a/test/platform/following.test.ts
+++ b/test/platform/following.test.ts
@@ -344,3 +344,22 @@
   await system.close();
   assert.ok(reported.length > 0);
 });
+
+test('an odd record of a node does not end the nodes that read it', async () => {
+  const {system} = await startWithServer(1);
+  const record = {
+    name: 'odd',
+    host: '127.0.0.1',
+    peerPort: 70_000,
+    controlPort: 1,
+    failureDomain: 'a',
+  };
+  system.store.put('keyed.nodes', 'odd', JSON.stringify(record));
+  const node = await system.addNode();
+  await waitUntil('the new node is ready', () => isNodeReady(node));
+  const {nodes} = await loadSnapshot(node);
+  const answer = await system.send({path: '/order/x'}, 1);
+  await system.close();
+  assert.equal(answer.status, 200);
+  assert.ok(!JSON.stringify(nodes).includes('odd'));
+});
