Count streams that break off as a crash only if no connection is left open

A node now drops a report while it still has an open connection to the server: a process that ends closes all of them.

--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -44,6 +44,8 @@
   call(request: BackendCall): OpenCall;
   /** True when an idle connection to the server is open. */
   hasIdle(serverId: string): boolean;
+  /** True when any connection to the server is open. */
+  hasOpen(serverId: string): boolean;
   /** Closes the idle connections to all servers but these; busy ones are closed after their call. */
   retainOnly(serverIds: ReadonlySet<string>): void;
   /** Number of connections opened since the start. */
@@ -106,6 +108,8 @@
     call,
     hasIdle: serverId =>
       servers.get(serverId)?.idle.some(item => item.isOpen) ?? false,
+    hasOpen: serverId =>
+      [...(servers.get(serverId)?.all ?? [])].some(item => item.isOpen),
     retainOnly,
     countOpened: () => openedCount,
     close,
--- a/src/gateway/crash_guard.ts
+++ b/src/gateway/crash_guard.ts
@@ -71,6 +71,8 @@
   readonly isFirstStart: boolean;
   /** True while this node reads the store for the others or hears of no other node that does. */
   readonly isReader: () => boolean;
+  /** True when any connection to the server is open, so that its process has not ended. */
+  readonly isConnected: (serverId: string) => boolean;
   readonly notify: (
     message: CrashMessage | SoundMessage | QuarantineMessage,
   ) => void;
@@ -101,6 +103,7 @@
   const reports = createCrashReports({
     nodeName: options.nodeName,
     clock,
+    isConnected: options.isConnected,
     onReport: report => {
       options.metrics.recordCrash();
       logger.log('info', 'backend server broke off young streams', {...report});
--- a/src/gateway/crash_reports.ts
+++ b/src/gateway/crash_reports.ts
@@ -15,11 +15,13 @@
 export interface CrashReportsOptions {
   readonly nodeName: string;
   readonly clock: Pick<Clock, 'getMonotonicMs' | 'schedule'>;
+  /** True when any connection to the server is open, so that its process has not ended. */
+  readonly isConnected: (serverId: string) => boolean;
   readonly onReport: (report: CrashReport) => void;
 }
 
-/** Time in which all streams of a crashed server break off at one node, in milliseconds. */
-const REPORT_DELAY_MS = 5;
+/** Time in which all connections to a crashed server break off at one node, in milliseconds. */
+const REPORT_DELAY_MS = 15;
 /** Time constant with which the counts decay, in milliseconds: many times the time between two crashes that have one cause. */
 const TIME_CONSTANT_MS = 15_000;
 
@@ -41,9 +43,6 @@
   };
 
   function recordBroken(server: BackendEntry, stream: BrokenStream): void {
-    updateCounts();
-    brokenCount++;
-    if (stream.hasBegun) begunCount++;
     const {id: serverId, startedAtMs} = server;
     const key = `${serverId} ${startedAtMs}`;
     const known = unreported.get(key);
@@ -55,7 +54,10 @@
     unreported.set(key, streams);
     clock.schedule(REPORT_DELAY_MS, () => {
       unreported.delete(key);
+      if (options.isConnected(serverId)) return;
       updateCounts();
+      brokenCount += streams.length;
+      begunCount += streams.filter(({hasBegun}) => hasBegun).length;
       onReport({
         from: nodeName,
         serverId,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -135,6 +135,7 @@
     getRandom,
     isFirstStart: settings.isFirstStart,
     isReader: () => follower.isReader(),
+    isConnected: connections.hasOpen,
     notify: peers.notify,
   });
   const follower = createStoreFollower({
--- a/test/gateway/crash_guard.test.ts
+++ b/test/gateway/crash_guard.test.ts
@@ -36,6 +36,8 @@
   const generator = xoroshiro128plus(options.seed ?? 1);
   const draw = () => uniformFloat64(generator);
   const cut = new Set<number>();
+  /** Servers to which connections are still open. */
+  const alive = new Set<string>();
   const stored = new Map<string, {version: number; trialCount: number}>();
   const storeState = {isDown: false, endOffset: 0};
   const store: Pick<FleetStore, 'loadQuarantine' | 'appendQuarantine'> = {
@@ -64,6 +66,7 @@
     clock,
     guards,
     cut,
+    alive,
     stored,
     storeState,
     startNode,
@@ -82,6 +85,7 @@
       getRandom: draw,
       isFirstStart,
       isReader: () => index === 0 || cut.has(index),
+      isConnected: serverId => alive.has(serverId),
       notify: message => sendToOthers(index, other => other.handle(message)),
     } satisfies CrashGuardOptions);
     guards[index].start();
@@ -263,6 +267,19 @@
   assert.equal(guard.isDoubted(model), false);
 });
 
+test('an answer that a server breaks off while its other connections are open is no crash', async () => {
+  const fleet = startFleet({nodes: 2});
+  fleet.alive.add('e7');
+  const [guard] = fleet.guards;
+  for (let count = 0; count < 20; count++) {
+    const server = createEntry({id: 'e7', startedAtMs: count});
+    guard.recordBroken(server, `q${count}`, createModel('part'), 10);
+    await fleet.clock.advance(SECOND_MS);
+  }
+  assert.equal(fleet.count(), 0);
+  assert.equal(guard.isDoubted(createModel('part')), false);
+});
+
 test('streams that ran for long say nothing about what crashed their engine', async () => {
   const fleet = startFleet({nodes: 2});
   for (let crash = 0; crash < 20; crash++) {
