--- a/test/platform/server_standin.ts
+++ b/test/platform/server_standin.ts
@@ -94,7 +94,7 @@
   }>;
   /** Number of requests whose connection closed before the response was complete. */
   countAborted(): number;
-  /** Writes the server's entry to the store; `born` is the start of its process, in milliseconds since the Unix epoch. */
+  /** Writes the server's entry to the store, by default in its last state; `born` is the start of its process, in milliseconds since the Unix epoch. */
   publish(state?: 'ready' | 'draining', born?: number): void;
   /** Deletes the server's entry from the store. */
   withdraw(): void;
@@ -139,6 +139,7 @@
   let deadly = {partIds: new Set<string>(), downMs: 0};
   let born = FIRST_BORN_MS;
   let isDown = false;
+  let lastState: 'ready' | 'draining' = 'ready';
   const partCrashes: Array<{partId: string; atMs: number}> = [];
   const limitChanges: LimitChange[] = [];
   const arrivals: PromptArrival[] = [];
@@ -251,7 +252,8 @@
     return true;
   }
 
-  function publish(state: 'ready' | 'draining' = 'ready', bornMs = born): void {
+  function publish(state = lastState, bornMs = born): void {
+    lastState = state;
     const entry = {
       service: options.service,
       address: `127.0.0.1:${port}`,
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -8,6 +8,8 @@
 /** Seeds that once found a violation, with its cause. */
 const REGRESSION_SEEDS: ReadonlyArray<readonly [number, string]> = [
   [102, 'a process that could not listen kept running without serving'],
+  [2000, 'the stand-in completed an answer before it crashed because of it'],
+  [3021, 'the end of a drain undid another drain of the same server'],
 ];
 /** Further seeds for manual runs, as FIRST:COUNT. */
 const FURTHER_SEEDS = process.env['ANVILSTACK_SOAK_SEEDS'];
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -95,6 +95,7 @@
     servers,
     processes,
     violations,
+    drains: new Map(),
     version: 1,
     schedule: [],
     startedAt: 0,
@@ -206,6 +207,8 @@
   readonly servers: readonly ServerStandin[];
   readonly processes: NodeProcesses;
   readonly violations: string[];
+  /** Number of drains in progress, by server. */
+  readonly drains: Map<ServerStandin, number>;
   version: number;
   schedule: readonly TimedFault[];
   startedAt: number;
@@ -319,6 +322,8 @@
 
 /** Drains a server and checks that no request reaches it after the drain bound. */
 async function drainServer(server: ServerStandin, run: SoakRun): Promise<void> {
+  const {drains} = run;
+  drains.set(server, (drains.get(server) ?? 0) + 1);
   server.publish('draining');
   await sleep(DRAIN_BOUND_MS + DRAIN_SLACK_MS);
   const before = server.runs.length;
@@ -333,7 +338,9 @@
       `${server.id} got ${lateIds.join()} after the drain bound`,
     );
   }
-  server.publish('ready');
+  const othersCount = (drains.get(server) ?? 1) - 1;
+  drains.set(server, othersCount);
+  if (othersCount === 0) server.publish('ready');
 }
 
 /**
