Count each crash under a request that is sent again

A request that is sent again now counts for each engine that it crashes; a part needs three such requests, as one that crashes engines by itself may be sent twice or three times.

--- a/src/gateway/crash_evidence.ts
+++ b/src/gateway/crash_evidence.ts
@@ -83,6 +83,8 @@
 const EXPIRY_MS = 300_000;
 /** Fewest crashes with which a part is blamed. */
 const MIN_CRASHES = 3;
+/** Fewest requests among these crashes: a request that is sent again may crash several engines by itself. */
+const MIN_REQUESTS = 3;
 /** Crashes under a part from which it explains them better than the parts before it. */
 const MIN_REPEATED = 2;
 /** Highest probability of chance with which a part is blamed. */
@@ -178,7 +180,7 @@
     return crash;
   }
 
-  /** Counts a request at most once, and at most one request for each crash. */
+  /** Counts at most one request for each crash. */
   function addHit(
     partId: string,
     crash: Crash,
@@ -193,7 +195,6 @@
     doubts.delete(partId);
     doubts.set(partId, doubt);
     if (doubt.requests.has(crash)) return;
-    if ([...doubt.requests.values()].includes(requestId)) return;
     doubt.requests.set(crash, requestId);
     doubt.hasBegun &&= hasBegun;
   }
@@ -201,6 +202,7 @@
   /** Of several parts that explain the crashes, the last one affects the fewest other requests. */
   function tryFindBlame(parts: readonly string[]): Blame | undefined {
     return parts
+      .filter(partId => countRequests(partId) >= MIN_REQUESTS)
       .map(computeBlame)
       .findLast(
         blame =>
@@ -209,6 +211,10 @@
       );
   }
 
+  function countRequests(partId: string): number {
+    return new Set(doubts.get(partId)?.requests.values()).size;
+  }
+
   /**
    * The first crash selects the part, so it says nothing. The probability that
    * the following requests break off young is the hazard for each; that they hit
--- a/src/gateway/crash_guard.ts
+++ b/src/gateway/crash_guard.ts
@@ -110,6 +110,11 @@
       notify({kind: 'crash', ...report});
       handleCrash(report);
     },
+    onDropped: (serverId, streams) =>
+      logger.log('info', 'young streams broke off, but their server lives', {
+        serverId,
+        streams,
+      }),
   });
   return {
     start: quarantine.start,
--- a/src/gateway/crash_reports.ts
+++ b/src/gateway/crash_reports.ts
@@ -18,10 +18,17 @@
   /** True when any connection to the server is open, so that its process has not ended. */
   readonly isConnected: (serverId: string) => boolean;
   readonly onReport: (report: CrashReport) => void;
+  /** Called instead when the server has not ended. */
+  readonly onDropped: (
+    serverId: string,
+    streams: readonly BrokenStream[],
+  ) => void;
 }
 
 /** Time in which all connections to a crashed server break off at one node, in milliseconds. */
 const REPORT_DELAY_MS = 15;
+/** Additional time for the other connections, in milliseconds: a busy node reads their ends late. */
+const RECHECK_DELAY_MS = 100;
 /** Time constant with which the counts decay, in milliseconds: many times the time between two crashes that have one cause. */
 const TIME_CONSTANT_MS = 15_000;
 
@@ -52,9 +59,20 @@
     }
     const streams = [stream];
     unreported.set(key, streams);
-    clock.schedule(REPORT_DELAY_MS, () => {
+    clock.schedule(REPORT_DELAY_MS, () => submit(RECHECK_DELAY_MS));
+
+    /** Reports the streams unless the server is still connected after `recheckMs` more, in milliseconds. */
+    function submit(recheckMs: number): void {
+      const isConnected = options.isConnected(serverId);
+      if (isConnected && recheckMs > 0) {
+        clock.schedule(recheckMs, () => submit(0));
+        return;
+      }
       unreported.delete(key);
-      if (options.isConnected(serverId)) return;
+      if (isConnected) {
+        options.onDropped(serverId, streams);
+        return;
+      }
       updateCounts();
       brokenCount += streams.length;
       begunCount += streams.filter(({hasBegun}) => hasBegun).length;
@@ -67,7 +85,7 @@
         brokenCount,
         begunCount,
       });
-    });
+    }
   }
 
   function updateCounts(): void {
