Use one key for server processes and read an answer's framing once

- The key of a server's process was written four times (limits, pauses, and twice for crashes); all call formatProcessKey.
- Two loops dropped the oldest entries of a map; both call trimOldest.
- The connection and the relay each searched the head of every answer for its framing; the connection tells the relay.
- A guard before the search for quarantined parts, which the search repeats, and two written-out defaults of a server entry are gone.

--- a/src/gateway/answer_relay.ts
+++ b/src/gateway/answer_relay.ts
@@ -1,12 +1,12 @@
 /** Relays a backend server's answer to the caller, or reports why it cannot. */
 import {Verdict} from '../verdict';
-import type {CallHandler, OpenCall} from './connections';
+import type {AnswerTransport, CallHandler, OpenCall} from './connections';
 import {
   createEventBoundary,
   type EventSplitter,
   isBlank,
 } from './event_splitter';
-import {findHeader, hasFraming} from './raw_headers';
+import {findHeader} from './raw_headers';
 import type {RequestTask} from './request_task';
 import {isMismatchedAnswer} from './server_call';
 import type {BackendProtocol, CallFailure} from './types';
@@ -73,17 +73,17 @@
   function onAnswer(
     answerStatus: number,
     rawHeaders: readonly string[],
-    isFirstOnConnection: boolean,
+    transport: AnswerTransport,
   ): CallFailure | void {
     status = answerStatus;
-    isFramed = hasFraming(rawHeaders);
+    isFramed = transport.isFramed;
     const head = protocol.parseAnswer(status, rawHeaders);
     if (isMismatchedAnswer(head, exchange)) {
       return createMismatch('answer carries another request id');
     }
     if (head.isNotRun && head.requestId === undefined) {
       // Ends the connection: the server might write the refusal again, which could not be told from that of a later request.
-      return isFirstOnConnection
+      return transport.isFirst
         ? createRejection(Verdict.NotRun, status)
         : createMismatch('refusal carries no request id');
     }
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -5,13 +5,21 @@
 import {hasFraming} from './raw_headers';
 import type {BackendEntry, CallFailure} from './types';
 
+/** How an answer arrives. */
+export interface AnswerTransport {
+  /** True for the first answer on its connection. */
+  readonly isFirst: boolean;
+  /** False when the answer has no length and ends with its connection. */
+  readonly isFramed: boolean;
+}
+
 /** Receives an answer. No callback follows `onEnd` or `onFailure`. */
 export interface CallHandler {
-  /** Called with the head of the answer, and whether it is the first one on its connection; a returned failure ends the call. */
+  /** Called with the head of the answer; a returned failure ends the call. */
   onAnswer(
     status: number,
     rawHeaders: readonly string[],
-    isFirstOnConnection: boolean,
+    transport: AnswerTransport,
   ): CallFailure | void;
   onData(chunk: Buffer): void;
   onEnd(): void;
@@ -303,11 +311,15 @@
     // Informational (1xx) answers precede the final one.
     if (isDone || status < 200) return;
     const rawHeaders = listRawHeaders(started);
-    connection.isUnframed = !hasFraming(rawHeaders);
+    const isFramed = hasFraming(rawHeaders);
+    connection.isUnframed = !isFramed;
     options.onHead?.(status, rawHeaders);
     const isFirst = !connection.hasAnswered;
     connection.hasAnswered = true;
-    const failure = handler.onAnswer(status, rawHeaders, isFirst);
+    const failure = handler.onAnswer(status, rawHeaders, {
+      isFirst,
+      isFramed,
+    });
     if (failure !== undefined) fail(failure);
   }
 
--- a/src/gateway/crash_evidence.ts
+++ b/src/gateway/crash_evidence.ts
@@ -3,6 +3,8 @@
  * its recent requests ended in a crash and that many crashes are unlikely to
  * have hit these requests by chance.
  */
+import {trimOldest} from '../runtime/trim_oldest';
+import {formatProcessKey} from './process_key';
 
 /** A young stream that broke off together with its connection. */
 export interface BrokenStream {
@@ -115,7 +117,7 @@
     isDoubted: partId => doubts.has(partId),
     countCrashes: partId => doubts.get(partId)?.requests.size ?? 0,
     hasCrashed: (serverId, startedAtMs, sinceMs) => {
-      const key = formatKey(serverId, startedAtMs);
+      const key = formatProcessKey(serverId, startedAtMs);
       return crashes.some(
         crash => crash.atMs >= sinceMs && crash.serverKeys.has(key),
       );
@@ -163,7 +165,7 @@
   }
 
   function findCrash(report: CrashReport, nowMs: number): Crash {
-    const key = formatKey(report.serverId, report.startedAtMs);
+    const key = formatProcessKey(report.serverId, report.startedAtMs);
     const known = crashes.findLast(crash => {
       const boundMs = crash.serverKeys.has(key)
         ? SAME_CRASH_MS
@@ -273,8 +275,8 @@
       }
       if (requests.size === 0) doubts.delete(partId);
     }
-    removeOldest(doubts, MAX_DOUBTS);
-    removeOldest(partsByRequest, MAX_DOUBTS);
+    trimOldest(doubts, MAX_DOUBTS);
+    trimOldest(partsByRequest, MAX_DOUBTS);
     for (const [node, {atMs}] of counts) {
       if (nowMs - atMs > COUNT_EXPIRY_MS) counts.delete(node);
     }
@@ -284,15 +286,3 @@
 function compareBegun(left: BrokenStream, right: BrokenStream): number {
   return Number(right.hasBegun) - Number(left.hasBegun);
 }
-
-function removeOldest(map: Map<string, unknown>, maxSize: number): void {
-  for (const key of map.keys()) {
-    if (map.size <= maxSize) return;
-    map.delete(key);
-  }
-}
-
-/** The key includes the start time, so that two crashes of a server that restarts under its id differ. */
-function formatKey(serverId: string, startedAtMs: number): string {
-  return `${serverId} ${startedAtMs}`;
-}
--- a/src/gateway/crash_guard.ts
+++ b/src/gateway/crash_guard.ts
@@ -4,6 +4,7 @@
  * that each of them comes to the same conclusion.
  */
 import type {Logger} from '../diagnostics/log';
+import {trimOldest} from '../runtime/trim_oldest';
 import type {Clock} from '../runtime/types';
 import {type CrashReport, createCrashEvidence} from './crash_evidence';
 import {createCrashReports} from './crash_reports';
@@ -147,7 +148,6 @@
     model: ModelRequest,
     trialPartId?: string,
   ): PromptBlock | undefined {
-    if (quarantine.countActive() === 0) return undefined;
     const blocking = listPartIds(model).filter(
       partId => partId !== trialPartId && quarantine.isActive(partId),
     );
@@ -203,10 +203,7 @@
       evidence.recordSound(partId);
       quarantine.release(partId);
     }
-    for (const partId of lastSoundMs.keys()) {
-      if (lastSoundMs.size <= MAX_SOUND_PARTS) break;
-      lastSoundMs.delete(partId);
-    }
+    trimOldest(lastSoundMs, MAX_SOUND_PARTS);
   }
 
   function handleChange({partId, isActive}: QuarantineEntry): void {
--- a/src/gateway/crash_reports.ts
+++ b/src/gateway/crash_reports.ts
@@ -1,6 +1,7 @@
 /** Collects the young streams of this node that break off together with the connections to an engine. */
 import type {Clock} from '../runtime/types';
 import type {BrokenStream, CrashReport} from './crash_evidence';
+import {formatProcessKey} from './process_key';
 import type {BackendEntry} from './types';
 
 /** The reports of this node. */
@@ -51,7 +52,7 @@
 
   function recordBroken(server: BackendEntry, stream: BrokenStream): void {
     const {id: serverId, startedAtMs} = server;
-    const key = `${serverId} ${startedAtMs}`;
+    const key = formatProcessKey(serverId, startedAtMs);
     const known = unreported.get(key);
     if (known !== undefined) {
       known.push(stream);
--- a/src/gateway/server_limits.ts
+++ b/src/gateway/server_limits.ts
@@ -9,6 +9,7 @@
 import {createFleetRate, type FleetRate} from './fleet_rate';
 import type {GatewayMetrics} from './gateway_metrics';
 import type {LimitMessage} from './peer_messages';
+import {formatProcessKey} from './process_key';
 import type {BackendEntry} from './types';
 
 /** Limits that servers state on the rate of requests from all nodes together. */
@@ -107,7 +108,7 @@
   }
 
   function tryFindLimited(server: BackendEntry): LimitState | undefined {
-    const state = states.get(formatKey(server.id, server.startedAtMs));
+    const state = states.get(formatProcessKey(server.id, server.startedAtMs));
     return state?.limitPerS === undefined ? undefined : state;
   }
 
@@ -186,7 +187,7 @@
     const statedAtMs =
       limitPerS === undefined ? sentAtMs : clock.getMonotonicMs();
     const {id, startedAtMs} = server;
-    const known = states.get(formatKey(id, startedAtMs));
+    const known = states.get(formatProcessKey(id, startedAtMs));
     if (known === undefined && limitPerS === undefined) return;
     const state = known ?? createState(id, startedAtMs);
     const change = applyLimit(state, {limitPerS, statedAtMs}, true);
@@ -231,7 +232,7 @@
       reportTimer: undefined,
       hasUnreported: false,
     };
-    states.set(formatKey(serverId, startedAtMs), state);
+    states.set(formatProcessKey(serverId, startedAtMs), state);
     return state;
   }
 
@@ -239,7 +240,7 @@
     const {serverId, startedAtMs, stated, from} = message;
     const nowMs = clock.getMonotonicMs();
     const state =
-      states.get(formatKey(serverId, startedAtMs)) ??
+      states.get(formatProcessKey(serverId, startedAtMs)) ??
       createState(serverId, startedAtMs);
     state.rate.recordReport(from, message.recentCount, nowMs);
     if (stated === undefined) return;
@@ -274,8 +275,3 @@
     };
   }
 }
-
-/** The key includes the start time: a limit does not apply to a server that restarted under the same id. */
-function formatKey(serverId: string, startedAtMs: number): string {
-  return `${serverId} ${startedAtMs}`;
-}
--- a/src/gateway/server_pauses.ts
+++ b/src/gateway/server_pauses.ts
@@ -1,5 +1,6 @@
 /** Tracks the pauses that servers requested of this node when they rejected a request. */
 import type {Clock} from '../runtime/types';
+import {formatProcessKey} from './process_key';
 import type {BackendEntry} from './types';
 
 /** Pauses during which this node sends a server no requests. */
@@ -26,18 +27,14 @@
     for (const [key, endMs] of endsAtMs) {
       if (nowMs >= endMs) endsAtMs.delete(key);
     }
-    const key = formatKey(server);
+    const key = formatProcessKey(server.id, server.startedAtMs);
     const endMs = Math.max(endsAtMs.get(key) ?? 0, nowMs + pauseMs);
     endsAtMs.set(key, endMs);
   }
 
   function getRemainingMs(server: BackendEntry): number {
-    const endMs = endsAtMs.get(formatKey(server)) ?? Number.NEGATIVE_INFINITY;
+    const key = formatProcessKey(server.id, server.startedAtMs);
+    const endMs = endsAtMs.get(key) ?? Number.NEGATIVE_INFINITY;
     return Math.max(0, endMs - clock.getMonotonicMs());
   }
 }
-
-/** The key includes the start time: a pause does not apply to a server that restarted under the same id. */
-function formatKey(server: BackendEntry): string {
-  return `${server.id} ${server.startedAtMs}`;
-}
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -377,12 +377,11 @@
   function handleDecodeFailure(
     server: BackendEntry,
     failure: CallFailure,
-    times: DecodeTimes,
+    {sentAtMs, headAtMs}: DecodeTimes,
   ): void {
     decodeCall = undefined;
     if (task.isOver()) return;
     lastFailureAtMs = clock.getMonotonicMs();
-    const {sentAtMs, headAtMs} = times;
     records.recordAbandoned();
     records.recordEnd(server.id);
     if (failure.verdict === Verdict.NotRun) runCount--;
--- a/src/platform/server_entry.ts
+++ b/src/platform/server_entry.ts
@@ -37,14 +37,9 @@
   const stage = tryParseStage(fields['stage']);
   if (fields['stage'] !== undefined && stage === undefined) return undefined;
   // Despite its name, `maxBatch` limits the concurrent requests of plain services too.
-  const maxRunning = tryGetWhole(
-    fields['maxBatch'] === undefined ? 1 : fields['maxBatch'],
-    1,
-  );
-  const startedAtMs = tryGetWhole(
-    fields['born'] === undefined ? 0 : fields['born'],
-    0,
-  );
+  const {maxBatch = 1, born = 0} = fields;
+  const maxRunning = tryGetWhole(maxBatch, 1);
+  const startedAtMs = tryGetWhole(born, 0);
   if (maxRunning === undefined || startedAtMs === undefined) return undefined;
   return {
     id,
--- a/test/gateway/stage_control.test.ts
+++ b/test/gateway/stage_control.test.ts
@@ -39,7 +39,7 @@
   state.applyConfig(CONFIG);
   const connections = {
     call: ({handler}: BackendCall) => {
-      handler.onAnswer(200, [], true);
+      handler.onAnswer(200, [], {isFirst: true, isFramed: true});
       handler.onEnd();
       return {cancel: () => undefined};
     },
