Share the fake store, log lines and the rule's bound between tests

Two test files had a fake store of quarantined parts, three joined the log lines of all nodes, two computed the bound after the fifth crash, and the stand-in ended its process in two ways with the same loop.

--- a/test/gateway/crash_evidence.test.ts
+++ b/test/gateway/crash_evidence.test.ts
@@ -5,6 +5,7 @@
   createCrashEvidence,
   type CrashReport,
 } from '../../src/gateway/crash_evidence';
+import {computeBoundMs, MAX_LATE_REQUESTS} from '../platform/tainted_fleet';
 import {getKnownRedOptions} from '../support/known_red';
 import {type CrashModelOptions, runCrashModel} from './crash_model';
 
@@ -216,11 +217,6 @@
   });
 }
 
-/** Bound on how long requests with a deadly part may go on after the crash that counts, in milliseconds, and how many may come later. */
-const STABILITY_WINDOW_MS = 3_000;
-const COUNTED_CRASH = 5;
-const MAX_LATE_REQUESTS = 3;
-
 const DEADLY_PARTS: ReadonlyArray<
   readonly [string, Partial<CrashModelOptions>]
 > = [
@@ -249,9 +245,7 @@
       const blamed = result.blames.map(blame => blame.partId).sort();
       assert.deepEqual(blamed, options.deadlyParts, `seed ${seed}`);
       for (const [part, times] of result.deadlyCrashes) {
-        const boundMs =
-          (times[COUNTED_CRASH - 1] ?? Number.POSITIVE_INFINITY) +
-          STABILITY_WINDOW_MS;
+        const boundMs = computeBoundMs(times);
         const sends = result.deadlySends.get(part) ?? [];
         const late = sends.filter(atMs => atMs > boundMs);
         assert.ok(
--- a/test/gateway/crash_guard.test.ts
+++ b/test/gateway/crash_guard.test.ts
@@ -3,15 +3,14 @@
 import {test} from 'node:test';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import {Err, Ok} from 'ts-results';
 import {
   type CrashGuard,
   type CrashGuardOptions,
   createCrashGuard,
 } from '../../src/gateway/crash_guard';
 import {createVirtualClock} from '../../src/runtime';
-import type {FleetStore, ModelRequest} from '../../src/gateway/types';
-import {createEntry, SILENT_LOGGER, SILENT_STORE} from './support';
+import type {ModelRequest} from '../../src/gateway/types';
+import {createEntry, createQuarantineFake, SILENT_LOGGER} from './support';
 
 const SECOND_MS = 1_000;
 const MAX_DELAY_MS = 20;
@@ -38,27 +37,7 @@
   const cut = new Set<number>();
   /** Servers to which connections are still open. */
   const alive = new Set<string>();
-  const stored = new Map<string, {version: number; trialCount: number}>();
-  const storeState = {isDown: false, endOffset: 0};
-  const store: Pick<FleetStore, 'loadQuarantine' | 'appendQuarantine'> = {
-    loadQuarantine: async () => {
-      await clock.sleep(5);
-      if (storeState.isDown) return Err(SILENT_STORE);
-      const records = [...stored].map(([partId, rest]) => ({partId, ...rest}));
-      return Ok({records, endOffset: storeState.endOffset});
-    },
-    appendQuarantine: async (entry, expectedEndOffset) => {
-      await clock.sleep(5);
-      if (storeState.isDown) return Err(SILENT_STORE);
-      if (expectedEndOffset !== storeState.endOffset) {
-        return Err({...SILENT_STORE, kind: 'conflict' as const});
-      }
-      const {partId, version, trialCount, isActive} = entry;
-      if (isActive) stored.set(partId, {version, trialCount});
-      else stored.delete(partId);
-      return Ok(storeState.endOffset++);
-    },
-  };
+  const {store, fake} = createQuarantineFake(() => clock.sleep(5));
   const guards: CrashGuard[] = [];
   for (let index = 0; index < options.nodes; index++) startNode(index, true);
   sendState();
@@ -67,8 +46,7 @@
     guards,
     cut,
     alive,
-    stored,
-    storeState,
+    fake,
     startNode,
     crashUnder,
     count: () => guards.filter(guard => guard.countActive() > 0).length,
@@ -150,7 +128,7 @@
     assert.equal(guard.tryFindBlock(createModel('bad'))?.partId, 'bad');
     assert.equal(guard.tryFindBlock(createModel('other')), undefined);
   }
-  assert.deepEqual([...fleet.stored.keys()], ['bad']);
+  assert.deepEqual([...fleet.fake.records.keys()], ['bad']);
 });
 
 test('nodes that lose messages, were cut off or have just started learn of a part in time', async () => {
@@ -182,12 +160,12 @@
 
 test('a decision that was made while the store was away is written later', async () => {
   const fleet = startFleet({nodes: 4});
-  fleet.storeState.isDown = true;
+  fleet.fake.isDown = true;
   await crashUntilQuarantined(fleet, 'bad');
-  assert.equal(fleet.stored.size, 0);
-  fleet.storeState.isDown = false;
+  assert.equal(fleet.fake.records.size, 0);
+  fleet.fake.isDown = false;
   await fleet.clock.advance(5 * SECOND_MS);
-  assert.deepEqual([...fleet.stored.keys()], ['bad']);
+  assert.deepEqual([...fleet.fake.records.keys()], ['bad']);
 });
 
 test('one request of all nodes gets a trial, and an answer to it ends the quarantine at all nodes', async () => {
@@ -211,14 +189,14 @@
   winner.recordCompleted(createEntry(), model, true);
   await fleet.clock.advance(2 * LEARN_MS);
   assert.equal(fleet.count(), 0);
-  assert.equal(fleet.stored.size, 0);
+  assert.equal(fleet.fake.records.size, 0);
 });
 
 test('without the store no trial is granted', async () => {
   const fleet = startFleet({nodes: 2});
   await crashUntilQuarantined(fleet, 'bad');
   await fleet.clock.advance(FIRST_TRIAL_MS);
-  fleet.storeState.isDown = true;
+  fleet.fake.isDown = true;
   const claim = fleet.guards[0].claimTrial('bad');
   await fleet.clock.advance(SECOND_MS / 2);
   assert.equal(await claim, false);
--- a/test/gateway/part_quarantine.test.ts
+++ b/test/gateway/part_quarantine.test.ts
@@ -1,7 +1,6 @@
 /** The table of prompt parts that are kept away from engines, and its records in the store. */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {Err, Ok} from 'ts-results';
 import {
   createPartQuarantine,
   type QuarantineEntry,
@@ -10,9 +9,8 @@
   createQuarantineStore,
   WriteResult,
 } from '../../src/gateway/quarantine_store';
-import type {FleetStore} from '../../src/gateway/types';
 import {createVirtualClock} from '../../src/runtime';
-import {SILENT_STORE} from './support';
+import {createQuarantineFake} from './support';
 
 const FIRST_TRIAL_MS = 10_000;
 
@@ -81,40 +79,13 @@
   assert.equal(quarantine.list().length, 0);
 });
 
-/** A store that keeps records by part and counts the appends. */
-function createFakeStore() {
-  const records = new Map<string, {version: number; trialCount: number}>();
-  let endOffset = 0;
-  const fake = {isDown: false, loads: 0, records};
-  const store: Pick<FleetStore, 'loadQuarantine' | 'appendQuarantine'> = {
-    loadQuarantine: () => {
-      fake.loads++;
-      if (fake.isDown) return Promise.resolve(Err(SILENT_STORE));
-      const list = [...records].map(([partId, rest]) => ({partId, ...rest}));
-      return Promise.resolve(Ok({records: list, endOffset}));
-    },
-    appendQuarantine: ({partId, version, trialCount, isActive}, expected) => {
-      if (fake.isDown) return Promise.resolve(Err(SILENT_STORE));
-      if (expected !== endOffset) {
-        return Promise.resolve(
-          Err({...SILENT_STORE, kind: 'conflict' as const}),
-        );
-      }
-      if (isActive) records.set(partId, {version, trialCount});
-      else records.delete(partId);
-      return Promise.resolve(Ok(endOffset++));
-    },
-  };
-  return {fake, store};
-}
-
 for (const versions of [
   [6, 6],
   [6, 7],
   [7, 6],
 ]) {
   test(`of two nodes that ask for the same trial with the versions ${versions.join()}, one gets it`, async () => {
-    const {store} = createFakeStore();
+    const {store} = createQuarantineFake();
     const nodes = [1, 2].map(() =>
       createQuarantineStore({store, onLoaded: () => undefined}),
     );
@@ -134,7 +105,7 @@
 }
 
 test('changes of other nodes to other parts are no obstacle', async () => {
-  const {store, fake} = createFakeStore();
+  const {store, fake} = createQuarantineFake();
   const nodes = [1, 2].map(() =>
     createQuarantineStore({store, onLoaded: () => undefined}),
   );
@@ -147,7 +118,7 @@
 });
 
 test('a store that does not answer leaves the entry unwritten', async () => {
-  const {store, fake} = createFakeStore();
+  const {store, fake} = createQuarantineFake();
   fake.isDown = true;
   const node = createQuarantineStore({store, onLoaded: () => undefined});
   assert.equal(await node.write(createEntry()), WriteResult.Failed);
--- a/test/gateway/support.ts
+++ b/test/gateway/support.ts
@@ -1,16 +1,19 @@
 /** Helpers for the tests of the gateway. */
 import {createServer, type Server, type Socket} from 'node:net';
 import type {AddressInfo} from 'node:net';
+import {Err, Ok} from 'ts-results';
 import type {
   BackendCall,
   CallHandler,
   Connections,
 } from '../../src/gateway/connections';
+import type {QuarantineRecord} from '../../src/gateway/part_quarantine';
 import {
   type BackendEntry,
   type CallFailure,
   DEFAULT_CALLER_LIMITS,
   type EngineLimits,
+  type FleetStore,
   type GatewayConfig,
   type StoreFailure,
 } from '../../src/gateway/types';
@@ -141,3 +144,42 @@
     });
   });
 }
+
+/** A store of quarantined parts, and what a test reads and sets of it. */
+export interface QuarantineFake {
+  readonly store: Pick<FleetStore, 'loadQuarantine' | 'appendQuarantine'>;
+  readonly fake: {
+    isDown: boolean;
+    readonly records: ReadonlyMap<string, QuarantineRecord>;
+  };
+}
+
+/** Creates an empty store; each call first waits for `delay`. */
+export function createQuarantineFake(
+  delay: () => Promise<void> = () => Promise.resolve(),
+): QuarantineFake {
+  const records = new Map<string, QuarantineRecord>();
+  const fake = {isDown: false, records};
+  let endOffset = 0;
+  return {
+    fake,
+    store: {
+      loadQuarantine: async () => {
+        await delay();
+        if (fake.isDown) return Err(SILENT_STORE);
+        return Ok({records: [...records.values()], endOffset});
+      },
+      appendQuarantine: async (entry, expectedEndOffset) => {
+        await delay();
+        if (fake.isDown) return Err(SILENT_STORE);
+        if (expectedEndOffset !== endOffset) {
+          return Err({...SILENT_STORE, kind: 'conflict' as const});
+        }
+        const {partId, version, trialCount, isActive} = entry;
+        if (isActive) records.set(partId, {partId, version, trialCount});
+        else records.delete(partId);
+        return Ok(endOffset++);
+      },
+    },
+  };
+}
--- a/test/platform/deadly_parts.test.ts
+++ b/test/platform/deadly_parts.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import {before, test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {listAllLines} from '../soak/gateway_processes';
 import {
   buildFleetProgram,
   type LimitedFleet,
@@ -13,6 +14,7 @@
   listDeadlyPartViolations,
   listSoundSharing,
   sendTaintedTraffic,
+  STABILITY_WINDOW_MS,
   type TaintedRequest,
 } from './tainted_fleet';
 
@@ -24,8 +26,6 @@
 const MIN_SHARING_FRACTION = 0.5;
 /** Fraction of the sound requests that are served while no more than a few engines are down. */
 const MIN_SERVED_FRACTION = 0.9;
-/** Time after which nodes that have started must keep the rules, in milliseconds. */
-const STABILITY_WINDOW_MS = 3_000;
 /** Time from the quarantine of a part to its first trial, in milliseconds. */
 const FIRST_TRIAL_MS = 10_000;
 const STREAM = {events: 6, eventIntervalMs: 20};
@@ -44,10 +44,7 @@
 
 /** Counts the lines with which nodes quarantine a part; nodes that only learn of it write another one. */
 function countQuarantines(fleet: LimitedFleet, partId = ''): number {
-  const lines = fleet.processes.nodes.flatMap(node =>
-    node.listLines().join('').split('\n'),
-  );
-  return lines.filter(
+  return listAllLines(fleet.processes).filter(
     line =>
       line.includes('prompt part quarantined') &&
       line.includes(`"partId":"${partId}`),
@@ -56,10 +53,7 @@
 
 /** Returns what the nodes logged about crashes, for the report of a failure. */
 function formatCrashLines(fleet: LimitedFleet): string {
-  const lines = fleet.processes.nodes.flatMap(node =>
-    node.listLines().join('').split('\n'),
-  );
-  return lines
+  return listAllLines(fleet.processes)
     .filter(line => /young streams|prompt part quarantined/.test(line))
     .join('\n');
 }
--- a/test/platform/ordinary_crashes.test.ts
+++ b/test/platform/ordinary_crashes.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import {before, test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {listAllLines} from '../soak/gateway_processes';
 import {createDraw} from '../soak/schedule';
 import {
   buildFleetProgram,
@@ -64,9 +65,7 @@
       }),
       crashEngines(fleet, {...options, durationMs: TRAFFIC_MS - 1_000}),
     ]);
-    const lines = fleet.processes.nodes.flatMap(node =>
-      node.listLines().join('').split('\n'),
-    );
+    const lines = listAllLines(fleet.processes);
     await fleet.close();
     const quarantined = lines.filter(line =>
       line.includes('prompt part quarantined'),
--- a/test/platform/server_standin.ts
+++ b/test/platform/server_standin.ts
@@ -194,11 +194,7 @@
       deadly = {partIds: new Set(partIds), downMs};
     },
     crashFor,
-    crash: async () => {
-      const closed = new Promise(resolve => server.close(resolve));
-      for (const socket of openSockets) socket.resetAndDestroy();
-      await closed;
-    },
+    crash: () => closeAll(socket => socket.resetAndDestroy()),
     restart: () => listen(port),
     countAborted: () => abortedCount,
     publish,
@@ -225,12 +221,18 @@
     limitChanges.push({atMs: performance.now(), limitPerS});
   }
 
+  async function closeAll(
+    closeSocket: (socket: Socket) => void,
+  ): Promise<void> {
+    const closed = new Promise(resolve => server.close(resolve));
+    for (const socket of openSockets) closeSocket(socket);
+    await closed;
+  }
+
   async function crashFor(downMs: number): Promise<void> {
     if (isDown) return;
     isDown = true;
-    const closed = new Promise(resolve => server.close(resolve));
-    for (const socket of openSockets) socket.destroy();
-    await closed;
+    await closeAll(socket => socket.destroy());
     await new Promise(resolve => setTimeout(resolve, downMs));
     born++;
     await listen(port);
--- a/test/platform/tainted_fleet.ts
+++ b/test/platform/tainted_fleet.ts
@@ -40,10 +40,11 @@
 const FIRST_TOKENS = 600;
 const SECOND_TOKENS = 300;
 const OWN_TOKENS = 200;
-/** Bound on how long requests with a deadly part may go on after the crash that counts, and how many may come later. */
-const STABILITY_WINDOW_MS = 3_000;
+/** Time after which nodes must keep the rules, in milliseconds. */
+export const STABILITY_WINDOW_MS = 3_000;
 const COUNTED_CRASH = 5;
-const MAX_LATE_REQUESTS = 3;
+/** Number of requests with a deadly part that may come later than the rule's bound. */
+export const MAX_LATE_REQUESTS = 3;
 
 let requestCount = 0;
 
@@ -120,14 +121,10 @@
   const all = [...servers];
   return partIds.flatMap(partId => {
     const crashTimes = listCrashTimes(all, partId);
-    const fifthMs = crashTimes[COUNTED_CRASH - 1];
-    if (fifthMs === undefined) return [];
+    const boundMs = computeBoundMs(crashTimes);
     const lateIds = all
       .flatMap(server => server.arrivals)
-      .filter(
-        ({parts, atMs}) =>
-          parts.includes(partId) && atMs > fifthMs + STABILITY_WINDOW_MS,
-      )
+      .filter(({parts, atMs}) => parts.includes(partId) && atMs > boundMs)
       .map(({id}) => id);
     const lateCount = new Set(lateIds).size;
     return lateCount > MAX_LATE_REQUESTS
@@ -138,6 +135,12 @@
   });
 }
 
+/** Returns the time after which few requests with a deadly part may reach servers, from the times of its crashes, in milliseconds. */
+export function computeBoundMs(crashTimes: readonly number[]): number {
+  const countedMs = crashTimes[COUNTED_CRASH - 1] ?? Number.POSITIVE_INFINITY;
+  return countedMs + STABILITY_WINDOW_MS;
+}
+
 /** Lists when servers crashed because of a part, earliest first, on the monotonic clock, in milliseconds. */
 export function listCrashTimes(
   servers: Iterable<CrashingServer>,
--- a/test/soak/gateway_processes.ts
+++ b/test/soak/gateway_processes.ts
@@ -37,6 +37,11 @@
   close(): Promise<void>;
 }
 
+/** Lists the log lines of all nodes. */
+export function listAllLines({nodes}: Pick<NodeProcesses, 'nodes'>): string[] {
+  return nodes.flatMap(node => node.listLines().join('').split('\n'));
+}
+
 /** Starts `count` nodes of a built program whose store address is a loopback port. */
 export async function startNodeProcesses(
   count: number,
