--- a/review/common/engine_server.mjs
+++ b/review/common/engine_server.mjs
@@ -8,7 +8,16 @@
 
 const HEARTBEAT_MS = 1_200;
 
-/** `breakAnswer` may take over the answer of a run after its head was sent; it returns true if it does. */
+/** How long after it began an answer a server crashes, in milliseconds: at least, and at most in addition. */
+const CRASH_MIN_MS = 40;
+const CRASH_SPREAD_MS = 80;
+
+/**
+ * `onCall` is told of each request of a caller that arrives, with its headers. A
+ * server for whose request `shouldCrash` returns true crashes soon after it
+ * began the answer, and is back after `downMs`. `breakAnswer` may take over the answer of a
+ * run after its head was sent; it returns true if it does.
+ */
 export async function startEngine({
   id,
   service,
@@ -21,6 +30,9 @@
   events = 6,
   eventMs = 15,
   breakAnswer = () => false,
+  onCall = () => undefined,
+  shouldCrash = () => false,
+  downMs = 3_000,
 }) {
   const runs = new Map();
   const handles = new Set();
@@ -39,9 +51,10 @@
   server.keepAliveTimeout = 15_000;
   await new Promise(resolve => server.listen(0, '127.0.0.1', resolve));
   const {port} = server.address();
-  const born = Date.now();
+  let born = Date.now();
+  let isDown = false;
   publish();
-  const timer = setInterval(publish, HEARTBEAT_MS);
+  let timer = setInterval(publish, HEARTBEAT_MS);
   return {
     id,
     runs,
@@ -53,6 +66,28 @@
     },
   };
 
+  /** Ends like a process that crashes, and starts again at the same address and under the same id. */
+  async function crash(cause) {
+    if (isDown) return;
+    isDown = true;
+    record.add(`${id} crashes: ${cause}`);
+    clearInterval(timer);
+    const closed = new Promise(resolve => server.close(resolve));
+    server.closeAllConnections();
+    await closed;
+    await new Promise(resolve => setTimeout(resolve, downMs));
+    handles.clear();
+    orders.length = 0;
+    running = 0;
+    seq = 0;
+    born = Date.now();
+    await new Promise(resolve => server.listen(port, '127.0.0.1', resolve));
+    isDown = false;
+    record.add(`${id} is back`);
+    publish();
+    timer = setInterval(publish, HEARTBEAT_MS);
+  }
+
   function publish() {
     seq++;
     const entry = {
@@ -88,6 +123,7 @@
       handles.delete(request.url.split('/').at(-1));
       return end(response, 200, {}, '');
     }
+    onCall(id, headers);
     const isPrefill = headers['anvilstack-stage'] === 'prefill';
     if (isPrefill !== (currentStage === 'prefill'))
       return end(response, 421, {}, '');
@@ -129,6 +165,12 @@
       'Content-Type': 'text/event-stream',
     });
     response.flushHeaders();
+    if (shouldCrash(headers)) {
+      setTimeout(
+        () => void crash(requestId),
+        CRASH_MIN_MS + CRASH_SPREAD_MS * Math.random(),
+      );
+    }
     if (breakAnswer(requestId, response)) return;
     let next = Number(headers['last-event-id'] ?? 0) + 1;
     const interval = setInterval(() => {
