--- a/src/gateway/answer_relay.ts
+++ b/src/gateway/answer_relay.ts
@@ -1,11 +1,7 @@
 /** Relays a backend server's answer to the caller, or reports why it cannot. */
 import {Verdict} from '../verdict';
 import type {AnswerTransport, CallHandler, OpenCall} from './connections';
-import {
-  createEventBoundary,
-  type EventSplitter,
-  isBlank,
-} from './event_splitter';
+import {createEventBoundary, type EventSplitter} from './event_splitter';
 import {findHeader} from './raw_headers';
 import type {RequestTask} from './request_task';
 import {isMismatchedAnswer} from './server_call';
@@ -17,9 +13,7 @@
   readonly protocol: BackendProtocol;
   /** True when a server error may be discarded in favour of another attempt. */
   readonly isErrorRetryable: () => boolean;
-  /** Answers up to this size are buffered until they are complete, in bytes; with 0, data is passed on at once. */
-  readonly maxBufferedBytes: number;
-  /** True when successful answers are streams of events unless they state another type. */
+  /** True when successful answers are streams of events unless they state another type. Events are passed on as they arrive. */
   readonly isEventStream: boolean;
   /** Present when the stream can be resumed on another server. */
   readonly splitter?: EventSplitter;
@@ -31,6 +25,10 @@
 }
 
 const EVENT_TYPE = 'text/event-stream';
+/** Longest answer other than a stream that is buffered until it is complete, in bytes. If it is cut off, the request can still be retried, because the caller has received nothing. */
+const MAX_BUFFERED_BYTES = 65_536;
+/** Bytes without an event that carries data after which the bytes of a server are not taken for a stream of events. */
+const MAX_EVENT_BYTES = 262_144;
 const CUT_OFF: CallFailure = {
   verdict: Verdict.MayHaveRun,
   reason: 'reset',
@@ -51,8 +49,10 @@
   let status = 0;
   let isFramed = true;
   let isEventStream = false;
+  let isRelaying = false;
   let receivedBytes = 0;
   const boundary = createEventBoundary();
+  const events = options.splitter ?? boundary;
   let rejection: CallFailure | undefined;
   let pendingHeaders: readonly string[] | undefined;
   let bufferedChunks: Buffer[] = [];
@@ -64,10 +64,7 @@
     onAnswer,
     onData,
     onEnd,
-    onFailure: failure => {
-      options.splitter?.dropPartial();
-      options.onFailure(rejection ?? failure);
-    },
+    onFailure: failure => fail(rejection ?? failure),
   };
 
   function onAnswer(
@@ -114,46 +111,56 @@
     }
     if (isSuccess) options.onHead?.();
     pendingHeaders = protocol.buildAnswerHeaders(rawHeaders);
-    if (options.maxBufferedBytes === 0) sendBuffered();
+    if (isEventStream) sendBuffered();
   }
 
   function onData(chunk: Buffer): void {
     if (rejection !== undefined) return;
     receivedBytes += chunk.length;
-    if (isEventStream && options.splitter === undefined) boundary.push(chunk);
-    const bytes = options.splitter?.push(chunk) ?? chunk;
-    if (bytes.length === 0) return;
-    if (pendingHeaders !== undefined) {
-      bufferedChunks.push(bytes);
-      bufferedBytes += bytes.length;
-      if (bufferedBytes > options.maxBufferedBytes) sendBuffered();
+    if (isEventStream) {
+      sendEvents(chunk);
+      return;
+    }
+    if (pendingHeaders === undefined) {
+      writePart(chunk);
       return;
     }
-    writePart(bytes);
+    bufferedChunks.push(chunk);
+    bufferedBytes += chunk.length;
+    if (bufferedBytes > MAX_BUFFERED_BYTES) sendBuffered();
+  }
+
+  function sendEvents(chunk: Buffer): void {
+    const bytes = options.splitter?.push(chunk) ?? chunk;
+    if (options.splitter === undefined) boundary.push(chunk);
+    if (bytes.length > 0) writePart(bytes);
+    if (events.countBytesWithoutData() <= MAX_EVENT_BYTES) return;
+    call?.cancel();
+    fail(createMismatch('stream does not consist of events'));
   }
 
   function onEnd(): void {
-    if (rejection !== undefined) {
-      options.onFailure(rejection);
-      return;
-    }
-    const remainder = options.splitter?.takeRemainder() ?? Buffer.alloc(0);
-    if (isEventStream && isCutOff(remainder)) {
-      options.onFailure(CUT_OFF);
+    if (rejection !== undefined || (isEventStream && isCutOff())) {
+      fail(rejection ?? CUT_OFF);
       return;
     }
     sendBuffered();
-    if (remainder.length > 0) writePart(remainder);
+    const remainder = options.splitter?.takeRemainder();
+    if (remainder !== undefined && remainder.length > 0) writePart(remainder);
     exchange.end();
     options.onEnd(status, isFramed);
   }
 
   /** True when a stream ended inside an event, or without any event and without framing that shows it to be complete. */
-  function isCutOff(remainder: Buffer): boolean {
-    if (receivedBytes === 0) return !isFramed;
-    return options.splitter === undefined
-      ? !boundary.isBetweenEvents()
-      : !isBlank(remainder);
+  function isCutOff(): boolean {
+    return receivedBytes === 0 ? !isFramed : !events.isBetweenEvents();
+  }
+
+  /** Reports a failure; part of an answer that is not a stream cannot be continued by another server. */
+  function fail(failure: CallFailure): void {
+    options.splitter?.dropPartial();
+    const isFinal = isRelaying && !isEventStream;
+    options.onFailure(isFinal ? {...failure, isFinal} : failure);
   }
 
   function sendBuffered(): void {
@@ -161,6 +168,7 @@
     // A resumed stream keeps the head that its first server sent.
     if (!exchange.hasAnswerBegun()) exchange.sendHead(status, pendingHeaders);
     pendingHeaders = undefined;
+    isRelaying = true;
     for (const bytes of bufferedChunks) writePart(bytes);
     bufferedChunks = [];
   }
--- a/src/gateway/decode_call.ts
+++ b/src/gateway/decode_call.ts
@@ -65,7 +65,6 @@
   const relay = createAnswerRelay({
     task,
     protocol,
-    maxBufferedBytes: 0,
     isEventStream: true,
     isErrorRetryable: () => route.isResumable && options.canRunAgain(),
     ...(splitter === undefined ? {} : {splitter}),
--- a/src/gateway/event_splitter.ts
+++ b/src/gateway/event_splitter.ts
@@ -1,99 +1,149 @@
-/** Splits a stream of server-sent events into complete events. */
+/** Finds the ends of events in a stream of server-sent events, whatever the chunks in which it arrives. */
 
-/** Splitter that also tracks the id of the last complete event. */
-export interface EventSplitter {
-  /** Adds bytes and returns those of the events that are now complete. */
-  push(chunk: Buffer): Buffer;
+/** Follows a stream and tells where its events end. */
+export interface EventBoundary {
+  /** Adds bytes; returns how many of them belong to complete events, 0 when they complete none. */
+  push(chunk: Buffer): number;
+  /** True when at least one event has been received and none is incomplete. */
+  isBetweenEvents(): boolean;
   /** Id of the last complete event that has one; undefined when there was none. */
   getLastId(): string | undefined;
+  /** Number of bytes since the last complete event that carried data. */
+  countBytesWithoutData(): number;
+  /** Discards an incomplete event whose stream has broken off; the next bytes begin a new event. */
+  dropPartial(): void;
+}
+
+/** Withholds incomplete events, so that another server can resume the stream after the last complete one. */
+export interface EventSplitter extends Omit<EventBoundary, 'push'> {
+  /** Adds bytes and returns those of the events that are now complete. */
+  push(chunk: Buffer): Buffer;
   /** Returns and removes the bytes after the last complete event, for use at the end of the stream. */
   takeRemainder(): Buffer;
-  /** Discards an incomplete event whose stream has broken off. */
-  dropPartial(): void;
 }
 
-/** Blank lines that end an event, with each of the line ends that the format allows. */
-const EVENT_ENDS = ['\n\n', '\r\n\r\n', '\r\r'];
-const ANY_EVENT_END = /\n\n|\r\n\r\n|\r\r/;
-const ID_LINE = /^id: ?(.*)$/m;
-const BLANK = /^[\r\n]*$/;
-/** Most bytes of the text before a chunk that an event end may begin in. */
-const MAX_END_BYTES = 3;
+const LF = 0x0a;
+const CR = 0x0d;
+const ID_FIELD = 'id:';
+const DATA_FIELD = 'data';
 
-/** Creates a splitter for a new stream. */
-export function createEventSplitter(): EventSplitter {
-  let partial: Buffer = Buffer.alloc(0);
+/** Lines of an event that is not complete yet. */
+interface OpenEvent {
+  hasLines: boolean;
+  hasData: boolean;
+  id: string | undefined;
+}
+
+/** Creates a tracker for a new stream. */
+export function createEventBoundary(): EventBoundary {
+  let hasEvents = false;
   let lastId: string | undefined;
+  let bytesWithoutData = 0;
+  let event = createOpenEvent();
+  let lineBytes = 0;
+  /** The current line as far as it may name an id or a data field. */
+  let line = '';
+  let isAfterCr = false;
+  /** True after the CR of a blank line that may end with CR LF. */
+  let isBlankPending = false;
   return {
-    push: chunk => {
-      const bytes =
-        partial.length === 0 ? chunk : Buffer.concat([partial, chunk]);
-      const wholeBytes = findLastEnd(bytes);
-      if (wholeBytes === 0) {
-        partial = bytes;
-        return Buffer.alloc(0);
-      }
-      const whole = bytes.subarray(0, wholeBytes);
-      partial = bytes.subarray(whole.length);
-      lastId = findLastId(whole) ?? lastId;
-      return whole;
-    },
+    push,
+    isBetweenEvents: () => hasEvents && !event.hasLines && lineBytes === 0,
     getLastId: () => lastId,
-    takeRemainder: () => {
-      const remainder = partial;
-      partial = Buffer.alloc(0);
-      return remainder;
-    },
+    countBytesWithoutData: () => bytesWithoutData,
     dropPartial: () => {
-      partial = Buffer.alloc(0);
+      event = createOpenEvent();
+      startLine();
+      bytesWithoutData = 0;
+      isAfterCr = false;
+      isBlankPending = false;
     },
   };
-}
 
-/** Tells whether a stream that is passed on unchanged ends between two events. */
-export interface EventBoundary {
-  push(chunk: Buffer): void;
-  /** True when at least one event has been received and none is incomplete. */
-  isBetweenEvents(): boolean;
+  /** Looks at each byte once, so that the work does not depend on how much of an event is still missing. */
+  function push(chunk: Buffer): number {
+    let completeBytes = 0;
+    bytesWithoutData += chunk.length;
+    for (let index = 0; index < chunk.length; index++) {
+      const byte = chunk[index];
+      const wasAfterCr = isAfterCr;
+      isAfterCr = byte === CR;
+      if (isBlankPending) {
+        isBlankPending = false;
+        completeEvent(byte === LF ? index + 1 : index);
+        if (byte === LF) continue;
+      } else if (byte === LF && wasAfterCr) {
+        continue;
+      }
+      if (byte !== LF && byte !== CR) addToLine(byte);
+      else if (lineBytes > 0) completeLine();
+      else if (byte === LF || wasAfterCr) completeEvent(index + 1);
+      else isBlankPending = true;
+    }
+    return completeBytes;
+
+    function completeEvent(position: number): void {
+      if (event.hasLines) {
+        hasEvents = true;
+        lastId = event.id ?? lastId;
+        if (event.hasData) bytesWithoutData = chunk.length - position;
+        event = createOpenEvent();
+      }
+      if (hasEvents) completeBytes = position;
+    }
+  }
+
+  function addToLine(byte: number): void {
+    lineBytes++;
+    const isNeeded =
+      lineBytes <= DATA_FIELD.length + 1 || line.startsWith(ID_FIELD);
+    if (isNeeded) line += String.fromCharCode(byte);
+  }
+
+  function completeLine(): void {
+    event.hasLines = true;
+    if (line.startsWith(ID_FIELD))
+      event.id = line.slice(ID_FIELD.length).trim();
+    if (line === DATA_FIELD || line.startsWith(`${DATA_FIELD}:`)) {
+      event.hasData = true;
+    }
+    startLine();
+  }
+
+  function startLine(): void {
+    line = '';
+    lineBytes = 0;
+  }
 }
 
-/** Creates a tracker for a new stream. */
-export function createEventBoundary(): EventBoundary {
-  let tail: Buffer = Buffer.alloc(0);
-  let isBetween = false;
+/** Creates a splitter for a new stream. */
+export function createEventSplitter(): EventSplitter {
+  const boundary = createEventBoundary();
+  let partial: Buffer[] = [];
   return {
+    ...boundary,
     push: chunk => {
-      if (chunk.length === 0) return;
-      const bytes = Buffer.concat([tail, chunk]);
-      const end = findLastEnd(bytes);
-      const isContinued = !isBlank(bytes.subarray(end));
-      isBetween = end > 0 ? !isContinued : isBetween && !isContinued;
-      tail = bytes.subarray(-MAX_END_BYTES);
+      const completeBytes = boundary.push(chunk);
+      if (completeBytes === 0) {
+        partial.push(chunk);
+        return Buffer.alloc(0);
+      }
+      const complete = [...partial, chunk.subarray(0, completeBytes)];
+      partial = [chunk.subarray(completeBytes)];
+      return Buffer.concat(complete);
+    },
+    takeRemainder: () => {
+      const remainder = Buffer.concat(partial);
+      partial = [];
+      return remainder;
+    },
+    dropPartial: () => {
+      partial = [];
+      boundary.dropPartial();
     },
-    isBetweenEvents: () => isBetween,
   };
 }
 
-/** True for the end of a stream after its last complete event: nothing but line ends. */
-export function isBlank(bytes: Buffer): boolean {
-  return BLANK.test(bytes.toString('latin1'));
-}
-
-/** Returns the number of bytes up to the end of the last complete event; 0 when there is none. */
-function findLastEnd(bytes: Buffer): number {
-  return Math.max(
-    ...EVENT_ENDS.map(end => {
-      const index = bytes.lastIndexOf(end);
-      return index < 0 ? 0 : index + end.length;
-    }),
-  );
-}
-
-function findLastId(events: Buffer): string | undefined {
-  const texts = events.toString('utf8').split(ANY_EVENT_END).reverse();
-  for (const text of texts) {
-    const id = ID_LINE.exec(text)?.[1].trimEnd();
-    if (id !== undefined) return id;
-  }
-  return undefined;
+function createOpenEvent(): OpenEvent {
+  return {hasLines: false, hasData: false, id: undefined};
 }
--- a/src/gateway/service_flow.ts
+++ b/src/gateway/service_flow.ts
@@ -14,8 +14,6 @@
 import type {ServiceLoads} from './service_loads';
 import {type BackendEntry, type CallFailure, RequestKind} from './types';
 
-/** Longest answer that is buffered until it is complete, in bytes. If it is cut off, the request can still be retried, because the caller has received nothing. */
-const MAX_BUFFERED_BYTES = 65_536;
 /** Minimum time left for an attempt on another server, in milliseconds. */
 const MIN_TRY_MS = 40;
 /** Time-out after which an idempotent request is sent to another server, in milliseconds: about ten times the usual answer time. */
@@ -91,7 +89,6 @@
     const relay = createAnswerRelay({
       task,
       protocol: context.protocol,
-      maxBufferedBytes: isStream ? 0 : MAX_BUFFERED_BYTES,
       isEventStream: isStream,
       isErrorRetryable: () => isIdempotent && canRunAgain(),
       onEnd: status => {
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -417,6 +417,7 @@
   }
 
   function canRetryDecode(failure: CallFailure): boolean {
+    if (failure.isFinal) return false;
     if (decodeTries >= MAX_DECODE_TRIES) return false;
     if (task.getRemainingMs() < MIN_TRY_MS) return false;
     if (failure.verdict === Verdict.NotRun) {
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -240,6 +240,8 @@
   readonly reason: 'connect' | 'reset' | 'mismatch' | 'rejected' | 'stalled';
   /** HTTP status of the response, when the server rejected the request. */
   readonly status?: number;
+  /** Present when the caller has part of an answer that no other server can continue. */
+  readonly isFinal?: boolean;
   readonly message: string;
 }
 
--- a/test/gateway/event_splitter.test.ts
+++ b/test/gateway/event_splitter.test.ts
@@ -62,3 +62,43 @@
   boundary.push(Buffer.from('d'));
   assert.equal(boundary.isBetweenEvents(), false);
 });
+
+test('only events that carry data end the count of bytes without data', () => {
+  const boundary = createEventBoundary();
+  boundary.push(Buffer.from('id: 1\ndata: x\n\n'));
+  assert.equal(boundary.countBytesWithoutData(), 0);
+  boundary.push(Buffer.from('\n\n:\n\nid: 2\n\n'));
+  assert.equal(boundary.countBytesWithoutData(), 12);
+  boundary.push(Buffer.from('data: y\n\nda'));
+  assert.equal(boundary.countBytesWithoutData(), 2);
+});
+
+test('the id of the last complete event is known, whatever the fields around it', () => {
+  const splitter = createEventSplitter();
+  splitter.push(Buffer.from('data: x\nid: 7\n\ndata: no id\n\nid:8\ndata'));
+  assert.equal(splitter.getLastId(), '7');
+  splitter.push(Buffer.from(': y\n\n'));
+  assert.equal(splitter.getLastId(), '8');
+});
+
+test('the id of an event that broke off is not taken for that of the next one', () => {
+  const splitter = createEventSplitter();
+  splitter.push(Buffer.from('id: 1\ndata: x\n\nid: 2\ndata: y'));
+  splitter.dropPartial();
+  splitter.push(Buffer.from('data: without an id\n\n'));
+  assert.equal(splitter.getLastId(), '1');
+});
+
+test('an event that arrives in many chunks costs time in proportion to its length', () => {
+  const measureMs = (chunks: number) => {
+    const splitter = createEventSplitter();
+    const chunk = Buffer.alloc(65_536, 'x');
+    const startedAt = performance.now();
+    for (let count = 0; count < chunks; count++) splitter.push(chunk);
+    return performance.now() - startedAt;
+  };
+  measureMs(50);
+  const shortMs = measureMs(50);
+  // Four times as long; quadratic work would take sixteen times as long.
+  assert.ok(measureMs(200) < shortMs * 10 + 20);
+});
--- a/test/platform/endless_bytes.test.ts
+++ b/test/platform/endless_bytes.test.ts
@@ -163,3 +163,58 @@
     await system.close();
   });
 }
+
+const STREAM_HEAD =
+  'HTTP/1.1 200 OK\r\nAnvilstack-Response-Seal: seal\r\nContent-Type: text/event-stream\r\n';
+const ENDLESS_STREAMS: Readonly<Record<string, EndlessResponse>> = {
+  'an event without its end': {
+    first: `${STREAM_HEAD}\r\n`,
+    next: 'x'.repeat(4_000),
+  },
+  'an event without its end, in chunks': {
+    first: `${STREAM_HEAD}Transfer-Encoding: chunked\r\n\r\n`,
+    next: `fa0\r\n${'x'.repeat(4_000)}\r\n`,
+  },
+  'blank lines after an event': {
+    first: `${STREAM_HEAD}\r\nid: 1\ndata: piece 1\n\n`,
+    next: '\n'.repeat(4_000),
+  },
+  'comments after an event': {
+    first: `${STREAM_HEAD}\r\nid: 1\ndata: piece 1\n\n`,
+    next: ':\n\n'.repeat(1_000),
+  },
+  'a body of another type': {
+    first:
+      'HTTP/1.1 404 Not Found\r\nContent-Type: text/plain\r\nAnvilstack-Response-Seal: seal\r\n\r\n',
+    next: 'x'.repeat(4_000),
+  },
+};
+
+// A resumable stream withholds incomplete events, so that its memory would grow without end.
+for (const path of ['/ask/x', '/resume/x']) {
+  for (const [name, bytes] of Object.entries(ENDLESS_STREAMS)) {
+    test(`a decode engine that sends ${name} has its call to ${path} aborted, and the caller gets no complete answer`, async () => {
+      const system = await startSystem({});
+      const endless = await startEndlessServer(bytes);
+      publishEntry(system, endless.port, 'llm', 'decode');
+      await waitForServers(system, 1);
+      const answer = await system
+        .send({path, ...PROMPT})
+        .catch(() => undefined);
+      assert.ok(answer?.status !== 200 || !answer.isComplete);
+      await waitUntil(
+        'its connections are closed',
+        () => endless.countOpen() === 0,
+      );
+      assert.ok(endless.sentBytes.length > 0);
+      if (name !== 'a body of another type') {
+        assert.ok(
+          endless.sentBytes.every(sent => sent < MAX_CALL_BYTES),
+          `${endless.sentBytes.join(', ')} bytes`,
+        );
+      }
+      endless.close();
+      await system.close();
+    });
+  }
+}
