--- a/src/gateway/exchange_router.ts
+++ b/src/gateway/exchange_router.ts
@@ -1,9 +1,10 @@
 /** Dispatches a caller's request to its route and to the flow that serves it. */
 import type {Logger} from '../diagnostics/log';
 import {Verdict} from '../verdict';
+import type {Drain} from './drain';
 import type {Exchange} from './exchange';
 import type {FlowContext} from './flow_context';
-import {createRequestTask} from './request_task';
+import {createRequestTask, type RequestTask} from './request_task';
 import {chooseService} from './route_table';
 import {runServiceFlow} from './service_flow';
 import type {ServiceLoads} from './service_loads';
@@ -14,19 +15,35 @@
 export interface ExchangeRouterOptions {
   readonly context: FlowContext;
   readonly loads: ServiceLoads;
+  readonly drain: Pick<Drain, 'mustRefuse'>;
   readonly logger: Logger;
 }
 
+/** Dispatches requests. */
+export interface ExchangeRouter {
+  handle(exchange: Exchange): void;
+  /** Ends all open requests as if their time were up, so that each gets a truthful answer. */
+  expireAll(): void;
+}
+
 /** Time after which a caller may retry while this node has no configuration, in milliseconds. */
 const NO_CONFIG_RETRY_AFTER_MS = 500;
+/** Time after which a caller may retry at another node while this one is being stopped, in milliseconds. */
+const STOPPING_RETRY_AFTER_MS = 0;
 
-/** Creates a router; the returned function handles one request. */
+/** Creates a router. */
 export function createExchangeRouter(
   options: ExchangeRouterOptions,
-): (exchange: Exchange) => void {
-  const {context, loads, logger} = options;
+): ExchangeRouter {
+  const {context, loads, drain, logger} = options;
   const {state, protocol, clock, metrics} = context;
-  return handleExchange;
+  const openTasks = new Set<RequestTask>();
+  return {
+    handle: handleExchange,
+    expireAll: () => {
+      for (const task of openTasks) task.expire();
+    },
+  };
 
   /** Catches exceptions, so that a bug ends one request and not the process. */
   function handleExchange(exchange: Exchange): void {
@@ -74,7 +91,13 @@
       clock,
       logger,
       metrics,
+      onEnd: () => openTasks.delete(task),
     });
+    openTasks.add(task);
+    if (drain.mustRefuse(task.getRemainingMs())) {
+      task.fail(Verdict.NotRun, 'gateway is stopping', STOPPING_RETRY_AFTER_MS);
+      return;
+    }
     const engine = state.tryGetService(service)?.engine;
     const {model} = exchange.request;
     if (route.kind !== RequestKind.Stream || !engine || !model) {
--- a/src/gateway/front_listener.ts
+++ b/src/gateway/front_listener.ts
@@ -18,7 +18,7 @@
   open(): Promise<void>;
   /** Sets the limits of later connections and of the bodies of later requests. */
   setLimits(limits: CallerLimits): void;
-  /** Makes every further answer close its connection. */
+  /** Makes every answer that ends from now on close its connection. */
   startDraining(): void;
   /** Stops accepting connections and closes the idle ones. */
   stopListening(): void;
@@ -48,7 +48,10 @@
   let limits = options.limits;
   let isDraining = false;
   let openCount = 0;
-  const sockets = new Set<Socket>();
+  /** Open connections and the requests on each that have no complete answer. */
+  const sockets = new Map<Socket, number>();
+  /** Connections whose last answer has begun or ended; later requests on them are not read, since they could not be answered. */
+  const closingSockets = new WeakSet<Socket>();
   const server: Server = createServer(
     {
       connectionsCheckingInterval: CHECK_INTERVAL_MS,
@@ -59,7 +62,7 @@
   );
   applyLimits();
   server.on('connection', (socket: Socket) => {
-    sockets.add(socket);
+    sockets.set(socket, 0);
     socket.on('close', () => sockets.delete(socket));
   });
   return {
@@ -78,7 +81,7 @@
     countOpen: () => openCount,
     close: () => {
       server.close();
-      for (const socket of sockets) socket.destroy();
+      for (const socket of sockets.keys()) socket.destroy();
     },
   };
 
@@ -97,12 +100,15 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): void {
-    const receivedAtMs = options.clock.getMonotonicMs();
-    openCount++;
+    const {socket} = request;
+    if (closingSockets.has(socket)) return;
+    const {clock, protocol} = options;
+    const receivedAtMs = clock.getMonotonicMs();
+    recordOpen(socket, 1);
     response.on('close', () => {
-      openCount--;
+      recordOpen(socket, -1);
+      if (isDraining) closeIdle(socket);
     });
-    const {clock, protocol} = options;
     readRequestBody(request, {clock, limits}, result => {
       const exchange = createExchange({
         request,
@@ -110,11 +116,32 @@
         ...(result.body === undefined ? {} : {body: result.body}),
         receivedAtMs,
         protocol,
-        isClosing: () => isDraining || result.refusal !== undefined,
+        isClosing: () => tryStartClosing(socket, result.refusal !== undefined),
       });
       if (result.refusal === undefined) return options.onExchange(exchange);
       const {status, message} = result.refusal;
       exchange.answer(status, [], message);
     });
   }
+
+  function recordOpen(socket: Socket, change: 1 | -1): void {
+    openCount += change;
+    const count = sockets.get(socket);
+    if (count !== undefined) sockets.set(socket, count + change);
+  }
+
+  /** Returns whether the answer that is about to begin is the last one on its connection; a stopping node still answers requests that came before it. */
+  function tryStartClosing(socket: Socket, isRefused: boolean): boolean {
+    const isLast = isDraining && (sockets.get(socket) ?? 1) <= 1;
+    if (!isLast && !isRefused) return false;
+    closingSockets.add(socket);
+    return true;
+  }
+
+  /** Closes a connection whose last answer began before the drain, so that its head could not announce the end. */
+  function closeIdle(socket: Socket): void {
+    if (sockets.get(socket) !== 0 || !socket.writable) return;
+    closingSockets.add(socket);
+    socket.end();
+  }
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,6 +5,7 @@
 import {createConnections} from './connections';
 import {createControlListeners} from './control_listener';
 import {createCrashGuard} from './crash_guard';
+import {createDrain} from './drain';
 import {createEngineSpeedEstimator} from './engine_speed_estimator';
 import {createExchangeRouter} from './exchange_router';
 import {createFleetDemand} from './fleet_demand';
@@ -229,12 +230,17 @@
     reach,
     crashGuard,
   });
+  const drain = createDrain({
+    clock,
+    durationMs: settings.bounds.shutdownMs - SHUTDOWN_MARGIN_MS,
+  });
+  const router = createExchangeRouter({context, loads, drain, logger});
   const front = createFrontListener({
     address: settings.callers,
     protocol,
     clock,
     limits: DEFAULT_CALLER_LIMITS,
-    onExchange: createExchangeRouter({context, loads, logger}),
+    onExchange: router.handle,
   });
   const control = createControlListeners({
     readiness: settings.readiness,
@@ -268,19 +274,18 @@
   async function stop(): Promise<void> {
     isStopping = true;
     messageHandler.stop();
-    const startedAtMs = clock.getMonotonicMs();
+    drain.start();
     logger.log('info', 'gateway stopping', {openRequests: front.countOpen()});
     front.startDraining();
     await clock.sleep(BALANCER_DRAIN_MS);
     front.stopListening();
-    const maxDrainMs = settings.bounds.shutdownMs - SHUTDOWN_MARGIN_MS;
-    while (
-      front.countOpen() > 0 &&
-      clock.getMonotonicMs() - startedAtMs < maxDrainMs
-    ) {
+    while (front.countOpen() > 0 && drain.getRemainingMs() > 0) {
       await clock.sleep(STOP_CHECK_MS);
     }
-    logger.log('info', 'gateway stopped', {openRequests: front.countOpen()});
+    const cutRequests = front.countOpen();
+    router.expireAll();
+    if (cutRequests > 0) await clock.sleep(STOP_CHECK_MS);
+    logger.log('info', 'gateway stopped', {openRequests: cutRequests});
     kill();
   }
 
--- a/src/gateway/request_task.ts
+++ b/src/gateway/request_task.ts
@@ -20,6 +20,8 @@
   fail(verdict: Verdict, reason: string, retryAfterMs?: number): void;
   /** Ends the request after the complete answer of a backend server was passed on. */
   complete(status: number, serverId: string): void;
+  /** Ends the request as if its time were up. */
+  expire(): void;
   /** Calls back once when the caller disconnects (`gone`) or the time is up. */
   onStop(callback: (cause: 'gone' | 'timeout') => void): void;
   /** Writes a log line about this request. */
@@ -36,6 +38,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
+  /** Called once when the request has ended. */
+  readonly onEnd: () => void;
 }
 
 /** Default time after which a refused caller may retry, in milliseconds. */
@@ -67,6 +71,7 @@
     isOver: () => isEnded,
     fail,
     complete,
+    expire: () => stop('timeout'),
     onStop: callback => stopCallbacks.push(callback),
     log,
   };
@@ -115,6 +120,7 @@
   ): void {
     isEnded = true;
     timer.cancel();
+    options.onEnd();
     const elapsedMs = getElapsedMs();
     metrics.recordEnd(route, outcome, elapsedMs);
     log('request ended', {...fields, outcome});
--- a/src/gateway_process.ts
+++ b/src/gateway_process.ts
@@ -51,6 +51,8 @@
     clock: createSystemClock(),
     logger,
   });
+  // The handler stays: a repeated signal must not end a process that is being stopped.
+  const isTerminated = new Promise(resolve => process.on('SIGTERM', resolve));
   try {
     await gateway.start();
   } catch (error) {
@@ -58,7 +60,7 @@
     process.stderr.write(`the gateway failed to start: ${String(error)}\n`);
     return EXIT_FAILED;
   }
-  await new Promise(resolve => process.once('SIGTERM', resolve));
+  await isTerminated;
   await gateway.stop();
   client.close();
   await lines.drain(LOG_DRAIN_MS);
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -117,3 +117,22 @@
   assert.equal(ended.code, 0);
   store.close();
 });
+
+test('a second SIGTERM does not end a process that is being stopped', async () => {
+  const ports = await listFreePorts(4);
+  const store = await startStoreStandin();
+  store.put('keyed.op', 'config', buildConfig(1));
+  const ended = await runGateway(
+    buildSettings('front-1', ports, store.port, []),
+    async running => {
+      const waitForLine = (text: string) =>
+        waitUntil(text, () => running.getOutput().includes(text));
+      await waitForLine('"message":"gateway started"');
+      running.kill('SIGTERM');
+      await waitForLine('"message":"gateway stopping"');
+    },
+  );
+  assert.equal(ended.code, 0);
+  assert.match(ended.output, /"message":"gateway stopped"/);
+  store.close();
+});
