Never send a request again on a connection that has carried it (REFUSED)

Callers of orders got 503, which promises 'not run', for orders that had run, and some orders ran twice.

Cause: a refused request is sent again under its own id, to the server that refused it when all have been tried, on the connection used last. A late second copy of the refusal arrives there before the answer and bears the right id.

Each request now keeps the connections that have carried it, for prompts, streams and plain calls; none is used for it twice.

The four new tests fail on the sources before.

--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -34,6 +34,8 @@
   /** Flat list of names and values. */
   readonly headers: readonly string[];
   readonly body?: Buffer;
+  /** Connections that have carried this request before and must not carry it again: a late second copy of its answer could not be told from the answer that is due. The one that is used is added. */
+  readonly usedConnections?: Set<object>;
   readonly handler: CallHandler;
 }
 
@@ -126,7 +128,10 @@
   function call(request: BackendCall): OpenCall {
     const onHead = options.onCall?.(request.server);
     const connections = getConnections(request.server.id);
-    const connection = takeIdle(connections) ?? openConnection(request.server);
+    const connection =
+      takeIdle(connections, request.usedConnections) ??
+      openConnection(request.server);
+    request.usedConnections?.add(connection);
     connections.all.add(connection);
     const open = createOpenCall({
       handler: request.handler,
@@ -155,10 +160,16 @@
   }
 
   /** Takes the most recently used open connection; without one, a closed one, which undici opens again. */
-  function takeIdle(connections: ServerConnections): Connection | undefined {
-    const index = connections.idle.findLastIndex(item => item.isOpen);
-    if (index < 0) return connections.idle.pop();
-    return connections.idle.splice(index, 1)[0];
+  function takeIdle(
+    {idle}: ServerConnections,
+    used?: ReadonlySet<object>,
+  ): Connection | undefined {
+    const openIndex = idle.findLastIndex(
+      item => item.isOpen && !used?.has(item),
+    );
+    const index =
+      openIndex >= 0 ? openIndex : idle.findLastIndex(item => !item.isOpen);
+    return index < 0 ? undefined : idle.splice(index, 1)[0];
   }
 
   function getConnections(serverId: string): ServerConnections {
--- a/src/gateway/request_task.ts
+++ b/src/gateway/request_task.ts
@@ -11,6 +11,8 @@
   readonly exchange: Exchange;
   readonly route: Route;
   readonly service: string;
+  /** Connections to backend servers that have carried the request. */
+  readonly usedConnections: Set<object>;
   /** Time left until the deadline of the caller or the time-out of the route, in milliseconds. */
   getRemainingMs(): number;
   /** Time since the request was received, in milliseconds. */
@@ -66,6 +68,7 @@
     exchange,
     route,
     service: options.service,
+    usedConnections: new Set(),
     getRemainingMs: () => deadlineAtMs - clock.getMonotonicMs(),
     getElapsedMs,
     isOver: () => isEnded,
--- a/src/gateway/server_call.ts
+++ b/src/gateway/server_call.ts
@@ -29,6 +29,7 @@
       ...options.sendOptions,
     }),
     ...(exchange.body === undefined ? {} : {body: exchange.body}),
+    usedConnections: task.usedConnections,
     handler,
   });
 }
--- a/test/gateway/connections.test.ts
+++ b/test/gateway/connections.test.ts
@@ -78,3 +78,18 @@
   connections.close();
   server.close();
 });
+
+test('a request is not sent again on a connection that has carried it, whichever answer it got', async () => {
+  const server = await startRawServer(socket => {
+    socket.write('HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx');
+  });
+  const connections = createConnections();
+  const usedConnections = new Set<object>();
+  await sendCall(connections, server.entry, {usedConnections});
+  await sendCall(connections, server.entry, {usedConnections});
+  assert.equal(connections.countOpened(), 2);
+  await sendCall(connections, server.entry);
+  assert.equal(connections.countOpened(), 2);
+  connections.close();
+  server.close();
+});
--- a/test/platform/broken_answers.test.ts
+++ b/test/platform/broken_answers.test.ts
@@ -83,6 +83,28 @@
   assert.equal(new Set(ports).size, ports.length);
 });
 
+// The copy has the id of the request, which is sent to the same server again because no other one takes it.
+for (const path of ['/order/again', '/look/again', '/ask/again']) {
+  test(`a late second copy of a refusal is not believed when its request is sent to the same server again: ${path}`, async () => {
+    const isStream = path.startsWith('/ask');
+    const prompt = {tokens: '900,9', parts: 'aa:600,bb:300'};
+    const more = isStream ? prompt : {};
+    await Promise.all(
+      ['w1', 'w2'].map(id => system.send({path, id: `${id}-${path}`, ...more})),
+    );
+    const servers = isStream ? engines : [app];
+    for (const server of servers) server.setFault('refuse-late');
+    const id = `late-copy-${path}`;
+    const answer = await system.send({path, id, ...more});
+    for (const server of servers) server.setFault('none');
+    const runs = servers.flatMap(server =>
+      server.runs.filter(run => run.id === id),
+    );
+    assert.equal(answer.status === 200, runs.length === 1, `${runs.length}`);
+    assert.ok(runs.length <= 1);
+  });
+}
+
 test('a refusal that names its request tells the caller that it has not run', async () => {
   await system.send({path: '/order/first'});
   app.setFault('full');
--- a/test/platform/server_standin.ts
+++ b/test/platform/server_standin.ts
@@ -35,7 +35,9 @@
  * without running them, `no-kv` does so with the next request that has a KV source,
  * `mute` never responds, and `busy-after-run` sends 503 for a request that ran.
  * `refuse-again` writes a refusal without a request id before the answer to a
- * request that ran. `unframed` answers without a length, `unframed-cut` ends such
+ * request that ran. `refuse-late` refuses each request that comes for the first
+ * time, and writes that refusal once more when the connection gets its next
+ * request. `unframed` answers without a length, `unframed-cut` ends such
  * a stream inside an event, and `error-on-resume` resets streams midway and fails
  * the requests that resume them.
  */
@@ -51,6 +53,7 @@
   | 'no-kv'
   | 'busy-after-run'
   | 'refuse-again'
+  | 'refuse-late'
   | 'unframed'
   | 'unframed-cut'
   | 'error-on-resume';
@@ -143,6 +146,9 @@
   const partCrashes: Array<{partId: string; atMs: number}> = [];
   const limitChanges: LimitChange[] = [];
   const arrivals: PromptArrival[] = [];
+  /** Refusals that are written again on these connections. */
+  const lateRefusals = new WeakMap<Socket, string>();
+  const refusedIds = new Set<string>();
   const openSockets = new Set<Socket>();
   const ignoredSockets = new WeakSet<Socket>();
   const server = createServer((request, response) => {
@@ -321,6 +327,7 @@
       response.end();
       return;
     }
+    if (fault === 'refuse-late' && refuseLate(response, received.id)) return;
     if (received.headers['anvilstack-stage'] === 'prefill') {
       prefills.push(received);
       if (fault === 'mute') return;
@@ -338,6 +345,22 @@
     setTimeout(() => sendAnswer(response, received), options.workMs ?? 1);
   }
 
+  /** Refuses a request that comes for the first time; returns false for others, after a copy of the refusal that the connection carried last. */
+  function refuseLate(response: ServerResponse, requestId: string): boolean {
+    const {socket} = response;
+    if (socket === null) return false;
+    const copy = lateRefusals.get(socket);
+    lateRefusals.delete(socket);
+    if (copy !== undefined) socket.write(copy);
+    if (refusedIds.has(requestId)) return false;
+    refusedIds.add(requestId);
+    const text = `HTTP/1.1 503 Service Unavailable\r\nAnvilstack-Not-Executed: 1\r\nAnvilstack-Request-Id: ${requestId}\r\nContent-Length: 0\r\n\r\n`;
+    lateRefusals.set(socket, text);
+    response.writeHead(503, {'Anvilstack-Not-Executed': '1'});
+    response.end();
+    return true;
+  }
+
   function sendAnswer(
     response: ServerResponse,
     received: ReceivedRequest,
