--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -136,6 +136,7 @@
     const open = createOpenCall({
       handler: request.handler,
       connection,
+      checkServer: callback => checkServer(request.server, callback),
       ...(onHead === undefined ? {} : {onHead}),
       release: isReusable => {
         if (isReusable && servers.has(request.server.id)) {
@@ -215,6 +216,26 @@
     return connection;
   }
 
+  /** Opens a connection and closes it; tells whether the server accepted it. */
+  function checkServer(
+    server: BackendEntry,
+    callback: (isAccepting: boolean) => void,
+  ): void {
+    const address = {
+      protocol: 'http:',
+      hostname: server.host,
+      port: String(server.port),
+    };
+    connector(address, (error, socket) => {
+      if (error === null) {
+        openedCount++;
+        socket.on('error', () => undefined);
+        socket.destroy();
+      }
+      callback(error === null);
+    });
+  }
+
   function retainOnly(serverIds: ReadonlySet<string>): void {
     for (const [id, connections] of servers) {
       if (serverIds.has(id)) continue;
@@ -263,6 +284,8 @@
   readonly handler: CallHandler;
   readonly connection: Connection;
   readonly onHead?: HeadListener;
+  /** Tells whether the server still accepts connections. */
+  readonly checkServer: (callback: (isAccepting: boolean) => void) => void;
   /** Returns the connection to the idle ones, or closes it when it cannot be reused. */
   readonly release: (isReusable: boolean) => void;
 }
@@ -292,7 +315,7 @@
       },
       onResponseEnd: () => {
         // The write in `watchResets` completes only after this event.
-        if (connection.isUnframed) setImmediate(settle);
+        if (connection.isUnframed) setImmediate(settleUnframed);
         else settle();
       },
       onResponseError: (_controller, error) => {
@@ -306,6 +329,18 @@
     },
   };
 
+  /** The end of a process closes its connections like the end of an answer does, so the answer is complete only if the server still accepts connections. */
+  function settleUnframed(): void {
+    if (isDone || connection.wasReset) {
+      settle();
+      return;
+    }
+    options.checkServer(isAccepting => {
+      if (isAccepting) settle();
+      else fail(createReset('server ended during an answer without a length'));
+    });
+  }
+
   function settle(): void {
     if (connection.wasReset)
       return fail(createReset('connection was reset during the answer'));
--- a/test/gateway/connections.test.ts
+++ b/test/gateway/connections.test.ts
@@ -93,3 +93,16 @@
   connections.close();
   server.close();
 });
+
+test('an answer without a length is a failure when its server has ended', async () => {
+  const server = await startRawServer(socket => {
+    socket.write(`${UNFRAMED_HEAD}par`, () => {
+      setTimeout(() => server.close(), 30);
+    });
+  });
+  const connections = createConnections();
+  const outcome = await sendCall(connections, server.entry);
+  assert.equal(outcome.failure?.reason, 'reset');
+  assert.equal(outcome.failure?.verdict, Verdict.MayHaveRun);
+  connections.close();
+});
--- a/test/platform/broken_answers.test.ts
+++ b/test/platform/broken_answers.test.ts
@@ -1,6 +1,7 @@
 /** Answers that a faulty server breaks off, joins to another one or writes again. */
 import assert from 'node:assert/strict';
 import {after, before, test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {startRawServer} from '../gateway/support';
 import type {ServerFault, ServerStandin} from './server_standin';
 import {
@@ -35,6 +36,8 @@
 const WHOLE_STREAM = [1, 2, 3]
   .map(id => `id: ${id}\ndata: piece ${id}\n\n`)
   .join('');
+/** Time for which a server that crashed gets no requests, in milliseconds. */
+const EJECTION_MS = 2_500;
 const STREAM_PATHS = ['/ask/x', '/resume/x'];
 
 function setEngineFault(fault: ServerFault): void {
@@ -147,3 +150,40 @@
   assert.equal(answer.isComplete, true);
   assert.equal(answer.body, WHOLE_STREAM);
 });
+
+/** Lets the servers answer again and waits until those that crashed are back. */
+async function stopCrashes(servers: readonly ServerStandin[]): Promise<void> {
+  for (const server of servers) server.setFault('none');
+  await sleep(EJECTION_MS);
+  await waitUntil('the servers are back', async () => {
+    const answer = await system.send({path: '/order/back'});
+    const stream = await sendPrompt('/ask/back');
+    return answer.status === 200 && stream.isComplete && stream.status === 200;
+  });
+}
+
+// Nothing but the end of the connection ends these answers, and a crash ends it too.
+test('a stream without a length whose server crashes between two events does not end as complete', async () => {
+  setEngineFault('unframed-crash');
+  const answer = await sendPrompt('/ask/x');
+  await stopCrashes(engines);
+  assert.equal(answer.isComplete, false);
+  assert.ok(WHOLE_STREAM.startsWith(answer.body), answer.body);
+});
+
+test('a resumable stream without a length whose server crashes between two events goes on at another server', async () => {
+  setEngineFault('unframed-crash');
+  const answer = await sendPrompt('/resume/x');
+  await stopCrashes(engines);
+  assert.equal(answer.isComplete, true);
+  assert.equal(answer.body, WHOLE_STREAM);
+});
+
+for (const path of ['/order/crash', '/look/crash']) {
+  test(`an answer without a length whose server crashes does not end as complete: ${path}`, async () => {
+    app.setFault('unframed-crash');
+    const answer = await system.send({path});
+    await stopCrashes([app]);
+    assert.equal(answer.status, 502);
+  });
+}
--- a/test/platform/server_standin.ts
+++ b/test/platform/server_standin.ts
@@ -38,7 +38,8 @@
  * request that ran. `refuse-late` refuses each request that comes for the first
  * time, and writes that refusal once more when the connection gets its next
  * request. `unframed` answers without a length, `unframed-cut` ends such
- * a stream inside an event, and `error-on-resume` resets streams midway and fails
+ * a stream inside an event, `unframed-crash` crashes between two events of such a
+ * stream or within another answer, and `error-on-resume` resets streams midway and fails
  * the requests that resume them.
  */
 export type ServerFault =
@@ -56,6 +57,7 @@
   | 'refuse-late'
   | 'unframed'
   | 'unframed-cut'
+  | 'unframed-crash'
   | 'error-on-resume';
 
 /** A running stand-in. */
@@ -124,6 +126,8 @@
 const FIRST_BORN_MS = 1_700_000_000_000;
 /** Time from the beginning of an answer to the crash that a deadly part causes, in milliseconds. */
 const CRASH_DELAY_MS = 40;
+/** Time for which a server is down after a crash of `unframed-crash`, in milliseconds. */
+const CRASH_DOWN_MS = 1_000;
 
 /** Starts a server on a free loopback port and publishes its entry. */
 export async function startServerStandin(
@@ -389,7 +393,7 @@
         'HTTP/1.1 503 Service Unavailable\r\nAnvilstack-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n',
       );
     }
-    if (fault === 'unframed' || fault === 'unframed-cut') {
+    if (fault.startsWith('unframed')) {
       response.useChunkedEncodingByDefault = false;
       response.shouldKeepAlive = false;
     }
@@ -403,8 +407,15 @@
     const length = String(Buffer.byteLength(body));
     response.writeHead(
       200,
-      fault === 'unframed' ? headers : {...headers, 'Content-Length': length},
+      fault.startsWith('unframed')
+        ? headers
+        : {...headers, 'Content-Length': length},
     );
+    if (fault === 'unframed-crash') {
+      response.write(body.slice(0, 5));
+      setTimeout(() => void crashFor(CRASH_DOWN_MS), CRASH_DELAY_MS);
+      return;
+    }
     if (fault !== 'reset-midway') {
       response.end(body);
       return;
@@ -438,6 +449,10 @@
         setTimeout(sendNext, options.eventIntervalMs ?? 1);
         return;
       }
+      if (fault === 'unframed-crash') {
+        setTimeout(() => void crashFor(CRASH_DOWN_MS), CRASH_DELAY_MS);
+        return;
+      }
       if (fault === 'unframed-cut') {
         response.end(`id: ${next}\ndata: pie`);
         return;
