Bound the time of calls that nobody waits for

An order whose caller had left kept its connection to a silent server for ever, and so did the call that frees a KV cache at an engine that does not answer; a server whose request timed out counted as busier from then on.

Cause: the time limit ended with the caller's request, the release had none, and a cancelled try did not end its entry in the loads.

Both calls now end at the request's time limit and after 500 ms. Two new tests of endless_bytes fail on the sources before.

--- a/src/gateway/service_flow.ts
+++ b/src/gateway/service_flow.ts
@@ -37,6 +37,7 @@
   const isIdempotent = route.kind === RequestKind.Idempotent;
   const tried = new Set<string>();
   let call: OpenCall | undefined;
+  let cancelTry: () => void = () => undefined;
   let runCount = 0;
   let connectTries = 0;
   let mayHaveRun = false;
@@ -107,10 +108,17 @@
         )
       : undefined;
     const opened = sendToServer({context, task, server, handler: relay});
+    let isTryOver = false;
     call = opened;
+    cancelTry = () => {
+      opened.cancel();
+      recordTryEnd();
+    };
     relay.attach(opened);
 
     function recordTryEnd(answerMs?: number): void {
+      if (isTryOver) return;
+      isTryOver = true;
       tryTimer?.cancel();
       loads.recordEnd(server.id, answerMs);
       if (answerMs !== undefined) context.health.recordSuccess(server.id, 1);
@@ -118,8 +126,7 @@
 
     function handleTryTimeout(): void {
       if (task.isOver() || exchange.hasAnswerBegun() || !canRunAgain()) return;
-      opened.cancel();
-      loads.recordEnd(server.id);
+      cancelTry();
       handleFailure(server, {
         verdict: Verdict.MayHaveRun,
         reason: 'stalled',
@@ -174,10 +181,13 @@
   }
 
   function stop(cause: 'gone' | 'timeout'): void {
-    // A non-idempotent request goes on after its caller has disconnected: cancelling the call would not undo its effect.
-    if (cause === 'gone' && !isIdempotent) return;
+    // A non-idempotent request goes on after its caller has disconnected: cancelling the call would not undo its effect. Its answer is awaited no longer than for a caller who stays.
+    if (cause === 'gone' && !isIdempotent) {
+      context.clock.schedule(Math.max(0, task.getRemainingMs()), cancelTry);
+      return;
+    }
     const wasSent = call?.isSent() === true;
-    call?.cancel();
+    cancelTry();
     if (cause === 'timeout') {
       const verdict = wasSent ? Verdict.MayHaveRun : getVerdict();
       task.fail(verdict, 'timeout');
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -4,6 +4,7 @@
  * engine does both.
  */
 import {Verdict} from '../verdict';
+import {sendControlCall} from './control_call';
 import {type DecodeCall, startDecodeCall} from './decode_call';
 import {createDecodeReservation} from './decode_reservation';
 import {computeTransferMs} from './engine_costs';
@@ -41,6 +42,8 @@
 const MAX_DECODE_TRIES = 3;
 /** Round trip to an engine, in milliseconds. */
 const ROUND_TRIP_MS = 5;
+/** Time-out of the call that frees a KV cache, in milliseconds: many round trips. */
+const RELEASE_TIMEOUT_MS = 500;
 /** Shortest prefill by nominal speeds that is used to measure an engine's speed, in milliseconds. */
 const MIN_SAMPLE_MS = 40;
 
@@ -456,16 +459,15 @@
     const release = context.protocol.buildReleaseCall(kv);
     kv = undefined;
     if (server === undefined) return;
-    context.connections.call({
+    void sendControlCall(
+      context.connections,
+      clock,
       server,
-      ...release,
-      handler: {
-        onAnswer: () => undefined,
-        onData: () => undefined,
-        onEnd: () => undefined,
-        onFailure: failure =>
-          task.log('KV cache could not be released', {detail: failure.message}),
-      },
+      release,
+      RELEASE_TIMEOUT_MS,
+    ).then(answer => {
+      if (answer?.status === 200) return;
+      task.log('KV cache could not be released', {status: answer?.status});
     });
   }
 
--- a/test/platform/endless_bytes.test.ts
+++ b/test/platform/endless_bytes.test.ts
@@ -3,9 +3,11 @@
 import {createServer, type Server, type Socket} from 'node:net';
 import type {AddressInfo} from 'node:net';
 import {test} from 'node:test';
+import {startRawServer} from '../gateway/support';
 import {
   isNodeReady,
   loadSnapshot,
+  ROUTE_TIMEOUT_MS,
   startSystem,
   type TestSystem,
   waitUntil,
@@ -218,3 +220,53 @@
     });
   }
 }
+
+test('an order whose caller has left does not keep its connection to a silent server for ever', async () => {
+  const system = await startSystem({});
+  const endless = await startEndlessServer({first: '', next: ''});
+  publishEntry(system, endless.port, 'app');
+  await waitForServers(system, 1);
+  await system.send({path: '/order/x', abortAfterMs: 200});
+  assert.equal(endless.countOpen(), 1);
+  await waitUntil(
+    'its connection is closed',
+    () => endless.countOpen() === 0,
+    ROUTE_TIMEOUT_MS + 1_000,
+  );
+  endless.close();
+  await system.close();
+});
+
+test('an engine that does not answer when a KV cache is released has the call aborted', async () => {
+  const system = await startSystem({});
+  const released: Socket[] = [];
+  const reader = await startRawServer((socket, request) => {
+    if (request.startsWith('DELETE')) {
+      released.push(socket);
+      return;
+    }
+    const body = '{"transferHandle":"h","tokens":1,"version":1}';
+    socket.write(
+      `HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
+    );
+  });
+  publishEntry(system, reader.entry.port, 'llm', 'prefill');
+  const writer = await system.addServer({
+    id: 'writer-1',
+    service: 'llm',
+    zone: 'a',
+    stage: 'decode',
+  });
+  await waitForServers(system, 2);
+  writer.setFault('full');
+  const answer = await system.send({path: '/ask/x', ...PROMPT});
+  assert.equal(answer.status, 503);
+  await waitUntil('the release has arrived', () => released.length > 0);
+  await waitUntil(
+    'the call is aborted',
+    () => released.every(socket => socket.destroyed || socket.readableEnded),
+    2_000,
+  );
+  reader.close();
+  await system.close();
+});
