--- a/test/platform/server_standin.ts
+++ b/test/platform/server_standin.ts
@@ -34,6 +34,7 @@
  * Fault that the server shows until it is changed. `full` refuses requests
  * without running them, `no-kv` does so with the next request that has a KV source,
  * `mute` never responds, and `busy-after-run` sends 503 for a request that ran.
+ * `endless` sends a stream in which no event ends.
  * `refuse-again` writes a refusal without a request id before the answer to a
  * request that ran. `refuse-late` refuses each request that comes for the first
  * time, and writes that refusal once more when the connection gets its next
@@ -55,6 +56,7 @@
   | 'busy-after-run'
   | 'refuse-again'
   | 'refuse-late'
+  | 'endless'
   | 'unframed'
   | 'unframed-cut'
   | 'unframed-crash'
@@ -126,6 +128,7 @@
 const FIRST_BORN_MS = 1_700_000_000_000;
 /** Time from the beginning of an answer to the crash that a deadly part causes, in milliseconds. */
 const CRASH_DELAY_MS = 40;
+const ENDLESS_CHUNK = Buffer.alloc(65_536, 'x');
 /** Time for which a server is down after a crash of `unframed-crash`, in milliseconds. */
 const CRASH_DOWN_MS = 1_000;
 
@@ -424,6 +427,14 @@
     setTimeout(() => response.socket?.resetAndDestroy(), 5);
   }
 
+  /** Sends bytes as fast as the caller reads them, until it closes the connection. */
+  function sendEndless(response: ServerResponse): void {
+    if (response.destroyed) return;
+    const goOn = () => setImmediate(sendEndless, response);
+    if (response.write(ENDLESS_CHUNK)) goOn();
+    else response.once('drain', goOn);
+  }
+
   /** Sends events numbered from 1, or from the one after `Last-Event-Id` when the stream is resumed. */
   function sendEvents(
     response: ServerResponse,
@@ -433,6 +444,10 @@
     const count = options.events ?? 3;
     let next = Number(received.headers['last-event-id'] ?? 0) + 1;
     response.writeHead(200, {...headers, 'Content-Type': 'text/event-stream'});
+    if (fault === 'endless') {
+      sendEndless(response);
+      return;
+    }
     const isDeadly = crashOnDeadlyPart(received);
     sendNext();
 
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -63,6 +63,14 @@
   'no-seal',
   'no-kv',
 ];
+/** Faults of answers, drawn apart from the others, so that a seed keeps those. */
+const ANSWER_FAULTS: ServerFault[] = [
+  'refuse-again',
+  'refuse-late',
+  'unframed',
+  'unframed-cut',
+  'endless',
+];
 const MIN_FAULT_MS = 200;
 const MAX_FAULT_MS = 2_500;
 const MIN_LIMIT_MS = 2_000;
@@ -91,6 +99,28 @@
   })).sort((left, right) => left.atMs - right.atMs);
 }
 
+/** Draws faults of answers and further planned stops, which overlap with the other faults. */
+export function buildAnswerFaults(options: {
+  readonly draw: Draw;
+  readonly runDurationMs: number;
+  readonly nodes: number;
+  readonly servers: number;
+}): TimedFault[] {
+  const {draw, runDurationMs, nodes, servers} = options;
+  return Array.from({length: 1 + draw(5)}, (): TimedFault => ({
+    atMs: draw(runDurationMs),
+    durationMs: MIN_FAULT_MS + draw(MAX_FAULT_MS - MIN_FAULT_MS),
+    fault:
+      draw(4) === 0
+        ? {kind: 'term', node: draw(nodes)}
+        : {
+            kind: 'server',
+            server: draw(servers),
+            fault: ANSWER_FAULTS[draw(ANSWER_FAULTS.length)],
+          },
+  }));
+}
+
 /** Draws a limit for some of the servers; they hold beside the faults of the schedule. */
 export function buildLimits(options: {
   readonly draw: Draw;
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -18,6 +18,7 @@
   type SoakRequest,
 } from './violations';
 import {
+  buildAnswerFaults,
   buildDeadlyPart,
   buildLimits,
   buildSchedule,
@@ -73,6 +74,11 @@
 const STOPPING_FAULTS = new Set(['pause', 'kill', 'term']);
 const LIMIT_SEED_OFFSET = 1_000_000;
 const DEADLY_SEED_OFFSET = 2_000_000;
+const ANSWER_SEED_OFFSET = 3_000_000;
+/** Time between the signals of a planned stop, which is announced twice, in milliseconds. */
+const SECOND_SIGNAL_MS = 400;
+/** Time between the events of one decode engine, in milliseconds: its streams are still open when a stop begins. */
+const SLOW_EVENT_MS = 700;
 const DEADLY_PART = 'd0';
 /** One of so many model requests has the deadly part. */
 const DEADLY_ONE_IN = 40;
@@ -105,12 +111,18 @@
     () => isEveryNodeReady(processes),
     RECOVERY_BOUND_MS,
   ).catch((error: Error) => violations.push(error.message));
-  const schedule = buildSchedule({
-    draw,
+  const scheduleOptions = {
     runDurationMs: durationMs,
     nodes: nodeCount,
     servers: servers.length,
-  });
+  };
+  const schedule = [
+    ...buildSchedule({draw, ...scheduleOptions}),
+    ...buildAnswerFaults({
+      draw: createDraw(options.seed + ANSWER_SEED_OFFSET),
+      ...scheduleOptions,
+    }),
+  ];
   // Drawn apart, so that a seed keeps its faults.
   const limits = buildLimits({
     draw: createDraw(options.seed + LIMIT_SEED_OFFSET),
@@ -192,6 +204,7 @@
       id,
       service: 'llm',
       stage: 'decode' as const,
+      ...(id === 'w-3' ? {eventIntervalMs: SLOW_EVENT_MS} : {}),
     })),
   ];
   return Promise.all(
@@ -315,6 +328,10 @@
   const incarnation = node.getIncarnation();
   node.signal('SIGCONT');
   node.signal(kind === 'kill' ? 'SIGKILL' : 'SIGTERM');
+  if (kind === 'term') {
+    await sleep(SECOND_SIGNAL_MS);
+    if (node.getIncarnation() === incarnation) node.signal('SIGTERM');
+  }
   await node.waitForExit();
   await sleep(100);
   if (node.getIncarnation() === incarnation) node.start();
