Use an entry only if it has every field of a server (ROUTE)

Orders ran at servers of another service when an entry of another writer, with one field missing or of another type, stood under their id.

Cause: only the fields that the gateway uses were checked, and a missing maxBatch became 1. Now version, maxBatch, coldLeftMs and seq must be there with their types and ranges.

Entries in other tests were completed.

--- a/src/platform/server_entry.ts
+++ b/src/platform/server_entry.ts
@@ -1,7 +1,9 @@
 /** Decodes the service discovery entries that backend servers write to the store. */
 import {type BackendEntry, EngineStage} from '../gateway';
 import {
+  type Fields,
   tryGetFields,
+  tryGetNumber,
   tryGetString,
   tryGetWhole,
   tryParseJson,
@@ -19,8 +21,9 @@
 }
 
 /**
- * Decodes the entry of a backend server; returns undefined when the entry is
- * malformed, incomplete or out of range, or its state is neither ready nor draining.
+ * Decodes the entry of a backend server; returns undefined when a field of it is
+ * missing, malformed or out of range, also one that the gateway does not use: such
+ * an entry was not written by a server.
  */
 export function tryParseEntry(
   id: string,
@@ -37,10 +40,12 @@
   const stage = tryParseStage(fields['stage']);
   if (fields['stage'] !== undefined && stage === undefined) return undefined;
   // Despite its name, `maxBatch` limits the concurrent requests of plain services too.
-  const {maxBatch = 1, born = 0} = fields;
-  const maxRunning = tryGetWhole(maxBatch, 1);
+  const maxRunning = tryGetWhole(fields['maxBatch'], 1);
+  // Only servers that may restart under their id say when they started.
+  const {born = 0} = fields;
   const startedAtMs = tryGetWhole(born, 0);
   if (maxRunning === undefined || startedAtMs === undefined) return undefined;
+  if (!hasServerFields(fields)) return undefined;
   return {
     id,
     service,
@@ -52,3 +57,14 @@
     startedAtMs,
   };
 }
+
+/** True when an entry has the fields of a server that the gateway does not use. */
+function hasServerFields(fields: Fields): boolean {
+  const coldLeftMs = tryGetNumber(fields['coldLeftMs']);
+  return (
+    tryGetString(fields['version']) !== undefined &&
+    tryGetWhole(fields['seq'], 0) !== undefined &&
+    coldLeftMs !== undefined &&
+    coldLeftMs >= 0
+  );
+}
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -123,7 +123,11 @@
     service: 's',
     address: '10.0.0.1:80',
     zone: 'z',
+    version: 'v1',
+    maxBatch: 8,
     state: 'ready',
+    coldLeftMs: 0,
+    seq: 0,
   };
   const parse = (changes: object) =>
     tryParseEntry('id', JSON.stringify({...entry, ...changes}));
@@ -135,8 +139,16 @@
     {state: 'asleep'},
     {zone: undefined},
     {stage: 'other'},
+    ...Object.keys(entry).map(key => ({[key]: undefined})),
+    ...Object.keys(entry).map(key => ({[key]: null})),
+    ...Object.keys(entry).map(key => ({[key]: [1]})),
+    ...['maxBatch', 'coldLeftMs', 'seq'].map(key => ({[key]: '8'})),
+    ...['maxBatch', 'coldLeftMs', 'seq'].map(key => ({[key]: -1})),
+    {version: 1},
+    {seq: 0.5},
   ];
-  for (const fault of faults) assert.equal(parse(fault), undefined);
+  const used = faults.filter(fault => parse(fault) !== undefined);
+  assert.deepEqual(used, []);
   assert.equal(tryParseEntry('id', 'no json'), undefined);
 });
 
@@ -145,7 +157,10 @@
     service: 's',
     address: '10.0.0.1:80',
     zone: 'z',
+    version: 'v1',
     state: 'ready',
+    coldLeftMs: 0,
+    seq: 4,
     maxBatch: 8,
     born: 1_700_000_000_000,
   };
--- a/test/platform/broken_answers.test.ts
+++ b/test/platform/broken_answers.test.ts
@@ -74,8 +74,11 @@
     service: 'app',
     address: `127.0.0.1:${server.entry.port}`,
     zone: 'a',
+    version: 'v1',
     state: 'ready',
     maxBatch: 8,
+    coldLeftMs: 0,
+    seq: 1,
   };
   lone.store.put('keyed.servers', 'raw', JSON.stringify(entry));
   await waitUntil('the node is ready', () => isNodeReady(lone.nodes[0]));
--- a/test/platform/following.test.ts
+++ b/test/platform/following.test.ts
@@ -315,7 +315,15 @@
 
 test('odd entries of another writer end no node, keep none from following the list, and get no request', async () => {
   const {system} = await startWithServer(3);
-  const base = {service: 'app', zone: 'a', state: 'ready', maxBatch: 8};
+  const base = {
+    service: 'app',
+    zone: 'a',
+    version: 'v1',
+    maxBatch: 8,
+    state: 'ready',
+    coldLeftMs: 0,
+    seq: 1,
+  };
   const nested = '['.repeat(60_000) + ']'.repeat(60_000);
   const oddTexts = [
     nested,
