--- a/test/platform/server_standin.ts
+++ b/test/platform/server_standin.ts
@@ -34,14 +34,14 @@
  * Fault that the server shows until it is changed. `full` refuses requests
  * without running them, `no-kv` does so with the next request that has a KV source,
  * `mute` never responds, and `busy-after-run` sends 503 for a request that ran.
- * `endless` sends a stream in which no event ends.
  * `refuse-again` writes a refusal without a request id before the answer to a
- * request that ran. `refuse-late` refuses each request that comes for the first
- * time, and writes that refusal once more when the connection gets its next
- * request. `unframed` answers without a length, `unframed-cut` ends such
- * a stream inside an event, `unframed-crash` crashes between two events of such a
- * stream or within another answer, and `error-on-resume` resets streams midway and fails
- * the requests that resume them.
+ * request that ran, on connections that have carried an answer. `refuse-late`
+ * refuses each request that comes for the first time, and writes that refusal once
+ * more when the connection gets its next request. `endless` sends a stream in which
+ * no event ends. `unframed` answers without a length, `unframed-cut` ends such a
+ * stream inside an event, and `unframed-crash` crashes between two events of such a
+ * stream or within another answer. `error-on-resume` resets streams midway and
+ * fails the requests that resume them.
  */
 export type ServerFault =
   | 'none'
@@ -156,6 +156,7 @@
   /** Refusals that are written again on these connections. */
   const lateRefusals = new WeakMap<Socket, string>();
   const refusedIds = new Set<string>();
+  const answeredSockets = new WeakSet<Socket>();
   const openSockets = new Set<Socket>();
   const ignoredSockets = new WeakSet<Socket>();
   const server = createServer((request, response) => {
@@ -352,6 +353,14 @@
     setTimeout(() => sendAnswer(response, received), options.workMs ?? 1);
   }
 
+  /** True when a connection has carried an answer before; remembers it. */
+  function hasAnswered(socket: Socket | null): boolean {
+    if (socket === null) return false;
+    const isKnown = answeredSockets.has(socket);
+    answeredSockets.add(socket);
+    return isKnown;
+  }
+
   /** Refuses a request that comes for the first time; returns false for others, after a copy of the refusal that the connection carried last. */
   function refuseLate(response: ServerResponse, requestId: string): boolean {
     const {socket} = response;
@@ -391,7 +400,8 @@
       response.end('failed to resume');
       return;
     }
-    if (fault === 'refuse-again') {
+    const isUsed = hasAnswered(response.socket);
+    if (fault === 'refuse-again' && isUsed) {
       response.socket?.write(
         'HTTP/1.1 503 Service Unavailable\r\nAnvilstack-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n',
       );
