--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -328,11 +328,13 @@
   const incarnation = node.getIncarnation();
   node.signal('SIGCONT');
   node.signal(kind === 'kill' ? 'SIGKILL' : 'SIGTERM');
+  // Another fault may restart the node meanwhile.
+  const hasEnded = node.waitForExit();
   if (kind === 'term') {
     await sleep(SECOND_SIGNAL_MS);
     if (node.getIncarnation() === incarnation) node.signal('SIGTERM');
   }
-  await node.waitForExit();
+  await hasEnded;
   await sleep(100);
   if (node.getIncarnation() === incarnation) node.start();
 }
