Log the evidence behind refusals, and what the listener answers by itself

The lines about failed tries now have the connection's number, the answers that it had carried before, the time from the sending of the request to the head of the answer, and whether the answer had an id. The listener logs each connection that it ends because of a caller's bytes, with the ids of the requests that are open on it, and each request that it refuses while it receives it. At most one line a connection or try, eight ids a line.

The behaviour is the same: the handler of listener errors does what Node.js does without one.

--- a/src/gateway/answer_relay.ts
+++ b/src/gateway/answer_relay.ts
@@ -54,6 +54,7 @@
   const boundary = createEventBoundary();
   const events = options.splitter ?? boundary;
   let rejection: CallFailure | undefined;
+  let answer: Pick<CallFailure, 'evidence' | 'hasRequestId'> = {};
   let pendingHeaders: readonly string[] | undefined;
   let bufferedChunks: Buffer[] = [];
   let bufferedBytes = 0;
@@ -75,6 +76,10 @@
     status = answerStatus;
     isFramed = transport.isFramed;
     const head = protocol.parseAnswer(status, rawHeaders);
+    answer = {
+      evidence: transport.evidence,
+      hasRequestId: head.requestId !== undefined,
+    };
     if (isMismatchedAnswer(head, exchange)) {
       return createMismatch('answer carries another request id');
     }
@@ -160,7 +165,11 @@
   function fail(failure: CallFailure): void {
     options.splitter?.dropPartial();
     const isFinal = isRelaying && !isEventStream;
-    options.onFailure(isFinal ? {...failure, isFinal} : failure);
+    options.onFailure({
+      ...answer,
+      ...failure,
+      ...(isFinal ? {isFinal} : {}),
+    });
   }
 
   function sendBuffered(): void {
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -3,7 +3,7 @@
 import {buildConnector, Client, type Dispatcher} from 'undici';
 import {Verdict} from '../verdict';
 import {hasFraming} from './raw_headers';
-import type {BackendEntry, CallFailure} from './types';
+import type {BackendEntry, CallEvidence, CallFailure} from './types';
 
 /** How an answer arrives. */
 export interface AnswerTransport {
@@ -11,6 +11,7 @@
   readonly isFirst: boolean;
   /** False when the answer has no length and ends with its connection. */
   readonly isFramed: boolean;
+  readonly evidence?: CallEvidence;
 }
 
 /** Receives an answer. No callback follows `onEnd` or `onFailure`. */
@@ -47,6 +48,8 @@
   setPaused(isPaused: boolean): void;
   /** True once the request has been written to a connection. */
   isSent(): boolean;
+  /** Returns the connection and the times of the call; undefined until it is sent. */
+  getEvidence(): CallEvidence | undefined;
 }
 
 /** Connections to all backend servers. */
@@ -96,8 +99,10 @@
   wasReset: boolean;
   /** True while the answer has no length and therefore ends with the connection. */
   isUnframed: boolean;
-  /** True once an answer has arrived on the open socket. */
-  hasAnswered: boolean;
+  /** Number of the open socket, counted by this node. */
+  number: number;
+  /** Number of answers that have arrived on the open socket. */
+  answerCount: number;
 }
 
 interface ServerConnections {
@@ -189,9 +194,9 @@
             callback(error, null);
             return;
           }
-          openedCount++;
+          connection.number = ++openedCount;
           connection.isOpen = true;
-          connection.hasAnswered = false;
+          connection.answerCount = 0;
           socket.on('close', () => {
             connection.isOpen = false;
           });
@@ -211,7 +216,8 @@
       isOpen: false,
       wasReset: false,
       isUnframed: false,
-      hasAnswered: false,
+      number: 0,
+      answerCount: 0,
     };
     return connection;
   }
@@ -296,6 +302,8 @@
   let controller: Dispatcher.DispatchController | undefined;
   let isSent = false;
   let isDone = false;
+  let sentAtMs = 0;
+  let evidence: CallEvidence | undefined;
   return {
     cancel,
     setPaused: isPaused => {
@@ -303,10 +311,16 @@
       else controller?.resume();
     },
     isSent: () => isSent,
+    getEvidence: () => evidence,
     dispatchHandler: {
       onRequestStart: started => {
         controller = started;
         isSent = true;
+        sentAtMs = performance.now();
+        evidence = {
+          connection: connection.number,
+          answersBefore: connection.answerCount,
+        };
         if (isDone) started.abort(new Error('cancelled'));
       },
       onResponseStart,
@@ -360,11 +374,13 @@
     const isFramed = hasFraming(rawHeaders);
     connection.isUnframed = !isFramed;
     options.onHead?.(status, rawHeaders);
-    const isFirst = !connection.hasAnswered;
-    connection.hasAnswered = true;
+    const answersBefore = connection.answerCount++;
+    const answerAfterMs = Math.round(10 * (performance.now() - sentAtMs)) / 10;
+    evidence = {connection: connection.number, answersBefore, answerAfterMs};
     const failure = handler.onAnswer(status, rawHeaders, {
-      isFirst,
+      isFirst: answersBefore === 0,
       isFramed,
+      evidence,
     });
     if (failure !== undefined) fail(failure);
   }
@@ -374,7 +390,9 @@
     isDone = true;
     controller?.abort(new Error(failure.reason));
     release(false);
-    handler.onFailure(failure);
+    handler.onFailure(
+      evidence === undefined ? failure : {...failure, evidence},
+    );
   }
 
   function cancel(): void {
--- a/src/gateway/decode_call.ts
+++ b/src/gateway/decode_call.ts
@@ -118,6 +118,7 @@
     options.onFailure({
       verdict: Verdict.MayHaveRun,
       reason: 'stalled',
+      evidence: call.getEvidence(),
       message: 'the stream did not start in time',
     });
   }
--- a/src/gateway/front_listener.ts
+++ b/src/gateway/front_listener.ts
@@ -6,10 +6,16 @@
   type ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
+import type {Logger} from '../diagnostics/log';
 import {listen} from '../runtime/listen';
 import type {Clock} from '../runtime/types';
 import {createExchange, type Exchange} from './exchange';
 import {readRequestBody} from './request_body';
+import {
+  formatStatusOnly,
+  getErrorStatus,
+  isCallerError,
+} from './listener_errors';
 import type {Address} from './settings';
 import type {BackendProtocol, CallerLimits} from './types';
 
@@ -32,6 +38,7 @@
   readonly address: Address;
   readonly protocol: BackendProtocol;
   readonly clock: Clock;
+  readonly logger: Logger;
   readonly limits: CallerLimits;
   readonly onExchange: (exchange: Exchange) => void;
 }
@@ -40,6 +47,8 @@
 const CHECK_INTERVAL_MS = 500;
 /** Maximum number of connections that wait to be accepted, for bursts of callers that reconnect after other nodes have failed. */
 const BACKLOG = 1_024;
+/** Maximum number of request ids in a log line. */
+const MAX_LOGGED_IDS = 8;
 
 /** Creates the listener; `open` binds it. */
 export function createFrontListener(
@@ -48,8 +57,8 @@
   let limits = options.limits;
   let isDraining = false;
   let openCount = 0;
-  /** Open connections and the requests on each that have no complete answer. */
-  const sockets = new Map<Socket, number>();
+  /** Open connections and the requests on each that have no complete answer, in order. */
+  const sockets = new Map<Socket, Set<ServerResponse>>();
   /** Connections whose last answer has begun or ended; later requests on them are not read, since they could not be answered. */
   const closingSockets = new WeakSet<Socket>();
   const server: Server = createServer(
@@ -62,9 +71,10 @@
   );
   applyLimits();
   server.on('connection', (socket: Socket) => {
-    sockets.set(socket, 0);
+    sockets.set(socket, new Set());
     socket.on('close', () => sockets.delete(socket));
   });
+  server.on('clientError', handleError);
   return {
     open,
     setLimits: next => {
@@ -104,9 +114,11 @@
     if (closingSockets.has(socket)) return;
     const {clock, protocol} = options;
     const receivedAtMs = clock.getMonotonicMs();
-    recordOpen(socket, 1);
+    openCount++;
+    sockets.get(socket)?.add(response);
     response.on('close', () => {
-      recordOpen(socket, -1);
+      openCount--;
+      sockets.get(socket)?.delete(response);
       if (isDraining) closeIdle(socket);
     });
     readRequestBody(request, {clock, limits}, result => {
@@ -120,19 +132,43 @@
       });
       if (result.refusal === undefined) return options.onExchange(exchange);
       const {status, message} = result.refusal;
+      options.logger.log('info', 'refused: request was not received', {
+        requestId: exchange.request.requestId,
+        status,
+        detail: message,
+        bytes: socket.bytesRead,
+      });
       exchange.answer(status, [], message);
     });
   }
 
-  function recordOpen(socket: Socket, change: 1 | -1): void {
-    openCount += change;
-    const count = sockets.get(socket);
-    if (count !== undefined) sockets.set(socket, count + change);
+  /** Does what Node.js does without a handler, and logs it. */
+  function handleError(error: NodeJS.ErrnoException, socket: Socket): void {
+    if (!isCallerError(error.code)) {
+      socket.destroy(error);
+      return;
+    }
+    const open = [...(sockets.get(socket) ?? [])];
+    const canAnswer = socket.writable && open[0]?.headersSent !== true;
+    const status = canAnswer ? getErrorStatus(error.code) : undefined;
+    options.logger.log('info', 'listener ended a connection', {
+      code: error.code,
+      status: status ?? null,
+      bytes: socket.bytesRead,
+      openRequests: open.length,
+      requestIds: open.slice(0, MAX_LOGGED_IDS).map(getRequestId),
+    });
+    if (status !== undefined) socket.write(formatStatusOnly(status));
+    socket.destroy(error);
+  }
+
+  function getRequestId({req}: ServerResponse): string {
+    return options.protocol.parseCallerRequest(req.rawHeaders).requestId;
   }
 
   /** Returns whether the answer that is about to begin is the last one on its connection; a stopping node still answers requests that came before it. */
   function tryStartClosing(socket: Socket, isRefused: boolean): boolean {
-    const isLast = isDraining && (sockets.get(socket) ?? 1) <= 1;
+    const isLast = isDraining && (sockets.get(socket)?.size ?? 1) <= 1;
     if (!isLast && !isRefused) return false;
     closingSockets.add(socket);
     return true;
@@ -140,7 +176,7 @@
 
   /** Closes a connection whose last answer began before the drain, so that its head could not announce the end. */
   function closeIdle(socket: Socket): void {
-    if (sockets.get(socket) !== 0 || !socket.writable) return;
+    if (sockets.get(socket)?.size !== 0 || !socket.writable) return;
     closingSockets.add(socket);
     socket.end();
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -239,6 +239,7 @@
     address: settings.callers,
     protocol,
     clock,
+    logger,
     limits: DEFAULT_CALLER_LIMITS,
     onExchange: router.handle,
   });
--- a/src/gateway/prefill_call.ts
+++ b/src/gateway/prefill_call.ts
@@ -1,5 +1,6 @@
 /** Sends the prompt of a request to a prefill engine. */
 import {Verdict} from '../verdict';
+import type {AnswerTransport} from './connections';
 import type {FlowContext} from './flow_context';
 import type {PrefillPlacement} from './placement';
 import type {RequestTask} from './request_task';
@@ -35,6 +36,7 @@
   const sentAtMs = clock.getMonotonicMs();
   const body = createBoundedBody();
   let isDone = false;
+  let answer: Pick<CallFailure, 'evidence' | 'hasRequestId'> = {};
   const watch = watchForStall({
     clock,
     health,
@@ -43,7 +45,10 @@
     slackMs: STALL_SLACK_MS,
     onStall: () => {
       call.cancel();
-      fail(createFailure('stalled', 'prefill did not complete in time'));
+      fail({
+        ...createFailure('stalled', 'prefill did not complete in time'),
+        evidence: call.getEvidence(),
+      });
     },
   });
   const call = sendToServer({
@@ -69,8 +74,10 @@
   function checkAnswer(
     status: number,
     rawHeaders: readonly string[],
+    {evidence}: AnswerTransport,
   ): CallFailure | void {
     const head = protocol.parseAnswer(status, rawHeaders);
+    answer = {evidence, hasRequestId: head.requestId !== undefined};
     const isMismatched = isMismatchedAnswer(head, exchange);
     if (status === 200 && !isMismatched) return;
     return {
@@ -107,7 +114,7 @@
     if (isDone) return;
     isDone = true;
     watch.cancel();
-    options.onFailure(failure);
+    options.onFailure({...answer, ...failure});
   }
 }
 
--- a/src/gateway/server_call.ts
+++ b/src/gateway/server_call.ts
@@ -3,7 +3,7 @@
 import type {Exchange} from './exchange';
 import type {FlowContext} from './flow_context';
 import type {RequestTask} from './request_task';
-import type {AnswerHead, BackendEntry, SendOptions} from './types';
+import type {AnswerHead, BackendEntry, CallFailure, SendOptions} from './types';
 
 /** A request to a backend server on behalf of a caller. */
 export interface ServerCallOptions {
@@ -34,6 +34,21 @@
   });
 }
 
+/** Formats a failed call for the log, with the evidence on which its verdict is based. */
+export function formatFailure(
+  failure: CallFailure,
+): Readonly<Record<string, unknown>> {
+  return {
+    reason: failure.reason,
+    detail: failure.message,
+    verdict: failure.verdict,
+    ...failure.evidence,
+    ...(failure.hasRequestId === undefined
+      ? {}
+      : {hasRequestId: failure.hasRequestId}),
+  };
+}
+
 /** True when an answer carries the id of another request. */
 export function isMismatchedAnswer(
   head: AnswerHead,
--- a/src/gateway/service_flow.ts
+++ b/src/gateway/service_flow.ts
@@ -8,7 +8,7 @@
 import type {OpenCall} from './connections';
 import type {FlowContext} from './flow_context';
 import type {RequestTask} from './request_task';
-import {sendToServer} from './server_call';
+import {formatFailure, sendToServer} from './server_call';
 import {tryChooseServer} from './service_choice';
 import {tryGetRetryAfterMs} from './server_waits';
 import type {ServiceLoads} from './service_loads';
@@ -98,7 +98,7 @@
       },
       onFailure: failure => {
         recordTryEnd();
-        handleFailure(server, failure);
+        handleFailure(server, failure, sentAtMs);
       },
     });
     const tryTimer = isIdempotent
@@ -127,15 +127,21 @@
     function handleTryTimeout(): void {
       if (task.isOver() || exchange.hasAnswerBegun() || !canRunAgain()) return;
       cancelTry();
-      handleFailure(server, {
+      const failure: CallFailure = {
         verdict: Verdict.MayHaveRun,
         reason: 'stalled',
+        evidence: opened.getEvidence(),
         message: 'no answer in time',
-      });
+      };
+      handleFailure(server, failure, sentAtMs);
     }
   }
 
-  function handleFailure(server: BackendEntry, failure: CallFailure): void {
+  function handleFailure(
+    server: BackendEntry,
+    failure: CallFailure,
+    sentAtMs: number,
+  ): void {
     if (failure.verdict === Verdict.NotRun) runCount--;
     else mayHaveRun = true;
     // Another server has taken over the address, which says nothing about the health of this one.
@@ -149,9 +155,8 @@
     const isAgain = !task.isOver() && canTryAgain(failure);
     task.log('server failed the request', {
       serverId: server.id,
-      reason: failure.reason,
-      detail: failure.message,
-      verdict: failure.verdict,
+      ...formatFailure(failure),
+      sinceSentMs: Math.round(context.clock.getMonotonicMs() - sentAtMs),
       isAgain,
     });
     if (isAgain) {
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -15,6 +15,7 @@
 import {type PrefillCall, startPrefillCall} from './prefill_call';
 import {createPromptGate} from './prompt_gate';
 import type {RequestTask} from './request_task';
+import {formatFailure} from './server_call';
 import {
   Admission,
   chooseAdmission,
@@ -194,6 +195,7 @@
   }
 
   function sendPrefill(placement: PrefillPlacement): void {
+    const sentAtMs = clock.getMonotonicMs();
     prefillTries++;
     task.log('prompt sent to prefill engine', formatPlacement(placement));
     prefillCall = startPrefillCall({
@@ -206,12 +208,16 @@
       },
       onFailure: failure => {
         prefillCall = undefined;
-        if (!task.isOver()) retryPrefill(placement.server, failure);
+        if (!task.isOver()) retryPrefill(placement.server, failure, sentAtMs);
       },
     });
   }
 
-  function retryPrefill(server: BackendEntry, failure: CallFailure): void {
+  function retryPrefill(
+    server: BackendEntry,
+    failure: CallFailure,
+    sentAtMs: number,
+  ): void {
     // A full engine is healthy. It is excluded by its queue length instead.
     const isFull = failure.reason === 'rejected' && failure.status === 503;
     if (isFull)
@@ -226,8 +232,8 @@
       (failure.reason === 'connect' || budget.tryTake());
     task.log('prefill engine failed', {
       serverId: server.id,
-      reason: failure.reason,
-      detail: failure.message,
+      ...formatFailure(failure),
+      sinceSentMs: Math.round(clock.getMonotonicMs() - sentAtMs),
       isAgain,
     });
     if (!isAgain) {
@@ -401,9 +407,7 @@
     const isAgain = canRetryDecode(failure);
     task.log('decode engine failed', {
       serverId: server.id,
-      reason: failure.reason,
-      detail: failure.message,
-      verdict: failure.verdict,
+      ...formatFailure(failure),
       sinceSentMs: Math.round(lastFailureAtMs - sentAtMs),
       ...(headAtMs === undefined
         ? {}
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -234,6 +234,16 @@
   buildStageOrderCall(order: StageOrder): ControlCall;
 }
 
+/** The connection of a call, and when its answer came. */
+export interface CallEvidence {
+  /** Number of the connection, counted by this node. */
+  readonly connection: number;
+  /** Number of answers that the connection had carried before the request was sent. */
+  readonly answersBefore: number;
+  /** Time from the sending of the request to the head of its answer, in milliseconds; absent when none came. */
+  readonly answerAfterMs?: number;
+}
+
 /** A failed call to a backend server. */
 export interface CallFailure {
   readonly verdict: Verdict;
@@ -242,6 +252,10 @@
   readonly status?: number;
   /** Present when the caller has part of an answer that no other server can continue. */
   readonly isFinal?: boolean;
+  /** Absent when the request was not sent. */
+  readonly evidence?: CallEvidence;
+  /** Whether the answer carried a request id; absent when none came. */
+  readonly hasRequestId?: boolean;
   readonly message: string;
 }
 
