Log how the end of each answer without a length is judged

Callers of the incident got streams that were framed as complete and were not.

One line, `answer without a length ended`, now names the request (or the node's own call), the server, the outcome and its evidence. It is written when the end is judged, in connections.ts; the relay tells there that a stream stopped inside an event, which is now judged before a connection is opened to the server instead of after it.

A connection that undici opens again no longer starts with the framing of the last answer that it carried: a failure before the next head would have been logged as the end of an answer without a length.

The new test of broken_answers fails without the change (no such line).

--- a/src/gateway/answer_relay.ts
+++ b/src/gateway/answer_relay.ts
@@ -65,6 +65,7 @@
     onData,
     onEnd,
     onFailure: failure => fail(rejection ?? failure),
+    isCutOff: () => rejection === undefined && isEventStream && isCutOff(),
   };
 
   function onAnswer(
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -24,6 +24,8 @@
   onData(chunk: Buffer): void;
   onEnd(): void;
   onFailure(failure: CallFailure): void;
+  /** True when the bytes so far show that the answer is not whole; asked when an answer without a length ends. */
+  isCutOff?(): boolean;
 }
 
 /** A request to a backend server. */
@@ -34,6 +36,8 @@
   /** Flat list of names and values. */
   readonly headers: readonly string[];
   readonly body?: Buffer;
+  /** Id of the caller's request; absent for the gateway's own calls. */
+  readonly requestId?: string;
   /** Connections that have carried this request before and must not carry it again: a late second copy of its answer could not be told from the answer that is due. The one that is used is added. */
   readonly usedConnections?: Set<object>;
   readonly handler: CallHandler;
@@ -71,6 +75,34 @@
   readonly idleTimeoutMs?: number;
   /** Called for every request before it is sent. */
   readonly onCall?: (server: BackendEntry) => HeadListener;
+  /** Called when an answer without a length has ended and its end has been judged. */
+  readonly onUnframedEnd?: (end: UnframedEnd) => void;
+}
+
+/** What the judgement on the end of an answer without a length rests on. */
+export const EndEvidence = {
+  /** The connection was reset. */
+  Reset: 'reset',
+  /** The bytes stop inside an event. */
+  InsideEvent: 'inside-event',
+  /** The server accepted another connection afterwards. */
+  Accepts: 'accepts-connections',
+  /** The server accepted no connection afterwards. */
+  AcceptsNone: 'accepts-no-connection',
+} as const;
+export type EndEvidence = (typeof EndEvidence)[keyof typeof EndEvidence];
+
+/** The end of an answer without a length, and how it was judged. */
+export interface UnframedEnd {
+  readonly serverId: string;
+  readonly requestId: string | undefined;
+  readonly path: string;
+  readonly status: number;
+  readonly isComplete: boolean;
+  readonly evidence: EndEvidence;
+  readonly bodyBytes: number;
+  /** Time since the head of the answer, in milliseconds. */
+  readonly sinceHeadMs: number;
 }
 
 /** Receives the head of the answer to one request, before the handler of the call. */
@@ -134,10 +166,11 @@
     request.usedConnections?.add(connection);
     connections.all.add(connection);
     const open = createOpenCall({
-      handler: request.handler,
+      request,
       connection,
       checkServer: callback => checkServer(request.server, callback),
       ...(onHead === undefined ? {} : {onHead}),
+      onUnframedEnd: end => options.onUnframedEnd?.(end),
       release: isReusable => {
         if (isReusable && servers.has(request.server.id)) {
           connections.idle.push(connection);
@@ -192,6 +225,7 @@
           openedCount++;
           connection.isOpen = true;
           connection.hasAnswered = false;
+          connection.isUnframed = false;
           socket.on('close', () => {
             connection.isOpen = false;
           });
@@ -281,21 +315,26 @@
 }
 
 interface OpenCallOptions {
-  readonly handler: CallHandler;
+  readonly request: BackendCall;
   readonly connection: Connection;
   readonly onHead?: HeadListener;
   /** Tells whether the server still accepts connections. */
   readonly checkServer: (callback: (isAccepting: boolean) => void) => void;
+  readonly onUnframedEnd: (end: UnframedEnd) => void;
   /** Returns the connection to the idle ones, or closes it when it cannot be reused. */
   readonly release: (isReusable: boolean) => void;
 }
 
 /** Creates a call and the handler that undici reports its progress to. */
 function createOpenCall(options: OpenCallOptions): DispatchedCall {
-  const {handler, release, connection} = options;
+  const {request, release, connection} = options;
+  const {handler} = request;
   let controller: Dispatcher.DispatchController | undefined;
   let isSent = false;
   let isDone = false;
+  let answerStatus = 0;
+  let headAtMs = 0;
+  let bodyBytes = 0;
   return {
     cancel,
     setPaused: isPaused => {
@@ -311,6 +350,7 @@
       },
       onResponseStart,
       onResponseData: (_controller, chunk) => {
+        bodyBytes += chunk.length;
         if (!isDone) handler.onData(chunk);
       },
       onResponseEnd: () => {
@@ -319,6 +359,8 @@
         else settle();
       },
       onResponseError: (_controller, error) => {
+        if (isSent && connection.isUnframed)
+          return failUnframed(EndEvidence.Reset, error.message);
         if (isSent) return fail(createReset(error.message));
         fail({
           verdict: Verdict.NotRun,
@@ -331,13 +373,45 @@
 
   /** The end of a process closes its connections like the end of an answer does, so the answer is complete only if the server still accepts connections. */
   function settleUnframed(): void {
-    if (isDone || connection.wasReset) {
-      settle();
+    if (isDone) return;
+    if (connection.wasReset) {
+      failUnframed(EndEvidence.Reset, 'connection was reset during the answer');
+      return;
+    }
+    if (handler.isCutOff?.() === true) {
+      failUnframed(EndEvidence.InsideEvent, 'stream ended inside an event');
       return;
     }
     options.checkServer(isAccepting => {
-      if (isAccepting) settle();
-      else fail(createReset('server ended during an answer without a length'));
+      if (isDone) return;
+      if (!isAccepting) {
+        failUnframed(
+          EndEvidence.AcceptsNone,
+          'server ended during an answer without a length',
+        );
+        return;
+      }
+      reportUnframed(true, EndEvidence.Accepts);
+      settle();
+    });
+  }
+
+  function failUnframed(evidence: EndEvidence, message: string): void {
+    if (isDone) return;
+    reportUnframed(false, evidence);
+    fail(createReset(message));
+  }
+
+  function reportUnframed(isComplete: boolean, evidence: EndEvidence): void {
+    options.onUnframedEnd({
+      serverId: request.server.id,
+      requestId: request.requestId,
+      path: request.path,
+      status: answerStatus,
+      isComplete,
+      evidence,
+      bodyBytes,
+      sinceHeadMs: Math.round(performance.now() - headAtMs),
     });
   }
 
@@ -359,6 +433,8 @@
     const rawHeaders = listRawHeaders(started);
     const isFramed = hasFraming(rawHeaders);
     connection.isUnframed = !isFramed;
+    answerStatus = status;
+    headAtMs = performance.now();
     options.onHead?.(status, rawHeaders);
     const isFirst = !connection.hasAnswered;
     connection.hasAnswered = true;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,7 +2,7 @@
 import type {Logger} from '../diagnostics/log';
 import type {Clock} from '../runtime/types';
 import {createAuthority} from './authority';
-import {createConnections} from './connections';
+import {createConnections, type UnframedEnd} from './connections';
 import {createControlListeners} from './control_listener';
 import {createCrashGuard} from './crash_guard';
 import {createDrain} from './drain';
@@ -117,7 +117,10 @@
     peers,
     logger,
   });
-  const connections = createConnections({onCall: notices.recordCall});
+  const connections = createConnections({
+    onCall: notices.recordCall,
+    onUnframedEnd: logUnframedEnd,
+  });
   const health = createHealthTracker({
     clock,
     logger,
@@ -289,6 +292,15 @@
     kill();
   }
 
+  function logUnframedEnd({isComplete, path, ...end}: UnframedEnd): void {
+    logger.log('info', 'answer without a length ended', {
+      outcome: isComplete ? 'complete' : 'broken',
+      // The paths of callers are not logged.
+      ...(end.requestId === undefined ? {path} : {}),
+      ...end,
+    });
+  }
+
   function kill(): void {
     isStopping = true;
     messageHandler.stop();
--- a/src/gateway/server_call.ts
+++ b/src/gateway/server_call.ts
@@ -29,6 +29,7 @@
       ...options.sendOptions,
     }),
     ...(exchange.body === undefined ? {} : {body: exchange.body}),
+    requestId: exchange.request.requestId,
     usedConnections: task.usedConnections,
     handler,
   });
--- a/test/platform/broken_answers.test.ts
+++ b/test/platform/broken_answers.test.ts
@@ -154,6 +154,31 @@
   assert.equal(answer.body, WHOLE_STREAM);
 });
 
+test('the log tells how the end of each answer without a length was judged, and on what evidence', async () => {
+  const judge = async (fault: ServerFault, id: string, path: string) => {
+    for (const server of [app, ...engines]) server.setFault(fault);
+    const prompt = {tokens: '900,9', parts: 'aa:600,bb:300'};
+    await system.send({path, id, ...(path === '/ask/x' ? prompt : {})});
+    for (const server of [app, ...engines]) server.setFault('none');
+    const lines = system.nodes[0].lines.filter(
+      line =>
+        line['message'] === 'answer without a length ended' &&
+        line['requestId'] === id,
+    );
+    assert.equal(lines.length, 1, id);
+    const [{outcome, evidence, status, serverId}] = lines;
+    assert.equal(status, 200);
+    assert.match(String(serverId), /^(app|writer)-/);
+    return `${String(outcome)}: ${String(evidence)}`;
+  };
+  assert.match(await judge('unframed', 'log-1', '/ask/x'), /^complete: ./);
+  assert.match(await judge('unframed', 'log-2', '/order/x'), /^complete: ./);
+  assert.equal(
+    await judge('unframed-cut', 'log-3', '/ask/x'),
+    'broken: inside-event',
+  );
+});
+
 /** Lets the servers answer again and waits until those that crashed are back. */
 async function stopCrashes(servers: readonly ServerStandin[]): Promise<void> {
   for (const server of servers) server.setFault('none');
