Let no status of the listener take the place of an open request's answer

While an order runs, bytes that follow it on its connection made Node's server write a status of its own onto the socket: 408 when a head did not end within headerTimeoutMs, 400 for bytes that are no head, 431 for a head that is too long; a CONNECT closed the connection. The caller takes the status for the answer of its order. 408 promises that the order has not run (REFUSED), and its own answer was lost; the same for lookups and streams.

Cause: the answers of a connection had two writers. Requests queue their answers, but the listener's errors went to the socket past the queue, as nothing handled `clientError`. The class is every status that something other than a request's verdict writes.

caller_connection.ts now decides by what is open on the connection: requests that were read get their answers, in order, and the connection ends after them; a request that is being received when its bytes cannot be read gets the status as its own answer, in its turn; only a connection without open requests gets a status of the listener. So 408 is written only when nothing that was read is unanswered. What follows an error is read and dropped, so that a reset of the caller is still noticed. The statuses that Node writes in the queue (417, 400 without a Host) go through the same place, and get a log line.

Body limits (408, 413) held before, also behind another request and when the rest of the body came later: they are written through the queue. A reset after such bytes could not be noticed before, as the connection was gone.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,5 +1,6 @@
 /** A caller's HTTP request and its response. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {OpenRequest} from './caller_connection';
 import type {BackendProtocol, CallerRequest} from './types';
 
 /** A caller's complete request and the operations to answer it. */
@@ -38,17 +39,18 @@
   readonly body?: Buffer;
   readonly receivedAtMs: number;
   readonly protocol: BackendProtocol;
+  readonly connection: Pick<OpenRequest, 'onClose'>;
   /** True when the connection is to be closed after this answer. */
   readonly isClosing: () => boolean;
 }
 
 /** Creates an exchange over a request and its response. */
 export function createExchange(options: ExchangeOptions): Exchange {
-  const {request, response, protocol} = options;
+  const {request, response, protocol, connection} = options;
   let isOver = false;
   const disconnectCallbacks: Array<() => void> = [];
   response.sendDate = false;
-  response.on('close', () => {
+  connection.onClose(() => {
     const isDisconnect = !response.writableFinished && !isOver;
     isOver = true;
     if (isDisconnect) for (const callback of disconnectCallbacks) callback();
--- a/src/gateway/front_listener.ts
+++ b/src/gateway/front_listener.ts
@@ -9,13 +9,14 @@
 import type {Logger} from '../diagnostics/log';
 import {listen} from '../runtime/listen';
 import type {Clock} from '../runtime/types';
-import {createExchange, type Exchange} from './exchange';
-import {readRequestBody} from './request_body';
 import {
-  formatStatusOnly,
-  getErrorStatus,
-  isCallerError,
-} from './listener_errors';
+  type CallerConnection,
+  createCallerConnection,
+  type OpenRequest,
+} from './caller_connection';
+import {createExchange, type Exchange} from './exchange';
+import {isCallerError} from './listener_errors';
+import {type BodyResult, readRequestBody, type Refusal} from './request_body';
 import type {Address} from './settings';
 import type {BackendProtocol, CallerLimits} from './types';
 
@@ -50,31 +51,59 @@
 /** Maximum number of request ids in a log line. */
 const MAX_LOGGED_IDS = 8;
 
+const NO_HOST: Refusal = {status: 400, message: 'no host'};
+const UNKNOWN_EXPECTATION: Refusal = {
+  status: 417,
+  message: 'unknown expectation',
+};
+/** What Node.js reports for a method that it does not know; it closes the connection of a CONNECT request without an answer. */
+const METHOD_ERROR_CODE = 'HPE_INVALID_METHOD';
+
 /** Creates the listener; `open` binds it. */
 export function createFrontListener(
   options: FrontListenerOptions,
 ): FrontListener {
+  const {clock, protocol, logger} = options;
   let limits = options.limits;
   let isDraining = false;
   let openCount = 0;
-  /** Open connections and the requests on each that have no complete answer, in order. */
-  const sockets = new Map<Socket, Set<ServerResponse>>();
-  /** Connections whose last answer has begun or ended; later requests on them are not read, since they could not be answered. */
-  const closingSockets = new WeakSet<Socket>();
+  const connections = new Map<Socket, CallerConnection>();
   const server: Server = createServer(
     {
       connectionsCheckingInterval: CHECK_INTERVAL_MS,
       requestTimeout: 0,
       noDelay: true,
+      requireHostHeader: false,
+    },
+    (request, response) => {
+      const isHostMissing =
+        request.httpVersion === '1.1' && request.headers.host === undefined;
+      handleRequest(request, response, isHostMissing ? NO_HOST : undefined);
     },
-    handleRequest,
   );
   applyLimits();
   server.on('connection', (socket: Socket) => {
-    sockets.set(socket, new Set());
-    socket.on('close', () => sockets.delete(socket));
+    const connection = createCallerConnection({
+      socket,
+      clock,
+      isDraining: () => isDraining,
+      onCountChange: change => {
+        openCount += change;
+      },
+    });
+    connections.set(socket, connection);
+    socket.on('close', () => connections.delete(socket));
   });
-  server.on('clientError', handleError);
+  server.on('checkExpectation', (request, response) =>
+    handleRequest(request, response, UNKNOWN_EXPECTATION),
+  );
+  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+    if (isCallerError(error.code)) closeConnection(socket, error.code);
+    else socket.destroy(error);
+  });
+  server.on('connect', (_request, socket: Socket) =>
+    closeConnection(socket, METHOD_ERROR_CODE),
+  );
   return {
     open,
     setLimits: next => {
@@ -91,7 +120,7 @@
     countOpen: () => openCount,
     close: () => {
       server.close();
-      for (const socket of sockets.keys()) socket.destroy();
+      for (const connection of connections.values()) connection.destroy();
     },
   };
 
@@ -109,75 +138,63 @@
   function handleRequest(
     request: IncomingMessage,
     response: ServerResponse,
+    refusal?: Refusal,
   ): void {
-    const {socket} = request;
-    if (closingSockets.has(socket)) return;
-    const {clock, protocol} = options;
+    const connection = connections.get(request.socket);
+    // Requests that could not be answered are not read.
+    if (connection === undefined || connection.isClosing()) return;
+    const received = connection.add(request, response);
     const receivedAtMs = clock.getMonotonicMs();
-    openCount++;
-    sockets.get(socket)?.add(response);
-    response.on('close', () => {
-      openCount--;
-      sockets.get(socket)?.delete(response);
-      if (isDraining) closeIdle(socket);
-    });
-    readRequestBody(request, {clock, limits}, result => {
+    const settle = ({body, refusal: bodyRefusal}: BodyResult): void => {
       const exchange = createExchange({
         request,
         response,
-        ...(result.body === undefined ? {} : {body: result.body}),
+        ...(body === undefined ? {} : {body}),
         receivedAtMs,
         protocol,
-        isClosing: () => tryStartClosing(socket, result.refusal !== undefined),
+        connection: received,
+        isClosing: () =>
+          connection.tryStartClosing(received, bodyRefusal !== undefined),
       });
-      if (result.refusal === undefined) return options.onExchange(exchange);
-      const {status, message} = result.refusal;
-      options.logger.log('info', 'refused: request was not received', {
-        requestId: exchange.request.requestId,
-        status,
-        detail: message,
-        bytes: socket.bytesRead,
-      });
-      exchange.answer(status, [], message);
-    });
-  }
-
-  /** Does what Node.js does without a handler, and logs it. */
-  function handleError(error: NodeJS.ErrnoException, socket: Socket): void {
-    if (!isCallerError(error.code)) {
-      socket.destroy(error);
+      if (bodyRefusal === undefined) options.onExchange(exchange);
+      else refuse(exchange, bodyRefusal, request.socket.bytesRead);
+    };
+    if (refusal === undefined) {
+      received.tryRefuse = readRequestBody(request, {clock, limits}, settle);
       return;
     }
-    const open = [...(sockets.get(socket) ?? [])];
-    const canAnswer = socket.writable && open[0]?.headersSent !== true;
-    const status = canAnswer ? getErrorStatus(error.code) : undefined;
-    options.logger.log('info', 'listener ended a connection', {
-      code: error.code,
-      status: status ?? null,
-      bytes: socket.bytesRead,
-      openRequests: open.length,
-      requestIds: open.slice(0, MAX_LOGGED_IDS).map(getRequestId),
-    });
-    if (status !== undefined) socket.write(formatStatusOnly(status));
-    socket.destroy(error);
+    request.resume();
+    settle({refusal});
   }
 
-  function getRequestId({req}: ServerResponse): string {
-    return options.protocol.parseCallerRequest(req.rawHeaders).requestId;
+  function refuse(
+    exchange: Exchange,
+    {status, message}: Refusal,
+    bytes: number,
+  ): void {
+    logger.log('info', 'refused: request was not received', {
+      requestId: exchange.request.requestId,
+      status,
+      detail: message,
+      bytes,
+    });
+    exchange.answer(status, [], message);
   }
 
-  /** Returns whether the answer that is about to begin is the last one on its connection; a stopping node still answers requests that came before it. */
-  function tryStartClosing(socket: Socket, isRefused: boolean): boolean {
-    const isLast = isDraining && (sockets.get(socket)?.size ?? 1) <= 1;
-    if (!isLast && !isRefused) return false;
-    closingSockets.add(socket);
-    return true;
+  function closeConnection(socket: Socket, code: string | undefined): void {
+    const bytes = socket.bytesRead;
+    const end = connections.get(socket)?.closeAfterError(code);
+    if (end === undefined) return;
+    logger.log('info', 'listener ended a connection', {
+      code,
+      status: end.status ?? null,
+      bytes,
+      openRequests: end.open.length,
+      requestIds: end.open.slice(0, MAX_LOGGED_IDS).map(getRequestId),
+    });
   }
 
-  /** Closes a connection whose last answer began before the drain, so that its head could not announce the end. */
-  function closeIdle(socket: Socket): void {
-    if (sockets.get(socket)?.size !== 0 || !socket.writable) return;
-    closingSockets.add(socket);
-    socket.end();
+  function getRequestId({request}: OpenRequest): string {
+    return protocol.parseCallerRequest(request.rawHeaders).requestId;
   }
 }
