Answer orders whose caller has ended its side of the connection

A caller that half-closes its connection after an order got no answer, though the order ran: Node's server closes the connection when the caller ends its side, and drops what is due on it.

The listener now leaves the connection open in its direction (httpAllowHalfOpen), and a request learns that its caller has ended its side. From the bytes alone such a caller cannot be told from one that has closed for good; only writing to it would tell, and there is nothing to write before the answer that all callers would ignore. So it is decided by what serves callers: an order goes on after its caller has left in any case, so its answer is written, and a socket that is closed drops it. Lookups and streams end as before (GONE): they may be sent again, and a server must not go on working for nobody. An order that a server refuses after its caller's end is not sent to a server again; the caller gets the 503, which is true.

When a lookup is open before an order on one connection and the caller ends its side, the connection closes as before and the order's answer is lost, as its turn would come after that of a request that was cancelled; a closed connection promises nothing.

--- a/src/gateway/caller_connection.ts
+++ b/src/gateway/caller_connection.ts
@@ -12,6 +12,9 @@
   tryRefuse?: (refusal: Refusal) => boolean;
   /** Calls back when the answer is complete or the connection is closed. */
   onClose(callback: () => void): void;
+  isHalfClosed(): boolean;
+  /** Calls back when the caller has ended its side of the connection, at once if it has. */
+  onHalfClose(callback: () => void): void;
 }
 
 /** What becomes of a connection that the listener ends. */
@@ -53,15 +56,18 @@
 /** How long the other side may take to close a connection that this side has ended, in milliseconds. */
 const LINGER_MS = 1_000;
 
-/** Creates the connection of a socket. */
+/** Creates the connection and watches its socket. */
 export function createCallerConnection(
   options: CallerConnectionOptions,
 ): CallerConnection {
   const {socket, clock} = options;
   /** In the order of their answers. */
   const open = new Set<OpenRequest>();
+  const halfCloseCallbacks = new Map<OpenRequest, () => void>();
+  let isHalfClosed = false;
   let isClosing = false;
   let hasFailed = false;
+  socket.on('end', handleHalfClose);
   return {
     add,
     isClosing: () => isClosing,
@@ -78,6 +84,11 @@
     const added: OpenRequest = {
       request,
       onClose: callback => closeCallbacks.push(callback),
+      isHalfClosed: () => isHalfClosed,
+      onHalfClose: callback => {
+        if (isHalfClosed) queueMicrotask(callback);
+        else halfCloseCallbacks.set(added, callback);
+      },
     };
     open.add(added);
     options.onCountChange(1);
@@ -86,12 +97,18 @@
 
     function close(): void {
       if (!open.delete(added)) return;
+      halfCloseCallbacks.delete(added);
       options.onCountChange(-1);
       for (const callback of closeCallbacks) callback();
       if (open.size === 0 && (hasFailed || options.isDraining())) closeWith();
     }
   }
 
+  function handleHalfClose(): void {
+    isHalfClosed = true;
+    for (const callback of [...halfCloseCallbacks.values()]) callback();
+  }
+
   function tryStartClosing(request: OpenRequest, isRefused: boolean): boolean {
     const isLast = [...open].at(-1) === request;
     if (!isRefused && !(isLast && (hasFailed || options.isDraining()))) {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -20,6 +20,9 @@
   hasAnswerBegun(): boolean;
   /** Calls back once when the caller disconnects before the end of the answer. */
   onDisconnect(callback: () => void): void;
+  /** True once the caller has ended its side of the connection; it may have left, or wait for the answer. */
+  isHalfClosed(): boolean;
+  onHalfClose(callback: () => void): void;
   /** Sends the status and the headers of the answer. */
   sendHead(status: number, headers: readonly string[]): void;
   /** Sends a part of the body; after false, wait for `onDrain` before the next part. */
@@ -39,7 +42,10 @@
   readonly body?: Buffer;
   readonly receivedAtMs: number;
   readonly protocol: BackendProtocol;
-  readonly connection: Pick<OpenRequest, 'onClose'>;
+  readonly connection: Pick<
+    OpenRequest,
+    'onClose' | 'onHalfClose' | 'isHalfClosed'
+  >;
   /** True when the connection is to be closed after this answer. */
   readonly isClosing: () => boolean;
 }
@@ -68,6 +74,8 @@
     isOver: () => isOver,
     hasAnswerBegun: () => response.headersSent,
     onDisconnect: callback => disconnectCallbacks.push(callback),
+    isHalfClosed: connection.isHalfClosed,
+    onHalfClose: connection.onHalfClose,
     sendHead,
     write: chunk => response.write(chunk),
     onDrain: callback => response.once('drain', callback),
--- a/src/gateway/front_listener.ts
+++ b/src/gateway/front_listener.ts
@@ -81,6 +81,8 @@
       handleRequest(request, response, isHostMissing ? NO_HOST : undefined);
     },
   );
+  // Node.js otherwise closes a connection, and drops the answers due on it, when the caller ends its side.
+  Object.assign(server, {httpAllowHalfOpen: true});
   applyLimits();
   server.on('connection', (socket: Socket) => {
     const connection = createCallerConnection({
--- a/src/gateway/request_task.ts
+++ b/src/gateway/request_task.ts
@@ -4,7 +4,7 @@
 import {Verdict} from '../verdict';
 import type {Exchange} from './exchange';
 import type {GatewayMetrics} from './gateway_metrics';
-import type {BackendProtocol, Route} from './types';
+import {type BackendProtocol, RequestKind, type Route} from './types';
 
 /** A request that is being served. */
 export interface RequestTask {
@@ -64,6 +64,7 @@
     stop('timeout'),
   );
   exchange.onDisconnect(() => stop('gone'));
+  exchange.onHalfClose(handleHalfClose);
   return {
     exchange,
     route,
@@ -83,6 +84,13 @@
     return clock.getMonotonicMs() - exchange.receivedAtMs;
   }
 
+  /** A caller that ends its side has left, as far as can be told without writing to it. A non-idempotent request goes on in any case, so its answer is sent to a caller that waits for it. */
+  function handleHalfClose(): void {
+    if (isEnded || route.kind === RequestKind.NonIdempotent) return;
+    stop('gone');
+    exchange.abort();
+  }
+
   function stop(cause: 'gone' | 'timeout'): void {
     if (isEnded) return;
     for (const callback of stopCallbacks) callback(cause);
--- a/src/gateway/service_flow.ts
+++ b/src/gateway/service_flow.ts
@@ -168,7 +168,7 @@
   }
 
   function canTryAgain(failure: CallFailure): boolean {
-    if (exchange.hasAnswerBegun()) return false;
+    if (exchange.hasAnswerBegun() || exchange.isHalfClosed()) return false;
     if (task.getRemainingMs() < MIN_TRY_MS) return false;
     if (failure.reason === 'connect') {
       return ++connectTries < MAX_CONNECT_TRIES;
--- a/test/platform/caller_connections.test.ts
+++ b/test/platform/caller_connections.test.ts
@@ -296,6 +296,55 @@
   });
 });
 
+describe('a caller that ends its side', {concurrency: 8}, () => {
+  test('gets the answer of its order', async () => {
+    const caller = openCaller(formatRequest('/order/x', 'half-closed'));
+    caller.socket.end();
+    await caller.closed;
+    assert.deepEqual(listStatuses(caller.read()), [200]);
+    assertServed(caller.read(), '/order/x', 'half-closed');
+  });
+
+  test('in the middle of the next head gets the answer of its order', async () => {
+    const caller = openCaller(
+      `${formatRequest('/order/x', 'half-head')}POST /order/x HT`,
+    );
+    caller.socket.end();
+    await caller.closed;
+    assert.deepEqual(listStatuses(caller.read()), [200]);
+    assertServed(caller.read(), '/order/x', 'half-head');
+  });
+
+  test('in the middle of a body gets the answer of the order before it, and the broken request does not run', async () => {
+    const headers = ['Content-Length: 9'];
+    const broken = formatRequest('/order/x', 'half-body', {headers, body: 'a'});
+    const caller = openCaller(formatRequest('/order/a', 'whole') + broken);
+    caller.socket.end();
+    await caller.closed;
+    assert.deepEqual(listStatuses(caller.read()), [200, 400]);
+    assertServed(caller.read(), '/order/a', 'whole');
+    assert.equal(countRuns('half-body'), 0);
+  });
+});
+
+// It may have left for good, which looks the same.
+for (const [path, atMs] of [
+  ['/look/x', 60],
+  ['/ask/x', 60],
+  ['/ask/x', 700],
+] as const) {
+  test(`no longer has a server at work on ${path} after ${atMs} ms`, async () => {
+    const server = path === '/look/x' ? app : engine;
+    const caller = openCaller(formatRequest(path, `leaving-${path}-${atMs}`));
+    await sleep(atMs);
+    const abortedBefore = server.countAborted();
+    caller.socket.end();
+    await sleep(GONE_MS);
+    assert.ok(server.countAborted() > abortedBefore);
+    await caller.closed;
+  });
+}
+
 test('an order whose caller leaves for good runs to its end once', async () => {
   const caller = openCaller(formatRequest('/order/x', 'left-for-good'));
   await waitUntil('it runs', () => countRuns('left-for-good') === 1);
@@ -310,7 +359,19 @@
   assert.equal(countRuns('left-for-good'), 1);
 });
 
+test('an order whose caller has ended its side is not sent to a server again', async () => {
+  app.setFault('full');
+  const caller = openCaller(formatRequest('/order/x', 'half-refused'));
+  caller.socket.end();
+  await caller.closed;
+  app.setFault('none');
+  assert.deepEqual(listStatuses(caller.read()), [503]);
+  const arrivals = app.arrivals.filter(({id}) => id === 'half-refused');
+  assert.equal(arrivals.length, 1);
+});
+
 for (const [name, leave] of [
+  ['ends its side', (socket: Socket) => socket.end()],
   ['resets it', (socket: Socket) => socket.resetAndDestroy()],
 ] as const) {
   test(`a caller whose connection is only open for the answers that are due is noticed when it ${name}`, async () => {
@@ -325,3 +386,21 @@
     assert.equal(app.countAborted(), abortedBefore + 1);
   });
 }
+
+test('a caller that ended its side gets the answer of its order from a node that is being stopped, and the node ends', async () => {
+  const stopping = await startSlowSystem();
+  const [node] = stopping.system.nodes;
+  const stopped = node.gateway.stop();
+  await sleep(2_500);
+  const startedAt = performance.now();
+  const caller = openCaller(
+    formatRequest('/order/x', 'stopping'),
+    node.callersPort,
+  );
+  caller.socket.end();
+  await caller.closed;
+  assert.deepEqual(listStatuses(caller.read()), [200]);
+  await stopped;
+  assert.ok(performance.now() - startedAt < 3_000);
+  await stopping.system.close();
+});
