Notice that a caller has left for each of several requests on its connection

When a caller with two lookups on one connection left, the call of the second went on at its server (1 of 2 cancelled on the sources before): Node reports the close of a connection to the response whose turn it is, and to no other one. The request was also counted as open from then on, for which a node that is being stopped waits.

The connection itself now tells all its open requests that it has closed.

--- a/src/gateway/caller_connection.ts
+++ b/src/gateway/caller_connection.ts
@@ -61,13 +61,17 @@
   options: CallerConnectionOptions,
 ): CallerConnection {
   const {socket, clock} = options;
-  /** In the order of their answers. */
-  const open = new Set<OpenRequest>();
+  /** In the order of their answers, with the callbacks of their end. */
+  const open = new Map<OpenRequest, () => void>();
   const halfCloseCallbacks = new Map<OpenRequest, () => void>();
   let isHalfClosed = false;
   let isClosing = false;
   let hasFailed = false;
   socket.on('end', handleHalfClose);
+  // Node.js reports the close only to the first of several responses on a connection.
+  socket.on('close', () => {
+    for (const close of [...open.values()]) close();
+  });
   return {
     add,
     isClosing: () => isClosing,
@@ -90,7 +94,7 @@
         else halfCloseCallbacks.set(added, callback);
       },
     };
-    open.add(added);
+    open.set(added, close);
     options.onCountChange(1);
     response.on('close', close);
     return added;
@@ -110,7 +114,7 @@
   }
 
   function tryStartClosing(request: OpenRequest, isRefused: boolean): boolean {
-    const isLast = [...open].at(-1) === request;
+    const isLast = [...open.keys()].at(-1) === request;
     if (!isRefused && !(isLast && (hasFailed || options.isDraining()))) {
       return false;
     }
@@ -123,7 +127,7 @@
   ): ConnectionEnd | undefined {
     if (hasFailed || !socket.writable) return undefined;
     hasFailed = true;
-    const requests = [...open];
+    const requests = [...open.keys()];
     const status = getErrorStatus(code);
     drainInput();
     const message = `request cannot be read (${code})`;
--- a/test/platform/caller_connections.test.ts
+++ b/test/platform/caller_connections.test.ts
@@ -370,6 +370,22 @@
   assert.equal(arrivals.length, 1);
 });
 
+test('a caller that leaves is noticed by each of several requests on its connection', async () => {
+  const runsBefore = app.runs.length;
+  const abortedBefore = app.countAborted();
+  const caller = openCaller(
+    formatRequest('/look/a', 'left-1') + formatRequest('/look/b', 'left-2'),
+  );
+  await waitUntil('both run', () => app.runs.length === runsBefore + 2);
+  caller.socket.resetAndDestroy();
+  await sleep(GONE_MS);
+  assert.equal(app.countAborted(), abortedBefore + 2);
+  const metrics = await fetch(
+    `http://127.0.0.1:${system.nodes[0].controlPort}/metrics`,
+  ).then(response => response.text());
+  assert.match(metrics, /^anvilstack_gateway_open_requests 0$/m);
+});
+
 for (const [name, leave] of [
   ['ends its side', (socket: Socket) => socket.end()],
   ['resets it', (socket: Socket) => socket.resetAndDestroy()],
