--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,5 +1,6 @@
 /** A caller's HTTP request and its response. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {OpenRequest} from './caller_connection';
 import type {BackendProtocol, CallerRequest} from './types';
 
 /** A caller's complete request and the operations to answer it. */
@@ -19,6 +20,9 @@
   hasAnswerBegun(): boolean;
   /** Calls back once when the caller disconnects before the end of the answer. */
   onDisconnect(callback: () => void): void;
+  /** True once the caller has ended its side of the connection; it may have left, or wait for the answer. */
+  isHalfClosed(): boolean;
+  onHalfClose(callback: () => void): void;
   /** Sends the status and the headers of the answer. */
   sendHead(status: number, headers: readonly string[]): void;
   /** Sends a part of the body; after false, wait for `onDrain` before the next part. */
@@ -38,17 +42,21 @@
   readonly body?: Buffer;
   readonly receivedAtMs: number;
   readonly protocol: BackendProtocol;
+  readonly connection: Pick<
+    OpenRequest,
+    'onClose' | 'onHalfClose' | 'isHalfClosed'
+  >;
   /** True when the connection is to be closed after this answer. */
   readonly isClosing: () => boolean;
 }
 
 /** Creates an exchange over a request and its response. */
 export function createExchange(options: ExchangeOptions): Exchange {
-  const {request, response, protocol} = options;
+  const {request, response, protocol, connection} = options;
   let isOver = false;
   const disconnectCallbacks: Array<() => void> = [];
   response.sendDate = false;
-  response.on('close', () => {
+  connection.onClose(() => {
     const isDisconnect = !response.writableFinished && !isOver;
     isOver = true;
     if (isDisconnect) for (const callback of disconnectCallbacks) callback();
@@ -66,6 +74,8 @@
     isOver: () => isOver,
     hasAnswerBegun: () => response.headersSent,
     onDisconnect: callback => disconnectCallbacks.push(callback),
+    isHalfClosed: connection.isHalfClosed,
+    onHalfClose: connection.onHalfClose,
     sendHead,
     write: chunk => response.write(chunk),
     onDrain: callback => response.once('drain', callback),
