Judge the end of an answer without a length by the server's other connections

Cause: after the end the gateway opened a connection and took an accepted one for a sign of life. It shows that something listens, not that the process lives.

The end of a process closes all of its connections at once. So the judgement now rests on connections that were open before the end: one that stays open for 30 ms shows that the process lives; an idle one that the server closed at the same time shows that it has ended. Where no connection can tell, an engine is asked for its report, which names the start of its process; without that the answer is not taken for whole: a request that may be repeated is tried again or resumed, others are cut. While a caller is slow, the end may have arrived long before it is read, so the judgement then goes back to when reading stopped. After an end that nothing could tell about, the service's next calls open the spare connection beforehand.

A planned stop whose process outlives its last answer is now told from a crash, although it accepts no connections any more.

An answer that has no body (204, 304, HEAD) does not end with its connection; it opened a connection and was judged like one.

The stand-in's report now states `born`, as the protocol says of all that a server says of itself.

Ruled out: the accepting connection as it was (above); asking every server for its report each time (priced, and plain services have none); resuming after every end (draws on the retry budget).

What stays open: a process that ends while another worker of the same server holds this node's only other connections; a loss on the network that delays the end of one connection by over 30 ms.

--- a/src/gateway/answer_relay.ts
+++ b/src/gateway/answer_relay.ts
@@ -66,6 +66,7 @@
     onEnd,
     onFailure: failure => fail(rejection ?? failure),
     isCutOff: () => rejection === undefined && isEventStream && isCutOff(),
+    needsProof: () => rejection === undefined,
   };
 
   function onAnswer(
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -1,8 +1,15 @@
 /** HTTP connections to backend servers: each carries one request at a time and is reused when idle. */
 import type {Socket} from 'node:net';
 import {buildConnector, Client, type Dispatcher} from 'undici';
+import {assertNever} from '../runtime';
 import {Verdict} from '../verdict';
-import {hasFraming} from './raw_headers';
+import {findHeader, hasFraming} from './raw_headers';
+import {
+  createServerLinks,
+  type LinkState,
+  ProcessSign,
+  type ServerLinks,
+} from './server_links';
 import type {BackendEntry, CallFailure} from './types';
 
 /** How an answer arrives. */
@@ -26,6 +33,8 @@
   onFailure(failure: CallFailure): void;
   /** True when the bytes so far show that the answer is not whole; asked when an answer without a length ends. */
   isCutOff?(): boolean;
+  /** True when an answer that ends early must not pass for whole, so that an uncertain end is a failure; asked when an answer without a length ends. */
+  needsProof?(): boolean;
 }
 
 /** A request to a backend server. */
@@ -77,6 +86,8 @@
   readonly onCall?: (server: BackendEntry) => HeadListener;
   /** Called when an answer without a length has ended and its end has been judged. */
   readonly onUnframedEnd?: (end: UnframedEnd) => void;
+  /** Resolves to true when the server proves that its process is still the one of its entry. */
+  readonly checkProcess?: (server: BackendEntry) => Promise<boolean>;
 }
 
 /** What the judgement on the end of an answer without a length rests on. */
@@ -85,9 +96,17 @@
   Reset: 'reset',
   /** The bytes stop inside an event. */
   InsideEvent: 'inside-event',
-  /** The server accepted another connection afterwards. */
+  /** Another connection to the server that was open before stayed open. */
+  OtherStaysOpen: 'other-connection-stays-open',
+  /** An idle connection to the server was closed by it at the same time. */
+  OtherClosed: 'other-connection-closed',
+  /** No other connection could tell; the server reported afterwards that it is the same process. */
+  SameProcess: 'same-process-reports',
+  /** No other connection could tell, and no report; the answer is not taken for whole. */
+  NoWitness: 'no-witness',
+  /** No other connection could tell; the server accepted one afterwards, which suffices where the content shows whether the answer is whole. */
   Accepts: 'accepts-connections',
-  /** The server accepted no connection afterwards. */
+  /** No other connection could tell; the server accepted none afterwards. */
   AcceptsNone: 'accepts-no-connection',
 } as const;
 export type EndEvidence = (typeof EndEvidence)[keyof typeof EndEvidence];
@@ -119,15 +138,19 @@
 const IDLE_MARGIN_MS = 700;
 /** Upper bound on a server's stated keep-alive time-out, in milliseconds. */
 const MAX_IDLE_TIMEOUT_MS = 30_000;
+const SERVER_ENDED = 'server ended during an answer without a length';
 
-interface Connection {
+/** How long after an end that no connection could tell about the node prepares for the next one of the service, in milliseconds. */
+const WITNESS_MEMORY_MS = 60_000;
+/** Time of reading without a pause after which nothing that arrived before is left unread, in milliseconds. */
+const CATCH_UP_MS = 1_000;
+
+interface Connection extends LinkState {
   readonly client: Client;
   /** True while its socket is open. */
   isOpen: boolean;
   /** True once the connection was reset instead of being closed by the server. */
   wasReset: boolean;
-  /** True while the answer has no length and therefore ends with the connection. */
-  isUnframed: boolean;
   /** True once an answer has arrived on the open socket. */
   hasAnswered: boolean;
 }
@@ -135,6 +158,7 @@
 interface ServerConnections {
   readonly idle: Connection[];
   readonly all: Set<Connection>;
+  readonly links: ServerLinks;
 }
 
 /** Creates connections, which are opened on demand. */
@@ -145,6 +169,8 @@
     timeout: options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS,
   });
   const servers = new Map<string, ServerConnections>();
+  /** Until when answers without a length are expected of a service before another connection can tell about their end, on the monotonic clock. */
+  const expectedUntilMs = new Map<string, number>();
   let openedCount = 0;
   return {
     call,
@@ -159,20 +185,33 @@
 
   function call(request: BackendCall): OpenCall {
     const onHead = options.onCall?.(request.server);
-    const connections = getConnections(request.server.id);
+    const {server} = request;
+    const connections = getConnections(server);
+    const {links} = connections;
     const connection =
       takeIdle(connections, request.usedConnections) ??
-      openConnection(request.server);
+      openConnection(server, links);
+    connection.isIdle = false;
+    const expectedMs = expectedUntilMs.get(server.service) ?? 0;
+    if (performance.now() < expectedMs) links.prepareWitness(true);
     request.usedConnections?.add(connection);
     connections.all.add(connection);
     const open = createOpenCall({
       request,
       connection,
-      checkServer: callback => checkServer(request.server, callback),
+      links,
+      checkServer: callback => checkServer(server, callback),
+      checkProcess: async () => (await options.checkProcess?.(server)) === true,
+      onNoWitness: () =>
+        expectedUntilMs.set(
+          server.service,
+          performance.now() + WITNESS_MEMORY_MS,
+        ),
       ...(onHead === undefined ? {} : {onHead}),
       onUnframedEnd: end => options.onUnframedEnd?.(end),
       release: isReusable => {
-        if (isReusable && servers.has(request.server.id)) {
+        if (isReusable && servers.has(server.id)) {
+          connection.isIdle = true;
           connections.idle.push(connection);
           return;
         }
@@ -206,15 +245,22 @@
     return index < 0 ? undefined : idle.splice(index, 1)[0];
   }
 
-  function getConnections(serverId: string): ServerConnections {
-    const known = servers.get(serverId);
+  function getConnections(server: BackendEntry): ServerConnections {
+    const known = servers.get(server.id);
     if (known !== undefined) return known;
-    const created = {idle: [], all: new Set<Connection>()};
-    servers.set(serverId, created);
+    const links = createServerLinks({
+      dial: callback => openSocket(server, callback),
+      spareMs: options.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS,
+    });
+    const created = {idle: [], all: new Set<Connection>(), links};
+    servers.set(server.id, created);
     return created;
   }
 
-  function openConnection(server: BackendEntry): Connection {
+  function openConnection(
+    server: BackendEntry,
+    links: ServerLinks,
+  ): Connection {
     const client = new Client(`http://${server.host}:${server.port}`, {
       connect: (connectOptions, callback) => {
         connector(connectOptions, (error, socket) => {
@@ -226,6 +272,9 @@
           connection.isOpen = true;
           connection.hasAnswered = false;
           connection.isUnframed = false;
+          connection.isClosing = false;
+          connection.isPaused = false;
+          links.add(socket, connection);
           socket.on('close', () => {
             connection.isOpen = false;
           });
@@ -244,7 +293,10 @@
       client,
       isOpen: false,
       wasReset: false,
+      isIdle: false,
+      isPaused: false,
       isUnframed: false,
+      isClosing: false,
       hasAnswered: false,
     };
     return connection;
@@ -254,6 +306,16 @@
   function checkServer(
     server: BackendEntry,
     callback: (isAccepting: boolean) => void,
+  ): void {
+    openSocket(server, socket => {
+      socket?.destroy();
+      callback(socket !== undefined);
+    });
+  }
+
+  function openSocket(
+    server: BackendEntry,
+    callback: (socket: Socket | undefined) => void,
   ): void {
     const address = {
       protocol: 'http:',
@@ -261,12 +323,13 @@
       port: String(server.port),
     };
     connector(address, (error, socket) => {
-      if (error === null) {
-        openedCount++;
-        socket.on('error', () => undefined);
-        socket.destroy();
+      if (error !== null) {
+        callback(undefined);
+        return;
       }
-      callback(error === null);
+      openedCount++;
+      socket.on('error', () => undefined);
+      callback(socket);
     });
   }
 
@@ -274,12 +337,14 @@
     for (const [id, connections] of servers) {
       if (serverIds.has(id)) continue;
       servers.delete(id);
+      connections.links.close();
       for (const {client} of connections.idle) void client.destroy();
     }
   }
 
   function close(): void {
     for (const connections of servers.values()) {
+      connections.links.close();
       for (const {client} of connections.all) void client.destroy();
     }
     servers.clear();
@@ -318,8 +383,13 @@
   readonly request: BackendCall;
   readonly connection: Connection;
   readonly onHead?: HeadListener;
+  readonly links: ServerLinks;
+  /** Called when no other connection could tell about the end of an answer. */
+  readonly onNoWitness: () => void;
   /** Tells whether the server still accepts connections. */
   readonly checkServer: (callback: (isAccepting: boolean) => void) => void;
+  /** Resolves to true when the server proves that its process has not ended. */
+  readonly checkProcess: () => Promise<boolean>;
   readonly onUnframedEnd: (end: UnframedEnd) => void;
   /** Returns the connection to the idle ones, or closes it when it cannot be reused. */
   readonly release: (isReusable: boolean) => void;
@@ -327,7 +397,7 @@
 
 /** Creates a call and the handler that undici reports its progress to. */
 function createOpenCall(options: OpenCallOptions): DispatchedCall {
-  const {request, release, connection} = options;
+  const {request, release, connection, links} = options;
   const {handler} = request;
   let controller: Dispatcher.DispatchController | undefined;
   let isSent = false;
@@ -335,12 +405,11 @@
   let answerStatus = 0;
   let headAtMs = 0;
   let bodyBytes = 0;
+  let pausedAtMs = 0;
+  let resumedAtMs = Number.NEGATIVE_INFINITY;
   return {
     cancel,
-    setPaused: isPaused => {
-      if (isPaused) controller?.pause();
-      else controller?.resume();
-    },
+    setPaused,
     isSent: () => isSent,
     dispatchHandler: {
       onRequestStart: started => {
@@ -371,7 +440,17 @@
     },
   };
 
-  /** The end of a process closes its connections like the end of an answer does, so the answer is complete only if the server still accepts connections. */
+  function setPaused(isPaused: boolean): void {
+    if (isDone || connection.isPaused === isPaused) return;
+    connection.isPaused = isPaused;
+    const nowMs = performance.now();
+    if (!isPaused) resumedAtMs = nowMs;
+    else if (nowMs - resumedAtMs > CATCH_UP_MS) pausedAtMs = nowMs;
+    if (isPaused) controller?.pause();
+    else controller?.resume();
+  }
+
+  /** The end of a process closes its connections like the end of an answer does, so the answer is complete only if another connection shows that the process lives. */
   function settleUnframed(): void {
     if (isDone) return;
     if (connection.wasReset) {
@@ -382,20 +461,57 @@
       failUnframed(EndEvidence.InsideEvent, 'stream ended inside an event');
       return;
     }
+    const nowMs = performance.now();
+    // What was not read while the caller was slow may have ended at any time since.
+    const isCaughtUp = nowMs - resumedAtMs > CATCH_UP_MS;
+    links.observe(connection, isCaughtUp ? nowMs : pausedAtMs, sign => {
+      if (!isDone) settleBySign(sign);
+    });
+  }
+
+  function settleBySign(sign: ProcessSign): void {
+    switch (sign) {
+      case ProcessSign.Lives:
+        completeUnframed(EndEvidence.OtherStaysOpen);
+        return;
+      case ProcessSign.Ended:
+        failUnframed(EndEvidence.OtherClosed, SERVER_ENDED);
+        return;
+      case ProcessSign.Unknown:
+        options.onNoWitness();
+        if (handler.needsProof?.() === true) void settleByReport();
+        else settleByCheck();
+        return;
+      default:
+        assertNever(sign);
+    }
+  }
+
+  async function settleByReport(): Promise<void> {
+    const isSame = await options.checkProcess();
+    if (isDone) return;
+    if (isSame) completeUnframed(EndEvidence.SameProcess);
+    else {
+      failUnframed(
+        EndEvidence.NoWitness,
+        'nothing shows that an answer without a length is whole',
+      );
+    }
+  }
+
+  function settleByCheck(): void {
     options.checkServer(isAccepting => {
       if (isDone) return;
-      if (!isAccepting) {
-        failUnframed(
-          EndEvidence.AcceptsNone,
-          'server ended during an answer without a length',
-        );
-        return;
-      }
-      reportUnframed(true, EndEvidence.Accepts);
-      settle();
+      if (isAccepting) completeUnframed(EndEvidence.Accepts);
+      else failUnframed(EndEvidence.AcceptsNone, SERVER_ENDED);
     });
   }
 
+  function completeUnframed(evidence: EndEvidence): void {
+    reportUnframed(true, evidence);
+    settle();
+  }
+
   function failUnframed(evidence: EndEvidence, message: string): void {
     if (isDone) return;
     reportUnframed(false, evidence);
@@ -416,6 +532,7 @@
   }
 
   function settle(): void {
+    connection.isPaused = false;
     if (connection.wasReset)
       return fail(createReset('connection was reset during the answer'));
     if (isDone) return;
@@ -431,8 +548,12 @@
     // Informational (1xx) answers precede the final one.
     if (isDone || status < 200) return;
     const rawHeaders = listRawHeaders(started);
-    const isFramed = hasFraming(rawHeaders);
+    const isFramed = hasFraming(rawHeaders) || !hasBody(request.method, status);
     connection.isUnframed = !isFramed;
+    connection.isClosing = /\bclose\b/i.test(
+      findHeader(rawHeaders, 'Connection') ?? '',
+    );
+    if (!isFramed) links.prepareWitness();
     answerStatus = status;
     headAtMs = performance.now();
     options.onHead?.(status, rawHeaders);
@@ -461,6 +582,11 @@
   }
 }
 
+/** True when an answer to this method with this status has a body. */
+function hasBody(method: string, status: number): boolean {
+  return method !== 'HEAD' && status !== 204 && status !== 304;
+}
+
 function createReset(message: string): CallFailure {
   return {verdict: Verdict.MayHaveRun, reason: 'reset', message};
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -14,6 +14,7 @@
 import {createFrontListener} from './front_listener';
 import {createGatewayMetrics} from './gateway_metrics';
 import {createEngineAffinity} from './engine_affinity';
+import {checkProcess} from './process_check';
 import {createPeerMessageHandler} from './peer_message_handler';
 import {createPeerReach} from './peer_reach';
 import {createPeers} from './peers';
@@ -120,6 +121,16 @@
   const connections = createConnections({
     onCall: notices.recordCall,
     onUnframedEnd: logUnframedEnd,
+    checkProcess: server =>
+      checkProcess({
+        connections,
+        clock,
+        protocol,
+        state,
+        pauses,
+        limits,
+        server,
+      }),
   });
   const health = createHealthTracker({
     clock,
--- /dev/null
+++ b/src/gateway/server_links.ts
@@ -0,0 +1,178 @@
+/**
+ * The open connections of this node to one backend server. They tell whether
+ * its process lived when an answer without a length ended: the end of a process
+ * closes all of its connections at once, and one that stays open shows that it
+ * lives. An accepted new connection does not, because something else may hold
+ * the listening socket.
+ */
+import type {Socket} from 'node:net';
+
+/** What is under way on a connection; it decides what its end shows. */
+export interface LinkState {
+  /** True between two requests. */
+  isIdle: boolean;
+  /** True while nothing is read from it, so that its end is not noticed. */
+  isPaused: boolean;
+  /** True while its answer has no length and therefore ends with the connection. */
+  isUnframed: boolean;
+  /** True once the server has said that it closes the connection after the answer. */
+  isClosing: boolean;
+}
+
+/** What the other connections show of the server's process. */
+export const ProcessSign = {
+  /** Another connection that was open before stays open. */
+  Lives: 'lives',
+  /** An idle connection was closed by the server at the same time. */
+  Ended: 'ended',
+  /** No connection that could tell is left, or there was none. */
+  Unknown: 'unknown',
+} as const;
+export type ProcessSign = (typeof ProcessSign)[keyof typeof ProcessSign];
+
+/** The connections to one server. */
+export interface ServerLinks {
+  /** Follows an open connection until it is closed. */
+  add(socket: Socket, state: LinkState): void;
+  /** Opens a spare connection unless another one can tell whether the process lives; `isExpected` does so before the answer begins. */
+  prepareWitness(isExpected?: boolean): void;
+  /** Reports what connections other than that of `own` show of the process since `sinceMs` on the monotonic clock, a short time later. */
+  observe(
+    own: LinkState,
+    sinceMs: number,
+    callback: (sign: ProcessSign) => void,
+  ): void;
+  close(): void;
+}
+
+/** Options of the connections to one server. */
+export interface ServerLinksOptions {
+  /** Opens a connection; the callback gets undefined when the server does not accept it. */
+  readonly dial: (callback: (socket: Socket | undefined) => void) => void;
+  /** Time after which a spare connection is closed, in milliseconds. */
+  readonly spareMs: number;
+}
+
+/** Time around the end of an answer within which the process closes its other connections if it ends, in milliseconds: several round trips. */
+const SAME_TIME_MS = 30;
+/** Time that a process needs to accept a connection that is open for this node, in milliseconds. */
+const ACCEPT_MS = 2;
+/** Shortest interval between two spare connections, in milliseconds. */
+const SPARE_INTERVAL_MS = 1_000;
+const RESET_CODES = new Set(['ECONNRESET', 'EPIPE', 'ETIMEDOUT']);
+
+interface Link {
+  readonly state: LinkState;
+  readonly openedAtMs: number;
+  isOpen: boolean;
+}
+
+/** Creates the connections to one server, none of them open. */
+export function createServerLinks(options: ServerLinksOptions): ServerLinks {
+  const links = new Set<Link>();
+  let spare: Socket | undefined;
+  let isDialling = false;
+  let isClosed = false;
+  let dialledAtMs = Number.NEGATIVE_INFINITY;
+  let lostIdleAtMs = Number.NEGATIVE_INFINITY;
+  return {add, prepareWitness, observe, close};
+
+  function add(socket: Socket, state: LinkState): void {
+    const link: Link = {state, openedAtMs: performance.now(), isOpen: true};
+    links.add(link);
+    socket.prependListener('end', recordLoss);
+    socket.on('error', error => {
+      const {code} = error as NodeJS.ErrnoException;
+      if (code !== undefined && RESET_CODES.has(code)) recordLoss();
+    });
+    socket.on('close', () => {
+      link.isOpen = false;
+      links.delete(link);
+      prepareWitness();
+    });
+
+    function recordLoss(): void {
+      if (!link.isOpen) return;
+      link.isOpen = false;
+      if (state.isIdle && !state.isClosing) lostIdleAtMs = performance.now();
+    }
+  }
+
+  function prepareWitness(isExpected = false): void {
+    const states = [...links].filter(link => link.isOpen).map(getState);
+    if (!isExpected && !states.some(state => state.isUnframed)) return;
+    if (states.some(state => state.isIdle && !state.isClosing)) return;
+    const nowMs = performance.now();
+    if (isClosed || isDialling || nowMs - dialledAtMs < SPARE_INTERVAL_MS)
+      return;
+    isDialling = true;
+    dialledAtMs = nowMs;
+    options.dial(socket => {
+      isDialling = false;
+      if (socket !== undefined) addSpare(socket);
+    });
+  }
+
+  function addSpare(socket: Socket): void {
+    if (isClosed) {
+      socket.destroy();
+      return;
+    }
+    spare = socket;
+    const timer = setTimeout(() => socket.destroy(), options.spareMs);
+    timer.unref();
+    socket.unref();
+    socket.on('close', () => {
+      clearTimeout(timer);
+      if (spare === socket) spare = undefined;
+    });
+    add(socket, {
+      isIdle: true,
+      isPaused: false,
+      isUnframed: false,
+      isClosing: false,
+    });
+    // The end of the connection is reported only once what precedes it has been read.
+    socket.resume();
+  }
+
+  function observe(
+    own: LinkState,
+    sinceMs: number,
+    callback: (sign: ProcessSign) => void,
+  ): void {
+    const witnesses = [...links].filter(
+      link =>
+        link.state !== own &&
+        link.isOpen &&
+        link.openedAtMs < sinceMs - ACCEPT_MS,
+    );
+    if (hasLostIdle() || witnesses.length === 0) {
+      callback(hasLostIdle() ? ProcessSign.Ended : ProcessSign.Unknown);
+      return;
+    }
+    setTimeout(() => {
+      // What has arrived meanwhile is read before this callback even if the node was held up.
+      setImmediate(() => {
+        const lives = witnesses.some(
+          link => link.isOpen && !link.state.isPaused,
+        );
+        if (hasLostIdle()) callback(ProcessSign.Ended);
+        else callback(lives ? ProcessSign.Lives : ProcessSign.Unknown);
+      });
+    }, SAME_TIME_MS);
+
+    function hasLostIdle(): boolean {
+      return lostIdleAtMs >= sinceMs - SAME_TIME_MS;
+    }
+  }
+
+  function close(): void {
+    isClosed = true;
+    spare?.destroy();
+  }
+}
+
+function getState(link: Link): LinkState {
+  return link.state;
+}
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -188,6 +188,8 @@
   readonly isBusy: boolean;
   /** Number of orders that the engine has accepted since its start. */
   readonly acceptedOrders: number;
+  /** Start of the engine's process, as in its entry; 0 when it does not state it. */
+  readonly startedAtMs: number;
 }
 
 /** An order that switches an engine to another stage. */
--- a/src/platform/backend_protocol.ts
+++ b/src/platform/backend_protocol.ts
@@ -18,6 +18,7 @@
   tryGetNumber,
   tryParseJson,
   tryGetString,
+  tryGetWhole,
 } from './wire_decode';
 
 const Header = {
@@ -248,6 +249,7 @@
     ...(stage === undefined ? {} : {stage}),
     isBusy: fields['busy'] === true,
     acceptedOrders,
+    startedAtMs: tryGetWhole(fields['born'], 0) ?? 0,
   };
 }
 
--- a/test/gateway/stage_control.test.ts
+++ b/test/gateway/stage_control.test.ts
@@ -46,7 +46,7 @@
   } as unknown as Connections;
   const protocol = {
     buildReportCall: () => ({method: 'GET', path: '/', headers: []}),
-    parseReport: () => ({isBusy: false, acceptedOrders: 0}),
+    parseReport: () => ({isBusy: false, acceptedOrders: 0, startedAtMs: 0}),
     buildStageOrderCall: (order: StageOrder) => {
       orders.push({serverId: order.serverId, atMs: clock.getMonotonicMs()});
       return {method: 'POST', path: '/', headers: []};
--- a/test/platform/broken_answers.test.ts
+++ b/test/platform/broken_answers.test.ts
@@ -207,6 +207,32 @@
   assert.equal(answer.body, WHOLE_STREAM);
 });
 
+// An accepted connection shows that something listens, not that the process lives.
+test('a stream without a length whose process ends between two events does not end as complete when its port accepts connections at once', async () => {
+  setEngineFault('unframed-restart');
+  const answer = await sendPrompt('/ask/x');
+  await stopCrashes(engines);
+  assert.equal(answer.isComplete, false);
+  assert.ok(WHOLE_STREAM.startsWith(answer.body), answer.body);
+});
+
+test('a resumable stream without a length whose process ends between two events goes on at another server when its port accepts connections at once', async () => {
+  setEngineFault('unframed-restart');
+  const answer = await sendPrompt('/resume/x');
+  await stopCrashes(engines);
+  assert.equal(answer.isComplete, true);
+  assert.equal(answer.body, WHOLE_STREAM);
+});
+
+for (const path of ['/order/restart', '/look/restart']) {
+  test(`an answer without a length whose process ends does not end as complete when its port accepts connections at once: ${path}`, async () => {
+    app.setFault('unframed-restart');
+    const answer = await system.send({path});
+    await stopCrashes([app]);
+    assert.equal(answer.status, 502);
+  });
+}
+
 for (const path of ['/order/crash', '/look/crash']) {
   test(`an answer without a length whose server crashes does not end as complete: ${path}`, async () => {
     app.setFault('unframed-crash');
--- a/test/platform/server_standin.ts
+++ b/test/platform/server_standin.ts
@@ -40,7 +40,8 @@
  * more when the connection gets its next request. `endless` sends a stream in which
  * no event ends. `unframed` answers without a length, `unframed-cut` ends such a
  * stream inside an event, and `unframed-crash` crashes between two events of such a
- * stream or within another answer. `error-on-resume` resets streams midway and
+ * stream or within another answer. `unframed-restart` does so too, but the port
+ * goes on accepting connections, as when a supervisor holds the listening socket. `error-on-resume` resets streams midway and
  * fails the requests that resume them.
  */
 export type ServerFault =
@@ -60,6 +61,7 @@
   | 'unframed'
   | 'unframed-cut'
   | 'unframed-crash'
+  | 'unframed-restart'
   | 'error-on-resume';
 
 /** A running stand-in. */
@@ -254,6 +256,13 @@
     isDown = false;
   }
 
+  /** Ends like a process that crashes, with a new start time, while the port goes on accepting connections. */
+  function crashProcess(): void {
+    for (const socket of openSockets) socket.destroy();
+    born++;
+    publish();
+  }
+
   /** Crashes soon after the answer has begun if the prompt holds a deadly part, and returns whether it does; the last part is the request's own. */
   function crashOnDeadlyPart(received: ReceivedRequest): boolean {
     const partId = listPartIds(received)
@@ -429,6 +438,11 @@
       setTimeout(() => void crashFor(CRASH_DOWN_MS), CRASH_DELAY_MS);
       return;
     }
+    if (fault === 'unframed-restart') {
+      response.write(body.slice(0, 5));
+      setTimeout(crashProcess, CRASH_DELAY_MS);
+      return;
+    }
     if (fault !== 'reset-midway') {
       response.end(body);
       return;
@@ -478,6 +492,10 @@
         setTimeout(() => void crashFor(CRASH_DOWN_MS), CRASH_DELAY_MS);
         return;
       }
+      if (fault === 'unframed-restart') {
+        setTimeout(crashProcess, CRASH_DELAY_MS);
+        return;
+      }
       if (fault === 'unframed-cut') {
         response.end(`id: ${next}\ndata: pie`);
         return;
@@ -509,7 +527,7 @@
   }
 
   function sendReport(response: ServerResponse): void {
-    const report = {stage, busy: false, seq: orders.length, running: 0};
+    const report = {stage, busy: false, seq: orders.length, running: 0, born};
     response.end(JSON.stringify(report));
   }
 
