Let only connections that the process has accepted show that it lives

A connection that this node opened a moment before the end may still wait in the queue of the listening socket. An age of 2 ms, as required before, is no proof on a machine that is busy.

A connection now counts if an answer has arrived on it, or if bytes of the answer in question arrived 5 ms or more after it had opened: the process was at work since.

The new test of unframed_ends, whose process never accepts the spare connection, fails without the change.

--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -151,8 +151,6 @@
   isOpen: boolean;
   /** True once the connection was reset instead of being closed by the server. */
   wasReset: boolean;
-  /** True once an answer has arrived on the open socket. */
-  hasAnswered: boolean;
 }
 
 interface ServerConnections {
@@ -405,6 +403,7 @@
   let answerStatus = 0;
   let headAtMs = 0;
   let bodyBytes = 0;
+  let lastBytesMs = 0;
   let pausedAtMs = 0;
   let resumedAtMs = Number.NEGATIVE_INFINITY;
   return {
@@ -420,6 +419,7 @@
       onResponseStart,
       onResponseData: (_controller, chunk) => {
         bodyBytes += chunk.length;
+        lastBytesMs = performance.now();
         if (!isDone) handler.onData(chunk);
       },
       onResponseEnd: () => {
@@ -464,7 +464,8 @@
     const nowMs = performance.now();
     // What was not read while the caller was slow may have ended at any time since.
     const isCaughtUp = nowMs - resumedAtMs > CATCH_UP_MS;
-    links.observe(connection, isCaughtUp ? nowMs : pausedAtMs, sign => {
+    const end = {sinceMs: isCaughtUp ? nowMs : pausedAtMs, lastBytesMs};
+    links.observe(connection, end, sign => {
       if (!isDone) settleBySign(sign);
     });
   }
@@ -556,6 +557,7 @@
     if (!isFramed) links.prepareWitness();
     answerStatus = status;
     headAtMs = performance.now();
+    lastBytesMs = headAtMs;
     options.onHead?.(status, rawHeaders);
     const isFirst = !connection.hasAnswered;
     connection.hasAnswered = true;
--- a/src/gateway/server_links.ts
+++ b/src/gateway/server_links.ts
@@ -15,6 +15,8 @@
   isPaused: boolean;
   /** True while its answer has no length and therefore ends with the connection. */
   isUnframed: boolean;
+  /** True once an answer has arrived on it, so that the process has accepted it. */
+  hasAnswered: boolean;
   /** True once the server has said that it closes the connection after the answer. */
   isClosing: boolean;
 }
@@ -30,16 +32,24 @@
 } as const;
 export type ProcessSign = (typeof ProcessSign)[keyof typeof ProcessSign];
 
+/** The end of an answer, as times on the monotonic clock, in milliseconds. */
+export interface AnswerEnd {
+  /** From when on the process may have ended. */
+  readonly sinceMs: number;
+  /** When bytes of the answer last arrived, so that the process was at work. */
+  readonly lastBytesMs: number;
+}
+
 /** The connections to one server. */
 export interface ServerLinks {
   /** Follows an open connection until it is closed. */
   add(socket: Socket, state: LinkState): void;
   /** Opens a spare connection unless another one can tell whether the process lives; `isExpected` does so before the answer begins. */
   prepareWitness(isExpected?: boolean): void;
-  /** Reports what connections other than that of `own` show of the process since `sinceMs` on the monotonic clock, a short time later. */
+  /** Reports what connections other than that of `own` show of the process, a short time later. */
   observe(
     own: LinkState,
-    sinceMs: number,
+    end: AnswerEnd,
     callback: (sign: ProcessSign) => void,
   ): void;
   close(): void;
@@ -55,8 +65,8 @@
 
 /** Time around the end of an answer within which the process closes its other connections if it ends, in milliseconds: several round trips. */
 const SAME_TIME_MS = 30;
-/** Time that a process needs to accept a connection that is open for this node, in milliseconds. */
-const ACCEPT_MS = 2;
+/** Time in which a process that is at work accepts a connection, in milliseconds. Until then it waits in the system's queue, which may outlive the process. */
+const ACCEPT_MS = 5;
 /** Shortest interval between two spare connections, in milliseconds. */
 const SPARE_INTERVAL_MS = 1_000;
 const RESET_CODES = new Set(['ECONNRESET', 'EPIPE', 'ETIMEDOUT']);
@@ -130,6 +140,7 @@
       isIdle: true,
       isPaused: false,
       isUnframed: false,
+      hasAnswered: false,
       isClosing: false,
     });
     // The end of the connection is reported only once what precedes it has been read.
@@ -138,14 +149,16 @@
 
   function observe(
     own: LinkState,
-    sinceMs: number,
+    {sinceMs, lastBytesMs}: AnswerEnd,
     callback: (sign: ProcessSign) => void,
   ): void {
+    const acceptedMs = Math.min(sinceMs, lastBytesMs) - ACCEPT_MS;
     const witnesses = [...links].filter(
       link =>
         link.state !== own &&
         link.isOpen &&
-        link.openedAtMs < sinceMs - ACCEPT_MS,
+        link.openedAtMs < sinceMs &&
+        (link.state.hasAnswered || link.openedAtMs < acceptedMs),
     );
     if (hasLostIdle() || witnesses.length === 0) {
       callback(hasLostIdle() ? ProcessSign.Ended : ProcessSign.Unknown);
--- a/test/gateway/unframed_ends.test.ts
+++ b/test/gateway/unframed_ends.test.ts
@@ -141,6 +141,10 @@
 async function startMortal(afterMs: number): Promise<SupervisedServer> {
   const server: SupervisedServer = await startSupervised({
     ...BEHAVIOURS,
+    queued: socket => {
+      socket.write(`${HEAD}${EVENT}`);
+      setTimeout(() => socket.destroy(), 20);
+    },
     mortal: socket => {
       socket.write(`${HEAD}${EVENT}`);
       setTimeout(() => server.endProcess(), afterMs);
@@ -169,6 +173,14 @@
   }
 }
 
+test('a connection that waits in the queue of the listening socket does not show that the process lives', async () => {
+  const server = await startMortal(0);
+  const opened = openConnections();
+  // The process does not accept the spare connection, which opens when the head arrives and outlives it.
+  const outcome = await send(opened, server.entry, 'queued');
+  assert.equal(outcome.isComplete, false, JSON.stringify(outcome.end));
+});
+
 test('an answer whose process ends while other answers are under way is not whole', async () => {
   const server = await startMortal(30);
   const opened = openConnections();
