--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -156,8 +156,6 @@
   wasReset: boolean;
   /** Number of the open socket, counted by this node. */
   number: number;
-  /** Number of answers that have arrived on the open socket. */
-  answerCount: number;
 }
 
 interface ServerConnections {
@@ -413,6 +411,7 @@
   let answerStatus = 0;
   let headAtMs = 0;
   let bodyBytes = 0;
+  let lastBytesMs = 0;
   let pausedAtMs = 0;
   let resumedAtMs = Number.NEGATIVE_INFINITY;
   return {
@@ -434,6 +433,7 @@
       onResponseStart,
       onResponseData: (_controller, chunk) => {
         bodyBytes += chunk.length;
+        lastBytesMs = performance.now();
         if (!isDone) handler.onData(chunk);
       },
       onResponseEnd: () => {
@@ -478,7 +478,8 @@
     const nowMs = performance.now();
     // What was not read while the caller was slow may have ended at any time since.
     const isCaughtUp = nowMs - resumedAtMs > CATCH_UP_MS;
-    links.observe(connection, isCaughtUp ? nowMs : pausedAtMs, sign => {
+    const end = {sinceMs: isCaughtUp ? nowMs : pausedAtMs, lastBytesMs};
+    links.observe(connection, end, sign => {
       if (!isDone) settleBySign(sign);
     });
   }
@@ -570,6 +571,7 @@
     if (!isFramed) links.prepareWitness();
     answerStatus = status;
     headAtMs = performance.now();
+    lastBytesMs = headAtMs;
     options.onHead?.(status, rawHeaders);
     const answersBefore = connection.answerCount++;
     const answerAfterMs = Math.round(10 * (performance.now() - sentAtMs)) / 10;
