Test that a decode engine's refusal without an id is not believed on a used connection (REFUSED)

Callers of earlier landings were answered 503 for streams that ran, or had them run twice: a second copy of a refusal arrived where the next answer on the connection was expected, and carried no id.

--- a/test/platform/broken_answers.test.ts
+++ b/test/platform/broken_answers.test.ts
@@ -215,3 +215,24 @@
     assert.equal(answer.status, 502);
   });
 }
+
+test('a refusal that a decode engine writes again without an id does not tell the caller that its stream has not run', async () => {
+  const lone = await startSystem({});
+  const addEngine = (id: string, stage: 'prefill' | 'decode') =>
+    lone.addServer({id, service: 'llm', zone: 'a', stage});
+  await addEngine('reader', 'prefill');
+  const engine = await addEngine('writer', 'decode');
+  await waitUntil('the node knows both engines', async () => {
+    const {entries} = await loadSnapshot(lone.nodes[0]);
+    return entries.length === 2 && isNodeReady(lone.nodes[0]);
+  });
+  const prompt = {path: '/ask/x', tokens: '900,9', parts: 'aa:600,bb:300'};
+  const first = await lone.send(prompt);
+  engine.setFault('refuse-again');
+  const answer = await lone.send({...prompt, id: 'second'});
+  const {runs} = engine;
+  await lone.close();
+  assert.equal(first.body, WHOLE_STREAM);
+  assert.equal(runs.filter(run => run.id === 'second').length, 1);
+  assert.equal(answer.status, 502);
+});
