Keep the product's listeners from answering for a request that runs

The same cause as in the gateway's listener acts in src/runtime/listener.ts, on which the callers', operators' and peers' interfaces of the product stand: bytes that follow a request on its connection put Node's 408, 400 or 431 into the place of its answer, while it runs. A body that stalls behind another request does it too (uploadTimeoutMs).

Requests that were read now get their answers before the connection ends. Only the request that cannot be read gets a status, in its turn, or none if its head was not read. Without open requests nothing changes.

The four new tests fail without the line in listener.ts: 408, 400, 431 and no whole answer. Callers of these interfaces that end only their side still get no answer; not changed here. The gateway's readiness and control listeners answer each request as soon as its head is read, so that nothing can come between; their statuses promise nothing.

--- a/src/gateway/caller_connection.ts
+++ b/src/gateway/caller_connection.ts
@@ -2,7 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock} from '../runtime/types';
-import {formatStatusOnly, getErrorStatus} from './listener_errors';
+import {formatStatusOnly, getErrorStatus} from '../runtime/listener_errors';
 import type {Refusal} from './request_body';
 
 /** A request without a complete answer. */
--- a/src/gateway/front_listener.ts
+++ b/src/gateway/front_listener.ts
@@ -15,7 +15,7 @@
   type OpenRequest,
 } from './caller_connection';
 import {createExchange, type Exchange} from './exchange';
-import {isCallerError} from './listener_errors';
+import {isCallerError} from '../runtime/listener_errors';
 import {type BodyResult, readRequestBody, type Refusal} from './request_body';
 import type {Address} from './settings';
 import type {BackendProtocol, CallerLimits} from './types';
--- a/src/runtime/listener.ts
+++ b/src/runtime/listener.ts
@@ -16,6 +16,7 @@
 import {listen} from './listen';
 import type {Listener, ListenerLimits, ListenerOptions} from './listener_types';
 import {loadTlsContext, watchTlsFiles} from './tls_files';
+import {handleUnreadRequests} from './unread_requests';
 
 type Handler = (request: IncomingMessage, response: ServerResponse) => unknown;
 
@@ -39,6 +40,7 @@
   let isClosing = false;
   const server = createServer(options, limits, createHandler());
   server.maxConnections = limits.maxConnections;
+  handleUnreadRequests(server);
   const bytes = createByteMeter(server);
   await listen(server, {host, port: options.port ?? 0});
   const stopWatching =
