Log that the caller of an order has ended its side

An order whose caller ends its side goes on and is not sent to a server again if one refuses it; without a line, its log does not tell why. The test of half-closed callers checks the lines of the order; it fails without the line.

--- a/src/gateway/request_task.ts
+++ b/src/gateway/request_task.ts
@@ -86,7 +86,11 @@
 
   /** A caller that ends its side has left, as far as can be told without writing to it. A non-idempotent request goes on in any case, so its answer is sent to a caller that waits for it. */
   function handleHalfClose(): void {
-    if (isEnded || route.kind === RequestKind.NonIdempotent) return;
+    if (isEnded) return;
+    if (route.kind === RequestKind.NonIdempotent) {
+      log('caller ended its side of the connection', {});
+      return;
+    }
     stop('gone');
     exchange.abort();
   }
--- a/test/platform/caller_connections.test.ts
+++ b/test/platform/caller_connections.test.ts
@@ -303,6 +303,17 @@
     await caller.closed;
     assert.deepEqual(listStatuses(caller.read()), [200]);
     assertServed(caller.read(), '/order/x', 'half-closed');
+    const lines = system.nodes[0].lines.filter(
+      ({requestId}) => requestId === 'half-closed',
+    );
+    assert.deepEqual(
+      lines.map(({message}) => message),
+      [
+        'sent to server',
+        'caller ended its side of the connection',
+        'request ended',
+      ],
+    );
   });
 
   test('in the middle of the next head gets the answer of its order', async () => {
