Soak: hostile runs with a network, callers, signals and restarts that misbehave

What real processes showed (REFUSED beside a 408 of the listener, answers that a half-closed caller never got) the soak could not find: its callers were well behaved, and its proxy stood before the store only.

Hostile runs have seeds of their own and are in a file of their own; the plain seeds draw as before, and nodes reach the servers directly in them. They add proxies between nodes and servers, callers that keep to HTTP in part only, servers that end right after an answer, restart in series or write answers late, and signals amid a planned stop.

The stand-in ended the test when the connection of a request broke before its end, which direct connections on loopback did not show; such a request is not run.

--- a/test/platform/server_standin.ts
+++ b/test/platform/server_standin.ts
@@ -15,6 +15,8 @@
   readonly path: string;
   readonly headers: IncomingMessage['headers'];
   readonly body: string;
+  /** On the monotonic clock, in milliseconds. */
+  readonly atMs: number;
 }
 
 /** The arrival of a call. */
@@ -41,8 +43,11 @@
  * no event ends. `unframed` answers without a length, `unframed-cut` ends such a
  * stream inside an event, and `unframed-crash` crashes between two events of such a
  * stream or within another answer. `unframed-restart` does so too, but the port
- * goes on accepting connections, as when a supervisor holds the listening socket. `error-on-resume` resets streams midway and
- * fails the requests that resume them.
+ * goes on accepting connections, as when a supervisor holds the listening socket.
+ * `error-on-resume` resets streams midway and fails the requests that resume them.
+ * `answer-twice` writes each answer twice in a row, `answer-late` writes it once more
+ * when the connection gets its next request. `exit` ends the process right after a
+ * complete answer, `unframed-exit` after one without a length.
  */
 export type ServerFault =
   | 'none'
@@ -62,7 +67,11 @@
   | 'unframed-cut'
   | 'unframed-crash'
   | 'unframed-restart'
-  | 'error-on-resume';
+  | 'error-on-resume'
+  | 'answer-twice'
+  | 'answer-late'
+  | 'exit'
+  | 'unframed-exit';
 
 /** A running stand-in. */
 export interface ServerStandin {
@@ -124,8 +133,21 @@
   /** Time between events, in milliseconds. */
   readonly eventIntervalMs?: number;
   readonly port?: number;
+  /** Proxy through which callers reach the server; it refuses connections while the server is down. */
+  readonly link?: ServerLink;
+}
+
+/** A proxy before a server. */
+export interface ServerLink {
+  readonly port: number;
+  /** Forwards later connections to this loopback port. */
+  openTo(targetPort: number): Promise<void>;
+  stopListening(): void;
 }
 
+/** Headers by which a caller asks for a time of work, in milliseconds, and for spaces in the body of a plain answer. */
+export const WORK_HEADER = 'standin-work-ms';
+export const PADDING_HEADER = 'standin-padding-bytes';
 /** Start time of a server's first process, in milliseconds since the Unix epoch. */
 const FIRST_BORN_MS = 1_700_000_000_000;
 /** Time from the beginning of an answer to the crash that a deadly part causes, in milliseconds. */
@@ -159,6 +181,8 @@
   const lateRefusals = new WeakMap<Socket, string>();
   const refusedIds = new Set<string>();
   const answeredSockets = new WeakSet<Socket>();
+  /** Answers that are written again on these connections. */
+  const lateAnswers = new WeakMap<Socket, string>();
   const openSockets = new Set<Socket>();
   const ignoredSockets = new WeakSet<Socket>();
   const server = createServer((request, response) => {
@@ -171,7 +195,11 @@
     });
     if (isLeaving) response.setHeader('Server-Leaving', '1');
     if (limit !== undefined) sendLimit(response, limit);
-    void readAll(request).then(body => handle(request, response, body));
+    // A request whose connection breaks before its end is not run.
+    void readAll(request).then(
+      body => handle(request, response, body),
+      () => undefined,
+    );
   });
   server.on('connection', (socket: Socket) => {
     openSockets.add(socket);
@@ -179,6 +207,7 @@
   });
   await listen(options.port ?? 0);
   const {port} = server.address() as AddressInfo;
+  await options.link?.openTo(port);
   publish();
   return {
     id,
@@ -210,8 +239,14 @@
       deadly = {partIds: new Set(partIds), downMs};
     },
     crashFor,
-    crash: () => closeAll(socket => socket.resetAndDestroy()),
-    restart: () => listen(port),
+    crash: () => {
+      options.link?.stopListening();
+      return closeAll(socket => socket.resetAndDestroy());
+    },
+    restart: async () => {
+      await listen(port);
+      await options.link?.openTo(port);
+    },
     countAborted: () => abortedCount,
     publish,
     withdraw: () => store.put('keyed.servers', id),
@@ -248,10 +283,13 @@
   async function crashFor(downMs: number): Promise<void> {
     if (isDown) return;
     isDown = true;
+    // Without a time away, the port accepts connections all the while, as under a supervisor that holds it.
+    if (downMs > 0) options.link?.stopListening();
     await closeAll(socket => socket.destroy());
     await new Promise(resolve => setTimeout(resolve, downMs));
     born++;
     await listen(port);
+    await options.link?.openTo(port);
     publish();
     isDown = false;
   }
@@ -281,7 +319,7 @@
     lastState = state;
     const entry = {
       service: options.service,
-      address: `127.0.0.1:${port}`,
+      address: `127.0.0.1:${options.link?.port ?? port}`,
       zone: options.zone,
       version: 'v1',
       maxBatch: 8,
@@ -337,6 +375,7 @@
       path: request.url ?? '',
       headers: request.headers,
       body,
+      atMs: performance.now(),
     };
     if (fault === 'full' || (fault === 'no-kv' && hasKvSource(received))) {
       if (fault === 'no-kv') fault = 'none';
@@ -345,6 +384,7 @@
       return;
     }
     if (fault === 'refuse-late' && refuseLate(response, received.id)) return;
+    if (fault === 'answer-late') sendLateAnswer(response.socket);
     if (received.headers['anvilstack-stage'] === 'prefill') {
       prefills.push(received);
       if (fault === 'mute') return;
@@ -359,7 +399,30 @@
       if (!response.writableFinished) abortedCount++;
     });
     if (fault === 'mute') return;
-    setTimeout(() => sendAnswer(response, received), options.workMs ?? 1);
+    const workMs = Number(received.headers[WORK_HEADER] ?? options.workMs ?? 1);
+    setTimeout(() => sendAnswer(response, received), workMs);
+  }
+
+  function sendLateAnswer(socket: Socket | null): void {
+    const copy = socket === null ? undefined : lateAnswers.get(socket);
+    if (socket === null || copy === undefined) return;
+    lateAnswers.delete(socket);
+    socket.write(copy);
+  }
+
+  /** Prepares what happens after a complete answer. */
+  function prepareEnd(response: ServerResponse, copy: string): void {
+    const {socket} = response;
+    if (fault === 'answer-late' && socket !== null) {
+      lateAnswers.set(socket, copy);
+    }
+    const faultAtStart = fault;
+    response.on('finish', () => {
+      if (faultAtStart === 'answer-twice') socket?.write(copy);
+      if (faultAtStart === 'exit' || faultAtStart === 'unframed-exit') {
+        setImmediate(() => void crashFor(CRASH_DOWN_MS));
+      }
+    });
   }
 
   /** True when a connection has carried an answer before; remembers it. */
@@ -425,7 +488,8 @@
       return;
     }
     if (stage !== undefined) return sendEvents(response, received, headers);
-    const body = `${id} did ${received.method} ${received.path}`;
+    const padding = ' '.repeat(Number(received.headers[PADDING_HEADER] ?? 0));
+    const body = `${id} did ${padding}${received.method} ${received.path}`;
     const length = String(Buffer.byteLength(body));
     response.writeHead(
       200,
@@ -444,6 +508,7 @@
       return;
     }
     if (fault !== 'reset-midway') {
+      prepareEnd(response, formatAnswer(headers, body));
       response.end(body);
       return;
     }
@@ -473,6 +538,7 @@
       return;
     }
     const isDeadly = crashOnDeadlyPart(received);
+    prepareEnd(response, formatAnswer(headers, formatEvents(next, count)));
     sendNext();
 
     function sendNext(): void {
@@ -481,7 +547,7 @@
         response.end();
         return;
       }
-      response.write(`id: ${next}\ndata: piece ${next}\n\n`);
+      response.write(formatEvents(next, next));
       next++;
       if (isDeadly) return;
       if (isResumed(received) || next !== 3) {
@@ -546,6 +612,26 @@
   }
 }
 
+/** Formats a whole answer with a length. */
+function formatAnswer(
+  headers: Readonly<Record<string, string>>,
+  body: string,
+): string {
+  const lines = Object.entries({
+    ...headers,
+    'Content-Length': Buffer.byteLength(body),
+  }).map(([name, value]) => `${name}: ${value}`);
+  return `HTTP/1.1 200 OK\r\n${lines.join('\r\n')}\r\n\r\n${body}`;
+}
+
+function formatEvents(first: number, last: number): string {
+  let text = '';
+  for (let next = first; next <= last; next++) {
+    text += `id: ${next}\ndata: piece ${next}\n\n`;
+  }
+  return text;
+}
+
 function isResumed({headers}: ReceivedRequest): boolean {
   return headers['last-event-id'] !== undefined;
 }
--- /dev/null
+++ b/test/soak/hostile_soak.test.ts
@@ -0,0 +1,17 @@
+import {registerSoakTests} from './soak_test';
+
+const SHORT_SEEDS = [1];
+/** Seeds that once found a violation, with its cause. */
+const REGRESSION_SEEDS: ReadonlyArray<readonly [number, string]> = [
+  [
+    2,
+    'the listener answered 408 for part of the next head while an order ran, and half-closed callers got no answer',
+  ],
+];
+
+registerSoakTests({
+  isHostile: true,
+  seeds: [...SHORT_SEEDS, ...REGRESSION_SEEDS.map(([seed]) => seed)],
+  furtherSeeds: process.env['ANVILSTACK_SOAK_HOSTILE_SEEDS'],
+  program: 'target/hostile_soak.cjs',
+});
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -18,7 +18,36 @@
       readonly fault: ServerFault;
     }
   | {readonly kind: 'drain'; readonly server: number}
-  | {readonly kind: 'config'};
+  | {readonly kind: 'config'}
+  | HostileFault;
+
+/**
+ * A fault that is played in hostile runs only. `term-kill` and `term-pause` kill or
+ * pause a process amid a planned stop, `pause-crash` lets a server crash while a node
+ * is paused, `restart` ends a server's process again and again, whose answers may have
+ * no length, and `link` sets the mode of the proxy before a server, whose connections
+ * may be reset at the end.
+ */
+export type HostileFault =
+  | {readonly kind: 'term-kill' | 'term-pause' | 'hup'; readonly node: number}
+  | {
+      readonly kind: 'pause-crash';
+      readonly node: number;
+      readonly server: number;
+    }
+  | {
+      readonly kind: 'restart';
+      readonly server: number;
+      readonly isUnframed: boolean;
+      /** Time away, in milliseconds; 0 when the port accepts connections all the while. */
+      readonly downMs: number;
+    }
+  | {
+      readonly kind: 'link';
+      readonly server: number;
+      readonly mode: ProxyMode;
+      readonly isReset: boolean;
+    };
 
 /** A fault with its duration and its start, counted from the start of the run. */
 export interface TimedFault {
@@ -71,6 +100,31 @@
   'unframed-cut',
   'endless',
 ];
+const LINK_MODES: ProxyMode[] = [
+  'reset',
+  'hold',
+  'hold-requests',
+  'hold-answers',
+  'split',
+  'jitter',
+  'reset-some',
+];
+const HOSTILE_SERVER_FAULTS: ServerFault[] = [
+  'answer-twice',
+  'answer-late',
+  'refuse-again',
+  'refuse-late',
+  'exit',
+  'unframed',
+  'unframed-cut',
+  'unframed-exit',
+  'unframed-crash',
+];
+/** Bounds on the mean time between the starts of hostile faults, in milliseconds. */
+const MIN_HOSTILE_INTERVAL_MS = 400;
+const MAX_HOSTILE_INTERVAL_MS = 2_400;
+/** Longest time that a server is away in a series of restarts, in milliseconds. */
+const MAX_RESTART_MS = 600;
 const MIN_FAULT_MS = 200;
 const MAX_FAULT_MS = 2_500;
 const MIN_LIMIT_MS = 2_000;
@@ -121,6 +175,25 @@
   }));
 }
 
+/** Draws the faults of links, signals and restarts of a hostile run, which overlap with the other faults. */
+export function buildHostileFaults(options: {
+  readonly draw: Draw;
+  readonly runDurationMs: number;
+  readonly nodes: number;
+  readonly servers: number;
+}): TimedFault[] {
+  const {draw, runDurationMs} = options;
+  const intervalMs =
+    MIN_HOSTILE_INTERVAL_MS +
+    draw(MAX_HOSTILE_INTERVAL_MS - MIN_HOSTILE_INTERVAL_MS);
+  const count = Math.ceil(runDurationMs / intervalMs);
+  return Array.from({length: count}, () => ({
+    atMs: draw(runDurationMs),
+    durationMs: MIN_FAULT_MS + draw(MAX_FAULT_MS - MIN_FAULT_MS),
+    fault: createHostileFault(options),
+  })).sort((left, right) => left.atMs - right.atMs);
+}
+
 /** Draws a limit for some of the servers; they hold beside the faults of the schedule. */
 export function buildLimits(options: {
   readonly draw: Draw;
@@ -183,3 +256,48 @@
       };
   }
 }
+
+function createHostileFault(options: {
+  readonly draw: Draw;
+  readonly nodes: number;
+  readonly servers: number;
+}): Fault {
+  const {draw} = options;
+  const node = draw(options.nodes);
+  const server = draw(options.servers);
+  const kind = draw(16);
+  switch (kind) {
+    case 0:
+      return {kind: 'term-kill', node};
+    case 1:
+      return {kind: 'term-pause', node};
+    case 2:
+      return {kind: 'hup', node};
+    case 3:
+    case 4:
+      return {kind: 'pause-crash', node, server};
+    case 5:
+    case 6:
+      return {
+        kind: 'restart',
+        server,
+        isUnframed: draw(2) === 0,
+        downMs: draw(2) * (1 + draw(MAX_RESTART_MS)),
+      };
+    case 7:
+    case 8:
+    case 9:
+      return {
+        kind: 'server',
+        server,
+        fault: HOSTILE_SERVER_FAULTS[draw(HOSTILE_SERVER_FAULTS.length)],
+      };
+    default:
+      return {
+        kind: 'link',
+        server,
+        mode: LINK_MODES[draw(LINK_MODES.length)],
+        isReset: draw(2) === 0,
+      };
+  }
+}
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -3,14 +3,23 @@
 import {
   type ServerStandin,
   startServerStandin,
+  WORK_HEADER,
 } from '../platform/server_standin';
 import {startStoreStandin, type StoreStandin} from '../platform/store_standin';
 import {buildConfig, sendAsCaller, waitUntil} from '../platform/system';
+import {
+  DEADLY_PART,
+  runDeadlyPart,
+  runFault,
+  runLimit,
+  type SoakRun,
+} from './fault_player';
 import {
   type NodeProcess,
   type NodeProcesses,
   startNodeProcesses,
 } from './gateway_processes';
+import {runOddCaller} from './odd_callers';
 import {
   listDeadlyPartFaults,
   listExceededLimits,
@@ -19,6 +28,7 @@
 } from './violations';
 import {
   buildAnswerFaults,
+  buildHostileFaults,
   buildDeadlyPart,
   buildLimits,
   buildSchedule,
@@ -33,6 +43,9 @@
 /** Result of a run. */
 export interface SoakResult {
   readonly seed: number;
+  readonly isHostile: boolean;
+  /** Wall-clock time from which the times of violations count. */
+  readonly startedAt: string;
   readonly violations: readonly string[];
   readonly requests: number;
   readonly answered: number;
@@ -49,37 +62,52 @@
   readonly durationMs?: number;
   readonly nodes?: number;
   readonly callers?: number;
+  /** Callers that keep to HTTP in part only; used in hostile runs. */
+  readonly oddCallers?: number;
+  /** Adds faults of the network between nodes and servers, of signals and restarts, and odd callers. */
+  readonly isHostile?: boolean;
+  /** Path of the built gateway. */
+  readonly program?: string;
 }
 
 const DEFAULT_DURATION_MS = 6_000;
+const SERVER_COUNT = 8;
 const ROUTE_NAMES = ['look', 'order', 'ask', 'resume'] as const;
-/** Documented bound after which a draining server gets no more requests, and slack for late timers on a busy machine, in milliseconds. */
-const DRAIN_BOUND_MS = 2_000;
-const DRAIN_SLACK_MS = 500;
 /** Documented bound within which all nodes serve again after the last fault, in milliseconds. */
 const RECOVERY_BOUND_MS = 12_000;
-/** Time from a server's announcement that it drains until it is ready again, in milliseconds. */
-const DRAIN_FAULT_MS = 4_500;
-/** Faults that stop a node or cut it off from the store, and how long after their end it may still be out of date, in milliseconds. */
-const ISOLATING_FAULTS = new Set([
-  'store',
-  'proxy',
+/** Faults that excuse a node from the limits of servers. */
+const STOPPING_FAULTS = new Set([
   'pause',
   'kill',
-  'kill-all',
   'term',
+  'term-kill',
+  'term-pause',
+  'pause-crash',
 ]);
-const ISOLATION_RECOVERY_MS = 3_000;
-/** Faults that excuse a node from the limits of servers. */
-const STOPPING_FAULTS = new Set(['pause', 'kill', 'term']);
 const LIMIT_SEED_OFFSET = 1_000_000;
 const DEADLY_SEED_OFFSET = 2_000_000;
 const ANSWER_SEED_OFFSET = 3_000_000;
-/** Time between the signals of a planned stop, which is announced twice, in milliseconds. */
-const SECOND_SIGNAL_MS = 400;
+const HOSTILE_SEED_OFFSET = 4_000_000;
+/** The odd callers and the links take the seeds from here on. */
+const CALLER_SEED_OFFSET = 5_000_000;
+const LINK_SEED_OFFSET = 6_000_000;
+const SEED_STRIDE = 1_000;
+/** Limits of hostile runs: a head that does not arrive is given up while slow requests still run. */
+const HOSTILE_CONFIG = {
+  limits: {
+    maxHeaderBytes: 8_192,
+    maxBodyBytes: 100_000,
+    headerTimeoutMs: 400,
+    idleTimeoutMs: 5_000,
+  },
+};
+/** Time after a hostile run in which a request that was refused may still run, in milliseconds. */
+const SETTLE_MS = 2_000;
+/** One of so many requests of a hostile run takes up to this time, in milliseconds. */
+const SLOW_ONE_IN = 4;
+const MAX_WORK_MS = 1_200;
 /** Time between the events of one decode engine, in milliseconds: its streams are still open when a stop begins. */
 const SLOW_EVENT_MS = 700;
-const DEADLY_PART = 'd0';
 /** One of so many model requests has the deadly part. */
 const DEADLY_ONE_IN = 40;
 
@@ -87,22 +115,31 @@
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const durationMs = options.durationMs ?? DEFAULT_DURATION_MS;
   const nodeCount = options.nodes ?? 4;
-  const draw = createDraw(options.seed);
+  const {seed, isHostile = false} = options;
+  const draw = createDraw(seed);
   const store = await startStoreStandin();
-  store.put('keyed.op', 'config', buildConfig(1));
-  const proxy = await startTcpProxy(store.port);
-  const servers = await startServers(store);
-  const processes = await startNodeProcesses(nodeCount, proxy.port);
+  const configChanges = isHostile ? HOSTILE_CONFIG : {};
+  store.put('keyed.op', 'config', buildConfig(1, configChanges));
+  const proxy = await startTcpProxy({targetPort: store.port});
+  const links = isHostile ? await startLinks(seed) : [];
+  const servers = await startServers(store, links);
+  const processes = await startNodeProcesses(
+    nodeCount,
+    proxy.port,
+    options.program,
+  );
   const requests: SoakRequest[] = [];
   const violations: string[] = [];
   const run: SoakRun = {
     store,
     proxy,
+    links,
     servers,
     processes,
     violations,
     drains: new Map(),
     version: 1,
+    configChanges,
     schedule: [],
     startedAt: 0,
   };
@@ -122,6 +159,12 @@
       draw: createDraw(options.seed + ANSWER_SEED_OFFSET),
       ...scheduleOptions,
     }),
+    ...(isHostile
+      ? buildHostileFaults({
+          draw: createDraw(seed + HOSTILE_SEED_OFFSET),
+          ...scheduleOptions,
+        })
+      : []),
   ];
   // Drawn apart, so that a seed keeps its faults.
   const limits = buildLimits({
@@ -135,10 +178,30 @@
     runDurationMs: durationMs,
   });
   let isOver = false;
+  const workDraw = createDraw(seed + CALLER_SEED_OFFSET);
+  const startedAtDate = new Date().toISOString();
+  const startedAt = performance.now();
   const callers = Array.from({length: options.callers ?? 12}, (_, index) =>
-    runCaller(index, processes.nodes, requests, draw, () => isOver, deadlyDraw),
+    runCaller({
+      index,
+      nodes: processes.nodes,
+      requests,
+      draw,
+      isOver: () => isOver,
+      deadlyDraw,
+      chooseHeaders: () => (isHostile ? chooseWork(workDraw) : {}),
+    }),
+  );
+  const oddCount = isHostile ? (options.oddCallers ?? 10) : 0;
+  const oddCallers = Array.from({length: oddCount}, (_, index) =>
+    runOddCaller({
+      index,
+      nodes: processes.nodes,
+      requests,
+      draw: createDraw(seed * SEED_STRIDE + CALLER_SEED_OFFSET + index),
+      isOver: () => isOver,
+    }),
   );
-  const startedAt = performance.now();
   Object.assign(run, {schedule, startedAt});
   await Promise.all([
     runDeadlyPart(deadlyPart, servers, startedAt),
@@ -152,13 +215,20 @@
     RECOVERY_BOUND_MS,
   ).catch((error: Error) => violations.push(error.message));
   isOver = true;
-  await Promise.all(callers);
+  await Promise.all([...callers, ...oddCallers]);
+  if (isHostile) await sleep(SETTLE_MS);
+  const disturbedNodes = listDisturbedNodes(schedule, processes.nodes);
   violations.push(
-    ...listViolations(requests, servers),
-    ...listExceededLimits(
+    ...listViolations({
       requests,
       servers,
-      listDisturbedNodes(schedule, processes.nodes),
+      startedAtMs: startedAt,
+      disturbedNodes,
+    }),
+    ...listExceededLimits(
+      requests,
+      listUnheldServers(schedule, servers),
+      disturbedNodes,
     ),
   );
   const lines = processes.nodes.flatMap(node => node.listLines());
@@ -167,7 +237,7 @@
       requests,
       servers,
       partId: DEADLY_PART,
-      disturbedNodes: listDisturbedNodes(schedule, processes.nodes),
+      disturbedNodes,
       lines,
     }),
   );
@@ -178,10 +248,13 @@
   }
   await processes.close();
   for (const server of servers) server.close();
+  for (const link of links) link.close();
   proxy.close();
   store.close();
   return {
-    seed: options.seed,
+    seed,
+    isHostile,
+    startedAt: startedAtDate,
     violations,
     requests: requests.length,
     answered: requests.filter(item => item.answer?.status === 200).length,
@@ -192,7 +265,20 @@
   };
 }
 
-async function startServers(store: StoreStandin): Promise<ServerStandin[]> {
+/** Starts the proxies before the servers. */
+async function startLinks(seed: number): Promise<TcpProxy[]> {
+  const firstSeed = seed * SEED_STRIDE + LINK_SEED_OFFSET;
+  return Promise.all(
+    Array.from({length: SERVER_COUNT}, (_, index) =>
+      startTcpProxy({draw: createDraw(firstSeed + index)}),
+    ),
+  );
+}
+
+async function startServers(
+  store: StoreStandin,
+  links: readonly TcpProxy[],
+): Promise<ServerStandin[]> {
   const serverOptions = [
     ...['app-1', 'app-2', 'app-3'].map(id => ({id, service: 'app'})),
     ...['r-1', 'r-2'].map(id => ({
@@ -208,99 +294,18 @@
     })),
   ];
   return Promise.all(
-    serverOptions.map(item =>
-      startServerStandin({...item, zone: 'a', store, workMs: 5}),
+    serverOptions.map((item, index) =>
+      startServerStandin({
+        ...item,
+        zone: 'a',
+        store,
+        workMs: 5,
+        ...(index in links ? {link: links[index]} : {}),
+      }),
     ),
   );
 }
 
-interface SoakRun {
-  readonly store: StoreStandin;
-  readonly proxy: TcpProxy;
-  readonly servers: readonly ServerStandin[];
-  readonly processes: NodeProcesses;
-  readonly violations: string[];
-  /** Number of drains in progress, by server. */
-  readonly drains: Map<ServerStandin, number>;
-  version: number;
-  schedule: readonly TimedFault[];
-  startedAt: number;
-}
-
-async function runFault(
-  timed: TimedFault,
-  startedAt: number,
-  run: SoakRun,
-): Promise<void> {
-  await sleep(Math.max(0, startedAt + timed.atMs - performance.now()));
-  const {fault, durationMs} = timed;
-  const {store, proxy, servers, processes} = run;
-  switch (fault.kind) {
-    case 'kill':
-    case 'term':
-      return replaceNode(processes.nodes[fault.node], fault.kind);
-    case 'kill-all':
-      await Promise.all(processes.nodes.map(node => replaceNode(node, 'kill')));
-      return;
-    case 'pause':
-      processes.nodes[fault.node].signal('SIGSTOP');
-      await sleep(durationMs);
-      processes.nodes[fault.node].signal('SIGCONT');
-      return;
-    case 'store':
-      store.setFault(fault.fault);
-      await sleep(durationMs);
-      store.setFault('none');
-      return;
-    case 'compact':
-      store.compact('keyed.servers');
-      store.compact('keyed.op');
-      return;
-    case 'proxy':
-      proxy.setMode(fault.mode);
-      await sleep(durationMs);
-      proxy.setMode('pass');
-      return;
-    case 'server':
-      servers[fault.server].setFault(fault.fault);
-      await sleep(durationMs);
-      servers[fault.server].setFault('none');
-      return;
-    case 'drain':
-      return drainServer(servers[fault.server], run);
-    case 'config':
-      run.version++;
-      store.put('keyed.op', 'config', buildConfig(run.version));
-      return;
-  }
-}
-
-async function runLimit(
-  {atMs, durationMs, limitsPerS}: TimedLimit,
-  server: ServerStandin,
-  startedAt: number,
-): Promise<void> {
-  await sleep(Math.max(0, startedAt + atMs - performance.now()));
-  for (const limitPerS of limitsPerS) {
-    server.setLimit(limitPerS);
-    await sleep(durationMs / 2);
-  }
-  server.setLimit(undefined);
-}
-
-async function runDeadlyPart(
-  timed: TimedDeadlyPart | undefined,
-  servers: readonly ServerStandin[],
-  startedAt: number,
-): Promise<void> {
-  if (timed === undefined) return;
-  const {atMs, durationMs, downMs} = timed;
-  await sleep(Math.max(0, startedAt + atMs - performance.now()));
-  for (const server of servers) server.setDeadlyParts([DEADLY_PART], downMs);
-  await sleep(durationMs);
-  for (const server of servers) server.setDeadlyParts([], downMs);
-}
-
 function listDisturbedNodes(
   schedule: readonly TimedFault[],
   nodes: readonly NodeProcess[],
@@ -317,90 +322,47 @@
   return new Set(disturbed.map(node => node.name));
 }
 
-/**
- * Ends a node's process and starts it again, unless that has happened
- * meanwhile. Callers keep using open connections until the process has exited.
- */
-async function replaceNode(
-  node: NodeProcess,
-  kind: 'kill' | 'term',
-): Promise<void> {
-  const incarnation = node.getIncarnation();
-  node.signal('SIGCONT');
-  node.signal(kind === 'kill' ? 'SIGKILL' : 'SIGTERM');
-  // Another fault may restart the node meanwhile.
-  const hasEnded = node.waitForExit();
-  if (kind === 'term') {
-    await sleep(SECOND_SIGNAL_MS);
-    if (node.getIncarnation() === incarnation) node.signal('SIGTERM');
-  }
-  await hasEnded;
-  await sleep(100);
-  if (node.getIncarnation() === incarnation) node.start();
-}
-
-/** Drains a server and checks that no request reaches it after the drain bound. */
-async function drainServer(server: ServerStandin, run: SoakRun): Promise<void> {
-  const {drains} = run;
-  drains.set(server, (drains.get(server) ?? 0) + 1);
-  server.publish('draining');
-  await sleep(DRAIN_BOUND_MS + DRAIN_SLACK_MS);
-  const before = server.runs.length;
-  await sleep(DRAIN_FAULT_MS - DRAIN_BOUND_MS - DRAIN_SLACK_MS);
-  const lateIds = server.runs.slice(before).map(run => run.id);
-  const nowMs = performance.now() - run.startedAt;
-  if (
-    lateIds.length > 0 &&
-    !isIsolationPossible(run, nowMs - DRAIN_FAULT_MS, nowMs)
-  ) {
-    run.violations.push(
-      `${server.id} got ${lateIds.join()} after the drain bound`,
-    );
-  }
-  const othersCount = (drains.get(server) ?? 1) - 1;
-  drains.set(server, othersCount);
-  if (othersCount === 0) server.publish('ready');
+/** Lists the servers whose requests no proxy held back, so that they arrived when they were sent. */
+function listUnheldServers(
+  schedule: readonly TimedFault[],
+  servers: readonly ServerStandin[],
+): ServerStandin[] {
+  return servers.filter(
+    (_, index) =>
+      !schedule.some(
+        ({fault}) => fault.kind === 'link' && fault.server === index,
+      ),
+  );
 }
 
-/**
- * Returns whether a fault may have isolated nodes in the interval. The drain
- * bound holds only for nodes that have run and reached the store for some
- * seconds.
- */
-function isIsolationPossible(
-  run: SoakRun,
-  fromMs: number,
-  toMs: number,
-): boolean {
-  return run.schedule.some(
-    ({atMs, durationMs, fault}) =>
-      ISOLATING_FAULTS.has(fault.kind) &&
-      atMs < toMs &&
-      atMs + durationMs + ISOLATION_RECOVERY_MS > fromMs,
-  );
+interface CallerRunOptions {
+  readonly index: number;
+  readonly nodes: readonly NodeProcess[];
+  readonly requests: SoakRequest[];
+  readonly draw: Draw;
+  readonly deadlyDraw: Draw;
+  readonly isOver: () => boolean;
+  /** Chooses further headers of a request. */
+  readonly chooseHeaders: () => Readonly<Record<string, string>>;
 }
 
-async function runCaller(
-  index: number,
-  nodes: readonly NodeProcess[],
-  requests: SoakRequest[],
-  draw: Draw,
-  isOver: () => boolean,
-  deadlyDraw: Draw,
-): Promise<void> {
+async function runCaller(options: CallerRunOptions): Promise<void> {
+  const {index, nodes, requests, draw, deadlyDraw, isOver} = options;
   const agent = new Agent({keepAlive: true, maxSockets: 1});
   for (let count = 0; !isOver(); count++) {
     const kind = ROUTE_NAMES[draw(ROUTE_NAMES.length)];
     const node = nodes[draw(nodes.length)];
     const id = `c${index}-${count}`;
     const isModel = kind === 'ask' || kind === 'resume';
-    const request = {id, kind, node: node.name};
+    const sentAtMs = performance.now();
+    const request = {id, kind, node: node.name, sentAtMs, body: 'a prompt'};
     const place = requests.push(request) - 1;
     const answer = await sendAsCaller(node.callersPort, {
       path: `/${kind}/${id}`,
       id,
       agent,
       abortAfterMs: 4_000,
+      headers: options.chooseHeaders(),
       ...(isModel
         ? {tokens: '1000,9', parts: choosePrompt(id, draw, deadlyDraw)}
         : {}),
@@ -411,6 +373,11 @@
   agent.destroy();
 }
 
+function chooseWork(draw: Draw): Record<string, string> {
+  const workMs = draw(MAX_WORK_MS);
+  return draw(SLOW_ONE_IN) === 0 ? {[WORK_HEADER]: String(workMs)} : {};
+}
+
 function choosePrompt(id: string, draw: Draw, deadlyDraw: Draw): string {
   const isDeadly = deadlyDraw(DEADLY_ONE_IN) === 0;
   const deadly = isDeadly ? `${DEADLY_PART}:100,` : '';
