--- a/test/soak/odd_callers.ts
+++ b/test/soak/odd_callers.ts
@@ -100,6 +100,7 @@
       case 'half-close':
         write(prepareMessage());
         connection.socket.end();
+        recordLeft();
         return connection.waitForAnswers(1, WAIT_MS);
       case 'break-off':
         return writeInPart();
@@ -158,6 +159,11 @@
     requests.push({...request, isWhole, sentAtMs: performance.now()});
   }
 
+  function recordLeft(): void {
+    const place = places[0];
+    requests[place] = {...requests[place], leftAtMs: performance.now()};
+  }
+
   function write(message: Message): void {
     recordSent(message);
     connection.socket.write(message.text);
@@ -197,6 +203,7 @@
     recordSent(message, end === text.length);
     connection.socket.write(text.slice(0, end));
     await sleep(draw(MAX_BREAK_OFF_MS));
+    recordLeft();
   }
 }
 
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -23,6 +23,7 @@
 import {
   listDeadlyPartFaults,
   listExceededLimits,
+  listRunsForNobody,
   listViolations,
   type SoakRequest,
 } from './violations';
@@ -225,6 +226,12 @@
       startedAtMs: startedAt,
       disturbedNodes,
     }),
+    ...listRunsForNobody({
+      requests,
+      servers: listUnheldServers(schedule, servers),
+      startedAtMs: startedAt,
+      disturbedNodes,
+    }),
     ...listExceededLimits(
       requests,
       listUnheldServers(schedule, servers),
