--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -119,6 +119,7 @@
   'unframed-cut',
   'unframed-exit',
   'unframed-crash',
+  'unframed-restart',
 ];
 /** Bounds on the mean time between the starts of hostile faults, in milliseconds. */
 const MIN_HOSTILE_INTERVAL_MS = 400;
