Logs name the whole prompt under each crash, and how many engines it crashed before

A caller whose prompt crashes an engine sends it again with a new request id, and it reaches another node. No line named what the requests had in common: 'sent to decode engine' lists parts, but of the crash reports only the shared parts were counted, and the last part, which tells one prompt from another, appeared nowhere beside a crash.

A prompt now has an id (a hash of its parts in order). The crash reports carry it, the evidence counts crashes under it, and 'decode engine failed' has promptId and earlierCrashes. Nothing is decided by it yet.

--- a/src/gateway/crash_evidence.ts
+++ b/src/gateway/crash_evidence.ts
@@ -11,6 +11,8 @@
   readonly requestId: string;
   /** Ids of the parts that other requests may share, in prompt order. */
   readonly parts: readonly string[];
+  /** Id of the whole prompt; absent when it has no parts. */
+  readonly promptId?: string;
   /** True when the head of its answer had arrived. */
   readonly hasBegun: boolean;
 }
@@ -50,8 +52,8 @@
   recordSound(partId: string): void;
   /** True when a recent crash involved the part and no completed answer has cleared it since. */
   isDoubted(partId: string): boolean;
-  /** Number of crashes under requests with the part since it was last cleared. */
-  countCrashes(partId: string): number;
+  /** Number of crashes under requests with the part or prompt since it was last cleared. */
+  countCrashes(suspectId: string): number;
   /** True when the server has crashed at or after this time on the monotonic clock, in milliseconds. */
   hasCrashed(serverId: string, startedAtMs: number, sinceMs: number): boolean;
 }
@@ -115,7 +117,7 @@
       doubts.delete(partId);
     },
     isDoubted: partId => doubts.has(partId),
-    countCrashes: partId => doubts.get(partId)?.requests.size ?? 0,
+    countCrashes: suspectId => doubts.get(suspectId)?.requests.size ?? 0,
     hasCrashed: (serverId, startedAtMs, sinceMs) => {
       const key = formatProcessKey(serverId, startedAtMs);
       return crashes.some(
@@ -142,7 +144,7 @@
     // Answers that had begun come first, as those are the likelier causes.
     for (const stream of [...streams].sort(compareBegun)) {
       partsByRequest.set(stream.requestId, stream.parts);
-      for (const partId of stream.parts) addHit(partId, crash, stream);
+      for (const id of listIds(stream)) addHit(id, crash, stream);
     }
     const blames: Blame[] = [];
     for (const {parts} of streams) {
@@ -283,6 +285,10 @@
   }
 }
 
+function listIds({parts, promptId}: BrokenStream): readonly string[] {
+  return promptId === undefined ? parts : [...parts, promptId];
+}
+
 function compareBegun(left: BrokenStream, right: BrokenStream): number {
   return Number(right.hasBegun) - Number(left.hasBegun);
 }
--- a/src/gateway/crash_guard.ts
+++ b/src/gateway/crash_guard.ts
@@ -16,6 +16,7 @@
   SoundMessage,
 } from './peer_messages';
 import {listSharedParts} from './placement';
+import {listSuspectIds, tryCreatePromptId} from './prompt_identity';
 import {createQuarantineSync, type QuarantineSync} from './quarantine_sync';
 import type {BackendEntry, FleetStore, ModelRequest} from './types';
 
@@ -26,6 +27,13 @@
   readonly retryAfterMs: number;
 }
 
+/** What is known of a whole prompt. */
+export interface PromptHistory {
+  /** Undefined for a prompt without parts. */
+  readonly promptId: string | undefined;
+  readonly crashCount: number;
+}
+
 /** Decides which prompts are kept away from engines. */
 export interface CrashGuard extends Pick<
   QuarantineSync,
@@ -38,6 +46,8 @@
   ): PromptBlock | undefined;
   /** True when another crash under this prompt would be no surprise. */
   isDoubted(model: ModelRequest): boolean;
+  /** Returns the id of the prompt, and how many engines are known to have crashed under it since it was last answered. */
+  getPromptHistory(model: ModelRequest): PromptHistory;
   /** Counts a stream that is sent to an engine. */
   recordSent(): void;
   /** Records a stream that broke off with its connection; `ageMs` is the time since its answer began, in milliseconds, or undefined before that. */
@@ -129,12 +139,20 @@
           quarantine.isActive(partId) ||
           evidence.countCrashes(partId) >= DOUBT_CRASHES,
       ),
+    getPromptHistory: model => {
+      const promptId = tryCreatePromptId(model);
+      const crashCount =
+        promptId === undefined ? 0 : evidence.countCrashes(promptId);
+      return {promptId, crashCount};
+    },
     recordSent: reports.recordSent,
     recordBroken: (server, requestId, model, ageMs) => {
       if ((ageMs ?? 0) >= YOUNG_MS) return;
+      const promptId = tryCreatePromptId(model);
       reports.recordBroken(server, {
         requestId,
         parts: listPartIds(model),
+        ...(promptId === undefined ? {} : {promptId}),
         hasBegun: ageMs !== undefined,
       });
     },
@@ -175,7 +193,7 @@
     model: ModelRequest,
     isFramed: boolean,
   ): void {
-    const questioned = listPartIds(model).filter(isQuestioned);
+    const questioned = listSuspectIds(model).filter(isQuestioned);
     if (questioned.length === 0) return;
     if (isFramed) {
       recordSound(questioned);
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -399,6 +399,7 @@
       context.crashGuard.recordBroken(server, requestId, model, ageMs);
     }
     const isAgain = canRetryDecode(failure);
+    const {promptId, crashCount} = context.crashGuard.getPromptHistory(model);
     task.log('decode engine failed', {
       serverId: server.id,
       reason: failure.reason,
@@ -408,6 +409,8 @@
       ...(headAtMs === undefined
         ? {}
         : {sinceHeadMs: Math.round(lastFailureAtMs - headAtMs)}),
+      promptId,
+      earlierCrashes: crashCount,
       isAgain,
     });
     if (!isAgain) {
--- a/test/gateway/crash_guard.test.ts
+++ b/test/gateway/crash_guard.test.ts
@@ -268,3 +268,24 @@
   }
   assert.equal(fleet.count(), 0);
 });
+
+test('a node knows how many engines a prompt has crashed at all nodes, and that one with the same shared parts has crashed none', async () => {
+  const fleet = startFleet({nodes: 4});
+  const histories = () =>
+    fleet.guards.map(guard => guard.getPromptHistory(createModel('part')));
+  await fleet.crashUnder(0, 0, 'part');
+  await fleet.crashUnder(1, 1, 'part');
+  assert.deepEqual(
+    histories().map(history => history.crashCount),
+    [2, 2, 2, 2],
+  );
+  assert.equal(new Set(histories().map(({promptId}) => promptId)).size, 1);
+  const other = {...createModel('part'), parts: [{id: 'part', tokens: 100}]};
+  assert.equal(fleet.guards[0].getPromptHistory(other).crashCount, 0);
+  fleet.guards[3].recordCompleted(createEntry(), createModel('part'), true);
+  await fleet.clock.advance(SECOND_MS);
+  assert.deepEqual(
+    histories().map(history => history.crashCount),
+    [0, 0, 0, 0],
+  );
+});
