--- a/src/gateway/crash_evidence.ts
+++ b/src/gateway/crash_evidence.ts
@@ -1,7 +1,7 @@
 /**
- * Finds the parts of prompts that crash engines. A part is blamed when each of
- * its recent requests ended in a crash and that many crashes are unlikely to
- * have hit these requests by chance.
+ * Finds the parts of prompts, and the whole prompts, that crash engines. A part
+ * or prompt is blamed when each of its recent requests ended in a crash and that
+ * many crashes are unlikely to have hit these requests by chance.
  */
 import {trimOldest} from '../runtime/trim_oldest';
 import {formatProcessKey} from './process_key';
@@ -31,10 +31,10 @@
   readonly begunCount: number;
 }
 
-/** A part that crashes engines, and what the decision is based on. */
+/** A part or prompt that crashes engines, and what the decision is based on. */
 export interface Blame {
   readonly partId: string;
-  /** Number of crashes under requests with the part. */
+  /** Number of crashes under requests with the part or prompt. */
   readonly crashCount: number;
   /** Number of all crashes since the first of them. */
   readonly allCrashCount: number;
@@ -46,12 +46,12 @@
 
 /** Evidence from crashes and completed streams. */
 export interface CrashEvidence {
-  /** Records a report that arrived at `nowMs` on the monotonic clock; returns the parts that are to blame. */
+  /** Records a report that arrived at `nowMs` on the monotonic clock; returns the parts and prompts that are to blame. */
   recordCrash(report: CrashReport, nowMs: number): Blame[];
-  /** Records that an engine has completed an answer to a prompt with this part. */
-  recordSound(partId: string): void;
-  /** True when a recent crash involved the part and no completed answer has cleared it since. */
-  isDoubted(partId: string): boolean;
+  /** Records that an engine has completed an answer to this prompt, or to one with this part. */
+  recordSound(suspectId: string): void;
+  /** True when a recent crash involved the part or prompt and no completed answer has cleared it since. */
+  isDoubted(suspectId: string): boolean;
   /** Number of crashes under requests with the part or prompt since it was last cleared. */
   countCrashes(suspectId: string): number;
   /** True when the server has crashed at or after this time on the monotonic clock, in milliseconds. */
@@ -60,21 +60,21 @@
 
 /** Options of the evidence. */
 export interface CrashEvidenceOptions {
-  /** True when the part is known to crash engines, which explains the crashes under its requests. */
-  readonly isKnown: (partId: string) => boolean;
+  /** True when the part or prompt is known to crash engines, which explains the crashes under its requests. */
+  readonly isKnown: (suspectId: string) => boolean;
 }
 
 interface Crash {
   readonly atMs: number;
   readonly serverKeys: Set<string>;
-  /** True when a part that is known to crash engines was among its requests. */
+  /** True when a part or prompt that is known to crash engines was among its requests. */
   isExplained: boolean;
 }
 
 interface Doubt {
   readonly firstCrashMs: number;
-  /** Request that was hit, by the crash that hit it. */
-  readonly requests: Map<Crash, string>;
+  /** Stream that was hit, by the crash that hit it. */
+  readonly hits: Map<Crash, BrokenStream>;
   /** True while the answers to all these requests had begun. */
   hasBegun: boolean;
 }
@@ -87,19 +87,23 @@
 const EXPIRY_MS = 300_000;
 /** Fewest crashes with which a part is blamed. */
 const MIN_CRASHES = 3;
-/** Fewest requests among these crashes: a request that is sent again may crash several engines by itself. */
-const MIN_REQUESTS = 3;
+/** Fewest prompts among these crashes: a prompt that is sent again may crash several engines by itself. */
+const MIN_PROMPTS = 3;
+/** Fewest crashes with which a whole prompt is blamed. */
+const MIN_PROMPT_CRASHES = 2;
 /** Crashes under a part from which it explains them better than the parts before it. */
 const MIN_REPEATED = 2;
 /** Highest probability of chance with which a part is blamed. */
 const MAX_PROBABILITY = 2e-4;
+/** The same for a whole prompt: it is refused only to callers whose request has broken off as often before. */
+const MAX_PROMPT_PROBABILITY = 0.1;
 /** Lower bound on the hazard: the counts of a few nodes are too small to show less. */
 const MIN_HAZARD = 0.02;
 /** Streams that are assumed to have been served before any were counted. */
 const PRIOR_STREAMS = 20;
 /** Age from which a node's counts are ignored, in milliseconds. */
 const COUNT_EXPIRY_MS = 20_000;
-const MAX_DOUBTS = 2_000;
+const MAX_DOUBTS = 5_000;
 const MAX_CRASHES = 500;
 
 /** Creates evidence without any crashes. */
@@ -108,16 +112,14 @@
 ): CrashEvidence {
   let crashes: Crash[] = [];
   const doubts = new Map<string, Doubt>();
-  /** Shared parts of the requests that were hit, by request id. */
-  const partsByRequest = new Map<string, readonly string[]>();
   const counts = new Map<string, {report: CrashReport; atMs: number}>();
   return {
     recordCrash,
-    recordSound: partId => {
-      doubts.delete(partId);
+    recordSound: suspectId => {
+      doubts.delete(suspectId);
     },
-    isDoubted: partId => doubts.has(partId),
-    countCrashes: suspectId => doubts.get(suspectId)?.requests.size ?? 0,
+    isDoubted: suspectId => doubts.has(suspectId),
+    countCrashes: suspectId => doubts.get(suspectId)?.hits.size ?? 0,
     hasCrashed: (serverId, startedAtMs, sinceMs) => {
       const key = formatProcessKey(serverId, startedAtMs);
       return crashes.some(
@@ -130,11 +132,18 @@
     expire(nowMs);
     counts.set(report.from, {report, atMs: nowMs});
     const crash = findCrash(report, nowMs);
-    const isExplained = report.streams.some(({parts}) =>
-      parts.some(options.isKnown),
+    const isExplained = report.streams.some(stream =>
+      listIds(stream).some(options.isKnown),
     );
-    if (isExplained) setExplained(crash);
-    return crash.isExplained ? [] : recordStreams(crash, report.streams);
+    if (isExplained && !crash.isExplained) setExplained(crash);
+    if (!crash.isExplained) return recordStreams(crash, report.streams);
+    for (const stream of report.streams) {
+      const {promptId} = stream;
+      if (promptId !== undefined && options.isKnown(promptId)) {
+        addHit(promptId, crash, stream);
+      }
+    }
+    return [];
   }
 
   function recordStreams(
@@ -143,16 +152,18 @@
   ): Blame[] {
     // Answers that had begun come first, as those are the likelier causes.
     for (const stream of [...streams].sort(compareBegun)) {
-      partsByRequest.set(stream.requestId, stream.parts);
       for (const id of listIds(stream)) addHit(id, crash, stream);
     }
     const blames: Blame[] = [];
-    for (const {parts} of streams) {
-      const blame = tryFindBlame(parts);
-      if (blame === undefined) continue;
-      const hits = doubts.get(blame.partId)?.requests.keys() ?? [];
+    for (const {parts, promptId} of streams) {
+      const promptBlame = tryBlamePrompt(promptId);
+      const partBlame = tryBlamePart(parts);
+      // Two crashes under a prompt may yet be due to one of its parts.
+      if (promptBlame !== undefined) blames.push(promptBlame);
+      if (partBlame === undefined) continue;
+      const hits = doubts.get(partBlame.partId)?.hits.keys() ?? [];
       for (const hit of [...hits]) setExplained(hit);
-      blames.push(blame);
+      blames.push(partBlame);
     }
     return blames;
   }
@@ -160,9 +171,9 @@
   /** A crash that one part explains says nothing about the other parts of its requests. */
   function setExplained(crash: Crash): void {
     crash.isExplained = true;
-    for (const [partId, {requests}] of doubts) {
-      requests.delete(crash);
-      if (requests.size === 0) doubts.delete(partId);
+    for (const [suspectId, {hits}] of doubts) {
+      hits.delete(crash);
+      if (hits.size === 0) doubts.delete(suspectId);
     }
   }
 
@@ -184,29 +195,25 @@
     return crash;
   }
 
-  /** Counts at most one request for each crash. */
-  function addHit(
-    partId: string,
-    crash: Crash,
-    {requestId, hasBegun}: BrokenStream,
-  ): void {
-    const doubt = doubts.get(partId) ?? {
+  /** Counts at most one stream for each crash. */
+  function addHit(suspectId: string, crash: Crash, stream: BrokenStream): void {
+    const doubt = doubts.get(suspectId) ?? {
       firstCrashMs: crash.atMs,
-      requests: new Map<Crash, string>(),
+      hits: new Map<Crash, BrokenStream>(),
       hasBegun: true,
     };
     // Deleting first keeps the doubts in the order of their latest crashes.
-    doubts.delete(partId);
-    doubts.set(partId, doubt);
-    if (doubt.requests.has(crash)) return;
-    doubt.requests.set(crash, requestId);
-    doubt.hasBegun &&= hasBegun;
+    doubts.delete(suspectId);
+    doubts.set(suspectId, doubt);
+    if (doubt.hits.has(crash)) return;
+    doubt.hits.set(crash, stream);
+    doubt.hasBegun &&= stream.hasBegun;
   }
 
   /** Of several parts that explain the crashes, the last one affects the fewest other requests. */
-  function tryFindBlame(parts: readonly string[]): Blame | undefined {
+  function tryBlamePart(parts: readonly string[]): Blame | undefined {
     return parts
-      .filter(partId => countRequests(partId) >= MIN_REQUESTS)
+      .filter(partId => countPrompts(partId) >= MIN_PROMPTS)
       .map(computeBlame)
       .findLast(
         blame =>
@@ -215,8 +222,24 @@
       );
   }
 
-  function countRequests(partId: string): number {
-    return new Set(doubts.get(partId)?.requests.values()).size;
+  function countPrompts(partId: string): number {
+    const prompts = listHits(partId).map(
+      ({promptId, requestId}) => promptId ?? requestId,
+    );
+    return new Set(prompts).size;
+  }
+
+  function listHits(suspectId: string): BrokenStream[] {
+    return [...(doubts.get(suspectId)?.hits.values() ?? [])];
+  }
+
+  function tryBlamePrompt(promptId: string | undefined): Blame | undefined {
+    if (promptId === undefined) return undefined;
+    const blame = computeBlame(promptId);
+    return blame.crashCount >= MIN_PROMPT_CRASHES &&
+      blame.probability <= MAX_PROMPT_PROBABILITY
+      ? blame
+      : undefined;
   }
 
   /**
@@ -246,14 +269,15 @@
   }
 
   /** Counts the crashes under requests with the part, without those that a part further on explains as well. */
-  function countUnexplained(partId: string): number {
-    const requestIds = [...(doubts.get(partId)?.requests.values() ?? [])];
-    return requestIds.filter(requestId => {
-      const parts = partsByRequest.get(requestId) ?? [];
-      return !parts
-        .slice(parts.indexOf(partId) + 1)
-        .some(later => (doubts.get(later)?.requests.size ?? 0) >= MIN_REPEATED);
-    }).length;
+  function countUnexplained(suspectId: string): number {
+    const hits = listHits(suspectId);
+    if (hits.some(({promptId}) => promptId === suspectId)) return hits.length;
+    return hits.filter(
+      ({parts}) =>
+        !parts
+          .slice(parts.indexOf(suspectId) + 1)
+          .some(later => (doubts.get(later)?.hits.size ?? 0) >= MIN_REPEATED),
+    ).length;
   }
 
   function computeHazard(hasBegun: boolean): number {
@@ -271,14 +295,13 @@
       .slice(-MAX_CRASHES)
       .filter(crash => nowMs - crash.atMs <= EXPIRY_MS);
     const kept = new Set(crashes);
-    for (const [partId, {requests}] of doubts) {
-      for (const crash of requests.keys()) {
-        if (!kept.has(crash)) requests.delete(crash);
+    for (const [suspectId, {hits}] of doubts) {
+      for (const crash of hits.keys()) {
+        if (!kept.has(crash)) hits.delete(crash);
       }
-      if (requests.size === 0) doubts.delete(partId);
+      if (hits.size === 0) doubts.delete(suspectId);
     }
     trimOldest(doubts, MAX_DOUBTS);
-    trimOldest(partsByRequest, MAX_DOUBTS);
     for (const [node, {atMs}] of counts) {
       if (nowMs - atMs > COUNT_EXPIRY_MS) counts.delete(node);
     }
--- a/src/gateway/crash_guard.ts
+++ b/src/gateway/crash_guard.ts
@@ -1,7 +1,8 @@
 /**
- * Keeps parts of prompts that crash engines away from them. The nodes tell each
- * other which young streams broke off and which doubted parts were answered, so
- * that each of them comes to the same conclusion.
+ * Keeps parts of prompts, and whole prompts, that crash engines away from them.
+ * The nodes tell each other which young streams broke off and which doubted
+ * parts and prompts were answered, so that each of them comes to the same
+ * conclusion.
  */
 import type {Logger} from '../diagnostics/log';
 import {trimOldest} from '../runtime/trim_oldest';
@@ -16,12 +17,13 @@
   SoundMessage,
 } from './peer_messages';
 import {listSharedParts} from './placement';
-import {listSuspectIds, tryCreatePromptId} from './prompt_identity';
+import {isPromptId, listSuspectIds, tryCreatePromptId} from './prompt_identity';
 import {createQuarantineSync, type QuarantineSync} from './quarantine_sync';
 import type {BackendEntry, FleetStore, ModelRequest} from './types';
 
 /** Why a prompt is kept away from engines. */
 export interface PromptBlock {
+  /** Id of the part or of the whole prompt. */
   readonly partId: string;
   /** Time until the next trial, in milliseconds; 0 when the request may ask for one. */
   readonly retryAfterMs: number;
@@ -93,8 +95,10 @@
 const YOUNG_MS = 250;
 /** Time after the end of an answer in which a crash of its server shows that the answer may have been cut off, in milliseconds. */
 const CRASH_NOTICE_MS = 300;
-/** Crashes from which a request is not sent to another engine. */
+/** Crashes under a part from which a request is not sent to another engine. */
 const DOUBT_CRASHES = 2;
+/** The same for a whole prompt, without the crash that has just happened, which is not counted yet. */
+const PROMPT_DOUBT_CRASHES = 1;
 /** Retry-after time of a prompt with several quarantined parts, of which none can be tried, in milliseconds. */
 const NO_TRIAL_RETRY_MS = 10_000;
 /** How long after an answer to a part a new quarantine of it is outdated, in milliseconds: many times the delay of a message. */
@@ -134,10 +138,11 @@
     countActive: quarantine.countActive,
     tryFindBlock,
     isDoubted: model =>
-      listPartIds(model).some(
-        partId =>
-          quarantine.isActive(partId) ||
-          evidence.countCrashes(partId) >= DOUBT_CRASHES,
+      listSuspectIds(model).some(
+        id =>
+          quarantine.isActive(id) ||
+          evidence.countCrashes(id) >=
+            (isPromptId(id) ? PROMPT_DOUBT_CRASHES : DOUBT_CRASHES),
       ),
     getPromptHistory: model => {
       const promptId = tryCreatePromptId(model);
@@ -166,8 +171,9 @@
     model: ModelRequest,
     trialPartId?: string,
   ): PromptBlock | undefined {
-    const blocking = listPartIds(model).filter(
-      partId => partId !== trialPartId && quarantine.isActive(partId),
+    if (quarantine.countActive() === 0) return undefined;
+    const blocking = listSuspectIds(model).filter(
+      id => id !== trialPartId && quarantine.isActive(id),
     );
     if (blocking.length === 0) return undefined;
     const waits = blocking.map(quarantine.getTrialWaitMs);
@@ -181,7 +187,8 @@
     for (const blame of evidence.recordCrash(report, clock.getMonotonicMs())) {
       const version = quarantine.add(blame.partId, isOwn);
       if (version === undefined) continue;
-      logger.log('warn', 'prompt part quarantined: it crashes engines', {
+      const subject = isPromptId(blame.partId) ? 'prompt' : 'prompt part';
+      logger.log('warn', `${subject} quarantined: it crashes engines`, {
         ...blame,
         version,
       });
--- a/src/gateway/part_quarantine.ts
+++ b/src/gateway/part_quarantine.ts
@@ -1,12 +1,14 @@
 /**
- * The parts of prompts that are kept away from engines. Nodes merge their tables
+ * The parts of prompts, and the whole prompts, that are kept away from engines. Nodes merge their tables
  * by version; a trial request from time to time shows whether a part still
  * crashes engines.
  */
 import type {Clock} from '../runtime/types';
+import {isPromptId} from './prompt_identity';
 
 /** A part as nodes tell it to each other. */
 export interface QuarantineEntry {
+  /** Id of the part, or of a whole prompt. */
   readonly partId: string;
   /** Of two entries, the one with the higher version holds. */
   readonly version: number;
@@ -40,8 +42,10 @@
   merge(entry: QuarantineEntry): boolean;
   /** Marks a version as stored. */
   setStored(partId: string, version: number): void;
-  /** Lists the entries, latest change first. */
+  /** Lists the entries, latest change first; parts come before whole prompts, as they concern more requests. */
   list(): QuarantineEntry[];
+  /** Lists the prompts that nobody has sent again for long. */
+  listAbandoned(): string[];
   countActive(): number;
 }
 
@@ -58,6 +62,8 @@
 const MAX_TRIAL_INTERVAL_MS = 3_600_000;
 /** How long the end of a quarantine is told to nodes that may have missed it, in milliseconds. */
 const LIFTED_EXPIRY_MS = 60_000;
+/** How long a prompt is kept away after its next trial was due, in milliseconds: its caller has given up. */
+const PROMPT_EXPIRY_MS = 300_000;
 
 /** Returns the time from one trial to the next, in milliseconds. */
 export function computeTrialIntervalMs(trialCount: number): number {
@@ -103,6 +109,17 @@
       row.entry = {...row.entry, isStored: true};
     },
     list,
+    listAbandoned: () => {
+      const boundMs = clock.getMonotonicMs() - PROMPT_EXPIRY_MS;
+      return [...rows.values()]
+        .filter(
+          ({entry, nextTrialAtMs}) =>
+            entry.isActive &&
+            isPromptId(entry.partId) &&
+            nextTrialAtMs < boundMs,
+        )
+        .map(({entry}) => entry.partId);
+    },
     countActive: () =>
       [...rows.values()].filter(({entry}) => entry.isActive).length,
   };
@@ -156,7 +173,12 @@
       if (isOver && entry.isStored) rows.delete(partId);
     }
     return [...rows.values()]
-      .sort((left, right) => right.changedAtMs - left.changedAtMs)
+      .sort(
+        (left, right) =>
+          Number(isPromptId(left.entry.partId)) -
+            Number(isPromptId(right.entry.partId)) ||
+          right.changedAtMs - left.changedAtMs,
+      )
       .map(renderEntry);
   }
 
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -131,7 +131,7 @@
   readonly kind: 'crash';
 }
 
-/** An engine completed an answer to a prompt with these parts, which recent crashes had cast doubt on. */
+/** An engine completed an answer to a prompt with these parts (its own id among them), which recent crashes had cast doubt on. */
 export interface SoundMessage {
   readonly kind: 'sound';
   readonly partIds: readonly string[];
--- a/src/gateway/prompt_gate.ts
+++ b/src/gateway/prompt_gate.ts
@@ -1,5 +1,6 @@
-/** Keeps one model request away from engines while a part of its prompt is known to crash them. */
+/** Keeps one model request away from engines while its prompt or a part of it is known to crash them. */
 import type {FlowContext} from './flow_context';
+import {isPromptId} from './prompt_identity';
 import type {RequestTask} from './request_task';
 import type {Verdict} from '../verdict';
 import type {ModelRequest} from './types';
@@ -38,15 +39,11 @@
       return false;
     }
     metrics.recordQuarantined();
-    task.log('refused: a part of the prompt crashes engines', {
-      partId,
-      retryAfterMs,
-    });
-    task.fail(
-      options.getVerdict(),
-      'a part of the prompt crashes engines',
-      retryAfterMs,
-    );
+    const reason = isPromptId(partId)
+      ? 'the prompt crashes engines'
+      : 'a part of the prompt crashes engines';
+    task.log(`refused: ${reason}`, {partId, retryAfterMs});
+    task.fail(options.getVerdict(), reason, retryAfterMs);
     return false;
   }
 
--- a/src/gateway/quarantine_sync.ts
+++ b/src/gateway/quarantine_sync.ts
@@ -89,7 +89,7 @@
     isActive: quarantine.isActive,
     countActive: quarantine.countActive,
     add,
-    release,
+    release: partId => release(partId),
     getTrialWaitMs,
     claimTrial,
     merge,
@@ -99,7 +99,10 @@
   async function loadRecords(): Promise<void> {
     let hasLoaded = options.isFirstStart;
     while (!isStopped) {
-      if (!hasLoaded || options.isReader()) hasLoaded = await records.load();
+      if (!hasLoaded || options.isReader()) {
+        hasLoaded = await records.load();
+        for (const id of quarantine.listAbandoned()) release(id, 'abandoned');
+      }
       await clock.sleep(LOAD_INTERVAL_MS);
     }
   }
@@ -112,10 +115,10 @@
     return entry.version;
   }
 
-  function release(partId: string): void {
+  function release(partId: string, reason = 'answered'): void {
     const entry = quarantine.release(partId);
     if (entry === undefined) return;
-    logger.log('info', 'quarantine of a prompt part ended: it was answered', {
+    logger.log('info', `quarantine of a prompt part ended: it was ${reason}`, {
       partId,
       version: entry.version,
     });
--- a/test/gateway/crash_guard.test.ts
+++ b/test/gateway/crash_guard.test.ts
@@ -19,8 +19,15 @@
 const LEARN_MS = 1_100;
 const FIRST_TRIAL_MS = 10_000;
 
+let promptCount = 0;
+
+/** Creates a prompt with shared parts and a last part of its own. */
 function createModel(...partIds: readonly string[]): ModelRequest {
-  const parts = [...partIds, 'own'].map(id => ({id, tokens: 100}));
+  return createPrompt(...partIds, `own-${promptCount++}`);
+}
+
+function createPrompt(...partIds: readonly string[]): ModelRequest {
+  const parts = partIds.map(id => ({id, tokens: 100}));
   return {promptTokens: 100 * parts.length, maxOutputTokens: 9, parts};
 }
 
@@ -49,6 +56,7 @@
     fake,
     startNode,
     crashUnder,
+    crashUnderPrompt,
     count: () => guards.filter(guard => guard.countActive() > 0).length,
   };
 
@@ -96,9 +104,16 @@
     node: number,
     crash: number,
     ...partIds: readonly string[]
+  ): Promise<void> {
+    await crashUnderPrompt(node, crash, createModel(...partIds));
+  }
+
+  async function crashUnderPrompt(
+    node: number,
+    crash: number,
+    model: ModelRequest,
   ): Promise<void> {
     for (let count = 0; count < 30; count++) guards[node].recordSent();
-    const model = createModel(...partIds);
     const server = createEntry({id: `e${crash}`});
     guards[node].recordBroken(server, `q${crash}`, model, 40);
     await clock.advance(SECOND_MS);
@@ -271,21 +286,120 @@
 
 test('a node knows how many engines a prompt has crashed at all nodes, and that one with the same shared parts has crashed none', async () => {
   const fleet = startFleet({nodes: 4});
+  const prompt = createPrompt('part', 'own');
   const histories = () =>
-    fleet.guards.map(guard => guard.getPromptHistory(createModel('part')));
-  await fleet.crashUnder(0, 0, 'part');
-  await fleet.crashUnder(1, 1, 'part');
+    fleet.guards.map(guard => guard.getPromptHistory(prompt));
+  await fleet.crashUnderPrompt(0, 0, prompt);
+  await fleet.crashUnderPrompt(1, 1, prompt);
   assert.deepEqual(
     histories().map(history => history.crashCount),
     [2, 2, 2, 2],
   );
   assert.equal(new Set(histories().map(({promptId}) => promptId)).size, 1);
-  const other = {...createModel('part'), parts: [{id: 'part', tokens: 100}]};
+  const other = createPrompt('part', 'other');
   assert.equal(fleet.guards[0].getPromptHistory(other).crashCount, 0);
-  fleet.guards[3].recordCompleted(createEntry(), createModel('part'), true);
+  fleet.guards[3].recordCompleted(createEntry(), prompt, true);
   await fleet.clock.advance(SECOND_MS);
   assert.deepEqual(
     histories().map(history => history.crashCount),
     [0, 0, 0, 0],
   );
 });
+
+/** Lets a caller send a prompt to one node after the other, and sound requests share its first part; returns how many engines crash. */
+async function sendDeadlyPrompt(
+  fleet: Fleet,
+  prompt: ModelRequest,
+  tries: number,
+): Promise<number> {
+  let crashes = 0;
+  for (let count = 0; count < tries; count++) {
+    const node = count % fleet.guards.length;
+    const isBlocked = fleet.guards[node].tryFindBlock(prompt) !== undefined;
+    if (!isBlocked) await fleet.crashUnderPrompt(node, crashes++, prompt);
+    const sound = createModel(prompt.parts[0].id);
+    const other = fleet.guards[(node + 1) % fleet.guards.length];
+    assert.equal(other.tryFindBlock(sound), undefined);
+    other.recordCompleted(createEntry(), sound, true);
+    await fleet.clock.advance(SECOND_MS / 2);
+  }
+  return crashes;
+}
+
+test('a prompt that its caller sends again to other nodes crashes two engines, while requests that share its first part are served', async () => {
+  const fleet = startFleet({nodes: 5});
+  const prompt = createPrompt('shared', 'own');
+  assert.equal(await sendDeadlyPrompt(fleet, prompt, 9), 2);
+  const {promptId} = fleet.guards[0].getPromptHistory(prompt);
+  assert.deepEqual([...fleet.fake.records.keys()], [promptId]);
+});
+
+test('a prompt with parts that no other request has is kept away, and its parts are not', async () => {
+  const fleet = startFleet({nodes: 5});
+  const prompt = createPrompt('rare', 'own');
+  for (let crash = 0; crash < 9; crash++) {
+    await fleet.crashUnderPrompt(crash % 5, crash, prompt);
+  }
+  for (const guard of fleet.guards) {
+    assert.notEqual(guard.tryFindBlock(prompt), undefined);
+    assert.equal(guard.tryFindBlock(createModel('rare')), undefined);
+  }
+});
+
+test('one request of all nodes tries a prompt that is kept away, and an answer ends its quarantine', async () => {
+  const fleet = startFleet({nodes: 5});
+  const prompt = createPrompt('shared', 'own');
+  const {promptId = ''} = fleet.guards[0].getPromptHistory(prompt);
+  await sendDeadlyPrompt(fleet, prompt, 4);
+  assert.equal(fleet.count(), 5);
+  await fleet.clock.advance(FIRST_TRIAL_MS);
+  const claims = fleet.guards.map(guard => guard.claimTrial(promptId));
+  await fleet.clock.advance(SECOND_MS);
+  const granted = await Promise.all(claims);
+  assert.equal(granted.filter(Boolean).length, 1);
+  const winner = fleet.guards[granted.indexOf(true)];
+  assert.equal(winner.tryFindBlock(prompt, promptId), undefined);
+  winner.recordCompleted(createEntry(), prompt, true);
+  await fleet.clock.advance(2 * LEARN_MS);
+  assert.equal(fleet.count(), 0);
+});
+
+test('a prompt that was answered between its crashes is not kept away', async () => {
+  const fleet = startFleet({nodes: 3});
+  const prompt = createPrompt('shared', 'own');
+  for (let crash = 0; crash < 9; crash++) {
+    await fleet.crashUnderPrompt(crash % 3, crash, prompt);
+    fleet.guards[(crash + 1) % 3].recordCompleted(createEntry(), prompt, true);
+    await fleet.clock.advance(SECOND_MS);
+  }
+  assert.equal(fleet.count(), 0);
+});
+
+test('a request is not sent to a second engine by the node once its prompt has crashed one before', async () => {
+  const fleet = startFleet({nodes: 2});
+  const prompt = createPrompt('shared', 'own');
+  assert.equal(fleet.guards[1].isDoubted(prompt), false);
+  await fleet.crashUnderPrompt(0, 0, prompt);
+  assert.equal(fleet.guards[1].isDoubted(prompt), true);
+  assert.equal(fleet.guards[1].isDoubted(createModel('shared')), false);
+});
+
+test('a deadly part is found although each of its prompts is sent twice', async () => {
+  const fleet = startFleet({nodes: 4});
+  let crash = 0;
+  while (crash < 9 && !fleet.fake.records.has('bad')) {
+    const prompt = createModel('bad');
+    await fleet.crashUnderPrompt(crash % 4, crash++, prompt);
+    await fleet.crashUnderPrompt(crash % 4, crash++, prompt);
+  }
+  assert.ok(crash <= 6, `${crash} crashes`);
+});
+
+test('a prompt that nobody sends again is forgotten', async () => {
+  const fleet = startFleet({nodes: 3});
+  await sendDeadlyPrompt(fleet, createPrompt('shared', 'own'), 4);
+  assert.equal(fleet.count(), 3);
+  await fleet.clock.advance(400 * SECOND_MS);
+  assert.equal(fleet.count(), 0);
+  assert.equal(fleet.fake.records.size, 0);
+});
--- a/test/platform/server_standin.ts
+++ b/test/platform/server_standin.ts
@@ -254,11 +254,9 @@
     isDown = false;
   }
 
-  /** Crashes soon after the answer has begun if the prompt holds a deadly part, and returns whether it does; the last part is the request's own. */
+  /** Crashes soon after the answer has begun if the prompt holds a deadly part, and returns whether it does. */
   function crashOnDeadlyPart(received: ReceivedRequest): boolean {
-    const partId = listPartIds(received)
-      .slice(0, -1)
-      .find(id => deadly.partIds.has(id));
+    const partId = listPartIds(received).find(id => deadly.partIds.has(id));
     if (partId === undefined) return false;
     setTimeout(() => {
       if (isDown) return;
