--- a/src/gateway/crash_evidence.ts
+++ b/src/gateway/crash_evidence.ts
@@ -1,7 +1,7 @@
 /**
- * Finds the parts of prompts that crash engines. A part is blamed when each of
- * its recent requests ended in a crash and that many crashes are unlikely to
- * have hit these requests by chance.
+ * Finds the parts of prompts, and the whole prompts, that crash engines. A part
+ * or prompt is blamed when each of its recent requests ended in a crash and that
+ * many crashes are unlikely to have hit these requests by chance.
  */
 import {trimOldest} from '../runtime/trim_oldest';
 import {formatProcessKey} from './process_key';
@@ -11,6 +11,10 @@
   readonly requestId: string;
   /** Ids of the parts that other requests may share, in prompt order. */
   readonly parts: readonly string[];
+  /** Id of the whole prompt; absent when it has no parts. */
+  readonly promptId?: string;
+  /** Those of the parts that the reporting node has seen answered lately, in whatever prompts. */
+  readonly answeredParts?: readonly string[];
   /** True when the head of its answer had arrived. */
   readonly hasBegun: boolean;
 }
@@ -29,10 +33,10 @@
   readonly begunCount: number;
 }
 
-/** A part that crashes engines, and what the decision is based on. */
+/** A part or prompt that crashes engines, and what the decision is based on. */
 export interface Blame {
   readonly partId: string;
-  /** Number of crashes under requests with the part. */
+  /** Number of crashes under requests with the part or prompt. */
   readonly crashCount: number;
   /** Number of all crashes since the first of them. */
   readonly allCrashCount: number;
@@ -44,35 +48,35 @@
 
 /** Evidence from crashes and completed streams. */
 export interface CrashEvidence {
-  /** Records a report that arrived at `nowMs` on the monotonic clock; returns the parts that are to blame. */
+  /** Records a report that arrived at `nowMs` on the monotonic clock; returns the parts and prompts that are to blame. */
   recordCrash(report: CrashReport, nowMs: number): Blame[];
-  /** Records that an engine has completed an answer to a prompt with this part. */
-  recordSound(partId: string): void;
-  /** True when a recent crash involved the part and no completed answer has cleared it since. */
-  isDoubted(partId: string): boolean;
-  /** Number of crashes under requests with the part since it was last cleared. */
-  countCrashes(partId: string): number;
+  /** Records that an engine has completed an answer to this prompt, or to one with this part. */
+  recordSound(suspectId: string): void;
+  /** True when a recent crash involved the part or prompt and no completed answer has cleared it since. */
+  isDoubted(suspectId: string): boolean;
+  /** Number of crashes under requests with the part or prompt since it was last cleared. */
+  countCrashes(suspectId: string): number;
   /** True when the server has crashed at or after this time on the monotonic clock, in milliseconds. */
   hasCrashed(serverId: string, startedAtMs: number, sinceMs: number): boolean;
 }
 
 /** Options of the evidence. */
 export interface CrashEvidenceOptions {
-  /** True when the part is known to crash engines, which explains the crashes under its requests. */
-  readonly isKnown: (partId: string) => boolean;
+  /** True when the part or prompt is known to crash engines, which explains the crashes under its requests. */
+  readonly isKnown: (suspectId: string) => boolean;
 }
 
 interface Crash {
   readonly atMs: number;
   readonly serverKeys: Set<string>;
-  /** True when a part that is known to crash engines was among its requests. */
+  /** True when a part or prompt that is known to crash engines was among its requests. */
   isExplained: boolean;
 }
 
 interface Doubt {
   readonly firstCrashMs: number;
-  /** Request that was hit, by the crash that hit it. */
-  readonly requests: Map<Crash, string>;
+  /** Stream that was hit, by the crash that hit it. */
+  readonly hits: Map<Crash, BrokenStream>;
   /** True while the answers to all these requests had begun. */
   hasBegun: boolean;
 }
@@ -87,17 +91,25 @@
 const MIN_CRASHES = 3;
 /** Fewest requests among these crashes: a request that is sent again may crash several engines by itself. */
 const MIN_REQUESTS = 3;
+/** Fewest crashes that the prompt which was hit most often does not explain. */
+const MIN_OTHER_CRASHES = 2;
+/** Fewest crashes with which a whole prompt is blamed. */
+const MIN_PROMPT_CRASHES = 2;
 /** Crashes under a part from which it explains them better than the parts before it. */
 const MIN_REPEATED = 2;
-/** Highest probability of chance with which a part is blamed. */
+/** Highest probability of chance with which a part is blamed of which no answer is known. */
 const MAX_PROBABILITY = 2e-4;
+/** The same for a part that has been answered lately: a day tries hundreds of these, as crashes hit the parts in use. */
+const MAX_ANSWERED_PROBABILITY = 5e-6;
+/** The same for a whole prompt: it is refused only to callers whose request has broken off as often before. */
+const MAX_PROMPT_PROBABILITY = 0.1;
 /** Lower bound on the hazard: the counts of a few nodes are too small to show less. */
 const MIN_HAZARD = 0.02;
 /** Streams that are assumed to have been served before any were counted. */
 const PRIOR_STREAMS = 20;
 /** Age from which a node's counts are ignored, in milliseconds. */
 const COUNT_EXPIRY_MS = 20_000;
-const MAX_DOUBTS = 2_000;
+const MAX_DOUBTS = 5_000;
 const MAX_CRASHES = 500;
 
 /** Creates evidence without any crashes. */
@@ -106,16 +118,14 @@
 ): CrashEvidence {
   let crashes: Crash[] = [];
   const doubts = new Map<string, Doubt>();
-  /** Shared parts of the requests that were hit, by request id. */
-  const partsByRequest = new Map<string, readonly string[]>();
   const counts = new Map<string, {report: CrashReport; atMs: number}>();
   return {
     recordCrash,
-    recordSound: partId => {
-      doubts.delete(partId);
+    recordSound: suspectId => {
+      doubts.delete(suspectId);
     },
-    isDoubted: partId => doubts.has(partId),
-    countCrashes: partId => doubts.get(partId)?.requests.size ?? 0,
+    isDoubted: suspectId => doubts.has(suspectId),
+    countCrashes: suspectId => doubts.get(suspectId)?.hits.size ?? 0,
     hasCrashed: (serverId, startedAtMs, sinceMs) => {
       const key = formatProcessKey(serverId, startedAtMs);
       return crashes.some(
@@ -132,7 +142,14 @@
       parts.some(options.isKnown),
     );
     if (isExplained) setExplained(crash);
-    return crash.isExplained ? [] : recordStreams(crash, report.streams);
+    if (crash.isExplained) return [];
+    // A prompt that is known to crash engines explains the end of the other streams, and may be due to one of its parts itself.
+    const known = report.streams.filter(isKnownPrompt);
+    return recordStreams(crash, known.length > 0 ? known : report.streams);
+  }
+
+  function isKnownPrompt({promptId}: BrokenStream): boolean {
+    return promptId !== undefined && options.isKnown(promptId);
   }
 
   function recordStreams(
@@ -141,16 +158,18 @@
   ): Blame[] {
     // Answers that had begun come first, as those are the likelier causes.
     for (const stream of [...streams].sort(compareBegun)) {
-      partsByRequest.set(stream.requestId, stream.parts);
-      for (const partId of stream.parts) addHit(partId, crash, stream);
+      for (const id of listIds(stream)) addHit(id, crash, stream);
     }
     const blames: Blame[] = [];
-    for (const {parts} of streams) {
-      const blame = tryFindBlame(parts);
-      if (blame === undefined) continue;
-      const hits = doubts.get(blame.partId)?.requests.keys() ?? [];
+    for (const stream of streams) {
+      const promptBlame = tryBlamePrompt(stream);
+      const partBlame = tryBlamePart(stream.parts);
+      // Two crashes under a prompt may yet be due to one of its parts.
+      if (promptBlame !== undefined) blames.push(promptBlame);
+      if (partBlame === undefined) continue;
+      const hits = doubts.get(partBlame.partId)?.hits.keys() ?? [];
       for (const hit of [...hits]) setExplained(hit);
-      blames.push(blame);
+      blames.push(partBlame);
     }
     return blames;
   }
@@ -158,9 +177,9 @@
   /** A crash that one part explains says nothing about the other parts of its requests. */
   function setExplained(crash: Crash): void {
     crash.isExplained = true;
-    for (const [partId, {requests}] of doubts) {
-      requests.delete(crash);
-      if (requests.size === 0) doubts.delete(partId);
+    for (const [suspectId, {hits}] of doubts) {
+      hits.delete(crash);
+      if (hits.size === 0) doubts.delete(suspectId);
     }
   }
 
@@ -182,39 +201,69 @@
     return crash;
   }
 
-  /** Counts at most one request for each crash. */
-  function addHit(
-    partId: string,
-    crash: Crash,
-    {requestId, hasBegun}: BrokenStream,
-  ): void {
-    const doubt = doubts.get(partId) ?? {
+  /** Counts at most one stream for each crash. */
+  function addHit(suspectId: string, crash: Crash, stream: BrokenStream): void {
+    const doubt = doubts.get(suspectId) ?? {
       firstCrashMs: crash.atMs,
-      requests: new Map<Crash, string>(),
+      hits: new Map<Crash, BrokenStream>(),
       hasBegun: true,
     };
     // Deleting first keeps the doubts in the order of their latest crashes.
-    doubts.delete(partId);
-    doubts.set(partId, doubt);
-    if (doubt.requests.has(crash)) return;
-    doubt.requests.set(crash, requestId);
-    doubt.hasBegun &&= hasBegun;
+    doubts.delete(suspectId);
+    doubts.set(suspectId, doubt);
+    if (doubt.hits.has(crash)) return;
+    doubt.hits.set(crash, stream);
+    doubt.hasBegun &&= stream.hasBegun;
   }
 
   /** Of several parts that explain the crashes, the last one affects the fewest other requests. */
-  function tryFindBlame(parts: readonly string[]): Blame | undefined {
+  function tryBlamePart(parts: readonly string[]): Blame | undefined {
     return parts
-      .filter(partId => countRequests(partId) >= MIN_REQUESTS)
+      .filter(
+        partId =>
+          countRequests(partId) >= MIN_REQUESTS &&
+          countOtherCrashes(partId) >= MIN_OTHER_CRASHES,
+      )
       .map(computeBlame)
       .findLast(
         blame =>
           blame.crashCount >= MIN_CRASHES &&
-          blame.probability <= MAX_PROBABILITY,
+          blame.probability <=
+            (isAnswered(blame.partId)
+              ? MAX_ANSWERED_PROBABILITY
+              : MAX_PROBABILITY),
       );
   }
 
+  function isAnswered(partId: string): boolean {
+    return listHits(partId).some(
+      ({answeredParts}) => answeredParts?.includes(partId) === true,
+    );
+  }
+
   function countRequests(partId: string): number {
-    return new Set(doubts.get(partId)?.requests.values()).size;
+    return new Set(listHits(partId).map(({requestId}) => requestId)).size;
+  }
+
+  /** Counts the crashes under a part without those under its prompt that was hit most often. */
+  function countOtherCrashes(partId: string): number {
+    const hits = listHits(partId);
+    const counts = countByPrompt(hits).values();
+    return hits.length - Math.max(0, ...counts);
+  }
+
+  function listHits(suspectId: string): BrokenStream[] {
+    return [...(doubts.get(suspectId)?.hits.values() ?? [])];
+  }
+
+  function tryBlamePrompt(stream: BrokenStream): Blame | undefined {
+    const {promptId} = stream;
+    if (promptId === undefined || isKnownPrompt(stream)) return undefined;
+    const blame = computeBlame(promptId);
+    return blame.crashCount >= MIN_PROMPT_CRASHES &&
+      blame.probability <= MAX_PROMPT_PROBABILITY
+      ? blame
+      : undefined;
   }
 
   /**
@@ -244,14 +293,21 @@
   }
 
   /** Counts the crashes under requests with the part, without those that a part further on explains as well. */
-  function countUnexplained(partId: string): number {
-    const requestIds = [...(doubts.get(partId)?.requests.values() ?? [])];
-    return requestIds.filter(requestId => {
-      const parts = partsByRequest.get(requestId) ?? [];
-      return !parts
-        .slice(parts.indexOf(partId) + 1)
-        .some(later => (doubts.get(later)?.requests.size ?? 0) >= MIN_REPEATED);
-    }).length;
+  function countUnexplained(suspectId: string): number {
+    const hits = listHits(suspectId);
+    if (hits.some(({promptId}) => promptId === suspectId)) return hits.length;
+    const unexplained = hits.filter(
+      ({parts}) =>
+        !parts
+          .slice(parts.indexOf(suspectId) + 1)
+          .some(later => (doubts.get(later)?.hits.size ?? 0) >= MIN_REPEATED),
+    );
+    // Further crashes under a prompt are explained by the prompt.
+    const counts = [...countByPrompt(unexplained).values()];
+    return counts.reduce(
+      (sum, count) => sum + Math.min(count, MIN_PROMPT_CRASHES),
+      0,
+    );
   }
 
   function computeHazard(hasBegun: boolean): number {
@@ -269,20 +325,33 @@
       .slice(-MAX_CRASHES)
       .filter(crash => nowMs - crash.atMs <= EXPIRY_MS);
     const kept = new Set(crashes);
-    for (const [partId, {requests}] of doubts) {
-      for (const crash of requests.keys()) {
-        if (!kept.has(crash)) requests.delete(crash);
+    for (const [suspectId, {hits}] of doubts) {
+      for (const crash of hits.keys()) {
+        if (!kept.has(crash)) hits.delete(crash);
       }
-      if (requests.size === 0) doubts.delete(partId);
+      if (hits.size === 0) doubts.delete(suspectId);
     }
     trimOldest(doubts, MAX_DOUBTS);
-    trimOldest(partsByRequest, MAX_DOUBTS);
     for (const [node, {atMs}] of counts) {
       if (nowMs - atMs > COUNT_EXPIRY_MS) counts.delete(node);
     }
   }
 }
 
+/** Counts streams by their prompts, and those without one by their requests. */
+function countByPrompt(streams: readonly BrokenStream[]): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const {promptId, requestId} of streams) {
+    const prompt = promptId ?? requestId;
+    counts.set(prompt, (counts.get(prompt) ?? 0) + 1);
+  }
+  return counts;
+}
+
+function listIds({parts, promptId}: BrokenStream): readonly string[] {
+  return promptId === undefined ? parts : [...parts, promptId];
+}
+
 function compareBegun(left: BrokenStream, right: BrokenStream): number {
   return Number(right.hasBegun) - Number(left.hasBegun);
 }
--- a/src/gateway/crash_guard.ts
+++ b/src/gateway/crash_guard.ts
@@ -1,11 +1,13 @@
 /**
- * Keeps parts of prompts that crash engines away from them. The nodes tell each
- * other which young streams broke off and which doubted parts were answered, so
- * that each of them comes to the same conclusion.
+ * Keeps parts of prompts, and whole prompts, that crash engines away from them.
+ * The nodes tell each other which young streams broke off and which doubted
+ * parts and prompts were answered, so that each of them comes to the same
+ * conclusion.
  */
 import type {Logger} from '../diagnostics/log';
 import {trimOldest} from '../runtime/trim_oldest';
 import type {Clock} from '../runtime/types';
+import {createAnsweredParts} from './answered_parts';
 import {type CrashReport, createCrashEvidence} from './crash_evidence';
 import {createCrashReports} from './crash_reports';
 import type {GatewayMetrics} from './gateway_metrics';
@@ -16,16 +18,25 @@
   SoundMessage,
 } from './peer_messages';
 import {listSharedParts} from './placement';
+import {isPromptId, listSuspectIds, tryCreatePromptId} from './prompt_identity';
 import {createQuarantineSync, type QuarantineSync} from './quarantine_sync';
 import type {BackendEntry, FleetStore, ModelRequest} from './types';
 
 /** Why a prompt is kept away from engines. */
 export interface PromptBlock {
+  /** Id of the part or of the whole prompt. */
   readonly partId: string;
   /** Time until the next trial, in milliseconds; 0 when the request may ask for one. */
   readonly retryAfterMs: number;
 }
 
+/** What is known of a whole prompt. */
+export interface PromptHistory {
+  /** Undefined for a prompt without parts. */
+  readonly promptId: string | undefined;
+  readonly crashCount: number;
+}
+
 /** Decides which prompts are kept away from engines. */
 export interface CrashGuard extends Pick<
   QuarantineSync,
@@ -38,6 +49,8 @@
   ): PromptBlock | undefined;
   /** True when another crash under this prompt would be no surprise. */
   isDoubted(model: ModelRequest): boolean;
+  /** Returns the id of the prompt, and how many engines are known to have crashed under it since it was last answered. */
+  getPromptHistory(model: ModelRequest): PromptHistory;
   /** Counts a stream that is sent to an engine. */
   recordSent(): void;
   /** Records a stream that broke off with its connection; `ageMs` is the time since its answer began, in milliseconds, or undefined before that. */
@@ -83,8 +96,10 @@
 const YOUNG_MS = 250;
 /** Time after the end of an answer in which a crash of its server shows that the answer may have been cut off, in milliseconds. */
 const CRASH_NOTICE_MS = 300;
-/** Crashes from which a request is not sent to another engine. */
+/** Crashes under a part from which a request is not sent to another engine. */
 const DOUBT_CRASHES = 2;
+/** The same for a whole prompt, without the crash that has just happened, which is not counted yet. */
+const PROMPT_DOUBT_CRASHES = 1;
 /** Retry-after time of a prompt with several quarantined parts, of which none can be tried, in milliseconds. */
 const NO_TRIAL_RETRY_MS = 10_000;
 /** How long after an answer to a part a new quarantine of it is outdated, in milliseconds: many times the delay of a message. */
@@ -100,6 +115,7 @@
     ...options,
     onChange: handleChange,
   });
+  const answeredParts = createAnsweredParts(clock);
   const evidence = createCrashEvidence({isKnown: quarantine.isActive});
   const reports = createCrashReports({
     nodeName: options.nodeName,
@@ -124,17 +140,28 @@
     countActive: quarantine.countActive,
     tryFindBlock,
     isDoubted: model =>
-      listPartIds(model).some(
-        partId =>
-          quarantine.isActive(partId) ||
-          evidence.countCrashes(partId) >= DOUBT_CRASHES,
+      listSuspectIds(model).some(
+        id =>
+          quarantine.isActive(id) ||
+          evidence.countCrashes(id) >=
+            (isPromptId(id) ? PROMPT_DOUBT_CRASHES : DOUBT_CRASHES),
       ),
+    getPromptHistory: model => {
+      const promptId = tryCreatePromptId(model);
+      const crashCount =
+        promptId === undefined ? 0 : evidence.countCrashes(promptId);
+      return {promptId, crashCount};
+    },
     recordSent: reports.recordSent,
     recordBroken: (server, requestId, model, ageMs) => {
       if ((ageMs ?? 0) >= YOUNG_MS) return;
+      const promptId = tryCreatePromptId(model);
+      const parts = listPartIds(model);
       reports.recordBroken(server, {
         requestId,
-        parts: listPartIds(model),
+        parts,
+        ...(promptId === undefined ? {} : {promptId}),
+        answeredParts: answeredParts.listRecent(parts),
         hasBegun: ageMs !== undefined,
       });
     },
@@ -148,8 +175,9 @@
     model: ModelRequest,
     trialPartId?: string,
   ): PromptBlock | undefined {
-    const blocking = listPartIds(model).filter(
-      partId => partId !== trialPartId && quarantine.isActive(partId),
+    if (quarantine.countActive() === 0) return undefined;
+    const blocking = listSuspectIds(model).filter(
+      id => id !== trialPartId && quarantine.isActive(id),
     );
     if (blocking.length === 0) return undefined;
     const waits = blocking.map(quarantine.getTrialWaitMs);
@@ -163,7 +191,8 @@
     for (const blame of evidence.recordCrash(report, clock.getMonotonicMs())) {
       const version = quarantine.add(blame.partId, isOwn);
       if (version === undefined) continue;
-      logger.log('warn', 'prompt part quarantined: it crashes engines', {
+      const subject = isPromptId(blame.partId) ? 'prompt' : 'prompt part';
+      logger.log('warn', `${subject} quarantined: it crashes engines`, {
         ...blame,
         version,
       });
@@ -175,16 +204,18 @@
     model: ModelRequest,
     isFramed: boolean,
   ): void {
-    const questioned = listPartIds(model).filter(isQuestioned);
-    if (questioned.length === 0) return;
+    const questioned = listSuspectIds(model).filter(isQuestioned);
     if (isFramed) {
+      answeredParts.record(listPartIds(model));
       recordSound(questioned);
       return;
     }
+    if (questioned.length === 0) return;
     const sinceMs = clock.getMonotonicMs() - CRASH_NOTICE_MS;
     const {id, startedAtMs} = server;
     clock.schedule(CRASH_NOTICE_MS, () => {
       if (evidence.hasCrashed(id, startedAtMs, sinceMs)) return;
+      answeredParts.record(listPartIds(model));
       recordSound(questioned.filter(isQuestioned));
     });
   }
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -405,6 +405,7 @@
       context.crashGuard.recordBroken(server, requestId, model, ageMs);
     }
     const isAgain = canRetryDecode(failure);
+    const {promptId, crashCount} = context.crashGuard.getPromptHistory(model);
     task.log('decode engine failed', {
       serverId: server.id,
       ...formatFailure(failure),
@@ -412,6 +413,8 @@
       ...(headAtMs === undefined
         ? {}
         : {sinceHeadMs: Math.round(lastFailureAtMs - headAtMs)}),
+      promptId,
+      earlierCrashes: crashCount,
       isAgain,
     });
     if (!isAgain) {
