Report a list of the store that was cut short as a failure, not as an empty list

An answer of the store that has no length and ends early (its process, or a proxy before it) does not parse. listNewestRecords took what does not parse for a list without records that ends at offset 0: all backend servers gone, or no configuration. Records that are read from the log were not affected: one that is cut off is left out and read again.

Such a list is now a malformed response, on which the callers keep what they know and ask again, as after any failure of the store.

--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -142,7 +142,9 @@
         {},
       );
       if (answer.err) return answer;
-      const fields = parseFields(answer.val);
+      const fields = tryParseFields(answer.val);
+      // A list that was cut short must not pass for an empty one.
+      if (fields === undefined) return createMalformedError('list');
       // Records may change while the pages are listed, so the caller reads on from the end that the first page gave.
       endOffset ??= tryGetNumber(fields['end']) ?? 0;
       for (const item of getList(fields['items'])) {
@@ -263,7 +265,11 @@
 }
 
 function parseFields(body: Buffer): Fields {
-  return tryGetFields(tryParseJson(body.toString('utf8'))) ?? {};
+  return tryParseFields(body) ?? {};
+}
+
+function tryParseFields(body: Buffer): Fields | undefined {
+  return tryGetFields(tryParseJson(body.toString('utf8')));
 }
 
 function createMalformedError(call: string): Err<StoreFailure> {
