--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -214,7 +214,10 @@
     'all nodes serve again',
     () => isEveryNodeReady(processes),
     RECOVERY_BOUND_MS,
-  ).catch((error: Error) => violations.push(error.message));
+  ).catch(async (error: Error) => {
+    const names = await listUnreadyNodes(processes);
+    violations.push(`RECOVER: ${error.message}; not ready: ${names.join()}`);
+  });
   isOver = true;
   await Promise.all([...callers, ...oddCallers]);
   if (isHostile) await sleep(SETTLE_MS);
@@ -392,8 +395,14 @@
 }
 
 async function isEveryNodeReady(processes: NodeProcesses): Promise<boolean> {
+  return (await listUnreadyNodes(processes)).length === 0;
+}
+
+async function listUnreadyNodes({
+  nodes,
+}: Pick<NodeProcesses, 'nodes'>): Promise<string[]> {
   const answers = await Promise.all(
-    processes.nodes.map(async node => {
+    nodes.map(async node => {
       const ready = await fetch(
         `http://127.0.0.1:${node.readyPort}/readyz`,
       ).catch(() => undefined);
@@ -401,7 +410,7 @@
       return ready?.status === 200;
     }),
   );
-  return answers.every(Boolean);
+  return nodes.filter((_, index) => !answers[index]).map(node => node.name);
 }
 
 function sleep(durationMs: number): Promise<void> {
