--- a/test/platform/caller_connections.test.ts
+++ b/test/platform/caller_connections.test.ts
@@ -98,6 +98,15 @@
   return {socket, read: () => received, closed};
 }
 
+/** Waits for the log line with which the gateway has decided about a request. */
+function waitForLine(message: string, id: string): Promise<void> {
+  return waitUntil(`the line '${message}' about ${id}`, () =>
+    system.nodes[0].lines.some(
+      line => line['message'] === message && JSON.stringify(line).includes(id),
+    ),
+  );
+}
+
 function formatRequest(
   path: string,
   id: string,
@@ -211,7 +220,7 @@
       formatRequest('/order/x', 'late-head').slice(40),
     ];
     const caller = openCaller(formatRequest('/order/x', 'before-late') + head);
-    await sleep(LIMITS.headerTimeoutMs + 700);
+    await waitForLine('listener ended a connection', 'before-late');
     caller.socket.write(rest);
     await caller.closed;
     assert.deepEqual(listStatuses(caller.read()), [200]);
@@ -261,8 +270,10 @@
         const caller = openCaller(
           isPipelined ? formatRequest('/order/first', firstId) + text : text,
         );
-        await sleep(LIMITS.idleTimeoutMs + 100);
-        if (later !== undefined) caller.socket.write(later);
+        if (later !== undefined) {
+          await waitForLine('refused: request was not received', id);
+          caller.socket.write(later);
+        }
         await caller.closed;
         const statuses = isPipelined ? [200, status] : [status];
         assert.deepEqual(listStatuses(caller.read()), statuses);
