Record every stream of a crash under a known prompt, so that nodes weigh the same crashes

Whether a node knows of the prompt yet depends on the order in which messages arrive, so nodes weighed different crashes for the same parts, and a sound prompt that was kept away by chance could hide a crash under a deadly part.

The tests of crash_guard and crash_evidence pass, among them a deadly part whose prompts are each sent twice.

--- a/src/gateway/crash_evidence.ts
+++ b/src/gateway/crash_evidence.ts
@@ -62,14 +62,14 @@
 
 /** Options of the evidence. */
 export interface CrashEvidenceOptions {
-  /** True when the part or prompt is known to crash engines, which explains the crashes under its requests. */
+  /** True when the part or prompt is known to crash engines; a part explains the crashes under its requests, a prompt may be due to one of its parts itself. */
   readonly isKnown: (suspectId: string) => boolean;
 }
 
 interface Crash {
   readonly atMs: number;
   readonly serverKeys: Set<string>;
-  /** True when a part or prompt that is known to crash engines was among its requests. */
+  /** True when a part that is known to crash engines was among its requests. */
   isExplained: boolean;
 }
 
@@ -142,14 +142,7 @@
       parts.some(options.isKnown),
     );
     if (isExplained) setExplained(crash);
-    if (crash.isExplained) return [];
-    // A prompt that is known to crash engines explains the end of the other streams, and may be due to one of its parts itself.
-    const known = report.streams.filter(isKnownPrompt);
-    return recordStreams(crash, known.length > 0 ? known : report.streams);
-  }
-
-  function isKnownPrompt({promptId}: BrokenStream): boolean {
-    return promptId !== undefined && options.isKnown(promptId);
+    return crash.isExplained ? [] : recordStreams(crash, report.streams);
   }
 
   function recordStreams(
@@ -256,9 +249,8 @@
     return [...(doubts.get(suspectId)?.hits.values() ?? [])];
   }
 
-  function tryBlamePrompt(stream: BrokenStream): Blame | undefined {
-    const {promptId} = stream;
-    if (promptId === undefined || isKnownPrompt(stream)) return undefined;
+  function tryBlamePrompt({promptId}: BrokenStream): Blame | undefined {
+    if (promptId === undefined || options.isKnown(promptId)) return undefined;
     const blame = computeBlame(promptId);
     return blame.crashCount >= MIN_PROMPT_CRASHES &&
       blame.probability <= MAX_PROMPT_PROBABILITY
