Let a connection that stays open outweigh an idle one that was closed at the same time

Sound answers without a length were cut, and orders that had run got 502, when an idle connection reached its time-out within 30 ms of the answer's end, or when the server reset the spare connection because of its limit: either was taken for the end of the process.

The end of a process closes all of its connections, so one that stays open contradicts it. It now has to stay open for 300 ms more, and then decides. The loss of a spare connection that has carried no answer shows nothing.

Ruled out: connections that have carried an answer as the only proof, as the first answer of a server would then always be cut. Open: a process that accepts nothing for 25 ms, writes, and dies behind a listening socket that lives on.

--- a/src/gateway/server_links.ts
+++ b/src/gateway/server_links.ts
@@ -66,7 +66,9 @@
 /** Time around the end of an answer within which the process closes its other connections if it ends, in milliseconds: several round trips. */
 const SAME_TIME_MS = 30;
 /** Time in which a process that is at work accepts a connection, in milliseconds. Until then it waits in the system's queue, which may outlive the process. */
-const ACCEPT_MS = 5;
+const ACCEPT_MS = 25;
+/** Time for which a connection must stay open, in milliseconds, to show that the process lives although it closed an idle one at the same time: idle connections also end by their time-outs and by limits on their number. */
+const CONTRADICTION_MS = 300;
 /** Shortest interval between two spare connections, in milliseconds. */
 const SPARE_INTERVAL_MS = 1_000;
 const RESET_CODES = new Set(['ECONNRESET', 'EPIPE', 'ETIMEDOUT']);
@@ -104,7 +106,10 @@
     function recordLoss(): void {
       if (!link.isOpen) return;
       link.isOpen = false;
-      if (state.isIdle && !state.isClosing) lostIdleAtMs = performance.now();
+      // A server may reset a connection that exceeds its limit; only one that has carried an answer was accepted for sure.
+      if (state.isIdle && !state.isClosing && state.answerCount > 0) {
+        lostIdleAtMs = performance.now();
+      }
     }
   }
 
@@ -160,26 +165,38 @@
         link.openedAtMs < sinceMs &&
         (link.state.answerCount > 0 || link.openedAtMs < acceptedMs),
     );
-    if (hasLostIdle() || witnesses.length === 0) {
+    if (witnesses.length === 0) {
       callback(hasLostIdle() ? ProcessSign.Ended : ProcessSign.Unknown);
       return;
     }
-    setTimeout(() => {
-      // What has arrived meanwhile is read before this callback even if the node was held up.
-      setImmediate(() => {
-        const lives = witnesses.some(
-          link => link.isOpen && !link.state.isPaused,
-        );
-        if (hasLostIdle()) callback(ProcessSign.Ended);
-        else callback(lives ? ProcessSign.Lives : ProcessSign.Unknown);
-      });
-    }, SAME_TIME_MS);
+    waitAndRead(SAME_TIME_MS, () => {
+      if (!hasLostIdle()) {
+        callback(isAnyOpen() ? ProcessSign.Lives : ProcessSign.Unknown);
+        return;
+      }
+      if (!isAnyOpen()) {
+        callback(ProcessSign.Ended);
+        return;
+      }
+      waitAndRead(CONTRADICTION_MS, () =>
+        callback(isAnyOpen() ? ProcessSign.Lives : ProcessSign.Ended),
+      );
+    });
+
+    function isAnyOpen(): boolean {
+      return witnesses.some(link => link.isOpen && !link.state.isPaused);
+    }
 
     function hasLostIdle(): boolean {
       return lostIdleAtMs >= sinceMs - SAME_TIME_MS;
     }
   }
 
+  /** Calls back after a time and after what has arrived meanwhile is read, even if the node was held up. */
+  function waitAndRead(delayMs: number, callback: () => void): void {
+    setTimeout(() => setImmediate(callback), delayMs);
+  }
+
   function close(): void {
     isClosed = true;
     spare?.destroy();
--- a/test/gateway/unframed_ends.test.ts
+++ b/test/gateway/unframed_ends.test.ts
@@ -222,6 +222,45 @@
   assert.ok(outcomes.every(({isComplete}) => isComplete));
 });
 
+test('an answer is whole although an idle connection reaches its time-out at the same time, while another stays open', async () => {
+  const idle: Socket[] = [];
+  const server = await startSupervised({
+    framed: socket => {
+      idle.push(socket);
+      BEHAVIOURS['framed'](socket);
+    },
+    whole: socket => {
+      socket.write(`${HEAD}${EVENT}`);
+      setTimeout(() => idle[0].end(), ANSWER_MS - 20);
+      setTimeout(() => socket.end(EVENT), ANSWER_MS);
+    },
+  });
+  const opened = openConnections();
+  await Promise.all(
+    Array.from({length: 3}, () => send(opened, server.entry, 'framed')),
+  );
+  const {isComplete, end} = await send(opened, server.entry, 'whole');
+  assert.equal(isComplete, true, JSON.stringify(end));
+});
+
+test('a spare connection that the server resets does not show that the process has ended', async () => {
+  const sockets: Socket[] = [];
+  const server = createServer(socket => {
+    sockets.push(socket);
+    socket.on('error', () => undefined);
+    if (sockets.length === 2) setTimeout(() => socket.resetAndDestroy(), 5);
+    socket.on('data', () => {
+      socket.write(`${HEAD}${EVENT}`);
+      setTimeout(() => socket.end(EVENT), 20);
+    });
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as AddressInfo;
+  const outcome = await send(openConnections(), createEntry({port}), 'x');
+  server.close();
+  assert.notEqual(outcome.end?.evidence, 'other-connection-closed');
+});
+
 test('many answers without a length cost one other connection, not one each', async () => {
   const server = await startSupervised(BEHAVIOURS);
   const opened = openConnections();
