Count a spare connection to a server as one that is open

The crash guard takes young streams that break off for a crash only if no connection to their server is left open.

--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -174,8 +174,7 @@
     call,
     hasIdle: serverId =>
       servers.get(serverId)?.idle.some(item => item.isOpen) ?? false,
-    hasOpen: serverId =>
-      [...(servers.get(serverId)?.all ?? [])].some(item => item.isOpen),
+    hasOpen: serverId => servers.get(serverId)?.links.hasOpen() ?? false,
     retainOnly,
     countOpened: () => openedCount,
     close,
--- a/src/gateway/server_links.ts
+++ b/src/gateway/server_links.ts
@@ -52,6 +52,8 @@
     end: AnswerEnd,
     callback: (sign: ProcessSign) => void,
   ): void;
+  /** True when any connection is open. */
+  hasOpen(): boolean;
   close(): void;
 }
 
@@ -85,7 +87,13 @@
   let isClosed = false;
   let dialledAtMs = Number.NEGATIVE_INFINITY;
   let lostIdleAtMs = Number.NEGATIVE_INFINITY;
-  return {add, prepareWitness, observe, close};
+  return {
+    add,
+    prepareWitness,
+    observe,
+    hasOpen: () => [...links].some(link => link.isOpen),
+    close,
+  };
 
   function add(socket: Socket, state: LinkState): void {
     const link: Link = {state, openedAtMs: performance.now(), isOpen: true};
--- a/test/gateway/unframed_ends.test.ts
+++ b/test/gateway/unframed_ends.test.ts
@@ -267,3 +267,10 @@
   }
   assert.equal(countOpened(opened), 1);
 });
+
+test('a spare connection counts as one that is open, so that a stream that broke off is not taken for a crash', async () => {
+  const server = await startSupervised(BEHAVIOURS);
+  const opened = openConnections();
+  await send(opened, server.entry, 'whole');
+  assert.equal(opened.connections.hasOpen(server.entry.id), true);
+});
