--- a/test/gateway/crash_evidence.test.ts
+++ b/test/gateway/crash_evidence.test.ts
@@ -47,6 +47,24 @@
   );
 });
 
+test('a prompt that is known to crash engines does not hide a crash under a part of another prompt', () => {
+  const evidence = createEvidence(new Set(['prompt:known']));
+  for (let count = 1; count <= 2; count++) {
+    const report = createReport(`e${count}`, `q${count}`, ['bad']);
+    const known = {
+      requestId: `known-${count}`,
+      parts: ['first'],
+      promptId: 'prompt:known',
+      hasBegun: true,
+    };
+    evidence.recordCrash(
+      {...report, streams: [...report.streams, known]},
+      count * SECOND_MS,
+    );
+  }
+  assert.equal(evidence.countCrashes('bad'), 2);
+});
+
 test('a completed answer clears a part', () => {
   const evidence = createEvidence();
   for (let count = 1; count <= 10; count++) {
