--- a/test/soak/hostile_soak.test.ts
+++ b/test/soak/hostile_soak.test.ts
@@ -1,4 +1,4 @@
-import {registerSoakTests} from './soak_test';
+import {registerSoakTests} from './register_soak_tests';
 
 const SHORT_SEEDS = [1];
 /** Seeds that once found a violation, with its cause. */
