Take an answer without a length for whole only after a later statement of its process (ORDER)

Callers got short answers without a length that were framed as whole when the ends of the server's other connections arrived late, and 502 for whole answers of plain services that live.

Cause: an end, an accepted connection and then a silence of 30 ms were taken for statements of the server. A connection that stays open says nothing: its end may be on its way, lost and sent again, or unread. And a connection counted as accepted by the process when its first answer came before the other's end arrived, which may be later than a restart.

Now only what the process says after the end counts: the answer to something that was sent after it, on a connection that had carried an answer before the request was sent, or a report with the start of the entry. A check is sent for that (a report to engines, a health check to plain services), one for all ends before it. A server whose checks do not state the start gets requests of callers only once such a connection is there, and the pool never uses the last one. So there is no bound on how late an end may be. Crashes of engines are judged in the same way instead of by connections that are open.

--- a/src/gateway/answer_relay.ts
+++ b/src/gateway/answer_relay.ts
@@ -1,6 +1,6 @@
 /** Relays a backend server's answer to the caller, or reports why it cannot. */
 import {Verdict} from '../verdict';
-import type {AnswerTransport, CallHandler, OpenCall} from './connections';
+import type {AnswerTransport, CallHandler, OpenCall} from './backend_call';
 import {createEventBoundary, type EventSplitter} from './event_splitter';
 import {findHeader} from './raw_headers';
 import type {RequestTask} from './request_task';
--- /dev/null
+++ b/src/gateway/connection.ts
@@ -0,0 +1,115 @@
+/** A connection to a backend server, which undici opens when it is used. */
+import type {Socket} from 'node:net';
+import {buildConnector, Client} from 'undici';
+import type {ProcessLink} from './process_proofs';
+import type {BackendEntry} from './types';
+
+/** A connection and what has happened on it; `answerCount` and what follows it start anew when it is opened again. */
+export interface Connection extends ProcessLink {
+  readonly client: Client;
+  /** True while its socket is open. */
+  isOpen: boolean;
+  isIdle: boolean;
+  /** Number of the open socket, counted by this node. */
+  number: number;
+  /** True once the connection was reset instead of being closed by the server. */
+  wasReset: boolean;
+  /** Number of answers that have arrived on it. */
+  answerCount: number;
+  acceptedAtMs: number | undefined;
+  /** True while its answer has no length and therefore ends with the connection. */
+  isUnframed: boolean;
+}
+
+/** Options of a connection. */
+export interface ConnectionOptions {
+  readonly server: BackendEntry;
+  readonly connectTimeoutMs: number;
+  /** Idle time after which the connection is closed, in milliseconds, unless its server states a keep-alive time-out. */
+  readonly idleTimeoutMs: number;
+  /** Returns the number of a socket that has been opened. */
+  readonly countOpened: () => number;
+  readonly onClose: () => void;
+}
+
+/** How long before its server's stated keep-alive time-out a connection is closed, in milliseconds. */
+const IDLE_MARGIN_MS = 700;
+/** Upper bound on a server's stated keep-alive time-out, in milliseconds. */
+const MAX_IDLE_TIMEOUT_MS = 30_000;
+
+/** Creates a connection, which is opened by its first request. */
+export function createConnection(options: ConnectionOptions): Connection {
+  const {server} = options;
+  const connector = buildConnector({timeout: options.connectTimeoutMs});
+  const client = new Client(`http://${server.host}:${server.port}`, {
+    connect: (connectOptions, callback) => {
+      connector(connectOptions, (error, socket) => {
+        if (error !== null) {
+          callback(error, null);
+          return;
+        }
+        watchSocket(socket);
+        callback(null, socket);
+      });
+    },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    keepAliveTimeout: options.idleTimeoutMs,
+    keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+    keepAliveMaxTimeout: MAX_IDLE_TIMEOUT_MS,
+    pipelining: 1,
+  });
+  const connection: Connection = {
+    client,
+    isOpen: false,
+    isIdle: false,
+    number: 0,
+    wasReset: false,
+    answerCount: 0,
+    acceptedAtMs: undefined,
+    isUnframed: false,
+  };
+  return connection;
+
+  function watchSocket(socket: Socket): void {
+    connection.number = options.countOpened();
+    connection.isOpen = true;
+    connection.answerCount = 0;
+    connection.acceptedAtMs = undefined;
+    connection.isUnframed = false;
+    let isOpen = true;
+    const recordClose = () => {
+      if (!isOpen) return;
+      isOpen = false;
+      connection.isOpen = false;
+      options.onClose();
+    };
+    socket.prependListener('end', recordClose);
+    socket.on('close', recordClose);
+    watchResets(socket, connection);
+  }
+}
+
+/**
+ * Detects that a connection was reset. undici treats a reset as the end of an
+ * answer without a length, so the listeners run before those of undici. A reset
+ * that arrives together with data is reported as `end`; only a later write
+ * reveals it.
+ */
+function watchResets(socket: Socket, connection: Connection): void {
+  let hasEnded = false;
+  connection.wasReset = false;
+  socket.on('error', () => {
+    // After a regular end, a server may answer the write below with a reset.
+    if (!hasEnded) connection.wasReset = true;
+  });
+  socket.prependListener('end', () => {
+    hasEnded = true;
+    if (!connection.isUnframed) return;
+    // Harmless if the connection is intact: servers ignore an empty line before a request.
+    socket.write('\r\n', error => {
+      const code = (error as NodeJS.ErrnoException | null | undefined)?.code;
+      if (code === 'EPIPE' || code === 'ECONNRESET') connection.wasReset = true;
+    });
+  });
+}
--- a/src/gateway/control_call.ts
+++ b/src/gateway/control_call.ts
@@ -34,6 +34,8 @@
         },
         onEnd: () => settle({status, body: body.read()}),
         onFailure: () => settle(undefined),
+        // Bodies that are read are JSON, which does not parse when it is cut short.
+        needsProof: () => false,
       },
     });
     timer = clock.schedule(timeoutMs, cancelCall);
--- a/src/gateway/crash_guard.ts
+++ b/src/gateway/crash_guard.ts
@@ -85,8 +85,11 @@
   readonly isFirstStart: boolean;
   /** True while this node reads the store for the others or hears of no other node that does. */
   readonly isReader: () => boolean;
-  /** True when any connection to the server is open, so that its process has not ended. */
-  readonly isConnected: (serverId: string) => boolean;
+  /** Resolves to true when the process of a server that was there at a time, on the monotonic clock, in milliseconds, shows that it lives. */
+  readonly checkProcess: (
+    server: BackendEntry,
+    sinceMs: number,
+  ) => Promise<boolean>;
   readonly notify: (
     message: CrashMessage | SoundMessage | QuarantineMessage,
   ) => void;
@@ -120,7 +123,7 @@
   const reports = createCrashReports({
     nodeName: options.nodeName,
     clock,
-    isConnected: options.isConnected,
+    checkProcess: options.checkProcess,
     onReport: report => {
       options.metrics.recordCrash();
       logger.log('info', 'backend server broke off young streams', {...report});
--- a/src/gateway/crash_reports.ts
+++ b/src/gateway/crash_reports.ts
@@ -16,8 +16,11 @@
 export interface CrashReportsOptions {
   readonly nodeName: string;
   readonly clock: Pick<Clock, 'getMonotonicMs' | 'schedule'>;
-  /** True when any connection to the server is open, so that its process has not ended. */
-  readonly isConnected: (serverId: string) => boolean;
+  /** Resolves to true when the process of a server that was there at a time, on the monotonic clock, in milliseconds, shows that it lives. */
+  readonly checkProcess: (
+    server: BackendEntry,
+    sinceMs: number,
+  ) => Promise<boolean>;
   readonly onReport: (report: CrashReport) => void;
   /** Called instead when the server has not ended. */
   readonly onDropped: (
@@ -28,8 +31,6 @@
 
 /** Time in which all connections to a crashed server break off at one node, in milliseconds. */
 const REPORT_DELAY_MS = 15;
-/** Additional time for the other connections, in milliseconds: a busy node reads their ends late. */
-const RECHECK_DELAY_MS = 100;
 /** Time constant with which the counts decay, in milliseconds: many times the time between two crashes that have one cause. */
 const TIME_CONSTANT_MS = 15_000;
 
@@ -60,17 +61,14 @@
     }
     const streams = [stream];
     unreported.set(key, streams);
-    clock.schedule(REPORT_DELAY_MS, () => submit(RECHECK_DELAY_MS));
+    const brokenAtMs = clock.getMonotonicMs();
+    clock.schedule(REPORT_DELAY_MS, () => {
+      void options.checkProcess(server, brokenAtMs).then(submit);
+    });
 
-    /** Reports the streams unless the server is still connected after `recheckMs` more, in milliseconds. */
-    function submit(recheckMs: number): void {
-      const isConnected = options.isConnected(serverId);
-      if (isConnected && recheckMs > 0) {
-        clock.schedule(recheckMs, () => submit(0));
-        return;
-      }
+    function submit(isAlive: boolean): void {
       unreported.delete(key);
-      if (isConnected) {
+      if (isAlive) {
         options.onDropped(serverId, streams);
         return;
       }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,7 +2,7 @@
 import type {Logger} from '../diagnostics/log';
 import type {Clock} from '../runtime/types';
 import {createAuthority} from './authority';
-import {createConnections, type UnframedEnd} from './connections';
+import {createConnections} from './connections';
 import {createControlListeners} from './control_listener';
 import {createCrashGuard} from './crash_guard';
 import {createDrain} from './drain';
@@ -14,7 +14,7 @@
 import {createFrontListener} from './front_listener';
 import {createGatewayMetrics} from './gateway_metrics';
 import {createEngineAffinity} from './engine_affinity';
-import {checkProcess} from './process_check';
+import {createProcessChecks} from './process_check';
 import {createPeerMessageHandler} from './peer_message_handler';
 import {createPeerReach} from './peer_reach';
 import {createPeers} from './peers';
@@ -38,6 +38,7 @@
   type FleetStore,
   type NodeRecord,
 } from './types';
+import type {UnframedEnd} from './unframed_end';
 import {createWaitingPrompts} from './waiting_prompts';
 
 /** A gateway process. */
@@ -121,16 +122,8 @@
   const connections = createConnections({
     onCall: notices.recordCall,
     onUnframedEnd: logUnframedEnd,
-    checkProcess: server =>
-      checkProcess({
-        connections,
-        clock,
-        protocol,
-        state,
-        pauses,
-        limits,
-        server,
-      }),
+    clock,
+    checks: createProcessChecks({protocol, state, pauses, limits}),
   });
   const health = createHealthTracker({
     clock,
@@ -150,7 +143,7 @@
     getRandom,
     isFirstStart: settings.isFirstStart,
     isReader: () => follower.isReader(),
-    isConnected: connections.hasOpen,
+    checkProcess: connections.checkProcess,
     notify: peers.notify,
   });
   const follower = createStoreFollower({
--- /dev/null
+++ b/src/gateway/open_call.ts
@@ -0,0 +1,206 @@
+/** One request to a backend server on its connection, from the dispatch to the end of the answer. */
+import type {Dispatcher} from 'undici';
+import type {Clock} from '../runtime/types';
+import {Verdict} from '../verdict';
+import type {BackendCall, HeadListener, OpenCall} from './backend_call';
+import type {Connection} from './connection';
+import type {ProcessProof} from './process_proofs';
+import {findHeader, hasFraming} from './raw_headers';
+import type {CallEvidence, CallFailure} from './types';
+import {
+  checkEnd,
+  END_MESSAGES,
+  EndEvidence,
+  type UnframedEnd,
+} from './unframed_end';
+
+/** A call and the handler that undici reports its progress to. */
+export interface DispatchedCall extends OpenCall {
+  readonly dispatchHandler: Dispatcher.DispatchHandler;
+}
+
+/** Options of a call. */
+export interface OpenCallOptions {
+  readonly clock: Pick<Clock, 'getMonotonicMs'>;
+  readonly request: BackendCall;
+  readonly connection: Connection;
+  readonly onHead?: HeadListener;
+  /** Called for the head of each final answer, before the handler of the call, with when the request was sent, on the monotonic clock, in milliseconds. */
+  readonly onAnswer: (
+    status: number,
+    rawHeaders: readonly string[],
+    sentAtMs: number,
+  ) => void;
+  /** Asks for a proof that the process that got a request, sent at `sentAtMs`, lives; the returned function cancels. */
+  readonly checkProcess: (
+    sentAtMs: number,
+    callback: (proof: ProcessProof) => void,
+  ) => () => void;
+  readonly onUnframedEnd: (end: UnframedEnd) => void;
+  /** Returns the connection to the idle ones, or closes it when it cannot be reused. */
+  readonly release: (isReusable: boolean) => void;
+}
+
+/** Creates a call. */
+export function createOpenCall(options: OpenCallOptions): DispatchedCall {
+  const {clock, request, release, connection} = options;
+  const {handler} = request;
+  let controller: Dispatcher.DispatchController | undefined;
+  let isSent = false;
+  let isDone = false;
+  let isPaused = false;
+  let sentAtMs = 0;
+  let evidence: CallEvidence | undefined;
+  let head = {status: 0, atMs: 0, contentType: undefined as string | undefined};
+  let bodyBytes = 0;
+  let cancelCheck: () => void = () => undefined;
+  return {
+    cancel,
+    setPaused,
+    isSent: () => isSent,
+    getEvidence: () => evidence,
+    dispatchHandler: {
+      onRequestStart: started => {
+        controller = started;
+        isSent = true;
+        sentAtMs = clock.getMonotonicMs();
+        evidence = {
+          connection: connection.number,
+          answersBefore: connection.answerCount,
+        };
+        if (isDone) started.abort(new Error('cancelled'));
+      },
+      onResponseStart,
+      onResponseData: (_controller, chunk) => {
+        bodyBytes += chunk.length;
+        if (!isDone) handler.onData(chunk);
+      },
+      onResponseEnd: () => {
+        // The write that reveals a reset completes only after this event.
+        if (connection.isUnframed) setImmediate(settleUnframed);
+        else settle();
+      },
+      onResponseError: (_controller, error) => {
+        if (isSent && connection.isUnframed && !isDone) {
+          reportUnframed(EndEvidence.Reset);
+        }
+        if (isSent) return fail(createReset(error.message));
+        fail({
+          verdict: Verdict.NotRun,
+          reason: 'connect',
+          message: error.message,
+        });
+      },
+    },
+  };
+
+  function setPaused(next: boolean): void {
+    if (isDone || isPaused === next) return;
+    isPaused = next;
+    if (isPaused) controller?.pause();
+    else controller?.resume();
+  }
+
+  /** The end of a process closes its connections like the end of an answer does. */
+  function settleUnframed(): void {
+    if (isDone) return;
+    cancelCheck = checkEnd(
+      {
+        wasReset: connection.wasReset,
+        isCutOff: () => handler.isCutOff?.() === true,
+        needsProof: () => handler.needsProof?.() !== false,
+        checkProcess: callback => options.checkProcess(sentAtMs, callback),
+      },
+      result => {
+        if (isDone) return;
+        reportUnframed(result);
+        const message = END_MESSAGES[result];
+        if (message === undefined) settle();
+        else fail(createReset(message));
+      },
+    );
+  }
+
+  function reportUnframed(result: EndEvidence): void {
+    options.onUnframedEnd({
+      serverId: request.server.id,
+      requestId: request.requestId,
+      path: request.path,
+      status: head.status,
+      contentType: head.contentType,
+      isComplete: END_MESSAGES[result] === undefined,
+      evidence: result,
+      bodyBytes,
+      sinceHeadMs: Math.round(clock.getMonotonicMs() - head.atMs),
+    });
+  }
+
+  function settle(): void {
+    if (connection.wasReset) {
+      return fail(createReset('connection was reset during the answer'));
+    }
+    if (isDone) return;
+    isDone = true;
+    release(true);
+    handler.onEnd();
+  }
+
+  function onResponseStart(
+    started: Dispatcher.DispatchController,
+    status: number,
+  ): void {
+    // Informational (1xx) answers precede the final one.
+    if (isDone || status < 200) return;
+    const rawHeaders = listRawHeaders(started);
+    const isFramed = hasFraming(rawHeaders) || !hasBody(request.method, status);
+    connection.isUnframed = !isFramed;
+    head = {
+      status,
+      atMs: clock.getMonotonicMs(),
+      contentType: findHeader(rawHeaders, 'Content-Type'),
+    };
+    options.onHead?.(status, rawHeaders);
+    options.onAnswer(status, rawHeaders, sentAtMs);
+    const answersBefore = connection.answerCount++;
+    const answerAfterMs = Math.round(10 * (head.atMs - sentAtMs)) / 10;
+    evidence = {connection: connection.number, answersBefore, answerAfterMs};
+    const failure = handler.onAnswer(status, rawHeaders, {
+      isFirst: answersBefore === 0,
+      isFramed,
+      evidence,
+    });
+    if (failure !== undefined) fail(failure);
+  }
+
+  function fail(failure: CallFailure): void {
+    if (isDone) return;
+    isDone = true;
+    controller?.abort(new Error(failure.reason));
+    release(false);
+    handler.onFailure(
+      evidence === undefined ? failure : {...failure, evidence},
+    );
+  }
+
+  function cancel(): void {
+    if (isDone) return;
+    isDone = true;
+    cancelCheck();
+    controller?.abort(new Error('cancelled'));
+    release(false);
+  }
+}
+
+/** True when an answer to this method with this status has a body. */
+function hasBody(method: string, status: number): boolean {
+  return method !== 'HEAD' && status !== 204 && status !== 304;
+}
+
+function createReset(message: string): CallFailure {
+  return {verdict: Verdict.MayHaveRun, reason: 'reset', message};
+}
+
+function listRawHeaders(controller: Dispatcher.DispatchController): string[] {
+  const raw = controller.rawHeaders;
+  return Array.isArray(raw) ? raw.map(item => item.toString('latin1')) : [];
+}
--- a/src/gateway/prefill_call.ts
+++ b/src/gateway/prefill_call.ts
@@ -1,6 +1,6 @@
 /** Sends the prompt of a request to a prefill engine. */
 import {Verdict} from '../verdict';
-import type {AnswerTransport} from './connections';
+import type {AnswerTransport} from './backend_call';
 import type {FlowContext} from './flow_context';
 import type {PrefillPlacement} from './placement';
 import type {RequestTask} from './request_task';
@@ -60,6 +60,8 @@
       onData: handleChunk,
       onEnd: handleEnd,
       onFailure: fail,
+      // The body is JSON, which does not parse when it is cut short.
+      needsProof: () => false,
     },
     sendOptions: {rank: route.rank, isPrefillOnly: true},
   });
--- a/src/gateway/process_check.ts
+++ b/src/gateway/process_check.ts
@@ -1,45 +1,98 @@
-/** Asks a backend server whether it is still the process that the node knows. */
-import type {Clock} from '../runtime/types';
-import type {Connections} from './connections';
-import {sendControlCall} from './control_call';
+/** Checks with which a backend server is asked for a sign of its process. */
 import type {FleetState} from './fleet_state';
+import {CheckResult} from './process_proofs';
 import type {ServerLimits} from './server_limits';
 import type {ServerPauses} from './server_pauses';
-import type {BackendEntry, BackendProtocol} from './types';
+import type {BackendEntry, BackendProtocol, ControlCall} from './types';
 
-/** Options of the check. */
-export interface ProcessCheckOptions {
-  readonly connections: Connections;
-  readonly clock: Clock;
-  readonly protocol: Pick<BackendProtocol, 'buildReportCall' | 'parseReport'>;
-  readonly state: Pick<FleetState, 'tryGetUsable'>;
+/** A call that any server answers without doing work, and what its answer states. */
+export interface ProcessCheck {
+  readonly call: ControlCall;
+  /** Returns what the answer states about the process. */
+  readonly parseResult: (status: number, body: Buffer) => CheckResult;
+}
+
+/** Builds the checks. */
+export interface ProcessChecks {
+  /** True when the answer to a check of the server may state which process gave it. */
+  canState(server: BackendEntry): boolean;
+  /** True when the servers of the service are known to do so. */
+  isStating(server: BackendEntry): boolean;
+  /** Returns a check, or undefined while the server must get no calls. */
+  tryBuild(server: BackendEntry): ProcessCheck | undefined;
+  /** True when a check may be sent beside a request: it must not use up what the server takes. */
+  canPrepare(server: BackendEntry): boolean;
+  /** True when an answer belongs to the request with this id, or to a call without one; a late copy of another answer does not. */
+  isOwnAnswer(
+    status: number,
+    rawHeaders: readonly string[],
+    requestId: string | undefined,
+  ): boolean;
+}
+
+/** Options of the checks. */
+export interface ProcessChecksOptions {
+  readonly protocol: Pick<
+    BackendProtocol,
+    'buildReportCall' | 'buildHealthCall' | 'parseReport' | 'parseAnswer'
+  >;
+  readonly state: Pick<FleetState, 'tryGetService'>;
   readonly pauses: Pick<ServerPauses, 'isPaused'>;
-  readonly limits: Pick<ServerLimits, 'canSend'>;
-  readonly server: BackendEntry;
+  readonly limits: Pick<ServerLimits, 'canSend' | 'isLimited'>;
 }
 
-/** Time-out of the check, in milliseconds: many round trips, and less than a caller's patience for the end of an answer. */
-const CHECK_TIMEOUT_MS = 300;
+/** Creates the builder of checks. */
+export function createProcessChecks(
+  options: ProcessChecksOptions,
+): ProcessChecks {
+  const {protocol, state, pauses, limits} = options;
+  /** Services whose servers state their start in reports. */
+  const statingServices = new Set<string>();
+  return {
+    canState,
+    isStating: server =>
+      canState(server) && statingServices.has(server.service),
+    tryBuild,
+    canPrepare: server => !pauses.isPaused(server) && !limits.isLimited(server),
+    isOwnAnswer: (status, rawHeaders, requestId) =>
+      protocol.parseAnswer(status, rawHeaders).requestId === requestId,
+  };
+
+  /** Only engines report, and a report tells nothing unless the entry states the start, too. */
+  function canState({stage, startedAtMs}: BackendEntry): boolean {
+    return stage !== undefined && startedAtMs > 0;
+  }
+
+  function tryBuild(server: BackendEntry): ProcessCheck | undefined {
+    if (pauses.isPaused(server) || !limits.canSend(server)) return undefined;
+    if (server.stage !== undefined) {
+      return {
+        call: protocol.buildReportCall(server.id),
+        parseResult: (status, body) => parseReport(server, status, body),
+      };
+    }
+    const service = state.tryGetService(server.service);
+    if (service === undefined) return undefined;
+    return {
+      call: protocol.buildHealthCall(server.id, service.healthPath),
+      parseResult: () => CheckResult.Nothing,
+    };
+  }
 
-/** Resolves to true when the server's report names the start that the node knows. Only engines report, and none is asked that takes no requests. */
-export async function checkProcess(
-  options: ProcessCheckOptions,
-): Promise<boolean> {
-  const {protocol, server} = options;
-  const known = options.state.tryGetUsable(server.id);
-  if (known === undefined || server.stage === undefined) return false;
-  if (options.pauses.isPaused(known) || !options.limits.canSend(known)) {
-    return false;
+  function parseReport(
+    server: BackendEntry,
+    status: number,
+    body: Buffer,
+  ): CheckResult {
+    const report = status === 200 ? protocol.parseReport(body) : undefined;
+    if (report === undefined) return CheckResult.Nothing;
+    if (report.startedAtMs === 0) {
+      statingServices.delete(server.service);
+      return CheckResult.Nothing;
+    }
+    statingServices.add(server.service);
+    return report.startedAtMs === server.startedAtMs
+      ? CheckResult.SameProcess
+      : CheckResult.OtherProcess;
   }
-  const answer = await sendControlCall(
-    options.connections,
-    options.clock,
-    server,
-    protocol.buildReportCall(server.id),
-    CHECK_TIMEOUT_MS,
-  );
-  if (answer?.status !== 200) return false;
-  const report = protocol.parseReport(answer.body);
-  // A server that does not state its start never starts again under its id.
-  return report !== undefined && report.startedAtMs === server.startedAtMs;
 }
--- a/src/gateway/server_call.ts
+++ b/src/gateway/server_call.ts
@@ -1,5 +1,5 @@
 /** Sends a caller's request to a backend server. */
-import type {CallHandler, OpenCall} from './connections';
+import type {CallHandler, OpenCall} from './backend_call';
 import type {Exchange} from './exchange';
 import type {FlowContext} from './flow_context';
 import type {RequestTask} from './request_task';
--- a/src/gateway/server_notices.ts
+++ b/src/gateway/server_notices.ts
@@ -1,6 +1,6 @@
 /** Handles what backend servers state about themselves in the heads of their answers, whichever call the answer belongs to. */
 import type {Logger} from '../diagnostics/log';
-import type {HeadListener} from './connections';
+import type {HeadListener} from './backend_call';
 import type {FleetState} from './fleet_state';
 import type {Peers} from './peers';
 import type {ServerLimits} from './server_limits';
--- a/src/gateway/service_flow.ts
+++ b/src/gateway/service_flow.ts
@@ -5,7 +5,7 @@
  */
 import {Verdict} from '../verdict';
 import {createAnswerRelay} from './answer_relay';
-import type {OpenCall} from './connections';
+import type {OpenCall} from './backend_call';
 import type {FlowContext} from './flow_context';
 import type {RequestTask} from './request_task';
 import {formatFailure, sendToServer} from './server_call';
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -231,6 +231,7 @@
   /** Builds the call that frees a KV cache which no engine will fetch. */
   buildReleaseCall(kv: KvReference): ControlCall;
   buildReportCall(serverId: string): ControlCall;
+  buildHealthCall(serverId: string, healthPath: string): ControlCall;
   /** Returns the parsed report, or undefined when it is malformed. */
   parseReport(body: Buffer): StageReport | undefined;
   buildStageOrderCall(order: StageOrder): ControlCall;
--- a/src/platform/backend_protocol.ts
+++ b/src/platform/backend_protocol.ts
@@ -99,6 +99,11 @@
       path: '/report',
       headers: [Header.ServerId, serverId],
     }),
+    buildHealthCall: (serverId, path) => ({
+      method: 'GET',
+      path,
+      headers: [Header.ServerId, serverId],
+    }),
     parseReport,
     buildStageOrderCall,
   };
--- a/test/gateway/stage_control.test.ts
+++ b/test/gateway/stage_control.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {Ok} from 'ts-results';
-import type {BackendCall, Connections} from '../../src/gateway/connections';
+import type {BackendCall} from '../../src/gateway/backend_call';
+import type {Connections} from '../../src/gateway/connections';
 import {createFleetState} from '../../src/gateway/fleet_state';
 import {createServerPauses} from '../../src/gateway/server_pauses';
 import {createStageControl} from '../../src/gateway/stage_control';
--- a/test/platform/disturbances.test.ts
+++ b/test/platform/disturbances.test.ts
@@ -98,7 +98,8 @@
   assert.ok(
     healthy.runs.length - healthyRunsBefore >= answers.length - maxAttempts,
   );
-  // The node sends no health checks: their responses would not show whether requests are answered.
+  // The silent server's health is good, which does not show whether requests are answered; no server is chosen by it.
+  assert.ok(silent.countHealthChecks() <= attempts + silentRunsBefore);
   const paths = [...silent.runs, ...healthy.runs].map(run => run.path);
   assert.ok(!paths.includes('/healthz'));
   await system.close();
--- a/test/platform/endless_bytes.test.ts
+++ b/test/platform/endless_bytes.test.ts
@@ -3,6 +3,7 @@
 import {createServer, type Server, type Socket} from 'node:net';
 import type {AddressInfo} from 'node:net';
 import {test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {startRawServer} from '../gateway/support';
 import {
   isNodeReady,
@@ -227,6 +228,11 @@
   publishEntry(system, endless.port, 'app');
   await waitForServers(system, 1);
   await system.send({path: '/order/x', abortAfterMs: 200});
+  await waitUntil(
+    'only the order is under way, not the check before it',
+    () => endless.countOpen() === 1,
+  );
+  await sleep(100);
   assert.equal(endless.countOpen(), 1);
   await waitUntil(
     'its connection is closed',
