--- a/src/gateway/answer_relay.ts
+++ b/src/gateway/answer_relay.ts
@@ -110,10 +110,12 @@
       rejection = createRejection(Verdict.MayHaveRun, status);
       return;
     }
-    const type = findHeader(rawHeaders, 'Content-Type') ?? EVENT_TYPE;
+    const type = getMediaType(rawHeaders) ?? EVENT_TYPE;
+    const isStated = type === EVENT_TYPE;
+    // Without a length, only the events show whether the answer is whole, whatever type the server states.
     isEventStream =
-      isSuccess && options.isEventStream && type.startsWith(EVENT_TYPE);
-    if (exchange.hasAnswerBegun() && !isEventStream) {
+      isSuccess && options.isEventStream && (isStated || !isFramed);
+    if (exchange.hasAnswerBegun() && !(isEventStream && isStated)) {
       return createMismatch(`a stream was to be resumed by ${type}`);
     }
     if (isSuccess) options.onHead?.();
@@ -191,6 +193,12 @@
   }
 }
 
+/** Returns the media type in lower case and without parameters; undefined when none is stated. */
+function getMediaType(rawHeaders: readonly string[]): string | undefined {
+  const value = findHeader(rawHeaders, 'Content-Type');
+  return value?.split(';')[0].trim().toLowerCase();
+}
+
 function createMismatch(message: string): CallFailure {
   return {verdict: Verdict.MayHaveRun, reason: 'mismatch', message};
 }
--- a/test/platform/unproven_ends.test.ts
+++ b/test/platform/unproven_ends.test.ts
@@ -165,6 +165,47 @@
   }
 });
 
+for (const type of [
+  'Text/Event-Stream',
+  'TEXT/EVENT-STREAM; charset=utf-8',
+  'text/event-streams',
+  'application/octet-stream',
+  'application/json',
+  '',
+]) {
+  test(`a stream without a length that ends inside an event is not framed as whole: content type '${type}'`, async () => {
+    for (const name of ['ask', 'resume']) {
+      const {send} = await startScene(true, {
+        statesStart: true,
+        answer: (request, server) => {
+          server.sendHead(request, `Content-Type: ${type}`);
+          request.socket.write(EVENTS[0]);
+          setTimeout(
+            () => request.socket.end('id: 2\ndata: pie'),
+            EVENT_INTERVAL_MS,
+          );
+        },
+      });
+      assert.equal(isFramedAsWhole(await send(name)), false, name);
+    }
+  });
+
+  test(`a whole stream without a length of a server that lives is framed as whole: content type '${type}'`, async () => {
+    for (const name of ['ask', 'resume']) {
+      const {send} = await startScene(true, {
+        statesStart: true,
+        answer: (request, server) => {
+          server.sendHead(request, `Content-Type: ${type}`);
+          request.socket.end(EVENTS.join(''));
+        },
+      });
+      const answer = await send(name);
+      assert.equal(isFramedAsWhole(answer), true, name);
+      assert.equal(answer.body, EVENTS.join(''));
+    }
+  });
+}
+
 for (const [name, isEngine] of ROUTES) {
   for (const statesStart of [true, false]) {
     const start = statesStart ? 'stated' : 'not stated';
