--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,6 +1,7 @@
 /** A caller's HTTP request and its response. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {OpenRequest} from './caller_connection';
+import {findHeader} from './raw_headers';
 import type {BackendProtocol, CallerRequest} from './types';
 
 /** A caller's complete request and the operations to answer it. */
@@ -54,6 +55,7 @@
 export function createExchange(options: ExchangeOptions): Exchange {
   const {request, response, protocol, connection} = options;
   let isOver = false;
+  let hasLength = false;
   const disconnectCallbacks: Array<() => void> = [];
   response.sendDate = false;
   connection.onClose(() => {
@@ -85,12 +87,15 @@
     },
     abort: () => {
       isOver = true;
-      response.destroy();
+      // The end of the connection is the end of an answer that has neither a length nor chunks.
+      if (hasLength || response.chunkedEncoding) response.destroy();
+      else request.socket.resetAndDestroy();
     },
     answer,
   };
 
   function sendHead(status: number, headers: readonly string[]): void {
+    hasLength = findHeader(headers, 'Content-Length') !== undefined;
     const closing = options.isClosing() ? ['Connection', 'close'] : [];
     response.writeHead(status, [...headers, ...closing]);
     response.flushHeaders();
--- a/test/platform/unproven_ends.test.ts
+++ b/test/platform/unproven_ends.test.ts
@@ -1,5 +1,6 @@
 /** Answers without a length that must not pass for whole, and those that must, before servers on raw sockets. */
 import assert from 'node:assert/strict';
+import {connect} from 'node:net';
 import {after, test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
@@ -277,3 +278,30 @@
     }
   });
 }
+
+test('a caller of HTTP/1.0 can tell an answer that broke off from a whole one', async () => {
+  for (const isBroken of [true, false]) {
+    const scene = await startScene(true, {
+      statesStart: true,
+      answer: (request, server) => {
+        sendHeadOf(request, server);
+        request.socket.write(EVENTS[0]);
+        setTimeout(
+          () => request.socket.end(isBroken ? 'id: 2\ndata: pie' : EVENTS[1]),
+          EVENT_INTERVAL_MS,
+        );
+      },
+    });
+    const {callersPort} = scene.system.nodes[0];
+    const wasReset = await new Promise<boolean>(resolve => {
+      const socket = connect(callersPort, '127.0.0.1');
+      socket.on('error', () => resolve(true));
+      socket.on('end', () => resolve(false));
+      socket.resume();
+      socket.write(
+        `POST /ask/x HTTP/1.0\r\nHost: desk.example\r\nAnvilstack-Request-Id: old-${isBroken}\r\nAnvilstack-Deadline-Ms: 3000\r\nAnvilstack-Model: m\r\nAnvilstack-Token-Count: 900,9\r\nAnvilstack-Prompt-Prefix: aa:600,old-${isBroken}:300\r\nContent-Length: 2\r\n\r\nhi`,
+      );
+    });
+    assert.equal(wasReset, isBroken);
+  }
+});
