Read what has arrived before a wait for a witness or a proof is given up (ORDER)

Callers would have got 502 for whole answers without a length when the node was held up: a process that wakes runs its timers before it reads, so that an answer to a check that had arrived came after its time-out.

Time-outs of checks, proofs and of the wait for a witness now run after what has arrived by then.

--- a/src/gateway/process_proofs.ts
+++ b/src/gateway/process_proofs.ts
@@ -7,6 +7,7 @@
  * in question, or a statement of which process it is. An open connection shows
  * nothing, because its end may be on its way.
  */
+import {scheduleAfterInput} from '../runtime';
 import type {Clock, Timer} from '../runtime/types';
 
 /** A connection to the server. */
@@ -100,7 +101,7 @@
     sentAtMs: number,
     callback: (proof: ProcessProof) => void,
   ): () => void {
-    const timer = clock.schedule(PROOF_TIMEOUT_MS, () =>
+    const timer = scheduleAfterInput(clock, PROOF_TIMEOUT_MS, () =>
       proof.settle(ProcessProof.None),
     );
     const cancel = () => {
--- a/src/gateway/process_witness.ts
+++ b/src/gateway/process_witness.ts
@@ -1,4 +1,5 @@
 /** Keeps a connection to one backend server that its process has accepted, and gets proofs on it that the process lives. */
+import {scheduleAfterInput} from '../runtime';
 import type {Clock} from '../runtime/types';
 import type {BackendCall, OpenCall} from './backend_call';
 import {createBoundedBody} from './bounded_body';
@@ -55,6 +56,8 @@
 const CHECK_TIMEOUT_MS = 500;
 /** Longest time that a request waits for a witness, in milliseconds: less than latency objectives allow. */
 const PREPARE_TIMEOUT_MS = 100;
+/** The same once the server has answered without a length, in milliseconds: a late answer is worth more than one whose end cannot be judged. */
+const UNFRAMED_PREPARE_TIMEOUT_MS = 400;
 
 /** Creates the witness; it sends nothing until it is asked. */
 export function createProcessWitness(
@@ -63,6 +66,7 @@
   const {server, clock, checks, listConnections} = options;
   /** Sends the requests that wait for a witness. */
   const waiting = new Set<() => void>();
+  let hasUnframed = false;
   const proofs = createProcessProofs({
     clock,
     listLinks: listConnections,
@@ -106,7 +110,10 @@
   function createWaitingCall(send: () => OpenCall): OpenCall {
     let open: OpenCall | undefined;
     let isPaused = false;
-    const timer = clock.schedule(PREPARE_TIMEOUT_MS, sendNow);
+    const timeoutMs = hasUnframed
+      ? UNFRAMED_PREPARE_TIMEOUT_MS
+      : PREPARE_TIMEOUT_MS;
+    const timer = scheduleAfterInput(clock, timeoutMs, sendNow);
     waiting.add(sendNow);
     return {
       cancel: () => {
@@ -146,7 +153,7 @@
       open.cancel();
       settle(CheckResult.Nothing);
     };
-    const timer = clock.schedule(CHECK_TIMEOUT_MS, cancel);
+    const timer = scheduleAfterInput(clock, CHECK_TIMEOUT_MS, cancel);
     const open = options.sendCall(
       {
         server,
@@ -173,6 +180,7 @@
   ): void {
     const isOwn = checks?.isOwnAnswer(status, rawHeaders, requestId) ?? true;
     if (isOwn) proofs.recordAnswer(connection, sentAtMs);
+    hasUnframed ||= connection.isUnframed;
     connection.acceptedAtMs ??= clock.getMonotonicMs();
   }
 }
--- a/src/runtime/index.ts
+++ b/src/runtime/index.ts
@@ -1,4 +1,5 @@
 export {assertInvariant, assertNever} from './assert';
+export {scheduleAfterInput} from './schedule_after_input';
 export {createSystemClock} from './system_clock';
 export {createVirtualClock} from './virtual_clock';
 export type {VirtualClockOptions} from './virtual_clock';
--- a/test/platform/unproven_ends.test.ts
+++ b/test/platform/unproven_ends.test.ts
@@ -1,7 +1,7 @@
 /** Answers without a length that must not pass for whole, and those that must, before servers on raw sockets. */
 import assert from 'node:assert/strict';
 import {connect} from 'node:net';
-import {after, test} from 'node:test';
+import {afterEach, test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
   type MortalServer,
@@ -28,7 +28,7 @@
 }
 
 const closers: Array<() => Promise<void>> = [];
-after(() => Promise.all(closers.map(close => close())));
+afterEach(() => Promise.all(closers.splice(0).map(close => close())));
 
 const EVENTS = [1, 2, 3].map(id => `id: ${id}\ndata: piece ${id}\n\n`);
 const PLAIN = 'booked: four boards';
