Decode client accounts, duties and scaling of the platform's configuration

Change: types of accounts, duties and scaling in folders of their own; the adapter decodes them, keeps keys as digests only and sets or drops the headers that concern accounts where a send asks for it. Nothing uses them yet.

--- /dev/null
+++ b/src/accounts/index.ts
@@ -0,0 +1,2 @@
+export {getKeyDigest, tryGetBearerToken} from './key_digest';
+export type {ClientAccount} from './types';
--- a/src/demo/cluster.ts
+++ b/src/demo/cluster.ts
@@ -1,6 +1,6 @@
 /** Runs nodes and stand-ins in this process, on free loopback ports. */
 import {createLogger} from '../diagnostics';
-import {getKeyHash} from '../entry';
+import {getKeyDigest} from '../accounts';
 import {type AnvilstackNode, startNode} from '../node';
 import {VmState} from '../control_services';
 import type {Clock} from '../runtime';
@@ -169,7 +169,7 @@
       vm_list_address: fleet.vmListAddress,
       weight_store_address: fleet.weightStoreAddress,
     },
-    operator: [{name: 'demo', token_sha256: getKeyHash(OPERATOR_TOKEN)}],
+    operator: [{name: 'demo', token_sha256: getKeyDigest(OPERATOR_TOKEN)}],
     routing: {
       report_interval_ms:
         options.reportIntervalMs ?? DEFAULT_REPORT_INTERVAL_MS,
--- /dev/null
+++ b/src/duties/index.ts
@@ -0,0 +1,2 @@
+export {DutyKind} from './types';
+export type {DutyCaller, DutyClient, DutyFailure, UsageReport} from './types';
--- /dev/null
+++ b/src/duties/types.ts
@@ -0,0 +1,42 @@
+/** Types of duties: calls to the platform that one node at a time makes for the whole fleet. */
+import type {Result} from 'ts-results';
+import type {ServerOrder} from '../scaling';
+
+/** Kind of a duty. */
+export const DutyKind = {Usage: 'usage', Scaling: 'scaling'} as const;
+export type DutyKind = (typeof DutyKind)[keyof typeof DutyKind];
+
+/** Number of requests that began to run in a window, by client account. */
+export interface UsageReport {
+  /** Number of the window: its start in Unix time divided by the length of a window. */
+  readonly windowId: number;
+  readonly counts: Readonly<Record<string, number>>;
+}
+
+/** Who makes a call, and by which grant. */
+export interface DutyCaller {
+  readonly holder: string;
+  readonly fencingNumber: number;
+}
+
+/** Why a call to the platform failed. */
+export interface DutyFailure {
+  /** `fenced`: a higher fencing number was seen; `none-available`: no such server is to be had; `limited`: too many calls. */
+  readonly kind: 'fenced' | 'none-available' | 'limited' | 'unavailable';
+  /** True when the call may have been carried out, or may still be. */
+  readonly mayHaveTakenEffect: boolean;
+  readonly message: string;
+}
+
+/** The platform's interface for duties. */
+export interface DutyClient {
+  sendUsage(
+    report: UsageReport,
+    caller: DutyCaller,
+  ): Promise<Result<void, DutyFailure>>;
+  sendServerOrder(
+    order: ServerOrder,
+    caller: DutyCaller,
+  ): Promise<Result<void, DutyFailure>>;
+  close(): void;
+}
--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -1,4 +1,4 @@
-export {getKeyHash, tryGetAccount} from './authenticate';
+export {tryGetAccount} from './authenticate';
 export {createCallerApp} from './caller_app';
 export type {CallerAppOptions} from './caller_app';
 export {getClassification} from './classify';
--- a/src/entry/operator_access.ts
+++ b/src/entry/operator_access.ts
@@ -1,6 +1,6 @@
 /** Authenticates operators and defines their rights. */
 import {timingSafeEqual} from 'node:crypto';
-import {getKeyHash, tryGetBearerToken} from './authenticate';
+import {getKeyDigest, tryGetBearerToken} from '../accounts';
 
 /** Rights of an operator. */
 export const OperatorRight = {
@@ -28,7 +28,7 @@
 ): Operator | undefined {
   const token = tryGetBearerToken(authorization);
   if (token === undefined) return undefined;
-  const hash = Buffer.from(getKeyHash(token), 'hex');
+  const hash = Buffer.from(getKeyDigest(token), 'hex');
   return operators.find(operator =>
     timingSafeEqual(Buffer.from(operator.tokenSha256, 'hex'), hash),
   );
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -2,7 +2,12 @@
 export type {Gateway, GatewayOptions} from './gateway';
 export {findHeader} from './raw_headers';
 export type {QuarantineRecord} from './part_quarantine';
-export type {Address, GatewayBounds, GatewaySettings} from './settings';
+export type {
+  Address,
+  DutySettings,
+  GatewayBounds,
+  GatewaySettings,
+} from './settings';
 export {DEFAULT_CALLER_LIMITS, EngineStage, RequestKind} from './types';
 export type {
   AnswerHead,
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -1,4 +1,5 @@
 /** Settings of one gateway process. */
+import type {DutyKind} from '../duties';
 
 /** Address of a TCP listener. */
 export interface Address {
@@ -16,6 +17,22 @@
   readonly retryRatio: number;
   /** Retries allowed within a window in addition to the ratio. */
   readonly retrySlack: number;
+  /** Time within which a new configuration takes effect, in milliseconds. */
+  readonly configApplyMs?: number;
+  /** Time within which removed API keys are refused even by nodes that are cut off, in milliseconds; absent when that is not required. */
+  readonly revokeMs?: number;
+}
+
+/** The platform's interface for duties, and what is due there. */
+export interface DutySettings {
+  readonly address: Address;
+  readonly kinds: readonly DutyKind[];
+  /** Calls that the platform takes from all nodes together, per second. */
+  readonly callsPerS: number;
+  /** Length of a usage window, in milliseconds. */
+  readonly usageWindowMs: number;
+  /** Time after the end of a window within which its report is due, in milliseconds. */
+  readonly usageDueMs: number;
 }
 
 /** Settings of one gateway process. */
@@ -36,4 +53,6 @@
   readonly bounds: GatewayBounds;
   /** True only when the whole system is started for the first time. */
   readonly isFirstStart: boolean;
+  /** Absent when the deployment has no duties. */
+  readonly duties?: DutySettings;
 }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -1,5 +1,7 @@
 /** Types of the gateway, which forwards callers' HTTP requests to backend servers. */
 import type {Result} from 'ts-results';
+import type {ClientAccount} from '../accounts';
+import type {ScalingLimits} from '../scaling';
 import type {Verdict} from '../verdict';
 import type {QuarantineRecord} from './part_quarantine';
 
@@ -42,6 +44,8 @@
   readonly maxServers: number;
   /** True when an interrupted stream may be continued by another server, from its last delivered event. */
   readonly isResumable: boolean;
+  /** True when callers need no API key. */
+  readonly isPublic?: boolean;
   readonly services: readonly WeightedService[];
 }
 
@@ -67,6 +71,8 @@
   readonly maxConnections: number;
   /** Present if the servers are model engines. */
   readonly engine?: EngineLimits;
+  /** Present if the servers are ordered and billed by the second. */
+  readonly scaling?: ScalingLimits;
 }
 
 /** Size limits and time-outs for callers' requests. */
@@ -91,6 +97,8 @@
   readonly routes: readonly Route[];
   readonly services: readonly BackendService[];
   readonly limits: CallerLimits;
+  /** The client accounts; absent when callers need no API keys. */
+  readonly accounts?: readonly ClientAccount[];
 }
 
 /** A backend server as listed in service discovery. */
@@ -108,6 +116,10 @@
   readonly stage?: EngineStage;
   /** Start time of the server's process, in milliseconds since the Unix epoch; 0 when unknown. */
   readonly startedAtMs: number;
+  /** True when the platform may take the server away at short notice. */
+  readonly isReclaimable?: boolean;
+  /** Time until a server that is leaving ends, in milliseconds, where it states one. */
+  readonly leavesInMs?: number;
 }
 
 /** One part of a prompt. Requests with the same leading parts can share the KV cache of those parts. */
@@ -132,6 +144,8 @@
   /** Id of the last event that the caller received, when it resumes a stream. */
   readonly lastEventId?: string;
   readonly model?: ModelRequest;
+  /** Digest of the API key that the caller sent. */
+  readonly keyDigest?: string;
 }
 
 /** Reference to the KV cache of a prompt, held by the engine that prefilled it. */
@@ -148,6 +162,11 @@
   readonly deadlineMs: number;
   /** Id of the intended server; a different server at the same address rejects the request. */
   readonly serverId: string;
+  /** Set when the configuration has client accounts: the headers that concern them are the system's to set. */
+  readonly account?: {
+    /** Absent for callers of a public route without a known key. */
+    readonly name?: string;
+  };
   /** Rank of the route; sent to model engines only. */
   readonly rank?: number;
   /** True when the engine only prefills the prompt and keeps its KV cache. */
--- a/src/platform/backend_protocol.ts
+++ b/src/platform/backend_protocol.ts
@@ -1,4 +1,5 @@
 /** The platform's HTTP headers and calls between callers, the gateway and backend servers. */
+import {getKeyDigest, tryGetBearerToken} from '../accounts';
 import {
   type AnswerHead,
   type BackendProtocol,
@@ -33,6 +34,9 @@
   Seal: 'Anvilstack-Response-Seal',
   /** Id of the intended backend server; another one at the same address rejects the request. */
   ServerId: 'Anvilstack-Target-Instance',
+  /** Name of the client account, set by the system; its callers send their API key in `Authorization`. */
+  Account: 'Anvilstack-Tenant',
+  Authorization: 'Authorization',
   /** Present when the server states that it did not run the request. */
   NotRun: 'Anvilstack-Not-Executed',
   /** Rank of the route; the smaller the number, the more urgent the request. */
@@ -75,6 +79,10 @@
     'Anvilstack-Expect-Version',
   ].map(name => name.toLowerCase()),
 );
+/** Headers that are dropped, or set by the system, where there are client accounts. */
+const ACCOUNT_HEADERS = new Set(
+  [Header.Account, Header.Authorization].map(name => name.toLowerCase()),
+);
 /** Largest urgency number that servers accept; ranks above it are sent as this number. */
 const MAX_URGENCY = 9;
 const STATUS_UNAVAILABLE = 503;
@@ -113,11 +121,13 @@
   const deadlineMs = Number(findHeader(rawHeaders, Header.Deadline) ?? '');
   const lastEventId = findHeader(rawHeaders, Header.LastEventId);
   const model = tryParseModelRequest(rawHeaders);
+  const key = tryGetBearerToken(findHeader(rawHeaders, Header.Authorization));
   return {
     requestId: findHeader(rawHeaders, Header.RequestId) ?? '',
     ...(deadlineMs > 0 ? {deadlineMs} : {}),
     ...(lastEventId === undefined ? {} : {lastEventId}),
     ...(model === undefined ? {} : {model}),
+    ...(key === undefined ? {} : {keyDigest: getKeyDigest(key)}),
   };
 }
 
@@ -149,6 +159,7 @@
     const name = rawHeaders[index].toLowerCase();
     if (isHopByHop(name) || RESERVED_HEADERS.has(name)) continue;
     if (name === 'content-length') continue;
+    if (options.account !== undefined && ACCOUNT_HEADERS.has(name)) continue;
     if (name === 'last-event-id' && options.lastEventId !== undefined) continue;
     headers.push(rawHeaders[index], rawHeaders[index + 1]);
   }
@@ -157,6 +168,9 @@
     String(Math.max(1, Math.floor(options.deadlineMs))),
   );
   headers.push(Header.ServerId, options.serverId);
+  if (options.account?.name !== undefined) {
+    headers.push(Header.Account, options.account.name);
+  }
   if (options.rank !== undefined) {
     headers.push(Header.Urgency, String(Math.min(MAX_URGENCY, options.rank)));
   }
--- a/src/platform/node_settings.ts
+++ b/src/platform/node_settings.ts
@@ -2,7 +2,8 @@
 import {readFileSync} from 'node:fs';
 import {parse} from 'smol-toml';
 import {Err, Ok, type Result} from 'ts-results';
-import type {Address, GatewaySettings} from '../gateway';
+import {DutyKind} from '../duties';
+import type {Address, DutySettings, GatewaySettings} from '../gateway';
 import {collectKeyPositions} from '../settings/toml_positions';
 import {
   type Fields,
@@ -42,6 +43,11 @@
   }
 }
 
+const DUTY_KINDS: Readonly<Record<string, DutyKind>> = {
+  metering: DutyKind.Usage,
+  autoscale: DutyKind.Scaling,
+};
+
 class SettingsError extends Error {}
 
 function createSettingsReader(path: string, text: string) {
@@ -68,6 +74,7 @@
       bounds: readBounds(),
       // Set only when the whole system starts for the first time, not on each boot.
       isFirstStart: root['bootstrap'] === true,
+      ...(root['cloudApi'] === undefined ? {} : {duties: readDuties()}),
     };
   }
 
@@ -79,6 +86,35 @@
       // The retry budget of the fleet: retries per request, and retries beyond this ratio.
       retryRatio: getNumber('bounds', 'budgetRatio'),
       retrySlack: getNumber('bounds', 'budgetSlack'),
+      ...readConfigBounds(),
+    };
+  }
+
+  function readConfigBounds() {
+    const bounds = tryGetFields(root['bounds']);
+    const configApplyMs = tryGetNumber(bounds?.['configApplyMs']);
+    return {
+      ...(configApplyMs === undefined ? {} : {configApplyMs}),
+      ...(bounds?.['strictRevoke'] === true
+        ? {revokeMs: getNumber('bounds', 'revokeMs')}
+        : {}),
+    };
+  }
+
+  function readDuties(): DutySettings {
+    const fields = tryGetFields(root['cloudApi']);
+    return {
+      address: getAddress('cloudApi', 'address'),
+      kinds: getList(fields?.['duties']).flatMap(
+        name => DUTY_KINDS[tryGetString(name) ?? ''] ?? [],
+      ),
+      callsPerS: getNumber('cloudApi', 'dutyPerS'),
+      usageWindowMs:
+        (tryGetNumber(tryGetFields(root['bounds'])?.['usageWindowS']) ?? 0) *
+        1_000,
+      usageDueMs:
+        (tryGetNumber(tryGetFields(root['bounds'])?.['usageLateS']) ?? 0) *
+        1_000,
     };
   }
 
--- a/src/platform/operator_config.ts
+++ b/src/platform/operator_config.ts
@@ -1,4 +1,5 @@
 /** Decodes the operator's configuration. */
+import {type ClientAccount, getKeyDigest} from '../accounts';
 import {
   type BackendService,
   DEFAULT_CALLER_LIMITS,
@@ -8,6 +9,7 @@
   type Route,
   type WeightedService,
 } from '../gateway';
+import type {ScalingLimits} from '../scaling';
 import {
   type Fields,
   getList,
@@ -36,6 +38,7 @@
   const version = tryGetNumber(fields?.['version']);
   if (fields === undefined || version === undefined) return undefined;
   const limits = tryGetFields(fields['limits']) ?? {};
+  const accounts = fields['tenants'];
   return {
     version,
     routes: getList(fields['routes']).flatMap(
@@ -58,6 +61,29 @@
         tryGetNumber(limits['idleTimeoutMs']) ??
         DEFAULT_CALLER_LIMITS.idleTimeoutMs,
     },
+    ...(accounts === undefined
+      ? {}
+      : {
+          accounts: getList(accounts).flatMap(
+            item => tryParseAccount(item) ?? [],
+          ),
+        }),
+  };
+}
+
+/** Decodes a client account; one without keys is kept, so that its callers are refused by name of the key only. */
+function tryParseAccount(item: unknown): ClientAccount | undefined {
+  const fields = tryGetFields(item);
+  const name = tryGetString(fields?.['name']);
+  if (fields === undefined || name === undefined) return undefined;
+  const rank = tryGetNumber(fields['priority']);
+  return {
+    name,
+    keyDigests: getList(fields['apiKeys']).flatMap(key => {
+      const text = tryGetString(key);
+      return text === undefined ? [] : [getKeyDigest(text)];
+    }),
+    ...(rank === undefined ? {} : {rank}),
   };
 }
 
@@ -81,6 +107,7 @@
     // `attempts` counts the backend servers on which a request may run, the first one included.
     maxServers: tryGetNumber(fields['attempts']) ?? 1,
     isResumable: fields['resumable'] === true,
+    ...(fields['public'] === true ? {isPublic: true} : {}),
     services: listServices(fields),
   };
 }
@@ -106,12 +133,34 @@
   const name = tryGetString(fields?.['name']);
   if (fields === undefined || name === undefined) return undefined;
   const engine = tryGetFields(fields['engine']);
+  const scaling = tryParseScaling(fields['autoscale']);
   return {
     name,
     healthPath: tryGetString(fields['healthPath']) ?? '/',
     maxConnections:
       tryGetNumber(fields['maxConns']) ?? Number.POSITIVE_INFINITY,
     ...(engine === undefined ? {} : {engine: parseEngineLimits(engine)}),
+    ...(scaling === undefined ? {} : {scaling}),
+  };
+}
+
+function tryParseScaling(item: unknown): ScalingLimits | undefined {
+  const fields = tryGetFields(item);
+  const maxServers = tryGetNumber(fields?.['max']);
+  if (fields === undefined || maxServers === undefined) return undefined;
+  const reclaimablePrice = tryGetNumber(fields['spotPrice']);
+  const prices = Object.entries(tryGetFields(fields['zonePrices']) ?? {});
+  return {
+    minServers: tryGetNumber(fields['min']) ?? 0,
+    maxServers,
+    startupMs: (tryGetNumber(fields['startupS']) ?? 0) * 1_000,
+    ...(reclaimablePrice === undefined ? {} : {reclaimablePrice}),
+    domainPrices: Object.fromEntries(
+      prices.flatMap(([domain, price]) => {
+        const value = tryGetNumber(price);
+        return value === undefined ? [] : [[domain, value]];
+      }),
+    ),
   };
 }
 
--- a/src/platform/server_entry.ts
+++ b/src/platform/server_entry.ts
@@ -46,6 +46,7 @@
   const startedAtMs = tryGetWhole(born, 0);
   if (maxRunning === undefined || startedAtMs === undefined) return undefined;
   if (!hasServerFields(fields)) return undefined;
+  const leavesInMs = tryGetNumber(fields['leaves_ms']);
   return {
     id,
     service,
@@ -55,6 +56,8 @@
     isLeaving: state === 'draining',
     ...(stage === undefined ? {} : {stage}),
     startedAtMs,
+    ...(fields['spot'] === true ? {isReclaimable: true} : {}),
+    ...(leavesInMs === undefined ? {} : {leavesInMs}),
   };
 }
 
--- /dev/null
+++ b/src/scaling/index.ts
@@ -0,0 +1,1 @@
+export type {ScalingLimits, ServerOrder} from './types';
--- a/test/entry/operator_app.test.ts
+++ b/test/entry/operator_app.test.ts
@@ -1,11 +1,11 @@
 /** Operators' rights, events and recorded traces. */
 import assert from 'node:assert/strict';
+import {getKeyDigest} from '../../src/accounts';
 import {test} from 'node:test';
 import {createEventRing} from '../../src/diagnostics';
 import {
   createOperatorApp,
   createTraceRecorder,
-  getKeyHash,
   OperatorRight,
   type RequestSummary,
 } from '../../src/entry';
@@ -57,13 +57,13 @@
     operators: [
       {
         name: 'anna',
-        tokenSha256: getKeyHash('t-anna'),
+        tokenSha256: getKeyDigest('t-anna'),
         rights: ['read', 'change'],
       },
-      {name: 'bela', tokenSha256: getKeyHash('t-bela'), rights: ['read']},
+      {name: 'bela', tokenSha256: getKeyDigest('t-bela'), rights: ['read']},
       {
         name: 'cora',
-        tokenSha256: getKeyHash('t-cora'),
+        tokenSha256: getKeyDigest('t-cora'),
         rights: [OperatorRight.Read, OperatorRight.Administer],
       },
     ],
--- a/test/node/resume.test.ts
+++ b/test/node/resume.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import {after, before, test} from 'node:test';
 import {type Cluster, readStream} from '../../src/demo';
-import {getKeyHash} from '../../src/entry';
+import {getKeyDigest} from '../../src/accounts';
 import {
   getExpectedText,
   startTestCluster,
@@ -21,7 +21,7 @@
     createTestTemplate({
       client_account: 'choir',
       operators: ['demo'],
-      api_key_sha256: [getKeyHash(OTHER_ACCOUNT_KEY)],
+      api_key_sha256: [getKeyDigest(OTHER_ACCOUNT_KEY)],
     }),
   );
 });
--- a/test/support/template.ts
+++ b/test/support/template.ts
@@ -1,5 +1,5 @@
 /** Templates for tests. */
-import {getKeyHash} from '../../src/entry';
+import {getKeyDigest} from '../../src/accounts';
 import {type Template, templateSchema} from '../../src/state';
 
 /** Returns a valid template of the account `studio`, with `changes` applied. */
@@ -8,7 +8,7 @@
 ): Template {
   return templateSchema.parse({
     client_account: 'studio',
-    api_key_sha256: [getKeyHash('key-of-studio')],
+    api_key_sha256: [getKeyDigest('key-of-studio')],
     operators: ['anna'],
     models: ['small'],
     services: ['order-desk'],
