--- a/src/platform/backend_protocol.ts
+++ b/src/platform/backend_protocol.ts
@@ -1,17 +1,18 @@
 /** The platform's HTTP headers and calls between callers, the gateway and backend servers. */
-import {getKeyDigest, tryGetBearerToken} from '../accounts';
 import {
   type AnswerHead,
   type BackendProtocol,
   type CallerRequest,
   type ControlCall,
   findHeader,
+  getKeyDigest,
   type KvReference,
   type ModelRequest,
   type SendOptions,
   type ServerNotice,
   type StageOrder,
   type StageReport,
+  tryGetBearerToken,
 } from '../gateway';
 import {tryParseStage} from './server_entry';
 import {
--- a/src/platform/operator_config.ts
+++ b/src/platform/operator_config.ts
@@ -1,15 +1,16 @@
 /** Decodes the operator's configuration. */
-import {type ClientAccount, getKeyDigest} from '../accounts';
 import {
   type BackendService,
+  type ClientAccount,
   DEFAULT_CALLER_LIMITS,
   type EngineLimits,
+  getKeyDigest,
   type GatewayConfig,
   RequestKind,
   type Route,
+  type ScalingLimits,
   type WeightedService,
 } from '../gateway';
-import type {ScalingLimits} from '../scaling';
 import {
   type Fields,
   getList,
