Keep the stages of idle engines in large and in scaled services

Servers that are ordered come and go in bursts, and each burst would move the fraction again. Change: services with autoscale, and services with 100 engines or more, keep their present split unless a stage has fewer than two engines per failure domain, more than half of the engines decode, or a stage is busy (0.8; 0.65 with autoscale, as the number of servers is chosen for 0.5 to 0.6). A busy stage gets up to 13% of the engines at a time, as before. Services without autoscale and with fewer than 100 engines plan as before; their tests are unchanged. Measured: tests of stages and stage control pass. In them 905 engines with 348 that decode get no command (the fraction would change 122), and 14 engines with 7 that decode get 3 commands without and 0 with autoscale.

--- a/src/gateway/stage_control.ts
+++ b/src/gateway/stage_control.ts
@@ -63,6 +63,10 @@
 const SERVING_MAX_MISSING_FRACTION = 0.4;
 /** How long a change must stay planned after start-up, in milliseconds: engines that start or crash do so one after another. */
 const SERVING_SETTLE_MS = 2_500;
+/** Number of engines of a service from which on they keep their stages unless the load requires a change: a fixed fraction would change over a hundred idle engines. */
+const MIN_KEPT_ENGINES = 100;
+/** Utilization from which on a stage is busy where servers are ordered by the load: the number of servers is chosen for a utilization of 0.5 to 0.6. */
+const SCALED_BUSY_UTILIZATION = 0.65;
 /** Time-out for an engine's response, in milliseconds. */
 const ORDER_TIMEOUT_MS = 500;
 /** Time after which an order without visible effect is dropped, in milliseconds: the length of a stage change plus some heartbeats. */
@@ -126,14 +130,23 @@
 
   function listPlans(): StagePlan[] {
     const services = state.getConfig()?.services ?? [];
-    return services.flatMap(({name, engine}) =>
-      engine === undefined ? [] : [createPlan(name, engine)],
+    return services.flatMap(({name, engine, scaling}) =>
+      engine === undefined
+        ? []
+        : [createPlan(name, engine, scaling !== undefined)],
     );
   }
 
-  function createPlan(service: string, engine: EngineLimits): StagePlan {
+  function createPlan(
+    service: string,
+    engine: EngineLimits,
+    isScaled: boolean,
+  ): StagePlan {
     const load = options.tryGetLoad(service, engine);
-    const plan = planStages(state.listUsable(service).map(applyOrder), {
+    const engines = state.listUsable(service).map(applyOrder);
+    const plan = planStages(engines, {
+      keepsStages: isScaled || engines.length >= MIN_KEPT_ENGINES,
+      ...(isScaled ? {busyUtilization: SCALED_BUSY_UTILIZATION} : {}),
       maxMissingFraction: isStarting() ? 0 : SERVING_MAX_MISSING_FRACTION,
       tryGetLimitPerS: options.limits.tryGetLimitPerS,
       ...(load === undefined ? {} : {load}),
--- a/src/gateway/stage_plan.ts
+++ b/src/gateway/stage_plan.ts
@@ -35,6 +35,13 @@
    * a change takes a prefill engine out of service for seconds.
    */
   readonly maxMissingFraction?: number;
+  /**
+   * True when engines keep their stages unless the load requires a change: each
+   * change is priced, and idle engines gain nothing by it.
+   */
+  readonly keepsStages?: boolean;
+  /** Utilization from which on a stage is busy; see `SplitInput`. */
+  readonly busyUtilization?: number;
   /** Returns the limit that an engine states, in requests per second; undefined when there is none. */
   readonly tryGetLimitPerS?: (engine: BackendEntry) => number | undefined;
 }
@@ -51,6 +58,11 @@
 /** Largest fraction of the engines that the minimum number of slots may require. */
 const MAX_DECODE_FRACTION = 0.4;
 
+/** Least number of engines of each stage in each failure domain, on average, where engines keep their stages. */
+const MIN_KEPT_PER_DOMAIN = 2;
+/** Largest fraction of the engines that decode without need, where engines keep their stages: with the request mix of the deployments, prefill needs at least half of them. */
+const MAX_KEPT_DECODE_FRACTION = 0.5;
+
 /** Plans the changes that bring the engines of a service to the wanted numbers of prefill and decode engines. */
 export function planStages(
   engines: readonly BackendEntry[],
@@ -61,10 +73,11 @@
   const count = decode.length + prefill.length;
   const fraction = options.decodeFraction ?? DEFAULT_DECODE_FRACTION;
   const minDecode = computeMinDecode(engines);
-  const defaultDecode = Math.min(
-    Math.max(minDecode, Math.round(count * fraction)),
-    count - 1,
-  );
+  const usualDecode =
+    options.keepsStages === true
+      ? computeKeptDecode(engines, decode.length)
+      : Math.round(count * fraction);
+  const defaultDecode = Math.min(Math.max(minDecode, usualDecode), count - 1);
   const {load, tryGetLimitPerS = () => undefined} = options;
   const isLimited = (engine: BackendEntry) =>
     tryGetLimitPerS(engine) !== undefined;
@@ -78,6 +91,9 @@
           currentDecode: decode.length,
           defaultDecode,
           minDecode,
+          ...(options.busyUtilization === undefined
+            ? {}
+            : {busyUtilization: options.busyUtilization}),
           ...(limitedCount === 0
             ? {}
             : {
@@ -126,6 +142,17 @@
   return Math.max(MIN_DECODE_ENGINES, enginesForSlots);
 }
 
+/** Returns the current number of decode engines, unless a stage could not begin to serve with it. */
+function computeKeptDecode(
+  engines: readonly BackendEntry[],
+  currentDecode: number,
+): number {
+  const domains = new Set(engines.map(({failureDomain}) => failureDomain));
+  const least = MIN_KEPT_PER_DOMAIN * domains.size;
+  const most = Math.floor(engines.length * MAX_KEPT_DECODE_FRACTION);
+  return Math.min(most, Math.max(least, currentDecode));
+}
+
 /** Returns whether the deviation from the wanted number may stay. A surplus is always corrected: surplus decode engines are idle, so changing them costs no capacity in use. */
 function isTolerated(
   surplus: number,
--- a/src/planning/stage_split.ts
+++ b/src/planning/stage_split.ts
@@ -31,6 +31,8 @@
   readonly defaultDecode: number;
   /** Least number of engines that decode. */
   readonly minDecode: number;
+  /** Utilization below which a stage keeps up with the arriving load. */
+  readonly busyUtilization?: number;
   /** Returns the capacity of the stages for a number of decode engines; by default all engines can be used fully. */
   readonly getCapacity?: (decodeCount: number) => StageCapacity;
 }
@@ -54,7 +56,7 @@
  * stream without a slot waits until another one ends.
  */
 const DECODE_HEADROOM = 1.2;
-/** Utilization below which a stage keeps up with the arriving load. */
+/** Default of `busyUtilization`. */
 const BUSY_UTILIZATION = 0.8;
 /**
  * Least relative decrease of the utilization for a change: a change makes each engine unavailable
@@ -87,7 +89,8 @@
     cause,
   });
   if (best === defaultDecode) return keep('the default split fits the load');
-  if (usualUse < BUSY_UTILIZATION) return keep('no stage is busy');
+  const {busyUtilization = BUSY_UTILIZATION} = input;
+  if (usualUse < busyUtilization) return keep('no stage is busy');
   const minGain = usualUse > 1 ? MIN_OVERLOAD_GAIN : MIN_GAIN;
   if (bestUse > usualUse * (1 - minGain)) {
     return keep('another split gains too little');
--- a/test/gateway/stage_control.test.ts
+++ b/test/gateway/stage_control.test.ts
@@ -33,11 +33,11 @@
 };
 
 /** Creates a stage control whose engines respond to each call immediately. */
-function createControl(nodesBefore = 0) {
+function createControl(nodesBefore = 0, config = CONFIG) {
   const clock = createVirtualClock();
   const state = createFleetState();
   const orders: Array<{serverId: string; atMs: number}> = [];
-  state.applyConfig(CONFIG);
+  state.applyConfig(config);
   const connections = {
     call: ({handler}: BackendCall) => {
       handler.onAnswer(200, [], {isFirst: true, isFramed: true});
@@ -127,3 +127,33 @@
   early.control.stop();
   late.control.stop();
 });
+
+test('engines of a service whose servers are ordered keep their stages while no load is known, those of others do not', async () => {
+  const scaling = {
+    minServers: 1,
+    maxServers: 28,
+    startupMs: 4_000,
+    domainPrices: {},
+  };
+  const services = CONFIG.services.map(item => ({...item, scaling}));
+  for (const [config, expected] of [
+    [CONFIG, 3],
+    [{...CONFIG, services}, 0],
+  ] as const) {
+    const {clock, control, addEngine, orders} = createControl(0, config);
+    for (let index = 0; index < 7; index++) {
+      addEngine(`p${index}`, EngineStage.Prefill);
+      addEngine(`d${index}`, EngineStage.Decode);
+    }
+    control.start();
+    await clock.advance(4_000);
+    assert.equal(new Set(orders.map(item => item.serverId)).size, expected);
+    // Servers that are ordered come in bursts, all in the same stage.
+    for (let index = 0; index < 14; index++) {
+      addEngine(`x${index}`, EngineStage.Prefill);
+    }
+    await clock.advance(10_000);
+    if (config !== CONFIG) assert.deepEqual(orders, []);
+    control.stop();
+  }
+});
--- a/test/gateway/stages.test.ts
+++ b/test/gateway/stages.test.ts
@@ -131,6 +131,26 @@
   assert.deepEqual(planStages(createEngines(10, 3), options).changes, []);
 });
 
+test('engines keep their stages unless a stage lacks engines or is busy', () => {
+  const plan = (prefill: number, decode: number, options = {}) =>
+    planStages(createEngines(prefill, decode), {keepsStages: true, ...options});
+  const load = {prefillEngines: 30, decodeEngines: 1};
+  // Idle engines: at 24 and at 905 engines, the usual quarter would change 3 and 122.
+  assert.equal(plan(15, 9).changes.length, 0);
+  assert.equal(plan(557, 348, {load}).changes.length, 0);
+  // Each stage needs some engines to begin with.
+  assert.equal(plan(24, 0).wantedDecode, 6);
+  assert.equal(plan(0, 24).wantedDecode, 12);
+  // A busy stage gets more, an eighth of the engines at a time.
+  const busy = plan(24, 16, {load: {...load, prefillEngines: 23}});
+  assert.equal(busy.changes.length, 5);
+  assert.ok(busy.changes.every(item => item.stage === EngineStage.Prefill));
+  const early = {load: {...load, prefillEngines: 17}};
+  assert.equal(plan(24, 16, early).changes.length, 0);
+  const scaled = plan(24, 16, {...early, busyUtilization: 0.65});
+  assert.ok(scaled.changes.length > 0);
+});
+
 test('too few engines cause no changes', () => {
   assert.equal(planStages([]).changes.length, 0);
   assert.equal(planStages(createEngines(1, 0)).changes.length, 0);
