Connect scaling to the gateway

Cause: nothing called src/scaling. Change: GatewayOptions.dutyClient; the task runs where the duty autoscale is set. Demand messages carry the demand of the last 5 s and the sender's failure domain for services with autoscale only; other deployments' messages are unchanged. The message servers-ordered tells other nodes what was ordered. Prompt parts that several prompts share are measured as they are placed, for the least number of engines. Counter of orders by outcome, gauges of desired and present servers.

--- a/src/gateway/fleet_demand.ts
+++ b/src/gateway/fleet_demand.ts
@@ -4,9 +4,11 @@
   createStageDemandMeter,
   NO_STAGE_DEMAND,
   type StageDemand,
+  type StageDemandMeter,
 } from '../planning/stage_demand';
 import type {StageLoad} from '../planning/stage_split';
 import type {Clock, Timer} from '../runtime/types';
+import type {ServerLoad} from '../scaling';
 import type {DemandMessage} from './peer_messages';
 import type {Peers} from './peers';
 import type {EngineLimits} from './types';
@@ -19,6 +21,11 @@
   handle(message: DemandMessage): void;
   /** Returns the number of engines that the fleet's work keeps busy; undefined without recent requests. */
   tryGetLoad(service: string, engine: EngineLimits): StageLoad | undefined;
+  /** Returns the load of the last seconds of a service whose servers are ordered; undefined without recent requests. */
+  tryGetRecentLoad(
+    service: string,
+    engine: EngineLimits,
+  ): ServerLoad | undefined;
   stop(): void;
 }
 
@@ -27,31 +34,45 @@
   readonly nodeName: string;
   readonly clock: Clock;
   readonly peers: Pick<Peers, 'count' | 'listFirst' | 'send'>;
+  /** Present when servers are ordered. */
+  readonly scaling?: {
+    readonly failureDomain: string;
+    readonly isScaled: (service: string) => boolean;
+  };
 }
 
 /** Number of nodes that receive reports: the first ones to send stage orders. Several, because more than one may be unavailable. */
-const PLANNER_COUNT = 5;
+export const PLANNER_COUNT = 5;
 /** Minimum interval between a node's reports, in milliseconds. */
 const MIN_REPORT_INTERVAL_MS = 500;
 /** Interval added per known node, in milliseconds: a planning node receives at most about 50 reports per second. */
 const REPORT_INTERVAL_PER_NODE_MS = 20;
 /** Number of intervals after which a node's last report no longer counts. */
 const REPORT_EXPIRY_INTERVALS = 3;
+/** Time constant of the demand by which servers are ordered, in milliseconds: as long as a server takes to start. */
+const RECENT_TIME_CONSTANT_MS = 5_000;
 const MS_PER_S = 1_000;
 
 /** Creates a fleet demand without any recorded work. */
 export function createFleetDemand(options: FleetDemandOptions): FleetDemand {
   const {clock, peers} = options;
   const meter = createStageDemandMeter(clock);
+  const recentMeter = createStageDemandMeter(clock, RECENT_TIME_CONSTANT_MS);
   const reports = new Map<string, {message: DemandMessage; atMs: number}>();
   let timer: Timer | undefined;
   return {
     start: sendDemand,
-    record: meter.record,
+    record: (service, work) => {
+      meter.record(service, work);
+      if (options.scaling?.isScaled(service) === true) {
+        recentMeter.record(service, work);
+      }
+    },
     handle: message => {
       reports.set(message.from, {message, atMs: clock.getMonotonicMs()});
     },
     tryGetLoad,
+    tryGetRecentLoad,
     stop: () => timer?.cancel(),
   };
 
@@ -72,22 +93,22 @@
   }
 
   function createMessage(): DemandMessage {
-    const services = meter.list().map(({service, demand}) => ({
-      service,
-      readMs: Math.round(demand.readMs),
-      slotMs: Math.round(demand.slotMs),
-      memoryTokenMs: Math.round(demand.memoryTokenMs),
-      moveMs: Math.round(demand.moveMs),
-      prefillRequests: Number(demand.prefillRequests.toFixed(2)),
-      decodeRequests: Number(demand.decodeRequests.toFixed(2)),
-    }));
-    return {kind: 'demand', from: options.nodeName, services};
+    const services = listDemand(meter);
+    const recent = listDemand(recentMeter);
+    const {scaling} = options;
+    return {
+      kind: 'demand',
+      from: options.nodeName,
+      services,
+      ...(scaling === undefined || recent.length === 0
+        ? {}
+        : {
+            recent: {failureDomain: scaling.failureDomain, services: recent},
+          }),
+    };
   }
 
-  function tryGetLoad(
-    service: string,
-    engine: EngineLimits,
-  ): StageLoad | undefined {
+  function listMessages(): DemandMessage[] {
     const oldestMs =
       clock.getMonotonicMs() - REPORT_EXPIRY_INTERVALS * getIntervalMs();
     const messages = [createMessage()];
@@ -95,13 +116,60 @@
       if (atMs < oldestMs) reports.delete(from);
       else messages.push(message);
     }
-    const demand = messages
+    return messages;
+  }
+
+  function tryGetLoad(
+    service: string,
+    engine: EngineLimits,
+  ): StageLoad | undefined {
+    const demand = listMessages()
       .flatMap(message => message.services)
       .filter(item => item.service === service)
       .reduce<StageDemand>(addStageDemands, NO_STAGE_DEMAND);
     if (demand.readMs + demand.slotMs === 0) return undefined;
     return computeLoad(demand, engine);
   }
+
+  function tryGetRecentLoad(
+    service: string,
+    engine: EngineLimits,
+  ): ServerLoad | undefined {
+    const domainShares: Record<string, number> = {};
+    let total = NO_STAGE_DEMAND;
+    for (const {recent} of listMessages()) {
+      if (recent === undefined) continue;
+      const own = recent.services
+        .filter(item => item.service === service)
+        .reduce<StageDemand>(addStageDemands, NO_STAGE_DEMAND);
+      const {prefillEngines, decodeEngines} = computeLoad(own, engine);
+      // Anyone can send datagrams.
+      if (!Number.isFinite(prefillEngines + decodeEngines)) continue;
+      total = addStageDemands(total, own);
+      domainShares[recent.failureDomain] =
+        (domainShares[recent.failureDomain] ?? 0) +
+        prefillEngines +
+        decodeEngines;
+    }
+    const {prefillEngines, decodeEngines} = computeLoad(total, engine);
+    const sum = prefillEngines + decodeEngines;
+    if (sum === 0) return undefined;
+    for (const domain of Object.keys(domainShares)) domainShares[domain] /= sum;
+    return {prefillEngines, decodeEngines, domainShares};
+  }
+}
+
+/** Lists the demand of a meter as it is sent. */
+function listDemand(meter: StageDemandMeter): DemandMessage['services'] {
+  return meter.list().map(({service, demand}) => ({
+    service,
+    readMs: Math.round(demand.readMs),
+    slotMs: Math.round(demand.slotMs),
+    memoryTokenMs: Math.round(demand.memoryTokenMs),
+    moveMs: Math.round(demand.moveMs),
+    prefillRequests: Number(demand.prefillRequests.toFixed(2)),
+    decodeRequests: Number(demand.decodeRequests.toFixed(2)),
+  }));
 }
 
 /** Computes the number of busy engines. For decode the scarcest resource decides: slots, KV memory or the transfer link. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,5 +1,6 @@
 /** Assembles the components of a gateway process and starts and stops them in order. */
 import type {Logger} from '../diagnostics/log';
+import {type DutyClient, DutyKind} from '../duties';
 import type {Clock} from '../runtime/types';
 import {createAuthority} from './authority';
 import {createConnections} from './connections';
@@ -25,6 +26,7 @@
 import {createServerLimits} from './server_limits';
 import {createServerNotices} from './server_notices';
 import {createServerPauses} from './server_pauses';
+import {createServerScaling} from './server_scaling';
 import {createServiceLoads} from './service_loads';
 import type {Address, GatewaySettings} from './settings';
 import {tryFetchSnapshot} from './snapshot_client';
@@ -57,6 +59,8 @@
   readonly protocol: BackendProtocol;
   readonly clock: Clock;
   readonly logger: Logger;
+  /** Absent when the process makes no calls for duties. */
+  readonly dutyClient?: DutyClient;
   readonly getRandom?: () => number;
 }
 
@@ -89,7 +93,6 @@
   const prefillQueues = createPrefillQueues();
   const streams = createStreamCounts();
   const loads = createServiceLoads();
-  const prefixes = createPrefixDirectory(getKvTokens);
   const peers = createPeers({
     self,
     logger,
@@ -159,16 +162,45 @@
     getRandom,
     onChange: handleFleetChange,
   });
-  const demand = createFleetDemand({nodeName: self.name, clock, peers});
+  const isScaling = settings.duties?.kinds.includes(DutyKind.Scaling) === true;
+  const demand = createFleetDemand({
+    nodeName: self.name,
+    clock,
+    peers,
+    ...(isScaling
+      ? {
+          scaling: {
+            failureDomain: settings.failureDomain,
+            isScaled: service =>
+              state.tryGetService(service)?.scaling !== undefined,
+          },
+        }
+      : {}),
+  });
+  const authority = createAuthority({
+    nodeName: self.name,
+    store,
+    clock,
+    leaseMs: settings.bounds.leaseMs,
+  });
+  const isStateCurrent = () => follower.getAgeMs() < MAX_PLANNING_AGE_MS;
+  const scaling = createServerScaling({
+    settings,
+    dutyClient: options.dutyClient,
+    authority,
+    state,
+    demand,
+    peers,
+    metrics,
+    clock,
+    logger,
+    isStateCurrent,
+  });
+  const prefixes = scaling.observePrefixes(createPrefixDirectory(getKvTokens));
   const stages = createStageControl({
     nodeName: self.name,
     state,
-    authority: createAuthority({
-      nodeName: self.name,
-      store,
-      clock,
-      leaseMs: settings.bounds.leaseMs,
-    }),
+    authority,
     connections,
     pauses,
     limits,
@@ -177,7 +209,7 @@
     logger,
     countNodesBefore: peers.countLowerNames,
     tryGetLoad: demand.tryGetLoad,
-    isStateCurrent: () => follower.getAgeMs() < MAX_PLANNING_AGE_MS,
+    isStateCurrent,
     onOrder: (serverId, stage) =>
       peers.notify({kind: 'ordered', serverId, stage}),
   });
@@ -227,6 +259,7 @@
     logger,
     follower,
     stages,
+    scaling,
     demand,
     speeds,
     prefillQueues,
@@ -270,6 +303,7 @@
     await Promise.all([front.open(), control.open(), peers.open()]);
     follower.start();
     stages.start();
+    scaling.start();
     demand.start();
     crashGuard.start();
     void messageHandler.registerSelf();
@@ -311,6 +345,7 @@
     messageHandler.stop();
     follower.stop();
     stages.stop();
+    scaling.stop();
     demand.stop();
     reach.stop();
     crashGuard.stop();
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -1,5 +1,6 @@
 /** Metrics of a gateway process. */
 import {createMetrics} from '../diagnostics/metrics';
+import type {GaugeSpec} from '../diagnostics/metrics_types';
 import type {Route} from './types';
 
 /** Records the metrics of requests. */
@@ -16,8 +17,10 @@
   recordCrash(): void;
   /** Records a request that was refused because of a part of its prompt. */
   recordQuarantined(): void;
+  /** Records how an order of servers ended. */
+  recordServerOrder(outcome: string): void;
   /** Adds a gauge whose value is read when the metrics are rendered. */
-  addGauge(name: string, help: string, read: () => number): void;
+  addGauge(name: string, help: string, read: GaugeSpec['read']): void;
   render(): string;
 }
 
@@ -52,6 +55,10 @@
     name: 'anvilstack_gateway_quarantined_requests_total',
     help: 'Requests refused because a part of their prompt crashes engines.',
   });
+  const serverOrders = metrics.addCounter({
+    name: 'anvilstack_gateway_server_orders_total',
+    help: 'Orders of servers by outcome.',
+  });
   return {
     recordEnd: (route, outcome, elapsedMs) => {
       requests.add(1, {kind: route.kind, rank: String(route.rank), outcome});
@@ -65,6 +72,7 @@
     recordLimitedSend: serverId => limitedSends.add(1, {serverId}),
     recordCrash: () => crashes.add(1, {}),
     recordQuarantined: () => quarantined.add(1, {}),
+    recordServerOrder: outcome => serverOrders.add(1, {outcome}),
     addGauge: (name, help, read) => metrics.addGauge({name, help, read}),
     render: metrics.render,
   };
--- a/src/gateway/peer_message_handler.ts
+++ b/src/gateway/peer_message_handler.ts
@@ -17,6 +17,7 @@
 import type {PrefixDirectory} from './prefix_directory';
 import type {HealthTracker} from './server_health';
 import type {ServerLimits} from './server_limits';
+import type {ServerScaling} from './server_scaling';
 import type {StageControl} from './stage_control';
 import type {StoreFollower} from './store_follower';
 import type {StreamCounts} from './stream_counts';
@@ -43,6 +44,7 @@
   readonly logger: Logger;
   readonly follower: StoreFollower;
   readonly stages: StageControl;
+  readonly scaling: Pick<ServerScaling, 'handle'>;
   readonly demand: FleetDemand;
   readonly speeds: EngineSpeedEstimator;
   readonly prefillQueues: PrefillQueues;
@@ -96,6 +98,9 @@
       case 'ordered':
         options.stages.recordOrder(message.serverId, message.stage);
         return;
+      case 'servers-ordered':
+        options.scaling.handle(message);
+        return;
       case 'suspect':
         health.recordSuspicion(message.serverId, message.reason);
         return;
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -1,5 +1,6 @@
 /** Messages between nodes. They are small datagrams; a lost one is repeated or replaced by a later one. */
 import type {StageDemand} from '../planning/stage_demand';
+import type {OrderedServers} from '../scaling';
 import type {CrashReport} from './crash_evidence';
 import type {SpeedEstimates} from './engine_speed_estimator';
 import type {QuarantineEntry} from './part_quarantine';
@@ -96,6 +97,20 @@
   readonly kind: 'demand';
   readonly from: string;
   readonly services: ReadonlyArray<{readonly service: string} & StageDemand>;
+  /** The same over a shorter time, of the services whose servers are ordered; absent without such services. */
+  readonly recent?: RecentDemand;
+}
+
+/** Work that arrived at a node within the last seconds, per second and by service. */
+export interface RecentDemand {
+  /** Failure domain of the node. */
+  readonly failureDomain: string;
+  readonly services: ReadonlyArray<{readonly service: string} & StageDemand>;
+}
+
+/** The numbers of servers that the acting node has ordered for a service. */
+export interface ServersOrderedMessage extends OrderedServers {
+  readonly kind: 'servers-ordered';
 }
 
 /** An engine was ordered to another stage. */
@@ -161,6 +176,7 @@
   | LeavingMessage
   | DemandMessage
   | OrderedMessage
+  | ServersOrderedMessage
   | LimitMessage
   | ProbeMessage
   | CrashMessage
@@ -186,6 +202,7 @@
   'leaving',
   'demand',
   'ordered',
+  'servers-ordered',
   'limit',
   'probe',
   'crash',
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -207,7 +207,9 @@
 }
 
 /** Lists the parts of a prompt that other requests may share: all but the last. */
-export function listSharedParts(request: ModelRequest): readonly PromptPart[] {
+export function listSharedParts(
+  request: Pick<ModelRequest, 'parts'>,
+): readonly PromptPart[] {
   return request.parts.slice(0, -1);
 }
 
--- a/src/planning/stage_demand.ts
+++ b/src/planning/stage_demand.ts
@@ -44,9 +44,12 @@
 
 /**
  * Creates a meter without any recorded requests. The weight of arrivals decays exponentially with
- * age.
+ * age, by the time constant, in milliseconds.
  */
-export function createStageDemandMeter(clock: Clock): StageDemandMeter {
+export function createStageDemandMeter(
+  clock: Clock,
+  timeConstantMs = DECAY_TIME_CONSTANT_MS,
+): StageDemandMeter {
   const services = new Map<string, {sum: StageDemand; atMs: number}>();
   return {
     record: (service, demand) => {
@@ -60,7 +63,7 @@
         service,
         demand: computeScaledDemand(
           getDecayedSum(service, nowMs),
-          MS_PER_S / DECAY_TIME_CONSTANT_MS,
+          MS_PER_S / timeConstantMs,
         ),
       }));
     },
@@ -71,7 +74,7 @@
     if (known === undefined) return NO_STAGE_DEMAND;
     return computeScaledDemand(
       known.sum,
-      Math.exp((known.atMs - nowMs) / DECAY_TIME_CONSTANT_MS),
+      Math.exp((known.atMs - nowMs) / timeConstantMs),
     );
   }
 }
--- a/src/scaling/scaling.ts
+++ b/src/scaling/scaling.ts
@@ -187,7 +187,7 @@
     const grant = await options.authority.tryAcquire();
     if (grant.err) {
       const {reason, message} = grant.val;
-      succession.recordDenied(clock.getMonotonicMs());
+      succession.recordDenied(reason, clock.getMonotonicMs());
       options.onOutcome('denied');
       logger.log('info', 'authority over servers not granted', {
         service: service.name,
--- a/src/scaling/succession.ts
+++ b/src/scaling/succession.ts
@@ -11,7 +11,8 @@
   canNotify(nowMs: number): boolean;
   /** Records a message of a node that does the work. */
   recordHeard(from: string, nowMs: number): void;
-  recordDenied(nowMs: number): void;
+  /** Records that the authority was denied; it is lost when another task or node was faster. */
+  recordDenied(reason: string, nowMs: number): void;
   /** Records that the authority was granted or is not needed. */
   recordGranted(): void;
   /** Records how an order ended; returns true when the orders are now left to others for a longer time. */
@@ -34,6 +35,8 @@
 const MAX_NODE_DELAY_MS = 10_000;
 /** Delay before the next attempt after the authority was denied or the platform took no call, in milliseconds. */
 const RETRY_MS = 1_000;
+/** Delay after another task of this node, or another node, was granted the authority first, in milliseconds. */
+const LOST_RETRY_MS = 200;
 /** Delay after the platform refused a call because of too many, in milliseconds. */
 const LIMITED_RETRY_MS = 200;
 /** How long calls must fail for this node to leave the orders to others, in milliseconds. */
@@ -61,9 +64,9 @@
     recordHeard: (from, nowMs) => {
       if (from < options.nodeName) heardAtMs = nowMs;
     },
-    recordDenied: nowMs => {
+    recordDenied: (reason, nowMs) => {
       isDenied = true;
-      pausedUntilMs = nowMs + RETRY_MS;
+      pausedUntilMs = nowMs + (reason === 'lost' ? LOST_RETRY_MS : RETRY_MS);
     },
     recordGranted: () => {
       isDenied = false;
--- a/test/gateway/fleet_demand.test.ts
+++ b/test/gateway/fleet_demand.test.ts
@@ -1,7 +1,10 @@
 /** Tests the demand reports that the nodes send to the few nodes which plan stages. */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createFleetDemand} from '../../src/gateway/fleet_demand';
+import {
+  createFleetDemand,
+  type FleetDemandOptions,
+} from '../../src/gateway/fleet_demand';
 import type {DemandMessage, PeerMessage} from '../../src/gateway/peer_messages';
 import type {NodeRecord} from '../../src/gateway/types';
 import {NO_STAGE_DEMAND} from '../../src/planning/stage_demand';
@@ -10,12 +13,16 @@
 
 const WORK = {...NO_STAGE_DEMAND, readMs: 100, slotMs: 640};
 
-function createNode(nodeCount: number) {
+function createNode(
+  nodeCount: number,
+  scaling?: FleetDemandOptions['scaling'],
+) {
   const clock = createVirtualClock();
   const sent: Array<{to: string; message: PeerMessage}> = [];
   const demand = createFleetDemand({
     nodeName: 'front-9',
     clock,
+    ...(scaling === undefined ? {} : {scaling}),
     peers: {
       count: () => nodeCount,
       listFirst: count =>
@@ -74,6 +81,44 @@
   assert.equal(demand.tryGetLoad('llm', ENGINE_LIMITS), undefined);
 });
 
+test('the recent load follows a burst within seconds, with the share of each failure domain, and is not sent without need', async () => {
+  const plain = createNode(1);
+  plain.demand.start();
+  plain.demand.record('llm', WORK);
+  await plain.clock.advance(600);
+  plain.demand.stop();
+  assert.ok(plain.sent.every(({message}) => !('recent' in message)));
+  assert.equal(plain.demand.tryGetRecentLoad('llm', ENGINE_LIMITS), undefined);
+
+  const scaling = {failureDomain: 'a', isScaled: () => true};
+  const {clock, demand, sent} = createNode(1, scaling);
+  demand.start();
+  for (let round = 0; round < 100; round++) {
+    demand.record('llm', WORK);
+    await clock.advance(100);
+  }
+  const own = demand.tryGetRecentLoad('llm', ENGINE_LIMITS);
+  // 100 ms of prefill work every 100 ms, known to 1 - exp(-10/5).
+  assert.ok(Math.abs((own?.prefillEngines ?? 0) - 0.865) < 0.03);
+  const message = sent.at(-1)?.message as DemandMessage;
+  const recent = {...message.recent, failureDomain: 'b'};
+  demand.handle({...message, from: 'front-1', recent} as DemandMessage);
+  demand.handle({...message, from: 'front-2', recent} as DemandMessage);
+  const malformed = {failureDomain: 'c', services: [{service: 'llm'}]};
+  demand.handle({
+    ...message,
+    from: 'front-3',
+    recent: malformed,
+  } as unknown as DemandMessage);
+  const load = demand.tryGetRecentLoad('llm', ENGINE_LIMITS);
+  assert.ok(Math.abs((load?.domainShares['b'] ?? 0) - 2 / 3) < 0.01);
+  assert.ok((load?.prefillEngines ?? 0) > 2.4);
+  await clock.advance(20_000);
+  const later = demand.tryGetRecentLoad('llm', ENGINE_LIMITS);
+  assert.ok((later?.prefillEngines ?? 0) < 0.05);
+  demand.stop();
+});
+
 test('the decode load follows from KV memory when memory is scarcer than slots', () => {
   const {demand} = createNode(0);
   const {kvTokens} = ENGINE_LIMITS;
