Start scaling on the number of servers; switch the newest engines first

Cause: the settling time before the first order followed the digest of the list, which also changes with stages; a later node could act together with the first one when the list settled late; an engine that had served for long could be switched in place of one with empty caches. Change: the settling time follows the configuration and the numbers of servers, for at most 10 s; nodes count the silence of those before them from when they can plan; where engines keep their stages, those that started last change first. Log lines about limits use the code's terms.

--- a/src/gateway/server_scaling.ts
+++ b/src/gateway/server_scaling.ts
@@ -98,7 +98,7 @@
           (CACHE_RESERVE * sharedParts.countTokens()) / kvTokens,
         );
       },
-      getStateKey: () => `${state.getConfig()?.version} ${state.getDigest()}`,
+      getStateKey: () => formatStateKey(state),
       isStateCurrent: options.isStateCurrent,
       countNodesBefore: peers.countLowerNames,
       notify: (ordered, isForAll) => {
@@ -132,6 +132,14 @@
   );
 }
 
+/** Contains the numbers of servers, not their stages, which also change while nothing starts or ends. */
+function formatStateKey(state: FleetState): string {
+  const counts = listScaledServices(state).map(
+    ({name}) => state.listUsable(name).length,
+  );
+  return [state.getConfig()?.version, ...counts].join(' ');
+}
+
 function createListed(state: FleetState, entry: BackendEntry) {
   const {failureDomain, isReclaimable = false, leavesInMs} = entry;
   return {
--- a/src/gateway/stage_plan.ts
+++ b/src/gateway/stage_plan.ts
@@ -120,6 +120,10 @@
   ) {
     return {...plan, changes: []};
   }
+  // Engines that have just started have nothing in their caches yet.
+  const compare = options.keepsStages === true ? compareStarts : compareIds;
+  decode.sort(compare);
+  prefill.sort(compare);
   const changes =
     surplus > 0
       ? chooseEngines(decode, surplus, isLimited).map(server => ({
@@ -167,6 +171,15 @@
   );
 }
 
+function compareIds(left: BackendEntry, right: BackendEntry): number {
+  return left.id < right.id ? -1 : 1;
+}
+
+/** Puts the engines that started last first. */
+function compareStarts(left: BackendEntry, right: BackendEntry): number {
+  return right.startedAtMs - left.startedAtMs || compareIds(left, right);
+}
+
 /** Chooses preferred engines and, when there are not enough of them, others. */
 function chooseEngines(
   engines: readonly BackendEntry[],
@@ -181,12 +194,12 @@
   ];
 }
 
-/** Chooses engines from the failure domains that have the most of them, so that the remaining ones stay spread out. */
+/** Chooses the first engines of the failure domains that have the most of them, so that the remaining ones stay spread out. */
 function chooseFromLargestDomains(
   engines: readonly BackendEntry[],
   count: number,
 ): BackendEntry[] {
-  const remaining = [...engines].sort((a, b) => (a.id < b.id ? -1 : 1));
+  const remaining = [...engines];
   const chosen: BackendEntry[] = [];
   while (chosen.length < count && remaining.length > 0) {
     const sizes = new Map<string, number>();
--- a/src/scaling/scaling.ts
+++ b/src/scaling/scaling.ts
@@ -62,7 +62,7 @@
   readonly tryGetLoad: (service: string) => ServerLoad | undefined;
   /** Returns the number of engines whose KV memory the shared prompt parts in use need; 0 when unknown. */
   readonly countCacheEngines: (service: string) => number;
-  /** Returns a text that changes with the configuration and the listed servers. */
+  /** Returns a text that changes with the configuration and the number of listed servers. */
   readonly getStateKey: () => string;
   /** True while this node's copy of the store's state is recent enough to plan with. */
   readonly isStateCurrent: () => boolean;
@@ -78,15 +78,18 @@
 /** How long the servers and the configuration must be unchanged before the first order, in milliseconds; longer when other nodes may know of earlier orders. */
 const FIRST_START_SETTLE_MS = 1_000;
 const RESTART_SETTLE_MS = 2_500;
+/** Time after which the first order no longer waits for that, in milliseconds: servers may come and go all the time. */
+const MAX_SETTLE_MS = 10_000;
 /** Interval at which the acting node tells the nodes that may take over what it has ordered, in milliseconds. */
 const NOTIFY_INTERVAL_MS = 1_000;
 /** Creates the scaling of all services that the configuration lists. */
 export function createScaling(options: ScalingOptions): Scaling {
   const {clock, logger, nodeName} = options;
+  const startedAtMs = clock.getMonotonicMs();
   const succession = createSuccession({
     nodeName,
     leaseMs: options.leaseMs,
-    startedAtMs: clock.getMonotonicMs(),
+    startedAtMs,
     countNodesBefore: options.countNodesBefore,
   });
   const scalers = new Map<string, ServiceScaler>();
@@ -116,14 +119,17 @@
     const nowMs = clock.getMonotonicMs();
     const isSettled = updateSettled(nowMs);
     if (!options.isStateCurrent()) return;
-    const isActing = succession.canAct(nowMs);
     for (const service of options.listServices()) {
       const view = tryCreateView(service);
       if (view === undefined) continue;
       const scaler = getScaler(service.name);
       scaler.update(view, nowMs);
-      if (isSettled && view.listed.length > 0) scaler.start(nowMs);
-      if (isActing && scaler.isStarted() && !isSending) {
+      if (isSettled && view.listed.length > 0 && !scaler.isStarted()) {
+        scaler.start(nowMs);
+        succession.recordReady(nowMs);
+      }
+      const isActing = scaler.isStarted() && succession.canAct(nowMs);
+      if (isActing && !isSending) {
         checkService(service, scaler.plan(view, nowMs), nowMs);
       }
     }
@@ -142,9 +148,11 @@
       stateKey = key;
       stateSinceMs = nowMs;
     }
+    const settleMs = options.isFirstStart
+      ? FIRST_START_SETTLE_MS
+      : RESTART_SETTLE_MS;
     return (
-      nowMs - stateSinceMs >=
-      (options.isFirstStart ? FIRST_START_SETTLE_MS : RESTART_SETTLE_MS)
+      nowMs - stateSinceMs >= settleMs || nowMs - startedAtMs >= MAX_SETTLE_MS
     );
   }
 
--- a/src/scaling/scaling_limits.ts
+++ b/src/scaling/scaling_limits.ts
@@ -14,25 +14,29 @@
   const faults: string[] = [];
   const maxServers = Math.floor(limits.maxServers);
   if (!(maxServers >= 1)) {
-    return {faults: [`max ${limits.maxServers} allows no servers`]};
+    return {faults: [`largest number ${limits.maxServers} allows no servers`]};
   }
   let minServers = Math.ceil(limits.minServers);
   if (!(minServers >= 0)) {
-    faults.push(`min ${limits.minServers} is negative`);
+    faults.push(`least number ${limits.minServers} is negative`);
     minServers = 0;
   }
   if (minServers > maxServers) {
-    faults.push(`min ${minServers} exceeds max ${maxServers}`);
+    faults.push(
+      `least number ${minServers} exceeds largest number ${maxServers}`,
+    );
     minServers = maxServers;
   }
-  if (!(limits.startupMs >= 0)) faults.push('startupS is negative');
+  if (!(limits.startupMs >= 0)) faults.push('start-up time is negative');
   const {reclaimablePrice: price} = limits;
   const hasPrice = price !== undefined && price >= 0 && price < 1;
   if (price !== undefined && !hasPrice) {
-    faults.push(`spotPrice ${price} is not between 0 and 1`);
+    faults.push(
+      `relative price ${price} of reclaimable servers is not between 0 and 1`,
+    );
   }
   const prices = Object.entries(limits.domainPrices);
-  if (prices.length === 0) faults.push('zonePrices has no prices');
+  if (prices.length === 0) faults.push('no prices of failure domains');
   for (const [domain, value] of prices) {
     if (!(value >= 0)) faults.push(`price of ${domain} is negative`);
   }
--- a/src/scaling/succession.ts
+++ b/src/scaling/succession.ts
@@ -9,6 +9,8 @@
   canSend(dueSinceMs: number, nowMs: number): boolean;
   /** Returns whether this node tells the others that it does the work. */
   canNotify(nowMs: number): boolean;
+  /** Records that this node can plan from now on; so can the nodes before it, which may not have acted yet. */
+  recordReady(nowMs: number): void;
   /** Records a message of a node that does the work. */
   recordHeard(from: string, nowMs: number): void;
   /** Records that the authority was denied; it is lost when another task or node was faster. */
@@ -61,6 +63,9 @@
       nowMs >= pausedUntilMs && nowMs - dueSinceMs >= getDueMs(),
     // A node that is not granted authority is silent, so that the holder acts.
     canNotify: nowMs => canAct(nowMs) && !isDenied,
+    recordReady: nowMs => {
+      heardAtMs = nowMs;
+    },
     recordHeard: (from, nowMs) => {
       if (from < options.nodeName) heardAtMs = nowMs;
     },
--- a/test/gateway/stages.test.ts
+++ b/test/gateway/stages.test.ts
@@ -147,6 +147,19 @@
   assert.ok(busy.changes.every(item => item.stage === EngineStage.Prefill));
   const early = {load: {...load, prefillEngines: 17}};
   assert.equal(plan(24, 16, early).changes.length, 0);
+  // Engines that have just started change first: their caches are empty.
+  const engines = createEngines(24, 16).map((item, index) => ({
+    ...item,
+    startedAtMs: index < 34 ? 1 : 1_000,
+  }));
+  const newest = planStages(engines, {
+    keepsStages: true,
+    load: {...load, prefillEngines: 23},
+  });
+  assert.equal(
+    newest.changes.filter(({server}) => server.startedAtMs === 1_000).length,
+    5,
+  );
   const scaled = plan(24, 16, {...early, busyUtilization: 0.65});
   assert.ok(scaled.changes.length > 0);
 });
