Refuse answers without a valid status line, and bodies of answers that have none

Cause: the HTTP library accepts statuses from 600 on, other versions of HTTP and bodies announced by 204 and 304, and takes statuses below 200 for interim answers. Change: status_line_check reads the status line of each answer, interim ones included, before the library does, and the connection ends at one that is invalid. The verdict is may-have-run, as nothing shows whether the request has run. The log line 'backend server sent bytes that are no answer' and a counter show it.

--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import {buildConnector, Client} from 'undici';
 import type {ProcessLink} from './process_proofs';
+import {createStatusLineCheck, type StatusLineCheck} from './status_line_check';
 import type {BackendEntry} from './types';
 
 /** A connection and what has happened on it; `answerCount` and what follows it start anew when it is opened again. */
@@ -19,6 +20,10 @@
   acceptedAtMs: number | undefined;
   /** True while its answer has no length and therefore ends with the connection. */
   isUnframed: boolean;
+  /** True when the bytes of an answer did not begin with a status line. */
+  hasInvalidAnswer: boolean;
+  /** Expects the answer to a request that is about to be sent. */
+  expectAnswer(): void;
 }
 
 /** Options of a connection. */
@@ -40,6 +45,7 @@
 /** Creates a connection, which is opened by its first request. */
 export function createConnection(options: ConnectionOptions): Connection {
   const {server} = options;
+  const statusLines = createStatusLineCheck();
   const connector = buildConnector({timeout: options.connectTimeoutMs});
   const client = new Client(`http://${server.host}:${server.port}`, {
     connect: (connectOptions, callback) => {
@@ -68,6 +74,8 @@
     answerCount: 0,
     acceptedAtMs: undefined,
     isUnframed: false,
+    hasInvalidAnswer: false,
+    expectAnswer: statusLines.expectAnswer,
   };
   return connection;
 
@@ -77,6 +85,10 @@
     connection.answerCount = 0;
     connection.acceptedAtMs = undefined;
     connection.isUnframed = false;
+    connection.hasInvalidAnswer = false;
+    checkStatusLines(socket, statusLines, () => {
+      connection.hasInvalidAnswer = true;
+    });
     let isOpen = true;
     const recordClose = () => {
       if (!isOpen) return;
@@ -90,6 +102,22 @@
   }
 }
 
+/** Ends the connection at bytes that are no answer, before undici reads them. */
+function checkStatusLines(
+  socket: Socket,
+  statusLines: StatusLineCheck,
+  onInvalid: () => void,
+): void {
+  const read = socket.read.bind(socket);
+  socket.read = (size?: number) => {
+    const chunk = read(size) as Buffer | null;
+    if (chunk === null || statusLines.isValid(chunk)) return chunk;
+    onInvalid();
+    socket.destroy(new Error('answer has no valid status line'));
+    return null;
+  };
+}
+
 /**
  * Detects that a connection was reset. undici treats a reset as the end of an
  * answer without a length, so the listeners run before those of undici. A reset
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -36,6 +36,12 @@
   readonly onCall?: (server: BackendEntry) => HeadListener;
   /** Called when an answer without a length has ended and its end has been judged. */
   readonly onUnframedEnd?: (end: UnframedEnd) => void;
+  /** Called when bytes of a server are no answer, with the id of the caller's request, if there is one. */
+  readonly onInvalidAnswer?: (
+    server: BackendEntry,
+    message: string,
+    requestId: string | undefined,
+  ) => void;
   /** Checks that show whether a process lives; without them, only other requests can. */
   readonly checks?: ProcessChecks;
 }
@@ -119,6 +125,8 @@
         }),
       checkProcess: witness.checkProcess,
       onUnframedEnd: end => options.onUnframedEnd?.(end),
+      onInvalidAnswer: message =>
+        options.onInvalidAnswer?.(server, message, request.requestId),
       release: isReusable => release(connections, connection, isReusable),
     });
     connection.client.dispatch(
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -122,6 +122,14 @@
   const connections = createConnections({
     onCall: notices.recordCall,
     onUnframedEnd: logUnframedEnd,
+    onInvalidAnswer: (server, detail, requestId) => {
+      metrics.recordInvalidAnswer(server.service);
+      logger.log('warn', 'backend server sent bytes that are no answer', {
+        serverId: server.id,
+        requestId,
+        detail,
+      });
+    },
     clock,
     checks: createProcessChecks({protocol, state, pauses, limits}),
   });
--- a/src/gateway/open_call.ts
+++ b/src/gateway/open_call.ts
@@ -37,6 +37,8 @@
     callback: (proof: ProcessProof) => void,
   ) => () => void;
   readonly onUnframedEnd: (end: UnframedEnd) => void;
+  /** Called when the bytes received are no answer. */
+  readonly onInvalidAnswer: (message: string) => void;
   /** Returns the connection to the idle ones, or closes it when it cannot be reused. */
   readonly release: (isReusable: boolean) => void;
 }
@@ -62,6 +64,7 @@
     dispatchHandler: {
       onRequestStart: started => {
         controller = started;
+        connection.expectAnswer();
         isSent = true;
         sentAtMs = clock.getMonotonicMs();
         evidence = {
@@ -84,6 +87,9 @@
         if (isSent && connection.isUnframed && !isDone) {
           reportUnframed(EndEvidence.Reset);
         }
+        if (isSent && connection.hasInvalidAnswer) {
+          return failInvalid(error.message);
+        }
         if (isSent) return fail(createReset(error.message));
         fail({
           verdict: Verdict.NotRun,
@@ -152,6 +158,10 @@
     // Informational (1xx) answers precede the final one.
     if (isDone || status < 200) return;
     const rawHeaders = listRawHeaders(started);
+    if (isBodyForbidden(status) && hasBodyHeader(status, rawHeaders)) {
+      failInvalid(`answer ${status} states a body`);
+      return;
+    }
     const isFramed = hasFraming(rawHeaders) || !hasBody(request.method, status);
     connection.isUnframed = !isFramed;
     head = {
@@ -182,6 +192,13 @@
     );
   }
 
+  /** The answer is none in the protocol, so nothing shows whether the request has run. */
+  function failInvalid(message: string): void {
+    if (isDone) return;
+    options.onInvalidAnswer(message);
+    fail({verdict: Verdict.MayHaveRun, reason: 'mismatch', message});
+  }
+
   function cancel(): void {
     if (isDone) return;
     isDone = true;
@@ -193,7 +210,18 @@
 
 /** True when an answer to this method with this status has a body. */
 function hasBody(method: string, status: number): boolean {
-  return method !== 'HEAD' && status !== 204 && status !== 304;
+  return method !== 'HEAD' && !isBodyForbidden(status);
+}
+
+function isBodyForbidden(status: number): boolean {
+  return status === 204 || status === 304;
+}
+
+/** True when an answer that has no body states one. The length in a 304 is that of the body which the caller has already. */
+function hasBodyHeader(status: number, rawHeaders: readonly string[]): boolean {
+  if (findHeader(rawHeaders, 'Transfer-Encoding') !== undefined) return true;
+  const length = findHeader(rawHeaders, 'Content-Length');
+  return status === 204 && length !== undefined && length !== '0';
 }
 
 function createReset(message: string): CallFailure {
--- /dev/null
+++ b/src/gateway/status_line_check.ts
@@ -0,0 +1,68 @@
+/**
+ * Checks the status lines of answers before the HTTP library parses them: it
+ * accepts other versions of HTTP and statuses that do not exist, and takes a
+ * status below 200, `000` among them, for an interim answer.
+ */
+
+/** Checks the bytes of one connection. */
+export interface StatusLineCheck {
+  /** Expects an answer, after a request was sent. */
+  expectAnswer(): void;
+  /** Returns false when the bytes received hold a status line that is none; bytes after the final head are not looked at. */
+  isValid(chunk: Buffer): boolean;
+}
+
+/** What the check reads next. */
+const State = {Line: 'line', Head: 'head', Done: 'done'} as const;
+type State = (typeof State)[keyof typeof State];
+
+/** Statuses are 100 to 599; nothing asks for a change of protocol (101). */
+const STATUS_LINE = /^HTTP\/1\.[01] (?!101)[1-5]\d\d(?: |\r|\n)/;
+const INTERIM_LINE = /^HTTP\/1\.[01] 1/;
+/** Length of `HTTP/1.1 200` and the byte after it. */
+const LINE_BYTES = 13;
+const CR = 0x0d;
+const LF = 0x0a;
+
+/** Creates a check that expects no answer yet. */
+export function createStatusLineCheck(): StatusLineCheck {
+  let state: State = State.Done;
+  let line = '';
+  /** Line ends in a row, carriage returns not counted; two of them end a head. */
+  let lineEnds = 0;
+  return {
+    expectAnswer: () => {
+      state = State.Line;
+      line = '';
+    },
+    isValid,
+  };
+
+  function isValid(chunk: Buffer): boolean {
+    for (const byte of chunk) {
+      if (state === State.Done) return true;
+      if (state === State.Head) readHeadByte(byte);
+      else if (!readLineByte(byte)) return false;
+    }
+    return true;
+  }
+
+  function readLineByte(byte: number): boolean {
+    // Empty lines before a status line are ignored, as the library does.
+    if (line === '' && (byte === CR || byte === LF)) return true;
+    line += String.fromCharCode(byte);
+    if (line.length < LINE_BYTES) return byte !== LF;
+    if (!STATUS_LINE.test(line)) return false;
+    state = State.Head;
+    lineEnds = byte === LF ? 1 : 0;
+    return true;
+  }
+
+  function readHeadByte(byte: number): void {
+    if (byte === CR) return;
+    lineEnds = byte === LF ? lineEnds + 1 : 0;
+    if (lineEnds < 2) return;
+    state = INTERIM_LINE.test(line) ? State.Line : State.Done;
+    line = '';
+  }
+}
--- a/test/gateway/invalid_answers.test.ts
+++ b/test/gateway/invalid_answers.test.ts
@@ -4,6 +4,7 @@
 import type {AddressInfo} from 'node:net';
 import {test} from 'node:test';
 import {createConnections} from '../../src/gateway/connections';
+import {createStatusLineCheck} from '../../src/gateway/status_line_check';
 import {createEntry, sendCall, startRawServer} from './support';
 
 const HEADERS = 'Anvilstack-Response-Seal: seal\r\nContent-Length: 4\r\n\r\n';
@@ -95,6 +96,25 @@
   }
 }
 
+test('valid heads, split at each byte, pass the check of status lines', () => {
+  const heads = [
+    'HTTP/1.1 200 OK\r\nA: b\r\n\r\nHTTP/9.9 body',
+    'HTTP/1.0 503 Service Unavailable\r\n\r\n',
+    'HTTP/1.1 103 Early Hints\r\n\r\n\r\nHTTP/1.1 404\r\n\r\n',
+  ];
+  for (const head of heads) {
+    for (let cut = 0; cut <= head.length; cut++) {
+      const check = createStatusLineCheck();
+      check.expectAnswer();
+      const parts = [head.slice(0, cut), head.slice(cut)].map(Buffer.from);
+      assert.ok(
+        parts.every(part => check.isValid(part)),
+        `${cut} of ${head}`,
+      );
+    }
+  }
+});
+
 const BODY = 'id: 1\ndata: part\n\n';
 const FRAMINGS: Readonly<Record<string, string>> = {
   'without a length': `HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n${BODY}`,
