--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -19,6 +19,8 @@
   recordQuarantined(): void;
   /** Records how an order of servers ended. */
   recordServerOrder(outcome: string): void;
+  /** Records an answer with an invalid status line, or with a body where there is none. */
+  recordInvalidAnswer(service: string): void;
   /** Adds a gauge whose value is read when the metrics are rendered. */
   addGauge(name: string, help: string, read: GaugeSpec['read']): void;
   render(): string;
@@ -58,6 +60,9 @@
   const serverOrders = metrics.addCounter({
     name: 'anvilstack_gateway_server_orders_total',
     help: 'Orders of servers by outcome.',
+  const invalidAnswers = metrics.addCounter({
+    name: 'anvilstack_gateway_invalid_answers_total',
+    help: 'Answers of backend servers that are none in the protocol, by service.',
   });
   return {
     recordEnd: (route, outcome, elapsedMs) => {
@@ -73,6 +78,7 @@
     recordCrash: () => crashes.add(1, {}),
     recordQuarantined: () => quarantined.add(1, {}),
     recordServerOrder: outcome => serverOrders.add(1, {outcome}),
+    recordInvalidAnswer: service => invalidAnswers.add(1, {service}),
     addGauge: (name, help, read) => metrics.addGauge({name, help, read}),
     render: metrics.render,
   };
