--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -60,6 +60,7 @@
   const serverOrders = metrics.addCounter({
     name: 'anvilstack_gateway_server_orders_total',
     help: 'Orders of servers by outcome.',
+  });
   const invalidAnswers = metrics.addCounter({
     name: 'anvilstack_gateway_invalid_answers_total',
     help: 'Answers of backend servers that are none in the protocol, by service.',
