Authenticate callers by API keys and send the account's name to servers

Cause: every key was passed on to servers, every request ran, and an account name that a caller sent was believed. Change: src/accounts has the table of accounts by key digest and the decision; the router asks for it once the route is known, and the flows before each sending, so that a key that was removed meanwhile sends nothing more. A node whose state is older than configApplyMs answers 503 in place of 401 and 404. The account's priority replaces the route's for waiting and sending. Names are sent as UTF-8. The adapter takes what it needs from src/gateway again: its test refuses imports from folders that decide, and had failed since.

--- a/src/accounts/key_digest.ts
+++ b/src/accounts/key_digest.ts
@@ -1,5 +1,5 @@
 /** Digests of API keys: keys are compared and stored as digests only. */
-import {createHash} from 'node:crypto';
+import {hash} from 'node:crypto';
 
 const BEARER_PATTERN = /^Bearer +([!-~]{1,512})$/i;
 
@@ -12,5 +12,6 @@
 
 /** Returns the SHA-256 of an API key or a token, in hexadecimal. */
 export function getKeyDigest(key: string): string {
-  return createHash('sha256').update(key).digest('hex');
+  // A tenth of the time of a hash object: a large configuration has tens of thousands of keys.
+  return hash('sha256', key);
 }
--- a/src/gateway/decode_call.ts
+++ b/src/gateway/decode_call.ts
@@ -88,7 +88,7 @@
     server,
     handler: relay,
     sendOptions: {
-      rank: route.rank,
+      rank: task.rank,
       ...(kv === undefined ? {} : {kv}),
       ...(lastEventId === undefined ? {} : {lastEventId}),
     },
--- a/src/gateway/exchange_router.ts
+++ b/src/gateway/exchange_router.ts
@@ -1,10 +1,16 @@
 /** Dispatches a caller's request to its route and to the flow that serves it. */
+import {RefusalReason} from '../accounts';
 import type {Logger} from '../diagnostics/log';
 import {Verdict} from '../verdict';
+import type {CallerAdmission} from './caller_admission';
 import type {Drain} from './drain';
 import type {Exchange} from './exchange';
 import type {FlowContext} from './flow_context';
-import {createRequestTask, type RequestTask} from './request_task';
+import {
+  createRequestTask,
+  OUTDATED_RETRY_AFTER_MS,
+  type RequestTask,
+} from './request_task';
 import {chooseService} from './route_table';
 import {runServiceFlow} from './service_flow';
 import type {ServiceLoads} from './service_loads';
@@ -15,6 +21,7 @@
 export interface ExchangeRouterOptions {
   readonly context: FlowContext;
   readonly loads: ServiceLoads;
+  readonly admission: CallerAdmission;
   readonly drain: Pick<Drain, 'mustRefuse'>;
   readonly logger: Logger;
 }
@@ -26,8 +33,6 @@
   expireAll(): void;
 }
 
-/** Time after which a caller may retry while this node has no configuration, in milliseconds. */
-const NO_CONFIG_RETRY_AFTER_MS = 500;
 /** Time after which a caller may retry at another node while this one is being stopped, in milliseconds. */
 const STOPPING_RETRY_AFTER_MS = 0;
 
@@ -35,7 +40,7 @@
 export function createExchangeRouter(
   options: ExchangeRouterOptions,
 ): ExchangeRouter {
-  const {context, loads, drain, logger} = options;
+  const {context, loads, admission, drain, logger} = options;
   const {state, protocol, clock, metrics} = context;
   const openTasks = new Set<RequestTask>();
   return {
@@ -61,16 +66,15 @@
   function runExchange(exchange: Exchange): void {
     const config = state.getConfig();
     if (config === undefined) {
-      refuseWithoutConfig(exchange);
+      logger.log('info', 'refused: no configuration yet', {
+        requestId: exchange.request.requestId,
+      });
+      refuseOutdated(exchange, 'no configuration yet');
       return;
     }
     const route = state.getRoutes().tryFind(exchange.host, exchange.target);
     if (route === undefined) {
-      logger.log('info', 'no route matches the request', {
-        requestId: exchange.request.requestId,
-        configVersion: config.version,
-      });
-      exchange.answer(404, [], 'no route');
+      handleMissingRoute(exchange, config.version);
       return;
     }
     runRoute(exchange, route, config.version);
@@ -87,6 +91,7 @@
       route,
       service,
       configVersion,
+      admission,
       protocol,
       clock,
       logger,
@@ -94,6 +99,7 @@
       onEnd: () => openTasks.delete(task),
     });
     openTasks.add(task);
+    if (!task.tryAdmit(Verdict.NotRun)) return;
     if (drain.mustRefuse(task.getRemainingMs())) {
       task.fail(Verdict.NotRun, 'gateway is stopping', STOPPING_RETRY_AFTER_MS);
       return;
@@ -107,13 +113,29 @@
     runStreamFlow(context, engine, model, task);
   }
 
-  function refuseWithoutConfig(exchange: Exchange): void {
+  /** Answers 404, unless the route may be in a newer configuration that this node has not seen. */
+  function handleMissingRoute(exchange: Exchange, configVersion: number): void {
+    const isOutdated = admission.isStateOutdated();
+    logger.log('info', 'no route matches the request', {
+      requestId: exchange.request.requestId,
+      configVersion,
+      stateAgeMs: Math.round(admission.getStateAgeMs()),
+      isOutdated,
+    });
+    if (!isOutdated) {
+      exchange.answer(404, [], 'no route');
+      return;
+    }
+    metrics.recordAuthentication(RefusalReason.StateOutdated);
+    refuseOutdated(exchange, RefusalReason.StateOutdated);
+  }
+
+  function refuseOutdated(exchange: Exchange, reason: string): void {
     const {requestId} = exchange.request;
-    logger.log('info', 'refused: no configuration yet', {requestId});
     exchange.answer(
       503,
-      protocol.buildRetryHeaders(requestId, NO_CONFIG_RETRY_AFTER_MS),
-      `no configuration yet (${Verdict.NotRun})`,
+      protocol.buildRetryHeaders(requestId, OUTDATED_RETRY_AFTER_MS),
+      `${reason} (${Verdict.NotRun})`,
     );
   }
 }
--- a/src/gateway/fleet_state.ts
+++ b/src/gateway/fleet_state.ts
@@ -1,5 +1,6 @@
 /** This node's copy of the configuration and of the list of backend servers. */
 import {createHash} from 'node:crypto';
+import {type AccountTable, createAccountTable} from '../accounts';
 import {collectBy} from '../runtime/collect_by';
 import {createRouteTable, type RouteTable} from './route_table';
 import type {
@@ -13,6 +14,8 @@
 export interface FleetState {
   getConfig(): GatewayConfig | undefined;
   getRoutes(): RouteTable;
+  /** Returns the client accounts, or undefined when the configuration has none, so that callers need no keys. */
+  tryGetAccounts(): AccountTable | undefined;
   tryGetService(name: string): BackendService | undefined;
   /** Applies a configuration if it is newer than the current one; returns whether it was applied. */
   applyConfig(config: GatewayConfig): boolean;
@@ -40,6 +43,7 @@
 export function createFleetState(): FleetState {
   let config: GatewayConfig | undefined;
   let routes = createRouteTable([]);
+  let accounts: AccountTable | undefined;
   const entries = new Map<string, BackendEntry>();
   /** Entries that were removed during a grace period and are still in use. */
   const retained = new Map<string, BackendEntry>();
@@ -52,6 +56,7 @@
   return {
     getConfig: () => config,
     getRoutes: () => routes,
+    tryGetAccounts: () => accounts,
     tryGetService: name => config?.services.find(item => item.name === name),
     applyConfig,
     applyChanges,
@@ -75,9 +80,19 @@
     if (config !== undefined && next.version <= config.version) return false;
     config = next;
     routes = createRouteTable(next.routes);
+    updateAccounts();
     return true;
   }
 
+  function updateAccounts(): void {
+    if (config?.accounts === undefined) {
+      accounts = undefined;
+      return;
+    }
+    accounts ??= createAccountTable();
+    accounts.update(config.accounts);
+  }
+
   function applyChanges(
     changes: readonly EntryChange[],
     nowMs: number,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,6 +2,7 @@
 import type {Logger} from '../diagnostics/log';
 import type {Clock} from '../runtime/types';
 import {createAuthority} from './authority';
+import {createCallerAdmission} from './caller_admission';
 import {createConnections} from './connections';
 import {createControlListeners} from './control_listener';
 import {createCrashGuard} from './crash_guard';
@@ -241,7 +242,17 @@
     clock,
     durationMs: settings.bounds.shutdownMs - SHUTDOWN_MARGIN_MS,
   });
-  const router = createExchangeRouter({context, loads, drain, logger});
+  const router = createExchangeRouter({
+    context,
+    loads,
+    admission: createCallerAdmission({
+      state,
+      bounds: settings.bounds,
+      getStateAgeMs: follower.getAgeMs,
+    }),
+    drain,
+    logger,
+  });
   const front = createFrontListener({
     address: settings.callers,
     protocol,
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -16,6 +16,8 @@
   recordCrash(): void;
   /** Records a request that was refused because of a part of its prompt. */
   recordQuarantined(): void;
+  /** Records whether a request was admitted, with or without a client account, or why not. */
+  recordAuthentication(outcome: string): void;
   /** Adds a gauge whose value is read when the metrics are rendered. */
   addGauge(name: string, help: string, read: () => number): void;
   render(): string;
@@ -52,6 +54,10 @@
     name: 'anvilstack_gateway_quarantined_requests_total',
     help: 'Requests refused because a part of their prompt crashes engines.',
   });
+  const authentications = metrics.addCounter({
+    name: 'anvilstack_gateway_authentications_total',
+    help: 'Requests by the outcome of their authentication: admitted for an account or without one, or the reason of the refusal.',
+  });
   return {
     recordEnd: (route, outcome, elapsedMs) => {
       requests.add(1, {kind: route.kind, rank: String(route.rank), outcome});
@@ -65,6 +71,7 @@
     recordLimitedSend: serverId => limitedSends.add(1, {serverId}),
     recordCrash: () => crashes.add(1, {}),
     recordQuarantined: () => quarantined.add(1, {}),
+    recordAuthentication: outcome => authentications.add(1, {outcome}),
     addGauge: (name, help, read) => metrics.addGauge({name, help, read}),
     render: metrics.render,
   };
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,3 +1,7 @@
+export {getKeyDigest, tryGetBearerToken} from '../accounts';
+export type {ClientAccount} from '../accounts';
+export {DutyKind} from '../duties';
+export type {ScalingLimits} from '../scaling';
 export {createGateway} from './gateway';
 export type {Gateway, GatewayOptions} from './gateway';
 export {findHeader} from './raw_headers';
--- a/src/gateway/known_records.ts
+++ b/src/gateway/known_records.ts
@@ -96,10 +96,12 @@
   ): void {
     configOffset = Math.max(configOffset, nextOffset);
     if (config === undefined || !state.applyConfig(config)) return;
+    const accounts = state.tryGetAccounts();
     logger.log('info', 'configuration applied', {
       version: config.version,
       configOffset,
       routes: config.routes.length,
+      ...(accounts === undefined ? {} : {accounts: accounts.getSummary()}),
     });
     options.onChange([], true);
   }
--- a/src/gateway/prefill_call.ts
+++ b/src/gateway/prefill_call.ts
@@ -31,7 +31,7 @@
 export function startPrefillCall(options: PrefillCallOptions): PrefillCall {
   const {context, task, placement} = options;
   const {clock, health, protocol} = context;
-  const {exchange, route} = task;
+  const {exchange} = task;
   const {server} = placement;
   const sentAtMs = clock.getMonotonicMs();
   const body = createBoundedBody();
@@ -63,7 +63,7 @@
       // The body is JSON, which does not parse when it is cut short.
       needsProof: () => false,
     },
-    sendOptions: {rank: route.rank, isPrefillOnly: true},
+    sendOptions: {rank: task.rank, isPrefillOnly: true},
   });
   return {
     cancel: () => {
--- a/src/gateway/server_call.ts
+++ b/src/gateway/server_call.ts
@@ -11,8 +11,11 @@
   readonly task: RequestTask;
   readonly server: BackendEntry;
   readonly handler: CallHandler;
-  /** Options for the server besides its id and the time left. */
-  readonly sendOptions?: Omit<SendOptions, 'deadlineMs' | 'serverId'>;
+  /** Options for the server besides its id, the time left and the account. */
+  readonly sendOptions?: Omit<
+    SendOptions,
+    'deadlineMs' | 'serverId' | 'account'
+  >;
 }
 
 /** Sends the caller's request to a server; only the headers of this system are added. */
@@ -26,6 +29,7 @@
     headers: context.protocol.buildHeaders(exchange.rawHeaders, {
       deadlineMs: task.getRemainingMs(),
       serverId: server.id,
+      ...(task.hasAccounts() ? {account: getSentAccount(task)} : {}),
       ...options.sendOptions,
     }),
     ...(exchange.body === undefined ? {} : {body: exchange.body}),
@@ -35,6 +39,10 @@
   });
 }
 
+function getSentAccount({account}: RequestTask): SendOptions['account'] {
+  return account === undefined ? {} : {name: account.name};
+}
+
 /** Formats a failed call for the log, with the evidence on which its verdict is based. */
 export function formatFailure(
   failure: CallFailure,
--- a/src/gateway/service_flow.ts
+++ b/src/gateway/service_flow.ts
@@ -47,6 +47,7 @@
   start();
 
   function start(): void {
+    if (!task.tryAdmit(getVerdict())) return;
     const server = chooseServer();
     if (server === undefined) {
       const retryAfterMs = tryGetRetryAfterMs(
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -112,16 +112,21 @@
     }
     task.log('waits for an engine', {waitMs: Math.round(waitMs)});
     cancelWaiting = context.waitingPrompts.add({
-      rank: route.rank,
+      rank: task.rank,
       expiresAtMs: clock.getMonotonicMs() + budgetMs,
       tryStart,
       onExpired: () => refuse(route.objectiveMs),
     });
   }
 
+  /** Returns true when the request may be sent; otherwise it is refused, or resumed by the gate. */
+  function tryEnter(): boolean {
+    return task.tryAdmit(getVerdict()) && gate.tryEnter();
+  }
+
   /** Sends the prompt or ends the request; returns false when the prompt has to wait. */
   function tryStart(): boolean {
-    if (!gate.tryEnter()) return true;
+    if (!tryEnter()) return true;
     const {placement, hasEngines} = engines.choosePrefill();
     if (!hasEngines) {
       failWithoutEngine();
@@ -276,7 +281,7 @@
   }
 
   function submitToDecode(decode: BackendEntry, sample?: PrefillSample): void {
-    if (!gate.tryEnter()) {
+    if (!tryEnter()) {
       records.recordAbandoned();
       releaseKv();
       return;
@@ -289,7 +294,7 @@
   function waitForDecode(sourceDomain: string, sample?: PrefillSample): void {
     task.log('waits for a decode engine', {serverId: kv?.serverId});
     cancelWaiting = context.waitingPrompts.add({
-      rank: route.rank,
+      rank: task.rank,
       expiresAtMs:
         clock.getMonotonicMs() + getFirstEventBudgetMs(getAdmissionTimes()),
       tryStart: () => {
@@ -449,7 +454,8 @@
       ? engines.tryChooseDecode(undefined)
       : undefined;
     if (decode !== undefined) {
-      sendDecode(decode);
+      if (task.tryAdmit(getVerdict())) sendDecode(decode);
+      else releaseKv();
       return;
     }
     kv = undefined;
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -167,7 +167,7 @@
     /** Absent for callers of a public route without a known key. */
     readonly name?: string;
   };
-  /** Rank of the route; sent to model engines only. */
+  /** Rank of the account or the route; sent to model engines only. */
   readonly rank?: number;
   /** True when the engine only prefills the prompt and keeps its KV cache. */
   readonly isPrefillOnly?: boolean;
--- a/src/gateway/waiting_prompts.ts
+++ b/src/gateway/waiting_prompts.ts
@@ -3,7 +3,7 @@
 
 /** A waiting prompt. */
 export interface WaitingPrompt {
-  /** Rank of its route; 0 is served first. */
+  /** Rank of its account or route; 0 is served first. */
   readonly rank: number;
   /** When the prompt is dropped from the queue, on the monotonic clock, in milliseconds. */
   readonly expiresAtMs: number;
--- a/src/platform/backend_protocol.ts
+++ b/src/platform/backend_protocol.ts
@@ -1,17 +1,18 @@
 /** The platform's HTTP headers and calls between callers, the gateway and backend servers. */
-import {getKeyDigest, tryGetBearerToken} from '../accounts';
 import {
   type AnswerHead,
   type BackendProtocol,
   type CallerRequest,
   type ControlCall,
   findHeader,
+  getKeyDigest,
   type KvReference,
   type ModelRequest,
   type SendOptions,
   type ServerNotice,
   type StageOrder,
   type StageReport,
+  tryGetBearerToken,
 } from '../gateway';
 import {tryParseStage} from './server_entry';
 import {
@@ -169,7 +170,7 @@
   );
   headers.push(Header.ServerId, options.serverId);
   if (options.account?.name !== undefined) {
-    headers.push(Header.Account, options.account.name);
+    headers.push(Header.Account, encodeHeaderText(options.account.name));
   }
   if (options.rank !== undefined) {
     headers.push(Header.Urgency, String(Math.min(MAX_URGENCY, options.rank)));
@@ -184,6 +185,11 @@
   return headers;
 }
 
+/** Encodes text as the bytes of its UTF-8 form: a header's characters are written as one byte each. */
+function encodeHeaderText(text: string): string {
+  return Buffer.from(text).toString('latin1');
+}
+
 function formatKvSource(kv: KvReference): string {
   return `${kv.host}:${kv.port}/${kv.handle}`;
 }
--- a/src/platform/node_settings.ts
+++ b/src/platform/node_settings.ts
@@ -2,8 +2,12 @@
 import {readFileSync} from 'node:fs';
 import {parse} from 'smol-toml';
 import {Err, Ok, type Result} from 'ts-results';
-import {DutyKind} from '../duties';
-import type {Address, DutySettings, GatewaySettings} from '../gateway';
+import {
+  type Address,
+  DutyKind,
+  type DutySettings,
+  type GatewaySettings,
+} from '../gateway';
 import {collectKeyPositions} from '../settings/toml_positions';
 import {
   type Fields,
--- a/src/platform/operator_config.ts
+++ b/src/platform/operator_config.ts
@@ -1,15 +1,16 @@
 /** Decodes the operator's configuration. */
-import {type ClientAccount, getKeyDigest} from '../accounts';
 import {
   type BackendService,
+  type ClientAccount,
   DEFAULT_CALLER_LIMITS,
   type EngineLimits,
   type GatewayConfig,
+  getKeyDigest,
   RequestKind,
   type Route,
+  type ScalingLimits,
   type WeightedService,
 } from '../gateway';
-import type {ScalingLimits} from '../scaling';
 import {
   type Fields,
   getList,
@@ -17,6 +18,7 @@
   tryGetNumber,
   tryParseJson,
   tryGetString,
+  tryGetWhole,
 } from './wire_decode';
 
 const REQUEST_KINDS: Readonly<Record<string, RequestKind>> = {
@@ -64,22 +66,19 @@
     ...(accounts === undefined
       ? {}
       : {
-          accounts: getList(accounts).flatMap(
-            item => tryParseAccount(item) ?? [],
-          ),
+          // A value that is no list counts as a list without accounts: callers then need keys, and none is known.
+          accounts: getList(accounts).map(parseAccount),
         }),
   };
 }
 
-/** Decodes a client account; one without keys is kept, so that its callers are refused by name of the key only. */
-function tryParseAccount(item: unknown): ClientAccount | undefined {
+/** Decodes a client account; one that cannot be used is kept, with an empty name if it has none, so that its fault is logged. */
+function parseAccount(item: unknown): ClientAccount {
   const fields = tryGetFields(item);
-  const name = tryGetString(fields?.['name']);
-  if (fields === undefined || name === undefined) return undefined;
-  const rank = tryGetNumber(fields['priority']);
+  const rank = tryGetWhole(fields?.['priority'], 0);
   return {
-    name,
-    keyDigests: getList(fields['apiKeys']).flatMap(key => {
+    name: tryGetString(fields?.['name']) ?? '',
+    keyDigests: getList(fields?.['apiKeys']).flatMap(key => {
       const text = tryGetString(key);
       return text === undefined ? [] : [getKeyDigest(text)];
     }),
--- a/test/platform/system.ts
+++ b/test/platform/system.ts
@@ -127,6 +127,8 @@
   readonly nodes?: number;
   readonly hasConfig?: boolean;
   readonly clock?: Clock;
+  /** Further settings of the table `bounds`. */
+  readonly bounds?: string;
 }): Promise<TestSystem> {
   const store = await startStoreStandin();
   if (options.hasConfig !== false)
@@ -158,7 +160,10 @@
   async function addNode(storePort = store.port): Promise<RunningNode> {
     const name = `front-${nodes.length + 1}`;
     const ports = await listFreePorts(4);
-    const text = buildSettings(name, ports, storePort, seeds);
+    const text = buildSettings(name, ports, storePort, seeds).replace(
+      '[bounds]',
+      `[bounds]\n${options.bounds ?? ''}`,
+    );
     seeds.push(`127.0.0.1:${ports[2]}`);
     const settings = parseNodeSettings(text, 'boot.toml').unwrap();
     const lines: Array<Record<string, unknown>> = [];
