--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -21,6 +21,8 @@
   recordServerOrder(outcome: string): void;
   /** Records an answer with an invalid status line, or with a body where there is none. */
   recordInvalidAnswer(service: string): void;
+  /** Records whether a request was admitted, with or without a client account, or why not. */
+  recordAuthentication(outcome: string): void;
   /** Adds a gauge whose value is read when the metrics are rendered. */
   addGauge(name: string, help: string, read: GaugeSpec['read']): void;
   render(): string;
@@ -65,6 +67,10 @@
     name: 'anvilstack_gateway_invalid_answers_total',
     help: 'Answers of backend servers that are none in the protocol, by service.',
   });
+  const authentications = metrics.addCounter({
+    name: 'anvilstack_gateway_authentications_total',
+    help: 'Requests by the outcome of their authentication: admitted for an account or without one, or the reason of the refusal.',
+  });
   return {
     recordEnd: (route, outcome, elapsedMs) => {
       requests.add(1, {kind: route.kind, rank: String(route.rank), outcome});
@@ -80,6 +86,7 @@
     recordQuarantined: () => quarantined.add(1, {}),
     recordServerOrder: outcome => serverOrders.add(1, {outcome}),
     recordInvalidAnswer: service => invalidAnswers.add(1, {service}),
+    recordAuthentication: outcome => authentications.add(1, {outcome}),
     addGauge: (name, help, read) => metrics.addGauge({name, help, read}),
     render: metrics.render,
   };
