--- a/src/platform/operator_config.ts
+++ b/src/platform/operator_config.ts
@@ -4,7 +4,6 @@
   type ClientAccount,
   DEFAULT_CALLER_LIMITS,
   type EngineLimits,
-  getKeyDigest,
   type GatewayConfig,
   getKeyDigest,
   RequestKind,
