Move the authority to src/duties

Cause: stage commands, usage reports and server orders need one mechanism for their single holder. Change: src/gateway/authority.ts and its types move to src/duties; behaviour is unchanged.

--- a/src/gateway/authority.ts
+++ b/src/duties/authority.ts
@@ -1,34 +1,17 @@
 /**
- * Authority to send stage orders to engines: a lease that one node at a time
+ * Authority over stage orders and duties: a lease that one node at a time
  * holds, acquired by a conditional append to the store's log. The fencing
  * number increases with each grant.
  */
 import {Err, Ok, type Result} from 'ts-results';
 import type {Clock} from '../runtime/types';
-import type {FleetStore} from './types';
-
-/** A grant of authority to this node. */
-export interface Grant {
-  readonly fencingNumber: number;
-  /** True while orders may be sent; false after this node was suspended for too long. */
-  isValid(): boolean;
-}
-
-/** Why authority was not granted. */
-export interface Denial {
-  readonly reason: 'unavailable' | 'held' | 'lost';
-  readonly message: string;
-}
-
-/** Acquires authority for a short time, when there are orders to send. */
-export interface Authority {
-  tryAcquire(): Promise<Result<Grant, Denial>>;
-}
+import type {FleetStore} from '../gateway/types';
+import type {Authority, Denial, Grant} from './types';
 
 /** Options of authority. */
 export interface AuthorityOptions {
   readonly nodeName: string;
-  readonly store: FleetStore;
+  readonly store: Pick<FleetStore, 'readAuthority' | 'claimAuthority'>;
   readonly clock: Clock;
   /** Minimum time between the orders of two different holders, in milliseconds. */
   readonly leaseMs: number;
--- a/src/duties/index.ts
+++ b/src/duties/index.ts
@@ -1,2 +1,12 @@
+export {createAuthority} from './authority';
+export type {AuthorityOptions} from './authority';
 export {DutyKind} from './types';
-export type {DutyCaller, DutyClient, DutyFailure, UsageReport} from './types';
+export type {
+  Authority,
+  Denial,
+  DutyCaller,
+  DutyClient,
+  DutyFailure,
+  Grant,
+  UsageReport,
+} from './types';
--- a/src/duties/types.ts
+++ b/src/duties/types.ts
@@ -6,6 +6,24 @@
 export const DutyKind = {Usage: 'usage', Scaling: 'scaling'} as const;
 export type DutyKind = (typeof DutyKind)[keyof typeof DutyKind];
 
+/** A grant of authority to this node. */
+export interface Grant {
+  readonly fencingNumber: number;
+  /** True while orders and duty calls may be sent; false after this node was suspended for too long. */
+  isValid(): boolean;
+}
+
+/** Why authority was not granted. */
+export interface Denial {
+  readonly reason: 'unavailable' | 'held' | 'lost';
+  readonly message: string;
+}
+
+/** Acquires authority for a short time, when there are calls to make. */
+export interface Authority {
+  tryAcquire(): Promise<Result<Grant, Denial>>;
+}
+
 /** Number of requests that began to run in a window, by client account. */
 export interface UsageReport {
   /** Number of the window: its start in Unix time divided by the length of a window. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,7 +1,7 @@
 /** Assembles the components of a gateway process and starts and stops them in order. */
 import type {Logger} from '../diagnostics/log';
 import type {Clock} from '../runtime/types';
-import {createAuthority} from './authority';
+import {createAuthority} from '../duties';
 import {createConnections} from './connections';
 import {createControlListeners} from './control_listener';
 import {createCrashGuard} from './crash_guard';
--- a/src/gateway/stage_control.ts
+++ b/src/gateway/stage_control.ts
@@ -2,7 +2,7 @@
 import type {Logger} from '../diagnostics/log';
 import type {StageLoad} from '../planning/stage_split';
 import type {Clock, Timer} from '../runtime/types';
-import type {Authority, Grant} from './authority';
+import type {Authority, Grant} from '../duties';
 import type {Connections} from './connections';
 import type {FleetState} from './fleet_state';
 import {sendControlCall} from './control_call';
--- a/test/gateway/stages.test.ts
+++ b/test/gateway/stages.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {Err, Ok} from 'ts-results';
-import {createAuthority} from '../../src/gateway/authority';
+import {createAuthority} from '../../src/duties';
 import {planStages} from '../../src/gateway/stage_plan';
 import {EngineStage, type FleetStore} from '../../src/gateway/types';
 import {createVirtualClock} from '../../src/runtime';
