Add the client of the platform's interface for duties

Cause: usage reports and orders of servers are calls to the platform with the holder's name and fencing number; nothing can be read back.

--- a/src/duties/types.ts
+++ b/src/duties/types.ts
@@ -35,12 +35,15 @@
 export interface DutyCaller {
   readonly holder: string;
   readonly fencingNumber: number;
+  /** Checked right before the call is written to its connection; when false, the call is not sent. */
+  isValid(): boolean;
 }
 
 /** Why a call to the platform failed. */
 export interface DutyFailure {
-  /** `fenced`: a higher fencing number was seen; `none-available`: no such server is to be had; `limited`: too many calls. */
-  readonly kind: 'fenced' | 'none-available' | 'limited' | 'unavailable';
+  /** `fenced`: a higher fencing number was seen; `none-available`: no such server is to be had; `limited`: too many calls; `expired`: the grant ended before the call was sent. */
+  readonly kind:
+    'fenced' | 'none-available' | 'limited' | 'expired' | 'unavailable';
   /** True when the call may have been carried out, or may still be. */
   readonly mayHaveTakenEffect: boolean;
   readonly message: string;
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -1,4 +1,6 @@
 export {createBackendProtocol} from './backend_protocol';
+export {createDutyClient} from './duty_client';
+export type {DutyClientOptions} from './duty_client';
 export {createFleetStore} from './fleet_store';
 export {
   loadNodeSettings,
