Count runs and report usage in the gateway

Cause: the usage duty was not part of the gateway process. Change: a run counts for its client account when the head of an answer shows that the server ran the request; gateways exchange counts and report windows where the settings name the duty. Fencing numbers contain the store's era, which is 0 until the store client states one.

--- a/src/gateway/answer_relay.ts
+++ b/src/gateway/answer_relay.ts
@@ -17,6 +17,8 @@
   readonly isEventStream: boolean;
   /** Present when the stream can be resumed on another server. */
   readonly splitter?: EventSplitter;
+  /** Called when the head of an answer shows that the server has run the request, successfully or not. */
+  readonly onRun: () => void;
   /** Called when the head of a successful answer has arrived. */
   readonly onHead?: () => void;
   /** Called after a complete answer; `isFramed` is false when it had no length and ended with its connection. */
@@ -95,6 +97,7 @@
       rejection = createRejection(Verdict.NotRun, status);
       return;
     }
+    options.onRun();
     const isSuccess = status >= 200 && status < 300;
     if (isSuccess && (!head.isSealed || head.isEncoded)) {
       return createMismatch('answer is unsealed or content-encoded');
--- a/src/gateway/decode_call.ts
+++ b/src/gateway/decode_call.ts
@@ -68,6 +68,7 @@
     isEventStream: true,
     isErrorRetryable: () => route.isResumable && options.canRunAgain(),
     ...(splitter === undefined ? {} : {splitter}),
+    onRun: () => context.recordRun(task.account?.name),
     onHead: () => {
       watch.cancel();
       health.recordResponse(server.id);
--- a/src/gateway/flow_context.ts
+++ b/src/gateway/flow_context.ts
@@ -48,6 +48,8 @@
   readonly getRetryBudget: (service: string) => RetryBudget;
   /** Number of other nodes that this node knows. */
   readonly countPeers: () => number;
+  /** Counts a run of a request that has begun at a server, for the usage of its client account. */
+  readonly recordRun: (account: string | undefined) => void;
   /** Sends a message to the other nodes. */
   readonly notifyPeers: (message: PeerMessage) => void;
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,6 +12,7 @@
 import {createFleetState} from './fleet_state';
 import type {FlowContext} from './flow_context';
 import {createFrontListener} from './front_listener';
+import {createGatewayDuties, type DutyPlatform} from './gateway_duties';
 import {createGatewayMetrics} from './gateway_metrics';
 import {createEngineAffinity} from './engine_affinity';
 import {createProcessChecks} from './process_check';
@@ -58,6 +59,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly getRandom?: () => number;
+  /** The platform's interface for duties; used where the settings name duties. */
+  readonly duties?: DutyPlatform;
 }
 
 /** How long the load balancer may still open connections after SIGTERM, in milliseconds: two failed readiness checks and their interval. */
@@ -160,15 +163,30 @@
     onChange: handleFleetChange,
   });
   const demand = createFleetDemand({nodeName: self.name, clock, peers});
+  const authority = createAuthority({
+    nodeName: self.name,
+    store,
+    clock,
+    leaseMs: settings.bounds.leaseMs,
+    ...(options.duties?.getEra === undefined
+      ? {}
+      : {getEra: options.duties.getEra}),
+  });
+  const {usage} = createGatewayDuties({
+    ...(options.duties === undefined ? {} : {platform: options.duties}),
+    ...(settings.duties === undefined ? {} : {settings: settings.duties}),
+    nodeName: self.name,
+    authority,
+    peers,
+    metrics,
+    clock,
+    logger,
+    getRandom,
+  });
   const stages = createStageControl({
     nodeName: self.name,
     state,
-    authority: createAuthority({
-      nodeName: self.name,
-      store,
-      clock,
-      leaseMs: settings.bounds.leaseMs,
-    }),
+    authority,
     connections,
     pauses,
     limits,
@@ -216,6 +234,7 @@
       countNodes: () => peers.count() + 1,
     }),
     countPeers: peers.count,
+    recordRun: account => usage?.recordStart(account),
     notifyPeers: peers.notify,
   };
   const messageHandler = createPeerMessageHandler({
@@ -236,6 +255,7 @@
     limits,
     reach,
     crashGuard,
+    ...(usage === undefined ? {} : {usage}),
   });
   const drain = createDrain({
     clock,
@@ -272,6 +292,7 @@
     stages.start();
     demand.start();
     crashGuard.start();
+    usage?.start();
     void messageHandler.registerSelf();
     logger.log('info', 'gateway started', {
       callers: `${settings.callers.host}:${settings.callers.port}`,
@@ -312,6 +333,7 @@
     follower.stop();
     stages.stop();
     demand.stop();
+    usage?.stop();
     reach.stop();
     crashGuard.stop();
     front.close();
@@ -408,5 +430,11 @@
       'Number of other known nodes.',
       peers.count,
     );
+    if (usage === undefined) return;
+    metrics.addGauge(
+      'anvilstack_gateway_open_usage_windows',
+      'Usage windows that have ended and are not known to be reported.',
+      usage.countOpenWindows,
+    );
   }
 }
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,5 +1,6 @@
 export {createGateway} from './gateway';
 export type {Gateway, GatewayOptions} from './gateway';
+export type {DutyPlatform} from './gateway_duties';
 export {findHeader} from './raw_headers';
 export type {QuarantineRecord} from './part_quarantine';
 export type {
--- a/src/gateway/peer_message_handler.ts
+++ b/src/gateway/peer_message_handler.ts
@@ -1,5 +1,6 @@
 /** Registers this node with the others and handles their messages. */
 import type {Logger} from '../diagnostics/log';
+import type {UsageDuty} from '../duties';
 import type {Clock} from '../runtime/types';
 import type {CrashGuard} from './crash_guard';
 import type {EngineSpeedEstimator} from './engine_speed_estimator';
@@ -52,6 +53,8 @@
   readonly limits: ServerLimits;
   readonly reach: PeerReach;
   readonly crashGuard: CrashGuard;
+  /** Absent when usage is not reported. */
+  readonly usage?: Pick<UsageDuty, 'handle'>;
 }
 
 /** Delay before the next attempt to register in the store, in milliseconds. */
@@ -116,6 +119,11 @@
       case 'quarantine':
         options.crashGuard.handle(message);
         return;
+      case 'usage':
+      case 'usage-ack':
+      case 'usage-done':
+        options.usage?.handle(message);
+        return;
     }
   }
 
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -1,4 +1,5 @@
 /** Messages between nodes. They are small datagrams; a lost one is repeated or replaced by a later one. */
+import type {UsagePeerMessage} from '../duties';
 import type {StageDemand} from '../planning/stage_demand';
 import type {CrashReport} from './crash_evidence';
 import type {SpeedEstimates} from './engine_speed_estimator';
@@ -166,6 +167,7 @@
   | CrashMessage
   | SoundMessage
   | QuarantineMessage
+  | UsagePeerMessage
 ) & {
   /** True when the receiver relays the message to the other nodes of its failure domain. */
   readonly isForPassing?: true | undefined;
@@ -191,6 +193,9 @@
   'crash',
   'sound',
   'quarantine',
+  'usage',
+  'usage-ack',
+  'usage-done',
 ]);
 
 /** Decodes a datagram; returns undefined when it is not a message of a known kind. */
--- a/src/gateway/request_task.ts
+++ b/src/gateway/request_task.ts
@@ -11,6 +11,8 @@
   readonly exchange: Exchange;
   readonly route: Route;
   readonly service: string;
+  /** The client account of the caller; absent without one. */
+  readonly account?: {readonly name: string; readonly rank?: number};
   /** Connections to backend servers that have carried the request. */
   readonly usedConnections: Set<object>;
   /** Time left until the deadline of the caller or the time-out of the route, in milliseconds. */
--- a/src/gateway/service_flow.ts
+++ b/src/gateway/service_flow.ts
@@ -91,6 +91,7 @@
       task,
       protocol: context.protocol,
       isEventStream: isStream,
+      onRun: () => context.recordRun(task.account?.name),
       isErrorRetryable: () => isIdempotent && canRunAgain(),
       onEnd: status => {
         recordTryEnd(context.clock.getMonotonicMs() - sentAtMs);
--- a/src/gateway_process.ts
+++ b/src/gateway_process.ts
@@ -3,8 +3,10 @@
 import {createGateway} from './gateway';
 import {
   createBackendProtocol,
+  createDutyClient,
   createFleetStore,
   createStoreClient,
+  createUsageStore,
   loadNodeSettings,
   SETTINGS_PATH_VARIABLE,
 } from './platform';
@@ -44,12 +46,19 @@
     });
   });
   const client = createStoreClient(settings.val.store);
+  const dutyClient =
+    settings.val.duties === undefined
+      ? undefined
+      : createDutyClient(settings.val.duties.address);
   const gateway = createGateway({
     settings: settings.val,
     store: createFleetStore(client),
     protocol: createBackendProtocol(),
     clock: createSystemClock(),
     logger,
+    ...(dutyClient === undefined
+      ? {}
+      : {duties: {client: dutyClient, usageStore: createUsageStore(client)}}),
   });
   // The handler stays: a repeated signal must not end a process that is being stopped.
   const isTerminated = new Promise(resolve => process.on('SIGTERM', resolve));
@@ -63,6 +72,7 @@
   await isTerminated;
   await gateway.stop();
   client.close();
+  dutyClient?.close();
   await lines.drain(LOG_DRAIN_MS);
   return EXIT_SUCCESS;
 }
--- a/src/platform/fleet_store.ts
+++ b/src/platform/fleet_store.ts
@@ -40,8 +40,14 @@
 } as const;
 const CONFIG_KEY = 'config';
 
-/** Creates a fleet store that uses a client of the platform's store. */
-export function createFleetStore(client: StoreClient): FleetStore {
+/** A fencing number is the store's era times this number, plus the offset of the grant plus 1. */
+const ERA_FACTOR = 2 ** 32;
+
+/** Creates a fleet store that uses a client of the platform's store; `getEra` returns how often the store has lost records. */
+export function createFleetStore(
+  client: StoreClient,
+  getEra: () => number = () => 0,
+): FleetStore {
   return {
     loadConfig,
     waitForConfig,
@@ -135,7 +141,7 @@
     });
   }
 
-  /** Appends a grant; the fencing number is the grant's offset plus 1, so that it is never 0. */
+  /** Appends a grant. The fencing number contains the grant's offset plus 1, so that it is never 0, and the store's era, so that it increases when offsets are used again. */
   async function claimAuthority(
     holder: string,
     expectedEndOffset: number,
@@ -146,7 +152,7 @@
       [record],
       expectedEndOffset,
     );
-    return append.map(offset => offset + 1);
+    return append.map(offset => getEra() * ERA_FACTOR + offset + 1);
   }
 
   async function loadQuarantine(): Promise<
--- a/test/platform/system.ts
+++ b/test/platform/system.ts
@@ -4,8 +4,10 @@
 import {createGateway, type Gateway} from '../../src/gateway';
 import {
   createBackendProtocol,
+  createDutyClient,
   createFleetStore,
   createStoreClient,
+  createUsageStore,
   parseNodeSettings,
 } from '../../src/platform';
 import type {Clock} from '../../src/runtime';
@@ -127,6 +129,8 @@
   readonly nodes?: number;
   readonly hasConfig?: boolean;
   readonly clock?: Clock;
+  /** Port of the platform's interface for duties, with windows of a second; absent when there are none. */
+  readonly dutyPort?: number;
 }): Promise<TestSystem> {
   const store = await startStoreStandin();
   if (options.hasConfig !== false)
@@ -158,12 +162,21 @@
   async function addNode(storePort = store.port): Promise<RunningNode> {
     const name = `front-${nodes.length + 1}`;
     const ports = await listFreePorts(4);
-    const text = buildSettings(name, ports, storePort, seeds);
+    const text =
+      buildSettings(name, ports, storePort, seeds) +
+      (options.dutyPort === undefined
+        ? ''
+        : buildDutySettings(options.dutyPort));
     seeds.push(`127.0.0.1:${ports[2]}`);
     const settings = parseNodeSettings(text, 'boot.toml').unwrap();
     const lines: Array<Record<string, unknown>> = [];
     const client = createStoreClient(settings.store);
     closeClients.push(client.close);
+    const dutyClient =
+      settings.duties === undefined
+        ? undefined
+        : createDutyClient(settings.duties.address);
+    if (dutyClient !== undefined) closeClients.push(dutyClient.close);
     const gateway = createGateway({
       settings,
       store: createFleetStore(client),
@@ -173,6 +186,9 @@
         node: name,
         write: line => lines.push(JSON.parse(line) as Record<string, unknown>),
       }),
+      ...(dutyClient === undefined
+        ? {}
+        : {duties: {client: dutyClient, usageStore: createUsageStore(client)}}),
     });
     await gateway.start();
     const node = {
@@ -214,11 +230,24 @@
 budgetRatio = 0.2
 budgetWindowS = 10
 budgetSlack = 100
+usageWindowS = 1
+usageLateS = 10
 [platform]
 address = "127.0.0.1:${storePort}"
 `;
 }
 
+/** Settings of usage reports in windows of a second; follows those of `buildSettings`. */
+function buildDutySettings(port: number): string {
+  return `
+[cloudApi]
+address = "127.0.0.1:${port}"
+ratePerS = 10
+dutyPerS = 50
+duties = ["metering"]
+`;
+}
+
 /** State that a node offers to other nodes: its configuration and the entries of backend servers. */
 export interface SnapshotBody {
   readonly config?: {readonly version: number};
