--- a/src/duties/authority.ts
+++ b/src/duties/authority.ts
@@ -57,6 +57,8 @@
     if (clock.getMonotonicMs() < releasedUntilMs) {
       return Err({reason: 'released', message: 'released by this node'});
     }
+    // Other calls to the store may have shown a new era; the first read only learns it.
+    if (era !== undefined) hasNewEra();
     // The log only grows, so a grant that has not expired needs no read.
     if (observed !== undefined && !isLapsed(observed.endOffset)) {
       return Err({reason: 'held', message: 'held by another node'});
--- a/src/duties/usage_duty.ts
+++ b/src/duties/usage_duty.ts
@@ -25,7 +25,8 @@
   handle(message: UsagePeerMessage): void;
   /** Returns the number of windows that have ended and are not known to be reported. */
   countOpenWindows(): number;
-  /** Sends the last counts to the receivers and stops. */
+  /** Announces to the receivers that this process is about to end, with its last counts; datagrams may be lost, so it may be called more than once. */
+  sendLast(): void;
   stop(): void;
 }
 
@@ -120,12 +121,8 @@
     },
     handle,
     countOpenWindows: windows.countOpen,
-    stop: () => {
-      if (timer === undefined) return;
-      timer.cancel();
-      timer = undefined;
-      sender.sendLast();
-    },
+    sendLast: sender.sendLast,
+    stop: () => timer?.cancel(),
   };
 
   function check(): void {
@@ -159,8 +156,11 @@
   function handleCounts(message: UsageMessage): void {
     const {from, windowId} = message;
     const distance = Math.abs(windowId - windows.getCurrent());
-    if (distance > MAX_WINDOW_DISTANCE) return;
-    const received = collector.add(message);
+    // A node whose clock is far off gets an answer too, because it states the time.
+    const received =
+      distance <= MAX_WINDOW_DISTANCE
+        ? collector.add(message)
+        : {total: 0, isFinal: false};
     const ack = {
       kind: 'usage-ack',
       from: nodeName,
--- a/src/duties/usage_messages.ts
+++ b/src/duties/usage_messages.ts
@@ -51,6 +51,8 @@
 
 /** Largest size of the counts in a message, in bytes: with the other fields it fits into a datagram of 1,400 bytes. */
 const MAX_COUNTS_BYTES = 1_050;
+/** Largest number of windows that a message may name. */
+const MAX_DONE_WINDOWS = 16;
 /** Quotes, colon and comma of an entry and up to ten digits. */
 const ENTRY_BYTES = 14;
 
@@ -91,6 +93,7 @@
     case 'usage-done':
       return (
         Array.isArray(message.windowIds) &&
+        message.windowIds.length <= MAX_DONE_WINDOWS &&
         message.windowIds.every(isCount) &&
         (message.endOffset === undefined || isCount(message.endOffset)) &&
         isCount(message.era) &&
--- a/src/duties/usage_receivers.ts
+++ b/src/duties/usage_receivers.ts
@@ -39,6 +39,7 @@
 ): UsageReceivers {
   const {nodeName, clock} = options;
   const silences = new Map<string, Silence>();
+  let sortedNames: readonly string[] = [];
   return {
     list,
     recordAnswer: name => silences.delete(name),
@@ -49,7 +50,7 @@
     const nowMs = clock.getMonotonicMs();
     const listed: string[] = [];
     let missing = RECEIVER_COUNT + countNewSilences(nowMs);
-    for (const name of [...options.listNames(), nodeName].sort()) {
+    for (const name of listSorted()) {
       if (missing === 0) break;
       const silence = tryGetSilence(name, nowMs);
       if (silence === undefined) missing--;
@@ -59,6 +60,15 @@
     return listed;
   }
 
+  /** Sorts the names when their number has changed: known nodes are never removed. */
+  function listSorted(): readonly string[] {
+    const names = options.listNames();
+    if (sortedNames.length !== names.length + 1) {
+      sortedNames = [...names, nodeName].sort();
+    }
+    return sortedNames;
+  }
+
   function countNewSilences(nowMs: number): number {
     let count = 0;
     for (const {atMs} of silences.values()) {
--- a/src/duties/usage_sender.ts
+++ b/src/duties/usage_sender.ts
@@ -69,8 +69,11 @@
   function sendDue(): void {
     const nowMs = time.getTimeMs();
     const current = getCurrentWindow();
-    nextFinal = resolveWindow(nextFinal, current);
-    nextPartial = resolveWindow(nextPartial, current);
+    // The numbers depart from the current one when the clocks have jumped or the VM was suspended.
+    if (nextFinal > current) nextFinal = current - 1;
+    if (nextPartial > current + 1) nextPartial = current;
+    nextFinal = Math.max(nextFinal, current - keptWindows);
+    nextPartial = Math.max(nextPartial, current);
     while (nowMs >= (nextFinal + 1) * windowMs + FINAL_DELAY_MS) {
       startSending(nextFinal++, true);
     }
@@ -84,11 +87,6 @@
     meter.expire(current - keptWindows);
   }
 
-  /** Keeps a window number near the current one, from which it departs when the clocks have jumped or the VM was suspended. */
-  function resolveWindow(windowId: number, current: number): number {
-    return Math.min(current + 1, Math.max(current - keptWindows, windowId));
-  }
-
   function startSending(windowId: number, isFinal: boolean): void {
     const total = countRequests(meter.getCounts(windowId));
     if (total === 0 && !isFinal) return;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -314,6 +314,11 @@
     const cutRequests = front.countOpen();
     router.expireAll();
     if (cutRequests > 0) await clock.sleep(STOP_CHECK_MS);
+    if (usage !== undefined) {
+      usage.sendLast();
+      await clock.sleep(STOP_CHECK_MS);
+      usage.sendLast();
+    }
     logger.log('info', 'gateway stopped', {openRequests: cutRequests});
     kill();
   }
--- a/test/duties/usage_fleet.ts
+++ b/test/duties/usage_fleet.ts
@@ -69,6 +69,7 @@
   const records: UsageRecord[] = [];
   const calls: PlatformCall[] = [];
   let highestNumber = 0;
+  const receivedBytes = new Map<string, number>();
   const truth = new Map<number, Map<string, number>>();
   const traffic = {messages: 0, bytes: 0, largest: 0, storeCalls: 0};
   const fates: Fates = {
@@ -85,6 +86,7 @@
     grants,
     truth,
     traffic,
+    receivedBytes,
     fates,
     getRandom,
     start,
@@ -164,6 +166,7 @@
     clock.schedule(1 + 9 * getRandom(), () => {
       const node = nodes.get(to);
       if (node === undefined || node.isCutOff) return;
+      receivedBytes.set(to, (receivedBytes.get(to) ?? 0) + text.length);
       runOnNode(node, () =>
         node.duty.handle(JSON.parse(text) as UsagePeerMessage),
       );
