--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,8 +1,7 @@
 /** Assembles the components of a gateway process and starts and stops them in order. */
 import type {Logger} from '../diagnostics/log';
-import {type DutyClient, DutyKind} from '../duties';
+import {createAuthority, DutyKind} from '../duties';
 import type {Clock} from '../runtime/types';
-import {createAuthority} from './authority';
 import {createCallerAdmission} from './caller_admission';
 import {createConnections} from './connections';
 import {createControlListeners} from './control_listener';
@@ -14,6 +13,7 @@
 import {createFleetState} from './fleet_state';
 import type {FlowContext} from './flow_context';
 import {createFrontListener} from './front_listener';
+import {createGatewayDuties, type DutyPlatform} from './gateway_duties';
 import {createGatewayMetrics} from './gateway_metrics';
 import {createEngineAffinity} from './engine_affinity';
 import {createProcessChecks} from './process_check';
@@ -60,9 +60,9 @@
   readonly protocol: BackendProtocol;
   readonly clock: Clock;
   readonly logger: Logger;
-  /** Absent when the process makes no calls for duties. */
-  readonly dutyClient?: DutyClient;
   readonly getRandom?: () => number;
+  /** The platform's interface for duties; used where the settings name duties. */
+  readonly duties?: DutyPlatform;
 }
 
 /** How long the load balancer may still open connections after SIGTERM, in milliseconds: two failed readiness checks and their interval. */
@@ -191,11 +191,26 @@
     store,
     clock,
     leaseMs: settings.bounds.leaseMs,
+    ...(options.duties?.getEra === undefined
+      ? {}
+      : {getEra: options.duties.getEra}),
   });
   const isStateCurrent = () => follower.getAgeMs() < MAX_PLANNING_AGE_MS;
+  const duties = createGatewayDuties({
+    ...(options.duties === undefined ? {} : {platform: options.duties}),
+    ...(settings.duties === undefined ? {} : {settings: settings.duties}),
+    nodeName: self.name,
+    authority,
+    peers,
+    metrics,
+    clock,
+    logger,
+    getRandom,
+  });
+  const {usage} = duties;
   const scaling = createServerScaling({
     settings,
-    dutyClient: options.dutyClient,
+    dutyClient: duties.client,
     authority,
     state,
     demand,
@@ -257,6 +272,7 @@
       countNodes: () => peers.count() + 1,
     }),
     countPeers: peers.count,
+    recordRun: account => usage?.recordStart(account),
     notifyPeers: peers.notify,
   };
   const messageHandler = createPeerMessageHandler({
@@ -278,6 +294,7 @@
     limits,
     reach,
     crashGuard,
+    ...(usage === undefined ? {} : {usage}),
   });
   const drain = createDrain({
     clock,
@@ -325,6 +342,7 @@
     scaling.start();
     demand.start();
     crashGuard.start();
+    usage?.start();
     void messageHandler.registerSelf();
     logger.log('info', 'gateway started', {
       callers: `${settings.callers.host}:${settings.callers.port}`,
@@ -346,6 +364,11 @@
     const cutRequests = front.countOpen();
     router.expireAll();
     if (cutRequests > 0) await clock.sleep(STOP_CHECK_MS);
+    if (usage !== undefined) {
+      usage.sendLast();
+      await clock.sleep(STOP_CHECK_MS);
+      usage.sendLast();
+    }
     logger.log('info', 'gateway stopped', {openRequests: cutRequests});
     kill();
   }
@@ -366,6 +389,7 @@
     stages.stop();
     scaling.stop();
     demand.stop();
+    usage?.stop();
     reach.stop();
     crashGuard.stop();
     front.close();
@@ -462,5 +486,11 @@
       'Number of other known nodes.',
       peers.count,
     );
+    if (usage === undefined) return;
+    metrics.addGauge(
+      'anvilstack_gateway_open_usage_windows',
+      'Usage windows that have ended and are not known to be reported.',
+      usage.countOpenWindows,
+    );
   }
 }
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,9 +1,18 @@
 export {getKeyDigest, tryGetBearerToken} from '../accounts';
 export type {ClientAccount} from '../accounts';
 export {DutyKind} from '../duties';
+export type {
+  DutyCaller,
+  DutyClient,
+  DutyFailure,
+  UsagePage,
+  UsageRecord,
+  UsageStore,
+} from '../duties';
 export type {ScalingLimits} from '../scaling';
 export {createGateway} from './gateway';
 export type {Gateway, GatewayOptions} from './gateway';
+export type {DutyPlatform} from './gateway_duties';
 export {findHeader} from './raw_headers';
 export type {QuarantineRecord} from './part_quarantine';
 export type {
--- a/src/gateway/server_scaling.ts
+++ b/src/gateway/server_scaling.ts
@@ -1,6 +1,6 @@
 /** Connects scaling to the gateway: lists servers and loads, and tells the other nodes what was ordered. */
 import type {Logger} from '../diagnostics/log';
-import {type DutyClient, DutyKind} from '../duties';
+import {type Authority, type DutyClient, DutyKind} from '../duties';
 import type {Clock} from '../runtime/types';
 import {
   createScaling,
@@ -10,7 +10,6 @@
   type Scaling,
   type SharedParts,
 } from '../scaling';
-import type {Authority} from './authority';
 import {type FleetDemand, PLANNER_COUNT} from './fleet_demand';
 import type {FleetState} from './fleet_state';
 import type {GatewayMetrics} from './gateway_metrics';
@@ -34,7 +33,7 @@
   readonly settings: GatewaySettings;
   /** Undefined when the process has no client for duties: nothing is ordered. */
   readonly dutyClient: DutyClient | undefined;
-  readonly authority: Authority;
+  readonly authority: Pick<Authority, 'tryAcquire'>;
   readonly state: FleetState;
   readonly demand: Pick<FleetDemand, 'tryGetRecentLoad'>;
   readonly peers: Pick<
--- a/src/gateway/stage_control.ts
+++ b/src/gateway/stage_control.ts
@@ -2,7 +2,7 @@
 import type {Logger} from '../diagnostics/log';
 import type {StageLoad} from '../planning/stage_split';
 import type {Clock, Timer} from '../runtime/types';
-import type {Authority, Grant} from './authority';
+import type {Authority, Grant} from '../duties';
 import type {Connections} from './connections';
 import type {FleetState} from './fleet_state';
 import {sendControlCall} from './control_call';
@@ -31,7 +31,7 @@
 export interface StageControlOptions {
   readonly nodeName: string;
   readonly state: FleetState;
-  readonly authority: Authority;
+  readonly authority: Pick<Authority, 'tryAcquire'>;
   readonly connections: Connections;
   readonly pauses: Pick<ServerPauses, 'isPaused'>;
   readonly limits: Pick<ServerLimits, 'canSend' | 'tryGetLimitPerS'>;
--- a/src/scaling/scaling.ts
+++ b/src/scaling/scaling.ts
@@ -3,14 +3,13 @@
  * lowest name acts, and the next ones take over when it is silent and orders
  * stay due.
  */
-import type {Result} from 'ts-results';
 import type {Logger} from '../diagnostics/log';
+import type {Authority} from '../duties';
 import type {Clock, Timer} from '../runtime/types';
 import {logServerOrder} from './order_log';
 import {isOrderedServers} from './ordered_message';
 import {createLimitChecks} from './scaling_limits';
 import {
-  type OrderGrant,
   type OrderOutcome,
   sendOrders,
   type SendServerOrder,
@@ -46,11 +45,7 @@
   readonly nodeName: string;
   readonly clock: Clock;
   readonly logger: Logger;
-  readonly authority: {
-    tryAcquire(): Promise<
-      Result<OrderGrant, {readonly reason: string; readonly message: string}>
-    >;
-  };
+  readonly authority: Pick<Authority, 'tryAcquire'>;
   readonly sendOrder: SendServerOrder;
   /** Minimum time between the orders of two different holders, in milliseconds. */
   readonly leaseMs: number;
--- a/src/scaling/send_orders.ts
+++ b/src/scaling/send_orders.ts
@@ -1,35 +1,22 @@
 /** Sends the orders of one plan under one grant. */
 import type {Result} from 'ts-results';
+import type {DutyCaller, DutyFailure, Grant} from '../duties';
 import type {ServerOrder} from './types';
 
-/** Grant by which orders are sent. */
-export interface OrderGrant {
-  readonly fencingNumber: number;
-  isValid(): boolean;
-}
-
-/** Why an order failed, as the platform's client reports it. */
-export interface OrderFailure {
-  readonly kind: 'fenced' | 'none-available' | 'limited' | 'unavailable';
-  /** True when the order may have been carried out, or may still be. */
-  readonly mayHaveTakenEffect: boolean;
-  readonly message: string;
-}
-
 /** Sends one order; the holder and its fencing number are named with it. */
 export type SendServerOrder = (
   order: ServerOrder,
-  caller: {readonly holder: string; readonly fencingNumber: number},
-) => Promise<Result<void, OrderFailure>>;
+  caller: DutyCaller,
+) => Promise<Result<void, DutyFailure>>;
 
 /** How an order ended; `lapsed` means that it was not sent, since the grant was no longer valid. */
 export type OrderOutcome =
-  'ordered' | 'unknown' | 'lapsed' | OrderFailure['kind'];
+  'ordered' | 'unknown' | 'lapsed' | Exclude<DutyFailure['kind'], 'expired'>;
 
 /** Options of `sendOrders`. */
 export interface SendOrdersOptions {
   readonly holder: string;
-  readonly grant: OrderGrant;
+  readonly grant: Grant;
   readonly send: SendServerOrder;
   readonly onOutcome: (
     order: ServerOrder,
@@ -69,16 +56,24 @@
       onOutcome(order, 'lapsed', 'the grant has expired');
       return 'lapsed';
     }
-    const {fencingNumber} = grant;
-    const sent = await options.send(order, {holder, fencingNumber});
+    const {fencingNumber, isValid} = grant;
+    const caller = {holder, fencingNumber, isValid};
+    const sent = await options.send(order, caller);
     if (sent.ok) {
       onOutcome(order, 'ordered', '');
       return 'ordered';
     }
     const {kind, mayHaveTakenEffect, message} = sent.val;
-    const outcome =
-      kind === 'unavailable' && mayHaveTakenEffect ? 'unknown' : kind;
+    const outcome = getOutcome(kind, mayHaveTakenEffect);
     onOutcome(order, outcome, message);
     return outcome;
   }
 }
+
+function getOutcome(
+  kind: DutyFailure['kind'],
+  mayHaveTakenEffect: boolean,
+): OrderOutcome {
+  if (kind === 'expired') return 'lapsed';
+  return kind === 'unavailable' && mayHaveTakenEffect ? 'unknown' : kind;
+}
--- a/test/scaling/scaling.test.ts
+++ b/test/scaling/scaling.test.ts
@@ -2,15 +2,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {Err, Ok} from 'ts-results';
-import {createAuthority} from '../../src/gateway/authority';
+import {createAuthority, type DutyFailure} from '../../src/duties';
 import type {FleetStore} from '../../src/gateway/types';
 import {createVirtualClock} from '../../src/runtime';
 import {createScaling, type Scaling} from '../../src/scaling';
-import {
-  type OrderFailure,
-  type OrderOutcome,
-  sendOrders,
-} from '../../src/scaling/send_orders';
+import {type OrderOutcome, sendOrders} from '../../src/scaling/send_orders';
 import type {OrderedServers, ServerOrder} from '../../src/scaling/types';
 import {SILENT_LOGGER} from '../gateway/support';
 import {createPlatform, LIMITS} from './support';
@@ -25,7 +21,7 @@
   readonly atMs: number;
 }
 
-const CARRY_OUT: (call: Call) => OrderFailure | undefined = () => undefined;
+const CARRY_OUT: (call: Call) => DutyFailure | undefined = () => undefined;
 
 /** Creates nodes that share a store, a platform and a network without losses. */
 function createFleet(nodeCount: number) {
