Read the authority's topic from the last known grant on

The store may also return fewer records than there are. Change: readAuthority takes the offset of the last known grant and reads on to the end.

--- a/src/duties/authority.ts
+++ b/src/duties/authority.ts
@@ -34,6 +34,8 @@
   const getEra = options.getEra ?? (() => 0);
   /** The latest grant of another node, and when this node first observed it. */
   let observed: {endOffset: number; atMs: number} | undefined;
+  /** Highest end of the log that this node knows; what is before the last record need not be read. */
+  let knownEnd = 0;
   /** Highest fencing number that another node has stated. */
   let highestStated = 0;
   let pending: Promise<Result<Grant, Denial>> | undefined;
@@ -63,7 +65,7 @@
     if (observed !== undefined && !isLapsed(observed.endOffset)) {
       return Err({reason: 'held', message: 'held by another node'});
     }
-    const latest = await store.readAuthority();
+    const latest = await store.readAuthority(Math.max(0, knownEnd - 1));
     if (latest.err) {
       return Err({reason: 'unavailable', message: latest.val.message});
     }
@@ -71,6 +73,7 @@
       return Err({reason: 'held', message: 'the store lost recent grants'});
     }
     const {endOffset, holder} = latest.val;
+    knownEnd = endOffset;
     const isFree = endOffset === 0 || holder === options.nodeName;
     if (!isFree && !isLapsed(endOffset)) {
       return Err({reason: 'held', message: `held by ${holder ?? 'a node'}`});
@@ -111,6 +114,7 @@
     if (!isNew) return false;
     // Offsets of the new era say nothing about grants of the old one.
     observed = undefined;
+    knownEnd = 0;
     eraAtMs = clock.getMonotonicMs();
     return true;
   }
--- a/src/duties/usage_reporter.ts
+++ b/src/duties/usage_reporter.ts
@@ -9,6 +9,7 @@
   UsageRecord,
 } from './types';
 import {createDutyGrant} from './duty_grant';
+import {createUsageDone} from './usage_done';
 import type {UsageLedger} from './usage_ledger';
 import type {UsageDoneMessage} from './usage_messages';
 import {WindowStep} from './usage_timing';
@@ -51,8 +52,6 @@
 const RETRY_MS = 250;
 /** Delay after the platform refused a call as one too many, in milliseconds. */
 const LIMITED_RETRY_MS = 1_100;
-/** Windows named in a message that tells of the last ones. */
-const DONE_WINDOWS = 3;
 /** Delay after which the message is repeated, in milliseconds. A node that misses both asks the store for authority. */
 const REPEAT_DONE_MS = 400;
 
@@ -214,20 +213,9 @@
     if (message.era === options.getEra()) ledger.recordEnd(endOffset);
   }
 
-  /** The end of the topic is stated only when no window with a record is open, because other nodes do not read what is before it. */
   function createDone({fencingNumber}: Grant): UsageDoneMessage {
-    const endOffset = ledger.tryGetEnd();
-    const hasOpenRecord = windows
-      .listOpen()
-      .some(windowId => ledger.tryFind(windowId) !== undefined);
-    return {
-      kind: 'usage-done',
-      from: options.nodeName,
-      windowIds: windows.listDone(DONE_WINDOWS),
-      ...(endOffset === undefined || hasOpenRecord ? {} : {endOffset}),
-      era,
-      fencingNumber,
-    };
+    const {nodeName} = options;
+    return createUsageDone({nodeName, windows, ledger, era, fencingNumber});
   }
 
   /** Returns whether the store has lost records since the last call. */
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -349,7 +349,10 @@
   readEntries(fromOffset: number): Promise<Result<EntryPage, StoreFailure>>;
   registerNode(node: NodeRecord): Promise<Result<void, StoreFailure>>;
   listNodes(): Promise<Result<readonly NodeRecord[], StoreFailure>>;
-  readAuthority(): Promise<Result<AuthorityState, StoreFailure>>;
+  /** Reads the latest grant, from an offset on that is not after it, or from the first one kept. */
+  readAuthority(
+    fromOffset?: number,
+  ): Promise<Result<AuthorityState, StoreFailure>>;
   /** Acquires or renews authority if the log of grants still ends at `expectedEndOffset`, and fails with `conflict` if not; returns the fencing number. */
   claimAuthority(
     holder: string,
--- a/src/platform/fleet_store.ts
+++ b/src/platform/fleet_store.ts
@@ -15,6 +15,7 @@
 import {tryParseEntry} from './server_entry';
 import {
   encodeKeyedRecord,
+  type RecordPage,
   type StoreClient,
   tryDecodeKeyedRecord,
 } from './store_client';
@@ -124,14 +125,18 @@
     );
   }
 
-  async function readAuthority(): Promise<
-    Result<AuthorityState, StoreFailure>
-  > {
-    let read = await client.read(Topic.Authority, 0, 0);
+  async function readAuthority(
+    fromOffset = 0,
+  ): Promise<Result<AuthorityState, StoreFailure>> {
+    let read = await client.read(Topic.Authority, fromOffset, 0);
     // Older grants may have expired; the newest one decides, so the first retained offset will do.
     if (read.err && read.val.firstOffset !== undefined) {
       read = await client.read(Topic.Authority, read.val.firstOffset, 0);
     }
+    // The store may return fewer records than there are.
+    while (read.ok && isCutShort(read.val)) {
+      read = await client.read(Topic.Authority, read.val.nextOffset, 0);
+    }
     return read.map(page => {
       const holder = page.records.at(-1)?.toString('utf8');
       return {
@@ -178,6 +183,10 @@
   }
 }
 
+function isCutShort({records, nextOffset, endOffset}: RecordPage): boolean {
+  return records.length > 0 && nextOffset < endOffset;
+}
+
 function createConfigPage(
   text: string | undefined,
   nextOffset: number,
--- a/test/duties/usage_fleet.test.ts
+++ b/test/duties/usage_fleet.test.ts
@@ -114,6 +114,14 @@
   }
 });
 
+test('a holder that dies while the platform refuses its calls leaves a record that is repeated', async () => {
+  await runFleet({nodes: 8, windows: 8, slack: LOST_COUNTS}, running => {
+    // Its grant ends and is renewed meanwhile, of which the others are told.
+    running.fates.report = node => (node.name === 'front-000' ? 'limit' : 'ok');
+    running.clock.schedule(6_800, () => running.kill(0));
+  });
+});
+
 test('a frozen holder sends nothing after its grant has ended', async () => {
   for (const call of ['store', 'append', 'report'] as const) {
     await runFleet({nodes: 8, windows: 8, slack: LOST_COUNTS}, running => {
--- a/test/duties/usage_fleet.ts
+++ b/test/duties/usage_fleet.ts
@@ -299,6 +299,8 @@
   /** Lists what breaks a rule, and windows up to `lastWindow` without a report in time whose counts are the true ones but for `slack` requests. */
   function listFaults(lastWindow: number, slack = 0): string[] {
     const faults: string[] = [];
+    const recorded = new Set(records.map(({windowId}) => windowId));
+    if (recorded.size < records.length) faults.push('a window has two records');
     const reports = new Map<number, PlatformCall>();
     let highest: PlatformCall | undefined;
     let before: PlatformCall | undefined;
--- a/test/duties/usage_parts.test.ts
+++ b/test/duties/usage_parts.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {Err, Ok} from 'ts-results';
-import type {UsageRecord} from '../../src/duties';
+import {createUsageDuty, type UsageRecord} from '../../src/duties';
 import {createFleetTime} from '../../src/duties/fleet_time';
 import {createUsageLedger} from '../../src/duties/usage_ledger';
 import {
@@ -16,7 +16,7 @@
 import type {RequestTask} from '../../src/gateway/request_task';
 import {createBackendProtocol} from '../../src/platform';
 import {createVirtualClock} from '../../src/runtime';
-import {SILENT_STORE} from '../gateway/support';
+import {SILENT_LOGGER, SILENT_STORE} from '../gateway/support';
 
 const START_MS = 1_800_000_000_000;
 
@@ -196,6 +196,52 @@
   );
 });
 
+test('a record is found although another node states a later end of the topic', async () => {
+  const {records, store} = createRecordStore();
+  const clock = createVirtualClock({wallStartMs: START_MS});
+  const windowId = START_MS / 5_000;
+  const sent: unknown[] = [];
+  const duty = createUsageDuty({
+    nodeName: 'b',
+    clock,
+    logger: SILENT_LOGGER,
+    authority: {
+      tryAcquire: async () => Ok({fencingNumber: 7, isValid: () => true}),
+      recordGrant: () => undefined,
+      release: () => undefined,
+    },
+    client: {
+      sendUsage: async report => {
+        sent.push(report);
+        return Ok.EMPTY;
+      },
+    },
+    store,
+    windowMs: 5_000,
+    dueMs: 10_000,
+    listNames: () => [],
+    send: () => undefined,
+    notify: () => undefined,
+    getRandom: Math.random,
+  });
+  duty.start();
+  duty.recordStart('a');
+  records.push(createRecord(windowId, 9), createRecord(windowId + 1));
+  await clock.advance(5_200);
+  // The sender knows the first window's record, but not that its report is missing.
+  duty.handle({
+    kind: 'usage-done',
+    from: 'a',
+    windowIds: [windowId + 1],
+    endOffset: 2,
+    era: 0,
+    fencingNumber: 6,
+  });
+  await clock.advance(4_000);
+  duty.stop();
+  assert.deepEqual(sent, [{windowId, counts: {a: 9}}]);
+});
+
 test('a window is reported when all counts are there, later by nodes that come later or know less', () => {
   const situation = {
     elapsedMs: 0,
