--- a/src/platform/duty_client.ts
+++ b/src/platform/duty_client.ts
@@ -1,7 +1,7 @@
 /** HTTP client of the platform's interface for duties: usage reports and orders of servers. */
 import {Readable} from 'node:stream';
 import {Err, Ok, type Result} from 'ts-results';
-import {Pool} from 'undici';
+import {Client} from 'undici';
 import type {DutyCaller, DutyClient, DutyFailure} from '../gateway';
 
 /** Options of the client. */
@@ -14,8 +14,6 @@
 
 /** Shorter than a grant is valid (1.5 s), so that a lost response can be repeated by the same grant. */
 const DEFAULT_TIMEOUT_MS = 700;
-/** Calls in flight at a time; a call that is not answered must not hold back the others. */
-const MAX_CONNECTIONS = 8;
 /** Bytes of a response that are read: its status decides, the text only explains a refusal. */
 const MAX_RESPONSE_BYTES = 4_096;
 const STATUS_OK = 200;
@@ -28,16 +26,10 @@
 
 class GrantExpiredError extends Error {}
 
-/** Creates a client; it connects with the first call. */
+/** Creates a client. Each call opens a connection of its own: calls are rare, and one that is not answered must not hold back the others. */
 export function createDutyClient(options: DutyClientOptions): DutyClient {
   const timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
-  const pool = new Pool(`http://${options.host}:${options.port}`, {
-    connect: {timeout: timeoutMs},
-    connections: MAX_CONNECTIONS,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    pipelining: 1,
-  });
+  const open = new Set<Client>();
   return {
     sendUsage: ({windowId, counts}, caller) =>
       callPlatform('/usage', {windowId, counts}, caller, mapUsageRefusal),
@@ -53,7 +45,9 @@
         caller,
         mapOrderRefusal,
       ),
-    close: () => void pool.destroy(),
+    close: () => {
+      for (const connection of open) void connection.destroy();
+    },
   };
 
   async function callPlatform(
@@ -63,8 +57,9 @@
     mapRefusal: (text: string) => DutyFailure['kind'],
   ): Promise<Result<void, DutyFailure>> {
     const body = Buffer.from(JSON.stringify(fields));
+    const connection = openConnection();
     try {
-      const response = await pool.request({
+      const response = await connection.request({
         method: 'POST',
         path,
         headers: {
@@ -82,8 +77,21 @@
       return Err(mapStatus(status, text, mapRefusal));
     } catch (error) {
       return Err(mapError(error));
+    } finally {
+      open.delete(connection);
+      void connection.destroy();
     }
   }
+
+  function openConnection(): Client {
+    const connection = new Client(`http://${options.host}:${options.port}`, {
+      connect: {timeout: timeoutMs},
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    open.add(connection);
+    return connection;
+  }
 }
 
 /** Yields the body once the connection is open. The head is written together with it, so a call waiting for its connection is not sent after its grant has ended. */
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -8,7 +8,12 @@
 import {before, test} from 'node:test';
 import {startStoreStandin} from './store_standin';
 import {listFreePorts} from '../support/program';
-import {buildConfig, buildSettings, waitUntil} from './system';
+import {
+  buildConfig,
+  buildDutySettings,
+  buildSettings,
+  waitUntil,
+} from './system';
 
 const PROGRAM = join(mkdtempSync(join(tmpdir(), 'anvilstack-')), 'gateway.cjs');
 
@@ -118,6 +123,22 @@
   store.close();
 });
 
+// The program bundles only the parts of libraries that are named in the build.
+test('a process with duties starts and stops', async () => {
+  const ports = await listFreePorts(5);
+  const store = await startStoreStandin();
+  const settings =
+    buildSettings('front-1', ports, store.port, []) +
+    buildDutySettings(ports[4]);
+  const ended = await runGateway(settings, running =>
+    waitUntil('the gateway starts', () =>
+      running.getOutput().includes('"message":"gateway started"'),
+    ),
+  );
+  assert.equal(ended.code, 0, ended.output);
+  store.close();
+});
+
 test('a second SIGTERM does not end a process that is being stopped', async () => {
   const ports = await listFreePorts(4);
   const store = await startStoreStandin();
--- a/test/platform/system.ts
+++ b/test/platform/system.ts
@@ -242,8 +242,8 @@
 `;
 }
 
-/** Settings of usage reports in windows of a second; follows those of `buildSettings`. */
-function buildDutySettings(port: number): string {
+/** Builds the settings of usage reports in windows of a second, which follow those of `buildSettings`; `port` is that of the duty platform. */
+export function buildDutySettings(port: number): string {
   return `
 [cloudApi]
 address = "127.0.0.1:${port}"
