Follow a store that loses its newest records

Cause: after the store comes back from an older copy, offsets are given out again. Nodes kept their higher offsets, read from offsets that the copy does not have, and missed new configurations. Change: the store client reads Store-Era, refuses answers of lower eras, and fails reads and appends whose offset belongs to another era. Nodes register again, and one of them writes the quarantine again. Fencing numbers start with the era; a node that may not know the latest grant waits for a full lease. Full loads because of expired offsets are 200 ms apart.

--- a/src/gateway/authority.ts
+++ b/src/gateway/authority.ts
@@ -43,7 +43,11 @@
 export function createAuthority(options: AuthorityOptions): Authority {
   const {clock, store} = options;
   /** The latest grant of another node, and when this node first observed it. */
-  let observed: {endOffset: number; atMs: number} | undefined;
+  let observed:
+    | {readonly era: number; readonly endOffset: number; readonly atMs: number}
+    | undefined;
+  /** The latest grant to this node. */
+  let ownGrant: Grant | undefined;
   return {tryAcquire};
 
   async function tryAcquire(): Promise<Result<Grant, Denial>> {
@@ -51,28 +55,32 @@
     if (latest.err) {
       return Err({reason: 'unavailable', message: latest.val.message});
     }
-    const {endOffset, holder} = latest.val;
-    const isFree = endOffset === 0 || holder === options.nodeName;
-    if (!isFree && !isLapsed(endOffset)) {
+    const {endOffset, holder, era = 0, mayLackGrants} = latest.val;
+    const isFree =
+      mayLackGrants === true
+        ? ownGrant?.isValid() === true
+        : endOffset === 0 || holder === options.nodeName;
+    if (!isFree && !isLapsed(era, endOffset)) {
       return Err({reason: 'held', message: `held by ${holder ?? 'a node'}`});
     }
     const requestedAt = readClocks();
-    const claim = await store.claimAuthority(options.nodeName, endOffset);
+    const claim = await store.claimAuthority(options.nodeName, endOffset, era);
     if (claim.err) {
       const reason = claim.val.kind === 'conflict' ? 'lost' : 'unavailable';
       return Err({reason, message: claim.val.message});
     }
-    return Ok({
+    ownGrant = {
       fencingNumber: claim.val,
       isValid: () => getElapsedMs(requestedAt) < VALIDITY_MS,
-    });
+    };
+    return Ok(ownGrant);
   }
 
   /** Returns whether another node's grant has expired; its time is counted from when this node first observed it. */
-  function isLapsed(endOffset: number): boolean {
+  function isLapsed(era: number, endOffset: number): boolean {
     const nowMs = clock.getMonotonicMs();
-    if (observed === undefined || observed.endOffset !== endOffset) {
-      observed = {endOffset, atMs: nowMs};
+    if (observed?.era !== era || observed.endOffset !== endOffset) {
+      observed = {era, endOffset, atMs: nowMs};
     }
     return nowMs - observed.atMs > options.leaseMs + VALIDITY_MS + GUARD_MS;
   }
--- a/src/gateway/catch_up_loader.ts
+++ b/src/gateway/catch_up_loader.ts
@@ -60,13 +60,17 @@
     isLoading = true;
     for (let round = 0; round < MAX_ROUNDS && isBehind(); round++) {
       await waitForInterval();
+      const isNewestLoaded = records.getConfigOffset() < 0;
       if (!(await readStore())) {
         await loadFromNodes([tryChooseSameDomainNode(), readerName]);
         continue;
       }
-      // All records were read and the version is still older: the next round loads the newest one by its key.
-      if (records.isConfigBehind()) records.resetConfigOffset();
-      else if (!isBehind())
+      if (records.isConfigBehind()) {
+        // The store lost the version that is in force, so that only nodes have it.
+        if (isNewestLoaded) await loadFromNodes([readerName]);
+        // All records were read and the version is still older: the next round loads the newest one by its key.
+        else records.resetConfigOffset();
+      } else if (!isBehind())
         options.onLoaded(clock.getMonotonicMs() - lastLoadMs);
     }
     isLoading = false;
--- a/src/gateway/crash_guard.ts
+++ b/src/gateway/crash_guard.ts
@@ -40,7 +40,7 @@
 /** Decides which prompts are kept away from engines. */
 export interface CrashGuard extends Pick<
   QuarantineSync,
-  'start' | 'stop' | 'claimTrial' | 'countActive'
+  'start' | 'stop' | 'claimTrial' | 'countActive' | 'rewrite'
 > {
   /** Returns why a prompt is kept away, or undefined; a part for which the request was granted a trial does not count. */
   tryFindBlock(
@@ -141,6 +141,7 @@
     stop: quarantine.stop,
     claimTrial: quarantine.claimTrial,
     countActive: quarantine.countActive,
+    rewrite: quarantine.rewrite,
     tryFindBlock,
     isDoubted: model =>
       listSuspectIds(model).some(
--- a/src/gateway/fleet_state.ts
+++ b/src/gateway/fleet_state.ts
@@ -22,6 +22,8 @@
   replaceEntries(changes: readonly EntryChange[], nowMs: number): EntryChange[];
   /** Starts a grace period after an outage of the store: entries removed before its end stay in use until then, except those of draining servers. */
   startGracePeriod(untilMs: number): void;
+  /** Keeps the servers that are draining now out of use until a time, whatever their entries state: the store may have lost the entries that say so. */
+  retainLeaving(untilMs: number): void;
   /** Marks a server as draining because it reported so itself, regardless of its entry; returns true when this is new. */
   recordLeaving(id: string, startedAtMs: number): boolean;
   /** Lists the servers of a service that accept new requests. */
@@ -45,6 +47,9 @@
   const retained = new Map<string, BackendEntry>();
   /** Process start times of the servers that reported that they are leaving, by id; another start time under the same id means another process. */
   const leavingStarts = new Map<string, number>();
+  /** Process start times of the servers that were draining when the store lost its newest records, by id. */
+  const retainedLeaving = new Map<string, number>();
+  let retainLeavingUntilMs = 0;
   let graceUntilMs = 0;
   let usable = new Map<string, BackendEntry[]>();
   let engineCount = 0;
@@ -59,6 +64,7 @@
     startGracePeriod: untilMs => {
       graceUntilMs = untilMs;
     },
+    retainLeaving,
     recordLeaving,
     listUsable: service => usable.get(service) ?? [],
     tryGetUsable: id => {
@@ -118,9 +124,19 @@
   }
 
   function sweep(nowMs: number): void {
-    if (retained.size === 0 || nowMs < graceUntilMs) return;
-    retained.clear();
-    updateUsable();
+    const isGraceOver = retained.size > 0 && nowMs >= graceUntilMs;
+    const isLeavingOver =
+      retainedLeaving.size > 0 && nowMs >= retainLeavingUntilMs;
+    if (isGraceOver) retained.clear();
+    if (isLeavingOver) retainedLeaving.clear();
+    if (isGraceOver || isLeavingOver) updateUsable();
+  }
+
+  function retainLeaving(untilMs: number): void {
+    retainLeavingUntilMs = untilMs;
+    for (const entry of entries.values()) {
+      if (entry.isLeaving) retainedLeaving.set(entry.id, entry.startedAtMs);
+    }
   }
 
   function recordLeaving(id: string, startedAtMs: number): boolean {
@@ -131,7 +147,11 @@
   }
 
   function isLeaving(entry: BackendEntry): boolean {
-    return entry.isLeaving || leavingStarts.get(entry.id) === entry.startedAtMs;
+    return (
+      entry.isLeaving ||
+      leavingStarts.get(entry.id) === entry.startedAtMs ||
+      retainedLeaving.get(entry.id) === entry.startedAtMs
+    );
   }
 
   function updateUsable(): void {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -158,6 +158,7 @@
     listQuarantine: crashGuard.listEntries,
     getRandom,
     onChange: handleFleetChange,
+    onEraRise: handleEraRise,
   });
   const demand = createFleetDemand({nodeName: self.name, clock, peers});
   const stages = createStageControl({
@@ -236,6 +237,7 @@
     limits,
     reach,
     crashGuard,
+    getRandom,
   });
   const drain = createDrain({
     clock,
@@ -345,6 +347,13 @@
     return undefined;
   }
 
+  /** Called when the store has lost its newest records: what this node wrote is written again. */
+  function handleEraRise(): void {
+    metrics.recordEraRise();
+    messageHandler.registerAgain();
+    crashGuard.rewrite();
+  }
+
   function isSelf(address: Address): boolean {
     const {host, port} = settings.control;
     return address.host === host && address.port === port;
@@ -403,6 +412,11 @@
       'Prompt parts that are kept away from engines.',
       crashGuard.countActive,
     );
+    metrics.addGauge(
+      'anvilstack_gateway_store_era',
+      'Era of the store, which rises when the store loses its newest records.',
+      store.getEra,
+    );
     metrics.addGauge(
       'anvilstack_gateway_nodes',
       'Number of other known nodes.',
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -16,6 +16,8 @@
   recordCrash(): void;
   /** Records a request that was refused because of a part of its prompt. */
   recordQuarantined(): void;
+  /** Records that the store lost its newest records. */
+  recordEraRise(): void;
   /** Adds a gauge whose value is read when the metrics are rendered. */
   addGauge(name: string, help: string, read: () => number): void;
   render(): string;
@@ -52,7 +54,12 @@
     name: 'anvilstack_gateway_quarantined_requests_total',
     help: 'Requests refused because a part of their prompt crashes engines.',
   });
+  const eraRises = metrics.addCounter({
+    name: 'anvilstack_gateway_store_era_rises_total',
+    help: 'Times that the store lost its newest records.',
+  });
   return {
+    recordEraRise: () => eraRises.add(1, {}),
     recordEnd: (route, outcome, elapsedMs) => {
       requests.add(1, {kind: route.kind, rank: String(route.rank), outcome});
       durations.record(elapsedMs, {kind: route.kind, rank: String(route.rank)});
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,6 +1,7 @@
 export {createGateway} from './gateway';
 export type {Gateway, GatewayOptions} from './gateway';
 export {findHeader} from './raw_headers';
+export {isStoreEra} from './store_era';
 export type {QuarantineRecord} from './part_quarantine';
 export type {
   Address,
--- a/src/gateway/known_records.ts
+++ b/src/gateway/known_records.ts
@@ -4,6 +4,7 @@
 import type {FleetState} from './fleet_state';
 import type {StateMessage} from './peer_messages';
 import type {Snapshot} from './snapshot';
+import {isStoreEra} from './store_era';
 import type {BackendEntry, EntryChange, GatewayConfig} from './types';
 
 /** The records of the configuration and of the backend servers that a node knows. */
@@ -14,13 +15,23 @@
   getConfigOffset(): number;
   /** Returns the offset up to which all server records are known; negative before the first read. */
   getEntryOffset(): number;
-  /** Adds the result of reading the configuration records up to `nextOffset`. */
-  addConfig(config: GatewayConfig | undefined, nextOffset: number): void;
+  /** Returns the era of the store to which the offsets belong; undefined before the first records. */
+  getEra(): number | undefined;
+  /** Drops the offsets if the era is higher than theirs, so that the next reads load everything. */
+  advanceEra(era: number): void;
+  /** Adds the result of reading the configuration records up to `nextOffset`, or of loading the newest one. */
+  addConfig(
+    config: GatewayConfig | undefined,
+    nextOffset: number,
+    isFullList: boolean,
+    era: number,
+  ): void;
   /** Adds the result of reading the server records up to `nextOffset`. */
   addEntries(
     changes: readonly EntryChange[],
     nextOffset: number,
     isFullList: boolean,
+    era: number,
   ): void;
   /** Adds the content of a reader's state message; returns true when both nodes' lists of servers are equal. */
   addMessage(message: StateMessage, isReader: boolean): boolean;
@@ -45,6 +56,8 @@
     changes: readonly EntryChange[],
     isConfigNew: boolean,
   ) => void;
+  /** Called when the store has lost its newest records, after the offsets were dropped. */
+  readonly onEraRise: (era: number) => void;
 }
 
 /** How long a change is repeated in messages to the other nodes, in milliseconds: three polls. */
@@ -55,6 +68,8 @@
 /** Creates an empty set of known records. */
 export function createKnownRecords(options: KnownRecordsOptions): KnownRecords {
   const {state, clock, logger} = options;
+  /** Era of the offsets. */
+  let knownEra: number | undefined;
   let configOffset = -1;
   let entryOffset = -1;
   /** The newest version and offset that readers announced. */
@@ -64,6 +79,8 @@
     getConfigVersion,
     getConfigOffset: () => configOffset,
     getEntryOffset: () => entryOffset,
+    getEra: () => knownEra,
+    advanceEra,
     addConfig,
     addEntries,
     addMessage,
@@ -81,6 +98,7 @@
         configOffset,
         entries: state.listEntries(),
         entryOffset,
+        ...(knownEra === undefined ? {} : {era: knownEra}),
         ageMs,
       };
     },
@@ -90,11 +108,54 @@
     return state.getConfig()?.version ?? 0;
   }
 
+  function advanceEra(era: number): void {
+    if (!isStoreEra(era) || era <= (knownEra ?? -1)) return;
+    const previousEra = knownEra;
+    knownEra = era;
+    if (previousEra === undefined) return;
+    logger.log('warn', 'store lost its newest records; loading all of them', {
+      era,
+      previousEra,
+      configVersion: getConfigVersion(),
+      configOffset,
+      entryOffset,
+    });
+    configOffset = -1;
+    entryOffset = -1;
+    announced.entryOffset = -1;
+    options.onEraRise(era);
+  }
+
+  /** Returns whether records that were read in an era can be added; changes from an offset of an earlier era cannot. */
+  function canAdd(era: number, isFullList: boolean): boolean {
+    const isRise = knownEra !== undefined && era > knownEra;
+    advanceEra(era);
+    return era === knownEra && (isFullList || !isRise);
+  }
+
   function addConfig(
     config: GatewayConfig | undefined,
     nextOffset: number,
+    isFullList: boolean,
+    era: number,
   ): void {
-    configOffset = Math.max(configOffset, nextOffset);
+    if (canAdd(era, isFullList)) {
+      configOffset = isFullList
+        ? nextOffset
+        : Math.max(configOffset, nextOffset);
+    }
+    applyConfig(config);
+  }
+
+  /** Applies a configuration; one that is older than that in force is not a rollback, as the store may have lost the newer one. */
+  function applyConfig(config: GatewayConfig | undefined): void {
+    if (config !== undefined && config.version < getConfigVersion()) {
+      logger.log('info', 'older configuration ignored', {
+        version: config.version,
+        configVersion: getConfigVersion(),
+        era: knownEra,
+      });
+    }
     if (config === undefined || !state.applyConfig(config)) return;
     logger.log('info', 'configuration applied', {
       version: config.version,
@@ -108,9 +169,11 @@
     changes: readonly EntryChange[],
     nextOffset: number,
     isFullList: boolean,
+    era: number,
   ): void {
+    if (!canAdd(era, isFullList)) return;
     applyChanges(changes, isFullList);
-    entryOffset = Math.max(entryOffset, nextOffset);
+    entryOffset = isFullList ? nextOffset : Math.max(entryOffset, nextOffset);
   }
 
   function applyChanges(
@@ -132,6 +195,7 @@
   }
 
   function addMessage(message: StateMessage, isReader: boolean): boolean {
+    advanceEra(message.era ?? 0);
     announced.configVersion = Math.max(
       announced.configVersion,
       message.configVersion,
@@ -173,10 +237,12 @@
   }
 
   function addSnapshot(snapshot: Snapshot): boolean {
-    addConfig(snapshot.config, snapshot.configOffset);
-    if (snapshot.entryOffset < entryOffset) return false;
+    const era = snapshot.era ?? 0;
+    advanceEra(era);
+    addConfig(snapshot.config, snapshot.configOffset, false, era);
+    if (era !== knownEra || snapshot.entryOffset < entryOffset) return false;
     const changes = snapshot.entries.map(entry => ({id: entry.id, entry}));
-    addEntries(changes, snapshot.entryOffset, true);
+    addEntries(changes, snapshot.entryOffset, true, era);
     return true;
   }
 }
--- a/src/gateway/part_quarantine.ts
+++ b/src/gateway/part_quarantine.ts
@@ -42,6 +42,8 @@
   merge(entry: QuarantineEntry): boolean;
   /** Marks a version as stored. */
   setStored(partId: string, version: number): void;
+  /** Marks all versions as not stored; returns the ids of their parts. */
+  resetStored(): string[];
   /** Lists the entries, latest change first; parts come before whole prompts, as they concern more requests. */
   list(): QuarantineEntry[];
   /** Lists the prompts that nobody has sent again for long. */
@@ -108,6 +110,12 @@
       if (row?.entry.version !== version) return;
       row.entry = {...row.entry, isStored: true};
     },
+    resetStored: () => {
+      for (const row of rows.values()) {
+        row.entry = {...row.entry, isStored: false};
+      }
+      return [...rows.keys()];
+    },
     list,
     listAbandoned: () => {
       const boundMs = clock.getMonotonicMs() - PROMPT_EXPIRY_MS;
--- a/src/gateway/peer_message_handler.ts
+++ b/src/gateway/peer_message_handler.ts
@@ -30,6 +30,8 @@
   addNodes(nodes: readonly NodeRecord[]): void;
   /** Registers this node in the store and adds the nodes listed there; retries until it succeeds. */
   registerSelf(): Promise<void>;
+  /** Registers this node again after a random delay, because the store lost its newest records. */
+  registerAgain(): void;
   stop(): void;
 }
 
@@ -52,10 +54,13 @@
   readonly limits: ServerLimits;
   readonly reach: PeerReach;
   readonly crashGuard: CrashGuard;
+  readonly getRandom: () => number;
 }
 
 /** Delay before the next attempt to register in the store, in milliseconds. */
 const REGISTER_RETRY_MS = 500;
+/** Range over which the nodes spread their repeated registrations, in milliseconds: all of them notice at once that the store lost records. */
+const REGISTER_AGAIN_SPREAD_MS = 2_000;
 
 /** Creates the handler. */
 export function createPeerMessageHandler(
@@ -63,10 +68,12 @@
 ): PeerMessageHandler {
   const {self, store, peers, clock, prefillQueues, prefixes, health} = options;
   let isStopped = false;
+  let isRegisterAgainDue = false;
   return {
     handle,
     addNodes,
     registerSelf,
+    registerAgain,
     stop: () => {
       isStopped = true;
     },
@@ -170,6 +177,21 @@
     peers.send(node, {kind: 'hello', node: self, wantsReply});
   }
 
+  function registerAgain(): void {
+    if (isRegisterAgainDue) return;
+    isRegisterAgainDue = true;
+    clock.schedule(options.getRandom() * REGISTER_AGAIN_SPREAD_MS, () => {
+      isRegisterAgainDue = false;
+      void writeSelf();
+    });
+  }
+
+  async function writeSelf(): Promise<void> {
+    while (!isStopped && (await store.registerNode(self)).err) {
+      await clock.sleep(REGISTER_RETRY_MS);
+    }
+  }
+
   async function registerSelf(): Promise<void> {
     while (!isStopped) {
       const [registered, listed] = await Promise.all([
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -21,6 +21,8 @@
   readonly configVersion: number;
   readonly configOffset: number;
   readonly entryOffset: number;
+  /** Era of the store to which the offsets belong; 0 when absent, as in messages of earlier versions. */
+  readonly era?: number;
   /** Digest of the list of backend servers. */
   readonly digest: string;
   /** Latest changes to the list, oldest first. */
--- a/src/gateway/quarantine_store.ts
+++ b/src/gateway/quarantine_store.ts
@@ -13,6 +13,8 @@
 
 /** Access to the stored parts. */
 export interface QuarantineStore {
+  /** Forgets what the store has, because it lost its newest records. */
+  reset(): void;
   /** Loads all parts; returns whether the store answered. */
   load(): Promise<boolean>;
   /** Writes an entry, or deletes its part when the quarantine has ended, unless the store has a version above `baseVersion`. */
@@ -37,7 +39,14 @@
   const versions = new Map<string, number>();
   /** Offset of the next append; undefined when it is not known. */
   let endOffset: number | undefined;
-  return {load, write};
+  let era: number | undefined;
+  return {
+    reset: () => {
+      endOffset = undefined;
+    },
+    load,
+    write,
+  };
 
   async function load(): Promise<boolean> {
     const loaded = await store.loadQuarantine();
@@ -47,6 +56,7 @@
       versions.set(partId, version);
     }
     endOffset = loaded.val.endOffset;
+    era = loaded.val.era;
     options.onLoaded(loaded.val.records);
     return true;
   }
@@ -62,7 +72,7 @@
         return WriteResult.Superseded;
       }
       if (entry.version === storedVersion) return WriteResult.Written;
-      const appended = await store.appendQuarantine(entry, endOffset ?? 0);
+      const appended = await store.appendQuarantine(entry, endOffset ?? 0, era);
       if (appended.ok) {
         endOffset = appended.val + 1;
         versions.set(entry.partId, entry.version);
--- a/src/gateway/quarantine_sync.ts
+++ b/src/gateway/quarantine_sync.ts
@@ -29,6 +29,8 @@
   merge(entries: readonly QuarantineEntry[]): QuarantineEntry[];
   /** Lists the entries that fit into a message, latest change first. */
   list(): QuarantineEntry[];
+  /** Writes all entries again that no other node writes, because the store lost its newest records. */
+  rewrite(): void;
 }
 
 /** Options of the synchronization. */
@@ -94,6 +96,12 @@
     claimTrial,
     merge,
     list,
+    rewrite: () => {
+      records.reset();
+      for (const partId of quarantine.resetStored()) {
+        scheduleWrite(partId, false);
+      }
+    },
   };
 
   async function loadRecords(): Promise<void> {
--- a/src/gateway/snapshot.ts
+++ b/src/gateway/snapshot.ts
@@ -10,6 +10,8 @@
   readonly configOffset: number;
   readonly entries: readonly BackendEntry[];
   readonly entryOffset: number;
+  /** Era of the store to which the offsets belong; 0 when absent. */
+  readonly era?: number;
   /** Time since the store was asked for this state, in milliseconds. */
   readonly ageMs: number;
   /** Known nodes, for a node that starts while the store does not respond to it. */
@@ -36,7 +38,7 @@
 ): Snapshot {
   const knownVersion = Number(query.get(KNOWN_VERSION_PARAMETER) ?? 0);
   if (knownVersion === 0) return snapshot;
-  const {config, configOffset, entries, entryOffset, ageMs, quarantine} =
+  const {config, configOffset, entries, entryOffset, era, ageMs, quarantine} =
     snapshot;
   const isKnown = config === undefined || config.version <= knownVersion;
   return {
@@ -44,6 +46,7 @@
     configOffset,
     entries,
     entryOffset,
+    ...(era === undefined ? {} : {era}),
     ageMs,
     ...(quarantine === undefined ? {} : {quarantine}),
   };
--- a/src/gateway/store_follower.ts
+++ b/src/gateway/store_follower.ts
@@ -50,6 +50,8 @@
     changes: readonly EntryChange[],
     isConfigNew: boolean,
   ) => void;
+  /** Called when the store has lost its newest records. */
+  readonly onEraRise: (era: number) => void;
 }
 
 /** Interval at which the reader polls the list of servers, in milliseconds: a quarter of the shortest drain bound. */
@@ -68,6 +70,8 @@
 const READER_EXPIRY_MS = 1_100;
 /** How long entries removed after an outage stay in use, in milliseconds: live servers are listed again by then. */
 const GRACE_PERIOD_MS = 2_200;
+/** The same after the store lost its newest records, in milliseconds: servers write their entries again within about 2 s, which the next poll finds. */
+const ERA_GRACE_PERIOD_MS = 3_000;
 /** Minimum time of failing calls that counts as an outage, in milliseconds. */
 const MIN_OUTAGE_MS = 1_000;
 
@@ -95,11 +99,13 @@
       options.onChange(changes, isConfigNew);
       if (isConfigNew && isReader) sendState();
     },
+    onEraRise: handleEraRise,
   });
   const reader = createStoreReader({
     store: options.store,
     clock,
     logger,
+    getOffsetEra: records.getEra,
     onConfig: records.addConfig,
     onEntries: records.addEntries,
     onOutageEnd: outageMs => {
@@ -134,6 +140,14 @@
     },
   };
 
+  function handleEraRise(era: number): void {
+    options.store.observeEra(era);
+    startGracePeriod(ERA_GRACE_PERIOD_MS);
+    state.retainLeaving(graceUntilMs);
+    lastPollMs = Number.NEGATIVE_INFINITY;
+    options.onEraRise(era);
+  }
+
   function getAgeMs(): number {
     return clock.getMonotonicMs() - currentAsOfMs;
   }
@@ -150,6 +164,10 @@
   function runTick(): void {
     if (isStopped) return;
     const nowMs = clock.getMonotonicMs();
+    // Any answer of the store may be the first of a higher era.
+    if (records.getEra() !== undefined) {
+      records.advanceEra(options.store.getEra());
+    }
     updateReaderRole(nowMs);
     state.sweep(nowMs);
     const isDue = nowMs - lastPollMs >= POLL_INTERVAL_MS;
@@ -222,12 +240,14 @@
 
   function sendState(): void {
     const nowMs = clock.getMonotonicMs();
+    const era = records.getEra() ?? 0;
     peers.notify({
       kind: 'state',
       from: options.nodeName,
       configVersion: records.getConfigVersion(),
       configOffset: records.getConfigOffset(),
       entryOffset: records.getEntryOffset(),
+      ...(era === 0 ? {} : {era}),
       digest: state.getDigest(),
       changes: records.listRecentChanges(),
       ageMs: nowMs - currentAsOfMs,
@@ -238,6 +258,8 @@
   }
 
   function handleState(message: StateMessage): void {
+    // Its sender does not know that the store lost records.
+    if ((message.era ?? 0) < (records.getEra() ?? 0)) return;
     const nowMs = clock.getMonotonicMs();
     const isPreferredReader =
       otherReader === undefined ||
--- a/src/gateway/store_reader.ts
+++ b/src/gateway/store_reader.ts
@@ -2,6 +2,7 @@
 import type {Logger} from '../diagnostics/log';
 import type {Clock} from '../runtime/types';
 import type {
+  ConfigPage,
   EntryChange,
   EntryPage,
   FleetStore,
@@ -24,16 +25,21 @@
   readonly store: FleetStore;
   readonly clock: Clock;
   readonly logger: Logger;
+  /** Returns the era of the offsets that are passed to the reads; undefined before the first read. */
+  readonly getOffsetEra: () => number | undefined;
   /** Receives the newest configuration read, if there was one. */
   readonly onConfig: (
     config: GatewayConfig | undefined,
     nextOffset: number,
+    isFullList: boolean,
+    era: number,
   ) => void;
   /** Receives changes to the list, or the full list. */
   readonly onEntries: (
     changes: readonly EntryChange[],
     nextOffset: number,
     isFullList: boolean,
+    era: number,
   ) => void;
   /** Called on the first success after failures over `outageMs`, in milliseconds, if the last failure is recent. */
   readonly onOutageEnd: (outageMs: number) => void;
@@ -41,12 +47,19 @@
 
 /** Maximum age of the last failure with which a success marks the end of an outage, in milliseconds: some polls of a reader. A node that reads rarely cannot tell when the outage ended. */
 const RECENT_FAILURE_MS = 2_000;
+/** Minimum time between two full loads of a topic because of expired offsets, in milliseconds: a store that answers each read so must not be asked without a pause. */
+const MIN_RELOAD_INTERVAL_MS = 200;
 
 /** Creates a reader. */
 export function createStoreReader(options: StoreReaderOptions): StoreReader {
   const {store, clock, logger} = options;
   /** First and last failure since the last successful call. */
   let failureSpan: {readonly sinceMs: number; lastMs: number} | undefined;
+  /** When the topics were last loaded because of an expired offset, on the monotonic clock, in milliseconds. */
+  const reloadedAtMs = {
+    config: Number.NEGATIVE_INFINITY,
+    entries: Number.NEGATIVE_INFINITY,
+  };
   return {
     readEntries,
     readConfig,
@@ -55,7 +68,7 @@
 
   async function readEntries(fromOffset: number): Promise<boolean> {
     if (fromOffset < 0) return loadEntries();
-    const page = await store.readEntries(fromOffset);
+    const page = await store.readEntries(fromOffset, options.getOffsetEra());
     if (page.err) {
       if (page.val.kind !== 'expired') return recordFailure(page.val);
       logger.log(
@@ -65,6 +78,7 @@
           offset: fromOffset,
         },
       );
+      await waitForReload('entries');
       return loadEntries();
     }
     recordSuccess();
@@ -90,7 +104,7 @@
         serverIds: unusableIds,
       });
     }
-    options.onEntries(page.changes, page.nextOffset, isFullList);
+    options.onEntries(page.changes, page.nextOffset, isFullList, page.era ?? 0);
   }
 
   async function readConfig(
@@ -98,12 +112,22 @@
     waitMs: number,
   ): Promise<boolean> {
     if (fromOffset < 0) return loadConfig();
-    const page = await store.waitForConfig(fromOffset, waitMs);
+    const page = await store.waitForConfig(
+      fromOffset,
+      waitMs,
+      options.getOffsetEra(),
+    );
     if (page.err) {
       if (page.val.kind !== 'expired') return recordFailure(page.val);
+      logger.log(
+        'info',
+        'configuration records expired in the store; loading the newest one',
+        {offset: fromOffset},
+      );
+      await waitForReload('config');
       return loadConfig();
     }
-    options.onConfig(page.val.config, page.val.nextOffset);
+    handleConfig(page.val, false);
     return true;
   }
 
@@ -111,10 +135,22 @@
     const page = await store.loadConfig();
     if (page.err) return recordFailure(page.val);
     recordSuccess();
-    options.onConfig(page.val.config, page.val.nextOffset);
+    handleConfig(page.val, true);
     return true;
   }
 
+  function handleConfig(page: ConfigPage, isFullList: boolean): void {
+    const {config, nextOffset, era = 0} = page;
+    options.onConfig(config, nextOffset, isFullList, era);
+  }
+
+  async function waitForReload(topic: 'config' | 'entries'): Promise<void> {
+    const dueMs = reloadedAtMs[topic] + MIN_RELOAD_INTERVAL_MS;
+    const waitMs = dueMs - clock.getMonotonicMs();
+    if (waitMs > 0) await clock.sleep(waitMs);
+    reloadedAtMs[topic] = clock.getMonotonicMs();
+  }
+
   function recordSuccess(): void {
     if (failureSpan === undefined) return;
     const nowMs = clock.getMonotonicMs();
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -305,12 +305,16 @@
   /** Undefined when there is none. */
   readonly config?: GatewayConfig;
   readonly nextOffset: number;
+  /** Era of the store to which the offset belongs; 0 when absent. */
+  readonly era?: number;
 }
 
 /** All entries of service discovery, or changes to them, and the offset at which to continue reading. */
 export interface EntryPage {
   readonly changes: readonly EntryChange[];
   readonly nextOffset: number;
+  /** Era of the store to which the offset belongs; 0 when absent. */
+  readonly era?: number;
 }
 
 /** A gateway node as it registers itself in the store. */
@@ -328,6 +332,8 @@
 export interface QuarantinePage {
   readonly records: readonly QuarantineRecord[];
   readonly endOffset: number;
+  /** Era of the store to which the offset belongs; 0 when absent. */
+  readonly era?: number;
 }
 
 /** The latest grant of authority to change the engines' stages. */
@@ -335,18 +341,30 @@
   /** Offset at which the next grant will be appended. */
   readonly endOffset: number;
   readonly holder?: string;
+  /** Era of the store to which the offset belongs; 0 when absent. */
+  readonly era?: number;
+  /** True when the store may have lost later grants, which may be valid still: no grant was made in its present era. */
+  readonly mayLackGrants?: boolean;
 }
 
 /** Operations of the platform's store that the gateway uses. */
 export interface FleetStore {
+  /** Returns the highest known era of the store, which rises when the store loses its newest records; 0 when it states none. */
+  getEra(): number;
+  /** Raises the highest known era to that of another node; answers of lower eras are failures. */
+  observeEra(era: number): void;
   loadConfig(): Promise<Result<ConfigPage, StoreFailure>>;
-  /** Reads the newest configuration at or after an offset; waits up to `waitMs` for one. */
+  /** Reads the newest configuration at or after an offset; waits up to `waitMs` for one. Fails with `expired` when the offset belongs to an earlier era. */
   waitForConfig(
     fromOffset: number,
     waitMs: number,
+    offsetEra?: number,
   ): Promise<Result<ConfigPage, StoreFailure>>;
   loadEntries(): Promise<Result<EntryPage, StoreFailure>>;
-  readEntries(fromOffset: number): Promise<Result<EntryPage, StoreFailure>>;
+  readEntries(
+    fromOffset: number,
+    offsetEra?: number,
+  ): Promise<Result<EntryPage, StoreFailure>>;
   registerNode(node: NodeRecord): Promise<Result<void, StoreFailure>>;
   listNodes(): Promise<Result<readonly NodeRecord[], StoreFailure>>;
   readAuthority(): Promise<Result<AuthorityState, StoreFailure>>;
@@ -354,11 +372,13 @@
   claimAuthority(
     holder: string,
     expectedEndOffset: number,
+    offsetEra?: number,
   ): Promise<Result<number, StoreFailure>>;
   loadQuarantine(): Promise<Result<QuarantinePage, StoreFailure>>;
   /** Stores a part, or deletes it when it is no longer active, if the log of changes still ends at `expectedEndOffset`, and fails with `conflict` if not; returns the offset of the change. */
   appendQuarantine(
     entry: QuarantineRecord & {readonly isActive: boolean},
     expectedEndOffset: number,
+    offsetEra?: number,
   ): Promise<Result<number, StoreFailure>>;
 }
--- a/src/gateway_process.ts
+++ b/src/gateway_process.ts
@@ -43,7 +43,11 @@
       error: error.stack ?? error.message,
     });
   });
-  const client = createStoreClient(settings.val.store);
+  const client = createStoreClient({
+    ...settings.val.store,
+    onEraAnomaly: (anomaly, knownEra) =>
+      logger.log('warn', 'store states an odd era', {anomaly, knownEra}),
+  });
   const gateway = createGateway({
     settings: settings.val,
     store: createFleetStore(client),
--- a/src/platform/fleet_store.ts
+++ b/src/platform/fleet_store.ts
@@ -35,14 +35,20 @@
   Nodes: 'keyed.nodes',
   /** Prompt parts that are kept away from engines, keyed by part id. */
   Quarantine: 'keyed.quarantine',
-  /** Grants of the authority to change the engines' stages; each record is the holder's name. */
+  /** Grants of the authority to change the engines' stages; each record is the holder's name and the era in which it was asked for. */
   Authority: 'authority',
 } as const;
 const CONFIG_KEY = 'config';
+/** Separates the holder's name from the era, which is left out when it is 0. */
+const GRANT_SEPARATOR = '\n';
+/** Factor of the era in fencing numbers: more than any offset. */
+const ERA_FACTOR = 2 ** 32;
 
 /** Creates a fleet store that uses a client of the platform's store. */
 export function createFleetStore(client: StoreClient): FleetStore {
   return {
+    getEra: client.getEra,
+    observeEra: client.observeEra,
     loadConfig,
     waitForConfig,
     loadEntries,
@@ -59,21 +65,27 @@
     const newest = await client.listNewestRecords(Topic.Operator);
     return newest.map(page => {
       const record = page.records.find(item => item.key === CONFIG_KEY);
-      return createConfigPage(record?.value, page.endOffset);
+      return createConfigPage(record?.value, page.endOffset, page.era);
     });
   }
 
   async function waitForConfig(
     fromOffset: number,
     waitMs: number,
+    offsetEra?: number,
   ): Promise<Result<ConfigPage, StoreFailure>> {
-    const read = await client.read(Topic.Operator, fromOffset, waitMs);
+    const read = await client.read(
+      Topic.Operator,
+      fromOffset,
+      waitMs,
+      offsetEra,
+    );
     return read.map(page => {
       const values = page.records.flatMap(record => {
         const keyed = tryDecodeKeyedRecord(record);
         return keyed?.key === CONFIG_KEY ? [keyed.value] : [];
       });
-      return createConfigPage(values.at(-1), page.nextOffset);
+      return createConfigPage(values.at(-1), page.nextOffset, page.era);
     });
   }
 
@@ -84,13 +96,15 @@
         createEntryChange(key, value),
       ),
       nextOffset: page.endOffset,
+      era: page.era,
     }));
   }
 
   async function readEntries(
     fromOffset: number,
+    offsetEra?: number,
   ): Promise<Result<EntryPage, StoreFailure>> {
-    const read = await client.read(Topic.Servers, fromOffset, 0);
+    const read = await client.read(Topic.Servers, fromOffset, 0, offsetEra);
     return read.map(page => ({
       changes: page.records.flatMap(record => {
         const keyed = tryDecodeKeyedRecord(record);
@@ -99,6 +113,7 @@
           : [createEntryChange(keyed.key, keyed.value)];
       }),
       nextOffset: page.nextOffset,
+      era: page.era,
     }));
   }
 
@@ -127,26 +142,30 @@
       read = await client.read(Topic.Authority, read.val.firstOffset, 0);
     }
     return read.map(page => {
-      const holder = page.records.at(-1)?.toString('utf8');
+      const grant = tryFindGrant(page.records);
       return {
         endOffset: page.nextOffset,
-        ...(holder === undefined ? {} : {holder}),
+        ...(grant === undefined ? {} : {holder: grant.holder}),
+        era: page.era,
+        mayLackGrants: (grant?.era ?? 0) < page.era,
       };
     });
   }
 
-  /** Appends a grant; the fencing number is the grant's offset plus 1, so that it is never 0. */
+  /** Appends a grant; the fencing number rises with the era and with the grant's offset, and is never 0. */
   async function claimAuthority(
     holder: string,
     expectedEndOffset: number,
+    offsetEra = client.getEra(),
   ): Promise<Result<number, StoreFailure>> {
-    const record = Buffer.from(holder);
+    const record = encodeGrant({holder, era: offsetEra});
     const append = await client.append(
       Topic.Authority,
       [record],
       expectedEndOffset,
+      offsetEra,
     );
-    return append.map(offset => offset + 1);
+    return append.map(offset => offsetEra * ERA_FACTOR + offset + 1);
   }
 
   async function loadQuarantine(): Promise<
@@ -158,26 +177,60 @@
         ({key, value}) => tryParseQuarantineRecord(key, value) ?? [],
       ),
       endOffset: page.endOffset,
+      era: page.era,
     }));
   }
 
   function appendQuarantine(
     entry: QuarantineRecord & {readonly isActive: boolean},
     expectedEndOffset: number,
+    offsetEra?: number,
   ): Promise<Result<number, StoreFailure>> {
     const {partId, version, trialCount, isActive} = entry;
     const value = isActive ? JSON.stringify({version, trialCount}) : '';
     const record = encodeKeyedRecord(partId, value);
-    return client.append(Topic.Quarantine, [record], expectedEndOffset);
+    return client.append(
+      Topic.Quarantine,
+      [record],
+      expectedEndOffset,
+      offsetEra,
+    );
   }
 }
 
 function createConfigPage(
   text: string | undefined,
   nextOffset: number,
+  era: number,
 ): ConfigPage {
   const config = text === undefined ? undefined : tryParseConfig(text);
-  return config === undefined ? {nextOffset} : {config, nextOffset};
+  return {...(config === undefined ? {} : {config}), nextOffset, era};
+}
+
+/** A record of the topic of grants. */
+interface GrantRecord {
+  readonly holder: string;
+  /** Era in which it was asked for. */
+  readonly era: number;
+}
+
+function encodeGrant({holder, era}: GrantRecord): Buffer {
+  return Buffer.from(era === 0 ? holder : `${holder}${GRANT_SEPARATOR}${era}`);
+}
+
+/**
+ * Finds the newest grant. A record that was asked for in an earlier era than
+ * one before it is none: the store lost the offset that its sender knew and
+ * gave it out again.
+ */
+function tryFindGrant(records: readonly Buffer[]): GrantRecord | undefined {
+  let newest: GrantRecord | undefined;
+  for (const record of records) {
+    const [holder, era] = record.toString('utf8').split(GRANT_SEPARATOR);
+    const grant = {holder, era: Number(era ?? 0)};
+    if (newest === undefined || grant.era >= newest.era) newest = grant;
+  }
+  return newest;
 }
 
 function createEntryChange(id: string, text: string | undefined): EntryChange {
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -2,6 +2,7 @@
 import {Err, Ok, type Result} from 'ts-results';
 import {Client} from 'undici';
 import type {StoreFailure} from '../gateway';
+import {createEraTracker} from './store_era';
 import {
   type Fields,
   getList,
@@ -25,6 +26,8 @@
   readonly endOffset: number;
   /** Offset from which the next read continues. */
   readonly nextOffset: number;
+  /** Era to which the offsets belong. */
+  readonly era: number;
 }
 
 /** The newest record of each key of a topic, collected over all pages of the listing. */
@@ -35,24 +38,34 @@
   }>;
   /** End of the topic when the first page was read; later changes are read from this offset on. */
   readonly endOffset: number;
+  /** Era to which the offset belongs. */
+  readonly era: number;
 }
 
-/** Client of the store. */
+/** Client of the store. Offsets of different eras must not be compared. */
 export interface StoreClient {
   append(
     topic: string,
     records: readonly Buffer[],
     /** Makes the append conditional: it fails with `conflict` unless the topic ends at this offset. */
     expectedEndOffset?: number,
+    /** Era to which the expected offset belongs: an append that the store executed in a later era fails with `conflict`. */
+    offsetEra?: number,
   ): Promise<Result<number, StoreFailure>>;
+  /** Reads records from an offset on; fails with `expired` when the offset belongs to an earlier era than the answer. */
   read(
     topic: string,
     fromOffset: number,
     waitMs: number,
+    offsetEra?: number,
   ): Promise<Result<RecordPage, StoreFailure>>;
   listNewestRecords(
     topic: string,
   ): Promise<Result<NewestRecords, StoreFailure>>;
+  /** Returns the highest era known; 0 when the store states none. Answers of lower eras are failures. */
+  getEra(): number;
+  /** Raises the highest known era to that of another node. */
+  observeEra(era: number): void;
   close(): void;
 }
 
@@ -62,10 +75,19 @@
   readonly port: number;
   /** Timeout of a call in milliseconds, not counting the `waitMs` of a long poll. */
   readonly timeoutMs?: number;
+  /** Called when the era that the store states disappears, is no number, falls or rises by more than one. */
+  readonly onEraAnomaly?: (description: string, knownEra: number) => void;
+}
+
+/** A successful answer, and its era. */
+interface StoreAnswer {
+  readonly body: Buffer;
+  readonly era: number;
 }
 
 /** About a hundred times the store's usual response time, and well within the bound for applying a configuration. */
 const DEFAULT_TIMEOUT_MS = 700;
+const ERA_HEADER = 'store-era';
 const MAX_KEY_BYTES = 255;
 const OFFSET_BYTES = 8;
 const LENGTH_BYTES = 4;
@@ -73,6 +95,9 @@
 /** Creates a client of the store. */
 export function createStoreClient(options: StoreClientOptions): StoreClient {
   const timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+  const era = createEraTracker(description =>
+    options.onEraAnomaly?.(description, era.get()),
+  );
   const origin = `http://${options.host}:${options.port}`;
   // A long poll occupies its connection until it returns, so it uses a separate one (`waits`).
   const connections = {calls: openClient(), waits: openClient()};
@@ -80,6 +105,8 @@
     append,
     read,
     listNewestRecords,
+    getEra: era.get,
+    observeEra: era.observe,
     close: () => {
       void connections.calls.destroy();
       void connections.waits.destroy();
@@ -99,7 +126,11 @@
     topic: string,
     records: readonly Buffer[],
     expectedEndOffset?: number,
+    offsetEra?: number,
   ): Promise<Result<number, StoreFailure>> {
+    if (offsetEra !== undefined && offsetEra !== era.get()) {
+      return createEraConflict(false);
+    }
     const atParameter =
       expectedEndOffset === undefined ? '' : `&at=${expectedEndOffset}`;
     const answer = await callStore(
@@ -107,7 +138,10 @@
       `/log-append?topic=${topic}&part=0${atParameter}`,
       {body: Buffer.concat(records.map(encodeRecord)), hasEffect: true},
     );
-    return answer.andThen(body => {
+    return answer.andThen(({body, era: answerEra}) => {
+      if (offsetEra !== undefined && offsetEra !== answerEra) {
+        return createEraConflict(true);
+      }
       const offset = tryGetNumber(parseFields(body)['offset']);
       return offset === undefined ? createMalformedError('append') : Ok(offset);
     });
@@ -117,6 +151,7 @@
     topic: string,
     fromOffset: number,
     waitMs: number,
+    offsetEra?: number,
   ): Promise<Result<RecordPage, StoreFailure>> {
     const waitParameter = waitMs > 0 ? `&waitMs=${waitMs}` : '';
     const answer = await callStore(
@@ -124,7 +159,11 @@
       `/log-read?topic=${topic}&part=0&from=${fromOffset}${waitParameter}`,
       {waitMs},
     );
-    return answer.andThen(body => decodePage(body, fromOffset));
+    return answer.andThen(({body, era: answerEra}) =>
+      offsetEra !== undefined && offsetEra !== answerEra
+        ? createExpiredOffset(fromOffset)
+        : decodePage(body, fromOffset, answerEra),
+    );
   }
 
   async function listNewestRecords(
@@ -132,6 +171,7 @@
   ): Promise<Result<NewestRecords, StoreFailure>> {
     const records: Array<{key: string; value: string}> = [];
     let endOffset: number | undefined;
+    let listEra: number | undefined;
     let lastKey: string | undefined;
     for (;;) {
       const afterParameter =
@@ -142,7 +182,10 @@
         {},
       );
       if (answer.err) return answer;
-      const fields = tryParseFields(answer.val);
+      listEra ??= answer.val.era;
+      // Pages of different eras do not make up a list.
+      if (listEra !== answer.val.era) return createEraConflict(false);
+      const fields = tryParseFields(answer.val.body);
       // A list that was cut short must not pass for an empty one.
       if (fields === undefined) return createMalformedError('list');
       // Records may change while the pages are listed, so the caller reads on from the end that the first page gave.
@@ -157,7 +200,9 @@
         });
         lastKey = key;
       }
-      if (fields['hasMore'] !== true) return Ok({records, endOffset});
+      if (fields['hasMore'] !== true) {
+        return Ok({records, endOffset, era: listEra});
+      }
     }
   }
 
@@ -165,7 +210,7 @@
     method: 'GET' | 'POST',
     path: string,
     callOptions: {body?: Buffer; waitMs?: number; hasEffect?: boolean},
-  ): Promise<Result<Buffer, StoreFailure>> {
+  ): Promise<Result<StoreAnswer, StoreFailure>> {
     const waitMs = callOptions.waitMs ?? 0;
     const connectionName = waitMs > 0 ? 'waits' : 'calls';
     const client = connections[connectionName];
@@ -177,7 +222,11 @@
         signal: AbortSignal.timeout(timeoutMs + waitMs),
       });
       const body = Buffer.from(await response.body.arrayBuffer());
-      if (response.statusCode === 200) return Ok(body);
+      const answerEra = era.record(response.headers[ERA_HEADER]);
+      if (answerEra === undefined) {
+        return createStaleError(callOptions.hasEffect === true);
+      }
+      if (response.statusCode === 200) return Ok({body, era: answerEra});
       return Err(mapStatus(response.statusCode, body));
     } catch (error) {
       // The connection may still deliver the lost response, so it is replaced.
@@ -226,6 +275,7 @@
 function decodePage(
   body: Buffer,
   fromOffset: number,
+  era: number,
 ): Result<RecordPage, StoreFailure> {
   if (body.length < 2 * OFFSET_BYTES) return createMalformedError('read');
   const endOffset = Number(body.readBigUInt64BE(0));
@@ -238,7 +288,12 @@
     records.push(body.subarray(start, end));
     position = end;
   }
-  return Ok({records, endOffset, nextOffset: fromOffset + records.length});
+  return Ok({
+    records,
+    endOffset,
+    nextOffset: fromOffset + records.length,
+    era,
+  });
 }
 
 function mapStatus(status: number, body: Buffer): StoreFailure {
@@ -272,6 +327,34 @@
   return tryGetFields(tryParseJson(body.toString('utf8')));
 }
 
+/** Creates the failure of a call whose offset belongs to another era than the answer. */
+function createEraConflict(mayHaveTakenEffect: boolean): Err<StoreFailure> {
+  return Err({
+    kind: 'conflict',
+    mayHaveTakenEffect,
+    message: 'the store is in another era than the offset',
+  });
+}
+
+/** Creates the failure of a read from an offset of an earlier era, whose number may stand for another record now. */
+function createExpiredOffset(fromOffset: number): Err<StoreFailure> {
+  return Err({
+    kind: 'expired',
+    mayHaveTakenEffect: false,
+    message: `offset ${fromOffset} belongs to an earlier era`,
+    firstOffset: 0,
+  });
+}
+
+/** Creates the failure of a call whose answer has a lower era than the highest known one. */
+function createStaleError(mayHaveTakenEffect: boolean): Err<StoreFailure> {
+  return Err({
+    kind: 'unavailable',
+    mayHaveTakenEffect,
+    message: 'stale answer: its era is lower than a known one',
+  });
+}
+
 function createMalformedError(call: string): Err<StoreFailure> {
   return Err({
     kind: 'malformed',
--- a/test/gateway/store_follower.test.ts
+++ b/test/gateway/store_follower.test.ts
@@ -30,6 +30,7 @@
     return Promise.resolve(isSilent ? Err(SILENT_STORE) : Ok(value));
   };
   const store: Partial<FleetStore> = {
+    getEra: () => 0,
     loadConfig: () =>
       answer('loadConfig', {config: EMPTY_CONFIG, nextOffset: 1}),
     waitForConfig: async (_offset, waitMs) => {
@@ -57,6 +58,7 @@
     listQuarantine: () => [],
     getRandom: () => 0.5,
     onChange: () => undefined,
+    onEraRise: () => undefined,
   });
   follower.start();
   return {
--- a/test/gateway/store_reader.test.ts
+++ b/test/gateway/store_reader.test.ts
@@ -25,6 +25,7 @@
     store: store as FleetStore,
     clock,
     logger: SILENT_LOGGER,
+    getOffsetEra: () => 0,
     onConfig: () => undefined,
     onEntries: () => undefined,
     onOutageEnd: outageMs => outages.push(outageMs),
--- a/test/platform/store_standin.ts
+++ b/test/platform/store_standin.ts
@@ -6,6 +6,14 @@
 export type StoreFault =
   'none' | 'refusing' | 'silent' | 'lost-answers' | 'expired';
 
+/** A change to the records, for copies of an earlier time. */
+interface Change {
+  readonly atMs: number;
+  readonly topic: string;
+  /** Undefined when all records of the topic expired. */
+  readonly record?: Buffer;
+}
+
 interface Topic {
   records: Buffer[];
   firstOffset: number;
@@ -22,6 +30,10 @@
   put(topic: string, key: string, value?: string): void;
   /** Expires all records of the log; the listing of the newest record of each key stays. */
   compact(topic: string): void;
+  /** Continues from a copy of this age, in milliseconds, in the next era: later records are gone, and their offsets are given out again. */
+  loseRecords(ageMs: number): void;
+  /** Sets the text of the era's header; undefined for the true one, empty for none. */
+  setEraText(text: string | undefined): void;
   listRecords(topic: string): readonly Buffer[];
   /** Counts the pending long polls of a topic. */
   countWaiting(topic: string): number;
@@ -36,12 +48,19 @@
   const topics = new Map<string, Topic>();
   const newest = new Map<string, Map<string, Buffer>>();
   const calls: string[] = [];
+  let history: Change[] = [];
+  let era = 0;
+  let eraText: string | undefined;
   let fault: StoreFault = 'none';
   const server: Server = createServer((request, response) => {
     calls.push(`${request.method} ${request.url}`);
     void handle(request).then(answer => {
       if (answer === undefined) return;
-      response.writeHead(answer.status);
+      const stated = eraText ?? (era === 0 ? '' : String(era));
+      response.writeHead(
+        answer.status,
+        stated === '' ? {} : {'Store-Era': stated},
+      );
       response.end(answer.body);
     });
   });
@@ -54,9 +73,12 @@
     },
     put: writeKeyedRecord,
     compact: name => {
-      const topic = getTopic(name);
-      topic.firstOffset += topic.records.length;
-      topic.records = [];
+      history.push({atMs: performance.now(), topic: name});
+      expireRecords(name);
+    },
+    loseRecords: restoreCopy,
+    setEraText: text => {
+      eraText = text;
     },
     listRecords: name => getTopic(name).records,
     countWaiting: name => getTopic(name).waiting.size,
@@ -66,6 +88,29 @@
     },
   };
 
+  function restoreCopy(ageMs: number): void {
+    const copiedAtMs = performance.now() - ageMs;
+    history = history.filter(change => change.atMs <= copiedAtMs);
+    era++;
+    newest.clear();
+    for (const topic of topics.values()) {
+      topic.records = [];
+      topic.firstOffset = 0;
+    }
+    for (const {topic, record} of history) {
+      if (record === undefined) expireRecords(topic);
+      else applyRecord(topic, record);
+    }
+    // Long polls of the earlier era end; their offsets may not exist any more.
+    for (const topic of topics.values()) resumeWaiting(topic);
+  }
+
+  function expireRecords(name: string): void {
+    const topic = getTopic(name);
+    topic.firstOffset += topic.records.length;
+    topic.records = [];
+  }
+
   async function handle(
     request: IncomingMessage,
   ): Promise<{status: number; body: Buffer | string} | undefined> {
@@ -115,7 +160,8 @@
     const waitMs = Number(query.get('waitMs') ?? 0);
     const end = () => topic.firstOffset + topic.records.length;
     if (from >= end() && waitMs > 0) await waitForRecord(topic, waitMs);
-    if (from < topic.firstOffset || fault === 'expired') {
+    const isGone = from < topic.firstOffset || from > end();
+    if (isGone || fault === 'expired') {
       return {status: 410, body: JSON.stringify({first: topic.firstOffset})};
     }
     const head = Buffer.alloc(16);
@@ -146,12 +192,16 @@
     addRecord(topic, Buffer.concat(parts));
   }
 
-  function addRecord(name: string, record: Buffer): void {
-    const topic = getTopic(name);
-    topic.records.push(Buffer.from(record));
+  function addRecord(name: string, content: Buffer): void {
+    const record = Buffer.from(content);
+    history.push({atMs: performance.now(), topic: name, record});
+    applyRecord(name, record);
+    resumeWaiting(getTopic(name));
+  }
+
+  function applyRecord(name: string, record: Buffer): void {
+    getTopic(name).records.push(record);
     if (name.startsWith('keyed.')) updateNewest(name, record);
-    for (const wake of topic.waiting) wake();
-    topic.waiting.clear();
   }
 
   function updateNewest(name: string, record: Buffer): void {
@@ -176,6 +226,11 @@
   }
 }
 
+function resumeWaiting(topic: Topic): void {
+  for (const wake of topic.waiting) wake();
+  topic.waiting.clear();
+}
+
 function waitForRecord(topic: Topic, waitMs: number): Promise<void> {
   return new Promise(resolve => {
     const timer = setTimeout(resume, waitMs);
