Time out calls to the store by progress

Cause: a call failed 700 ms after it was made whatever the size of its answer. On a link of 7 Mbit/s that is 0.6 MB: a configuration with 39,000 accounts could not be read, and a call behind a long list ended the list too.

--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -1,7 +1,7 @@
 /** HTTP client of the platform's store, a log of topics whose records are numbered by offset. */
 import {Err, Ok, type Result} from 'ts-results';
-import {Client} from 'undici';
 import type {StoreFailure} from '../gateway';
+import {createStoreConnection} from './store_connection';
 import {createEraTracker} from './store_era';
 import {
   createEraConflict,
@@ -60,7 +60,7 @@
 export interface StoreClientOptions {
   readonly host: string;
   readonly port: number;
-  /** Timeout of a call in milliseconds, not counting the `waitMs` of a long poll. */
+  /** Time without progress after which a call fails, in milliseconds, not counting the `waitMs` of a long poll. */
   readonly timeoutMs?: number;
   /** Called when the era that the store states disappears, is no number, falls or rises by more than one. */
   readonly onEraAnomaly?: (description: string, knownEra: number) => void;
@@ -84,7 +84,10 @@
   );
   const origin = `http://${options.host}:${options.port}`;
   // A long poll occupies its connection until it returns, so it uses a separate one (`waits`).
-  const connections = {calls: openClient(), waits: openClient()};
+  const connections = {
+    calls: createStoreConnection(origin, timeoutMs),
+    waits: createStoreConnection(origin, timeoutMs),
+  };
   return {
     append,
     read,
@@ -92,20 +95,11 @@
     getEra: era.get,
     observeEra: era.observe,
     close: () => {
-      void connections.calls.destroy();
-      void connections.waits.destroy();
+      connections.calls.close();
+      connections.waits.close();
     },
   };
 
-  function openClient(): Client {
-    return new Client(origin, {
-      connect: {timeout: timeoutMs},
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      pipelining: 1,
-    });
-  }
-
   async function append(
     topic: string,
     records: readonly Buffer[],
@@ -198,27 +192,22 @@
     callOptions: {body?: Buffer; waitMs?: number; hasEffect?: boolean},
   ): Promise<Result<StoreAnswer, StoreFailure>> {
     const waitMs = callOptions.waitMs ?? 0;
-    const connectionName = waitMs > 0 ? 'waits' : 'calls';
-    const client = connections[connectionName];
+    const connection = waitMs > 0 ? connections.waits : connections.calls;
     try {
-      const response = await client.request({
+      const response = await connection.send({
         method,
         path,
         body: callOptions.body,
-        signal: AbortSignal.timeout(timeoutMs + waitMs),
+        waitMs,
       });
-      const body = Buffer.from(await response.body.arrayBuffer());
       const answerEra = era.record(response.headers[ERA_HEADER]);
       if (answerEra === undefined) {
         return createStaleError(callOptions.hasEffect === true);
       }
-      if (response.statusCode === 200) return Ok({body, era: answerEra});
-      return Err(mapStatus(response.statusCode, body));
+      const {status, body} = response;
+      if (status === 200) return Ok({body, era: answerEra});
+      return Err(mapStatus(status, body));
     } catch (error) {
-      // The connection may still deliver the lost response, so it is replaced.
-      if (connections[connectionName] === client)
-        connections[connectionName] = openClient();
-      void client.destroy();
       return Err({
         kind: 'unavailable',
         mayHaveTakenEffect: callOptions.hasEffect === true,
