Test the lease after a loss of records and the pause between reloads

Guards against a node that acts beside a holder whose grant the store lost, and against a store that answers each read as expired being read in a loop.

--- a/test/gateway/store_reader.test.ts
+++ b/test/gateway/store_reader.test.ts
@@ -48,3 +48,30 @@
 test('a successful read long after the last failure reports no outage', async () => {
   assert.deepEqual(await listOutages([500, 1_000, 15_000], 2_000), []);
 });
+
+test('a store that answers each read as expired is loaded at most once in 200 ms', async () => {
+  const clock = createVirtualClock();
+  let loads = 0;
+  const expired = {...SILENT_STORE, kind: 'expired' as const, firstOffset: 0};
+  const store: Partial<FleetStore> = {
+    waitForConfig: () => Promise.resolve(Err(expired)),
+    loadConfig: () => {
+      loads++;
+      return Promise.resolve(Ok({nextOffset: 1}));
+    },
+  };
+  const reader = createStoreReader({
+    store: store as FleetStore,
+    clock,
+    logger: SILENT_LOGGER,
+    getOffsetEra: () => 0,
+    onConfig: () => undefined,
+    onPartialList: () => undefined,
+    onEntries: () => undefined,
+    onOutageEnd: () => undefined,
+  });
+  const read = (): Promise<void> => reader.readConfig(1, 1_500).then(read);
+  void read();
+  await clock.advance(2_000);
+  assert.ok(loads >= 2 && loads <= 11, `${loads} loads`);
+});
--- a/test/platform/store_era.test.ts
+++ b/test/platform/store_era.test.ts
@@ -233,3 +233,25 @@
   assert.equal(latest.endOffset, 2);
   close();
 });
+
+test('after a loss the holder goes on at once with a higher fencing number, and another node waits for the lease that the store may have lost', async () => {
+  const {store, client, close} = await startClient();
+  const fleet = createFleetStore(client);
+  const [holder, other] = ['front-1', 'front-2'].map(nodeName =>
+    createAuthority({
+      nodeName,
+      store: fleet,
+      clock: createSystemClock(),
+      leaseMs: LEASE_MS,
+    }),
+  );
+  assert.equal((await holder.tryAcquire()).unwrap().fencingNumber, 1);
+  store.loseRecords(10_000);
+  const denial = await other.tryAcquire();
+  assert.ok(denial.err);
+  assert.equal(denial.val.reason, 'held');
+  const grant = (await holder.tryAcquire()).unwrap();
+  assert.equal(grant.fencingNumber, 2 ** 32 + 1);
+  assert.ok((await other.tryAcquire()).err);
+  close();
+});
