--- a/src/duties/authority.ts
+++ b/src/duties/authority.ts
@@ -11,12 +11,13 @@
 /** Options of authority. */
 export interface AuthorityOptions {
   readonly nodeName: string;
-  readonly store: Pick<FleetStore, 'readAuthority' | 'claimAuthority'>;
+  readonly store: Pick<
+    FleetStore,
+    'getEra' | 'readAuthority' | 'claimAuthority'
+  >;
   readonly clock: Clock;
   /** Minimum time between the orders of two different holders, in milliseconds. */
   readonly leaseMs: number;
-  /** Returns how often the store has lost records. */
-  readonly getEra?: () => number;
 }
 
 /** How long a grant is valid, counted from its request, in milliseconds. */
@@ -31,20 +32,19 @@
   const {clock, store} = options;
   /** Time after which another node's grant has expired, from when it was first observed, in milliseconds. */
   const lapseMs = options.leaseMs + VALIDITY_MS + GUARD_MS;
-  const getEra = options.getEra ?? (() => 0);
   /** The latest grant of another node, and when this node first observed it. */
-  let observed: {endOffset: number; atMs: number} | undefined;
+  let observed:
+    | {readonly era: number; readonly endOffset: number; readonly atMs: number}
+    | undefined;
   /** Highest end of the log that this node knows; what is before the last record need not be read. */
-  let knownEnd = 0;
+  let known = {era: 0, endOffset: 0};
+  /** The latest grant to this node. */
+  let ownGrant: Grant | undefined;
   /** Highest fencing number that another node has stated. */
   let highestStated = 0;
   let pending: Promise<Result<Grant, Denial>> | undefined;
   let releasedUntilMs = -Infinity;
   let releaseCount = 0;
-  /** Era of the last read; undefined before the first one. */
-  let era: number | undefined;
-  /** When the era last increased; a grant that the store lost may be valid for some time after. */
-  let eraAtMs = -Infinity;
   return {tryAcquire, recordGrant, release};
 
   /** Concurrent callers share one acquisition: two appends of one node would conflict. */
@@ -59,42 +59,57 @@
     if (clock.getMonotonicMs() < releasedUntilMs) {
       return Err({reason: 'released', message: 'released by this node'});
     }
-    // Other calls to the store may have shown a new era; the first read only learns it.
-    if (era !== undefined) hasNewEra();
-    // The log only grows, so a grant that has not expired needs no read.
-    if (observed !== undefined && !isLapsed(observed.endOffset)) {
+    // The log only grows within an era, so a grant that has not expired needs no read.
+    if (
+      observed !== undefined &&
+      observed.era === store.getEra() &&
+      !isLapsed(observed.era, observed.endOffset)
+    ) {
       return Err({reason: 'held', message: 'held by another node'});
     }
-    const latest = await store.readAuthority(Math.max(0, knownEnd - 1));
+    const latest = await store.readAuthority(getReadOffset());
     if (latest.err) {
       return Err({reason: 'unavailable', message: latest.val.message});
     }
-    if (hasNewEra() || clock.getMonotonicMs() - eraAtMs <= lapseMs) {
-      return Err({reason: 'held', message: 'the store lost recent grants'});
-    }
-    const {endOffset, holder} = latest.val;
-    knownEnd = endOffset;
-    const isFree = endOffset === 0 || holder === options.nodeName;
-    if (!isFree && !isLapsed(endOffset)) {
+    const {endOffset, holder, era = 0, mayLackGrants} = latest.val;
+    known = {era, endOffset};
+    const isFree =
+      mayLackGrants === true
+        ? ownGrant?.isValid() === true
+        : endOffset === 0 || holder === options.nodeName;
+    if (!isFree && !isLapsed(era, endOffset)) {
       return Err({reason: 'held', message: `held by ${holder ?? 'a node'}`});
     }
+    return appendGrant(endOffset, era);
+  }
+
+  async function appendGrant(
+    endOffset: number,
+    era: number,
+  ): Promise<Result<Grant, Denial>> {
     const requestedAt = readClocks();
     const releaseCountBefore = releaseCount;
-    const claimed = await store.claimAuthority(options.nodeName, endOffset);
+    const claimed = await store.claimAuthority(
+      options.nodeName,
+      endOffset,
+      era,
+    );
     if (claimed.err) {
       const reason = claimed.val.kind === 'conflict' ? 'lost' : 'unavailable';
       return Err({reason, message: claimed.val.message});
     }
-    if (hasNewEra()) {
-      return Err({reason: 'lost', message: 'the store lost recent grants'});
-    }
-    return Ok({
+    ownGrant = {
       fencingNumber: claimed.val,
       isValid: () =>
         releaseCount === releaseCountBefore &&
-        getEra() === era &&
         getElapsedMs(requestedAt) < VALIDITY_MS,
-    });
+    };
+    return Ok(ownGrant);
+  }
+
+  /** The last known record is read again, because its era tells whether later ones are valid. */
+  function getReadOffset(): number {
+    return known.era === store.getEra() ? Math.max(0, known.endOffset - 1) : 0;
   }
 
   /** Starts the wait for the end of another node's grant when that node states it, which is earlier than the next read of the store. */
@@ -102,21 +117,9 @@
     if (fencingNumber <= highestStated) return;
     highestStated = fencingNumber;
     const endOffset = fencingNumber % ERA_FACTOR;
-    if (observed?.endOffset === endOffset) return;
-    observed = {endOffset, atMs: clock.getMonotonicMs()};
-  }
-
-  /** Returns whether the era has increased since the last call; the first one only learns it. */
-  function hasNewEra(): boolean {
-    const latest = getEra();
-    const isNew = era !== undefined && latest !== era;
-    era = latest;
-    if (!isNew) return false;
-    // Offsets of the new era say nothing about grants of the old one.
-    observed = undefined;
-    knownEnd = 0;
-    eraAtMs = clock.getMonotonicMs();
-    return true;
+    const era = Math.floor(fencingNumber / ERA_FACTOR);
+    if (observed?.era === era && observed.endOffset === endOffset) return;
+    observed = {era, endOffset, atMs: clock.getMonotonicMs()};
   }
 
   function release(forMs: number): void {
@@ -125,10 +128,10 @@
   }
 
   /** Returns whether another node's grant has expired; its time is counted from when this node first observed it. */
-  function isLapsed(endOffset: number): boolean {
+  function isLapsed(era: number, endOffset: number): boolean {
     const nowMs = clock.getMonotonicMs();
-    if (observed === undefined || observed.endOffset !== endOffset) {
-      observed = {endOffset, atMs: nowMs};
+    if (observed?.era !== era || observed.endOffset !== endOffset) {
+      observed = {era, endOffset, atMs: nowMs};
     }
     return nowMs - observed.atMs > lapseMs;
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -30,7 +30,8 @@
 import {createServerScaling} from './server_scaling';
 import {createServiceLoads} from './service_loads';
 import type {Address, GatewaySettings} from './settings';
-import {tryFetchSnapshot} from './snapshot_client';
+import {loadSnapshotFrom} from './snapshot_client';
+import {createSnapshotSource} from './snapshot_source';
 import {createStageControl} from './stage_control';
 import {createStoreFollower} from './store_follower';
 import {createStreamCounts} from './stream_counts';
@@ -101,6 +102,12 @@
     getRandom,
     onMessage: message => messageHandler.handle(message),
   });
+  const snapshots = createSnapshotSource({
+    seeds: settings.seeds.filter(seed => !isSelf(seed)),
+    peers,
+    getRandom,
+    fetch: loadSnapshotFrom,
+  });
   const reach = createPeerReach({
     nodeName: self.name,
     clock,
@@ -170,6 +177,7 @@
     listQuarantine: crashGuard.listEntries,
     getRandom,
     onChange: handleFleetChange,
+    onEraRise: handleEraRise,
   });
   const isScaling = settings.duties?.kinds.includes(DutyKind.Scaling) === true;
   const demand = createFleetDemand({
@@ -191,9 +199,6 @@
     store,
     clock,
     leaseMs: settings.bounds.leaseMs,
-    ...(options.duties?.getEra === undefined
-      ? {}
-      : {getEra: options.duties.getEra}),
   });
   const isStateCurrent = () => follower.getAgeMs() < MAX_PLANNING_AGE_MS;
   const duties = createGatewayDuties({
@@ -206,6 +211,7 @@
     clock,
     logger,
     getRandom,
+    getEra: store.getEra,
   });
   const {usage} = duties;
   const scaling = createServerScaling({
@@ -295,6 +301,7 @@
     reach,
     crashGuard,
     ...(usage === undefined ? {} : {usage}),
+    getRandom,
   });
   const drain = createDrain({
     clock,
@@ -322,6 +329,7 @@
   const control = createControlListeners({
     readiness: settings.readiness,
     control: settings.control,
+    clock,
     isReady,
     getSnapshot: () => ({
       ...follower.getSnapshot(),
@@ -407,20 +415,19 @@
   }
 
   async function loadSnapshot(knownVersion: number, nodeName?: string) {
-    const node = nodeName === undefined ? undefined : peers.tryFind(nodeName);
-    const addresses =
-      node === undefined
-        ? settings.seeds.filter(seed => !isSelf(seed))
-        : [{host: node.host, port: node.controlPort}];
-    for (const address of addresses) {
-      const snapshot = await tryFetchSnapshot(address, knownVersion);
-      if (snapshot === undefined) continue;
-      messageHandler.addNodes(snapshot.nodes ?? []);
-      speeds.addEstimates(snapshot.speeds ?? []);
-      crashGuard.mergeEntries(snapshot.quarantine ?? []);
-      return snapshot;
-    }
-    return undefined;
+    const snapshot = await snapshots(knownVersion, nodeName);
+    if (snapshot === undefined) return undefined;
+    messageHandler.addNodes(snapshot.nodes ?? []);
+    speeds.addEstimates(snapshot.speeds ?? []);
+    crashGuard.mergeEntries(snapshot.quarantine ?? []);
+    return snapshot;
+  }
+
+  /** Called when the store has lost its newest records: what this node wrote is written again. */
+  function handleEraRise(): void {
+    metrics.recordEraRise();
+    messageHandler.registerAgain();
+    crashGuard.rewrite();
   }
 
   function isSelf(address: Address): boolean {
@@ -481,6 +488,11 @@
       'Prompt parts that are kept away from engines.',
       crashGuard.countActive,
     );
+    metrics.addGauge(
+      'anvilstack_gateway_store_era',
+      'Era of the store, which rises when the store loses its newest records.',
+      store.getEra,
+    );
     metrics.addGauge(
       'anvilstack_gateway_nodes',
       'Number of other known nodes.',
--- a/src/gateway/gateway_duties.ts
+++ b/src/gateway/gateway_duties.ts
@@ -18,8 +18,6 @@
 export interface DutyPlatform {
   readonly client: DutyClient;
   readonly usageStore: UsageStore;
-  /** Returns how often the store has lost records. */
-  readonly getEra?: () => number;
 }
 
 /** The duties that are due. */
@@ -41,6 +39,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly getRandom: () => number;
+  /** Returns the era of the store, which rises when it loses its newest records. */
+  readonly getEra: () => number;
 }
 
 /** Creates the duties; none without settings for them. */
@@ -75,7 +75,7 @@
     },
     notify: peers.notify,
     getRandom: options.getRandom,
-    ...(platform.getEra === undefined ? {} : {getEra: platform.getEra}),
+    getEra: options.getEra,
     onOutcome: options.metrics.recordUsageWindow,
   });
   return {client, usage};
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -25,6 +25,8 @@
   recordAuthentication(outcome: string): void;
   /** Records what became of a usage window at this node. */
   recordUsageWindow(outcome: string): void;
+  /** Records that the store lost its newest records. */
+  recordEraRise(): void;
   /** Adds a gauge whose value is read when the metrics are rendered. */
   addGauge(name: string, help: string, read: GaugeSpec['read']): void;
   render(): string;
@@ -77,7 +79,12 @@
     name: 'anvilstack_gateway_usage_windows_total',
     help: 'Usage windows that this node reported, repeated, missed or skipped, by outcome.',
   });
+  const eraRises = metrics.addCounter({
+    name: 'anvilstack_gateway_store_era_rises_total',
+    help: 'Times that the store lost its newest records.',
+  });
   return {
+    recordEraRise: () => eraRises.add(1, {}),
     recordEnd: (route, outcome, elapsedMs) => {
       requests.add(1, {kind: route.kind, rank: String(route.rank), outcome});
       durations.record(elapsedMs, {kind: route.kind, rank: String(route.rank)});
--- a/src/gateway/known_records.ts
+++ b/src/gateway/known_records.ts
@@ -3,7 +3,9 @@
 import type {Clock} from '../runtime/types';
 import type {FleetState} from './fleet_state';
 import type {StateMessage} from './peer_messages';
+import {createRecentChanges} from './recent_changes';
 import type {Snapshot} from './snapshot';
+import {isStoreEra} from './store_era';
 import type {BackendEntry, EntryChange, GatewayConfig} from './types';
 
 /** The records of the configuration and of the backend servers that a node knows. */
@@ -14,18 +16,32 @@
   getConfigOffset(): number;
   /** Returns the offset up to which all server records are known; negative before the first read. */
   getEntryOffset(): number;
-  /** Adds the result of reading the configuration records up to `nextOffset`. */
-  addConfig(config: GatewayConfig | undefined, nextOffset: number): void;
+  /** Returns the era of the store to which the offsets belong; undefined before the first records. */
+  getEra(): number | undefined;
+  /** Drops the offsets if the era is higher than theirs, so that the next reads load everything. */
+  advanceEra(era: number): void;
+  /** Adds the result of reading the configuration records up to `nextOffset`, or of loading the newest one. */
+  addConfig(
+    config: GatewayConfig | undefined,
+    nextOffset: number,
+    isFullList: boolean,
+    era: number,
+  ): void;
   /** Adds the result of reading the server records up to `nextOffset`. */
   addEntries(
     changes: readonly EntryChange[],
     nextOffset: number,
     isFullList: boolean,
+    era: number,
   ): void;
+  /** Adds servers of a full list that is still being loaded, so that they can serve at once. */
+  addPartialList(changes: readonly EntryChange[], era: number): void;
   /** Adds the content of a reader's state message; returns true when both nodes' lists of servers are equal. */
   addMessage(message: StateMessage, isReader: boolean): boolean;
   /** Adds another node's snapshot; returns true when its list of servers is at least as recent as this node's. */
   addSnapshot(snapshot: Snapshot): boolean;
+  /** True once this node has a configuration and has had a full list of servers. */
+  isComplete(): boolean;
   isConfigBehind(): boolean;
   isListBehind(): boolean;
   /** Makes the next read load the newest configuration by its key instead of reading on from the offset. */
@@ -45,35 +61,43 @@
     changes: readonly EntryChange[],
     isConfigNew: boolean,
   ) => void;
+  /** Called when the store has lost its newest records, after the offsets were dropped. */
+  readonly onEraRise: (era: number) => void;
 }
 
-/** How long a change is repeated in messages to the other nodes, in milliseconds: three polls. */
-const CHANGE_REPEAT_MS = 1_600;
-/** Maximum size of the changes in one message, in bytes: about 20 servers. Each node that loses the datagram must read the store. */
-const MAX_CHANGE_BYTES = 4_000;
+/** Maximum number of servers that one log line lists. */
+const MAX_LOGGED_CHANGES = 100;
 
 /** Creates an empty set of known records. */
 export function createKnownRecords(options: KnownRecordsOptions): KnownRecords {
   const {state, clock, logger} = options;
+  /** Era of the offsets. */
+  let knownEra: number | undefined;
   let configOffset = -1;
   let entryOffset = -1;
   /** The newest version and offset that readers announced. */
   const announced = {configVersion: 0, entryOffset: -1};
-  let recentChanges: Array<{change: EntryChange; atMs: number}> = [];
+  /** False until this node has had a full list. */
+  let hasList = false;
+  const recentChanges = createRecentChanges(clock);
   return {
     getConfigVersion,
     getConfigOffset: () => configOffset,
     getEntryOffset: () => entryOffset,
+    getEra: () => knownEra,
+    advanceEra,
     addConfig,
     addEntries,
+    addPartialList,
     addMessage,
     addSnapshot,
+    isComplete: () => hasList && state.getConfig() !== undefined,
     isConfigBehind: () => getConfigVersion() < announced.configVersion,
     isListBehind: () => entryOffset < announced.entryOffset,
     resetConfigOffset: () => {
       configOffset = -1;
     },
-    listRecentChanges,
+    listRecentChanges: recentChanges.list,
     getSnapshot: ageMs => {
       const config = state.getConfig();
       return {
@@ -81,6 +105,7 @@
         configOffset,
         entries: state.listEntries(),
         entryOffset,
+        ...(knownEra === undefined ? {} : {era: knownEra}),
         ageMs,
       };
     },
@@ -90,11 +115,53 @@
     return state.getConfig()?.version ?? 0;
   }
 
+  function advanceEra(era: number): void {
+    if (!isStoreEra(era) || era <= (knownEra ?? -1)) return;
+    const previousEra = knownEra;
+    knownEra = era;
+    if (previousEra === undefined) return;
+    logger.log('warn', 'store lost its newest records; loading all of them', {
+      era,
+      previousEra,
+      configVersion: getConfigVersion(),
+      configOffset,
+      entryOffset,
+    });
+    configOffset = -1;
+    entryOffset = -1;
+    announced.entryOffset = -1;
+    options.onEraRise(era);
+  }
+
+  /** Returns whether records that were read in an era can be added; changes from an offset of an earlier era cannot. */
+  function canAdd(era: number, isFullList: boolean): boolean {
+    const isRise = knownEra !== undefined && era > knownEra;
+    advanceEra(era);
+    return era === knownEra && (isFullList || !isRise);
+  }
+
   function addConfig(
     config: GatewayConfig | undefined,
     nextOffset: number,
+    isFullList: boolean,
+    era: number,
   ): void {
-    configOffset = Math.max(configOffset, nextOffset);
+    if (canAdd(era, isFullList)) {
+      const leastOffset = isFullList ? -1 : configOffset;
+      configOffset = Math.max(leastOffset, nextOffset);
+    }
+    applyConfig(config);
+  }
+
+  /** Applies a configuration; one that is older than that in force is not a rollback, as the store may have lost the newer one. */
+  function applyConfig(config: GatewayConfig | undefined): void {
+    if (config !== undefined && config.version < getConfigVersion()) {
+      logger.log('info', 'older configuration ignored', {
+        version: config.version,
+        configVersion: getConfigVersion(),
+        era: knownEra,
+      });
+    }
     if (config === undefined || !state.applyConfig(config)) return;
     const accounts = state.tryGetAccounts();
     logger.log('info', 'configuration applied', {
@@ -110,9 +177,16 @@
     changes: readonly EntryChange[],
     nextOffset: number,
     isFullList: boolean,
+    era: number,
   ): void {
+    if (!canAdd(era, isFullList)) return;
     applyChanges(changes, isFullList);
-    entryOffset = Math.max(entryOffset, nextOffset);
+    entryOffset = isFullList ? nextOffset : Math.max(entryOffset, nextOffset);
+    hasList ||= isFullList;
+  }
+
+  function addPartialList(changes: readonly EntryChange[], era: number): void {
+    if (canAdd(era, true) && entryOffset < 0) applyChanges(changes, false);
   }
 
   function applyChanges(
@@ -124,16 +198,20 @@
       ? state.replaceEntries(changes, nowMs)
       : state.applyChanges(changes, nowMs);
     if (changed.length === 0) return;
-    expireChanges();
-    recentChanges.push(...changed.map(change => ({change, atMs: nowMs})));
+    // What a starting node loads is no change to the list. Telling it would cost each node bytes that grow with the fleet.
+    if (hasList) recentChanges.add(changed);
     logger.log('info', 'backend servers changed', {
       entryOffset,
-      changes: changed.map(({id, entry}) => formatChange(id, entry)),
+      changeCount: changed.length,
+      changes: changed
+        .slice(0, MAX_LOGGED_CHANGES)
+        .map(({id, entry}) => formatChange(id, entry)),
     });
     options.onChange(changed, false);
   }
 
   function addMessage(message: StateMessage, isReader: boolean): boolean {
+    advanceEra(message.era ?? 0);
     announced.configVersion = Math.max(
       announced.configVersion,
       message.configVersion,
@@ -157,28 +235,13 @@
     return isSameList;
   }
 
-  function listRecentChanges(): readonly EntryChange[] {
-    expireChanges();
-    let bytes = 0;
-    let index = recentChanges.length;
-    while (index > 0) {
-      bytes += JSON.stringify(recentChanges[index - 1].change).length;
-      if (bytes > MAX_CHANGE_BYTES) break;
-      index--;
-    }
-    return recentChanges.slice(index).map(item => item.change);
-  }
-
-  function expireChanges(): void {
-    const sinceMs = clock.getMonotonicMs() - CHANGE_REPEAT_MS;
-    recentChanges = recentChanges.filter(item => item.atMs > sinceMs);
-  }
-
   function addSnapshot(snapshot: Snapshot): boolean {
-    addConfig(snapshot.config, snapshot.configOffset);
-    if (snapshot.entryOffset < entryOffset) return false;
+    const era = snapshot.era ?? 0;
+    advanceEra(era);
+    addConfig(snapshot.config, snapshot.configOffset, false, era);
+    if (era !== knownEra || snapshot.entryOffset < entryOffset) return false;
     const changes = snapshot.entries.map(entry => ({id: entry.id, entry}));
-    addEntries(changes, snapshot.entryOffset, true);
+    addEntries(changes, snapshot.entryOffset, true, era);
     return true;
   }
 }
--- a/src/gateway/snapshot.ts
+++ b/src/gateway/snapshot.ts
@@ -10,6 +10,8 @@
   readonly configOffset: number;
   readonly entries: readonly BackendEntry[];
   readonly entryOffset: number;
+  /** Era of the store to which the offsets belong; 0 when absent. */
+  readonly era?: number;
   /** Time since the store was asked for this state, in milliseconds. */
   readonly ageMs: number;
   /** Known nodes, for a node that starts while the store does not respond to it. */
@@ -22,6 +24,8 @@
 
 /** Path of the snapshot on the control address. */
 export const SNAPSHOT_PATH = '/snapshot';
+/** Content encoding of snapshots between nodes: the list of 3,000 servers takes a few tenths of a second on the slowest link without it. */
+export const SNAPSHOT_ENCODING = 'deflate';
 const KNOWN_VERSION_PARAMETER = 'known';
 
 /** Builds the request path for a node that has this version of the configuration; 0 when it has none. */
@@ -35,8 +39,8 @@
   query: URLSearchParams,
 ): Snapshot {
   const knownVersion = Number(query.get(KNOWN_VERSION_PARAMETER) ?? 0);
-  if (knownVersion === 0) return snapshot;
-  const {config, configOffset, entries, entryOffset, ageMs, quarantine} =
+  if (knownVersion === 0 && snapshot.config !== undefined) return snapshot;
+  const {config, configOffset, entries, entryOffset, era, ageMs, quarantine} =
     snapshot;
   const isKnown = config === undefined || config.version <= knownVersion;
   return {
@@ -44,6 +48,7 @@
     configOffset,
     entries,
     entryOffset,
+    ...(era === undefined ? {} : {era}),
     ageMs,
     ...(quarantine === undefined ? {} : {quarantine}),
   };
--- a/src/platform/fleet_store.ts
+++ b/src/platform/fleet_store.ts
@@ -11,14 +11,15 @@
   QuarantineRecord,
   StoreFailure,
 } from '../gateway';
+import {computeFencingNumber, encodeGrant, tryFindGrant} from './grant_records';
 import {tryParseConfig} from './operator_config';
 import {tryParseEntry} from './server_entry';
+import type {NewestRecords, StoreClient} from './store_client';
 import {
   encodeKeyedRecord,
   type RecordPage,
-  type StoreClient,
   tryDecodeKeyedRecord,
-} from './store_client';
+} from './store_records';
 import {
   tryGetFields,
   tryGetNumber,
@@ -36,20 +37,16 @@
   Nodes: 'keyed.nodes',
   /** Prompt parts that are kept away from engines, keyed by part id. */
   Quarantine: 'keyed.quarantine',
-  /** Grants of the authority to change the engines' stages; each record is the holder's name. */
+  /** Grants of the authority to change the engines' stages; each record is the holder's name and the era in which it was asked for. */
   Authority: 'authority',
 } as const;
 const CONFIG_KEY = 'config';
 
-/** A fencing number is the store's era times this number, plus the offset of the grant plus 1. */
-const ERA_FACTOR = 2 ** 32;
-
-/** Creates a fleet store that uses a client of the platform's store; `getEra` returns how often the store has lost records. */
-export function createFleetStore(
-  client: StoreClient,
-  getEra: () => number = () => 0,
-): FleetStore {
+/** Creates a fleet store that uses a client of the platform's store. */
+export function createFleetStore(client: StoreClient): FleetStore {
   return {
+    getEra: client.getEra,
+    observeEra: client.observeEra,
     loadConfig,
     waitForConfig,
     loadEntries,
@@ -66,38 +63,52 @@
     const newest = await client.listNewestRecords(Topic.Operator);
     return newest.map(page => {
       const record = page.records.find(item => item.key === CONFIG_KEY);
-      return createConfigPage(record?.value, page.endOffset);
+      return createConfigPage(record?.value, page.endOffset, page.era);
     });
   }
 
   async function waitForConfig(
     fromOffset: number,
     waitMs: number,
+    offsetEra?: number,
   ): Promise<Result<ConfigPage, StoreFailure>> {
-    const read = await client.read(Topic.Operator, fromOffset, waitMs);
+    const read = await client.read(
+      Topic.Operator,
+      fromOffset,
+      waitMs,
+      offsetEra,
+    );
     return read.map(page => {
       const values = page.records.flatMap(record => {
         const keyed = tryDecodeKeyedRecord(record);
         return keyed?.key === CONFIG_KEY ? [keyed.value] : [];
       });
-      return createConfigPage(values.at(-1), page.nextOffset);
+      return createConfigPage(values.at(-1), page.nextOffset, page.era);
     });
   }
 
-  async function loadEntries(): Promise<Result<EntryPage, StoreFailure>> {
-    const newest = await client.listNewestRecords(Topic.Servers);
-    return newest.map(page => ({
-      changes: page.records.map(({key, value}) =>
-        createEntryChange(key, value),
-      ),
-      nextOffset: page.endOffset,
-    }));
+  async function loadEntries(
+    onPart?: (part: EntryPage) => void,
+  ): Promise<Result<EntryPage, StoreFailure>> {
+    const changes: EntryChange[] = [];
+    const decode = (page: NewestRecords): EntryPage => {
+      const part = page.records
+        .slice(changes.length)
+        .map(({key, value}) => createEntryChange(key, value));
+      changes.push(...part);
+      return {changes: part, nextOffset: page.endOffset, era: page.era};
+    };
+    const newest = await client.listNewestRecords(Topic.Servers, page =>
+      onPart?.(decode(page)),
+    );
+    return newest.map(page => ({...decode(page), changes}));
   }
 
   async function readEntries(
     fromOffset: number,
+    offsetEra?: number,
   ): Promise<Result<EntryPage, StoreFailure>> {
-    const read = await client.read(Topic.Servers, fromOffset, 0);
+    const read = await client.read(Topic.Servers, fromOffset, 0, offsetEra);
     return read.map(page => ({
       changes: page.records.flatMap(record => {
         const keyed = tryDecodeKeyedRecord(record);
@@ -106,6 +117,7 @@
           : [createEntryChange(keyed.key, keyed.value)];
       }),
       nextOffset: page.nextOffset,
+      era: page.era,
     }));
   }
 
@@ -134,30 +146,36 @@
       read = await client.read(Topic.Authority, read.val.firstOffset, 0);
     }
     // The store may return fewer records than there are.
+    const records: Buffer[] = [];
     while (read.ok && isCutShort(read.val)) {
+      records.push(...read.val.records);
       read = await client.read(Topic.Authority, read.val.nextOffset, 0);
     }
     return read.map(page => {
-      const holder = page.records.at(-1)?.toString('utf8');
+      const grant = tryFindGrant([...records, ...page.records]);
       return {
         endOffset: page.nextOffset,
-        ...(holder === undefined ? {} : {holder}),
+        ...(grant === undefined ? {} : {holder: grant.holder}),
+        era: page.era,
+        mayLackGrants: (grant?.era ?? 0) < page.era,
       };
     });
   }
 
-  /** Appends a grant. The fencing number contains the grant's offset plus 1, so that it is never 0, and the store's era, so that it increases when offsets are used again. */
+  /** Appends a grant; the fencing number rises with the era and with the grant's offset, and is never 0. */
   async function claimAuthority(
     holder: string,
     expectedEndOffset: number,
+    offsetEra = client.getEra(),
   ): Promise<Result<number, StoreFailure>> {
-    const record = Buffer.from(holder);
+    const record = encodeGrant({holder, era: offsetEra});
     const append = await client.append(
       Topic.Authority,
       [record],
       expectedEndOffset,
+      offsetEra,
     );
-    return append.map(offset => getEra() * ERA_FACTOR + offset + 1);
+    return append.map(offset => computeFencingNumber(offsetEra, offset));
   }
 
   async function loadQuarantine(): Promise<
@@ -169,17 +187,24 @@
         ({key, value}) => tryParseQuarantineRecord(key, value) ?? [],
       ),
       endOffset: page.endOffset,
+      era: page.era,
     }));
   }
 
   function appendQuarantine(
     entry: QuarantineRecord & {readonly isActive: boolean},
     expectedEndOffset: number,
+    offsetEra?: number,
   ): Promise<Result<number, StoreFailure>> {
     const {partId, version, trialCount, isActive} = entry;
     const value = isActive ? JSON.stringify({version, trialCount}) : '';
     const record = encodeKeyedRecord(partId, value);
-    return client.append(Topic.Quarantine, [record], expectedEndOffset);
+    return client.append(
+      Topic.Quarantine,
+      [record],
+      expectedEndOffset,
+      offsetEra,
+    );
   }
 }
 
@@ -190,9 +215,10 @@
 function createConfigPage(
   text: string | undefined,
   nextOffset: number,
+  era: number,
 ): ConfigPage {
   const config = text === undefined ? undefined : tryParseConfig(text);
-  return config === undefined ? {nextOffset} : {config, nextOffset};
+  return {...(config === undefined ? {} : {config}), nextOffset, era};
 }
 
 function createEntryChange(id: string, text: string | undefined): EntryChange {
--- a/test/duties/authority.test.ts
+++ b/test/duties/authority.test.ts
@@ -22,28 +22,30 @@
 
 function createFleet() {
   const clock = createVirtualClock({wallStartMs: 1_000_000});
-  const log: string[] = [];
+  const log: Array<{readonly holder: string; readonly era: number}> = [];
   const state = {era: 0, calls: 0};
   const create = (nodeName: string) =>
     createAuthority({
       nodeName,
       clock,
       leaseMs: LEASE_MS,
-      getEra: () => state.era,
       store: {
+        getEra: () => state.era,
         readAuthority: async () => {
           state.calls++;
-          const holder = log.at(-1);
+          const grant = log.at(-1);
           return Ok({
             endOffset: log.length,
-            ...(holder === undefined ? {} : {holder}),
+            ...(grant === undefined ? {} : {holder: grant.holder}),
+            era: state.era,
+            mayLackGrants: (grant?.era ?? 0) < state.era,
           });
         },
-        claimAuthority: async (holder, end) => {
+        claimAuthority: async (holder, end, era = 0) => {
           state.calls++;
-          if (log.length !== end)
+          if (log.length !== end || era !== state.era)
             return Err({...SILENT_STORE, kind: 'conflict'});
-          return Ok(state.era * ERA_FACTOR + log.push(holder));
+          return Ok(era * ERA_FACTOR + log.push({holder, era}));
         },
       },
     });
@@ -86,22 +88,32 @@
   assert.ok((await authority.tryAcquire()).ok);
 });
 
-test('after the store lost grants, its numbers rise and nobody acts until a lost grant has expired', async () => {
-  const {clock, log, state, create} = createFleet();
-  const [first, second] = [create('a'), create('b')];
-  (await first.tryAcquire()).unwrap();
-  await second.tryAcquire();
-  const before = (await first.tryAcquire()).unwrap();
-  log.length = 0;
-  state.era = 1;
-  assert.ok(!before.isValid());
-  for (const authority of [first, second]) {
-    assert.ok((await authority.tryAcquire()).err);
+test('after the store lost grants, its numbers rise and only the holder of a valid grant acts until a lost grant has expired', async () => {
+  for (const afterMs of [0, 1_600]) {
+    const {clock, log, state, create} = createFleet();
+    const [first, second, started] = ['a', 'b', 'c'].map(create);
+    (await first.tryAcquire()).unwrap();
+    await second.tryAcquire();
+    const before = (await first.tryAcquire()).unwrap();
+    await clock.advance(afterMs);
+    log.length = 0;
+    state.era = 1;
+    assert.equal((await second.tryAcquire()).ok, false);
+    assert.equal((await started.tryAcquire()).ok, false);
+    const renewed = await first.tryAcquire();
+    assert.equal(renewed.ok, before.isValid());
+    assert.equal(renewed.ok, afterMs === 0);
+    if (renewed.ok) {
+      assert.ok(renewed.val.fencingNumber > before.fencingNumber);
+      second.recordGrant(renewed.val.fencingNumber);
+    }
+    await clock.advance(LAPSE_MS - 1);
+    assert.equal((await second.tryAcquire()).ok, false);
+    await clock.advance(2);
+    const after = (await second.tryAcquire()).unwrap();
+    assert.ok(after.fencingNumber > before.fencingNumber);
+    assert.ok((await first.tryAcquire()).err);
   }
-  await clock.advance(LAPSE_MS + 1);
-  const after = (await second.tryAcquire()).unwrap();
-  assert.ok(after.fencingNumber > before.fencingNumber);
-  assert.ok((await first.tryAcquire()).err);
 });
 
 test('a duty whose calls fail is given up, at once when its grant ends without a success', async () => {
--- a/test/duties/usage_fleet.ts
+++ b/test/duties/usage_fleet.ts
@@ -182,6 +182,7 @@
 
   function createAuthorityStore(node: ModelNode) {
     return {
+      getEra: () => 0,
       readAuthority: () =>
         callStore(node, 'store', () => {
           const holder = grants.at(-1);
--- a/test/gateway/stages.test.ts
+++ b/test/gateway/stages.test.ts
@@ -174,6 +174,7 @@
   const holders: string[] = [];
   let isAnswerLost = false;
   const store = {
+    getEra: () => 0,
     readAuthority: async () =>
       Ok({
         endOffset: holders.length,
--- a/test/scaling/scaling.test.ts
+++ b/test/scaling/scaling.test.ts
@@ -30,6 +30,7 @@
   const calls: Call[] = [];
   const holders: string[] = [];
   const store = {
+    getEra: () => 0,
     readAuthority: async () => {
       const holder = holders.at(-1);
       const endOffset = holders.length;
