Plan the stages of scaled services like others; replace reclaimed servers without notice

Change: scaled services are split like others. When all reclaimable servers of a failure domain leave at once, the order is repeated at once, and a refusal, of a decrease too, leaves only the listed servers.

--- a/src/gateway/stage_control.ts
+++ b/src/gateway/stage_control.ts
@@ -63,7 +63,7 @@
 const SERVING_MAX_MISSING_FRACTION = 0.4;
 /** How long a change must stay planned after start-up, in milliseconds: engines that start or crash do so one after another. */
 const SERVING_SETTLE_MS = 2_500;
-/** Number of engines of a service from which on they keep their stages unless the load requires a change: a fixed fraction would change over a hundred idle engines. */
+/** Number of engines of a service from which on they keep their stages unless the load requires a change: a fixed fraction would change over a hundred idle engines. Where servers are ordered by the load, there are few idle ones, and the new ones, which all decode, are needed for prefill. */
 const MIN_KEPT_ENGINES = 100;
 /** Utilization from which on a stage is busy where servers are ordered by the load: the number of servers is chosen for a utilization of 0.5 to 0.6. */
 const SCALED_BUSY_UTILIZATION = 0.65;
@@ -145,7 +145,7 @@
     const load = options.tryGetLoad(service, engine);
     const engines = state.listUsable(service).map(applyOrder);
     const plan = planStages(engines, {
-      keepsStages: isScaled || engines.length >= MIN_KEPT_ENGINES,
+      keepsStages: !isScaled && engines.length >= MIN_KEPT_ENGINES,
       ...(isScaled ? {busyUtilization: SCALED_BUSY_UTILIZATION} : {}),
       maxMissingFraction: isStarting() ? 0 : SERVING_MAX_MISSING_FRACTION,
       tryGetLimitPerS: options.limits.tryGetLimitPerS,
--- a/src/scaling/kind_record.ts
+++ b/src/scaling/kind_record.ts
@@ -111,6 +111,16 @@
   record.reclaimedUntilMs = nowMs + UNAVAILABLE_MS;
 }
 
+/**
+ * Records that all servers leave at once although none were released. Not all
+ * servers state that they were reclaimed, so the order is repeated at once: the
+ * platform refuses it if they were.
+ */
+export function recordDrained(record: KindRecord, nowMs: number): void {
+  if (nowMs - record.orderedAtMs < MAX_DIFFERENCE_MS) return;
+  record.isUnconfirmed = true;
+}
+
 /** Records that the platform has none of the ordered servers. */
 export function recordRefusedOrder(
   record: KindRecord,
@@ -120,6 +130,6 @@
   record.refusedUntilMs = nowMs + UNAVAILABLE_MS;
   const desired = getDesired(record);
   if (count > desired) return;
-  // A refused repetition shows that the earlier order has brought only the listed servers.
-  setOrdered(record, count === desired ? record.ready : count, nowMs);
+  // A refused repetition or decrease shows that the earlier order has brought only the listed servers.
+  setOrdered(record, Math.min(count, record.ready), nowMs);
 }
--- a/src/scaling/order_book.ts
+++ b/src/scaling/order_book.ts
@@ -7,6 +7,7 @@
   createKindRecord,
   createKindState,
   type KindRecord,
+  recordDrained,
   recordReclaim,
   recordRefusedOrder,
   setOrdered,
@@ -74,19 +75,24 @@
       ordinary.ready = 0;
       reclaimable.ready = 0;
     }
+    const leavingCounts = new Map<KindRecord, number>();
     const reclaimed = new Set<KindRecord>();
     for (const server of listed) {
       const record = getKind(server);
-      if (!server.isLeaving) record.ready++;
-      else if (server.isReclaimed && server.isReclaimable) {
-        reclaimed.add(record);
+      if (!server.isLeaving) {
+        record.ready++;
+        continue;
       }
+      if (!server.isReclaimable) continue;
+      leavingCounts.set(record, (leavingCounts.get(record) ?? 0) + 1);
+      if (server.isReclaimed) reclaimed.add(record);
     }
-    for (const record of reclaimed) {
+    for (const [record, count] of leavingCounts) {
       const {ordered, ready} = record;
       // A server that leaves after a release leaves no fewer than were ordered.
       if (ordered !== undefined && ready >= ordered) continue;
-      recordReclaim(record, nowMs);
+      if (reclaimed.has(record)) recordReclaim(record, nowMs);
+      else if (ready === 0 && count > 1) recordDrained(record, nowMs);
     }
     for (const {ordinary, reclaimable} of domains.values()) {
       updateDifference(ordinary, nowMs);
