Ask an engine that is late for its report before it counts as stalled

Cause: a prefill or decode call that took longer than twice this node's prediction plus 0.4 or 0.6 s ejected the engine and told all nodes. A node that has just started does not know the queues that the others fill, so healthy engines were ejected some ten times in the 3 s after a restart.

Change: the timer asks the engine for its report (one question in flight and one in 500 ms for each engine and node). An engine that answers keeps the call, and its known queue is extended by the backlog it states. One that does not answer within 300 ms is ejected and reported as before. A pause or a limit of the engine forbids the question; the call is then moved, without blame, only shortly before its caller would lose the first event. An engine that reports but has completed no call of this node after four times the prediction plus 1 s loses the call, as an ordinary failure that other nodes are not told of.

Tests: the stand-in's fault `mute` answers reports, so the test of an engine that no node chooses again uses the new fault `dark`, which answers nothing; it now counts all requests that arrive instead of those that run.

--- a/src/gateway/control_call.ts
+++ b/src/gateway/control_call.ts
@@ -12,7 +12,7 @@
 
 /** Sends a call; resolves to undefined when it fails, times out or its response is too long. */
 export function sendControlCall(
-  connections: Connections,
+  connections: Pick<Connections, 'call'>,
   clock: Clock,
   server: BackendEntry,
   call: ControlCall,
--- a/src/gateway/decode_call.ts
+++ b/src/gateway/decode_call.ts
@@ -6,7 +6,7 @@
 import type {FlowContext} from './flow_context';
 import type {RequestTask} from './request_task';
 import {sendToServer} from './server_call';
-import {watchForStall} from './stall_watch';
+import {type StallReason, watchForStall} from './stall_watch';
 import type {
   BackendEntry,
   CallFailure,
@@ -39,27 +39,32 @@
   readonly splitter?: EventSplitter;
   /** True while the request may run on one more server. */
   readonly canRunAgain: () => boolean;
+  /** Returns the time left until the first event must be sent to the caller, in milliseconds. */
+  readonly getBudgetMs: () => number;
   /** Called when the head of the answer has arrived. */
   readonly onHead: () => void;
   readonly onEnd: RelayOptions['onEnd'];
   readonly onFailure: (failure: CallFailure) => void;
 }
 
-/** Additional time before a decode engine whose stream has not started is considered stalled, in milliseconds. */
+/** Additional time before a decode engine whose stream has not started is asked for its report, in milliseconds. */
 const STALL_SLACK_MS = 600;
 
 /** Sends the request. */
 export function startDecodeCall(options: DecodeCallOptions): DecodeCall {
   const {context, task, server, splitter, kv} = options;
-  const {clock, health, protocol} = context;
+  const {clock, health, liveness, protocol} = context;
   const {exchange, route} = task;
   const lastEventId = splitter?.getLastId();
   const watch = watchForStall({
     clock,
     health,
-    serverId: server.id,
+    liveness,
+    server,
     predictedMs: options.waitMs + computeKvTransferMs() + options.prefillMs,
     slackMs: STALL_SLACK_MS,
+    getSpareMs: () =>
+      options.getBudgetMs() - computeKvTransferMs() - options.prefillMs,
     onStall: handleStall,
   });
   const relay = createAnswerRelay({
@@ -71,6 +76,7 @@
     onHead: () => {
       watch.cancel();
       health.recordResponse(server.id);
+      liveness.recordCompletion(server.id);
       options.onHead();
     },
     onEnd: (status, isFramed) => {
@@ -107,17 +113,18 @@
     return computeTransferMs(model.promptTokens, engine, true);
   }
 
-  /** Fails the call if it can be retried. Otherwise keeps waiting, and only marks the engine as failed for later requests. */
-  function handleStall(): void {
+  /** Fails the call if it can be retried. Otherwise keeps waiting, and only records the engine's failure for later requests. */
+  function handleStall(reason: StallReason): void {
     if (task.isOver() || exchange.hasAnswerBegun()) return;
     if (!route.isResumable || !options.canRunAgain()) {
-      health.recordFailure(server.id, 'stalled', true);
+      if (reason === 'moved') return;
+      health.recordFailure(server.id, reason, reason === 'stalled');
       return;
     }
     call.cancel();
     options.onFailure({
       verdict: Verdict.MayHaveRun,
-      reason: 'stalled',
+      reason,
       evidence: call.getEvidence(),
       message: 'the stream did not start in time',
     });
--- a/src/gateway/flow_context.ts
+++ b/src/gateway/flow_context.ts
@@ -3,6 +3,7 @@
 import type {Clock} from '../runtime/types';
 import type {Connections} from './connections';
 import type {CrashGuard} from './crash_guard';
+import type {EngineLiveness} from './engine_liveness';
 import type {EngineSpeedEstimator} from './engine_speed_estimator';
 import type {FleetDemand} from './fleet_demand';
 import type {FleetState} from './fleet_state';
@@ -29,6 +30,7 @@
   readonly clock: Clock;
   readonly metrics: GatewayMetrics;
   readonly health: HealthTracker;
+  readonly liveness: EngineLiveness;
   readonly pauses: ServerPauses;
   readonly limits: ServerLimits;
   readonly crashGuard: CrashGuard;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,6 +6,7 @@
 import {createControlListeners} from './control_listener';
 import {createCrashGuard} from './crash_guard';
 import {createDrain} from './drain';
+import {createEngineLiveness} from './engine_liveness';
 import {createEngineSpeedEstimator} from './engine_speed_estimator';
 import {createExchangeRouter} from './exchange_router';
 import {createFleetDemand} from './fleet_demand';
@@ -134,6 +135,16 @@
       peers.notify({kind: 'suspect', serverId, reason});
     },
   });
+  const liveness = createEngineLiveness({
+    clock,
+    logger,
+    metrics,
+    connections,
+    protocol,
+    health,
+    pauses,
+    limits,
+  });
   const crashGuard = createCrashGuard({
     nodeName: self.name,
     clock,
@@ -193,6 +204,7 @@
     clock,
     metrics,
     health,
+    liveness,
     pauses,
     limits,
     crashGuard,
@@ -363,6 +375,7 @@
       prefillQueues.removeServer(id);
       streams.removeServer(id);
       health.remove(id);
+      liveness.remove(id);
       loads.remove(id);
     }
     const listedIds = new Set(state.listEntries().map(entry => entry.id));
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -16,6 +16,8 @@
   recordCrash(): void;
   /** Records a request that was refused because of a part of its prompt. */
   recordQuarantined(): void;
+  /** Records that an engine whose answer is late was asked for its report. */
+  recordLivenessCheck(outcome: string): void;
   /** Adds a gauge whose value is read when the metrics are rendered. */
   addGauge(name: string, help: string, read: () => number): void;
   render(): string;
@@ -52,6 +54,10 @@
     name: 'anvilstack_gateway_quarantined_requests_total',
     help: 'Requests refused because a part of their prompt crashes engines.',
   });
+  const livenessChecks = metrics.addCounter({
+    name: 'anvilstack_gateway_liveness_checks_total',
+    help: 'Checks of engines whose answer is late, by outcome.',
+  });
   return {
     recordEnd: (route, outcome, elapsedMs) => {
       requests.add(1, {kind: route.kind, rank: String(route.rank), outcome});
@@ -65,6 +71,7 @@
     recordLimitedSend: serverId => limitedSends.add(1, {serverId}),
     recordCrash: () => crashes.add(1, {}),
     recordQuarantined: () => quarantined.add(1, {}),
+    recordLivenessCheck: outcome => livenessChecks.add(1, {outcome}),
     addGauge: (name, help, read) => metrics.addGauge({name, help, read}),
     render: metrics.render,
   };
--- a/src/gateway/prefill_call.ts
+++ b/src/gateway/prefill_call.ts
@@ -7,6 +7,7 @@
 import {isMismatchedAnswer, sendToServer} from './server_call';
 import {createBoundedBody} from './bounded_body';
 import {watchForStall} from './stall_watch';
+import type {LivenessCheck} from './engine_liveness';
 import type {CallFailure} from './types';
 
 /** A prefill call in progress. */
@@ -21,16 +22,20 @@
   readonly placement: PrefillPlacement;
   /** Called with the handle of the KV cache and the duration of the call, in milliseconds. */
   readonly onPrefilled: (handle: string, observedMs: number) => void;
+  /** Returns the time left until the first event must be sent to the caller, in milliseconds. */
+  readonly getBudgetMs: () => number;
+  /** Called when the engine is late but has stated that it lives. */
+  readonly onLate: (check: LivenessCheck) => void;
   readonly onFailure: (failure: CallFailure) => void;
 }
 
-/** Additional time before a prefill engine that has not answered is considered stalled, in milliseconds. */
+/** Additional time before a prefill engine that has not answered is asked for its report, in milliseconds. */
 const STALL_SLACK_MS = 400;
 
 /** Sends the prompt. Exactly one of the callbacks is called, unless the call is cancelled. */
 export function startPrefillCall(options: PrefillCallOptions): PrefillCall {
   const {context, task, placement} = options;
-  const {clock, health, protocol} = context;
+  const {clock, health, liveness, protocol} = context;
   const {exchange, route} = task;
   const {server} = placement;
   const sentAtMs = clock.getMonotonicMs();
@@ -40,13 +45,16 @@
   const watch = watchForStall({
     clock,
     health,
-    serverId: server.id,
+    liveness,
+    server,
     predictedMs: placement.waitMs + placement.prefillMs,
     slackMs: STALL_SLACK_MS,
-    onStall: () => {
+    getSpareMs: () => options.getBudgetMs() - placement.prefillMs,
+    onAlive: options.onLate,
+    onStall: reason => {
       call.cancel();
       fail({
-        ...createFailure('stalled', 'prefill did not complete in time'),
+        ...createFailure(reason, 'prefill did not complete in time'),
         evidence: call.getEvidence(),
       });
     },
@@ -109,6 +117,7 @@
     isDone = true;
     watch.cancel();
     health.recordResponse(server.id);
+    liveness.recordCompletion(server.id);
     options.onPrefilled(handle, clock.getMonotonicMs() - sentAtMs);
   }
 
--- a/src/gateway/prefill_queues.ts
+++ b/src/gateway/prefill_queues.ts
@@ -15,6 +15,8 @@
   add(job: PrefillJob, nowMs: number): void;
   /** Keeps a job in its queue that has not ended at its predicted time. */
   recordOverdue(jobId: string, nowMs: number): void;
+  /** Records that an engine will be busy for at least this time, in milliseconds, whatever jobs are known here. */
+  recordBacklog(serverId: string, backlogMs: number, nowMs: number): void;
   /** Removes a job that has ended. */
   remove(jobId: string, nowMs: number): void;
   /** Returns how long a new job would wait, in milliseconds. Engines prefill in order of arrival. */
@@ -37,6 +39,8 @@
   readonly jobs: Map<string, OpenJob>;
   /** When the engine started to prefill the first job of the queue. */
   headStartedAtMs: number;
+  /** Until when the engine is busy by its own report. */
+  backlogUntilMs?: number;
   /** Number of jobs besides the rejected one, and the time of the rejection. */
   lastFull?: {readonly jobCount: number; readonly atMs: number};
 }
@@ -51,6 +55,8 @@
 const REFILL_FRACTION = 0.9;
 /** How long a rejection of a full engine is taken into account, in milliseconds. */
 const FULL_REPORT_TTL_MS = 5_000;
+/** Longest backlog that is assumed from one report, in milliseconds: a wrong statement must not keep an engine idle for long. */
+const MAX_BACKLOG_MS = 1_000;
 /** Multiple of the predicted time that a job may take before it is dropped. */
 const EXPIRY_FACTOR = 2;
 
@@ -61,6 +67,7 @@
   return {
     add,
     recordOverdue,
+    recordBacklog,
     remove,
     getWaitMs,
     countJobs: serverId => engines.get(serverId)?.jobs.size ?? 0,
@@ -92,6 +99,16 @@
     job.expiresAtMs = nowMs + computeJobExpiryMs(job.costMs);
   }
 
+  function recordBacklog(
+    serverId: string,
+    backlogMs: number,
+    nowMs: number,
+  ): void {
+    const engine = engines.get(serverId);
+    if (engine === undefined) return;
+    engine.backlogUntilMs = nowMs + Math.min(MAX_BACKLOG_MS, backlogMs);
+  }
+
   function remove(jobId: string, nowMs: number): void {
     const engine = tryFindEngine(jobId);
     if (engine?.jobs.delete(jobId) !== true) return;
@@ -115,7 +132,8 @@
       waitMs += job.costMs;
     }
     const progressMs = Math.min(headMs, nowMs - engine.headStartedAtMs);
-    return Math.max(0, waitMs - progressMs);
+    const backlogMs = (engine.backlogUntilMs ?? nowMs) - nowMs;
+    return Math.max(0, waitMs - progressMs, backlogMs);
   }
 
   function recordFull(serverId: string, nowMs: number): void {
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -206,6 +206,8 @@
         prefillCall = undefined;
         handlePrefilled(placement, handle, observedMs);
       },
+      getBudgetMs: () => getFirstEventBudgetMs(getAdmissionTimes()),
+      onLate: ({waitingCount}) => records.recordLate(waitingCount),
       onFailure: failure => {
         prefillCall = undefined;
         if (!task.isOver()) retryPrefill(placement.server, failure, sentAtMs);
@@ -248,6 +250,7 @@
     const isCertain =
       failure.reason === 'connect' || failure.reason === 'stalled';
     engines.remove(server.id);
+    if (failure.reason === 'moved') return;
     health.recordFailure(server.id, failure.reason, isCertain);
   }
 
@@ -359,6 +362,7 @@
       prefillMs: directPlacement?.prefillMs ?? 0,
       ...(splitter === undefined ? {} : {splitter}),
       canRunAgain,
+      getBudgetMs: () => getFirstEventBudgetMs(getAdmissionTimes()),
       onHead: () => {
         headAtMs = clock.getMonotonicMs();
         // The engine has fetched the KV cache or prefilled the prompt itself.
--- a/src/gateway/stream_records.ts
+++ b/src/gateway/stream_records.ts
@@ -12,6 +12,8 @@
 export interface StreamRecords {
   /** Records that the prompt was sent to a prefill engine. */
   recordPlaced(placement: PrefillPlacement): void;
+  /** Records that the prompt's prefill is late although the engine lives, and how many requests wait there if the engine states it. */
+  recordLate(waitingCount?: number): void;
   /** Records that the prompt was prefilled, with the time it took if that is a valid sample of the engine's speed. */
   recordPrefilled(decodeId: string, sample?: PrefillSample): void;
   /** Records that the prompt will not be prefilled by the engine that it was sent to. */
@@ -50,14 +52,22 @@
   const runMs = computeRunMs();
   const isLongRun = runMs / engine.maxRunning >= MIN_ANNOUNCED_RUN_MS;
   let serverId: string | undefined;
+  let costMs = 0;
   let isAnnounced = true;
   /** Predicted end of the prefill on the monotonic clock, when the other nodes assume that end unless notified. */
   let assumedEndMs: number | undefined;
   let overdueTimer: Timer | undefined;
-  return {recordPlaced, recordPrefilled, recordAbandoned, recordEnd};
+  return {
+    recordPlaced,
+    recordLate,
+    recordPrefilled,
+    recordAbandoned,
+    recordEnd,
+  };
 
   function recordPlaced(placement: PrefillPlacement): void {
     serverId = placement.server.id;
+    costMs = placement.prefillMs;
     assumedEndMs = undefined;
     const nowMs = context.clock.getMonotonicMs();
     const isLargeFleet = context.countPeers() >= LARGE_FLEET_NODES;
@@ -94,6 +104,15 @@
     );
   }
 
+  /** The known queue is too short, as the engine has prompts that this node does not know of: at least this one is still to be prefilled. */
+  function recordLate(waitingCount = 0): void {
+    if (serverId === undefined) return;
+    const nowMs = context.clock.getMonotonicMs();
+    context.prefillQueues.recordOverdue(jobId, nowMs);
+    const backlogMs = (waitingCount + 1) * costMs;
+    context.prefillQueues.recordBacklog(serverId, backlogMs, nowMs);
+  }
+
   /** True when the other nodes assume, without a message, that the prefill ends about now. */
   function isAsPredicted(nowMs: number): boolean {
     return (
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -209,6 +209,8 @@
   readonly acceptedOrders: number;
   /** Start of the engine's process, as in its entry; 0 when it does not state it. */
   readonly startedAtMs: number;
+  /** Number of requests that wait at the engine; absent when it does not state it. */
+  readonly waitingCount?: number;
 }
 
 /** An order that switches an engine to another stage. */
@@ -269,7 +271,15 @@
 /** A failed call to a backend server. */
 export interface CallFailure {
   readonly verdict: Verdict;
-  readonly reason: 'connect' | 'reset' | 'mismatch' | 'rejected' | 'stalled';
+  /** `stalled`: the server does not respond; `late`: it responds, but has not completed the call; `moved`: another server takes the call, through no fault of this one. */
+  readonly reason:
+    | 'connect'
+    | 'reset'
+    | 'mismatch'
+    | 'rejected'
+    | 'stalled'
+    | 'late'
+    | 'moved';
   /** HTTP status of the response, when the server rejected the request. */
   readonly status?: number;
   /** Present when the caller has part of an answer that no other server can continue. */
--- a/src/platform/backend_protocol.ts
+++ b/src/platform/backend_protocol.ts
@@ -264,8 +264,10 @@
   const acceptedOrders = tryGetNumber(fields?.['seq']);
   if (fields === undefined || acceptedOrders === undefined) return undefined;
   const stage = tryParseStage(fields['stage']);
+  const waitingCount = tryGetWhole(fields['waiting'], 0);
   return {
     ...(stage === undefined ? {} : {stage}),
+    ...(waitingCount === undefined ? {} : {waitingCount}),
     isBusy: fields['busy'] === true,
     acceptedOrders,
     startedAtMs: tryGetWhole(fields['born'], 0) ?? 0,
--- /dev/null
+++ b/test/gateway/stall_watch.test.ts
@@ -0,0 +1,180 @@
+/** Tests of what a node concludes about an engine whose answer is late. */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {BackendCall} from '../../src/gateway/backend_call';
+import {createEngineLiveness} from '../../src/gateway/engine_liveness';
+import {createHealthTracker} from '../../src/gateway/server_health';
+import {watchForStall} from '../../src/gateway/stall_watch';
+import {createBackendProtocol} from '../../src/platform';
+import {createVirtualClock} from '../../src/runtime';
+import type {Timer} from '../../src/runtime/types';
+import {createEntry, SILENT_LOGGER} from './support';
+
+type Answer = 'report' | 'other-process' | 'misdirected' | 'refused' | 'none';
+
+interface Outcome {
+  readonly reason: string;
+  readonly atMs: number;
+}
+
+/** Watches `calls` calls to one engine, which is asked for its report as `getAnswer` says, and predicted to answer after `predictedMs`. */
+function watchCalls(options: {
+  readonly getAnswer: (nowMs: number) => Answer;
+  readonly calls?: number;
+  readonly predictedMs?: number;
+  readonly isLimited?: boolean;
+  readonly budgetMs?: number;
+}) {
+  const clock = createVirtualClock();
+  const server = createEntry({id: 'p1', startedAtMs: 7});
+  const askedAtMs: number[] = [];
+  const outcomes: Outcome[] = [];
+  let aliveCount = 0;
+  const health = createHealthTracker({
+    clock,
+    logger: SILENT_LOGGER,
+    getRandom: () => 0.5,
+    onEjected: () => undefined,
+  });
+  const liveness = createEngineLiveness({
+    clock,
+    logger: SILENT_LOGGER,
+    metrics: {recordLivenessCheck: () => undefined},
+    connections: {call: answerCall},
+    protocol: createBackendProtocol(),
+    health,
+    pauses: {isPaused: () => false},
+    limits: {isLimited: () => options.isLimited ?? false},
+  });
+  const startedAtMs = clock.getMonotonicMs();
+  for (let index = 0; index < (options.calls ?? 1); index++) {
+    watchForStall({
+      clock,
+      health,
+      liveness,
+      server,
+      predictedMs: options.predictedMs ?? 50,
+      slackMs: 400,
+      getSpareMs: () =>
+        startedAtMs + (options.budgetMs ?? 2_000) - clock.getMonotonicMs(),
+      onAlive: () => aliveCount++,
+      onStall: reason =>
+        outcomes.push({reason, atMs: clock.getMonotonicMs() - startedAtMs}),
+    });
+  }
+  return {
+    clock,
+    health,
+    liveness,
+    askedAtMs,
+    outcomes,
+    countAlive: () => aliveCount,
+  };
+
+  function answerCall({handler}: BackendCall) {
+    askedAtMs.push(clock.getMonotonicMs() - startedAtMs);
+    const answer = options.getAnswer(clock.getMonotonicMs() - startedAtMs);
+    let timer: Timer = {cancel: () => undefined};
+    if (answer === 'refused') {
+      timer = clock.schedule(1, () =>
+        handler.onFailure({
+          verdict: 'not-run',
+          reason: 'connect',
+          message: 'refused',
+        }),
+      );
+    } else if (answer !== 'none') {
+      timer = clock.schedule(5, () => {
+        const born = answer === 'other-process' ? 8 : 7;
+        handler.onAnswer(answer === 'misdirected' ? 421 : 200, [], {
+          isFirst: true,
+          isFramed: true,
+        });
+        handler.onData(Buffer.from(JSON.stringify({seq: 0, born, waiting: 2})));
+        handler.onEnd();
+      });
+    }
+    return {
+      cancel: () => timer.cancel(),
+      setPaused: () => undefined,
+      isSent: () => true,
+      getEvidence: () => undefined,
+    };
+  }
+}
+
+test('an engine that is late by a prediction but gives its report is not given up', async () => {
+  const watch = watchCalls({getAnswer: () => 'report'});
+  await watch.clock.advance(1_150);
+  assert.deepEqual(watch.outcomes, []);
+  assert.ok(watch.countAlive() >= 1);
+});
+
+test('an engine that gives no report is stalled 300 ms after it was asked, one that refuses connections at once', async () => {
+  const silent = watchCalls({getAnswer: () => 'none'});
+  await silent.clock.advance(2_000);
+  assert.deepEqual(silent.outcomes, [{reason: 'stalled', atMs: 800}]);
+  const refusing = watchCalls({getAnswer: () => 'refused'});
+  await refusing.clock.advance(2_000);
+  assert.deepEqual(refusing.outcomes, [{reason: 'stalled', atMs: 501}]);
+});
+
+test('an engine that goes dark after its first report is found at the next question', async () => {
+  const watch = watchCalls({
+    predictedMs: 300,
+    getAnswer: nowMs => (nowMs < 1_100 ? 'report' : 'none'),
+  });
+  await watch.clock.advance(4_000);
+  assert.equal(watch.outcomes[0].reason, 'stalled');
+  // Asked at 1,000 ms, and again 500 ms after that report.
+  assert.equal(watch.outcomes[0].atMs, 1_005 + 500 + 300);
+});
+
+test('however many calls are late, a node asks an engine at most once in 500 ms', async () => {
+  for (const answer of ['report', 'none'] as const) {
+    const watch = watchCalls({
+      getAnswer: () => answer,
+      calls: 200,
+      predictedMs: 300,
+    });
+    await watch.clock.advance(2_000);
+    const gaps = watch.askedAtMs
+      .slice(1)
+      .map((at, i) => at - watch.askedAtMs[i]);
+    assert.ok(
+      gaps.every(gap => gap >= 500),
+      String(watch.askedAtMs),
+    );
+  }
+});
+
+test('a call that hangs at an engine that gives reports is given up, unless the engine completes other calls', async () => {
+  const hanging = watchCalls({getAnswer: () => 'report'});
+  await hanging.clock.advance(3_000);
+  assert.equal(hanging.outcomes[0].reason, 'late');
+  const {atMs} = hanging.outcomes[0];
+  assert.ok(atMs >= 4 * 50 + 1_000 && atMs <= 4 * 50 + 1_000 + 700, `${atMs}`);
+  const busy = watchCalls({getAnswer: () => 'report'});
+  await busy.clock.advance(700);
+  busy.liveness.recordCompletion('p1');
+  await busy.clock.advance(2_000);
+  assert.deepEqual(busy.outcomes, []);
+});
+
+test('an engine with a limit is not asked, and a call to it is moved only when the caller would lose its first event', async () => {
+  const watch = watchCalls({getAnswer: () => 'none', isLimited: true});
+  await watch.clock.advance(4_000);
+  assert.deepEqual(watch.askedAtMs, []);
+  assert.equal(watch.outcomes.length, 1);
+  assert.equal(watch.outcomes[0].reason, 'moved');
+  const {atMs} = watch.outcomes[0];
+  assert.ok(atMs >= 1_850 && atMs < 2_000, `${atMs}`);
+});
+
+test('a call to a process that another one has replaced is moved without blame', async () => {
+  for (const answer of ['other-process', 'misdirected'] as const) {
+    const watch = watchCalls({getAnswer: () => answer});
+    await watch.clock.advance(2_000);
+    assert.deepEqual(watch.outcomes, [{reason: 'moved', atMs: 505}]);
+  }
+});
--- a/test/platform/server_standin.ts
+++ b/test/platform/server_standin.ts
@@ -35,7 +35,7 @@
 /**
  * Fault that the server shows until it is changed. `full` refuses requests
  * without running them, `no-kv` does so with the next request that has a KV source,
- * `mute` never responds, and `busy-after-run` sends 503 for a request that ran.
+ * `mute` never responds to requests but reports, `dark` responds to nothing, and `busy-after-run` sends 503 for a request that ran.
  * `refuse-again` writes a refusal without a request id before the answer to a
  * request that ran, on connections that have carried an answer. `refuse-late`
  * refuses each request that comes for the first time, and writes that refusal once
@@ -56,6 +56,7 @@
   | 'reset'
   | 'reset-midway'
   | 'mute'
+  | 'dark'
   | 'other-id'
   | 'no-seal'
   | 'no-kv'
@@ -195,6 +196,7 @@
       atMs: performance.now(),
       parts: listPartIds(request),
     });
+    if (fault === 'dark') return;
     if (isLeaving) response.setHeader('Server-Leaving', '1');
     if (limit !== undefined) sendLimit(response, limit);
     // A request whose connection breaks before its end is not run.
