Do not refuse prompts for a wait that a fresh node only assumes

Cause: the predicted wait at a node is the number of waiting prompts times the time since the last start. A node that has just started under load is short of processor time, tries nothing for some hundred milliseconds, and took that time for the engines': 12 prompts and 417 ms give the observed `predictedMs` 5,004 with idle engines.

Change: only time in which prompts were tried in vain counts. In the first 3 s after its start a node multiplies only intervals between starts that it has measured; the time without a start counts once. The time after which an engine that reports is given up follows from the prompt's length without caches, because a restarted node only assumes what the engines have cached.

For all deployments: after a hold-up of the process the predicted wait no longer contains it; otherwise the prediction is as before.

--- a/src/gateway/decode_call.ts
+++ b/src/gateway/decode_call.ts
@@ -35,6 +35,8 @@
   readonly waitMs: number;
   /** Predicted time in which the engine prefills the prompt itself, in milliseconds; 0 when it fetches the KV cache. */
   readonly prefillMs: number;
+  /** The same if the engine has nothing cached. */
+  readonly uncachedMs: number;
   /** Present when the stream can be resumed on another server. */
   readonly splitter?: EventSplitter;
   /** True while the request may run on one more server. */
@@ -62,6 +64,7 @@
     liveness,
     server,
     predictedMs: options.waitMs + computeKvTransferMs() + options.prefillMs,
+    uncachedMs: options.waitMs + computeKvTransferMs() + options.uncachedMs,
     slackMs: STALL_SLACK_MS,
     getSpareMs: () =>
       options.getBudgetMs() - computeKvTransferMs() - options.prefillMs,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -69,6 +69,8 @@
 const SHUTDOWN_MARGIN_MS = 500;
 /** Maximum age of the store's state with which stages are planned, in milliseconds. */
 const MAX_PLANNING_AGE_MS = 2_000;
+/** Time after the start in which a node does not know the queues that the others fill, in milliseconds: callers wait for 2 s, so prompts from before have ended by then. */
+const FRESH_MS = 3_000;
 /** Reasons of failures that are reported to the other nodes: otherwise each of them would lose a request to find out. */
 const SHARED_FAILURE_REASONS = new Set(['connect', 'stalled']);
 
@@ -83,6 +85,7 @@
     controlPort: settings.control.port,
     failureDomain: settings.failureDomain,
   };
+  const createdAtMs = clock.getMonotonicMs();
   const metrics = createGatewayMetrics();
   const state = createFleetState();
   const pauses = createServerPauses(clock);
@@ -220,6 +223,7 @@
       getRandom,
       countPeers: peers.count,
       countEngines: state.countEngines,
+      isFresh: () => clock.getMonotonicMs() - createdAtMs < FRESH_MS,
     }),
     isChangingStage: stages.isChanging,
     getRandom,
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -168,8 +168,7 @@
       ? shared.reduce((sum, part) => sum + part.tokens, 0)
       : prefixes.getCachedTokens(server.id, shared);
   const isDirect = server.stage === EngineStage.Decode;
-  const stageFactor = isDirect ? DECODE_PREFILL_FACTOR : 1;
-  const slowdown = input.getSlowdown(server.id) * stageFactor;
+  const slowdown = computeSlowdown(server, input.getSlowdown);
   const waitMs = prefillQueues.getWaitMs(server.id, nowMs);
   return {
     server,
@@ -180,6 +179,16 @@
   };
 }
 
+/** Returns the ratio of an engine's prefill time to that of an average prefill engine. */
+export function computeSlowdown(
+  server: BackendEntry,
+  getSlowdown: (serverId: string) => number,
+): number {
+  const stageFactor =
+    server.stage === EngineStage.Decode ? DECODE_PREFILL_FACTOR : 1;
+  return getSlowdown(server.id) * stageFactor;
+}
+
 function computeScore(
   input: PlacementInput,
   shared: readonly PromptPart[],
--- a/src/gateway/prefill_call.ts
+++ b/src/gateway/prefill_call.ts
@@ -22,6 +22,8 @@
   readonly placement: PrefillPlacement;
   /** Called with the handle of the KV cache and the duration of the call, in milliseconds. */
   readonly onPrefilled: (handle: string, observedMs: number) => void;
+  /** Predicted time to prefill the prompt if the engine has nothing cached, in milliseconds. */
+  readonly uncachedMs: number;
   /** Returns the time left until the first event must be sent to the caller, in milliseconds. */
   readonly getBudgetMs: () => number;
   /** Called when the engine is late but has stated that it lives. */
@@ -48,6 +50,7 @@
     liveness,
     server,
     predictedMs: placement.waitMs + placement.prefillMs,
+    uncachedMs: placement.waitMs + options.uncachedMs,
     slackMs: STALL_SLACK_MS,
     getSpareMs: () => options.getBudgetMs() - placement.prefillMs,
     onAlive: options.onLate,
--- a/src/gateway/stall_watch.ts
+++ b/src/gateway/stall_watch.ts
@@ -27,6 +27,8 @@
   readonly server: BackendEntry;
   /** Predicted time of the answer, in milliseconds. */
   readonly predictedMs: number;
+  /** Predicted time if the engine has nothing cached, in milliseconds: what an engine has cached is only assumed. */
+  readonly uncachedMs: number;
   /** Additional time on top of twice the predicted time, in milliseconds. */
   readonly slackMs: number;
   /** Returns how much later another engine could still start in time for the caller, in milliseconds. */
@@ -45,7 +47,7 @@
 const FIRST_INTERVAL_MS = 500;
 const INTERVAL_FACTOR = 1.5;
 const MAX_INTERVAL_MS = 1_000;
-/** An engine that answers questions but has not completed a call of this node for this multiple of the predicted time plus the slack, in milliseconds, may hang. */
+/** An engine that answers questions but has not completed a call of this node for this multiple of the predicted time without caches plus the slack, in milliseconds, may hang. */
 const LATE_FACTOR = 4;
 const LATE_SLACK_MS = 1_000;
 /** A call to an engine that cannot be asked is moved when the caller's spare time falls below this, in milliseconds. */
@@ -105,7 +107,8 @@
   }
 
   function isLate(): boolean {
-    const limitMs = LATE_FACTOR * predictedMs + LATE_SLACK_MS;
+    const limitMs =
+      LATE_FACTOR * Math.max(predictedMs, options.uncachedMs) + LATE_SLACK_MS;
     return (
       clock.getMonotonicMs() - startedAtMs >= limitMs &&
       !liveness.hasCompletedSince(server.id, startedAtMs)
--- a/src/gateway/stream_engines.ts
+++ b/src/gateway/stream_engines.ts
@@ -2,6 +2,7 @@
 import {computeTransferMs} from './engine_costs';
 import type {FlowContext} from './flow_context';
 import {
+  computeSlowdown,
   type PlacementInput,
   tryChooseDecode,
   tryChoosePrefill,
@@ -28,6 +29,8 @@
   tryChooseDecode(sourceDomain: string | undefined): BackendEntry | undefined;
   /** How long a stream that comes now waits for a slot of the engine, in milliseconds. */
   getSlotWaitMs(server: BackendEntry): number;
+  /** Predicts the time in which the engine prefills the prompt if it has nothing cached, in milliseconds. */
+  predictUncachedMs(server: BackendEntry): number;
   /** Excludes an engine that failed this request. */
   remove(serverId: string): void;
   /** Returns the time after which the caller may retry when pauses or limits hold back all engines, or all of a stage, in milliseconds. */
@@ -65,6 +68,9 @@
         sourceDomain,
       }),
     getSlotWaitMs,
+    predictUncachedMs: server =>
+      context.speeds.predictPrefillMs(task.service, model.promptTokens, 0) *
+      computeSlowdown(server, context.health.getSlowdown),
     remove: serverId => {
       excluded.add(serverId);
     },
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -202,6 +202,7 @@
       context,
       task,
       placement,
+      uncachedMs: engines.predictUncachedMs(placement.server),
       onPrefilled: (handle, observedMs) => {
         prefillCall = undefined;
         handlePrefilled(placement, handle, observedMs);
@@ -360,6 +361,8 @@
         directPlacement?.waitMs ?? 0,
       ),
       prefillMs: directPlacement?.prefillMs ?? 0,
+      uncachedMs:
+        directPlacement === undefined ? 0 : engines.predictUncachedMs(server),
       ...(splitter === undefined ? {} : {splitter}),
       canRunAgain,
       getBudgetMs: () => getFirstEventBudgetMs(getAdmissionTimes()),
--- a/src/gateway/waiting_prompts.ts
+++ b/src/gateway/waiting_prompts.ts
@@ -17,7 +17,7 @@
   /** Adds a prompt; returns a function that removes it. */
   add(prompt: WaitingPrompt): () => void;
   count(): number;
-  /** Predicts how long a prompt added now will wait, from the interval between the latest starts, in milliseconds. */
+  /** Predicts how long a prompt added now will wait, from the interval between the latest starts or the time since then in which none succeeded, in milliseconds. */
   predictWaitMs(): number;
 }
 
@@ -28,6 +28,8 @@
   /** Number of other nodes, which compete for the same engines. */
   readonly countPeers: () => number;
   readonly countEngines: () => number;
+  /** True for the first seconds after the start, in which this node does not know what the other nodes have sent; never true when absent. */
+  readonly isFresh?: () => boolean;
 }
 
 /** Mean interval between checks for a free engine, in milliseconds: long enough for the other nodes to learn of a prompt that was sent. */
@@ -46,6 +48,8 @@
   let timer: Timer | undefined;
   /** When a prompt was last started, or when the first one was added to the empty queue if that is later. */
   let lastStartMs = 0;
+  /** When a prompt was last tried and could not be started. */
+  let lastFailureMs = 0;
   let startIntervalMs = 0;
   return {
     add: prompt => {
@@ -89,8 +93,12 @@
 
   function predictWaitMs(): number {
     if (prompts.size === 0) return 0;
-    const sinceMs = clock.getMonotonicMs() - lastStartMs;
-    return prompts.size * Math.max(startIntervalMs, sinceMs);
+    // Time in which nothing was tried, because this process was held up, says nothing about the engines.
+    const failingMs = Math.max(0, lastFailureMs - lastStartMs);
+    if (options.isFresh?.()) {
+      return Math.max(failingMs, prompts.size * startIntervalMs);
+    }
+    return prompts.size * Math.max(startIntervalMs, failingMs);
   }
 
   /** Starts at most one prompt, because it changes the predicted waits of the engines. */
@@ -101,6 +109,7 @@
       recordStart();
       return;
     }
+    lastFailureMs = clock.getMonotonicMs();
   }
 
   /** Returns the first prompt by rank and arrival, and a random other one, for which a different engine may be free. */
--- a/test/gateway/stall_watch.test.ts
+++ b/test/gateway/stall_watch.test.ts
@@ -22,6 +22,7 @@
   readonly getAnswer: (nowMs: number) => Answer;
   readonly calls?: number;
   readonly predictedMs?: number;
+  readonly uncachedMs?: number;
   readonly isLimited?: boolean;
   readonly budgetMs?: number;
 }) {
@@ -54,6 +55,7 @@
       liveness,
       server,
       predictedMs: options.predictedMs ?? 50,
+      uncachedMs: options.uncachedMs ?? 0,
       slackMs: 400,
       getSpareMs: () =>
         startedAtMs + (options.budgetMs ?? 2_000) - clock.getMonotonicMs(),
@@ -154,6 +156,10 @@
   assert.equal(hanging.outcomes[0].reason, 'late');
   const {atMs} = hanging.outcomes[0];
   assert.ok(atMs >= 4 * 50 + 1_000 && atMs <= 4 * 50 + 1_000 + 700, `${atMs}`);
+  // A node that has restarted assumes that the engines have kept their caches, and may be wrong.
+  const uncached = watchCalls({getAnswer: () => 'report', uncachedMs: 1_000});
+  await uncached.clock.advance(4_900);
+  assert.deepEqual(uncached.outcomes, []);
   const busy = watchCalls({getAnswer: () => 'report'});
   await busy.clock.advance(700);
   busy.liveness.recordCompletion('p1');
