Start the gateway's program with a code cache made by the build

Cause: after a power loss every VM compiles the same program with a quarter of a core.

When it is missing, damaged or rejected for other flags, the program runs uncached and writes one line to stderr.

--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -1,10 +1,16 @@
 /** The gateway as a process: start, signals and exit codes. */
 import assert from 'node:assert/strict';
 import {execFileSync, spawn} from 'node:child_process';
-import {mkdtempSync, writeFileSync} from 'node:fs';
+import {
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
 import {createServer, type AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
-import {join} from 'node:path';
+import {dirname, join} from 'node:path';
 import {before, test} from 'node:test';
 import {startStoreStandin} from './store_standin';
 import {listFreePorts} from '../support/program';
@@ -27,14 +33,41 @@
   readonly output: string;
 }
 
+/** Returns the flags with which deploy/system.toml runs the program. */
+function listDeployedFlags(): string[] {
+  const run = /^run = "node (.*) target/m.exec(
+    readFileSync('deploy/system.toml', 'utf8'),
+  );
+  return run?.[1].split(' ') ?? [];
+}
+
+/** Returns what a gateway that has started prints. */
+async function collectStartOutput(flags: readonly string[]): Promise<string> {
+  const ports = await listFreePorts(4);
+  const store = await startStoreStandin();
+  store.put('keyed.op', 'config', buildConfig(1));
+  const ended = await runGateway(
+    buildSettings('front-1', ports, store.port, []),
+    running =>
+      waitUntil('it has started', () =>
+        running.getOutput().includes('"message":"gateway started"'),
+      ),
+    flags,
+  );
+  store.close();
+  assert.equal(ended.code, 0);
+  return ended.output;
+}
+
 /** Runs a gateway until it exits; with `interact` it is sent SIGTERM once that has ended. It is killed after 15 s. */
 function runGateway(
   settings: string,
   interact?: (running: RunningProcess) => Promise<void>,
+  flags: readonly string[] = [],
 ): Promise<ProcessResult> {
   const path = join(mkdtempSync(join(tmpdir(), 'anvilstack-')), 'boot.toml');
   writeFileSync(path, settings);
-  const child = spawn(process.execPath, [PROGRAM], {
+  const child = spawn(process.execPath, [...flags, PROGRAM], {
     env: {PATH: process.env['PATH'], ANVILSTACK_NODE_FILE: path},
   });
   let output = '';
@@ -136,3 +169,26 @@
   assert.match(ended.output, /"message":"gateway stopped"/);
   store.close();
 });
+
+test('the code cache is used with the deployed flags; without a valid one the program starts and says so in one line', async () => {
+  const flags = listDeployedFlags();
+  assert.ok(flags.length > 0);
+  const refusal = /^code cache not used: .*$/gm;
+  assert.doesNotMatch(await collectStartOutput(flags), refusal);
+  assert.equal((await collectStartOutput([])).match(refusal)?.length, 1);
+  const directory = dirname(PROGRAM);
+  const caches = readdirSync(directory).filter(name => name.endsWith('.cache'));
+  assert.equal(caches.length, 1);
+  const cachePath = join(directory, caches[0]);
+  const cache = readFileSync(cachePath);
+  const damaged = Buffer.from(cache);
+  damaged.fill(0x55, cache.length >> 1, (cache.length >> 1) + 100);
+  for (const change of [
+    () => writeFileSync(cachePath, damaged),
+    () => writeFileSync(cachePath, cache.subarray(0, cache.length >> 1)),
+    () => rmSync(cachePath),
+  ]) {
+    change();
+    assert.equal((await collectStartOutput(flags)).match(refusal)?.length, 1);
+  }
+});
