Register with the other nodes after loading the state

Cause: at a start each node said hello to all others beside loading the configuration, so replies from the whole fleet came before the first answer.

Change: a node registers once it is ready, and after 300 ms at the latest, as when the store does not answer.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -71,6 +71,9 @@
 const MAX_PLANNING_AGE_MS = 2_000;
 /** Time after the start in which a node does not know the queues that the others fill, in milliseconds: callers wait for 2 s, so prompts from before have ended by then. */
 const FRESH_MS = 3_000;
+/** Longest delay of the registration when the store gives no state, in milliseconds: other nodes may have it. */
+const MAX_REGISTER_DELAY_MS = 300;
+const REGISTER_CHECK_MS = 10;
 /** Reasons of failures that are reported to the other nodes: otherwise each of them would lose a request to find out. */
 const SHARED_FAILURE_REASONS = new Set(['connect', 'stalled']);
 
@@ -288,13 +291,24 @@
     stages.start();
     demand.start();
     crashGuard.start();
-    void messageHandler.registerSelf();
+    registerWhenReady();
     logger.log('info', 'gateway started', {
       callers: `${settings.callers.host}:${settings.callers.port}`,
       failureDomain: settings.failureDomain,
     });
   }
 
+  /** Introduces this node to the others once it can serve: their replies take longer the larger the fleet is. */
+  function registerWhenReady(): void {
+    if (isStopping) return;
+    const elapsedMs = clock.getMonotonicMs() - createdAtMs;
+    if (isReady() || elapsedMs >= MAX_REGISTER_DELAY_MS) {
+      void messageHandler.registerSelf();
+      return;
+    }
+    clock.schedule(REGISTER_CHECK_MS, registerWhenReady);
+  }
+
   async function stop(): Promise<void> {
     isStopping = true;
     messageHandler.stop();
