Refuse a waiting prompt once no engine could serve it in time

Cause: a prompt waited at its node until its caller's time for the first event was over, although its own prefill no longer fitted into that time before. Second tries after an outage state shorter deadlines, and were refused late.

Change: the time of the prefill is taken off both when a prompt is queued and when it expires. For all deployments: such prompts are refused earlier by that time; the decision on those that an engine can take is as before.

--- a/src/gateway/stream_admission.ts
+++ b/src/gateway/stream_admission.ts
@@ -53,6 +53,13 @@
   return Math.min(timeoutLeftMs, input.remainingMs);
 }
 
+/** Returns the time left to send the prompt to an engine, in milliseconds; afterwards, its first event would come too late. */
+export function getSendBudgetMs(
+  input: Pick<AdmissionInput, 'route' | 'elapsedMs' | 'remainingMs' | 'workMs'>,
+): number {
+  return getFirstEventBudgetMs(input) - input.workMs;
+}
+
 /**
  * Decides on a prompt. One that can meet its objective is sent to the engine.
  * One that will miss it is sent only to an engine with a short queue, and waits
@@ -61,15 +68,15 @@
  */
 export function chooseAdmission(input: AdmissionInput): Admission {
   const {route, elapsedMs, waitMs, workMs} = input;
-  const budgetMs = getFirstEventBudgetMs(input);
-  if (workMs > budgetMs) return Admission.Refuse;
+  const budgetMs = getSendBudgetMs(input);
+  if (budgetMs < 0) return Admission.Refuse;
   if (waitMs === undefined) return Admission.Wait;
   const onTimeWaitMs = route.objectiveMs - elapsedMs - workMs;
   const allowedWaitMs = Math.max(
     onTimeWaitMs,
     LATE_WAIT_FRACTION * route.objectiveMs,
   );
-  return waitMs <= allowedWaitMs && waitMs + workMs <= budgetMs
+  return waitMs <= allowedWaitMs && waitMs <= budgetMs
     ? Admission.Send
     : Admission.Wait;
 }
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -21,6 +21,7 @@
   chooseAdmission,
   computeRetryAfterMs,
   getFirstEventBudgetMs,
+  getSendBudgetMs,
 } from './stream_admission';
 import {createStreamEngines} from './stream_engines';
 import {createStreamRecords} from './stream_records';
@@ -96,6 +97,8 @@
   /** When a decode call last failed; initially when this flow started. */
   let lastFailureAtMs = clock.getMonotonicMs();
   let isDemandRecorded = false;
+  /** Predicted time from sending the prompt to the first event, at the last attempt, in milliseconds. */
+  let workMs = FIRST_EVENT_OVERHEAD_MS;
   let cancelWaiting: () => void = () => undefined;
   budget.recordRequest();
   task.onStop(stop);
@@ -104,7 +107,7 @@
   /** Sends the prompt, ends the request, or queues it at this node. */
   function start(): void {
     if (tryStart()) return;
-    const budgetMs = getFirstEventBudgetMs(getAdmissionTimes());
+    const budgetMs = getSendBudgetMs({...getAdmissionTimes(), workMs});
     const waitMs = context.waitingPrompts.predictWaitMs();
     if (waitMs > budgetMs) {
       refuse(waitMs);
@@ -127,10 +130,11 @@
       failWithoutEngine();
       return true;
     }
+    workMs = (placement?.prefillMs ?? 0) + FIRST_EVENT_OVERHEAD_MS;
     const admission = chooseAdmission({
       ...getAdmissionTimes(),
       ...(placement === undefined ? {} : {waitMs: placement.waitMs}),
-      workMs: (placement?.prefillMs ?? 0) + FIRST_EVENT_OVERHEAD_MS,
+      workMs,
     });
     if (placement !== undefined) recordDemand(placement);
     if (admission === Admission.Wait) return false;
--- a/test/gateway/waiting_prompts.test.ts
+++ b/test/gateway/waiting_prompts.test.ts
@@ -6,6 +6,7 @@
   type AdmissionInput,
   chooseAdmission,
   getFirstEventTimeoutMs,
+  getSendBudgetMs,
 } from '../../src/gateway/stream_admission';
 import {RequestKind, type Route} from '../../src/gateway/types';
 import {
@@ -90,6 +91,15 @@
   assert.equal(admit({elapsedMs: 1_880}), Admission.Refuse);
 });
 
+test('a prompt waits no longer than until its engine could not answer its caller in time', () => {
+  // The second try of a caller after an outage states the time that it has left.
+  const input = {route: ROUTE, elapsedMs: 100, remainingMs: 600, workMs: 250};
+  assert.equal(getSendBudgetMs(input), 350);
+  assert.equal(admit({...input, waitMs: 350, workMs: 250}), Admission.Wait);
+  assert.equal(admit({...input, remainingMs: 249}), Admission.Refuse);
+  assert.equal(getSendBudgetMs({...input, remainingMs: 5_000}), 1_550);
+});
+
 test('waiting prompts start one at a time when an engine is free, lowest rank number first', async () => {
   const {clock, started, add, setEngineFree, waiting} = createList(0);
   add('a');
