--- a/test/gateway/stall_watch.test.ts
+++ b/test/gateway/stall_watch.test.ts
@@ -3,6 +3,7 @@
 import {test} from 'node:test';
 import type {BackendCall} from '../../src/gateway/backend_call';
 import {createEngineLiveness} from '../../src/gateway/engine_liveness';
+import {createPrefillQueues} from '../../src/gateway/prefill_queues';
 import {createHealthTracker} from '../../src/gateway/server_health';
 import {watchForStall} from '../../src/gateway/stall_watch';
 import {createBackendProtocol} from '../../src/platform';
@@ -24,9 +25,23 @@
   readonly predictedMs?: number;
   readonly uncachedMs?: number;
   readonly isLimited?: boolean;
+  /** Time in which the process runs nothing, from the start of the calls. */
+  readonly heldUp?: {readonly fromMs: number; readonly untilMs: number};
   readonly budgetMs?: number;
 }) {
-  const clock = createVirtualClock();
+  const base = createVirtualClock();
+  const {fromMs, untilMs} = options.heldUp ?? {fromMs: 0, untilMs: 0};
+  const clock = {
+    ...base,
+    schedule: (delayMs: number, callback: () => void) => {
+      const dueMs = base.getMonotonicMs() + delayMs;
+      const isHeldUp = dueMs > fromMs && dueMs < untilMs;
+      return base.schedule(
+        isHeldUp ? untilMs - base.getMonotonicMs() : delayMs,
+        callback,
+      );
+    },
+  };
   const server = createEntry({id: 'p1', startedAtMs: 7});
   const askedAtMs: number[] = [];
   const outcomes: Outcome[] = [];
@@ -184,3 +199,36 @@
     assert.deepEqual(watch.outcomes, [{reason: 'moved', atMs: 505}]);
   }
 });
+
+test('a process that is held up while it waits for a report does not take that for silence', async () => {
+  // What is due from 502 ms on runs at 900 ms, the first tick before the report.
+  const watch = watchCalls({
+    getAnswer: () => 'report',
+    heldUp: {fromMs: 502, untilMs: 900},
+  });
+  await watch.clock.advance(1_000);
+  assert.deepEqual(watch.outcomes, []);
+  assert.equal(watch.countAlive(), 1);
+});
+
+test('an engine with prompts that this node does not know of has a wait for the next one', () => {
+  const queues = createPrefillQueues();
+  queues.add({id: 'a', serverId: 'p1', costMs: 100}, 0);
+  // After 200 ms the known job should have ended, so its engine would appear idle.
+  assert.equal(queues.getWaitMs('p1', 200), 0);
+  queues.recordBacklog('p1', 300, 200);
+  assert.equal(queues.getWaitMs('p1', 200), 300);
+  assert.equal(queues.getWaitMs('p1', 450), 50);
+  queues.recordBacklog('p1', 1_000_000, 450);
+  assert.ok(queues.getWaitMs('p1', 450) <= 1_000);
+});
+
+test('only a whole number in a report counts as the number of waiting prompts', () => {
+  const {parseReport} = createBackendProtocol();
+  const parse = (waiting: unknown) =>
+    parseReport(Buffer.from(JSON.stringify({seq: 0, waiting})))?.waitingCount;
+  assert.equal(parse(3), 3);
+  for (const odd of [-1, 1.5, '3', null, [], undefined]) {
+    assert.equal(parse(odd), undefined);
+  }
+});
