--- a/src/gateway/prefill_queues.ts
+++ b/src/gateway/prefill_queues.ts
@@ -111,7 +111,13 @@
 
   function remove(jobId: string, nowMs: number): void {
     const engine = tryFindEngine(jobId);
-    if (engine?.jobs.delete(jobId) !== true) return;
+    const job = engine?.jobs.get(jobId);
+    if (engine === undefined || job === undefined) return;
+    engine.jobs.delete(jobId);
+    // The backlog contained the job that has ended.
+    if (engine.backlogUntilMs !== undefined) {
+      engine.backlogUntilMs -= job.costMs;
+    }
     serverIdsByJob.delete(jobId);
     engine.headStartedAtMs = nowMs;
   }
--- a/test/gateway/stall_watch.test.ts
+++ b/test/gateway/stall_watch.test.ts
@@ -219,6 +219,8 @@
   queues.recordBacklog('p1', 300, 200);
   assert.equal(queues.getWaitMs('p1', 200), 300);
   assert.equal(queues.getWaitMs('p1', 450), 50);
+  queues.remove('a', 400);
+  assert.equal(queues.getWaitMs('p1', 400), 0);
   queues.recordBacklog('p1', 1_000_000, 450);
   assert.ok(queues.getWaitMs('p1', 450) <= 1_000);
 });
