--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,6 +7,7 @@
 import {createControlListeners} from './control_listener';
 import {createCrashGuard} from './crash_guard';
 import {createDrain} from './drain';
+import {createEngineLiveness} from './engine_liveness';
 import {createEngineSpeedEstimator} from './engine_speed_estimator';
 import {createExchangeRouter} from './exchange_router';
 import {createFleetDemand} from './fleet_demand';
@@ -74,6 +75,11 @@
 const SHUTDOWN_MARGIN_MS = 500;
 /** Maximum age of the store's state with which stages are planned, in milliseconds. */
 const MAX_PLANNING_AGE_MS = 2_000;
+/** Time after the start in which a node does not know the queues that the others fill, in milliseconds: callers wait for 2 s, so prompts from before have ended by then. */
+const FRESH_MS = 3_000;
+/** Longest delay of the registration when the store gives no state, in milliseconds: other nodes may have it. */
+const MAX_REGISTER_DELAY_MS = 300;
+const REGISTER_CHECK_MS = 10;
 /** Reasons of failures that are reported to the other nodes: otherwise each of them would lose a request to find out. */
 const SHARED_FAILURE_REASONS = new Set(['connect', 'stalled']);
 
@@ -88,6 +94,7 @@
     controlPort: settings.control.port,
     failureDomain: settings.failureDomain,
   };
+  const createdAtMs = clock.getMonotonicMs();
   const metrics = createGatewayMetrics();
   const state = createFleetState();
   const pauses = createServerPauses(clock);
@@ -153,6 +160,16 @@
       peers.notify({kind: 'suspect', serverId, reason});
     },
   });
+  const liveness = createEngineLiveness({
+    clock,
+    logger,
+    metrics,
+    connections,
+    protocol,
+    health,
+    pauses,
+    limits,
+  });
   const crashGuard = createCrashGuard({
     nodeName: self.name,
     clock,
@@ -255,6 +272,7 @@
     clock,
     metrics,
     health,
+    liveness,
     pauses,
     limits,
     crashGuard,
@@ -270,6 +288,7 @@
       getRandom,
       countPeers: peers.count,
       countEngines: state.countEngines,
+      isFresh: () => clock.getMonotonicMs() - createdAtMs < FRESH_MS,
     }),
     isChangingStage: stages.isChanging,
     getRandom,
@@ -351,13 +370,24 @@
     demand.start();
     crashGuard.start();
     usage?.start();
-    void messageHandler.registerSelf();
+    registerWhenReady();
     logger.log('info', 'gateway started', {
       callers: `${settings.callers.host}:${settings.callers.port}`,
       failureDomain: settings.failureDomain,
     });
   }
 
+  /** Introduces this node to the others once it can serve: their replies take longer the larger the fleet is. */
+  function registerWhenReady(): void {
+    if (isStopping) return;
+    const elapsedMs = clock.getMonotonicMs() - createdAtMs;
+    if (isReady() || elapsedMs >= MAX_REGISTER_DELAY_MS) {
+      void messageHandler.registerSelf();
+      return;
+    }
+    clock.schedule(REGISTER_CHECK_MS, registerWhenReady);
+  }
+
   async function stop(): Promise<void> {
     isStopping = true;
     messageHandler.stop();
@@ -448,6 +478,7 @@
       prefillQueues.removeServer(id);
       streams.removeServer(id);
       health.remove(id);
+      liveness.remove(id);
       loads.remove(id);
     }
     const listedIds = new Set(state.listEntries().map(entry => entry.id));
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -27,6 +27,8 @@
   recordUsageWindow(outcome: string): void;
   /** Records that the store lost its newest records. */
   recordEraRise(): void;
+  /** Records that an engine whose answer is late was asked for its report. */
+  recordLivenessCheck(outcome: string): void;
   /** Adds a gauge whose value is read when the metrics are rendered. */
   addGauge(name: string, help: string, read: GaugeSpec['read']): void;
   render(): string;
@@ -83,6 +85,10 @@
     name: 'anvilstack_gateway_store_era_rises_total',
     help: 'Times that the store lost its newest records.',
   });
+  const livenessChecks = metrics.addCounter({
+    name: 'anvilstack_gateway_liveness_checks_total',
+    help: 'Checks of engines whose answer is late, by outcome.',
+  });
   return {
     recordEraRise: () => eraRises.add(1, {}),
     recordEnd: (route, outcome, elapsedMs) => {
@@ -101,6 +107,7 @@
     recordInvalidAnswer: service => invalidAnswers.add(1, {service}),
     recordAuthentication: outcome => authentications.add(1, {outcome}),
     recordUsageWindow: outcome => usageWindows.add(1, {outcome}),
+    recordLivenessCheck: outcome => livenessChecks.add(1, {outcome}),
     addGauge: (name, help, read) => metrics.addGauge({name, help, read}),
     render: metrics.render,
   };
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -21,6 +21,7 @@
   chooseAdmission,
   computeRetryAfterMs,
   getFirstEventBudgetMs,
+  getSendBudgetMs,
 } from './stream_admission';
 import {createStreamEngines} from './stream_engines';
 import {createStreamRecords} from './stream_records';
@@ -96,6 +97,8 @@
   /** When a decode call last failed; initially when this flow started. */
   let lastFailureAtMs = clock.getMonotonicMs();
   let isDemandRecorded = false;
+  /** Predicted time from sending the prompt to the first event, at the last attempt, in milliseconds. */
+  let workMs = FIRST_EVENT_OVERHEAD_MS;
   let cancelWaiting: () => void = () => undefined;
   budget.recordRequest();
   task.onStop(stop);
@@ -104,7 +107,7 @@
   /** Sends the prompt, ends the request, or queues it at this node. */
   function start(): void {
     if (tryStart()) return;
-    const budgetMs = getFirstEventBudgetMs(getAdmissionTimes());
+    const budgetMs = getSendBudgetMs({...getAdmissionTimes(), workMs});
     const waitMs = context.waitingPrompts.predictWaitMs();
     if (waitMs > budgetMs) {
       refuse(waitMs);
@@ -132,10 +135,11 @@
       failWithoutEngine();
       return true;
     }
+    workMs = (placement?.prefillMs ?? 0) + FIRST_EVENT_OVERHEAD_MS;
     const admission = chooseAdmission({
       ...getAdmissionTimes(),
       ...(placement === undefined ? {} : {waitMs: placement.waitMs}),
-      workMs: (placement?.prefillMs ?? 0) + FIRST_EVENT_OVERHEAD_MS,
+      workMs,
     });
     if (placement !== undefined) recordDemand(placement);
     if (admission === Admission.Wait) return false;
@@ -207,10 +211,13 @@
       context,
       task,
       placement,
+      uncachedMs: engines.predictUncachedMs(placement.server),
       onPrefilled: (handle, observedMs) => {
         prefillCall = undefined;
         handlePrefilled(placement, handle, observedMs);
       },
+      getBudgetMs: () => getFirstEventBudgetMs(getAdmissionTimes()),
+      onLate: ({waitingCount}) => records.recordLate(waitingCount),
       onFailure: failure => {
         prefillCall = undefined;
         if (!task.isOver()) retryPrefill(placement.server, failure, sentAtMs);
@@ -253,6 +260,7 @@
     const isCertain =
       failure.reason === 'connect' || failure.reason === 'stalled';
     engines.remove(server.id);
+    if (failure.reason === 'moved') return;
     health.recordFailure(server.id, failure.reason, isCertain);
   }
 
@@ -362,8 +370,11 @@
         directPlacement?.waitMs ?? 0,
       ),
       prefillMs: directPlacement?.prefillMs ?? 0,
+      uncachedMs:
+        directPlacement === undefined ? 0 : engines.predictUncachedMs(server),
       ...(splitter === undefined ? {} : {splitter}),
       canRunAgain,
+      getBudgetMs: () => getFirstEventBudgetMs(getAdmissionTimes()),
       onHead: () => {
         headAtMs = clock.getMonotonicMs();
         // The engine has fetched the KV cache or prefilled the prompt itself.
