Learn each server's speed at rest and the load that it takes well

Cause: engines of one service differ in speed, and some servers slow down before they are full; nodes kept averages that follow spikes. Change: src/capacity, which nothing calls yet. Near equals are chosen at random.

--- /dev/null
+++ b/src/capacity/index.ts
@@ -0,0 +1,16 @@
+export {tryChooseNearBest} from './near_equals';
+export type {Candidate} from './near_equals';
+export {createServerCapacities} from './server_capacities';
+export type {
+  ServerCapacities,
+  ServerCapacitiesOptions,
+} from './server_capacities';
+export {createServiceTimes} from './service_times';
+export type {ServiceTimes} from './service_times';
+export {MAX_TOLD_SERVERS} from './told_factors';
+export type {
+  CapacityEstimate,
+  CapacitySample,
+  ServerIdentity,
+  ToldFactor,
+} from './types';
