Place requests by learned speeds; eject servers for failures only

Cause: each node multiplied its predictions by an average of its own samples that included the wait for prompts of other nodes, and ejected slow servers; nodes with the same view all chose the first of several equal engines. Change: src/capacity replaces the slowdown of server_health and service_loads. A sample of an engine is the time of the prompt alone, from the end of the one before. A plain server that exceeds the time-out of a try gives a sample; errors give none. Engines within 5% or 5 ms of the best, on a path that costs no more, are chosen at random. learnsServerSpeeds of createGateway and the variable ANVILSTACK_SERVER_SPEEDS=off switch it off. Log line 'server capacity changed', a counter of changes and a gauge of time factors.

--- a/src/gateway/exchange_router.ts
+++ b/src/gateway/exchange_router.ts
@@ -13,14 +13,12 @@
 } from './request_task';
 import {chooseService} from './route_table';
 import {runServiceFlow} from './service_flow';
-import type {ServiceLoads} from './service_loads';
 import {runStreamFlow} from './stream_flow';
 import {RequestKind, type Route} from './types';
 
 /** Options of the router. */
 export interface ExchangeRouterOptions {
   readonly context: FlowContext;
-  readonly loads: ServiceLoads;
   readonly admission: CallerAdmission;
   readonly drain: Pick<Drain, 'mustRefuse'>;
   readonly logger: Logger;
@@ -40,7 +38,7 @@
 export function createExchangeRouter(
   options: ExchangeRouterOptions,
 ): ExchangeRouter {
-  const {context, loads, admission, drain, logger} = options;
+  const {context, admission, drain, logger} = options;
   const {state, protocol, clock, metrics} = context;
   const openTasks = new Set<RequestTask>();
   return {
@@ -107,7 +105,7 @@
     const engine = state.tryGetService(service)?.engine;
     const {model} = exchange.request;
     if (route.kind !== RequestKind.Stream || !engine || !model) {
-      runServiceFlow(context, loads, task);
+      runServiceFlow(context, task);
       return;
     }
     runStreamFlow(context, engine, model, task);
--- a/src/gateway/flow_context.ts
+++ b/src/gateway/flow_context.ts
@@ -1,5 +1,6 @@
 /** Dependencies of the request flows. */
 import type {RetryBudget} from '../routing/retry_budget';
+import type {ServerCapacities, ServiceTimes} from '../capacity';
 import type {Clock} from '../runtime/types';
 import type {Connections} from './connections';
 import type {CrashGuard} from './crash_guard';
@@ -33,6 +34,8 @@
   readonly limits: ServerLimits;
   readonly crashGuard: CrashGuard;
   readonly speeds: EngineSpeedEstimator;
+  readonly capacities: ServerCapacities;
+  readonly serviceTimes: ServiceTimes;
   readonly prefillQueues: PrefillQueues;
   readonly prefixes: PrefixDirectory;
   readonly affinity: EngineAffinity;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,4 +1,9 @@
 /** Assembles the components of a gateway process and starts and stops them in order. */
+import {
+  createServerCapacities,
+  createServiceTimes,
+  MAX_TOLD_SERVERS,
+} from '../capacity';
 import type {Logger} from '../diagnostics/log';
 import {type DutyClient, DutyKind} from '../duties';
 import type {Clock} from '../runtime/types';
@@ -20,7 +25,7 @@
 import {createPeerMessageHandler} from './peer_message_handler';
 import {createPeerReach} from './peer_reach';
 import {createPeers} from './peers';
-import {createPrefillQueues} from './prefill_queues';
+import {createPrefillQueues, type PrefillJob} from './prefill_queues';
 import {createPrefixDirectory} from './prefix_directory';
 import {createRetryShares} from './retry_shares';
 import {createHealthTracker} from './server_health';
@@ -28,7 +33,6 @@
 import {createServerNotices} from './server_notices';
 import {createServerPauses} from './server_pauses';
 import {createServerScaling} from './server_scaling';
-import {createServiceLoads} from './service_loads';
 import type {Address, GatewaySettings} from './settings';
 import {tryFetchSnapshot} from './snapshot_client';
 import {createStageControl} from './stage_control';
@@ -63,6 +67,8 @@
   /** Absent when the process makes no calls for duties. */
   readonly dutyClient?: DutyClient;
   readonly getRandom?: () => number;
+  /** False when all servers of a service are treated as equally fast; by default their speeds are learned. */
+  readonly learnsServerSpeeds?: boolean;
 }
 
 /** How long the load balancer may still open connections after SIGTERM, in milliseconds: two failed readiness checks and their interval. */
@@ -73,6 +79,10 @@
 const SHUTDOWN_MARGIN_MS = 500;
 /** Maximum age of the store's state with which stages are planned, in milliseconds. */
 const MAX_PLANNING_AGE_MS = 2_000;
+/** Shortest prefill whose end as predicted is a sample of the engine's speed, in milliseconds: the tolerance of 50 ms is a fifth of it. */
+const MIN_CONFIRMING_MS = 250;
+/** Maximum number of servers in the gauge of their speeds. */
+const MAX_GAUGE_SERVERS = 100;
 /** Reasons of failures that are reported to the other nodes: otherwise each of them would lose a request to find out. */
 const SHARED_FAILURE_REASONS = new Set(['connect', 'stalled']);
 
@@ -91,9 +101,18 @@
   const state = createFleetState();
   const pauses = createServerPauses(clock);
   const speeds = createEngineSpeedEstimator();
-  const prefillQueues = createPrefillQueues();
+  const capacities = createServerCapacities({
+    clock,
+    logger,
+    getServiceFactor: service => {
+      const isEngine = state.tryGetService(service)?.engine !== undefined;
+      return isEngine ? speeds.getPrefillFactor(service) : 1;
+    },
+    onChanged: metrics.recordCapacityChange,
+    isEnabled: options.learnsServerSpeeds ?? true,
+  });
+  const prefillQueues = createPrefillQueues(recordAssumedEnd);
   const streams = createStreamCounts();
-  const loads = createServiceLoads();
   const peers = createPeers({
     self,
     logger,
@@ -101,6 +120,7 @@
     getRandom,
     onMessage: message => messageHandler.handle(message),
   });
+  const serviceTimes = createServiceTimes({clock, countPeers: peers.count});
   const reach = createPeerReach({
     nodeName: self.name,
     clock,
@@ -166,6 +186,7 @@
     clock,
     logger,
     speeds,
+    capacities,
     fetchSnapshot: loadSnapshot,
     listQuarantine: crashGuard.listEntries,
     getRandom,
@@ -238,6 +259,8 @@
     limits,
     crashGuard,
     speeds,
+    capacities,
+    serviceTimes,
     prefillQueues,
     prefixes,
     affinity: createEngineAffinity(),
@@ -271,6 +294,7 @@
     scaling,
     demand,
     speeds,
+    capacities,
     prefillQueues,
     prefixes,
     streams,
@@ -285,7 +309,6 @@
   });
   const router = createExchangeRouter({
     context,
-    loads,
     admission: createCallerAdmission({
       state,
       bounds: settings.bounds,
@@ -310,6 +333,7 @@
       ...follower.getSnapshot(),
       nodes: [self, ...peers.list()],
       speeds: speeds.listEstimates(),
+      serverFactors: capacities.listFactors(MAX_TOLD_SERVERS),
       quarantine: crashGuard.listEntries(),
     }),
     renderMetrics: metrics.render,
@@ -393,6 +417,7 @@
       if (snapshot === undefined) continue;
       messageHandler.addNodes(snapshot.nodes ?? []);
       speeds.addEstimates(snapshot.speeds ?? []);
+      capacities.addFactors(snapshot.serverFactors);
       crashGuard.mergeEntries(snapshot.quarantine ?? []);
       return snapshot;
     }
@@ -417,13 +442,26 @@
       prefillQueues.removeServer(id);
       streams.removeServer(id);
       health.remove(id);
-      loads.remove(id);
+      capacities.remove(id);
+      serviceTimes.remove(id);
     }
     const listedIds = new Set(state.listEntries().map(entry => entry.id));
     connections.retainOnly(listedIds);
     limits.retainOnly(listedIds);
   }
 
+  /** Another node's prefill ended at its predicted time, so the factor of the prediction is a sample. */
+  function recordAssumedEnd({
+    serverId,
+    endsInMs = 0,
+    factor,
+  }: PrefillJob): void {
+    const server = state.tryGetUsable(serverId);
+    if (server === undefined || endsInMs < MIN_CONFIRMING_MS) return;
+    const ratio = factor ?? speeds.getPrefillFactor(server.service);
+    capacities.recordSample(server, {ratio, load: 0});
+  }
+
   function getKvTokens(serverId: string): number {
     const entry = state.tryGetUsable(serverId);
     const service =
@@ -431,7 +469,25 @@
     return service?.engine?.kvTokens ?? 0;
   }
 
+  /** Returns the learned time factors for the metrics. */
+  function listTimeFactors() {
+    return state
+      .listEntries()
+      .map(entry => ({entry, estimate: capacities.getEstimate(entry)}))
+      .filter(({estimate}) => estimate.isKnown)
+      .slice(0, MAX_GAUGE_SERVERS)
+      .map(({entry, estimate}) => ({
+        labels: {serverId: entry.id},
+        value: estimate.relativeFactor,
+      }));
+  }
+
   function addGauges(): void {
+    metrics.addGauge(
+      'anvilstack_gateway_server_time_factor',
+      'Learned time of a server relative to its service; below 1 is faster. At most 100 servers.',
+      listTimeFactors,
+    );
     metrics.addGauge(
       'anvilstack_gateway_state_age_ms',
       'Age of the store state that this node has.',
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -23,6 +23,8 @@
   recordInvalidAnswer(service: string): void;
   /** Records whether a request was admitted, with or without a client account, or why not. */
   recordAuthentication(outcome: string): void;
+  /** Records that the learned speed or capacity of a server has changed. */
+  recordCapacityChange(service: string): void;
   /** Adds a gauge whose value is read when the metrics are rendered. */
   addGauge(name: string, help: string, read: GaugeSpec['read']): void;
   render(): string;
@@ -71,6 +73,10 @@
     name: 'anvilstack_gateway_authentications_total',
     help: 'Requests by the outcome of their authentication: admitted for an account or without one, or the reason of the refusal.',
   });
+  const capacityChanges = metrics.addCounter({
+    name: 'anvilstack_gateway_server_capacity_changes_total',
+    help: 'Changes of the learned speed of a server by more than a fifth, by service.',
+  });
   return {
     recordEnd: (route, outcome, elapsedMs) => {
       requests.add(1, {kind: route.kind, rank: String(route.rank), outcome});
@@ -87,6 +93,7 @@
     recordServerOrder: outcome => serverOrders.add(1, {outcome}),
     recordInvalidAnswer: service => invalidAnswers.add(1, {service}),
     recordAuthentication: outcome => authentications.add(1, {outcome}),
+    recordCapacityChange: service => capacityChanges.add(1, {service}),
     addGauge: (name, help, read) => metrics.addGauge({name, help, read}),
     render: metrics.render,
   };
--- a/src/gateway/peer_message_handler.ts
+++ b/src/gateway/peer_message_handler.ts
@@ -1,4 +1,5 @@
 /** Registers this node with the others and handles their messages. */
+import type {ServerCapacities} from '../capacity';
 import type {Logger} from '../diagnostics/log';
 import type {Clock} from '../runtime/types';
 import type {CrashGuard} from './crash_guard';
@@ -47,6 +48,7 @@
   readonly scaling: Pick<ServerScaling, 'handle'>;
   readonly demand: FleetDemand;
   readonly speeds: EngineSpeedEstimator;
+  readonly capacities: ServerCapacities;
   readonly prefillQueues: PrefillQueues;
   readonly prefixes: PrefixDirectory;
   readonly streams: StreamCounts;
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -1,4 +1,5 @@
 /** Messages between nodes. They are small datagrams; a lost one is repeated or replaced by a later one. */
+import type {ToldFactor} from '../capacity';
 import type {StageDemand} from '../planning/stage_demand';
 import type {OrderedServers} from '../scaling';
 import type {CrashReport} from './crash_evidence';
@@ -32,6 +33,8 @@
   readonly graceMs: number;
   /** Speeds of the engines, as measured by the sender. */
   readonly speeds?: readonly SpeedEstimates[];
+  /** Some of the servers that differ from their service, as measured by the sender. */
+  readonly serverFactors?: readonly ToldFactor[];
   /** Prompt parts that are kept away from engines. */
   readonly quarantine?: readonly QuarantineEntry[];
 }
@@ -46,6 +49,8 @@
   readonly parts: readonly PromptPart[];
   /** Predicted time until the prefill ends, in milliseconds; the receiver assumes this end unless notified otherwise. Absent when the sender always announces the end. */
   readonly endsInMs?: number;
+  /** Ratio of predicted to nominal time, with `endsInMs`; absent when it is the service's. */
+  readonly factor?: number;
 }
 
 /** A prefill has not ended yet although its predicted end has passed; a `read` message follows. */
@@ -60,6 +65,10 @@
   /** Nominal time, by the speeds stated in the deployments' data sheets, in milliseconds. */
   readonly sheetMs: number;
   readonly observedMs: number;
+  /** Ratio of the observed to the nominal time of the prefill without its wait; absent for short ones. */
+  readonly ratio?: number;
+  /** Prompts in the engine's queue as a fraction of its slots; absent when few. */
+  readonly load?: number;
 }
 
 /** The prefill of a prompt has ended, or was abandoned. */
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -2,6 +2,7 @@
  * Chooses engines for model requests: first the prefill engine that is
  * predicted to finish the prompt earliest, then a decode engine close to it.
  */
+import {tryChooseNearBest} from '../capacity';
 import {collectBy} from '../runtime/collect_by';
 import {computeTransferMs, DECODE_PREFILL_FACTOR} from './engine_costs';
 import type {EngineAffinity} from './engine_affinity';
@@ -25,6 +26,10 @@
   readonly prefillMs: number;
   /** Leading tokens of the prompt that the engine is expected to have cached. */
   readonly cachedTokens: number;
+  /** The engine's predicted time relative to that of its service. */
+  readonly timeFactor: number;
+  /** Prompts in the engine's queue, as a fraction of its slots. */
+  readonly load: number;
 }
 
 /** Inputs to the choice of a prefill engine. */
@@ -46,8 +51,9 @@
     promptTokens: number,
     cachedTokens: number,
   ) => number;
-  /** Ratio of a server's observed to its predicted processing time; 1 when unknown. */
-  readonly getSlowdown: (serverId: string) => number;
+  /** Predicted time of an engine at a load, relative to that of its service; the load is a fraction of its slots. */
+  readonly getTimeFactor: (server: BackendEntry, load: number) => number;
+  readonly getRandom: () => number;
   /** Estimated number of streams that a decode engine runs. */
   readonly countStreams: (serverId: string) => number;
   /** How long a stream that comes now waits for a slot of the engine, in milliseconds. */
@@ -63,6 +69,8 @@
   readonly placement: PrefillPlacement;
   /** Predicted end of the prefill plus its cost to other requests, in milliseconds; lower is better. */
   readonly score: number;
+  /** Part of the score that the network path causes, in milliseconds. */
+  readonly pathMs: number;
 }
 
 /** Inputs to the choice of a decode engine. */
@@ -125,7 +133,6 @@
   input: PlacementInput,
   stage: EngineStage,
 ): ScoredPlacement | undefined {
-  let best: ScoredPlacement | undefined;
   const engines = input.engines.filter(
     server =>
       server.stage === stage &&
@@ -133,16 +140,17 @@
   );
   const shared = listSharedParts(input.request);
   const homeId = tryFindHome(input, shared, engines);
-  for (const server of engines) {
+  const candidates = engines.map((server): ScoredPlacement => {
     const isHome = server.id === homeId;
     const placement = predictPlacement(input, shared, server, isHome);
+    const pathMs = computePathMs(server, input.path, input.bodyBytes);
     const score =
-      computeScore(input, shared, placement) -
+      computeScore(input, shared, placement) +
+      pathMs -
       (isHome ? HOME_BONUS_FRACTION * placement.prefillMs : 0);
-    if (best !== undefined && score >= best.score) continue;
-    best = {placement, score};
-  }
-  return best;
+    return {placement, score, pathMs};
+  });
+  return tryChooseNearBest(candidates, input.getRandom);
 }
 
 /** Finds the home engine of the last shared part, unless the prefix directory lists an engine that has it cached. */
@@ -169,17 +177,23 @@
       : prefixes.getCachedTokens(server.id, shared);
   const isDirect = server.stage === EngineStage.Decode;
   const stageFactor = isDirect ? DECODE_PREFILL_FACTOR : 1;
-  const slowdown = input.getSlowdown(server.id) * stageFactor;
+  const load = prefillQueues.countJobs(server.id) / server.maxRunning;
+  const timeFactor = input.getTimeFactor(server, load);
   const waitMs = prefillQueues.getWaitMs(server.id, nowMs);
   return {
     server,
     waitMs: isDirect ? Math.max(waitMs, input.getSlotWaitMs(server)) : waitMs,
     prefillMs:
-      input.predictPrefillMs(request.promptTokens, cachedTokens) * slowdown,
+      input.predictPrefillMs(request.promptTokens, cachedTokens) *
+      timeFactor *
+      stageFactor,
     cachedTokens,
+    timeFactor,
+    load,
   };
 }
 
+/** Returns the score without the network path and the bonus of the home engine. */
 function computeScore(
   input: PlacementInput,
   shared: readonly PromptPart[],
@@ -196,14 +210,13 @@
   );
   const repeatMs =
     input.predictPrefillMs(recomputedTokens, 0) * RECOMPUTE_WEIGHT;
-  const pathMs = computePathMs(placement.server, input.path, input.bodyBytes);
   const delayMs =
     placement.server.stage === EngineStage.Decode
       ? placement.prefillMs *
         STREAM_DELAY_WEIGHT *
         input.countStreams(placement.server.id)
       : 0;
-  return placement.waitMs + placement.prefillMs + repeatMs + pathMs + delayMs;
+  return placement.waitMs + placement.prefillMs + repeatMs + delayMs;
 }
 
 /** Lists the parts of a prompt that other requests may share: all but the last. */
--- a/src/gateway/prefill_queues.ts
+++ b/src/gateway/prefill_queues.ts
@@ -8,6 +8,8 @@
   readonly costMs: number;
   /** Predicted time until the prefill ends, in milliseconds. The job then counts as ended unless reported otherwise. Absent when the end is always reported. */
   readonly endsInMs?: number;
+  /** Ratio of predicted to nominal time, with `endsInMs`; absent when it is the service's. */
+  readonly factor?: number;
 }
 
 /** Prefill queues by engine. */
@@ -19,6 +21,8 @@
   remove(jobId: string, nowMs: number): void;
   /** Returns how long a new job would wait, in milliseconds. Engines prefill in order of arrival. */
   getWaitMs(serverId: string, nowMs: number): number;
+  /** Returns when the engine began with the first job of its queue, as far as known: when the one before ended or, without one, when it was sent; undefined without a queue. */
+  tryGetHeadStartMs(serverId: string, nowMs: number): number | undefined;
   /** Returns the number of jobs in an engine's queue. */
   countJobs(serverId: string): number;
   /** Records that an engine rejected a job because its queue is full; called while the job is still counted here. */
@@ -31,6 +35,7 @@
 interface OpenJob extends PrefillJob {
   /** When the job is dropped although its end was not reported. */
   expiresAtMs: number;
+  isOverdue?: true;
 }
 
 interface EngineQueue {
@@ -54,8 +59,10 @@
 /** Multiple of the predicted time that a job may take before it is dropped. */
 const EXPIRY_FACTOR = 2;
 
-/** Creates queues without jobs. */
-export function createPrefillQueues(): PrefillQueues {
+/** Creates queues without jobs; `onAssumedEnd` is called for a job that ended at its predicted time, as nothing else was reported. */
+export function createPrefillQueues(
+  onAssumedEnd: (job: PrefillJob) => void = () => undefined,
+): PrefillQueues {
   const engines = new Map<string, EngineQueue>();
   const serverIdsByJob = new Map<string, string>();
   return {
@@ -63,6 +70,11 @@
     recordOverdue,
     remove,
     getWaitMs,
+    tryGetHeadStartMs: (serverId, nowMs) => {
+      const engine = engines.get(serverId);
+      if (engine !== undefined) expireJobs(engine, nowMs);
+      return engine?.headStartedAtMs;
+    },
     countJobs: serverId => engines.get(serverId)?.jobs.size ?? 0,
     recordFull,
     isFull,
@@ -90,6 +102,7 @@
     const job = tryFindEngine(jobId)?.jobs.get(jobId);
     if (job === undefined) return;
     job.expiresAtMs = nowMs + computeJobExpiryMs(job.costMs);
+    job.isOverdue = true;
   }
 
   function remove(jobId: string, nowMs: number): void {
@@ -141,6 +154,7 @@
       if (job.endsInMs === undefined) continue;
       const endedAtMs = job.expiresAtMs - UNREPORTED_END_SLACK_MS;
       engine.headStartedAtMs = Math.max(engine.headStartedAtMs, endedAtMs);
+      if (job.isOverdue !== true) onAssumedEnd(job);
     }
   }
 
--- a/src/gateway/server_health.ts
+++ b/src/gateway/server_health.ts
@@ -20,10 +20,8 @@
   recordResponse(serverId: string): void;
   /** True when a server has recently responded to any node. */
   hasRecentResponse(serverId: string): boolean;
-  /** Records a complete response and the ratio of its observed to its expected time. */
-  recordSuccess(serverId: string, ratio: number): void;
-  /** Returns the average ratio of observed to expected time of a server; 1 when unknown. */
-  getSlowdown(serverId: string): number;
+  /** Records a complete response. Slow servers are not ejected: placement gives them less. */
+  recordSuccess(serverId: string): void;
   remove(serverId: string): void;
 }
 
@@ -43,8 +41,8 @@
 const RAMP_MS = 2_000;
 /** Maximum age of a response that overrides another node's suspicion, in milliseconds. */
 const RECENT_RESPONSE_MS = 500;
-const MIN_SLOWDOWN = 0.5;
-const MAX_SLOWDOWN = 4;
+/** Ratio of observed to expected time with which no server is ejected as slow. */
+const EVEN_RATIO = 1;
 
 /** Creates a tracker without any servers. */
 export function createHealthTracker(
@@ -63,16 +61,11 @@
     recordSuspicion,
     recordResponse,
     hasRecentResponse,
-    recordSuccess: (serverId, ratio) => {
+    recordSuccess: serverId => {
       recordResponse(serverId);
-      const bounded = Math.min(MAX_SLOWDOWN, Math.max(MIN_SLOWDOWN, ratio));
-      ejector.recordSuccess(
-        getHealth(serverId),
-        bounded,
-        options.clock.getMonotonicMs(),
-      );
+      const nowMs = options.clock.getMonotonicMs();
+      ejector.recordSuccess(getHealth(serverId), EVEN_RATIO, nowMs);
     },
-    getSlowdown: serverId => servers.get(serverId)?.slowdown ?? 1,
     remove: serverId => {
       servers.delete(serverId);
       lastResponseMs.delete(serverId);
--- a/src/gateway/service_choice.ts
+++ b/src/gateway/service_choice.ts
@@ -6,7 +6,7 @@
 export interface ServiceLoad {
   /** Number of this node's requests that the server has not answered yet. */
   readonly openCount: number;
-  /** Moving average of its answer times, in milliseconds. */
+  /** Predicted answer time with one more request, in milliseconds. */
   readonly answerMs: number;
 }
 
@@ -16,14 +16,14 @@
 /** Returns the server with the lowest predicted time, or undefined when the list is empty. */
 export function tryChooseServer(
   servers: readonly BackendEntry[],
-  getLoad: (serverId: string) => ServiceLoad,
+  getLoad: (server: BackendEntry) => ServiceLoad,
   path: PathView,
   getRandom: () => number,
 ): BackendEntry | undefined {
   let best: BackendEntry | undefined;
   let bestScore = Number.POSITIVE_INFINITY;
   for (const server of servers) {
-    const {openCount, answerMs} = getLoad(server.id);
+    const {openCount, answerMs} = getLoad(server);
     const queueMs = (openCount * answerMs) / Math.max(1, server.maxRunning);
     const score =
       answerMs * (1 + RANDOM_FRACTION * getRandom()) +
--- a/src/gateway/service_flow.ts
+++ b/src/gateway/service_flow.ts
@@ -9,9 +9,8 @@
 import type {FlowContext} from './flow_context';
 import type {RequestTask} from './request_task';
 import {formatFailure, sendToServer} from './server_call';
-import {tryChooseServer} from './service_choice';
+import {type ServiceLoad, tryChooseServer} from './service_choice';
 import {tryGetRetryAfterMs} from './server_waits';
-import type {ServiceLoads} from './service_loads';
 import {type BackendEntry, type CallFailure, RequestKind} from './types';
 
 /** Minimum time left for an attempt on another server, in milliseconds. */
@@ -25,14 +24,13 @@
 
 /** Status 421: the server at the address is not the one that the request was meant for. */
 const STATUS_MISDIRECTED = 421;
+/** First status that is an error. */
+const STATUS_ERROR = 400;
 
 /** Serves one request to a plain service. */
-export function runServiceFlow(
-  context: FlowContext,
-  loads: ServiceLoads,
-  task: RequestTask,
-): void {
+export function runServiceFlow(context: FlowContext, task: RequestTask): void {
   const {exchange, route} = task;
+  const {capacities, serviceTimes} = context;
   const isStream = route.kind === RequestKind.Stream;
   const isIdempotent = route.kind === RequestKind.Idempotent;
   const tried = new Set<string>();
@@ -75,18 +73,33 @@
     const untried = servers.filter(server => !tried.has(server.id));
     return tryChooseServer(
       untried.length > 0 ? untried : servers,
-      loads.get,
+      getLoad,
       context.path,
       context.getRandom,
     );
   }
 
+  function getLoad(server: BackendEntry): ServiceLoad {
+    const answerMs = serviceTimes.getAnswerMs(task.service, route.name);
+    return {
+      openCount: serviceTimes.countOpen(server.id),
+      answerMs:
+        answerMs * capacities.getRelativeFactor(server, computeLoad(server)),
+    };
+  }
+
+  /** Returns the estimated requests of all nodes, this one included, as a fraction of the server's slots. */
+  function computeLoad({id, maxRunning}: BackendEntry): number {
+    return (serviceTimes.estimateFleetOpen(id) + 1) / Math.max(1, maxRunning);
+  }
+
   function send(server: BackendEntry): void {
     const sentAtMs = context.clock.getMonotonicMs();
+    const load = computeLoad(server);
     const remainingMs = task.getRemainingMs();
     tried.add(server.id);
     runCount++;
-    loads.recordStart(server.id);
+    serviceTimes.recordStart(server.id);
     task.log('sent to server', {serverId: server.id, runCount});
     const relay = createAnswerRelay({
       task,
@@ -94,7 +107,8 @@
       isEventStream: isStream,
       isErrorRetryable: () => isIdempotent && canRunAgain(),
       onEnd: status => {
-        recordTryEnd(context.clock.getMonotonicMs() - sentAtMs);
+        recordTryEnd();
+        recordAnswer(status);
         task.complete(status, server.id);
       },
       onFailure: failure => {
@@ -117,17 +131,34 @@
     };
     relay.attach(opened);
 
-    function recordTryEnd(answerMs?: number): void {
+    function recordTryEnd(): void {
       if (isTryOver) return;
       isTryOver = true;
       tryTimer?.cancel();
-      loads.recordEnd(server.id, answerMs);
-      if (answerMs !== undefined) context.health.recordSuccess(server.id, 1);
+      serviceTimes.recordEnd(server.id);
+    }
+
+    /** Errors are no samples: a server that fails fast is not fast. */
+    function recordAnswer(status: number): void {
+      context.health.recordSuccess(server.id);
+      if (status >= STATUS_ERROR) return;
+      const elapsedMs = recordTime();
+      serviceTimes.recordAnswer(task.service, route.name, elapsedMs);
+    }
+
+    /** Records the time up to now as a sample of the server's speed and returns it. */
+    function recordTime(): number {
+      const elapsedMs = context.clock.getMonotonicMs() - sentAtMs;
+      const usualMs = serviceTimes.getAnswerMs(task.service, route.name);
+      capacities.recordSample(server, {ratio: elapsedMs / usualMs, load});
+      return elapsedMs;
     }
 
     function handleTryTimeout(): void {
       if (task.isOver() || exchange.hasAnswerBegun() || !canRunAgain()) return;
       cancelTry();
+      // The answer takes at least this long; without this sample, a server that always takes longer would never be known as slow.
+      recordTime();
       const failure: CallFailure = {
         verdict: Verdict.MayHaveRun,
         reason: 'stalled',
--- a/src/gateway/snapshot.ts
+++ b/src/gateway/snapshot.ts
@@ -1,4 +1,5 @@
 /** The state of a node, for nodes that catch up, and the request for it. */
+import type {ToldFactor} from '../capacity';
 import type {SpeedEstimates} from './engine_speed_estimator';
 import type {QuarantineEntry} from './part_quarantine';
 import type {BackendEntry, GatewayConfig, NodeRecord} from './types';
@@ -16,6 +17,8 @@
   readonly nodes?: readonly NodeRecord[];
   /** Measured speeds of the engines, for a node that has not measured any. */
   readonly speeds?: readonly SpeedEstimates[];
+  /** Servers that differ from their service, as measured by the sender. */
+  readonly serverFactors?: readonly ToldFactor[];
   /** Prompt parts that are kept away from engines. */
   readonly quarantine?: readonly QuarantineEntry[];
 }
--- a/src/gateway/store_follower.ts
+++ b/src/gateway/store_follower.ts
@@ -3,6 +3,7 @@
  * the reader, polls the store and sends its state to the others; a node that
  * receives no recent state becomes a reader itself.
  */
+import type {ServerCapacities} from '../capacity';
 import type {Logger} from '../diagnostics/log';
 import type {Clock, Timer} from '../runtime/types';
 import type {EngineSpeedEstimator} from './engine_speed_estimator';
@@ -41,6 +42,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly speeds: Pick<EngineSpeedEstimator, 'listEstimates' | 'addEstimates'>;
+  readonly capacities: Pick<ServerCapacities, 'listFactors' | 'addFactors'>;
   readonly fetchSnapshot: CatchUpLoaderOptions['fetchSnapshot'];
   /** Lists the prompt parts that are kept away from engines, for the other nodes. */
   readonly listQuarantine: () => readonly QuarantineEntry[];
@@ -71,6 +73,9 @@
 /** Minimum time of failing calls that counts as an outage, in milliseconds. */
 const MIN_OUTAGE_MS = 1_000;
 
+/** Number of servers' factors in one state message: about 0.6 KB; they take turns. */
+const FACTORS_PER_MESSAGE = 16;
+
 /** Creates a follower. */
 export function createStoreFollower(
   options: StoreFollowerOptions,
@@ -233,10 +238,17 @@
       ageMs: nowMs - currentAsOfMs,
       graceMs: Math.max(0, graceUntilMs - nowMs),
       speeds: options.speeds.listEstimates(),
+      ...formatFactors(),
       quarantine: options.listQuarantine(),
     });
   }
 
+  /** Omits an empty list, so that messages about equal servers stay as short as before. */
+  function formatFactors(): Pick<StateMessage, 'serverFactors'> {
+    const serverFactors = options.capacities.listFactors(FACTORS_PER_MESSAGE);
+    return serverFactors.length === 0 ? {} : {serverFactors};
+  }
+
   function handleState(message: StateMessage): void {
     const nowMs = clock.getMonotonicMs();
     const isPreferredReader =
@@ -248,6 +260,7 @@
     readerCurrentAsOfMs = Math.max(readerCurrentAsOfMs, nowMs - message.ageMs);
     if (message.graceMs > 0) startGracePeriod(message.graceMs);
     options.speeds.addEstimates(message.speeds ?? []);
+    options.capacities.addFactors(message.serverFactors);
     const isSameList = records.addMessage(message, isReader);
     const isListBehind = !isReader && records.isListBehind();
     if (records.isConfigBehind() || isListBehind) {
--- a/src/gateway/stream_engines.ts
+++ b/src/gateway/stream_engines.ts
@@ -93,7 +93,8 @@
           promptTokens,
           cachedTokens,
         ),
-      getSlowdown: context.health.getSlowdown,
+      getTimeFactor: context.capacities.getRelativeFactor,
+      getRandom: context.getRandom,
       countStreams: serverId => context.streams.count(serverId, nowMs),
       getSlotWaitMs,
       handoffMs:
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -13,6 +13,7 @@
 import type {PrefillSample} from './peer_messages';
 import type {PrefillPlacement} from './placement';
 import {type PrefillCall, startPrefillCall} from './prefill_call';
+import {tryCreatePrefillSample} from './prefill_sample';
 import {createPromptGate} from './prompt_gate';
 import type {RequestTask} from './request_task';
 import {formatFailure} from './server_call';
@@ -41,12 +42,8 @@
 const MAX_PREFILL_TRIES = 3;
 /** Maximum number of decode attempts for one request, including those that an engine rejected. */
 const MAX_DECODE_TRIES = 3;
-/** Round trip to an engine, in milliseconds. */
-const ROUND_TRIP_MS = 5;
 /** Time-out of the call that frees a KV cache, in milliseconds: many round trips. */
 const RELEASE_TIMEOUT_MS = 500;
-/** Shortest prefill by nominal speeds that is used to measure an engine's speed, in milliseconds. */
-const MIN_SAMPLE_MS = 40;
 
 /** When a decode call was sent and its answer began, on the monotonic clock, in milliseconds. */
 interface DecodeTimes {
@@ -312,22 +309,23 @@
     failWithoutDecodeEngine();
   }
 
-  /** Compares the observed time of a prefill with its nominal time. Returns undefined for short prefills, which say little about the engine's speed. */
   function tryCreateSample(
     placement: PrefillPlacement,
     observedMs: number,
   ): PrefillSample | undefined {
     const {service} = task;
-    const factor =
-      health.getSlowdown(placement.server.id) *
-      context.speeds.getPrefillFactor(service);
-    const sheetMs = (placement.waitMs + placement.prefillMs) / factor;
-    if (sheetMs < MIN_SAMPLE_MS) return undefined;
-    return {
+    const nowMs = clock.getMonotonicMs();
+    const startMs = context.prefillQueues.tryGetHeadStartMs(
+      placement.server.id,
+      nowMs,
+    );
+    return tryCreatePrefillSample({
       service,
-      sheetMs,
-      observedMs: Math.max(0, observedMs - ROUND_TRIP_MS),
-    };
+      placement,
+      factor: placement.timeFactor * context.speeds.getPrefillFactor(service),
+      observedMs,
+      sinceStartMs: startMs === undefined ? undefined : nowMs - startMs,
+    });
   }
 
   /** Sends the request to a decode engine; `directPlacement` is present when the engine prefills the prompt itself. */
@@ -377,7 +375,7 @@
           route.name,
           clock.getMonotonicMs() - (headAtMs ?? sentAtMs),
         );
-        health.recordSuccess(server.id, 1);
+        health.recordSuccess(server.id);
         if (headAtMs !== undefined) {
           context.crashGuard.recordCompleted(server, model, isFramed);
         }
@@ -505,5 +503,6 @@
     waitMs: Math.round(placement.waitMs),
     readMs: Math.round(placement.prefillMs),
     cachedTokens: placement.cachedTokens,
+    timeFactor: Math.round(placement.timeFactor * 100) / 100,
   };
 }
--- a/src/gateway/stream_records.ts
+++ b/src/gateway/stream_records.ts
@@ -29,13 +29,16 @@
 
 /** Updates the measured speed of an engine and of its service from a prompt that the engine has prefilled. */
 export function recordPrefillSample(
-  trackers: Pick<FlowContext, 'health' | 'speeds'>,
+  trackers: Pick<FlowContext, 'health' | 'speeds' | 'capacities' | 'state'>,
   serverId: string,
   sample: PrefillSample,
 ): void {
-  const {service, sheetMs, observedMs} = sample;
-  const expectedMs = sheetMs * trackers.speeds.getPrefillFactor(service);
-  trackers.health.recordSuccess(serverId, observedMs / expectedMs);
+  const {service, sheetMs, observedMs, ratio, load = 0} = sample;
+  trackers.health.recordSuccess(serverId);
+  const server = trackers.state.tryGetUsable(serverId);
+  if (server !== undefined && ratio !== undefined) {
+    trackers.capacities.recordSample(server, {ratio, load});
+  }
   trackers.speeds.recordPrefill(service, sheetMs, observedMs);
 }
 
@@ -78,10 +81,18 @@
       costMs: Math.round(placement.prefillMs),
       parts: listSharedParts(model),
       ...(isLargeFleet ? {endsInMs: Math.round(endsInMs)} : {}),
+      ...(isLargeFleet && placement.timeFactor !== 1
+        ? {factor: formatFactor(placement.timeFactor)}
+        : {}),
     });
     if (isLargeFleet && isAnnounced) scheduleOverdue(nowMs, endsInMs);
   }
 
+  function formatFactor(timeFactor: number): number {
+    const factor = timeFactor * context.speeds.getPrefillFactor(task.service);
+    return Math.round(factor * 100) / 100;
+  }
+
   /** Schedules a notification for the case that the prefill has not ended by its predicted end. */
   function scheduleOverdue(nowMs: number, endsInMs: number): void {
     assumedEndMs = nowMs + endsInMs;
--- a/src/gateway_process.ts
+++ b/src/gateway_process.ts
@@ -16,6 +16,8 @@
 const EXIT_FAILED = 1;
 const EXIT_BAD_SETTINGS = 2;
 const STDOUT_FD = 1;
+/** Environment variable that is `off` when all servers of a service are to be treated as equally fast. */
+const SERVER_SPEEDS_VARIABLE = 'ANVILSTACK_SERVER_SPEEDS';
 /** Time to write the last log lines, in milliseconds; it ends before the platform kills the process. */
 const LOG_DRAIN_MS = 400;
 
@@ -50,6 +52,7 @@
     protocol: createBackendProtocol(),
     clock: createSystemClock(),
     logger,
+    learnsServerSpeeds: process.env[SERVER_SPEEDS_VARIABLE] !== 'off',
   });
   // The handler stays: a repeated signal must not end a process that is being stopped.
   const isTerminated = new Promise(resolve => process.on('SIGTERM', resolve));
--- a/test/gateway/placement.test.ts
+++ b/test/gateway/placement.test.ts
@@ -10,7 +10,7 @@
 import {createPrefillQueues} from '../../src/gateway/prefill_queues';
 import {createPrefixDirectory} from '../../src/gateway/prefix_directory';
 import {createStreamCounts} from '../../src/gateway/stream_counts';
-import {EngineStage} from '../../src/gateway/types';
+import {type BackendEntry, EngineStage} from '../../src/gateway/types';
 import {createEntry, ENGINE_LIMITS} from './support';
 
 const ENGINES = ['p1', 'p2', 'p3', 'p4'].map(id =>
@@ -36,7 +36,8 @@
     path: PATH,
     isHomeCacheWarm: false,
     predictPrefillMs: computePrefillMs,
-    getSlowdown: () => 1,
+    getTimeFactor: () => 1,
+    getRandom: () => 0,
     countStreams: () => 0,
     getSlotWaitMs: () => 0,
     handoffMs: 20,
@@ -85,16 +86,38 @@
 });
 
 test('an engine with a slowdown is not chosen while a faster one is free', () => {
-  const getSlowdown = (id: string) => (id === 'p1' ? 1 : 1.4);
+  const getTimeFactor = ({id}: BackendEntry) => (id === 'p1' ? 1 : 1.4);
   const placement = tryChoosePrefill(
     createInput({
-      getSlowdown,
+      getTimeFactor,
       request: {...REQUEST, parts: REQUEST.parts.slice(1)},
     }),
   );
   assert.equal(placement?.server.id, 'p1');
 });
 
+test('at a load at which slow engines also get prompts, large ones go to the fast engine', () => {
+  const getTimeFactor = ({id}: BackendEntry) => (id === 'p4' ? 0.6 : 1.4);
+  const choose = (promptTokens: number) => {
+    const request = {promptTokens, maxOutputTokens: 1, parts: []};
+    const input = createInput({getTimeFactor, request});
+    input.prefillQueues.add({id: 'j', serverId: 'p4', costMs: 100}, 0);
+    return tryChoosePrefill(input)?.server.id;
+  };
+  assert.notEqual(choose(2_000), 'p4');
+  assert.equal(choose(40_000), 'p4');
+});
+
+test('nodes with the same view do not all choose the same engine', () => {
+  const request = {promptTokens: 9_000, maxOutputTokens: 1, parts: []};
+  const chosen = [0, 0.3, 0.6, 0.9].map(
+    random =>
+      tryChoosePrefill(createInput({request, getRandom: () => random}))?.server
+        .id,
+  );
+  assert.equal(new Set(chosen).size, ENGINES.length);
+});
+
 test('a decode engine in the domain of the prefill engine is preferred until it has many streams', () => {
   const engines = ['a', 'b'].map(domain =>
     createEntry({id: domain, failureDomain: domain, stage: EngineStage.Decode}),
@@ -208,6 +231,18 @@
   assert.equal(queues.countJobs('p1'), 0);
 });
 
+test('only a job that ended as predicted is reported as such: others say nothing about the engine', () => {
+  const ended: string[] = [];
+  const queues = createPrefillQueues(({id}) => ended.push(id));
+  const add = (id: string) =>
+    queues.add({id, serverId: 'p1', costMs: 100, endsInMs: 100}, 0);
+  ['as-predicted', 'overdue', 'removed'].forEach(add);
+  queues.recordOverdue('overdue', 150);
+  queues.remove('removed', 120);
+  queues.getWaitMs('p1', 5_000);
+  assert.deepEqual(ended, ['as-predicted']);
+});
+
 test('a job with a predicted end counts as ended then, unless it is reported overdue', () => {
   const queues = createPrefillQueues();
   queues.add({id: 'j', serverId: 'p1', costMs: 100, endsInMs: 100}, 0);
--- a/test/gateway/store_follower.test.ts
+++ b/test/gateway/store_follower.test.ts
@@ -53,6 +53,7 @@
     clock,
     logger: SILENT_LOGGER,
     speeds: createEngineSpeedEstimator(),
+    capacities: {listFactors: () => [], addFactors: () => undefined},
     fetchSnapshot: () => Promise.resolve(undefined),
     listQuarantine: () => [],
     getRandom: () => 0.5,
--- a/test/gateway/stream_records.test.ts
+++ b/test/gateway/stream_records.test.ts
@@ -9,6 +9,7 @@
 import {createStreamRecords} from '../../src/gateway/stream_records';
 import type {Route} from '../../src/gateway/types';
 import {createVirtualClock} from '../../src/runtime';
+import {tryCreatePrefillSample} from '../../src/gateway/prefill_sample';
 import {createEntry, ENGINE_LIMITS} from './support';
 
 const MODEL = {
@@ -45,7 +46,14 @@
     'job',
   );
   const server = createEntry({id: 'p1'});
-  records.recordPlaced({server, waitMs: 0, prefillMs, cachedTokens: 0});
+  records.recordPlaced({
+    server,
+    waitMs: 0,
+    prefillMs,
+    cachedTokens: 0,
+    timeFactor: 1,
+    load: 0,
+  });
   await clock.advance(actualMs);
   records.recordPrefilled('d1');
   await clock.advance(1_000);
@@ -81,3 +89,27 @@
   ]);
   assert.deepEqual(await listNotifications(105, 2, 2, 700), []);
 });
+
+test('the sample of an engine excludes the wait for other prompts, also for those that this node did not know', () => {
+  const placement = {
+    server: createEntry({id: 'p1'}),
+    waitMs: 300,
+    prefillMs: 140,
+    cachedTokens: 0,
+    timeFactor: 1.4,
+    load: 0,
+  };
+  const ended = {service: 'llm', placement, factor: 1.4};
+  const compute = (observedMs: number, sinceStartMs?: number) =>
+    tryCreatePrefillSample({...ended, observedMs, sinceStartMs});
+  assert.equal(compute(900, 140)?.ratio, 1.4);
+  // Sent to an idle engine: the round trip is no work of the engine.
+  assert.equal(compute(145, 145)?.ratio, 1.4);
+  assert.equal(compute(145)?.ratio, 1.4);
+  const short = {...placement, waitMs: 0, prefillMs: 70};
+  const sample = {...ended, placement: short, observedMs: 75};
+  assert.equal(
+    tryCreatePrefillSample({...sample, sinceStartMs: 75})?.ratio,
+    undefined,
+  );
+});
