Take fast engines for prefill and slow ones for decode

Cause: stages were planned without regard to the engines' speeds, though prefill gains by them and decode little. Change: engines that change to prefill are the fastest, those that change to decode the slowest. While no other change is needed and the prefill stage is used above half, a fast decode engine is exchanged against a slow prefill engine if their measured times differ by a factor of 1.5, one pair in 7.5 s at most. Factors are held until they change by 15%, so that noise does not restart the settling time. Without measured speeds the plan is unchanged. In the model of the stage control, three fast decode engines are exchanged within 24 s although the factors vary by 4%.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -239,6 +239,10 @@
     logger,
     countNodesBefore: peers.countLowerNames,
     tryGetLoad: demand.tryGetLoad,
+    tryGetTimeFactor: engine => {
+      const {isKnown, relativeFactor} = capacities.getEstimate(engine);
+      return isKnown ? relativeFactor : undefined;
+    },
     isStateCurrent,
     onOrder: (serverId, stage) =>
       peers.notify({kind: 'ordered', serverId, stage}),
--- a/src/gateway/stage_control.ts
+++ b/src/gateway/stage_control.ts
@@ -47,6 +47,8 @@
     service: string,
     engine: EngineLimits,
   ) => StageLoad | undefined;
+  /** Returns an engine's prefill time relative to its service's; undefined when it was not measured. */
+  readonly tryGetTimeFactor: (engine: BackendEntry) => number | undefined;
   readonly onOrder: (serverId: string, stage: EngineStage) => void;
 }
 
@@ -67,6 +69,10 @@
 const MIN_KEPT_ENGINES = 100;
 /** Utilization from which on a stage is busy where servers are ordered by the load: the number of servers is chosen for a utilization of 0.5 to 0.6. */
 const SCALED_BUSY_UTILIZATION = 0.65;
+/** Time after the latest order in which no engines are exchanged, in milliseconds: with the settling time, two engines in 7.5 s are out of service for 3 s. */
+const EXCHANGE_INTERVAL_MS = 5_000;
+/** Change of an engine's time factor that is taken into account: smaller ones would change the planned engines before the settling time is over. */
+const MIN_FACTOR_CHANGE = 1.15;
 /** Time-out for an engine's response, in milliseconds. */
 const ORDER_TIMEOUT_MS = 500;
 /** Time after which an order without visible effect is dropped, in milliseconds: the length of a stage change plus some heartbeats. */
@@ -83,18 +89,24 @@
   const plannedSinceMs = new Map<string, number>();
   /** The split that was last logged for each service. */
   const loggedSplits = new Map<string, string>();
+  /** Time factors with which the plan was made. */
+  const timeFactors = new Map<string, number>();
+  let lastOrderMs = Number.NEGATIVE_INFINITY;
   let isApplying = false;
   let pausedUntilMs = 0;
   let timer: Timer | undefined;
   return {
     start: checkPlan,
-    recordOrder: (serverId, stage) => {
-      orders.set(serverId, {stage, atMs: clock.getMonotonicMs()});
-    },
+    recordOrder,
     isChanging,
     stop: () => timer?.cancel(),
   };
 
+  function recordOrder(serverId: string, stage: EngineStage): void {
+    lastOrderMs = clock.getMonotonicMs();
+    orders.set(serverId, {stage, atMs: lastOrderMs});
+  }
+
   function checkPlan(): void {
     timer = clock.schedule(CHECK_INTERVAL_MS, checkPlan);
     if (isApplying || !options.isStateCurrent()) return;
@@ -149,12 +161,34 @@
       ...(isScaled ? {busyUtilization: SCALED_BUSY_UTILIZATION} : {}),
       maxMissingFraction: isStarting() ? 0 : SERVING_MAX_MISSING_FRACTION,
       tryGetLimitPerS: options.limits.tryGetLimitPerS,
+      tryGetTimeFactor,
+      canExchange: canExchange(),
       ...(load === undefined ? {} : {load}),
     });
     logSplit(service, plan);
     return plan;
   }
 
+  /** Returns the factor that was last planned with unless it has changed much since. */
+  function tryGetTimeFactor(engine: BackendEntry): number | undefined {
+    const current = options.tryGetTimeFactor(engine);
+    if (current === undefined) {
+      timeFactors.delete(engine.id);
+      return undefined;
+    }
+    const known = timeFactors.get(engine.id) ?? 0;
+    const isClose =
+      Math.max(current / known, known / current) < MIN_FACTOR_CHANGE;
+    if (isClose) return known;
+    timeFactors.set(engine.id, current);
+    return current;
+  }
+
+  function canExchange(): boolean {
+    const sinceMs = clock.getMonotonicMs() - lastOrderMs;
+    return !isStarting() && orders.size === 0 && sinceMs > EXCHANGE_INTERVAL_MS;
+  }
+
   /** Logs the planned split when it or its cause has changed. */
   function logSplit(service: string, {split, limitedCount}: StagePlan): void {
     if (split === undefined) return;
@@ -242,7 +276,7 @@
       );
       return;
     }
-    orders.set(server.id, {stage, atMs: clock.getMonotonicMs()});
+    recordOrder(server.id, stage);
     options.onOrder(server.id, stage);
     const answer = await sendControlCall(
       options.connections,
--- a/src/gateway/stage_plan.ts
+++ b/src/gateway/stage_plan.ts
@@ -5,6 +5,7 @@
   type StageLoad,
 } from '../planning/stage_split';
 import {createCapacityModel} from './stage_capacity';
+import {planExchange} from './stage_exchange';
 import {type BackendEntry, EngineStage} from './types';
 
 /** An engine that should change to another stage. */
@@ -44,6 +45,10 @@
   readonly busyUtilization?: number;
   /** Returns the limit that an engine states, in requests per second; undefined when there is none. */
   readonly tryGetLimitPerS?: (engine: BackendEntry) => number | undefined;
+  /** Returns an engine's prefill time relative to its service's; undefined when it was not measured. */
+  readonly tryGetTimeFactor?: (engine: BackendEntry) => number | undefined;
+  /** True when a fast decode engine may be exchanged against a slow prefill engine while no other change is needed. */
+  readonly canExchange?: boolean;
 }
 
 /**
@@ -118,12 +123,21 @@
     (wantedDecode === defaultDecode &&
       isTolerated(surplus, wantedDecode, decode, prefill, options))
   ) {
-    return {...plan, changes: []};
+    return {...plan, changes: listExchange(decode, prefill, options)};
   }
   // Engines that have just started have nothing in their caches yet.
   const compare = options.keepsStages === true ? compareStarts : compareIds;
-  decode.sort(compare);
-  prefill.sort(compare);
+  const getTimeFactor = (engine: BackendEntry) =>
+    options.tryGetTimeFactor?.(engine) ?? 1;
+  // Prefill gains by the engines' speed, decode little.
+  decode.sort(
+    (left, right) =>
+      getTimeFactor(left) - getTimeFactor(right) || compare(left, right),
+  );
+  prefill.sort(
+    (left, right) =>
+      getTimeFactor(right) - getTimeFactor(left) || compare(left, right),
+  );
   const changes =
     surplus > 0
       ? chooseEngines(decode, surplus, isLimited).map(server => ({
@@ -136,6 +150,30 @@
   return {...plan, changes};
 }
 
+/** Returns the exchange of two engines when the wanted number of decode engines is there and none limits its requests. */
+function listExchange(
+  decode: readonly BackendEntry[],
+  prefill: readonly BackendEntry[],
+  options: StagePlanOptions,
+): StageChange[] {
+  const {load, tryGetTimeFactor, tryGetLimitPerS, canExchange} = options;
+  const isPossible =
+    canExchange === true &&
+    load !== undefined &&
+    tryGetTimeFactor !== undefined &&
+    decode.length >= MIN_DECODE_ENGINES;
+  if (!isPossible) return [];
+  const isUnlimited = (engine: BackendEntry) =>
+    tryGetLimitPerS?.(engine) === undefined;
+  return planExchange({
+    decode: decode.filter(isUnlimited),
+    prefill: prefill.filter(isUnlimited),
+    busyPrefillEngines: load.prefillEngines,
+    tryGetTimeFactor,
+    minDecodePerDomain: MIN_KEPT_PER_DOMAIN,
+  });
+}
+
 /** Returns the minimum number of decode engines; it is higher when each engine has few slots. */
 function computeMinDecode(engines: readonly BackendEntry[]): number {
   const slots = Math.max(1, engines[0]?.maxRunning ?? 1);
--- a/test/gateway/stage_control.test.ts
+++ b/test/gateway/stage_control.test.ts
@@ -12,6 +12,7 @@
   type GatewayConfig,
   type StageOrder,
 } from '../../src/gateway/types';
+import type {StageLoad} from '../../src/planning/stage_split';
 import {createVirtualClock} from '../../src/runtime';
 import {
   createEntry,
@@ -33,7 +34,12 @@
 };
 
 /** Creates a stage control whose engines respond to each call immediately. */
-function createControl(nodesBefore = 0, config = CONFIG) {
+function createControl(
+  nodesBefore = 0,
+  config = CONFIG,
+  timeFactors: Readonly<Record<string, number>> = {},
+  load?: StageLoad,
+) {
   const clock = createVirtualClock();
   const state = createFleetState();
   const orders: Array<{serverId: string; atMs: number}> = [];
@@ -57,7 +63,8 @@
     nodeName: 'n1',
     pauses: createServerPauses(clock),
     limits: {canSend: () => true, tryGetLimitPerS: () => undefined},
-    tryGetLoad: () => undefined,
+    tryGetLoad: () => load,
+    tryGetTimeFactor: ({id}) => timeFactors[id],
     state,
     authority: {
       tryAcquire: async () => Ok({fencingNumber: 1, isValid: () => true}),
@@ -157,3 +164,35 @@
     control.stop();
   }
 });
+
+test('fast decode engines are exchanged against slow prefill engines one at a time, also when the factors vary', async () => {
+  const timeFactors: Record<string, number> = {};
+  const load = {prefillEngines: 6, decodeEngines: 1};
+  const {clock, control, addEngine, orders} = createControl(
+    0,
+    CONFIG,
+    timeFactors,
+    load,
+  );
+  addFleet(addEngine);
+  control.start();
+  await clock.advance(12_000);
+  assert.equal(orders.length, 0);
+  const startMs = clock.getMonotonicMs();
+  while (clock.getMonotonicMs() < startMs + 24_000) {
+    const noise = 1 + 0.04 * Math.sin(clock.getMonotonicMs());
+    for (let index = 0; index < 9; index++)
+      timeFactors[`p${index}`] = 1.4 * noise;
+    for (const id of ['d0', 'd1', 'd2']) timeFactors[id] = 0.6 / noise;
+    await clock.advance(250);
+    for (const {serverId, atMs} of orders) {
+      if (clock.getMonotonicMs() - atMs < 3_000) continue;
+      const isFast = serverId.startsWith('d');
+      addEngine(serverId, isFast ? EngineStage.Prefill : EngineStage.Decode);
+    }
+  }
+  assert.equal(orders.length, 6);
+  const times = [...new Set(orders.map(({atMs}) => atMs))];
+  assert.ok(times.length === 3 && times[1] - times[0] >= 7_000);
+  control.stop();
+});
--- a/test/gateway/stages.test.ts
+++ b/test/gateway/stages.test.ts
@@ -164,6 +164,47 @@
   assert.ok(scaled.changes.length > 0);
 });
 
+test('fast engines change to prefill and slow ones to decode', () => {
+  const tryGetTimeFactor = ({id}: {id: string}) =>
+    ['e3', 'e12'].includes(id) ? 1.4 : ['e0', 'e5'].includes(id) ? 0.6 : 1;
+  const more = planStages(createEngines(5, 8), {tryGetTimeFactor});
+  const kept = planStages(createEngines(12, 1), {tryGetTimeFactor});
+  const listIds = ({changes}: typeof more) =>
+    changes.map(item => item.server.id);
+  assert.ok(listIds(more).includes('e5') && !listIds(more).includes('e12'));
+  assert.ok(listIds(kept).includes('e3') && !listIds(kept).includes('e0'));
+});
+
+test('an exchange needs a difference of a half, a prefill stage used above half and decode engines that stay in each domain', () => {
+  const load = {prefillEngines: 6, decodeEngines: 1};
+  const plan = (fastFactor: number | undefined, options = {}) =>
+    planStages(createEngines(10, 3), {
+      load,
+      canExchange: true,
+      tryGetTimeFactor: ({stage}) =>
+        stage === EngineStage.Decode ? fastFactor : 1,
+      ...options,
+    }).changes.map(({server, stage}) => `${server.failureDomain} ${stage}`);
+  const [first, second] = plan(0.6);
+  assert.match(first, /prefill$/);
+  assert.equal(second, first.replace('prefill', 'decode'));
+  assert.deepEqual(plan(0.7), []);
+  assert.deepEqual(plan(undefined), []);
+  assert.deepEqual(plan(0.6, {canExchange: false}), []);
+  const idle = {load: {...load, prefillEngines: 4}};
+  assert.deepEqual(plan(0.6, idle), []);
+  // Slow prefill engines are in another domain than the only decode engine of its own.
+  const apart = ({id, stage}: {id: string; stage?: EngineStage}) =>
+    stage === EngineStage.Decode
+      ? id === 'e10'
+        ? 0.6
+        : undefined
+      : id === 'e0'
+        ? 1
+        : undefined;
+  assert.deepEqual(plan(0.6, {tryGetTimeFactor: apart}), []);
+});
+
 test('too few engines cause no changes', () => {
   assert.equal(planStages([]).changes.length, 0);
   assert.equal(planStages(createEngines(1, 0)).changes.length, 0);
