--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,4 +1,9 @@
 /** Assembles the components of a gateway process and starts and stops them in order. */
+import {
+  createServerCapacities,
+  createServiceTimes,
+  MAX_TOLD_SERVERS,
+} from '../capacity';
 import type {Logger} from '../diagnostics/log';
 import {createAuthority, DutyKind} from '../duties';
 import type {Clock} from '../runtime/types';
@@ -21,7 +26,7 @@
 import {createPeerMessageHandler} from './peer_message_handler';
 import {createPeerReach} from './peer_reach';
 import {createPeers} from './peers';
-import {createPrefillQueues} from './prefill_queues';
+import {createPrefillQueues, type PrefillJob} from './prefill_queues';
 import {createPrefixDirectory} from './prefix_directory';
 import {createRetryShares} from './retry_shares';
 import {createHealthTracker} from './server_health';
@@ -29,7 +34,6 @@
 import {createServerNotices} from './server_notices';
 import {createServerPauses} from './server_pauses';
 import {createServerScaling} from './server_scaling';
-import {createServiceLoads} from './service_loads';
 import type {Address, GatewaySettings} from './settings';
 import {loadSnapshotFrom} from './snapshot_client';
 import {createSnapshotSource} from './snapshot_source';
@@ -65,6 +69,8 @@
   readonly getRandom?: () => number;
   /** The platform's interface for duties; used where the settings name duties. */
   readonly duties?: DutyPlatform;
+  /** False when all servers of a service are treated as equally fast; by default their speeds are learned. */
+  readonly learnsServerSpeeds?: boolean;
 }
 
 /** How long the load balancer may still open connections after SIGTERM, in milliseconds: two failed readiness checks and their interval. */
@@ -80,6 +86,10 @@
 /** Longest delay of the registration when the store gives no state, in milliseconds: other nodes may have it. */
 const MAX_REGISTER_DELAY_MS = 300;
 const REGISTER_CHECK_MS = 10;
+/** Shortest prefill whose end as predicted is a sample of the engine's speed, in milliseconds: the tolerance of 50 ms is a fifth of it. */
+const MIN_CONFIRMING_MS = 250;
+/** Maximum number of servers in the gauge of their speeds. */
+const MAX_GAUGE_SERVERS = 100;
 /** Reasons of failures that are reported to the other nodes: otherwise each of them would lose a request to find out. */
 const SHARED_FAILURE_REASONS = new Set(['connect', 'stalled']);
 
@@ -99,9 +109,18 @@
   const state = createFleetState();
   const pauses = createServerPauses(clock);
   const speeds = createEngineSpeedEstimator();
-  const prefillQueues = createPrefillQueues();
+  const capacities = createServerCapacities({
+    clock,
+    logger,
+    getServiceFactor: service => {
+      const isEngine = state.tryGetService(service)?.engine !== undefined;
+      return isEngine ? speeds.getPrefillFactor(service) : 1;
+    },
+    onChanged: metrics.recordCapacityChange,
+    isEnabled: options.learnsServerSpeeds ?? true,
+  });
+  const prefillQueues = createPrefillQueues(recordAssumedEnd);
   const streams = createStreamCounts();
-  const loads = createServiceLoads();
   const peers = createPeers({
     self,
     logger,
@@ -115,6 +134,7 @@
     getRandom,
     fetch: loadSnapshotFrom,
   });
+  const serviceTimes = createServiceTimes({clock, countPeers: peers.count});
   const reach = createPeerReach({
     nodeName: self.name,
     clock,
@@ -190,6 +210,7 @@
     clock,
     logger,
     speeds,
+    capacities,
     fetchSnapshot: loadSnapshot,
     listQuarantine: crashGuard.listEntries,
     getRandom,
@@ -256,6 +277,10 @@
     logger,
     countNodesBefore: peers.countLowerNames,
     tryGetLoad: demand.tryGetLoad,
+    tryGetTimeFactor: engine => {
+      const {isKnown, relativeFactor} = capacities.getEstimate(engine);
+      return isKnown ? relativeFactor : undefined;
+    },
     isStateCurrent,
     onOrder: (serverId, stage) =>
       peers.notify({kind: 'ordered', serverId, stage}),
@@ -277,6 +302,8 @@
     limits,
     crashGuard,
     speeds,
+    capacities,
+    serviceTimes,
     prefillQueues,
     prefixes,
     affinity: createEngineAffinity(),
@@ -312,6 +339,7 @@
     scaling,
     demand,
     speeds,
+    capacities,
     prefillQueues,
     prefixes,
     streams,
@@ -328,7 +356,6 @@
   });
   const router = createExchangeRouter({
     context,
-    loads,
     admission: createCallerAdmission({
       state,
       bounds: settings.bounds,
@@ -354,6 +381,7 @@
       ...follower.getSnapshot(),
       nodes: [self, ...peers.list()],
       speeds: speeds.listEstimates(),
+      serverFactors: capacities.listFactors(MAX_TOLD_SERVERS),
       quarantine: crashGuard.listEntries(),
     }),
     renderMetrics: metrics.render,
@@ -449,6 +477,7 @@
     if (snapshot === undefined) return undefined;
     messageHandler.addNodes(snapshot.nodes ?? []);
     speeds.addEstimates(snapshot.speeds ?? []);
+    capacities.addFactors(snapshot.serverFactors);
     crashGuard.mergeEntries(snapshot.quarantine ?? []);
     return snapshot;
   }
@@ -479,13 +508,26 @@
       streams.removeServer(id);
       health.remove(id);
       liveness.remove(id);
-      loads.remove(id);
+      capacities.remove(id);
+      serviceTimes.remove(id);
     }
     const listedIds = new Set(state.listEntries().map(entry => entry.id));
     connections.retainOnly(listedIds);
     limits.retainOnly(listedIds);
   }
 
+  /** Another node's prefill ended at its predicted time, so the factor of the prediction is a sample. */
+  function recordAssumedEnd({
+    serverId,
+    endsInMs = 0,
+    factor,
+  }: PrefillJob): void {
+    const server = state.tryGetUsable(serverId);
+    if (server === undefined || endsInMs < MIN_CONFIRMING_MS) return;
+    const ratio = factor ?? speeds.getPrefillFactor(server.service);
+    capacities.recordSample(server, {ratio, load: 0});
+  }
+
   function getKvTokens(serverId: string): number {
     const entry = state.tryGetUsable(serverId);
     const service =
@@ -493,7 +535,25 @@
     return service?.engine?.kvTokens ?? 0;
   }
 
+  /** Returns the learned time factors for the metrics. */
+  function listTimeFactors() {
+    return state
+      .listEntries()
+      .map(entry => ({entry, estimate: capacities.getEstimate(entry)}))
+      .filter(({estimate}) => estimate.isKnown)
+      .slice(0, MAX_GAUGE_SERVERS)
+      .map(({entry, estimate}) => ({
+        labels: {serverId: entry.id},
+        value: estimate.relativeFactor,
+      }));
+  }
+
   function addGauges(): void {
+    metrics.addGauge(
+      'anvilstack_gateway_server_time_factor',
+      'Learned time of a server relative to its service; below 1 is faster. At most 100 servers.',
+      listTimeFactors,
+    );
     metrics.addGauge(
       'anvilstack_gateway_state_age_ms',
       'Age of the store state that this node has.',
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -29,6 +29,8 @@
   recordEraRise(): void;
   /** Records that an engine whose answer is late was asked for its report. */
   recordLivenessCheck(outcome: string): void;
+  /** Records that the learned speed or capacity of a server has changed. */
+  recordCapacityChange(service: string): void;
   /** Adds a gauge whose value is read when the metrics are rendered. */
   addGauge(name: string, help: string, read: GaugeSpec['read']): void;
   render(): string;
@@ -89,6 +91,10 @@
     name: 'anvilstack_gateway_liveness_checks_total',
     help: 'Checks of engines whose answer is late, by outcome.',
   });
+  const capacityChanges = metrics.addCounter({
+    name: 'anvilstack_gateway_server_capacity_changes_total',
+    help: 'Changes of the learned speed of a server by more than a fifth, by service.',
+  });
   return {
     recordEraRise: () => eraRises.add(1, {}),
     recordEnd: (route, outcome, elapsedMs) => {
@@ -108,6 +114,7 @@
     recordAuthentication: outcome => authentications.add(1, {outcome}),
     recordUsageWindow: outcome => usageWindows.add(1, {outcome}),
     recordLivenessCheck: outcome => livenessChecks.add(1, {outcome}),
+    recordCapacityChange: service => capacityChanges.add(1, {service}),
     addGauge: (name, help, read) => metrics.addGauge({name, help, read}),
     render: metrics.render,
   };
--- a/src/gateway/prefill_queues.ts
+++ b/src/gateway/prefill_queues.ts
@@ -8,6 +8,8 @@
   readonly costMs: number;
   /** Predicted time until the prefill ends, in milliseconds. The job then counts as ended unless reported otherwise. Absent when the end is always reported. */
   readonly endsInMs?: number;
+  /** Ratio of predicted to nominal time, with `endsInMs`; absent when it is the service's. */
+  readonly factor?: number;
 }
 
 /** Prefill queues by engine. */
@@ -21,6 +23,8 @@
   remove(jobId: string, nowMs: number): void;
   /** Returns how long a new job would wait, in milliseconds. Engines prefill in order of arrival. */
   getWaitMs(serverId: string, nowMs: number): number;
+  /** Returns when the engine began with the job that ends now, as far as known: when the one before ended or was predicted to end or, without one, when it was sent; undefined without a queue. */
+  tryGetLastStartMs(serverId: string, nowMs: number): number | undefined;
   /** Returns the number of jobs in an engine's queue. */
   countJobs(serverId: string): number;
   /** Records that an engine rejected a job because its queue is full; called while the job is still counted here. */
@@ -33,6 +37,7 @@
 interface OpenJob extends PrefillJob {
   /** When the job is dropped although its end was not reported. */
   expiresAtMs: number;
+  isOverdue?: true;
 }
 
 interface EngineQueue {
@@ -60,8 +65,10 @@
 /** Multiple of the predicted time that a job may take before it is dropped. */
 const EXPIRY_FACTOR = 2;
 
-/** Creates queues without jobs. */
-export function createPrefillQueues(): PrefillQueues {
+/** Creates queues without jobs; `onAssumedEnd` is called for a job that ended at its predicted time, as nothing else was reported. */
+export function createPrefillQueues(
+  onAssumedEnd: (job: PrefillJob) => void = () => undefined,
+): PrefillQueues {
   const engines = new Map<string, EngineQueue>();
   const serverIdsByJob = new Map<string, string>();
   return {
@@ -70,6 +77,7 @@
     recordBacklog,
     remove,
     getWaitMs,
+    tryGetLastStartMs,
     countJobs: serverId => engines.get(serverId)?.jobs.size ?? 0,
     recordFull,
     isFull,
@@ -97,6 +105,7 @@
     const job = tryFindEngine(jobId)?.jobs.get(jobId);
     if (job === undefined) return;
     job.expiresAtMs = nowMs + computeJobExpiryMs(job.costMs);
+    job.isOverdue = true;
   }
 
   function recordBacklog(
@@ -142,6 +151,22 @@
     return Math.max(0, waitMs - progressMs, backlogMs);
   }
 
+  function tryGetLastStartMs(
+    serverId: string,
+    nowMs: number,
+  ): number | undefined {
+    const engine = engines.get(serverId);
+    if (engine === undefined) return undefined;
+    expireJobs(engine, nowMs);
+    let startMs = engine.headStartedAtMs;
+    for (const {endsInMs, isOverdue, expiresAtMs} of engine.jobs.values()) {
+      if (endsInMs === undefined || isOverdue === true) continue;
+      const endsAtMs = expiresAtMs - UNREPORTED_END_SLACK_MS;
+      if (endsAtMs < nowMs) startMs = Math.max(startMs, endsAtMs);
+    }
+    return startMs;
+  }
+
   function recordFull(serverId: string, nowMs: number): void {
     const engine = engines.get(serverId);
     if (engine === undefined) return;
@@ -165,6 +190,7 @@
       if (job.endsInMs === undefined) continue;
       const endedAtMs = job.expiresAtMs - UNREPORTED_END_SLACK_MS;
       engine.headStartedAtMs = Math.max(engine.headStartedAtMs, endedAtMs);
+      if (job.isOverdue !== true) onAssumedEnd(job);
     }
   }
 
--- a/src/gateway/stream_engines.ts
+++ b/src/gateway/stream_engines.ts
@@ -2,7 +2,7 @@
 import {computeTransferMs} from './engine_costs';
 import type {FlowContext} from './flow_context';
 import {
-  computeSlowdown,
+  getStageFactor,
   type PlacementInput,
   tryChooseDecode,
   tryChoosePrefill,
@@ -70,7 +70,8 @@
     getSlotWaitMs,
     predictUncachedMs: server =>
       context.speeds.predictPrefillMs(task.service, model.promptTokens, 0) *
-      computeSlowdown(server, context.health.getSlowdown),
+      context.capacities.getRelativeFactor(server, 0) *
+      getStageFactor(server),
     remove: serverId => {
       excluded.add(serverId);
     },
@@ -99,7 +100,8 @@
           promptTokens,
           cachedTokens,
         ),
-      getSlowdown: context.health.getSlowdown,
+      getTimeFactor: context.capacities.getRelativeFactor,
+      getRandom: context.getRandom,
       countStreams: serverId => context.streams.count(serverId, nowMs),
       getSlotWaitMs,
       handoffMs:
--- a/test/gateway/fleet_start_model.ts
+++ b/test/gateway/fleet_start_model.ts
@@ -130,6 +130,7 @@
       clock,
       logger: SILENT_LOGGER,
       speeds,
+      capacities: {listFactors: () => [], addFactors: () => undefined},
       fetchSnapshot: async (...request) => {
         const snapshot = await fetchSnapshot(...request);
         handler.addNodes(snapshot?.nodes ?? []);
