Aim at a lower utilization of ordered prefill engines, and switch new ones sooner

Change: prefill engines are aimed at a utilization of 0.4, so that a burst of twice the mean leaves them at 0.8; stage orders for scaled services are settled after 0.5 s.

--- a/src/gateway/stage_control.ts
+++ b/src/gateway/stage_control.ts
@@ -65,6 +65,8 @@
 const SERVING_MAX_MISSING_FRACTION = 0.4;
 /** How long a change must stay planned after start-up, in milliseconds: engines that start or crash do so one after another. */
 const SERVING_SETTLE_MS = 2_500;
+/** How long a change must stay planned where servers are ordered by the load, in milliseconds: new servers are ordered when they are needed, and all of them decode at first. */
+const SCALED_SETTLE_MS = 500;
 /** Number of engines of a service from which on they keep their stages unless the load requires a change: a fixed fraction would change over a hundred idle engines. Where servers are ordered by the load, there are few idle ones, and the new ones, which all decode, are needed for prefill. */
 const MIN_KEPT_ENGINES = 100;
 /** Utilization from which on a stage is busy where servers are ordered by the load: the number of servers is chosen for a utilization of 0.5 to 0.6. */
@@ -131,12 +133,12 @@
     for (const key of plannedSinceMs.keys()) {
       if (!keys.has(key)) plannedSinceMs.delete(key);
     }
-    const delayMs = getDelayMs();
+    const delayMs = getNodeDelayMs();
     return changes.filter(change => {
       const key = formatChange(change);
       const sinceMs = plannedSinceMs.get(key) ?? nowMs;
       plannedSinceMs.set(key, sinceMs);
-      return nowMs - sinceMs >= delayMs;
+      return nowMs - sinceMs >= getSettleMs(change.server) + delayMs;
     });
   }
 
@@ -212,12 +214,17 @@
     return clock.getMonotonicMs() - startedAtMs < STARTUP_MS;
   }
 
-  function getDelayMs(): number {
-    const nodeDelayMs = Math.min(
+  function getNodeDelayMs(): number {
+    return Math.min(
       MAX_NODE_DELAY_MS,
       NODE_DELAY_MS * options.countNodesBefore(),
     );
-    return (isStarting() ? STARTUP_SETTLE_MS : SERVING_SETTLE_MS) + nodeDelayMs;
+  }
+
+  function getSettleMs({service}: BackendEntry): number {
+    if (isStarting()) return STARTUP_SETTLE_MS;
+    const isScaled = state.tryGetService(service)?.scaling !== undefined;
+    return isScaled ? SCALED_SETTLE_MS : SERVING_SETTLE_MS;
   }
 
   async function applyChanges(
--- a/src/scaling/need_meter.ts
+++ b/src/scaling/need_meter.ts
@@ -15,8 +15,8 @@
 
 type Engines = Pick<ServerLoad, 'prefillEngines' | 'decodeEngines'>;
 
-/** Utilization of prefill engines that is aimed at: bursts of twice the mean come within seconds, and a server takes seconds to start. */
-const PREFILL_UTILIZATION = 0.5;
+/** Utilization of prefill engines that is aimed at: bursts of twice the mean come within seconds, and a server takes seconds to start and to change its stage. At 0.8, prompts still begin within their objectives. */
+const PREFILL_UTILIZATION = 0.4;
 /** Utilization of decode slots that is aimed at: a stream without a slot waits until another one ends. */
 const DECODE_UTILIZATION = 0.6;
 /** Utilization of both stages that is accepted after the loss of a failure domain's reclaimable servers, until they are replaced. */
