Read long ids of events in linear time

Cause: the boundary tracker appended each byte of an id line to a string and examined the string again, which is quadratic: an id line of 256 KiB took 10 s of processor time at once, and 32 bytes of memory per byte. Change: bytes of an id are joined in groups of 1,024.

--- a/src/gateway/event_splitter.ts
+++ b/src/gateway/event_splitter.ts
@@ -26,6 +26,10 @@
 const CR = 0x0d;
 const ID_FIELD = 'id:';
 const DATA_FIELD = 'data';
+/** Length at which it is known whether a line is a data field, in bytes. */
+const FIELD_BYTES = DATA_FIELD.length + 1;
+/** Number of bytes of an id that are joined at once: a string that grows by single characters takes 32 bytes for each, and time that grows with the square of its length (10 s for 256 KiB). */
+const JOIN_BYTES = 1_024;
 
 /** Lines of an event that is not complete yet. */
 interface OpenEvent {
@@ -43,6 +47,10 @@
   let lineBytes = 0;
   /** The current line as far as it may name an id or a data field. */
   let line = '';
+  /** True when the current line, which is longer than a field name, names an id. */
+  let isIdLine = false;
+  /** The end of an id that is not in `line` yet. */
+  let idBytes: number[] = [];
   let isAfterCr = false;
   /** True after the CR of a blank line that may end with CR LF. */
   let isBlankPending = false;
@@ -95,13 +103,23 @@
 
   function addToLine(byte: number): void {
     lineBytes++;
-    const isNeeded =
-      lineBytes <= DATA_FIELD.length + 1 || line.startsWith(ID_FIELD);
-    if (isNeeded) line += String.fromCharCode(byte);
+    if (lineBytes <= FIELD_BYTES) {
+      line += String.fromCharCode(byte);
+      isIdLine = line.startsWith(ID_FIELD);
+    } else if (isIdLine) {
+      idBytes.push(byte);
+      if (idBytes.length === JOIN_BYTES) appendId();
+    }
+  }
+
+  function appendId(): void {
+    line += String.fromCharCode(...idBytes);
+    idBytes = [];
   }
 
   function completeLine(): void {
     event.hasLines = true;
+    if (idBytes.length > 0) appendId();
     if (line.startsWith(ID_FIELD))
       event.id = line.slice(ID_FIELD.length).trim();
     if (line === DATA_FIELD || line.startsWith(`${DATA_FIELD}:`)) {
@@ -112,6 +130,8 @@
 
   function startLine(): void {
     line = '';
+    isIdLine = false;
+    idBytes = [];
     lineBytes = 0;
   }
 }
--- a/test/gateway/event_splitter.test.ts
+++ b/test/gateway/event_splitter.test.ts
@@ -102,3 +102,19 @@
   // Four times as long; quadratic work would take sixteen times as long.
   assert.ok(measureMs(200) < shortMs * 10 + 20);
 });
+
+// Guards against work that grows with the square of an id's length, which held up all requests of a node for 10 s.
+test('a long id is read in time that grows with its length, and kept whole', () => {
+  const processorMs = (bytes: number): number => {
+    const boundary = createEventBoundary();
+    const id = 'x'.repeat(bytes);
+    const before = process.cpuUsage();
+    boundary.push(Buffer.from(`id: ${id}`));
+    boundary.push(Buffer.from('\ndata: 1\n\n'));
+    const {user, system} = process.cpuUsage(before);
+    assert.equal(boundary.getLastId(), id);
+    return (user + system) / 1_000;
+  };
+  processorMs(262_144);
+  assert.ok(processorMs(262_144) < 1_000);
+});
