Count 100 and foreign status lines as invalid answers; accept a 304 to HEAD

Cause: review of the status line check. An answer 100, for which nothing asks, and a line of another protocol whose first bytes arrive alone were failed by the HTTP library, so that no log line or counter named them. A 304 to HEAD may state a transfer coding (RFC 9112, 6.1), but was refused. Change: the check refuses 100 and compares the version from the first byte on; a transfer coding in a 304 counts as a body only if the method is not HEAD.

--- a/src/gateway/open_call.ts
+++ b/src/gateway/open_call.ts
@@ -158,11 +158,12 @@
     // Informational (1xx) answers precede the final one.
     if (isDone || status < 200) return;
     const rawHeaders = listRawHeaders(started);
-    if (isBodyForbidden(status) && hasBodyHeader(status, rawHeaders)) {
+    const {method} = request;
+    if (isBodyForbidden(status) && hasBodyHeader(method, status, rawHeaders)) {
       failInvalid(`answer ${status} states a body`);
       return;
     }
-    const isFramed = hasFraming(rawHeaders) || !hasBody(request.method, status);
+    const isFramed = hasFraming(rawHeaders) || !hasBody(method, status);
     connection.isUnframed = !isFramed;
     head = {
       status,
@@ -217,9 +218,15 @@
   return status === 204 || status === 304;
 }
 
-/** True when an answer that has no body states one. The length in a 304 is that of the body which the caller has already. */
-function hasBodyHeader(status: number, rawHeaders: readonly string[]): boolean {
-  if (findHeader(rawHeaders, 'Transfer-Encoding') !== undefined) return true;
+/** True when an answer that has no body states one. The length in a 304 is that of the body which the caller has already, and in the answer to HEAD its transfer coding is that of the answer to GET. */
+function hasBodyHeader(
+  method: string,
+  status: number,
+  rawHeaders: readonly string[],
+): boolean {
+  if (findHeader(rawHeaders, 'Transfer-Encoding') !== undefined) {
+    return status === 204 || method !== 'HEAD';
+  }
   const length = findHeader(rawHeaders, 'Content-Length');
   return status === 204 && length !== undefined && length !== '0';
 }
--- a/src/gateway/status_line_check.ts
+++ b/src/gateway/status_line_check.ts
@@ -16,8 +16,9 @@
 const State = {Line: 'line', Head: 'head', Done: 'done'} as const;
 type State = (typeof State)[keyof typeof State];
 
-/** Statuses are 100 to 599; nothing asks for a change of protocol (101). */
-const STATUS_LINE = /^HTTP\/1\.[01] (?!101)[1-5]\d\d(?: |\r|\n)/;
+/** Statuses are 100 to 599; nothing asks to go on with a body (100) or for a change of protocol (101). */
+const STATUS_LINE = /^HTTP\/1\.[01] (?!10[01])[1-5]\d\d(?: |\r|\n)/;
+const VERSIONS = ['HTTP/1.1 ', 'HTTP/1.0 '];
 const INTERIM_LINE = /^HTTP\/1\.[01] 1/;
 /** Length of `HTTP/1.1 200` and the byte after it. */
 const LINE_BYTES = 13;
@@ -51,13 +52,20 @@
     // Empty lines before a status line are ignored, as the library does.
     if (line === '' && (byte === CR || byte === LF)) return true;
     line += String.fromCharCode(byte);
-    if (line.length < LINE_BYTES) return byte !== LF;
+    if (line.length < LINE_BYTES) return byte !== LF && hasVersion();
     if (!STATUS_LINE.test(line)) return false;
     state = State.Head;
     lineEnds = byte === LF ? 1 : 0;
     return true;
   }
 
+  /** Checked from the first byte on, since the library ends the connection there at a part of another line. */
+  function hasVersion(): boolean {
+    return VERSIONS.some(
+      version => line.startsWith(version) || version.startsWith(line),
+    );
+  }
+
   function readHeadByte(byte: number): void {
     if (byte === CR) return;
     lineEnds = byte === LF ? lineEnds + 1 : 0;
