Bound what a process holds for callers and servers that read slowly

Cause: bodies were bounded one by one (4 MB each) and each part kept a buffer of its own; an answer whose caller does not read kept 190 KB, and its server waiting, until the deadline, or for ever when it was complete. Change, where the settings have limits.memoryMb: budgets for bodies (503 with Retry-After, slow bodies first) and for answers (short ones are read to their end, callers that take nothing are ended, the longest idle first over the budget), and garbage is collected sooner. Without the setting, answers and bodies are bounded as before.

--- a/src/gateway/answer_relay.ts
+++ b/src/gateway/answer_relay.ts
@@ -60,6 +60,7 @@
   let pendingHeaders: readonly string[] | undefined;
   let bufferedChunks: Buffer[] = [];
   let bufferedBytes = 0;
+  let isWatchingCaller = false;
   return {
     attach: open => {
       call = open;
@@ -193,6 +194,10 @@
     if (exchange.isOver() || exchange.write(bytes)) return;
     call?.setPaused(true);
     exchange.onDrain(() => call?.setPaused(false));
+    if (isWatchingCaller) return;
+    isWatchingCaller = true;
+    // A call that goes on without its caller must not stay paused.
+    exchange.onDisconnect(() => call?.setPaused(false));
   }
 }
 
--- a/src/gateway/backend_call.ts
+++ b/src/gateway/backend_call.ts
@@ -40,6 +40,8 @@
   /** Connections that have carried this request before and must not carry it again: a late second copy of its answer could not be told from the answer that is due. The one that is used is added. */
   readonly usedConnections?: Set<object>;
   readonly handler: CallHandler;
+  /** Keeps the body accounted for, from when the request is sent on a connection until the returned function is called. */
+  readonly holdBody?: () => () => void;
 }
 
 /** A request in progress. */
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -111,6 +111,7 @@
     connection.isIdle = false;
     request.usedConnections?.add(connection);
     connections.all.add(connection);
+    const releaseBody = request.holdBody?.();
     const open = createOpenCall({
       clock,
       request,
@@ -127,7 +128,10 @@
       onUnframedEnd: end => options.onUnframedEnd?.(end),
       onInvalidAnswer: message =>
         options.onInvalidAnswer?.(server, message, request.requestId),
-      release: isReusable => release(connections, connection, isReusable),
+      release: isReusable => {
+        release(connections, connection, isReusable);
+        releaseBody?.();
+      },
     });
     connection.client.dispatch(
       {
--- a/src/gateway/front_listener.ts
+++ b/src/gateway/front_listener.ts
@@ -15,6 +15,7 @@
   type OpenRequest,
 } from './caller_connection';
 import {createExchange, type Exchange} from './exchange';
+import type {HeldMemory} from './held_memory';
 import {isCallerError} from '../runtime/listener_errors';
 import {type BodyResult, readRequestBody, type Refusal} from './request_body';
 import type {Address} from './settings';
@@ -41,6 +42,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly limits: CallerLimits;
+  readonly memory: HeldMemory;
+  readonly getRandom: () => number;
   readonly onExchange: (exchange: Exchange) => void;
 }
 
@@ -63,7 +66,7 @@
 export function createFrontListener(
   options: FrontListenerOptions,
 ): FrontListener {
-  const {clock, protocol, logger} = options;
+  const {clock, protocol, logger, memory, getRandom} = options;
   let limits = options.limits;
   let isDraining = false;
   let openCount = 0;
@@ -147,11 +150,14 @@
     if (connection === undefined || connection.isClosing()) return;
     const received = connection.add(request, response);
     const receivedAtMs = clock.getMonotonicMs();
-    const settle = ({body, refusal: bodyRefusal}: BodyResult): void => {
+    const settle = ({body, held, refusal: bodyRefusal}: BodyResult): void => {
       const exchange = createExchange({
         request,
         response,
         ...(body === undefined ? {} : {body}),
+        ...(held === undefined ? {} : {heldBody: held}),
+        ...(memory.answers === undefined ? {} : {answers: memory.answers}),
+        onUnread: memory.recordUnread,
         receivedAtMs,
         protocol,
         connection: received,
@@ -162,7 +168,11 @@
       else refuse(exchange, bodyRefusal, request.socket.bytesRead);
     };
     if (refusal === undefined) {
-      received.tryRefuse = readRequestBody(request, {clock, limits}, settle);
+      received.tryRefuse = readRequestBody(
+        request,
+        {clock, limits, bodies: memory.bodies, getRandom},
+        settle,
+      );
       return;
     }
     request.resume();
@@ -171,7 +181,7 @@
 
   function refuse(
     exchange: Exchange,
-    {status, message}: Refusal,
+    {status, message, retryAfterMs}: Refusal,
     bytes: number,
   ): void {
     logger.log('info', 'refused: request was not received', {
@@ -180,7 +190,11 @@
       detail: message,
       bytes,
     });
-    exchange.answer(status, [], message);
+    const headers =
+      retryAfterMs === undefined
+        ? []
+        : protocol.buildRetryHeaders(exchange.request.requestId, retryAfterMs);
+    exchange.answer(status, headers, message);
   }
 
   function closeConnection(socket: Socket, code: string | undefined): void {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -16,6 +16,7 @@
 import {createGatewayDuties, type DutyPlatform} from './gateway_duties';
 import {createGatewayMetrics} from './gateway_metrics';
 import {createEngineAffinity} from './engine_affinity';
+import {createHeldMemory} from './held_memory';
 import {createProcessChecks} from './process_check';
 import {createPeerMessageHandler} from './peer_message_handler';
 import {createPeerReach} from './peer_reach';
@@ -89,6 +90,12 @@
     failureDomain: settings.failureDomain,
   };
   const metrics = createGatewayMetrics();
+  const memory = createHeldMemory({
+    memoryMb: settings.memoryMb,
+    clock,
+    logger,
+    metrics,
+  });
   const state = createFleetState();
   const pauses = createServerPauses(clock);
   const speeds = createEngineSpeedEstimator();
@@ -324,6 +331,8 @@
     clock,
     logger,
     limits: DEFAULT_CALLER_LIMITS,
+    memory,
+    getRandom,
     onExchange: router.handle,
   });
   const control = createControlListeners({
@@ -350,6 +359,7 @@
     scaling.start();
     demand.start();
     crashGuard.start();
+    memory.start();
     usage?.start();
     void messageHandler.registerSelf();
     logger.log('info', 'gateway started', {
@@ -400,6 +410,7 @@
     usage?.stop();
     reach.stop();
     crashGuard.stop();
+    memory.stop();
     front.close();
     control.close();
     peers.close();
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -25,6 +25,10 @@
   recordAuthentication(outcome: string): void;
   /** Records what became of a usage window at this node. */
   recordUsageWindow(outcome: string): void;
+  /** Records a request whose body was refused because the process held too much. */
+  recordBodyRefused(): void;
+  /** Records a caller that was ended because it did not take its answer. */
+  recordUnreadAnswer(reason: string): void;
   /** Records that the store lost its newest records. */
   recordEraRise(): void;
   /** Adds a gauge whose value is read when the metrics are rendered. */
@@ -83,7 +87,17 @@
     name: 'anvilstack_gateway_store_era_rises_total',
     help: 'Times that the store lost its newest records.',
   });
+  const refusedBodies = metrics.addCounter({
+    name: 'anvilstack_gateway_refused_bodies_total',
+    help: 'Requests whose body was refused because this node held too many bytes of bodies.',
+  });
+  const unreadAnswers = metrics.addCounter({
+    name: 'anvilstack_gateway_unread_answers_total',
+    help: 'Callers that were ended because they did not take their answer, by reason.',
+  });
   return {
+    recordBodyRefused: () => refusedBodies.add(1, {}),
+    recordUnreadAnswer: reason => unreadAnswers.add(1, {reason}),
     recordEraRise: () => eraRises.add(1, {}),
     recordEnd: (route, outcome, elapsedMs) => {
       requests.add(1, {kind: route.kind, rank: String(route.rank), outcome});
--- a/src/gateway/request_task.ts
+++ b/src/gateway/request_task.ts
@@ -5,6 +5,7 @@
   RefusalReason,
 } from '../accounts';
 import type {Logger} from '../diagnostics/log';
+import {computeReadLimitMs} from '../memory';
 import type {Clock, Timer} from '../runtime/types';
 import {Verdict} from '../verdict';
 import type {CallerAdmission} from './caller_admission';
@@ -89,6 +90,7 @@
   const timer: Timer = clock.schedule(limitMs - getElapsedMs(), () =>
     stop('timeout'),
   );
+  exchange.setReadLimit(computeReadLimitMs(route));
   exchange.onDisconnect(() => stop('gone'));
   exchange.onHalfClose(handleHalfClose);
   return {
--- a/src/gateway/server_call.ts
+++ b/src/gateway/server_call.ts
@@ -33,6 +33,7 @@
       ...options.sendOptions,
     }),
     ...(exchange.body === undefined ? {} : {body: exchange.body}),
+    holdBody: exchange.holdBody,
     requestId: exchange.request.requestId,
     usedConnections: task.usedConnections,
     handler,
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -53,6 +53,8 @@
   readonly bounds: GatewayBounds;
   /** True only when the whole system is started for the first time. */
   readonly isFirstStart: boolean;
+  /** Memory above which the process is killed, in MB; absent when the deployment states no limit. */
+  readonly memoryMb?: number;
   /** Absent when the deployment has no duties. */
   readonly duties?: DutySettings;
 }
--- a/src/gateway_process.ts
+++ b/src/gateway_process.ts
@@ -12,6 +12,7 @@
 } from './platform';
 import {createDescriptorWrite, createLineWriter} from './runtime/line_writer';
 import {createSystemClock} from './runtime/system_clock';
+import {setHeapSmall} from './runtime/small_heap';
 import {watchUnhandledErrors} from './runtime/unhandled_errors';
 
 const EXIT_SUCCESS = 0;
@@ -34,6 +35,7 @@
     process.stderr.write(`${settings.val}\n`);
     return EXIT_BAD_SETTINGS;
   }
+  if (settings.val.memoryMb !== undefined) setHeapSmall();
   const lines = createLineWriter({write: createDescriptorWrite(STDOUT_FD)});
   const logger = createLogger({
     node: settings.val.nodeName,
--- a/src/platform/node_settings.ts
+++ b/src/platform/node_settings.ts
@@ -78,6 +78,7 @@
       bounds: readBounds(),
       // Set only when the whole system starts for the first time, not on each boot.
       isFirstStart: root['bootstrap'] === true,
+      ...readMemoryLimit(),
       ...(root['cloudApi'] === undefined ? {} : {duties: readDuties()}),
     };
   }
@@ -105,6 +106,14 @@
     };
   }
 
+  function readMemoryLimit(): Pick<GatewaySettings, 'memoryMb'> {
+    const limits = tryGetFields(root['limits']);
+    if (limits?.['memoryMb'] === undefined) return {};
+    const memoryMb = getNumber('limits', 'memoryMb');
+    if (memoryMb <= 0) failAt('limits.memoryMb', 'a positive number');
+    return {memoryMb};
+  }
+
   function readDuties(): DutySettings {
     const fields = tryGetFields(root['cloudApi']);
     return {
