--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,6 +22,7 @@
 import {createGatewayDuties, type DutyPlatform} from './gateway_duties';
 import {createGatewayMetrics} from './gateway_metrics';
 import {createEngineAffinity} from './engine_affinity';
+import {createHeldMemory} from './held_memory';
 import {createProcessChecks} from './process_check';
 import {createPeerMessageHandler} from './peer_message_handler';
 import {createPeerReach} from './peer_reach';
@@ -106,6 +107,12 @@
   };
   const createdAtMs = clock.getMonotonicMs();
   const metrics = createGatewayMetrics();
+  const memory = createHeldMemory({
+    memoryMb: settings.memoryMb,
+    clock,
+    logger,
+    metrics,
+  });
   const state = createFleetState();
   const pauses = createServerPauses(clock);
   const speeds = createEngineSpeedEstimator();
@@ -370,6 +377,8 @@
     clock,
     logger,
     limits: DEFAULT_CALLER_LIMITS,
+    memory,
+    getRandom,
     onExchange: router.handle,
   });
   const control = createControlListeners({
@@ -397,6 +406,7 @@
     scaling.start();
     demand.start();
     crashGuard.start();
+    memory.start();
     usage?.start();
     registerWhenReady();
     logger.log('info', 'gateway started', {
@@ -458,6 +468,7 @@
     usage?.stop();
     reach.stop();
     crashGuard.stop();
+    memory.stop();
     front.close();
     control.close();
     peers.close();
