Extract the tags of start-time fair queueing from the fair queue

The gateway's queue of waiting prompts is to be fair among client accounts by the same arithmetic, which would otherwise be written twice.

src/shares/start_tags.ts holds the tags and the virtual time; fair_queue.ts uses it.

--- a/src/routing/fair_queue.ts
+++ b/src/routing/fair_queue.ts
@@ -5,6 +5,7 @@
  * window of the virtual time, the request with the highest priority goes next, then the one
  * with the earliest latest start time.
  */
+import {createStartTags} from '../shares';
 
 /** The properties of a queued request that its order depends on. */
 export interface QueueItem {
@@ -50,9 +51,6 @@
  */
 const FAIR_WINDOW_MS = 2_000;
 
-/** Number of kept start tags above which those that virtual time has passed are removed. */
-const MAX_START_TAGS = 8_192;
-
 interface AccountQueue<T> {
   readonly clientAccount: string;
   /** Sorted by `compareItems`: the next request first. */
@@ -66,9 +64,7 @@
 /** Creates an empty queue. */
 export function createFairQueue<T extends QueueItem>(): FairQueue<T> {
   const accounts = new Map<string, AccountQueue<T>>();
-  /** Start tags of the client accounts that have been served since the queue was last empty. */
-  const tags = new Map<string, number>();
-  let virtualTime = 0;
+  const tags = createStartTags();
   let size = 0;
   return {
     add,
@@ -97,7 +93,7 @@
     const queue: AccountQueue<T> = {
       clientAccount,
       items: [],
-      startTag: Math.max(virtualTime, tags.get(clientAccount) ?? 0),
+      startTag: tags.getStartTag(clientAccount),
       tokens: 0,
       costMs: 0,
     };
@@ -107,10 +103,11 @@
 
   function tryPeek(): T | undefined {
     if (size === 0) return undefined;
-    virtualTime = Math.max(virtualTime, getLeastTag());
+    tags.advance(getLeastTag());
+    const latestTag = tags.getVirtualTime() + FAIR_WINDOW_MS;
     let best: T | undefined;
     for (const queue of accounts.values()) {
-      if (queue.startTag > virtualTime + FAIR_WINDOW_MS) continue;
+      if (queue.startTag > latestTag) continue;
       const item = queue.items[0];
       if (best === undefined || compareItems(item, best) < 0) best = item;
     }
@@ -128,22 +125,14 @@
   function take(item: T): void {
     const queue = accounts.get(item.clientAccount);
     if (queue === undefined) return;
-    queue.startTag += item.costMs / item.weight;
-    tags.set(item.clientAccount, queue.startTag);
-    if (tags.size > MAX_START_TAGS) removePassedTags();
+    queue.startTag = tags.add(
+      item.clientAccount,
+      queue.startTag,
+      item.costMs / item.weight,
+    );
     remove(item);
   }
 
-  /**
-   * Removes tags that virtual time has passed: such an account restarts at the virtual time
-   * anyway.
-   */
-  function removePassedTags(): void {
-    for (const [clientAccount, tag] of tags) {
-      if (tag <= virtualTime) tags.delete(clientAccount);
-    }
-  }
-
   function remove(item: T): boolean {
     const queue = accounts.get(item.clientAccount);
     const index = queue?.items.indexOf(item) ?? -1;
@@ -153,11 +142,8 @@
     queue.costMs -= item.costMs;
     size--;
     if (queue.items.length === 0) accounts.delete(item.clientAccount);
-    // Fairness covers one busy period: once the queue is empty, no account is ahead of another.
-    if (size === 0) {
-      tags.clear();
-      virtualTime = 0;
-    }
+    // Once the queue is empty, no account is ahead of another.
+    if (size === 0) tags.clear();
     return true;
   }
 
--- /dev/null
+++ b/src/shares/index.ts
@@ -0,0 +1,1 @@
+export {createStartTags, type StartTags} from './start_tags';
