Refuse the prompts of accounts over their shares first while engines are short

Nodes report the work that arrives by account with their demand while prompts wait. The first planning node divides the engines' time (max-min fairness within a rank, a minimum for everybody) and announces the accounts over their shares, at most 16, at most once a second. Prompts that their account's share does not cover are sent only to engines with short queues, wait behind the others of their rank, and are refused with account-share. A share covers the smallest prompts of its account. Waiting prompts are ordered by rank, virtual start time and arrival. Retry-After is spread. Nothing changes where the configuration has no accounts.

--- a/src/gateway/fleet_demand.ts
+++ b/src/gateway/fleet_demand.ts
@@ -9,6 +9,7 @@
 import type {StageLoad} from '../planning/stage_split';
 import type {Clock, Timer} from '../runtime/types';
 import type {ServerLoad} from '../scaling';
+import type {ShareReport} from '../shares';
 import type {DemandMessage} from './peer_messages';
 import type {Peers} from './peers';
 import type {EngineLimits} from './types';
@@ -26,6 +27,8 @@
     service: string,
     engine: EngineLimits,
   ): ServerLoad | undefined;
+  /** Lists the recent reports of the nodes on their accounts' work, this one's included. */
+  listAccountReports(): ShareReport[];
   stop(): void;
 }
 
@@ -34,6 +37,8 @@
   readonly nodeName: string;
   readonly clock: Clock;
   readonly peers: Pick<Peers, 'count' | 'listFirst' | 'send'>;
+  /** Creates this node's report on the work of its accounts; undefined when there is nothing to report. */
+  readonly tryCreateAccountReport?: () => ShareReport | undefined;
   /** Present when servers are ordered. */
   readonly scaling?: {
     readonly failureDomain: string;
@@ -73,6 +78,7 @@
     },
     tryGetLoad,
     tryGetRecentLoad,
+    listAccountReports,
     stop: () => timer?.cancel(),
   };
 
@@ -87,8 +93,12 @@
     timer = clock.schedule(getIntervalMs(), sendDemand);
     const message = createMessage();
     if (message.services.length === 0) return;
+    const accounts = options.tryCreateAccountReport?.();
     for (const node of peers.listFirst(PLANNER_COUNT)) {
-      peers.send(node, message);
+      peers.send(
+        node,
+        accounts === undefined ? message : {...message, accounts},
+      );
     }
   }
 
@@ -109,9 +119,13 @@
   }
 
   function listMessages(): DemandMessage[] {
+    return [createMessage(), ...listReceived()];
+  }
+
+  function listReceived(): DemandMessage[] {
     const oldestMs =
       clock.getMonotonicMs() - REPORT_EXPIRY_INTERVALS * getIntervalMs();
-    const messages = [createMessage()];
+    const messages: DemandMessage[] = [];
     for (const [from, {message, atMs}] of reports) {
       if (atMs < oldestMs) reports.delete(from);
       else messages.push(message);
@@ -119,6 +133,12 @@
     return messages;
   }
 
+  function listAccountReports(): ShareReport[] {
+    const own = options.tryCreateAccountReport?.();
+    const others = listReceived().flatMap(({accounts}) => accounts ?? []);
+    return own === undefined ? others : [own, ...others];
+  }
+
   function tryGetLoad(
     service: string,
     engine: EngineLimits,
--- a/src/gateway/flow_context.ts
+++ b/src/gateway/flow_context.ts
@@ -1,6 +1,7 @@
 /** Dependencies of the request flows. */
 import type {RetryBudget} from '../routing/retry_budget';
 import type {Clock} from '../runtime/types';
+import type {AccountShares} from '../shares';
 import type {Connections} from './connections';
 import type {CrashGuard} from './crash_guard';
 import type {EngineSpeedEstimator} from './engine_speed_estimator';
@@ -41,6 +42,7 @@
   readonly streams: StreamCounts;
   readonly waitingPrompts: WaitingPrompts;
   readonly demand: FleetDemand;
+  readonly shares: AccountShares;
   /** True while an engine changes to another stage. */
   readonly isChangingStage: (serverId: string) => boolean;
   readonly getRandom: () => number;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,6 +2,7 @@
 import type {Logger} from '../diagnostics/log';
 import {type DutyClient, DutyKind} from '../duties';
 import type {Clock} from '../runtime/types';
+import {type AccountShares, createAccountShares} from '../shares';
 import {createAuthority} from './authority';
 import {createCallerAdmission} from './caller_admission';
 import {createConnections} from './connections';
@@ -10,7 +11,7 @@
 import {createDrain} from './drain';
 import {createEngineSpeedEstimator} from './engine_speed_estimator';
 import {createExchangeRouter} from './exchange_router';
-import {createFleetDemand} from './fleet_demand';
+import {createFleetDemand, PLANNER_COUNT} from './fleet_demand';
 import {createFleetState} from './fleet_state';
 import type {FlowContext} from './flow_context';
 import {createFrontListener} from './front_listener';
@@ -176,6 +177,7 @@
     nodeName: self.name,
     clock,
     peers,
+    tryCreateAccountReport: () => shares.tryCreateReport(),
     ...(isScaling
       ? {
           scaling: {
@@ -186,6 +188,19 @@
         }
       : {}),
   });
+  const shares: AccountShares = createAccountShares({
+    nodeName: self.name,
+    clock,
+    logger,
+    hasAccounts: () => state.tryGetAccounts() !== undefined,
+    tryCountPlannersBefore: () => {
+      const count = peers.countLowerNames();
+      return count < PLANNER_COUNT ? count : undefined;
+    },
+    listReports: demand.listAccountReports,
+    notify: plan =>
+      peers.notify({kind: 'account-shares', from: self.name, plan}),
+  });
   const authority = createAuthority({
     nodeName: self.name,
     store,
@@ -244,6 +259,7 @@
     isHomeCacheWarm: !settings.isFirstStart,
     streams,
     demand,
+    shares,
     waitingPrompts: createWaitingPrompts({
       clock,
       getRandom,
@@ -270,6 +286,7 @@
     stages,
     scaling,
     demand,
+    shares,
     speeds,
     prefillQueues,
     prefixes,
@@ -324,6 +341,7 @@
     stages.start();
     scaling.start();
     demand.start();
+    shares.start();
     crashGuard.start();
     void messageHandler.registerSelf();
     logger.log('info', 'gateway started', {
@@ -366,6 +384,7 @@
     stages.stop();
     scaling.stop();
     demand.stop();
+    shares.stop();
     reach.stop();
     crashGuard.stop();
     front.close();
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -1,6 +1,7 @@
 /** Metrics of a gateway process. */
 import {createMetrics} from '../diagnostics/metrics';
 import type {GaugeSpec} from '../diagnostics/metrics_types';
+import {MAX_SHARES} from '../shares';
 import type {Route} from './types';
 
 /** Records the metrics of requests. */
@@ -23,11 +24,20 @@
   recordInvalidAnswer(service: string): void;
   /** Records whether a request was admitted, with or without a client account, or why not. */
   recordAuthentication(outcome: string): void;
+  /** Records a prompt that its account's share does not cover; `account` is given when it was refused. */
+  recordOverShare(
+    outcome: 'exceeded' | 'refused',
+    source: string,
+    account?: string,
+  ): void;
   /** Adds a gauge whose value is read when the metrics are rendered. */
   addGauge(name: string, help: string, read: GaugeSpec['read']): void;
   render(): string;
 }
 
+/** Label of the accounts beyond those that have their own. */
+const OTHER_ACCOUNTS = '(others)';
+
 /** Creates the metrics. */
 export function createGatewayMetrics(): GatewayMetrics {
   const metrics = createMetrics();
@@ -71,6 +81,15 @@
     name: 'anvilstack_gateway_authentications_total',
     help: 'Requests by the outcome of their authentication: admitted for an account or without one, or the reason of the refusal.',
   });
+  const overShare = metrics.addCounter({
+    name: 'anvilstack_gateway_over_share_prompts_total',
+    help: 'Prompts that exceeded the share of their account, and those of them that were refused, by what the share was computed from.',
+  });
+  const shareRefusals = metrics.addCounter({
+    name: 'anvilstack_gateway_account_share_refusals_total',
+    help: 'Prompts refused because their account exceeds its share, by account; accounts after the first 16 are one.',
+  });
+  const labelledAccounts = new Set<string>();
   return {
     recordEnd: (route, outcome, elapsedMs) => {
       requests.add(1, {kind: route.kind, rank: String(route.rank), outcome});
@@ -87,6 +106,14 @@
     recordServerOrder: outcome => serverOrders.add(1, {outcome}),
     recordInvalidAnswer: service => invalidAnswers.add(1, {service}),
     recordAuthentication: outcome => authentications.add(1, {outcome}),
+    recordOverShare: (outcome, source, account) => {
+      overShare.add(1, {outcome, source});
+      if (account === undefined) return;
+      if (labelledAccounts.size < MAX_SHARES) labelledAccounts.add(account);
+      shareRefusals.add(1, {
+        account: labelledAccounts.has(account) ? account : OTHER_ACCOUNTS,
+      });
+    },
     addGauge: (name, help, read) => metrics.addGauge({name, help, read}),
     render: metrics.render,
   };
--- a/src/gateway/peer_message_handler.ts
+++ b/src/gateway/peer_message_handler.ts
@@ -1,6 +1,7 @@
 /** Registers this node with the others and handles their messages. */
 import type {Logger} from '../diagnostics/log';
 import type {Clock} from '../runtime/types';
+import type {AccountShares} from '../shares';
 import type {CrashGuard} from './crash_guard';
 import type {EngineSpeedEstimator} from './engine_speed_estimator';
 import type {FleetDemand} from './fleet_demand';
@@ -46,6 +47,7 @@
   readonly stages: StageControl;
   readonly scaling: Pick<ServerScaling, 'handle'>;
   readonly demand: FleetDemand;
+  readonly shares: Pick<AccountShares, 'handlePlan'>;
   readonly speeds: EngineSpeedEstimator;
   readonly prefillQueues: PrefillQueues;
   readonly prefixes: PrefixDirectory;
@@ -107,6 +109,9 @@
       case 'demand':
         options.demand.handle(message);
         return;
+      case 'account-shares':
+        options.shares.handlePlan(message.from, message.plan);
+        return;
       case 'leaving':
         handleLeaving(message);
         return;
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -1,6 +1,7 @@
 /** Messages between nodes. They are small datagrams; a lost one is repeated or replaced by a later one. */
 import type {StageDemand} from '../planning/stage_demand';
 import type {OrderedServers} from '../scaling';
+import type {SharePlan, ShareReport} from '../shares';
 import type {CrashReport} from './crash_evidence';
 import type {SpeedEstimates} from './engine_speed_estimator';
 import type {QuarantineEntry} from './part_quarantine';
@@ -99,6 +100,15 @@
   readonly services: ReadonlyArray<{readonly service: string} & StageDemand>;
   /** The same over a shorter time, of the services whose servers are ordered; absent without such services. */
   readonly recent?: RecentDemand;
+  /** Work by client account; absent without accounts and while engines suffice. */
+  readonly accounts?: ShareReport;
+}
+
+/** The client accounts that exceed their shares; sent while engines are short. */
+export interface AccountSharesMessage {
+  readonly kind: 'account-shares';
+  readonly from: string;
+  readonly plan: SharePlan;
 }
 
 /** Work that arrived at a node within the last seconds, per second and by service. */
@@ -175,6 +185,7 @@
   | SuspectMessage
   | LeavingMessage
   | DemandMessage
+  | AccountSharesMessage
   | OrderedMessage
   | ServersOrderedMessage
   | LimitMessage
@@ -201,6 +212,7 @@
   'suspect',
   'leaving',
   'demand',
+  'account-shares',
   'ordered',
   'servers-ordered',
   'limit',
--- a/src/gateway/stream_admission.ts
+++ b/src/gateway/stream_admission.ts
@@ -20,6 +20,8 @@
   readonly waitMs?: number;
   /** Predicted time of the prefill and of everything after it up to the first event. */
   readonly workMs: number;
+  /** True when the prompt exceeds its account's share: it is sent only to an engine with a short queue. */
+  readonly isOverShare?: boolean;
 }
 
 /** Shortest time that callers wait for the first event, in milliseconds. */
@@ -65,10 +67,12 @@
   if (workMs > budgetMs) return Admission.Refuse;
   if (waitMs === undefined) return Admission.Wait;
   const onTimeWaitMs = route.objectiveMs - elapsedMs - workMs;
-  const allowedWaitMs = Math.max(
-    onTimeWaitMs,
-    LATE_WAIT_FRACTION * route.objectiveMs,
-  );
+  const lateWaitMs = LATE_WAIT_FRACTION * route.objectiveMs;
+  // Such a prompt takes only what the others leave idle.
+  const allowedWaitMs =
+    input.isOverShare === true
+      ? lateWaitMs
+      : Math.max(onTimeWaitMs, lateWaitMs);
   return waitMs <= allowedWaitMs && waitMs + workMs <= budgetMs
     ? Admission.Send
     : Admission.Wait;
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -14,12 +14,12 @@
 import type {PrefillPlacement} from './placement';
 import {type PrefillCall, startPrefillCall} from './prefill_call';
 import {createPromptGate} from './prompt_gate';
+import {createPromptShare} from './prompt_share';
 import type {RequestTask} from './request_task';
 import {formatFailure} from './server_call';
 import {
   Admission,
   chooseAdmission,
-  computeRetryAfterMs,
   getFirstEventBudgetMs,
 } from './stream_admission';
 import {createStreamEngines} from './stream_engines';
@@ -79,6 +79,7 @@
     listDecodeEngines: engines.listDecodeEngines,
     tryChooseDecode: engines.tryChooseDecode,
   });
+  const share = createPromptShare(context, task);
   const gate = createPromptGate({
     context,
     task,
@@ -104,15 +105,16 @@
   /** Sends the prompt, ends the request, or queues it at this node. */
   function start(): void {
     if (tryStart()) return;
+    share.recordShortage();
     const budgetMs = getFirstEventBudgetMs(getAdmissionTimes());
-    const waitMs = context.waitingPrompts.predictWaitMs();
+    const waitMs = share.predictWaitMs();
     if (waitMs > budgetMs) {
       refuse(waitMs);
       return;
     }
     task.log('waits for an engine', {waitMs: Math.round(waitMs)});
     cancelWaiting = context.waitingPrompts.add({
-      rank: task.rank,
+      ...share.getClaim(),
       expiresAtMs: clock.getMonotonicMs() + budgetMs,
       tryStart,
       onExpired: () => refuse(route.objectiveMs),
@@ -132,8 +134,10 @@
       failWithoutEngine();
       return true;
     }
+    share.recordWork(predictWorkMs(placement));
     const admission = chooseAdmission({
       ...getAdmissionTimes(),
+      isOverShare: share.isOverShare(),
       ...(placement === undefined ? {} : {waitMs: placement.waitMs}),
       workMs: (placement?.prefillMs ?? 0) + FIRST_EVENT_OVERHEAD_MS,
     });
@@ -150,11 +154,22 @@
       return true;
     }
     records.recordPlaced(placement);
+    share.recordStart();
     if (isDirect) sendDecode(server, placement);
     else sendPrefill(placement);
     return true;
   }
 
+  /** Predicts the engine time of the request, in milliseconds: its prefill, and its part of a decode engine. */
+  function predictWorkMs(placement: PrefillPlacement | undefined): number {
+    const {service} = task;
+    const prefillMs =
+      placement?.prefillMs ??
+      context.speeds.predictPrefillMs(service, model.promptTokens, 0);
+    const slotMs = context.speeds.predictRunMs(service, route.name);
+    return prefillMs + slotMs / Math.max(1, engine.maxRunning);
+  }
+
   /** Counts the work of this request towards the demand, once, whether or not the request is served. */
   function recordDemand(placement: PrefillPlacement): void {
     if (isDemandRecorded) return;
@@ -183,9 +198,8 @@
   }
 
   function refuse(predictedMs: number): void {
-    task.log('refused: cannot be served in time', {predictedMs});
-    const retryAfterMs = computeRetryAfterMs(route, predictedMs);
-    task.fail(getVerdict(), 'engines are busy', retryAfterMs);
+    const {reason, retryAfterMs} = share.refuse(predictedMs);
+    task.fail(getVerdict(), reason, retryAfterMs);
   }
 
   /** Ends the request. When pauses or limits hold back all engines, the caller may retry after the shortest wait. */
@@ -294,7 +308,10 @@
   function waitForDecode(sourceDomain: string, sample?: PrefillSample): void {
     task.log('waits for a decode engine', {serverId: kv?.serverId});
     cancelWaiting = context.waitingPrompts.add({
-      rank: task.rank,
+      ...share.getClaim(),
+      // The prompt has been prefilled: its work is done, and an engine's memory waits for it.
+      isOverShare: false,
+      workMs: 0,
       expiresAtMs:
         clock.getMonotonicMs() + getFirstEventBudgetMs(getAdmissionTimes()),
       tryStart: () => {
--- a/src/gateway/waiting_prompts.ts
+++ b/src/gateway/waiting_prompts.ts
@@ -1,10 +1,25 @@
-/** Queue of prompts that wait at this node until an engine's own queue is short enough. */
+/**
+ * Queue of prompts that wait at this node until an engine's own queue is short enough, by rank,
+ * then by start-time fair queueing over client accounts, then by arrival. Without accounts,
+ * all prompts belong to one, whose start tags never decrease.
+ */
 import type {Clock, Timer} from '../runtime/types';
+import {createStartTags, type StartTags} from '../shares';
 
-/** A waiting prompt. */
-export interface WaitingPrompt {
+/** What the place of a prompt in the queue depends on. */
+export interface PromptClaim {
   /** Rank of its account or route; 0 is served first. */
   readonly rank: number;
+  /** Name of its client account; empty without one. */
+  readonly account: string;
+  /** True when the prompt exceeds its account's share: it comes after all others of its rank. */
+  readonly isOverShare: boolean;
+}
+
+/** A waiting prompt. */
+export interface WaitingPrompt extends PromptClaim {
+  /** Predicted engine time, in milliseconds. */
+  readonly workMs: number;
   /** When the prompt is dropped from the queue, on the monotonic clock, in milliseconds. */
   readonly expiresAtMs: number;
   /** Sends the prompt if an engine can take it now, or ends its request; returns false when it has to wait longer. */
@@ -17,8 +32,8 @@
   /** Adds a prompt; returns a function that removes it. */
   add(prompt: WaitingPrompt): () => void;
   count(): number;
-  /** Predicts how long a prompt added now will wait, from the interval between the latest starts, in milliseconds. */
-  predictWaitMs(): number;
+  /** Predicts how long a prompt added now will wait, from the interval between the latest starts, in milliseconds; behind all others if it has no claim. */
+  predictWaitMs(claim?: PromptClaim): number;
 }
 
 /** Options of the queue. */
@@ -30,6 +45,12 @@
   readonly countEngines: () => number;
 }
 
+/** A prompt in the queue. */
+interface QueuedPrompt {
+  readonly prompt: WaitingPrompt;
+  readonly startTag: number;
+}
+
 /** Mean interval between checks for a free engine, in milliseconds: long enough for the other nodes to learn of a prompt that was sent. */
 const CHECK_INTERVAL_MS = 8;
 /** Mean number of nodes that may start a waiting prompt in one check interval, per engine: with more, several would choose the same free engine. */
@@ -42,24 +63,69 @@
   options: WaitingPromptsOptions,
 ): WaitingPrompts {
   const {clock, getRandom} = options;
-  const prompts = new Set<WaitingPrompt>();
+  /** In the order in which they start. */
+  const prompts: QueuedPrompt[] = [];
+  /** By rank: within each, accounts share on their own. */
+  const tagsByRank = new Map<number, StartTags>();
   let timer: Timer | undefined;
   /** When a prompt was last started, or when the first one was added to the empty queue if that is later. */
   let lastStartMs = 0;
   let startIntervalMs = 0;
   return {
-    add: prompt => {
-      if (prompts.size === 0) lastStartMs = clock.getMonotonicMs();
-      prompts.add(prompt);
-      timer ??= schedule();
-      return () => {
-        prompts.delete(prompt);
-      };
-    },
-    count: () => prompts.size,
+    add,
+    count: () => prompts.length,
     predictWaitMs,
   };
 
+  function add(prompt: WaitingPrompt): () => void {
+    if (prompts.length === 0) lastStartMs = clock.getMonotonicMs();
+    const tags = getTags(prompt.rank);
+    const startTag = tags.getStartTag(prompt.account);
+    // Prompts are charged when they are added, also those that will not be served: their places never change.
+    tags.add(prompt.account, startTag, prompt.workMs);
+    const queued = {prompt, startTag};
+    prompts.splice(findPlace(prompt, startTag), 0, queued);
+    timer ??= schedule();
+    return () => {
+      remove(queued);
+    };
+  }
+
+  function getTags(rank: number): StartTags {
+    const tags = tagsByRank.get(rank) ?? createStartTags();
+    tagsByRank.set(rank, tags);
+    return tags;
+  }
+
+  /** Returns the number of prompts that start before a new one. */
+  function findPlace(claim: PromptClaim, startTag: number): number {
+    let low = 0;
+    let high = prompts.length;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      const {prompt, startTag: otherTag} = prompts[middle];
+      if (comparePlaces(claim, startTag, prompt, otherTag) < 0) high = middle;
+      else low = middle + 1;
+    }
+    return low;
+  }
+
+  /** Removes a prompt; returns false when it is not in the queue any more. */
+  function remove(queued: QueuedPrompt): boolean {
+    const index = prompts.indexOf(queued);
+    if (index < 0) return false;
+    prompts.splice(index, 1);
+    if (prompts.length === 0) tagsByRank.clear();
+    return true;
+  }
+
+  /** Advances virtual time by a prompt that starts, unless prompts of its rank with earlier tags go on waiting. */
+  function advanceTags(queued: QueuedPrompt): void {
+    const {rank} = queued.prompt;
+    const first = prompts.find(({prompt}) => prompt.rank === rank);
+    if (first === queued) getTags(rank).advance(queued.startTag);
+  }
+
   function schedule(): Timer {
     return clock.schedule(CHECK_INTERVAL_MS * (0.5 + getRandom()), checkAll);
   }
@@ -69,15 +135,14 @@
     expirePrompts();
     const starts = STARTS_PER_ENGINE * options.countEngines();
     if (getRandom() < starts / (options.countPeers() + 1)) startOne();
-    if (prompts.size > 0) timer = schedule();
+    if (prompts.length > 0) timer = schedule();
   }
 
   function expirePrompts(): void {
     const nowMs = clock.getMonotonicMs();
-    for (const prompt of prompts) {
-      if (nowMs < prompt.expiresAtMs) continue;
-      prompts.delete(prompt);
-      prompt.onExpired();
+    const expired = prompts.filter(({prompt}) => nowMs >= prompt.expiresAtMs);
+    for (const queued of expired) {
+      if (remove(queued)) queued.prompt.onExpired();
     }
   }
 
@@ -87,29 +152,45 @@
     lastStartMs = nowMs;
   }
 
-  function predictWaitMs(): number {
-    if (prompts.size === 0) return 0;
+  function predictWaitMs(claim?: PromptClaim): number {
+    const ahead =
+      claim === undefined
+        ? prompts.length
+        : findPlace(claim, getTags(claim.rank).getStartTag(claim.account));
+    if (ahead === 0) return 0;
     const sinceMs = clock.getMonotonicMs() - lastStartMs;
-    return prompts.size * Math.max(startIntervalMs, sinceMs);
+    return ahead * Math.max(startIntervalMs, sinceMs);
   }
 
   /** Starts at most one prompt, because it changes the predicted waits of the engines. */
   function startOne(): void {
-    for (const prompt of chooseCandidates()) {
-      if (!prompt.tryStart()) continue;
-      prompts.delete(prompt);
+    for (const queued of chooseCandidates()) {
+      if (!queued.prompt.tryStart()) continue;
+      advanceTags(queued);
+      remove(queued);
       recordStart();
       return;
     }
   }
 
-  /** Returns the first prompt by rank and arrival, and a random other one, for which a different engine may be free. */
-  function chooseCandidates(): WaitingPrompt[] {
-    const [first, ...others] = [...prompts].sort(
-      (left, right) => left.rank - right.rank,
-    );
+  /** Returns the first prompt, and a random other one, for which a different engine may be free. */
+  function chooseCandidates(): QueuedPrompt[] {
+    const [first] = prompts;
     if (first === undefined) return [];
-    const other = others[Math.floor(getRandom() * others.length)];
+    const otherCount = prompts.length - 1;
+    const other = prompts[1 + Math.floor(getRandom() * otherCount)];
     return other === undefined ? [first] : [first, other];
   }
 }
+
+/** Compares the places of two prompts; negative if the left one starts first. */
+function comparePlaces(
+  left: PromptClaim,
+  leftTag: number,
+  right: PromptClaim,
+  rightTag: number,
+): number {
+  if (left.rank !== right.rank) return left.rank - right.rank;
+  if (left.isOverShare !== right.isOverShare) return left.isOverShare ? 1 : -1;
+  return leftTag - rightTag;
+}
--- /dev/null
+++ b/src/shares/check_shares.ts
@@ -0,0 +1,71 @@
+/** Checks what other nodes send: anyone can send datagrams. */
+import {MAX_SHARES} from './plan_shares';
+import type {AccountShare, SharePlan, ShareReport} from './types';
+
+/** More entries than a report of this program has. */
+const MAX_REPORT_ENTRIES = 64;
+/** Longest name of an account. */
+const MAX_NAME_LENGTH = 256;
+
+/** Returns true for a well-formed report. */
+export function isShareReport(value: unknown): value is ShareReport {
+  const report = asRecord(value);
+  return (
+    isList(report.accounts, MAX_REPORT_ENTRIES, item =>
+      isAccountOf(item, 'workMs', Number.MAX_SAFE_INTEGER),
+    ) &&
+    isList(
+      report.rest,
+      MAX_REPORT_ENTRIES,
+      item =>
+        isAmount(item.rank) && isAmount(item.workMs, Number.MAX_SAFE_INTEGER),
+    ) &&
+    isAmount(report.startedMs) &&
+    typeof report.isShort === 'boolean'
+  );
+}
+
+/** Returns true for a well-formed plan. */
+export function isSharePlan(value: unknown): value is SharePlan {
+  const plan = asRecord(value);
+  return (
+    isList(plan.shares, MAX_SHARES, item => isAccountOf(item, 'fraction', 1)) &&
+    isAmount(plan.arrivedMs) &&
+    isAmount(plan.startedMs)
+  );
+}
+
+function asRecord(value: unknown): Record<string, unknown> {
+  return typeof value === 'object' && value !== null
+    ? (value as Record<string, unknown>)
+    : {};
+}
+
+function isList(
+  value: unknown,
+  maxLength: number,
+  isItem: (item: Record<string, unknown>) => boolean,
+): boolean {
+  return (
+    Array.isArray(value) &&
+    value.length <= maxLength &&
+    value.every(item => isItem(asRecord(item)))
+  );
+}
+
+function isAccountOf(
+  item: Record<string, unknown>,
+  field: keyof AccountShare | 'workMs',
+  max: number,
+): boolean {
+  return (
+    typeof item.account === 'string' &&
+    item.account.length <= MAX_NAME_LENGTH &&
+    isAmount(item.rank) &&
+    isAmount(item[field], max)
+  );
+}
+
+function isAmount(value: unknown, max = Number.MAX_SAFE_INTEGER): boolean {
+  return typeof value === 'number' && value >= 0 && value <= max;
+}
--- a/src/shares/index.ts
+++ b/src/shares/index.ts
@@ -1,1 +1,10 @@
+export {
+  type AccountShares,
+  type AccountSharesOptions,
+  createAccountShares,
+  type KnownShare,
+} from './account_shares';
+export {computeSharePlan, MAX_SHARES} from './plan_shares';
+export {computeSpreadRetryMs} from './retry_after';
 export {createStartTags, type StartTags} from './start_tags';
+export type {AccountShare, AccountWork, SharePlan, ShareReport} from './types';
--- a/test/gateway/fleet_demand.test.ts
+++ b/test/gateway/fleet_demand.test.ts
@@ -16,6 +16,8 @@
 function createNode(
   nodeCount: number,
   scaling?: FleetDemandOptions['scaling'],
+  tryCreateAccountReport: FleetDemandOptions['tryCreateAccountReport'] = () =>
+    undefined,
 ) {
   const clock = createVirtualClock();
   const sent: Array<{to: string; message: PeerMessage}> = [];
@@ -23,6 +25,7 @@
     nodeName: 'front-9',
     clock,
     ...(scaling === undefined ? {} : {scaling}),
+    tryCreateAccountReport,
     peers: {
       count: () => nodeCount,
       listFirst: count =>
@@ -130,3 +133,30 @@
   const load = demand.tryGetLoad('llm', ENGINE_LIMITS);
   assert.ok(Math.abs((load?.decodeEngines ?? 0) - 2) < 0.01);
 });
+
+test('reports carry the work of the accounts while there is any to report, and are listed until they expire', async () => {
+  const report = {accounts: [], rest: [], startedMs: 1, isShort: true};
+  let own: typeof report | undefined = report;
+  const {clock, demand, sent} = createNode(2, undefined, () => own);
+  demand.start();
+  demand.record('llm', WORK);
+  await clock.advance(600);
+  demand.handle({kind: 'demand', from: 'front-1', services: []});
+  const other = {...report, startedMs: 2};
+  demand.handle({
+    kind: 'demand',
+    from: 'front-2',
+    services: [],
+    accounts: other,
+  });
+  assert.deepEqual(demand.listAccountReports(), [report, other]);
+  assert.ok(sent.every(({message}) => 'accounts' in message));
+  own = undefined;
+  sent.length = 0;
+  await clock.advance(2_000);
+  demand.stop();
+  assert.ok(
+    sent.length > 0 && sent.every(item => !('accounts' in item.message)),
+  );
+  assert.deepEqual(demand.listAccountReports(), []);
+});
--- a/test/gateway/waiting_prompts.test.ts
+++ b/test/gateway/waiting_prompts.test.ts
@@ -52,6 +52,9 @@
   const add = (name: string, more: Partial<WaitingPrompt> = {}) =>
     waiting.add({
       rank: 1,
+      account: '',
+      isOverShare: false,
+      workMs: 100,
       expiresAtMs: clock.getMonotonicMs() + 1_000,
       tryStart: () => {
         if (isEngineFree) started.push(name);
