--- a/src/gateway/flow_context.ts
+++ b/src/gateway/flow_context.ts
@@ -2,6 +2,7 @@
 import type {RetryBudget} from '../routing/retry_budget';
 import type {ServerCapacities, ServiceTimes} from '../capacity';
 import type {Clock} from '../runtime/types';
+import type {AccountShares} from '../shares';
 import type {Connections} from './connections';
 import type {CrashGuard} from './crash_guard';
 import type {EngineLiveness} from './engine_liveness';
@@ -46,6 +47,7 @@
   readonly streams: StreamCounts;
   readonly waitingPrompts: WaitingPrompts;
   readonly demand: FleetDemand;
+  readonly shares: AccountShares;
   /** True while an engine changes to another stage. */
   readonly isChangingStage: (serverId: string) => boolean;
   readonly getRandom: () => number;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,6 +7,7 @@
 import type {Logger} from '../diagnostics/log';
 import {createAuthority, DutyKind} from '../duties';
 import type {Clock} from '../runtime/types';
+import {type AccountShares, createAccountShares} from '../shares';
 import {createCallerAdmission} from './caller_admission';
 import {createConnections} from './connections';
 import {createControlListeners} from './control_listener';
@@ -15,7 +16,7 @@
 import {createEngineLiveness} from './engine_liveness';
 import {createEngineSpeedEstimator} from './engine_speed_estimator';
 import {createExchangeRouter} from './exchange_router';
-import {createFleetDemand} from './fleet_demand';
+import {createFleetDemand, PLANNER_COUNT} from './fleet_demand';
 import {createFleetState} from './fleet_state';
 import type {FlowContext} from './flow_context';
 import {createFrontListener} from './front_listener';
@@ -222,6 +223,7 @@
     nodeName: self.name,
     clock,
     peers,
+    tryCreateAccountReport: () => shares.tryCreateReport(),
     ...(isScaling
       ? {
           scaling: {
@@ -232,6 +234,19 @@
         }
       : {}),
   });
+  const shares: AccountShares = createAccountShares({
+    nodeName: self.name,
+    clock,
+    logger,
+    hasAccounts: () => state.tryGetAccounts() !== undefined,
+    tryCountPlannersBefore: () => {
+      const count = peers.countLowerNames();
+      return count < PLANNER_COUNT ? count : undefined;
+    },
+    listReports: demand.listAccountReports,
+    notify: plan =>
+      peers.notify({kind: 'account-shares', from: self.name, plan}),
+  });
   const authority = createAuthority({
     nodeName: self.name,
     store,
@@ -310,6 +325,7 @@
     isHomeCacheWarm: !settings.isFirstStart,
     streams,
     demand,
+    shares,
     waitingPrompts: createWaitingPrompts({
       clock,
       getRandom,
@@ -338,6 +354,7 @@
     stages,
     scaling,
     demand,
+    shares,
     speeds,
     capacities,
     prefillQueues,
@@ -396,6 +413,7 @@
     stages.start();
     scaling.start();
     demand.start();
+    shares.start();
     crashGuard.start();
     usage?.start();
     registerWhenReady();
@@ -456,6 +474,7 @@
     scaling.stop();
     demand.stop();
     usage?.stop();
+    shares.stop();
     reach.stop();
     crashGuard.stop();
     front.close();
--- a/src/gateway/peer_message_handler.ts
+++ b/src/gateway/peer_message_handler.ts
@@ -3,6 +3,7 @@
 import type {Logger} from '../diagnostics/log';
 import type {UsageDuty} from '../duties';
 import type {Clock} from '../runtime/types';
+import type {AccountShares} from '../shares';
 import type {CrashGuard} from './crash_guard';
 import type {EngineSpeedEstimator} from './engine_speed_estimator';
 import type {FleetDemand} from './fleet_demand';
@@ -50,6 +51,7 @@
   readonly stages: StageControl;
   readonly scaling: Pick<ServerScaling, 'handle'>;
   readonly demand: FleetDemand;
+  readonly shares: Pick<AccountShares, 'handlePlan'>;
   readonly speeds: EngineSpeedEstimator;
   readonly capacities: ServerCapacities;
   readonly prefillQueues: PrefillQueues;
@@ -119,6 +121,9 @@
       case 'demand':
         options.demand.handle(message);
         return;
+      case 'account-shares':
+        options.shares.handlePlan(message.from, message.plan);
+        return;
       case 'leaving':
         handleLeaving(message);
         return;
