--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,6 +7,7 @@
 import type {Logger} from '../diagnostics/log';
 import {createAuthority, DutyKind} from '../duties';
 import type {Clock} from '../runtime/types';
+import {type AccountShares, createAccountShares} from '../shares';
 import {createCallerAdmission} from './caller_admission';
 import {createConnections} from './connections';
 import {createControlListeners} from './control_listener';
@@ -15,7 +16,7 @@
 import {createEngineLiveness} from './engine_liveness';
 import {createEngineSpeedEstimator} from './engine_speed_estimator';
 import {createExchangeRouter} from './exchange_router';
-import {createFleetDemand} from './fleet_demand';
+import {createFleetDemand, PLANNER_COUNT} from './fleet_demand';
 import {createFleetState} from './fleet_state';
 import type {FlowContext} from './flow_context';
 import {createFrontListener} from './front_listener';
@@ -229,6 +230,7 @@
     nodeName: self.name,
     clock,
     peers,
+    tryCreateAccountReport: () => shares.tryCreateReport(),
     ...(isScaling
       ? {
           scaling: {
@@ -239,6 +241,19 @@
         }
       : {}),
   });
+  const shares: AccountShares = createAccountShares({
+    nodeName: self.name,
+    clock,
+    logger,
+    hasAccounts: () => state.tryGetAccounts() !== undefined,
+    tryCountPlannersBefore: () => {
+      const count = peers.countLowerNames();
+      return count < PLANNER_COUNT ? count : undefined;
+    },
+    listReports: demand.listAccountReports,
+    notify: plan =>
+      peers.notify({kind: 'account-shares', from: self.name, plan}),
+  });
   const authority = createAuthority({
     nodeName: self.name,
     store,
@@ -317,6 +332,7 @@
     isHomeCacheWarm: !settings.isFirstStart,
     streams,
     demand,
+    shares,
     waitingPrompts: createWaitingPrompts({
       clock,
       getRandom,
@@ -345,6 +361,7 @@
     stages,
     scaling,
     demand,
+    shares,
     speeds,
     capacities,
     prefillQueues,
@@ -405,6 +422,7 @@
     stages.start();
     scaling.start();
     demand.start();
+    shares.start();
     crashGuard.start();
     memory.start();
     usage?.start();
@@ -466,6 +484,7 @@
     scaling.stop();
     demand.stop();
     usage?.stop();
+    shares.stop();
     reach.stop();
     crashGuard.stop();
     memory.stop();
--- a/test/gateway/fresh_fleet.test.ts
+++ b/test/gateway/fresh_fleet.test.ts
@@ -107,6 +107,9 @@
       }
       waiting.add({
         rank: 0,
+        account: '',
+        isOverShare: false,
+        workMs: 0,
         expiresAtMs: arrivedMs + budgetMs,
         tryStart: () => trySend(id, arrivedMs),
         onExpired: () => outcome.refusedAfterMs.push(budgetMs),
