Split decisions of the gateway from what they record

Cause: an explanation of a route needs the decision functions of requests without their effects; several reads also changed state. Change: placement, near equals, service choice, health chance, reservation, engine time and authentication by account name can be called on their own; prefill queues, capacities, shares and limits offer copies or predictions. The open requests of a server and the rate of the fleet are read without changing them; expired counts are dropped when a request is recorded.

--- a/src/accounts/account_table.ts
+++ b/src/accounts/account_table.ts
@@ -7,6 +7,8 @@
   update(accounts: readonly ClientAccount[]): void;
   /** Returns the account that the key belongs to; the time does not depend on the number of accounts. */
   tryFind(keyDigest: string): CallerAccount | undefined;
+  /** Returns the account of this name if it has a key with which callers can authenticate. */
+  tryFindByName(name: string): CallerAccount | undefined;
   /** Returns the numbers and faults of the accounts, for the log. */
   getSummary(): AccountSummary;
 }
@@ -44,6 +46,13 @@
   return {
     update,
     tryFind: keyDigest => byDigest.get(keyDigest),
+    tryFindByName: name => {
+      const account = byName.get(name);
+      const isUsed = account?.keyDigests.some(
+        digest => byDigest.get(digest)?.name === name,
+      );
+      return isUsed ? account : undefined;
+    },
     getSummary: () => ({
       accounts: byName.size,
       keys: byDigest.size,
--- a/src/capacity/index.ts
+++ b/src/capacity/index.ts
@@ -1,6 +1,7 @@
-export {tryChooseNearBest} from './near_equals';
+export {listNearBest, tryChooseNearBest} from './near_equals';
 export type {Candidate} from './near_equals';
 export {createServerCapacities} from './server_capacities';
+export type {CapacityView} from './capacity_view';
 export type {
   ServerCapacities,
   ServerCapacitiesOptions,
--- a/src/capacity/near_equals.ts
+++ b/src/capacity/near_equals.ts
@@ -12,23 +12,28 @@
 const NEAR_FRACTION = 0.05;
 const NEAR_MS = 5;
 
-/**
- * Returns the best candidate or, at random, one that is nearly as good and whose
- * network path costs no more; undefined when the list is empty.
- */
-export function tryChooseNearBest<T extends Candidate>(
+/** Lists the best candidate and those that are nearly as good and whose network paths cost no more. */
+export function listNearBest<T extends Candidate>(
   candidates: readonly T[],
-  getRandom: () => number,
-): T | undefined {
+): readonly T[] {
   let best: T | undefined;
   for (const candidate of candidates) {
     if (best === undefined || candidate.score < best.score) best = candidate;
   }
-  if (best === undefined) return undefined;
+  if (best === undefined) return [];
   const {score, pathMs} = best;
   const limit = score + Math.max(NEAR_MS, NEAR_FRACTION * Math.abs(score));
-  const near = candidates.filter(
+  return candidates.filter(
     item => item.score <= limit && item.pathMs <= pathMs,
   );
-  return near[Math.floor(getRandom() * near.length)] ?? best;
+}
+
+/** Returns one of the candidates that `listNearBest` lists, at random; undefined when the list is empty. */
+export function tryChooseNearBest<T extends Candidate>(
+  candidates: readonly T[],
+  getRandom: () => number,
+): T | undefined {
+  const near = listNearBest(candidates);
+  if (near.length === 0) return undefined;
+  return near[Math.floor(getRandom() * near.length)];
 }
--- a/src/capacity/server_capacities.ts
+++ b/src/capacity/server_capacities.ts
@@ -11,6 +11,7 @@
   setTold,
   WINDOWS_PER_RECORD,
 } from './server_record';
+import {type CapacityView, createCapacityView} from './capacity_view';
 import {createToldFactors} from './told_factors';
 import {createWindowPool} from './window_pool';
 import type {
@@ -32,6 +33,8 @@
   /** Adopts factors that another node told; malformed ones are ignored. */
   addFactors(factors: unknown): void;
   remove(serverId: string): void;
+  /** Creates a view whose use has no effect on these speeds. */
+  createView(): CapacityView;
 }
 
 /** Options of the capacities. */
@@ -95,6 +98,8 @@
       removeRecord(serverId);
       told.remove(serverId);
     },
+    createView: () =>
+      createCapacityView({clock, isEnabled, records, told, getServiceFactor}),
   };
 
   /** Returns the service's factor in steps, so that results stay valid while it varies little. */
--- a/src/capacity/service_times.ts
+++ b/src/capacity/service_times.ts
@@ -51,7 +51,7 @@
     recordAnswer,
     countOpen: serverId => open.get(serverId)?.count ?? 0,
     estimateFleetOpen: serverId => {
-      const {count, mean} = updateOpen(serverId, 0);
+      const {count, mean} = computeOpen(serverId);
       return count + options.countPeers() * mean;
     },
     recordStart: serverId => {
@@ -83,19 +83,22 @@
     else if (answerMs < time.medianMs) time.medianMs /= 1 + step;
   }
 
-  function updateOpen(serverId: string, change: number): OpenRequests {
+  /** Returns the open requests with the mean up to now. */
+  function computeOpen(serverId: string): OpenRequests {
     const nowMs = options.clock.getMonotonicMs();
-    const requests = open.get(serverId) ?? {
+    const {count, mean, updatedAtMs} = open.get(serverId) ?? {
       count: 0,
       mean: 0,
       updatedAtMs: nowMs,
     };
-    const weight = 1 - Math.exp((requests.updatedAtMs - nowMs) / MEAN_TIME_MS);
-    requests.mean += weight * (requests.count - requests.mean);
+    const weight = 1 - Math.exp((updatedAtMs - nowMs) / MEAN_TIME_MS);
+    return {count, mean: mean + weight * (count - mean), updatedAtMs: nowMs};
+  }
+
+  function updateOpen(serverId: string, change: number): void {
+    const requests = computeOpen(serverId);
     requests.count = Math.max(0, requests.count + change);
-    requests.updatedAtMs = nowMs;
-    if (change !== 0) open.set(serverId, requests);
-    return requests;
+    open.set(serverId, requests);
   }
 }
 
--- a/src/capacity/told_factors.ts
+++ b/src/capacity/told_factors.ts
@@ -9,6 +9,8 @@
     serverId: string,
     startedAtMs: number,
   ): {timeFactor: number; atMs: number} | undefined;
+  /** Returns what `tryTake` would return. */
+  tryPeek: ToldFactors['tryTake'];
   /** Selects the next `count` factors. */
   select(factors: readonly ToldFactor[], count: number): ToldFactor[];
   remove(serverId: string): void;
@@ -48,6 +50,10 @@
       pending.delete(serverId);
       return found.startedAtMs === startedAtMs ? found : undefined;
     },
+    tryPeek: (serverId, startedAtMs) => {
+      const found = pending.get(serverId);
+      return found?.startedAtMs === startedAtMs ? found : undefined;
+    },
     select: (factors, count) => {
       const bounded = factors.slice(0, MAX_TOLD_SERVERS);
       if (bounded.length <= count) return bounded;
--- a/src/gateway/caller_admission.ts
+++ b/src/gateway/caller_admission.ts
@@ -1,5 +1,6 @@
 /** Authenticates callers' requests against the current state of this node. */
 import {
+  type AccountTable,
   authenticate,
   type Authentication,
   type FreshnessBounds,
@@ -16,6 +17,8 @@
     keyDigest: string | undefined,
     wasFound: boolean,
   ): Authentication;
+  /** Authenticates a caller of an account as if it had sent one of the account's keys; without a name, as if it had sent none. */
+  authenticateAs(route: Route, accountName: string | undefined): Authentication;
   /** Returns the version of the current configuration; 0 when there is none. */
   getConfigVersion(): number;
   /** True when the configuration may lack a route or key that a newer version has. */
@@ -38,16 +41,30 @@
   const {state, bounds, getStateAgeMs} = options;
   return {
     authenticate: (route, keyDigest, wasFound) =>
-      authenticate({
-        accounts: state.tryGetAccounts(),
-        isPublic: route.isPublic === true,
-        ...(keyDigest === undefined ? {} : {keyDigest}),
-        stateAgeMs: getStateAgeMs(),
-        bounds,
-        wasFound,
-      }),
+      check(route, state.tryGetAccounts(), keyDigest, wasFound),
+    authenticateAs: (route, accountName) => {
+      const accounts = state.tryGetAccounts();
+      const byName = accounts && {tryFind: accounts.tryFindByName};
+      return check(route, byName, accountName, false);
+    },
     getConfigVersion: () => state.getConfig()?.version ?? 0,
     isStateOutdated: () => isStateOutdated(getStateAgeMs(), bounds),
     getStateAgeMs,
   };
+
+  function check(
+    route: Route,
+    accounts: Pick<AccountTable, 'tryFind'> | undefined,
+    keyDigest: string | undefined,
+    wasFound: boolean,
+  ): Authentication {
+    return authenticate({
+      accounts,
+      isPublic: route.isPublic === true,
+      ...(keyDigest === undefined ? {} : {keyDigest}),
+      stateAgeMs: getStateAgeMs(),
+      bounds,
+      wasFound,
+    });
+  }
 }
--- a/src/gateway/decode_reservation.ts
+++ b/src/gateway/decode_reservation.ts
@@ -21,6 +21,18 @@
   readonly tryChooseDecode: (sourceDomain: string) => BackendEntry | undefined;
 }
 
+/** True when all decode engines limit their requests. */
+export function isReservationNeeded({
+  limits,
+  listDecodeEngines,
+}: Pick<DecodeReservationOptions, 'listDecodeEngines'> & {
+  readonly limits: Pick<ServerLimits, 'isLimited' | 'count'>;
+}): boolean {
+  if (limits.count() === 0) return false;
+  const engines = listDecodeEngines();
+  return engines.length > 0 && engines.every(limits.isLimited);
+}
+
 /** Creates a reservation that has not reserved anything yet. */
 export function createDecodeReservation(
   options: DecodeReservationOptions,
@@ -31,9 +43,7 @@
 
   function tryReserve(sourceDomain: string): boolean {
     cancel();
-    if (limits.count() === 0) return true;
-    const engines = listDecodeEngines();
-    if (engines.length === 0 || !engines.every(limits.isLimited)) return true;
+    if (!isReservationNeeded(options)) return true;
     const server = options.tryChooseDecode(sourceDomain);
     if (server === undefined) return false;
     reserved = {serverId: server.id, release: limits.claim(server)};
--- a/src/gateway/exchange_router.ts
+++ b/src/gateway/exchange_router.ts
@@ -32,7 +32,7 @@
 }
 
 /** Time after which a caller may retry at another node while this one is being stopped, in milliseconds. */
-const STOPPING_RETRY_AFTER_MS = 0;
+export const STOPPING_RETRY_AFTER_MS = 0;
 
 /** Creates a router. */
 export function createExchangeRouter(
--- a/src/gateway/fleet_rate.ts
+++ b/src/gateway/fleet_rate.ts
@@ -35,6 +35,7 @@
     recordSend: (nowMs, timeConstantMs) => {
       const count = computeDecayed(own, nowMs, timeConstantMs) + 1;
       own = {count, atMs: nowMs};
+      expireCounts(nowMs, timeConstantMs);
     },
     recordReport: (node, count, nowMs) => {
       others.set(node, {count, atMs: nowMs});
@@ -52,12 +53,17 @@
     let total =
       computeDecayed(own, nowMs, timeConstantMs) +
       computeDecayed(withheld, nowMs, timeConstantMs);
+    for (const other of others.values()) {
+      total += computeDecayed(other, nowMs, timeConstantMs);
+    }
+    return total;
+  }
+
+  function expireCounts(nowMs: number, timeConstantMs: number): void {
     for (const [node, other] of others) {
       const count = computeDecayed(other, nowMs, timeConstantMs);
       if (count < MIN_COUNT) others.delete(node);
-      total += count;
     }
-    return total;
   }
 }
 
--- a/src/gateway/peer_reach.ts
+++ b/src/gateway/peer_reach.ts
@@ -7,6 +7,8 @@
 export interface PeerReach {
   /** Returns the fraction of the probed nodes that answered, this node included as one of them. */
   getFraction(): number;
+  /** Returns what `getFraction` would return, without probing. */
+  predictFraction(): number;
   handle(message: ProbeMessage): void;
   stop(): void;
 }
@@ -43,6 +45,7 @@
   let isStopped = false;
   return {
     getFraction,
+    predictFraction,
     handle,
     stop: () => {
       isStopped = true;
@@ -54,9 +57,22 @@
     if (peers.count() === 0) return 1;
     usedAtMs = clock.getMonotonicMs();
     if (timer === undefined && !isStopped) startRound();
-    const oldestMs = usedAtMs - MAX_ROUND_AGE_MS;
+    return computeFraction(rounds);
+  }
+
+  function predictFraction(): number {
+    if (peers.count() === 0) return 1;
+    const isProbing = timer !== undefined || isStopped;
+    if (isProbing) return computeFraction(rounds);
+    // Probing would begin with a round that nobody has answered yet.
+    const probedCount = Math.min(MAX_PROBED_NODES, peers.list().length);
+    return Math.max(1 / (probedCount + 1), computeFraction(rounds.slice(-1)));
+  }
+
+  function computeFraction(known: readonly Round[]): number {
+    const oldestMs = clock.getMonotonicMs() - MAX_ROUND_AGE_MS;
     // The newest round may still wait for answers, so the one before it counts as well.
-    const fractions = rounds
+    const fractions = known
       .filter(round => round.startedAtMs >= oldestMs)
       .map(({answered, probed}) => (answered.size + 1) / (probed.size + 1));
     return Math.max(1 / (peers.count() + 1), ...fractions);
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -65,14 +65,24 @@
   readonly nowMs: number;
 }
 
-interface ScoredPlacement {
+/** A placement that can be chosen. */
+export interface ScoredPlacement {
   readonly placement: PrefillPlacement;
+  /** True for the home engine of the prompt's last shared part. */
+  readonly isHome: boolean;
   /** Predicted end of the prefill plus its cost to other requests, in milliseconds; lower is better. */
   readonly score: number;
   /** Part of the score that the network path causes, in milliseconds. */
   readonly pathMs: number;
 }
 
+/** A decode engine that can be chosen. */
+export interface ScoredDecode {
+  readonly server: BackendEntry;
+  /** Predicted costs, in milliseconds; lower is better. */
+  readonly score: number;
+}
+
 /** Inputs to the choice of a decode engine. */
 export interface DecodePlacementInput {
   readonly nodeName: string;
@@ -117,22 +127,32 @@
 export function tryChoosePrefill(
   input: PlacementInput,
 ): PrefillPlacement | undefined {
-  const prefill = tryChooseForStage(input, EngineStage.Prefill);
-  const direct = tryChooseForStage(input, EngineStage.Decode);
-  if (prefill === undefined || direct === undefined) {
-    return (prefill ?? direct)?.placement;
-  }
-  const isSmall =
-    direct.placement.prefillMs <= MAX_DIRECT_RATIO * input.handoffMs;
-  if (!isSmall) return prefill.placement;
-  const splitScore = prefill.score + input.handoffMs;
-  return direct.score < splitScore ? direct.placement : prefill.placement;
+  const prefill = listScored(input, EngineStage.Prefill);
+  const direct = listScored(input, EngineStage.Decode);
+  return chooseStage(
+    tryChooseNearBest(prefill, input.getRandom),
+    tryChooseNearBest(direct, input.getRandom),
+    input.handoffMs,
+  )?.placement;
+}
+
+/** Chooses between the best placement at a prefill engine and the best one at a decode engine. */
+export function chooseStage(
+  prefill: ScoredPlacement | undefined,
+  direct: ScoredPlacement | undefined,
+  handoffMs: number,
+): ScoredPlacement | undefined {
+  if (prefill === undefined || direct === undefined) return prefill ?? direct;
+  const isSmall = direct.placement.prefillMs <= MAX_DIRECT_RATIO * handoffMs;
+  if (!isSmall) return prefill;
+  return direct.score < prefill.score + handoffMs ? direct : prefill;
 }
 
-function tryChooseForStage(
+/** Lists the placements at the engines of a stage whose queues are not full, with their scores. */
+export function listScored(
   input: PlacementInput,
   stage: EngineStage,
-): ScoredPlacement | undefined {
+): readonly ScoredPlacement[] {
   const engines = input.engines.filter(
     server =>
       server.stage === stage &&
@@ -140,7 +160,7 @@
   );
   const shared = listSharedParts(input.request);
   const homeId = tryFindHome(input, shared, engines);
-  const candidates = engines.map((server): ScoredPlacement => {
+  return engines.map((server): ScoredPlacement => {
     const isHome = server.id === homeId;
     const placement = predictPlacement(input, shared, server, isHome);
     const pathMs = computePathMs(server, input.path, input.bodyBytes);
@@ -148,9 +168,8 @@
       computeScore(input, shared, placement) +
       pathMs -
       (isHome ? HOME_BONUS_FRACTION * placement.prefillMs : 0);
-    return {placement, score, pathMs};
+    return {placement, isHome, score, pathMs};
   });
-  return tryChooseNearBest(candidates, input.getRandom);
 }
 
 /** Finds the home engine of the last shared part, unless the prefix directory lists an engine that has it cached. */
@@ -234,9 +253,19 @@
 export function tryChooseDecode(
   input: DecodePlacementInput,
 ): BackendEntry | undefined {
-  let best: BackendEntry | undefined;
-  let bestScore = Number.POSITIVE_INFINITY;
-  for (const server of listDecodeEngines(input)) {
+  let best: ScoredDecode | undefined;
+  for (const candidate of listScoredDecode(input)) {
+    if (candidate.score >= (best?.score ?? Number.POSITIVE_INFINITY)) continue;
+    best = candidate;
+  }
+  return best?.server;
+}
+
+/** Lists the decode engines that this node uses, with their scores. */
+export function listScoredDecode(
+  input: DecodePlacementInput,
+): readonly ScoredDecode[] {
+  return listDecodeEngines(input).map(server => {
     const isCrossDomain =
       input.sourceDomain !== undefined &&
       server.failureDomain !== input.sourceDomain;
@@ -252,11 +281,8 @@
       pathMs +
       input.getSlotWaitMs(server) +
       streams * (STREAM_COST_MS + transferMs / 2);
-    if (score >= bestScore) continue;
-    best = server;
-    bestScore = score;
-  }
-  return best;
+    return {server, score};
+  });
 }
 
 /** Lists the decode engines that this node uses: a limited number in each failure domain. */
--- a/src/gateway/prefill_queues.ts
+++ b/src/gateway/prefill_queues.ts
@@ -32,6 +32,11 @@
   /** True while the engine has nearly as many jobs as when it last rejected one as full. */
   isFull(serverId: string, nowMs: number): boolean;
   removeServer(serverId: string): void;
+  /** Creates independent queues with the jobs of these engines: even reading drops jobs whose end is assumed. */
+  createCopy(
+    serverIds: readonly string[],
+    onAssumedEnd: (job: PrefillJob) => void,
+  ): PrefillQueues;
 }
 
 interface OpenJob extends PrefillJob {
@@ -69,8 +74,14 @@
 export function createPrefillQueues(
   onAssumedEnd: (job: PrefillJob) => void = () => undefined,
 ): PrefillQueues {
-  const engines = new Map<string, EngineQueue>();
-  const serverIdsByJob = new Map<string, string>();
+  return createQueues(onAssumedEnd, new Map(), new Map());
+}
+
+function createQueues(
+  onAssumedEnd: (job: PrefillJob) => void,
+  engines: Map<string, EngineQueue>,
+  serverIdsByJob: Map<string, string>,
+): PrefillQueues {
   return {
     add,
     recordOverdue,
@@ -82,8 +93,28 @@
     recordFull,
     isFull,
     removeServer,
+    createCopy,
   };
 
+  function createCopy(
+    serverIds: readonly string[],
+    onCopyEnd: (job: PrefillJob) => void,
+  ): PrefillQueues {
+    const copies = new Map<string, EngineQueue>();
+    const copiedJobs = new Map<string, string>();
+    for (const serverId of serverIds) {
+      const engine = engines.get(serverId);
+      if (engine === undefined) continue;
+      const jobs = [...engine.jobs].map(([id, job]): [string, OpenJob] => [
+        id,
+        {...job},
+      ]);
+      copies.set(serverId, {...engine, jobs: new Map(jobs)});
+      for (const [id] of jobs) copiedJobs.set(id, serverId);
+    }
+    return createQueues(onCopyEnd, copies, copiedJobs);
+  }
+
   function add(job: PrefillJob, nowMs: number): void {
     const engine = engines.get(job.serverId) ?? {
       jobs: new Map<string, OpenJob>(),
--- a/src/gateway/prompt_share.ts
+++ b/src/gateway/prompt_share.ts
@@ -21,8 +21,8 @@
 }
 
 /** Reason of a refusal because other accounts use less than their shares. */
-const SHARE_REASON = 'account-share';
-const BUSY_REASON = 'engines are busy';
+export const SHARE_REASON = 'account-share';
+export const BUSY_REASON = 'engines are busy';
 
 /** Creates the share of a request. */
 export function createPromptShare(
--- a/src/gateway/request_task.ts
+++ b/src/gateway/request_task.ts
@@ -60,7 +60,7 @@
 }
 
 /** Default time after which a refused caller may retry, in milliseconds. */
-const DEFAULT_RETRY_AFTER_MS = 250;
+export const DEFAULT_RETRY_AFTER_MS = 250;
 /** Time after which a caller may retry while this node's state is outdated or missing, in milliseconds; other nodes may answer at once. */
 export const OUTDATED_RETRY_AFTER_MS = 500;
 const STATUS_UNAUTHORIZED = 401;
@@ -75,13 +75,18 @@
   RefusalReason.KeyRevoked,
 ]);
 
+/** Returns how long a request may take, in milliseconds. */
+export function getLimitMs(
+  {timeoutMs}: Pick<Route, 'timeoutMs'>,
+  deadlineMs = timeoutMs,
+): number {
+  return Math.min(timeoutMs, deadlineMs);
+}
+
 /** Creates the task of a request and starts the timer of its time limit. */
 export function createRequestTask(options: RequestTaskOptions): RequestTask {
   const {exchange, route, clock, metrics} = options;
-  const limitMs = Math.min(
-    route.timeoutMs,
-    exchange.request.deadlineMs ?? route.timeoutMs,
-  );
+  const limitMs = getLimitMs(route, exchange.request.deadlineMs);
   const deadlineAtMs = exchange.receivedAtMs + limitMs;
   const stopCallbacks: Array<(cause: 'gone' | 'timeout') => void> = [];
   let authentication: Authentication | undefined;
@@ -229,7 +234,8 @@
   }
 }
 
-function getFailureStatus(verdict: Verdict, reason: string): number {
+/** Returns the status with which a request is refused. */
+export function getFailureStatus(verdict: Verdict, reason: string): number {
   if (verdict === Verdict.NotRun) {
     return KEY_REASONS.has(reason) ? STATUS_UNAUTHORIZED : STATUS_UNAVAILABLE;
   }
--- a/src/gateway/server_health.ts
+++ b/src/gateway/server_health.ts
@@ -12,6 +12,8 @@
 export interface HealthTracker {
   /** Lists the servers that are healthy enough for a request; returns all of them when none is. */
   listHealthy(servers: readonly BackendEntry[]): readonly BackendEntry[];
+  /** Returns the probability that a server is healthy enough for a request, 0 to 1; between them while it returns after an ejection. */
+  getUsableChance(serverId: string): number;
   /** Records a failure; with `isCertain` a single one proves that the server is down. */
   recordFailure(serverId: string, reason: string, isCertain?: boolean): void;
   /** Records another node's report that a server does not respond; ignored if the server has just responded to any node. */
@@ -44,6 +46,15 @@
 /** Ratio of observed to expected time with which no server is ejected as slow. */
 const EVEN_RATIO = 1;
 
+/** Returns the usable servers, or all of them when none is usable. */
+export function selectHealthy(
+  servers: readonly BackendEntry[],
+  isUsable: (server: BackendEntry) => boolean,
+): readonly BackendEntry[] {
+  const healthy = servers.filter(isUsable);
+  return healthy.length > 0 ? healthy : servers;
+}
+
 /** Creates a tracker without any servers. */
 export function createHealthTracker(
   options: HealthTrackerOptions,
@@ -57,6 +68,11 @@
   });
   return {
     listHealthy,
+    getUsableChance: serverId => {
+      const health = servers.get(serverId);
+      if (health === undefined) return 1;
+      return ejector.getUsableChance(health, options.clock.getMonotonicMs());
+    },
     recordFailure,
     recordSuspicion,
     recordResponse,
@@ -74,10 +90,9 @@
 
   function listHealthy(list: readonly BackendEntry[]): readonly BackendEntry[] {
     const nowMs = options.clock.getMonotonicMs();
-    const healthy = list.filter(server =>
+    return selectHealthy(list, server =>
       ejector.isUsable(getHealth(server.id), nowMs),
     );
-    return healthy.length > 0 ? healthy : list;
   }
 
   function recordFailure(
--- a/src/gateway/server_limits.ts
+++ b/src/gateway/server_limits.ts
@@ -33,8 +33,16 @@
   retainOnly(serverIds: ReadonlySet<string>): void;
   /** Number of servers that state a limit. */
   count(): number;
+  /** Creates a view whose use has no effect: reading the limits themselves measures which nodes are in touch. */
+  createView(): LimitsView;
 }
 
+/** The limits as a decision sees them. */
+export type LimitsView = Pick<
+  ServerLimits,
+  'canSend' | 'isLimited' | 'tryGetLimitPerS' | 'getWaitMs' | 'count'
+>;
+
 /** Options of the limits. */
 export interface ServerLimitsOptions {
   readonly nodeName: string;
@@ -43,6 +51,8 @@
   readonly metrics: Pick<GatewayMetrics, 'recordLimitedSend'>;
   /** Fraction of all nodes that this node is in touch with, itself included. */
   readonly getReach: () => number;
+  /** Returns what `getReach` would return, without an effect; `getReach` itself when absent. */
+  readonly predictReach?: () => number;
   readonly notify: (message: LimitMessage) => void;
 }
 
@@ -87,10 +97,8 @@
   const {clock, logger, metrics, notify} = options;
   const states = new Map<string, LimitState>();
   return {
-    canSend: server => getWaitMs(server) === 0,
-    isLimited: server => tryFindLimited(server) !== undefined,
-    tryGetLimitPerS: server => tryFindLimited(server)?.limitPerS,
-    getWaitMs,
+    ...createReads(options.getReach),
+    createView: () => createReads(options.predictReach ?? options.getReach),
     claim,
     recordSend,
     handle,
@@ -100,9 +108,19 @@
         if (!serverIds.has(serverId)) states.delete(key);
       }
     },
-    count: () => listLimited().length,
   };
 
+  function createReads(getReach: () => number): LimitsView {
+    const read = (server: BackendEntry) => getWaitMs(server, getReach);
+    return {
+      canSend: server => read(server) === 0,
+      isLimited: server => tryFindLimited(server) !== undefined,
+      tryGetLimitPerS: server => tryFindLimited(server)?.limitPerS,
+      getWaitMs: read,
+      count: () => listLimited().length,
+    };
+  }
+
   function listLimited(): LimitState[] {
     return [...states.values()].filter(state => state.limitPerS !== undefined);
   }
@@ -114,7 +132,7 @@
 
   function computeAllowance(
     {limitPerS = 0}: Pick<LimitState, 'limitPerS'>,
-    share = getShare(),
+    share = getShare(options.getReach),
   ): Allowance {
     const perS = Math.max(MIN_LIMIT_PER_S, limitPerS) * share;
     const timeConstantMs = Math.max(MIN_TIME_CONSTANT_MS, MS_PER_S / perS);
@@ -122,15 +140,15 @@
   }
 
   /** Returns the fraction of a limit that this node may use up. */
-  function getShare(): number {
-    const reach = options.getReach();
+  function getShare(getReach: () => number): number {
+    const reach = getReach();
     return reach > MAJORITY ? 1 : reach;
   }
 
-  function getWaitMs(server: BackendEntry): number {
+  function getWaitMs(server: BackendEntry, getReach: () => number): number {
     const state = tryFindLimited(server);
     if (state === undefined) return 0;
-    const {count, timeConstantMs} = computeAllowance(state);
+    const {count, timeConstantMs} = computeAllowance(state, getShare(getReach));
     const total = state.rate.getTotalCount(
       clock.getMonotonicMs(),
       timeConstantMs,
--- a/src/gateway/service_choice.ts
+++ b/src/gateway/service_choice.ts
@@ -23,15 +23,58 @@
   let best: BackendEntry | undefined;
   let bestScore = Number.POSITIVE_INFINITY;
   for (const server of servers) {
-    const {openCount, answerMs} = getLoad(server);
-    const queueMs = (openCount * answerMs) / Math.max(1, server.maxRunning);
-    const score =
-      answerMs * (1 + RANDOM_FRACTION * getRandom()) +
-      queueMs +
-      computePathMs(server, path);
+    const score = computeScore(server, getLoad(server), path, getRandom());
     if (score >= bestScore) continue;
     best = server;
     bestScore = score;
   }
   return best;
 }
+
+/** A server with the range of its score, in milliseconds; lower is better. */
+export interface ScoredServer {
+  readonly server: BackendEntry;
+  readonly load: ServiceLoad;
+  readonly minScore: number;
+  /** The score stays below this. */
+  readonly maxScore: number;
+}
+
+/** Returns the servers with the ranges of their scores. */
+export function listScoredServers(
+  servers: readonly BackendEntry[],
+  getLoad: (server: BackendEntry) => ServiceLoad,
+  path: PathView,
+): readonly ScoredServer[] {
+  return servers.map(server => {
+    const load = getLoad(server);
+    return {
+      server,
+      load,
+      minScore: computeScore(server, load, path, 0),
+      maxScore: computeScore(server, load, path, 1),
+    };
+  });
+}
+
+/** Lists the servers that `tryChooseServer` may return. */
+export function listPossibleServers(
+  servers: readonly ScoredServer[],
+): readonly ScoredServer[] {
+  const limit = Math.min(...servers.map(server => server.maxScore));
+  return servers.filter(({minScore}) => minScore < limit);
+}
+
+function computeScore(
+  server: BackendEntry,
+  {openCount, answerMs}: ServiceLoad,
+  path: PathView,
+  chance: number,
+): number {
+  const queueMs = (openCount * answerMs) / Math.max(1, server.maxRunning);
+  return (
+    answerMs * (1 + RANDOM_FRACTION * chance) +
+    queueMs +
+    computePathMs(server, path)
+  );
+}
--- a/src/gateway/service_flow.ts
+++ b/src/gateway/service_flow.ts
@@ -9,7 +9,7 @@
 import type {FlowContext} from './flow_context';
 import type {RequestTask} from './request_task';
 import {formatFailure, sendToServer} from './server_call';
-import {type ServiceLoad, tryChooseServer} from './service_choice';
+import {createServiceServers} from './service_servers';
 import {tryGetRetryAfterMs} from './server_waits';
 import {type BackendEntry, type CallFailure, RequestKind} from './types';
 
@@ -33,6 +33,7 @@
   const {capacities, serviceTimes} = context;
   const isStream = route.kind === RequestKind.Stream;
   const isIdempotent = route.kind === RequestKind.Idempotent;
+  const servers = createServiceServers(context, task.service, route.name);
   const tried = new Set<string>();
   let call: OpenCall | undefined;
   let cancelTry: () => void = () => undefined;
@@ -46,7 +47,7 @@
 
   function start(): void {
     if (!task.tryAdmit(getVerdict())) return;
-    const server = chooseServer();
+    const server = servers.tryChoose(tried);
     if (server === undefined) {
       const retryAfterMs = tryGetRetryAfterMs(
         context,
@@ -62,40 +63,9 @@
     send(server);
   }
 
-  function chooseServer(): BackendEntry | undefined {
-    const servers = context.health
-      .listHealthy(
-        context.state
-          .listUsable(task.service)
-          .filter(server => !context.pauses.isPaused(server)),
-      )
-      .filter(context.limits.canSend);
-    const untried = servers.filter(server => !tried.has(server.id));
-    return tryChooseServer(
-      untried.length > 0 ? untried : servers,
-      getLoad,
-      context.path,
-      context.getRandom,
-    );
-  }
-
-  function getLoad(server: BackendEntry): ServiceLoad {
-    const answerMs = serviceTimes.getAnswerMs(task.service, route.name);
-    return {
-      openCount: serviceTimes.countOpen(server.id),
-      answerMs:
-        answerMs * capacities.getRelativeFactor(server, computeLoad(server)),
-    };
-  }
-
-  /** Returns the estimated requests of all nodes, this one included, as a fraction of the server's slots. */
-  function computeLoad({id, maxRunning}: BackendEntry): number {
-    return (serviceTimes.estimateFleetOpen(id) + 1) / Math.max(1, maxRunning);
-  }
-
   function send(server: BackendEntry): void {
     const sentAtMs = context.clock.getMonotonicMs();
-    const load = computeLoad(server);
+    const load = servers.computeLoad(server);
     const remainingMs = task.getRemainingMs();
     tried.add(server.id);
     runCount++;
--- a/src/gateway/stream_engines.ts
+++ b/src/gateway/stream_engines.ts
@@ -2,12 +2,12 @@
 import {computeTransferMs} from './engine_costs';
 import type {FlowContext} from './flow_context';
 import {
+  type DecodePlacementInput,
   getStageFactor,
   type PlacementInput,
   tryChooseDecode,
   tryChoosePrefill,
 } from './placement';
-import type {RequestTask} from './request_task';
 import {tryGetRetryAfterMs} from './server_waits';
 import {
   type BackendEntry,
@@ -25,6 +25,10 @@
     placement: ReturnType<typeof tryChoosePrefill>;
     hasEngines: boolean;
   };
+  /** Creates the inputs to the choice of an engine for the prefill. */
+  createInput(): PlacementInput;
+  /** Creates the inputs to the choice of a decode engine. */
+  createDecodeInput(sourceDomain: string | undefined): DecodePlacementInput;
   /** Chooses a decode engine near the KV cache; undefined when there is none. */
   tryChooseDecode(sourceDomain: string | undefined): BackendEntry | undefined;
   /** How long a stream that comes now waits for a slot of the engine, in milliseconds. */
@@ -37,21 +41,51 @@
   tryGetRetryAfterMs(stage?: EngineStage): number | undefined;
 }
 
+/** What the choice of engines depends on. */
+export type StreamEnginesContext = Pick<
+  FlowContext,
+  | 'nodeName'
+  | 'path'
+  | 'state'
+  | 'clock'
+  | 'pauses'
+  | 'speeds'
+  | 'prefixes'
+  | 'affinity'
+  | 'isHomeCacheWarm'
+  | 'streams'
+  | 'isChangingStage'
+  | 'getRandom'
+> & {
+  readonly health: Pick<FlowContext['health'], 'listHealthy'>;
+  readonly limits: Pick<FlowContext['limits'], 'canSend' | 'getWaitMs'>;
+  readonly capacities: Pick<FlowContext['capacities'], 'getRelativeFactor'>;
+  readonly prefillQueues: FlowContext['prefillQueues'];
+};
+
+/** The request for which engines are chosen. */
+export interface EngineRequest {
+  readonly service: string;
+  readonly exchange: {readonly body?: {readonly length: number}};
+}
+
 /** Overhead of a second call when prefill and decode run on different engines, in milliseconds: a round trip and this node's processing. */
 const HANDOFF_OVERHEAD_MS = 6;
 
 /** Creates the engines for a request. */
 export function createStreamEngines(
-  context: FlowContext,
+  context: StreamEnginesContext,
   engine: EngineLimits,
   model: ModelRequest,
-  task: RequestTask,
+  task: EngineRequest,
 ): StreamEngines {
   const {clock} = context;
   const {exchange} = task;
   const excluded = new Set<string>();
   return {
     listDecodeEngines,
+    createInput,
+    createDecodeInput,
     choosePrefill: () => {
       const input = createInput();
       return {
@@ -60,13 +94,7 @@
       };
     },
     tryChooseDecode: sourceDomain =>
-      tryChooseDecode({
-        ...createInput(),
-        nodeName: context.nodeName,
-        engine,
-        promptTokens: model.promptTokens,
-        sourceDomain,
-      }),
+      tryChooseDecode(createDecodeInput(sourceDomain)),
     getSlotWaitMs,
     predictUncachedMs: server =>
       context.speeds.predictPrefillMs(task.service, model.promptTokens, 0) *
@@ -84,6 +112,18 @@
       ),
   };
 
+  function createDecodeInput(
+    sourceDomain: string | undefined,
+  ): DecodePlacementInput {
+    return {
+      ...createInput(),
+      nodeName: context.nodeName,
+      engine,
+      promptTokens: model.promptTokens,
+      sourceDomain,
+    };
+  }
+
   function createInput(): PlacementInput {
     const nowMs = clock.getMonotonicMs();
     return {
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -26,6 +26,11 @@
 } from './stream_admission';
 import {createStreamEngines} from './stream_engines';
 import {createStreamRecords} from './stream_records';
+import {
+  FIRST_EVENT_OVERHEAD_MS,
+  predictEngineMs,
+  predictFirstEventMs,
+} from './stream_work';
 import {
   type BackendEntry,
   type CallFailure,
@@ -35,8 +40,6 @@
   type ModelRequest,
 } from './types';
 
-/** Time to the first event besides prefill and KV transfer, in milliseconds: network hops and the first decode step. */
-const FIRST_EVENT_OVERHEAD_MS = 15;
 /** Minimum time left for another attempt, in milliseconds. */
 const MIN_TRY_MS = 60;
 /** Maximum number of prefill attempts for one request. */
@@ -134,8 +137,11 @@
       failWithoutEngine();
       return true;
     }
-    workMs = (placement?.prefillMs ?? 0) + FIRST_EVENT_OVERHEAD_MS;
-    share.recordWork(predictWorkMs(placement));
+    workMs = predictFirstEventMs(placement);
+    const {service} = task;
+    share.recordWork(
+      predictEngineMs(context, {service, route, engine, model, placement}),
+    );
     const admission = chooseAdmission({
       ...getAdmissionTimes(),
       isOverShare: share.isOverShare(),
@@ -161,16 +167,6 @@
     return true;
   }
 
-  /** Predicts the engine time of the request, in milliseconds: its prefill, and its part of a decode engine. */
-  function predictWorkMs(placement: PrefillPlacement | undefined): number {
-    const {service} = task;
-    const prefillMs =
-      placement?.prefillMs ??
-      context.speeds.predictPrefillMs(service, model.promptTokens, 0);
-    const slotMs = context.speeds.predictRunMs(service, route.name);
-    return prefillMs + slotMs / Math.max(1, engine.maxRunning);
-  }
-
   /** Counts the work of this request towards the demand, once, whether or not the request is served. */
   function recordDemand(placement: PrefillPlacement): void {
     if (isDemandRecorded) return;
--- a/src/gateway/waiting_prompts.ts
+++ b/src/gateway/waiting_prompts.ts
@@ -160,7 +160,10 @@
     const ahead =
       claim === undefined
         ? prompts.length
-        : findPlace(claim, getTags(claim.rank).getStartTag(claim.account));
+        : findPlace(
+            claim,
+            tagsByRank.get(claim.rank)?.getStartTag(claim.account) ?? 0,
+          );
     if (ahead === 0) return 0;
     // Time in which nothing was tried, because this process was held up, says nothing about the engines.
     const failingMs = Math.max(0, lastFailureMs - lastStartMs);
--- a/src/routing/ejection.ts
+++ b/src/routing/ejection.ts
@@ -44,6 +44,8 @@
 export interface Ejector {
   /** Returns whether a request may be sent to the server now; random while the server returns. */
   isUsable(health: ServerHealth, nowMs: number): boolean;
+  /** Returns the probability that `isUsable` returns true, 0 to 1. */
+  getUsableChance(health: ServerHealth, nowMs: number): number;
   /**
    * Records a failure; returns the cause if it ejects the server. One failure is enough if the
    * server is unreachable.
@@ -107,14 +109,19 @@
   let groupSize = 0;
   let ejectedCount = 0;
   let medianSlowdown = 1;
-  return {isUsable, recordFailure, recordSuccess};
+  return {isUsable, getUsableChance, recordFailure, recordSuccess};
 
   function isUsable(health: ServerHealth, nowMs: number): boolean {
-    if (health.ejectedUntilMs === 0) return true;
-    if (nowMs < health.ejectedUntilMs) return false;
+    const chance = getUsableChance(health, nowMs);
+    return chance === 0 || chance === 1 ? chance === 1 : getRandom() < chance;
+  }
+
+  function getUsableChance(health: ServerHealth, nowMs: number): number {
+    if (health.ejectedUntilMs === 0) return 1;
+    if (nowMs < health.ejectedUntilMs) return 0;
     const returningMs = nowMs - health.ejectedUntilMs;
-    if (returningMs >= limits.rampMs) return true;
-    return getRandom() < Math.max(MIN_RAMP_SHARE, returningMs / limits.rampMs);
+    if (returningMs >= limits.rampMs) return 1;
+    return Math.max(MIN_RAMP_SHARE, returningMs / limits.rampMs);
   }
 
   function recordFailure(
--- a/src/shares/account_shares.ts
+++ b/src/shares/account_shares.ts
@@ -9,7 +9,7 @@
 import {computeSharePlan} from './plan_shares';
 import type {AccountShare, AccountWork, SharePlan, ShareReport} from './types';
 import {createSizeLimits} from './size_limits';
-import {createWorkMeter} from './work_meter';
+import {createWorkMeter, type WorkMeter} from './work_meter';
 
 /** Where a node's knowledge of the shares comes from. */
 export type ShareSource = 'fleet' | 'local';
@@ -33,6 +33,8 @@
   recordShortage(): void;
   /** Returns the share of a prompt's account when it does not cover the prompt; called once for each prompt. */
   tryGetExceeded(work: AccountWork): KnownShare | undefined;
+  /** Returns what `tryGetExceeded` would return for a prompt that arrives now, without recording it. */
+  predictExceeded(work: AccountWork): KnownShare | undefined;
   /** Creates this node's report; undefined without accounts or while engines suffice. */
   tryCreateReport(): ShareReport | undefined;
   /** Handles a plan that another node has announced. */
@@ -89,6 +91,7 @@
     recordStart: workMs => meter.recordStart(workMs, getNowMs()),
     recordShortage: () => meter.recordShortage(getNowMs()),
     tryGetExceeded,
+    predictExceeded,
     tryCreateReport,
     handlePlan,
     stop: () => timer?.cancel(),
@@ -104,11 +107,28 @@
 
   function tryGetExceeded(work: AccountWork): KnownShare | undefined {
     const known = isRecent(fleet, PLAN_EXPIRY_MS) ? fleet : getLocal();
+    return tryFindExceeded(known, work, (key, fraction) =>
+      limits.admit(key, fraction, work.workMs),
+    );
+  }
+
+  function predictExceeded(work: AccountWork): KnownShare | undefined {
+    const known = isRecent(fleet, PLAN_EXPIRY_MS) ? fleet : predictLocal(work);
+    return tryFindExceeded(known, work, key =>
+      limits.isCovered(key, work.workMs),
+    );
+  }
+
+  function tryFindExceeded(
+    known: Known,
+    work: AccountWork,
+    isCovered: (key: string, fraction: number) => boolean,
+  ): KnownShare | undefined {
     if (known.shares.size === 0) return undefined;
     const key = formatKey(work.account, work.rank);
     const share = known.shares.get(key);
     if (share === undefined) return undefined;
-    if (limits.admit(key, share.fraction, work.workMs)) return undefined;
+    if (isCovered(key, share.fraction)) return undefined;
     const {source, atMs, plan} = known;
     const {arrivedMs, startedMs} = plan;
     return {
@@ -123,12 +143,23 @@
   /** Returns the plan by this node's own counts, computed at most once per interval. */
   function getLocal(): Known {
     if (isRecent(local, PLAN_INTERVAL_MS)) return local;
-    const nowMs = getNowMs();
-    const reports = meter.isShort(nowMs) ? [meter.createReport(nowMs)] : [];
-    local = createKnown('local', computeSharePlan(reports), nowMs);
+    local = computeLocal(meter);
     return local;
   }
 
+  function predictLocal(work: AccountWork): Known {
+    if (isRecent(local, PLAN_INTERVAL_MS)) return local;
+    const copy = meter.createCopy();
+    copy.recordArrival(work, getNowMs());
+    return computeLocal(copy);
+  }
+
+  function computeLocal(work: WorkMeter): Known {
+    const nowMs = getNowMs();
+    const reports = work.isShort(nowMs) ? [work.createReport(nowMs)] : [];
+    return createKnown('local', computeSharePlan(reports), nowMs);
+  }
+
   function tryCreateReport(): ShareReport | undefined {
     const nowMs = getNowMs();
     const isNeeded = meter.isShort(nowMs) || isRecent(fleet, PLAN_EXPIRY_MS);
--- a/src/shares/size_limits.ts
+++ b/src/shares/size_limits.ts
@@ -8,6 +8,8 @@
 export interface SizeLimits {
   /** Returns true when the share, which covers a fraction of the account's work, covers a prompt; adjusts the limit. */
   admit(key: string, fraction: number, workMs: number): boolean;
+  /** Returns what `admit` would return, without adjusting the limit. */
+  isCovered(key: string, workMs: number): boolean;
   /** Removes the limits of all other accounts. */
   retain(keys: ReadonlySet<string>): void;
 }
@@ -29,6 +31,8 @@
 export function createSizeLimits(): SizeLimits {
   const limits = new Map<string, SizeLimit>();
   return {
+    isCovered: (key, workMs) =>
+      workMs <= (limits.get(key)?.limitMs ?? workMs) || workMs <= 0,
     admit: (key, fraction, workMs) => {
       if (workMs <= 0) return true;
       const limit = limits.get(key) ?? {limitMs: workMs, meanMs: workMs};
--- a/src/shares/work_meter.ts
+++ b/src/shares/work_meter.ts
@@ -9,6 +9,8 @@
   recordShortage(nowMs: number): void;
   isShort(nowMs: number): boolean;
   createReport(nowMs: number): ShareReport;
+  /** Creates an independent meter with the same work. */
+  createCopy(): WorkMeter;
 }
 
 interface DecayingSum {
@@ -16,6 +18,12 @@
   atMs: number;
 }
 
+interface MeterState {
+  readonly ranks: Map<number, Map<string, DecayingSum>>;
+  readonly started: DecayingSum;
+  shortAtMs: number;
+}
+
 /** Time constant of the exponential averages, in milliseconds: shares follow within seconds, and an account's usual bursts are averaged. */
 const TIME_CONSTANT_MS = 5_000;
 /** How long engines count as short after a prompt waited or was refused, in milliseconds. */
@@ -29,17 +37,24 @@
 
 /** Creates a meter without recorded work. */
 export function createWorkMeter(): WorkMeter {
-  const ranks = new Map<number, Map<string, DecayingSum>>();
-  const started: DecayingSum = {sumMs: 0, atMs: 0};
-  let shortAtMs = Number.NEGATIVE_INFINITY;
+  return createMeter({
+    ranks: new Map(),
+    started: {sumMs: 0, atMs: 0},
+    shortAtMs: Number.NEGATIVE_INFINITY,
+  });
+}
+
+function createMeter(state: MeterState): WorkMeter {
+  const {ranks, started} = state;
   return {
     recordArrival,
     recordStart: (workMs, nowMs) => addDecayed(started, workMs, nowMs),
     recordShortage: nowMs => {
-      shortAtMs = nowMs;
+      state.shortAtMs = nowMs;
     },
     isShort,
     createReport,
+    createCopy: () => createMeter(structuredClone(state)),
   };
 
   function recordArrival(
@@ -54,7 +69,7 @@
   }
 
   function isShort(nowMs: number): boolean {
-    return nowMs - shortAtMs < SHORTAGE_MS;
+    return nowMs - state.shortAtMs < SHORTAGE_MS;
   }
 
   function createReport(nowMs: number): ShareReport {
--- a/test/shares/prompt_share.test.ts
+++ b/test/shares/prompt_share.test.ts
@@ -44,6 +44,7 @@
         recordArrival: () => calls.push('arrival'),
         recordStart: workMs => calls.push(`start ${workMs}`),
         recordShortage: () => calls.push('shortage'),
+        predictExceeded: () => undefined,
         tryGetExceeded: ({account, rank}) =>
           options.isCovered === true
             ? undefined
