Add an endpoint and a command that explain a route

Cause: operators could not ask a node where a request would go, and why. Change: src/explain builds an explanation from the decision functions of requests on a view without effects; POST /explain at the control listener answers with it, and anvilstack explain prints it.

--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -2,6 +2,7 @@
 import {type BaseContext, Builtins, Cli} from 'clipanion';
 import {DemoCommand} from './demo_command';
 import {ExitCode} from './exit_code';
+import {ExplainCommand} from './explain_command';
 import {FleetCommand} from './fleet_command';
 import {GatewayCommand} from './gateway_command';
 import {ProgressCommand} from './progress_command';
@@ -22,6 +23,7 @@
   Builtins.HelpCommand,
   Builtins.VersionCommand,
   DemoCommand,
+  ExplainCommand,
   FleetCommand,
   GatewayCommand,
   ProgressCommand,
--- /dev/null
+++ b/src/cli/explain_command.ts
@@ -0,0 +1,175 @@
+/** `anvilstack explain`. */
+import {Command, Option} from 'clipanion';
+import {Err, Ok, type Result} from 'ts-results';
+import {request} from 'undici';
+import {createMessage, type Message, messages} from '../diagnostics';
+import {EXPLAIN_PATH, type Explanation, formatExplanation} from '../explain';
+import {ExitCode} from './exit_code';
+import {printJson, printMessages} from './output';
+
+/** Time-out of the question, in milliseconds. */
+const TIMEOUT_MS = 5_000;
+
+/** Shows where a gateway would send a request now, and why. */
+export class ExplainCommand extends Command {
+  static override paths = [['explain']];
+  static override usage = Command.Usage({
+    category: 'Fleet',
+    description: 'Shows where a gateway would send a request now, and why.',
+    details:
+      'The gateway answers by what it knows, without sending the request and without any other effect. The account is given by its name, never by a key.',
+    examples: [
+      [
+        'Explain a prompt of 1,200 tokens',
+        'anvilstack explain --node 127.0.0.1:7101 --host desk.example --path /ask/ --tokens 1200,300 --parts intro:1000,own:200',
+      ],
+    ],
+  });
+
+  node = Option.String('--node', {
+    required: true,
+    description: 'Control address of the gateway, HOST:PORT',
+  });
+
+  host = Option.String('--host', {
+    required: true,
+    description: 'Host of the request',
+  });
+
+  requestPath = Option.String('--path', {
+    required: true,
+    description: 'Path of the request',
+  });
+
+  method = Option.String('--method', 'POST', {
+    description: 'Method of the request',
+  });
+
+  account = Option.String('--account', {
+    description: 'Name of the client account',
+  });
+
+  tokens = Option.String('--tokens', {
+    description: 'Tokens of the prompt and of the longest answer',
+  });
+
+  parts = Option.String('--parts', {
+    description: 'Parts of the prompt with their tokens, ID:TOKENS,...',
+  });
+
+  deadlineMs = Option.String('--deadline-ms', {
+    description: 'How long the caller waits, in milliseconds',
+  });
+
+  bodyBytes = Option.String('--body-bytes', {
+    description: "Size of the request's body",
+  });
+
+  json = Option.Boolean('--json', false, {description: 'Print JSON'});
+
+  async execute(): Promise<number> {
+    const body = this.buildBody();
+    if (body.err) {
+      printMessages(this.context.stderr, [body.val]);
+      return ExitCode.Usage;
+    }
+    const answer = await send(this.node, body.val);
+    if (answer.err) {
+      printMessages(this.context.stderr, [answer.val]);
+      return ExitCode.Failed;
+    }
+    if (this.json) printJson(this.context.stdout, answer.val);
+    else this.context.stdout.write(formatExplanation(answer.val));
+    return ExitCode.Done;
+  }
+
+  private buildBody(): Result<object, Message> {
+    if (!URL.canParse(`http://${this.node}`)) {
+      return refuseOption('--node', 'must be HOST:PORT');
+    }
+    const tokens = this.tokens?.split(',').map(parseCount);
+    const [prompt, output] = tokens ?? [];
+    if (
+      tokens &&
+      (tokens.length !== 2 || prompt === undefined || output === undefined)
+    ) {
+      return refuseOption('--tokens', 'must be PROMPT,OUTPUT');
+    }
+    const parts = this.parts?.split(',').map(parsePart);
+    if (parts?.includes(undefined)) {
+      return refuseOption('--parts', 'must be ID:TOKENS,...');
+    }
+    const deadlineMs = parseCount(this.deadlineMs);
+    if (this.deadlineMs !== undefined && deadlineMs === undefined) {
+      return refuseOption('--deadline-ms', 'must be a number of milliseconds');
+    }
+    const bodyBytes = parseCount(this.bodyBytes);
+    if (this.bodyBytes !== undefined && bodyBytes === undefined) {
+      return refuseOption('--body-bytes', 'must be a number of bytes');
+    }
+    const {host, requestPath: path, method, account} = this;
+    return Ok({
+      host,
+      path,
+      method,
+      account,
+      tokens: tokens && {prompt, output},
+      parts,
+      deadlineMs,
+      bodyBytes,
+    });
+  }
+}
+
+async function send(
+  node: string,
+  body: object,
+): Promise<Result<Explanation, Message>> {
+  try {
+    const response = await request(`http://${node}${EXPLAIN_PATH}`, {
+      method: 'POST',
+      body: JSON.stringify(body),
+      headers: {'content-type': 'application/json'},
+      signal: AbortSignal.timeout(TIMEOUT_MS),
+    });
+    const answer = parseJson(await response.body.text());
+    if (answer === undefined) {
+      const reason = `status ${response.statusCode}`;
+      return Err(
+        createMessage(messages.UnexpectedNodeResponse, [node, reason]),
+      );
+    }
+    if (response.statusCode === 200) return Ok(answer as Explanation);
+    const {error} = answer as {error?: unknown};
+    return Err(createMessage(messages.RequestRefused, [node, String(error)]));
+  } catch (error) {
+    const {code} = error as {code?: unknown};
+    const reason = typeof code === 'string' ? code : String(error);
+    return Err(createMessage(messages.NodeUnreachable, [node, reason]));
+  }
+}
+
+/** Returns the JSON object in a text; undefined when there is none. */
+function parseJson(text: string): object | undefined {
+  try {
+    const value: unknown = JSON.parse(text);
+    return typeof value === 'object' && value !== null ? value : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function parseCount(text: string | undefined): number | undefined {
+  return text !== undefined && /^\d+$/.test(text) ? Number(text) : undefined;
+}
+
+function parsePart(text: string): {id: string; tokens: number} | undefined {
+  const at = text.lastIndexOf(':');
+  const tokens = parseCount(text.slice(at + 1));
+  if (at < 1 || tokens === undefined) return undefined;
+  return {id: text.slice(0, at), tokens};
+}
+
+function refuseOption(option: string, reason: string): Result<never, Message> {
+  return Err(createMessage(messages.InvalidOptionValue, [option, reason]));
+}
--- a/src/gateway/control_listener.ts
+++ b/src/gateway/control_listener.ts
@@ -1,13 +1,16 @@
 /** HTTP listeners for the load balancer's readiness checks, and for other nodes and metrics. */
-import {createServer, type Server} from 'node:http';
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import {EXPLAIN_PATH, type ExplainResponder} from '../explain';
 import {listen} from '../runtime/listen';
 import type {Clock} from '../runtime/types';
 import type {Address} from './settings';
 import {SNAPSHOT_PATH, type Snapshot} from './snapshot';
-import {
-  createSnapshotResponder,
-  type SnapshotResponder,
-} from './snapshot_responder';
+import {createSnapshotResponder} from './snapshot_responder';
 
 const METRICS_PATH = '/metrics';
 const READY_PATH = '/readyz';
@@ -33,6 +36,7 @@
   readonly isReady: () => boolean;
   readonly getSnapshot: () => Snapshot;
   readonly renderMetrics: () => string;
+  readonly answerExplain: ExplainResponder;
 }
 
 /** Creates the listeners. */
@@ -52,7 +56,7 @@
       type: 'text/plain; version=0.0.4',
       body: options.renderMetrics(),
     };
-  }, createSnapshotResponder(options));
+  }, createOtherResponder(options));
   return {
     open: async () => {
       await Promise.all([
@@ -69,17 +73,38 @@
   };
 }
 
+/** Creates the answers that are not a short text; they return false for other paths. */
+function createOtherResponder(options: ControlListenersOptions) {
+  const answerSnapshot = createSnapshotResponder(options);
+  return (
+    path: string,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): boolean => {
+    if (path === EXPLAIN_PATH) {
+      options.answerExplain(request, response);
+      return true;
+    }
+    if (path !== SNAPSHOT_PATH) return false;
+    request.resume();
+    const [, query] = (request.url ?? '').split('?', 2);
+    answerSnapshot(request, response, new URLSearchParams(query));
+    return true;
+  };
+}
+
 function createResponder(
   getResponse: (path: string) => PlainResponse | undefined,
-  answerSnapshot?: SnapshotResponder,
+  tryAnswer: (
+    path: string,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ) => boolean = () => false,
 ): Server {
   return createServer((request, response) => {
+    const [path] = (request.url ?? '').split('?', 1);
+    if (tryAnswer(path, request, response)) return;
     request.resume();
-    const [path, query] = (request.url ?? '').split('?', 2);
-    if (path === SNAPSHOT_PATH && answerSnapshot !== undefined) {
-      answerSnapshot(request, response, new URLSearchParams(query));
-      return;
-    }
     const answer = getResponse(path) ?? {
       status: 404,
       type: 'text/plain',
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,8 +6,10 @@
 } from '../capacity';
 import type {Logger} from '../diagnostics/log';
 import {createAuthority, DutyKind} from '../duties';
+import {createExplainResponder, buildExplanation} from '../explain';
 import type {Clock} from '../runtime/types';
 import {type AccountShares, createAccountShares} from '../shares';
+import {recordAssumedEnd} from './assumed_end';
 import {createCallerAdmission} from './caller_admission';
 import {createConnections} from './connections';
 import {createControlListeners} from './control_listener';
@@ -27,7 +29,7 @@
 import {createPeerMessageHandler} from './peer_message_handler';
 import {createPeerReach} from './peer_reach';
 import {createPeers} from './peers';
-import {createPrefillQueues, type PrefillJob} from './prefill_queues';
+import {createPrefillQueues} from './prefill_queues';
 import {createPrefixDirectory} from './prefix_directory';
 import {createRetryShares} from './retry_shares';
 import {createHealthTracker} from './server_health';
@@ -87,8 +89,6 @@
 /** Longest delay of the registration when the store gives no state, in milliseconds: other nodes may have it. */
 const MAX_REGISTER_DELAY_MS = 300;
 const REGISTER_CHECK_MS = 10;
-/** Shortest prefill whose end as predicted is a sample of the engine's speed, in milliseconds: the tolerance of 50 ms is a fifth of it. */
-const MIN_CONFIRMING_MS = 250;
 /** Maximum number of servers in the gauge of their speeds. */
 const MAX_GAUGE_SERVERS = 100;
 /** Reasons of failures that are reported to the other nodes: otherwise each of them would lose a request to find out. */
@@ -120,7 +120,9 @@
     onChanged: metrics.recordCapacityChange,
     isEnabled: options.learnsServerSpeeds ?? true,
   });
-  const prefillQueues = createPrefillQueues(recordAssumedEnd);
+  const prefillQueues = createPrefillQueues(job =>
+    recordAssumedEnd({state, speeds, capacities}, job),
+  );
   const streams = createStreamCounts();
   const peers = createPeers({
     self,
@@ -148,6 +150,7 @@
     logger,
     metrics,
     getReach: reach.getFraction,
+    predictReach: reach.predictFraction,
     notify: peers.notify,
   });
   const notices = createServerNotices({
@@ -371,16 +374,12 @@
     clock,
     durationMs: settings.bounds.shutdownMs - SHUTDOWN_MARGIN_MS,
   });
-  const router = createExchangeRouter({
-    context,
-    admission: createCallerAdmission({
-      state,
-      bounds: settings.bounds,
-      getStateAgeMs: follower.getAgeMs,
-    }),
-    drain,
-    logger,
+  const admission = createCallerAdmission({
+    state,
+    bounds: settings.bounds,
+    getStateAgeMs: follower.getAgeMs,
   });
+  const router = createExchangeRouter({context, admission, drain, logger});
   const front = createFrontListener({
     address: settings.callers,
     protocol,
@@ -402,6 +401,9 @@
       quarantine: crashGuard.listEntries(),
     }),
     renderMetrics: metrics.render,
+    answerExplain: createExplainResponder(request =>
+      buildExplanation({context, admission, drain}, request),
+    ),
   });
   let isStopping = false;
   addGauges();
@@ -535,18 +537,6 @@
     limits.retainOnly(listedIds);
   }
 
-  /** Another node's prefill ended at its predicted time, so the factor of the prediction is a sample. */
-  function recordAssumedEnd({
-    serverId,
-    endsInMs = 0,
-    factor,
-  }: PrefillJob): void {
-    const server = state.tryGetUsable(serverId);
-    if (server === undefined || endsInMs < MIN_CONFIRMING_MS) return;
-    const ratio = factor ?? speeds.getPrefillFactor(server.service);
-    capacities.recordSample(server, {ratio, load: 0});
-  }
-
   function getKvTokens(serverId: string): number {
     const entry = state.tryGetUsable(serverId);
     const service =
