--- a/test/explain/random_fleet.ts
+++ b/test/explain/random_fleet.ts
@@ -620,6 +620,8 @@
       ...(account === undefined ? {} : {keyDigest: `digest-of-${account}`}),
     },
     ...(bodyBytes === 0 ? {} : {body: Buffer.alloc(bodyBytes)}),
+    holdBody: () => ignore,
+    setReadLimit: ignore,
     receivedAtMs,
     isOver: () => false,
     hasAnswerBegun: () => false,
