Date a doubt from its earliest crash, so that a late report blames no sound part

A node's report of an earlier crash had come after another node's report of a later one; the doubt was dated from the first report, so that fewer crashes than hits counted, which makes chance impossible. Change: the date is that of the earliest crash under the part.

--- a/src/gateway/crash_evidence.ts
+++ b/src/gateway/crash_evidence.ts
@@ -74,7 +74,7 @@
 }
 
 interface Doubt {
-  readonly firstCrashMs: number;
+  firstCrashMs: number;
   /** Stream that was hit, by the crash that hit it. */
   readonly hits: Map<Crash, BrokenStream>;
   /** True while the answers to all these requests had begun. */
@@ -201,6 +201,8 @@
       hits: new Map<Crash, BrokenStream>(),
       hasBegun: true,
     };
+    // A late report may be about a crash before the one that raised the doubt.
+    doubt.firstCrashMs = Math.min(doubt.firstCrashMs, crash.atMs);
     // Deleting first keeps the doubts in the order of their latest crashes.
     doubts.delete(suspectId);
     doubts.set(suspectId, doubt);
--- a/test/gateway/crash_evidence.test.ts
+++ b/test/gateway/crash_evidence.test.ts
@@ -65,6 +65,27 @@
   assert.equal(evidence.countCrashes('bad'), 2);
 });
 
+// A node reports its streams when it notices a crash, which may be after another node has reported a later crash.
+test('a part is not blamed for want of crashes when a report of an earlier crash comes late', () => {
+  const evidence = createEvidence();
+  const record = (serverId: string, requestId: string, parts: string[]) => {
+    const report = {streamCount: 40, brokenCount: 8, begunCount: 8};
+    return (atMs: number) =>
+      evidence.recordCrash(
+        {...createReport(serverId, requestId, parts), ...report},
+        atMs,
+      );
+  };
+  const blames = [
+    ...record('e1', 'other', ['other'])(1_000),
+    ...record('e2', 'q1', ['sound'])(1_100),
+    ...record('e1', 'q2', ['sound'])(1_150),
+    ...record('e3', 'q3', ['sound'])(1_300),
+  ];
+  assert.equal(evidence.countCrashes('sound'), 3);
+  assert.deepEqual(blames, []);
+});
+
 test('a completed answer clears a part', () => {
   const evidence = createEvidence();
   for (let count = 1; count <= 10; count++) {
