Collect the old heap sooner only when much is held for slow callers

Change: the small young generation from the start, the old generation once a twentieth of a budget is held or eight callers are slow.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,6 +7,7 @@
 import type {Logger} from '../diagnostics/log';
 import {createAuthority, DutyKind} from '../duties';
 import {createExplainResponder, buildExplanation} from '../explain';
+import {setOldHeapSmall} from '../runtime/small_heap';
 import type {Clock} from '../runtime/types';
 import {type AccountShares, createAccountShares} from '../shares';
 import {recordAssumedEnd} from './assumed_end';
@@ -113,6 +114,7 @@
     clock,
     logger,
     metrics,
+    onPressure: setOldHeapSmall,
   });
   const state = createFleetState();
   const pauses = createServerPauses(clock);
--- a/src/gateway/held_memory.ts
+++ b/src/gateway/held_memory.ts
@@ -39,10 +39,15 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
+  /** Called once, when much is held for the first time. */
+  readonly onPressure: () => void;
 }
 
 /** Interval at which callers are checked for progress, in milliseconds: short beside the time for which they may take nothing. */
 const SWEEP_INTERVAL_MS = 500;
+/** Part of a budget, and number of slow callers, from which on much is held. The buffers of the runtime grow before the budgets count them, so both are low. */
+const PRESSURE_FRACTION = 0.05;
+const PRESSURE_CALLERS = 8;
 
 /** Creates the budgets. */
 export function createHeldMemory(options: HeldMemoryOptions): HeldMemory {
@@ -57,9 +62,26 @@
   const answers =
     memoryMb === undefined ? undefined : createAnswerBudget({clock, limits});
   let timer: Timer | undefined;
+  let hasPressure = false;
   return {
-    bodies,
-    ...(answers === undefined ? {} : {answers}),
+    bodies: {
+      ...bodies,
+      add: refuse => {
+        checkPressure();
+        return bodies.add(refuse);
+      },
+    },
+    ...(answers === undefined
+      ? {}
+      : {
+          answers: {
+            ...answers,
+            update: answer => {
+              checkPressure();
+              return answers.update(answer);
+            },
+          },
+        }),
     recordUnread: ({reason, ...fields}) => {
       metrics.recordUnreadAnswer(reason);
       logger.log('info', 'caller does not take its answer', {
@@ -89,6 +111,22 @@
     stop: () => timer?.cancel(),
   };
 
+  function checkPressure(): void {
+    if (hasPressure || memoryMb === undefined) return;
+    const bodyPart = bodies.getHeldBytes() / limits.bodyBytes;
+    const answerPart = (answers?.getHeldBytes() ?? 0) / limits.answerBytes;
+    const isLow =
+      Math.max(bodyPart, answerPart) < PRESSURE_FRACTION &&
+      (answers?.count() ?? 0) < PRESSURE_CALLERS;
+    if (isLow) return;
+    hasPressure = true;
+    logger.log('info', 'much memory is held for slow callers', {
+      bodyBytes: bodies.getHeldBytes(),
+      answerBytes: answers?.getHeldBytes(),
+    });
+    options.onPressure();
+  }
+
   function scheduleSweep(budget: AnswerBudget): void {
     timer = clock.schedule(SWEEP_INTERVAL_MS, () => {
       budget.sweep();
--- a/src/gateway_process.ts
+++ b/src/gateway_process.ts
@@ -11,8 +11,8 @@
   SETTINGS_PATH_VARIABLE,
 } from './platform';
 import {createDescriptorWrite, createLineWriter} from './runtime/line_writer';
+import {setYoungHeapSmall} from './runtime/small_heap';
 import {createSystemClock} from './runtime/system_clock';
-import {setHeapSmall} from './runtime/small_heap';
 import {watchUnhandledErrors} from './runtime/unhandled_errors';
 
 const EXIT_SUCCESS = 0;
@@ -37,7 +37,7 @@
     process.stderr.write(`${settings.val}\n`);
     return EXIT_BAD_SETTINGS;
   }
-  if (settings.val.memoryMb !== undefined) setHeapSmall();
+  if (settings.val.memoryMb !== undefined) setYoungHeapSmall();
   const lines = createLineWriter({write: createDescriptorWrite(STDOUT_FD)});
   const logger = createLogger({
     node: settings.val.nodeName,
