--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -24,6 +24,7 @@
 import type {FlowContext} from './flow_context';
 import {createFrontListener} from './front_listener';
 import {createGatewayDuties, type DutyPlatform} from './gateway_duties';
+import {addGatewayGauges} from './gateway_gauges';
 import {createGatewayMetrics} from './gateway_metrics';
 import {createEngineAffinity} from './engine_affinity';
 import {createHeldMemory} from './held_memory';
@@ -417,7 +418,19 @@
     ),
   });
   let isStopping = false;
-  addGauges();
+  addGatewayGauges(metrics, {
+    listTimeFactors,
+    getStateAgeMs: follower.getAgeMs,
+    countOpenRequests: front.countOpen,
+    countConnections: connections.countOpened,
+    countLimitedServers: limits.count,
+    countQuarantinedParts: crashGuard.countActive,
+    getEra: store.getEra,
+    countNodes: peers.count,
+    ...(usage === undefined
+      ? {}
+      : {countOpenUsageWindows: usage.countOpenWindows}),
+  });
   return {start, stop, kill};
 
   async function start(): Promise<void> {
@@ -569,53 +582,4 @@
         value: estimate.relativeFactor,
       }));
   }
-
-  function addGauges(): void {
-    metrics.addGauge(
-      'anvilstack_gateway_server_time_factor',
-      'Learned time of a server relative to its service; below 1 is faster. At most 100 servers.',
-      listTimeFactors,
-    );
-    metrics.addGauge(
-      'anvilstack_gateway_state_age_ms',
-      'Age of the store state that this node has.',
-      follower.getAgeMs,
-    );
-    metrics.addGauge(
-      'anvilstack_gateway_open_requests',
-      'Requests that have not ended yet.',
-      front.countOpen,
-    );
-    metrics.addGauge(
-      'anvilstack_gateway_connections_opened',
-      'Connections to backend servers opened since the process started.',
-      connections.countOpened,
-    );
-    metrics.addGauge(
-      'anvilstack_gateway_limited_servers',
-      'Servers that state a limit on the rate of requests.',
-      limits.count,
-    );
-    metrics.addGauge(
-      'anvilstack_gateway_quarantined_parts',
-      'Prompt parts that are kept away from engines.',
-      crashGuard.countActive,
-    );
-    metrics.addGauge(
-      'anvilstack_gateway_store_era',
-      'Era of the store, which rises when the store loses its newest records.',
-      store.getEra,
-    );
-    metrics.addGauge(
-      'anvilstack_gateway_nodes',
-      'Number of other known nodes.',
-      peers.count,
-    );
-    if (usage === undefined) return;
-    metrics.addGauge(
-      'anvilstack_gateway_open_usage_windows',
-      'Usage windows that have ended and are not known to be reported.',
-      usage.countOpenWindows,
-    );
-  }
 }
