--- a/src/gateway/peer_reach.ts
+++ b/src/gateway/peer_reach.ts
@@ -1,4 +1,5 @@
 /** Measures which fraction of the nodes this node is in touch with. */
+import {chooseRandom} from '../runtime/choose_random';
 import type {Clock, Timer} from '../runtime/types';
 import type {ProbeMessage} from './peer_messages';
 import type {Peers} from './peers';
@@ -85,12 +86,7 @@
       return;
     }
     timer = clock.schedule(ROUND_INTERVAL_MS, startRound);
-    const candidates = [...peers.list()];
-    const count = Math.min(MAX_PROBED_NODES, candidates.length);
-    const probed = Array.from({length: count}, () => {
-      const index = Math.floor(getRandom() * candidates.length);
-      return candidates.splice(index, 1)[0];
-    });
+    const probed = chooseRandom(peers.list(), MAX_PROBED_NODES, getRandom);
     rounds = [
       ...rounds.slice(-1),
       {
--- a/src/gateway/relay_choice.ts
+++ b/src/gateway/relay_choice.ts
@@ -1,4 +1,5 @@
 /** Chooses which nodes are sent a message directly, and which relay it within their failure domain. */
+import {chooseRandom} from '../runtime/choose_random';
 import type {Clock} from '../runtime/types';
 import type {PeerMessage} from './peer_messages';
 import type {NodeRecord} from './types';
@@ -76,10 +77,7 @@
       const atMs = lastMessageAtMs.get(`${host}:${peerPort}`);
       return atMs !== undefined && atMs > sinceMs;
     });
-    const candidates = alive.length >= count ? alive : [...members];
-    return Array.from({length: count}, () => {
-      const index = Math.floor(getRandom() * candidates.length);
-      return candidates.splice(index, 1)[0];
-    });
+    const candidates = alive.length >= count ? alive : members;
+    return chooseRandom(candidates, count, getRandom);
   }
 }
--- a/src/gateway/snapshot_source.ts
+++ b/src/gateway/snapshot_source.ts
@@ -1,4 +1,5 @@
 /** Chooses the nodes that are asked for their snapshots, so that no node is asked by all others. */
+import {chooseRandom} from '../runtime/choose_random';
 import type {Peers} from './peers';
 import type {Address} from './settings';
 import type {Snapshot} from './snapshot';
@@ -49,7 +50,7 @@
   ): Promise<Snapshot | undefined> {
     const addresses = [
       ...chooseSameDomain(SAME_DOMAIN_TRIES),
-      ...chooseRandom(options.seeds, options.seeds.length),
+      ...chooseRandom(options.seeds, options.seeds.length, getRandom),
     ];
     for (const address of addresses) {
       const answer = await options.fetch(address, knownVersion);
@@ -59,15 +60,9 @@
   }
 
   function chooseSameDomain(count: number): Address[] {
-    return chooseRandom(peers.listSameDomain(), count).map(toAddress);
-  }
-
-  function chooseRandom<Item>(items: readonly Item[], count: number): Item[] {
-    const rest = [...items];
-    return Array.from({length: Math.min(count, rest.length)}, () => {
-      const index = Math.floor(getRandom() * rest.length);
-      return rest.splice(index, 1)[0];
-    });
+    return chooseRandom(peers.listSameDomain(), count, getRandom).map(
+      toAddress,
+    );
   }
 }
 
