Compose and parse fencing numbers in one place

Cause: the authority took a fencing number apart with a factor that the platform's store module defined a second time, and the largest valid era depends on that factor in a third place. A change of one would let nodes wait for the grant of another era. Change: gateway/store_era has the factor, the bound and both functions.

--- a/src/duties/authority.ts
+++ b/src/duties/authority.ts
@@ -4,6 +4,7 @@
  * number increases with each grant.
  */
 import {Err, Ok, type Result} from 'ts-results';
+import {parseFencingNumber} from '../gateway/store_era';
 import type {FleetStore} from '../gateway/types';
 import type {Clock} from '../runtime/types';
 import type {Authority, Denial, Grant} from './types';
@@ -24,8 +25,6 @@
 const VALIDITY_MS = 1_500;
 /** Time added to the lease of another holder, in milliseconds: its last orders may still be in flight. */
 const GUARD_MS = 700;
-/** A fencing number is the store's era times this number, plus the end of the log after the grant. */
-const ERA_FACTOR = 2 ** 32;
 
 /** Creates an authority that this node does not hold yet. */
 export function createAuthority(options: AuthorityOptions): Authority {
@@ -116,8 +115,7 @@
   function recordGrant(fencingNumber: number): void {
     if (fencingNumber <= highestStated) return;
     highestStated = fencingNumber;
-    const endOffset = fencingNumber % ERA_FACTOR;
-    const era = Math.floor(fencingNumber / ERA_FACTOR);
+    const {era, endOffset} = parseFencingNumber(fencingNumber);
     if (observed?.era === era && observed.endOffset === endOffset) return;
     observed = {era, endOffset, atMs: clock.getMonotonicMs()};
   }
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -14,7 +14,7 @@
 export type {Gateway, GatewayOptions} from './gateway';
 export type {DutyPlatform} from './gateway_duties';
 export {findHeader} from './raw_headers';
-export {isStoreEra} from './store_era';
+export {computeFencingNumber, isStoreEra} from './store_era';
 export type {QuarantineRecord} from './part_quarantine';
 export type {
   Address,
--- a/src/platform/fleet_store.ts
+++ b/src/platform/fleet_store.ts
@@ -1,17 +1,18 @@
 /** Maps the gateway's `FleetStore` interface to topics of the platform's store. */
 import type {Result} from 'ts-results';
-import type {
-  AuthorityState,
-  ConfigPage,
-  EntryChange,
-  EntryPage,
-  FleetStore,
-  NodeRecord,
-  QuarantinePage,
-  QuarantineRecord,
-  StoreFailure,
+import {
+  type AuthorityState,
+  computeFencingNumber,
+  type ConfigPage,
+  type EntryChange,
+  type EntryPage,
+  type FleetStore,
+  type NodeRecord,
+  type QuarantinePage,
+  type QuarantineRecord,
+  type StoreFailure,
 } from '../gateway';
-import {computeFencingNumber, encodeGrant, tryFindGrant} from './grant_records';
+import {encodeGrant, tryFindGrant} from './grant_records';
 import {tryParseConfig} from './operator_config';
 import {tryParseEntry} from './server_entry';
 import type {NewestRecords, StoreClient} from './store_client';
@@ -175,7 +176,7 @@
       expectedEndOffset,
       offsetEra,
     );
-    return append.map(offset => computeFencingNumber(offsetEra, offset));
+    return append.map(offset => computeFencingNumber(offsetEra, offset + 1));
   }
 
   async function loadQuarantine(): Promise<
--- a/src/platform/grant_records.ts
+++ b/src/platform/grant_records.ts
@@ -9,8 +9,6 @@
 
 /** Separates the holder's name from the era, which is left out when it is 0. */
 const GRANT_SEPARATOR = '\n';
-/** Factor of the era in fencing numbers: more than any offset. */
-const ERA_FACTOR = 2 ** 32;
 
 /** Encodes a grant. */
 export function encodeGrant({holder, era}: GrantRecord): Buffer {
@@ -33,8 +31,3 @@
   }
   return newest;
 }
-
-/** Returns the fencing number of a grant at an offset: it rises with both, and is never 0. */
-export function computeFencingNumber(era: number, offset: number): number {
-  return era * ERA_FACTOR + offset + 1;
-}
