Define the number of planning nodes once

Cause: scaling had a constant of its own that must equal the number of nodes which receive the demand; a scaling node beyond the receivers would plan with an unknown load. Change: planning/planner_count is used by both. The report on the accounts is joined to the demand once instead of once for each receiver.

--- a/src/gateway/fleet_demand.ts
+++ b/src/gateway/fleet_demand.ts
@@ -1,4 +1,5 @@
 /** Collects the work that arrives at all nodes on the few nodes that plan the engines' stages. */
+import {PLANNER_COUNT} from '../planning/planner_count';
 import {
   addStageDemands,
   createStageDemandMeter,
@@ -46,8 +47,6 @@
   };
 }
 
-/** Number of nodes that receive reports: the first ones to send stage orders. Several, because more than one may be unavailable. */
-export const PLANNER_COUNT = 5;
 /** Minimum interval between a node's reports, in milliseconds. */
 const MIN_REPORT_INTERVAL_MS = 500;
 /** Interval added per known node, in milliseconds: a planning node receives at most about 50 reports per second. */
@@ -94,12 +93,8 @@
     const message = createMessage();
     if (message.services.length === 0) return;
     const accounts = options.tryCreateAccountReport?.();
-    for (const node of peers.listFirst(PLANNER_COUNT)) {
-      peers.send(
-        node,
-        accounts === undefined ? message : {...message, accounts},
-      );
-    }
+    const report = accounts === undefined ? message : {...message, accounts};
+    for (const node of peers.listFirst(PLANNER_COUNT)) peers.send(node, report);
   }
 
   function createMessage(): DemandMessage {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,6 +7,7 @@
 import type {Logger} from '../diagnostics/log';
 import {createAuthority, DutyKind} from '../duties';
 import {createExplainResponder, buildExplanation} from '../explain';
+import {PLANNER_COUNT} from '../planning/planner_count';
 import {setOldHeapSmall} from '../runtime/small_heap';
 import type {Clock} from '../runtime/types';
 import {type AccountShares, createAccountShares} from '../shares';
@@ -19,7 +20,7 @@
 import {createEngineLiveness} from './engine_liveness';
 import {createEngineSpeedEstimator} from './engine_speed_estimator';
 import {createExchangeRouter} from './exchange_router';
-import {createFleetDemand, PLANNER_COUNT} from './fleet_demand';
+import {createFleetDemand} from './fleet_demand';
 import {createFleetState} from './fleet_state';
 import type {FlowContext} from './flow_context';
 import {createFrontListener} from './front_listener';
--- a/src/gateway/server_scaling.ts
+++ b/src/gateway/server_scaling.ts
@@ -1,6 +1,7 @@
 /** Connects scaling to the gateway: lists servers and loads, and tells the other nodes what was ordered. */
 import type {Logger} from '../diagnostics/log';
 import {type Authority, type DutyClient, DutyKind} from '../duties';
+import {PLANNER_COUNT} from '../planning/planner_count';
 import type {Clock} from '../runtime/types';
 import {
   createScaling,
@@ -10,7 +11,7 @@
   type Scaling,
   type SharedParts,
 } from '../scaling';
-import {type FleetDemand, PLANNER_COUNT} from './fleet_demand';
+import type {FleetDemand} from './fleet_demand';
 import type {FleetState} from './fleet_state';
 import type {GatewayMetrics} from './gateway_metrics';
 import type {Peers} from './peers';
--- a/src/scaling/scaling.ts
+++ b/src/scaling/scaling.ts
@@ -5,6 +5,7 @@
  */
 import type {Logger} from '../diagnostics/log';
 import type {Authority} from '../duties';
+import {PLANNER_COUNT} from '../planning/planner_count';
 import type {Clock, Timer} from '../runtime/types';
 import {logServerOrder} from './order_log';
 import {isOrderedServers} from './ordered_message';
@@ -20,7 +21,7 @@
   type ServiceScaler,
   type ServiceView,
 } from './service_scaler';
-import {createSuccession, PLANNER_COUNT, YIELD_MS} from './succession';
+import {createSuccession, YIELD_MS} from './succession';
 import type {
   DomainState,
   ListedServer,
@@ -77,6 +78,7 @@
 const MAX_SETTLE_MS = 10_000;
 /** Interval at which the acting node tells the nodes that may take over what it has ordered, in milliseconds. */
 const NOTIFY_INTERVAL_MS = 1_000;
+
 /** Creates the scaling of all services that the configuration lists. */
 export function createScaling(options: ScalingOptions): Scaling {
   const {clock, logger, nodeName} = options;
--- a/src/scaling/succession.ts
+++ b/src/scaling/succession.ts
@@ -1,4 +1,5 @@
 /** Decides whether this node sends the orders, or leaves them to another node. */
+import {PLANNER_COUNT} from '../planning/planner_count';
 import type {OrderOutcome} from './send_orders';
 
 /** Whose turn it is to send orders. */
@@ -46,9 +47,6 @@
 /** How long this node then leaves them to others, in milliseconds. */
 export const YIELD_MS = 10_000;
 
-/** Number of nodes that know the load of the whole fleet and hear of the acting node: the receivers of demand messages. */
-export const PLANNER_COUNT = 5;
-
 /** Creates the succession of a node that has just started. */
 export function createSuccession(options: SuccessionOptions): Succession {
   let heardAtMs = options.startedAtMs;
