Usage: encode the counts of a window once for all receivers

The expiry of old windows stood in four modules, and the check of a stated count in two. Change: the parts are computed once and sent to all receivers; expireWindows and isCount serve all places.

--- a/src/duties/usage_collector.ts
+++ b/src/duties/usage_collector.ts
@@ -1,5 +1,6 @@
 /** Collects the counts of all nodes on the few nodes that can report them. */
 import type {Clock} from '../runtime/types';
+import {expireWindows} from './expire_windows';
 import type {UsageMessage} from './usage_messages';
 
 /** What a receiver has of one node in a window. */
@@ -43,7 +44,13 @@
   /** Counts by window, node and incarnation. */
   const windows = new Map<number, Map<string, Map<string, ProcessCounts>>>();
   const heard = new Map<string, {incarnation: string; atMs: number}>();
-  return {add, computeSums, listHeard, listIncomplete, expire};
+  return {
+    add,
+    computeSums,
+    listHeard,
+    listIncomplete,
+    expire: firstKept => expireWindows(windows, firstKept),
+  };
 
   function add(message: UsageMessage): ReceivedCounts {
     const {from, incarnation} = message;
@@ -101,12 +108,6 @@
       return !process?.isFinal || process.sum < process.total;
     });
   }
-
-  function expire(firstKept: number): void {
-    for (const windowId of windows.keys()) {
-      if (windowId < firstKept) windows.delete(windowId);
-    }
-  }
 }
 
 function getOrAdd<Key, Value>(
--- a/src/duties/usage_ledger.ts
+++ b/src/duties/usage_ledger.ts
@@ -4,6 +4,7 @@
  */
 import {Err, Ok, type Result} from 'ts-results';
 import type {StoreFailure} from '../gateway/types';
+import {expireWindows} from './expire_windows';
 import type {UsageRecord, UsageStore} from './types';
 
 /** The records, as this node knows them. */
@@ -46,11 +47,7 @@
     },
     tryGetEnd: () => endOffset,
     handleStoreLoss,
-    expire: firstKept => {
-      for (const windowId of known.keys()) {
-        if (windowId < firstKept) known.delete(windowId);
-      }
-    },
+    expire: firstKept => expireWindows(known, firstKept),
   };
 
   async function load(): Promise<Result<readonly UsageRecord[], StoreFailure>> {
--- a/src/duties/usage_messages.ts
+++ b/src/duties/usage_messages.ts
@@ -1,4 +1,5 @@
 /** Messages between nodes about usage. Counts are cumulative, so a repeated or late message does no harm. */
+import {isCount} from '../runtime/is_count';
 
 /** Counts of one node in a window, or a part of them. */
 export interface UsageMessage {
@@ -111,7 +112,3 @@
     isCount(message.total)
   );
 }
-
-function isCount(value: unknown): boolean {
-  return Number.isSafeInteger(value) && Number(value) >= 0;
-}
--- a/src/duties/usage_meter.ts
+++ b/src/duties/usage_meter.ts
@@ -1,5 +1,6 @@
 /** Counts the requests that begin to run at servers, by window and client account. */
 import type {Clock} from '../runtime/types';
+import {expireWindows} from './expire_windows';
 import type {FleetTime} from './fleet_time';
 
 /** Counts of one node. */
@@ -34,11 +35,7 @@
       applyStarts();
       return windows.get(windowId) ?? NO_COUNTS;
     },
-    expire: firstKept => {
-      for (const windowId of windows.keys()) {
-        if (windowId < firstKept) windows.delete(windowId);
-      }
-    },
+    expire: firstKept => expireWindows(windows, firstKept),
   };
 
   function recordStart(account: string): void {
--- a/src/duties/usage_sender.ts
+++ b/src/duties/usage_sender.ts
@@ -115,11 +115,13 @@
       receivers.recordSilence(name);
       state.unanswered.delete(name);
     }
-    for (const name of receivers.list()) {
-      if (state.acknowledged.has(name)) continue;
+    const names = receivers
+      .list()
+      .filter(name => !state.acknowledged.has(name));
+    for (const name of names) {
       state.unanswered.set(name, (state.unanswered.get(name) ?? 0) + 1);
-      sendCounts(windowId, state, name);
     }
+    sendCounts(windowId, state.isFinal, names);
   }
 
   /** Final counts still grow when the window of some requests was found late. */
@@ -133,24 +135,28 @@
 
   function sendCounts(
     windowId: number,
-    state: Pick<WindowState, 'isFinal'>,
-    name: string,
+    isFinal: boolean,
+    names: readonly string[],
     isLeaving = false,
   ): void {
+    if (names.length === 0) return;
     const counts = meter.getCounts(windowId);
     const total = countRequests(counts);
-    for (const part of splitCounts(counts)) {
-      options.send(name, {
-        kind: 'usage',
-        from: options.nodeName,
-        incarnation: options.incarnation,
-        windowId,
-        counts: part,
-        total,
-        isFinal: state.isFinal,
-        ...(isLeaving ? {isLeaving} : {}),
-        wallMs: clock.getWallMs(),
-      });
+    const parts = splitCounts(counts);
+    for (const name of names) {
+      for (const part of parts) {
+        options.send(name, {
+          kind: 'usage',
+          from: options.nodeName,
+          incarnation: options.incarnation,
+          windowId,
+          counts: part,
+          total,
+          isFinal,
+          ...(isLeaving ? {isLeaving} : {}),
+          wallMs: clock.getWallMs(),
+        });
+      }
     }
   }
 
@@ -168,9 +174,7 @@
   function sendLast(): void {
     const current = getCurrentWindow();
     for (let windowId = current - 1; windowId <= current; windowId++) {
-      for (const name of receivers.list()) {
-        sendCounts(windowId, {isFinal: true}, name, true);
-      }
+      sendCounts(windowId, true, receivers.list(), true);
     }
   }
 
--- a/src/duties/usage_windows.ts
+++ b/src/duties/usage_windows.ts
@@ -1,4 +1,5 @@
 /** Keeps which windows are still to be reported, as this node knows. */
+import {expireWindows} from './expire_windows';
 
 /** The latest windows. */
 export interface UsageWindows {
@@ -68,9 +69,7 @@
     for (; nextWindow < current; nextWindow++) {
       if (!done.has(nextWindow)) open.set(nextWindow, {nextAtMs: 0});
     }
-    for (const windowId of done) {
-      if (windowId < firstKept) done.delete(windowId);
-    }
+    expireWindows(done, firstKept);
     return firstKept;
   }
 
--- a/src/scaling/ordered_message.ts
+++ b/src/scaling/ordered_message.ts
@@ -1,4 +1,5 @@
 /** Checks messages about ordered servers. */
+import {isCount} from '../runtime/is_count';
 import type {OrderedServers} from './types';
 
 /** Returns whether a message is well formed: anyone can send datagrams. */
@@ -17,7 +18,3 @@
     )
   );
 }
-
-function isCount(value: unknown): boolean {
-  return Number.isSafeInteger(value) && (value as number) >= 0;
-}
