Stage plan: ask for the time factor of each engine once

Cause: the sort of the engines asked for their learned speeds in each comparison, and both stages were sorted by the same code twice. Change: listByTime asks once for each engine and serves both stages.

--- a/src/gateway/stage_plan.ts
+++ b/src/gateway/stage_plan.ts
@@ -127,24 +127,16 @@
   }
   // Engines that have just started have nothing in their caches yet.
   const compare = options.keepsStages === true ? compareStarts : compareIds;
-  const getTimeFactor = (engine: BackendEntry) =>
-    options.tryGetTimeFactor?.(engine) ?? 1;
   // Prefill gains by the engines' speed, decode little.
-  decode.sort(
-    (left, right) =>
-      getTimeFactor(left) - getTimeFactor(right) || compare(left, right),
-  );
-  prefill.sort(
-    (left, right) =>
-      getTimeFactor(right) - getTimeFactor(left) || compare(left, right),
-  );
+  const fastDecode = listByTime(decode, options, 1, compare);
+  const slowPrefill = listByTime(prefill, options, -1, compare);
   const changes =
     surplus > 0
-      ? chooseEngines(decode, surplus, isLimited).map(server => ({
+      ? chooseEngines(fastDecode, surplus, isLimited).map(server => ({
           server,
           stage: EngineStage.Prefill,
         }))
-      : chooseEngines(prefill, -surplus, item => !isLimited(item)).map(
+      : chooseEngines(slowPrefill, -surplus, item => !isLimited(item)).map(
           server => ({server, stage: EngineStage.Decode}),
         );
   return {...plan, changes};
@@ -209,6 +201,23 @@
   );
 }
 
+/** Returns the engines by their time factors, each asked for once, ascending for a direction of 1 and descending for -1, then by `compare`. */
+function listByTime(
+  engines: readonly BackendEntry[],
+  {tryGetTimeFactor}: StagePlanOptions,
+  direction: 1 | -1,
+  compare: (left: BackendEntry, right: BackendEntry) => number,
+): BackendEntry[] {
+  return engines
+    .map(engine => ({engine, timeFactor: tryGetTimeFactor?.(engine) ?? 1}))
+    .sort(
+      (left, right) =>
+        direction * (left.timeFactor - right.timeFactor) ||
+        compare(left.engine, right.engine),
+    )
+    .map(({engine}) => engine);
+}
+
 function compareIds(left: BackendEntry, right: BackendEntry): number {
   return left.id < right.id ? -1 : 1;
 }
