Scaling: read the ordered number from the order book

Cause: to find one number, the scaler built and sorted the state of all failure domains for each order. Change: the book returns the number of the order's kind.

--- a/src/scaling/order_book.ts
+++ b/src/scaling/order_book.ts
@@ -6,6 +6,7 @@
 import {
   createKindRecord,
   createKindState,
+  getDesired,
   type KindRecord,
   recordDrained,
   recordReclaim,
@@ -29,6 +30,8 @@
   add(failureDomain: string): void;
   setWanted(failureDomain: string, count: number, nowMs: number): void;
   canDecrease(failureDomain: string, nowMs: number): boolean;
+  /** Returns the number that was ordered of the order's kind so far, or the listed one while none is known. */
+  getDesired(order: ServerOrder): number;
   /** Records an order that was carried out, or that may be when the platform has not confirmed it. */
   recordOrder(order: ServerOrder, nowMs: number, isConfirmed: boolean): void;
   /** Records that none of the ordered servers can be had. */
@@ -52,6 +55,7 @@
 
 /** Time between two steps that release servers of a failure domain, in milliseconds. */
 const DECREASE_INTERVAL_MS = 5_000;
+
 /** Creates a book without orders. */
 export function createOrderBook(): OrderBook {
   const domains = new Map<string, DomainRecord>();
@@ -62,6 +66,7 @@
     setWanted,
     canDecrease: (failureDomain, nowMs) =>
       nowMs - getDomain(failureDomain).decreasedAtMs >= DECREASE_INTERVAL_MS,
+    getDesired: order => getDesired(getKind(order)),
     recordOrder,
     recordRefusal,
     start,
--- a/src/scaling/service_scaler.ts
+++ b/src/scaling/service_scaler.ts
@@ -1,6 +1,6 @@
 /** Keeps the state of one scaled service and lists the orders that are due. */
 import {createNeedMeter} from './need_meter';
-import {createOrderBook, type OrderBook} from './order_book';
+import {createOrderBook} from './order_book';
 import {planServers} from './plan_servers';
 import {planWanted} from './plan_wanted';
 import {getServerPrice} from './scaling_limits';
@@ -59,13 +59,12 @@
 const START_PHASE_FRACTION = 0.75;
 /** Fraction of the servers present at the start that counts as the need while the load is unknown. */
 const UNKNOWN_NEED_FRACTION = 0.5;
-
 /** Largest fraction of the wanted servers that must remain after a loss: at the utilization aimed at, it runs the load. Beyond it, as in a burst, more reclaimable servers help sooner than other kinds. */
 const MAX_LOSS_FRACTION = 0.625;
 
 /** Creates the state of a service; `service` is its name. */
 export function createServiceScaler(service: string): ServiceScaler {
-  const book: OrderBook = createOrderBook();
+  const book = createOrderBook();
   const meter = createNeedMeter();
   let startedAtMs: number | undefined;
   let startCount = 0;
@@ -76,7 +75,7 @@
     isStarted: () => startedAtMs !== undefined,
     plan,
     recordOrder: (order, nowMs, isConfirmed) => {
-      if (getDesired(order, nowMs) > order.count) releasedAtMs = nowMs;
+      if (book.getDesired(order) > order.count) releasedAtMs = nowMs;
       book.recordOrder(order, nowMs, isConfirmed);
     },
     recordRefusal: book.recordRefusal,
@@ -156,14 +155,6 @@
       book.setWanted(failureDomain, count, nowMs);
     }
   }
-
-  function getDesired(order: ServerOrder, nowMs: number): number {
-    const domain = book
-      .list(0, nowMs)
-      .find(item => item.failureDomain === order.failureDomain);
-    const kind = order.isReclaimable ? domain?.reclaimable : domain?.ordinary;
-    return kind?.desired ?? 0;
-  }
 }
 
 /** Returns the price of all ordered servers for one second. */
