Compute the transfer time, the budget and mismatches in one place each

Cause: the decode call computed the time of the KV transfer up to three times, the stream flow repeated the budget of the first event, two failures of the open call were built apart, and the settings looked up the bounds for each value. The comment on reading a response of the platform stated more than the code does. Change: one value or function for each of them, and a comment that is true.

--- a/src/gateway/decode_call.ts
+++ b/src/gateway/decode_call.ts
@@ -58,16 +58,17 @@
   const {clock, health, liveness, protocol} = context;
   const {exchange, route} = task;
   const lastEventId = splitter?.getLastId();
+  const {model, engine} = options;
+  const transferMs = computeTransferMs(model.promptTokens, engine, true);
   const watch = watchForStall({
     clock,
     health,
     liveness,
     server,
-    predictedMs: options.waitMs + computeKvTransferMs() + options.prefillMs,
-    uncachedMs: options.waitMs + computeKvTransferMs() + options.uncachedMs,
+    predictedMs: options.waitMs + transferMs + options.prefillMs,
+    uncachedMs: options.waitMs + transferMs + options.uncachedMs,
     slackMs: STALL_SLACK_MS,
-    getSpareMs: () =>
-      options.getBudgetMs() - computeKvTransferMs() - options.prefillMs,
+    getSpareMs: () => options.getBudgetMs() - transferMs - options.prefillMs,
     onStall: handleStall,
   });
   const relay = createAnswerRelay({
@@ -112,11 +113,6 @@
     isSent: call.isSent,
   };
 
-  function computeKvTransferMs(): number {
-    const {model, engine} = options;
-    return computeTransferMs(model.promptTokens, engine, true);
-  }
-
   /** Fails the call if it can be retried. Otherwise keeps waiting, and only records the engine's failure for later requests. */
   function handleStall(reason: StallReason): void {
     if (task.isOver() || exchange.hasAnswerBegun()) return;
--- a/src/gateway/open_call.ts
+++ b/src/gateway/open_call.ts
@@ -163,7 +163,11 @@
     // Informational (1xx) answers precede the final one.
     if (status < 200) {
       interimCount++;
-      if (interimCount > MAX_INTERIM_ANSWERS) fail(createInterimFailure());
+      if (interimCount > MAX_INTERIM_ANSWERS) {
+        fail(
+          createMismatch(`more than ${MAX_INTERIM_ANSWERS} interim answers`),
+        );
+      }
       return;
     }
     const rawHeaders = listRawHeaders(started);
@@ -206,7 +210,7 @@
   function failInvalid(message: string): void {
     if (isDone) return;
     options.onInvalidAnswer(message);
-    fail({verdict: Verdict.MayHaveRun, reason: 'mismatch', message});
+    fail(createMismatch(message));
   }
 
   function cancel(): void {
@@ -244,12 +248,8 @@
   return {verdict: Verdict.MayHaveRun, reason: 'reset', message};
 }
 
-function createInterimFailure(): CallFailure {
-  return {
-    verdict: Verdict.MayHaveRun,
-    reason: 'mismatch',
-    message: `more than ${MAX_INTERIM_ANSWERS} interim answers`,
-  };
+function createMismatch(message: string): CallFailure {
+  return {verdict: Verdict.MayHaveRun, reason: 'mismatch', message};
 }
 
 function listRawHeaders(controller: Dispatcher.DispatchController): string[] {
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -194,6 +194,11 @@
     };
   }
 
+  /** Returns the time left until the first event must be sent to the caller, in milliseconds. */
+  function getBudgetMs(): number {
+    return getFirstEventBudgetMs(getAdmissionTimes());
+  }
+
   function refuse(predictedMs: number): void {
     const {reason, retryAfterMs} = share.refuse(predictedMs);
     task.fail(getVerdict(), reason, retryAfterMs);
@@ -223,7 +228,7 @@
         prefillCall = undefined;
         handlePrefilled(placement, handle, observedMs);
       },
-      getBudgetMs: () => getFirstEventBudgetMs(getAdmissionTimes()),
+      getBudgetMs,
       onLate: ({waitingCount}) => records.recordLate(waitingCount),
       onFailure: failure => {
         prefillCall = undefined;
@@ -313,8 +318,7 @@
       // The prompt has been prefilled: its work is done, and an engine's memory waits for it.
       isOverShare: false,
       workMs: 0,
-      expiresAtMs:
-        clock.getMonotonicMs() + getFirstEventBudgetMs(getAdmissionTimes()),
+      expiresAtMs: clock.getMonotonicMs() + getBudgetMs(),
       tryStart: () => {
         const decode = engines.tryChooseDecode(sourceDomain);
         if (decode !== undefined) submitToDecode(decode, sample);
@@ -385,7 +389,7 @@
         directPlacement === undefined ? 0 : engines.predictUncachedMs(server),
       ...(splitter === undefined ? {} : {splitter}),
       canRunAgain,
-      getBudgetMs: () => getFirstEventBudgetMs(getAdmissionTimes()),
+      getBudgetMs,
       onHead: () => {
         headAtMs = clock.getMonotonicMs();
         // The engine has fetched the KV cache or prefilled the prompt itself.
--- a/src/platform/duty_client.ts
+++ b/src/platform/duty_client.ts
@@ -103,7 +103,7 @@
   yield body;
 }
 
-/** Reads the whole body, so that an answer that breaks off is told from a complete one, and keeps its first bytes. */
+/** Reads the body up to the maximum, so that an answer that breaks off before is told from a complete one. */
 async function readText(body: AsyncIterable<Buffer>): Promise<string> {
   let text = '';
   let bytes = 0;
--- a/src/platform/node_settings.ts
+++ b/src/platform/node_settings.ts
@@ -116,18 +116,16 @@
 
   function readDuties(): DutySettings {
     const fields = tryGetFields(root['cloudApi']);
+    const bounds = tryGetFields(root['bounds']);
+    const getMs = (seconds: unknown) => (tryGetNumber(seconds) ?? 0) * 1_000;
     return {
       address: getAddress('cloudApi', 'address'),
       kinds: getList(fields?.['duties']).flatMap(
         name => DUTY_KINDS[tryGetString(name) ?? ''] ?? [],
       ),
       callsPerS: getNumber('cloudApi', 'dutyPerS'),
-      usageWindowMs:
-        (tryGetNumber(tryGetFields(root['bounds'])?.['usageWindowS']) ?? 0) *
-        1_000,
-      usageDueMs:
-        (tryGetNumber(tryGetFields(root['bounds'])?.['usageLateS']) ?? 0) *
-        1_000,
+      usageWindowMs: getMs(bounds?.['usageWindowS']),
+      usageDueMs: getMs(bounds?.['usageLateS']),
     };
   }
 
