Stall watch: check a late engine at the late limit

Cause: checks of an engine that gives reports follow at 500 ms, 750 ms and 1 s. The limit after which a call counts as late fell between two of them, so that a call was given up as much as 0.7 s after the limit and the caller had no time left for another engine.

Change: the check before the limit is followed by one at the limit.

Ruled out: the retry budget (17 retries, 7 used) and the crash guard (the failures were 'late', not resets).

--- a/src/gateway/stall_watch.ts
+++ b/src/gateway/stall_watch.ts
@@ -57,6 +57,10 @@
 export function watchForStall(options: StallWatchOptions): Timer {
   const {clock, health, liveness, server, predictedMs} = options;
   const startedAtMs = clock.getMonotonicMs();
+  const lateAtMs =
+    startedAtMs +
+    LATE_FACTOR * Math.max(predictedMs, options.uncachedMs) +
+    LATE_SLACK_MS;
   let intervalMs = FIRST_INTERVAL_MS;
   let isOver = false;
   let timer = clock.schedule(
@@ -88,7 +92,7 @@
           return;
         }
         options.onAlive?.(check);
-        scheduleCheck(intervalMs);
+        scheduleCheck(computeDelay(intervalMs));
         intervalMs = Math.min(MAX_INTERVAL_MS, INTERVAL_FACTOR * intervalMs);
         return;
       case Liveness.Silent:
@@ -107,14 +111,18 @@
   }
 
   function isLate(): boolean {
-    const limitMs =
-      LATE_FACTOR * Math.max(predictedMs, options.uncachedMs) + LATE_SLACK_MS;
     return (
-      clock.getMonotonicMs() - startedAtMs >= limitMs &&
+      clock.getMonotonicMs() >= lateAtMs &&
       !liveness.hasCompletedSince(server.id, startedAtMs)
     );
   }
 
+  /** Shortens a delay that would pass the late limit: a check up to a second after it left callers no time for another engine. */
+  function computeDelay(delayMs: number): number {
+    const untilLateMs = lateAtMs - clock.getMonotonicMs();
+    return untilLateMs > 0 ? Math.min(delayMs, untilLateMs) : delayMs;
+  }
+
   /** Returns the time to the next check of an engine that cannot be asked: the last one comes just in time to move the call. */
   function computeRecheckMs(spareMs: number): number {
     if (spareMs <= MOVE_MARGIN_MS) return CHECK_MS;
--- a/test/gateway/stall_watch.test.ts
+++ b/test/gateway/stall_watch.test.ts
@@ -182,6 +182,20 @@
   assert.deepEqual(busy.outcomes, []);
 });
 
+test('a call that hangs is given up at the late limit, wherever the checks before it fall', async () => {
+  // Checks at growing intervals passed the limit by up to 700 ms, and callers timed out.
+  for (let predictedMs = 5; predictedMs <= 200; predictedMs += 5) {
+    const watch = watchCalls({getAnswer: () => 'report', predictedMs});
+    await watch.clock.advance(3_000);
+    const limitMs = 4 * predictedMs + 1_000;
+    const {atMs} = watch.outcomes[0];
+    assert.ok(
+      atMs >= limitMs && atMs <= limitMs + 50,
+      `predicted ${predictedMs}: ${atMs}`,
+    );
+  }
+});
+
 test('an engine with a limit is not asked, and a call to it is moved only when the caller would lose its first event', async () => {
   const watch = watchCalls({getAnswer: () => 'none', isLimited: true});
   await watch.clock.advance(4_000);
