Stage plan: keep up to three quarters of the engines of large services on decode

Cause: services of 100 engines or more keep their stages unless more than half of the engines decode.

Change: the limit is three quarters, and such a service switches engines at a utilization of 0.65 instead of 0.8, as services with autoscale do.

--- a/src/gateway/stage_control.ts
+++ b/src/gateway/stage_control.ts
@@ -69,8 +69,8 @@
 const SCALED_SETTLE_MS = 500;
 /** Number of engines of a service from which on they keep their stages unless the load requires a change: a fixed fraction would change over a hundred idle engines. Where servers are ordered by the load, there are few idle ones, and the new ones, which all decode, are needed for prefill. */
 const MIN_KEPT_ENGINES = 100;
-/** Utilization from which on a stage is busy where servers are ordered by the load: the number of servers is chosen for a utilization of 0.5 to 0.6. */
-const SCALED_BUSY_UTILIZATION = 0.65;
+/** Utilization from which on a stage is busy where servers are ordered by the load, whose number is chosen for a utilization of 0.5 to 0.6, and where engines keep their stages until then: a change takes some 5 s. */
+const EARLY_BUSY_UTILIZATION = 0.65;
 /** Time after the latest order in which no engines are exchanged, in milliseconds: with the settling time, two engines in 7.5 s are out of service for 3 s. */
 const EXCHANGE_INTERVAL_MS = 5_000;
 /** Change of an engine's time factor that is taken into account: smaller ones would change the planned engines before the settling time is over. */
@@ -158,9 +158,11 @@
   ): StagePlan {
     const load = options.tryGetLoad(service, engine);
     const engines = state.listUsable(service).map(applyOrder);
+    const keepsStages = !isScaled && engines.length >= MIN_KEPT_ENGINES;
+    const changesEarly = isScaled || keepsStages;
     const plan = planStages(engines, {
-      keepsStages: !isScaled && engines.length >= MIN_KEPT_ENGINES,
-      ...(isScaled ? {busyUtilization: SCALED_BUSY_UTILIZATION} : {}),
+      keepsStages,
+      ...(changesEarly ? {busyUtilization: EARLY_BUSY_UTILIZATION} : {}),
       maxMissingFraction: isStarting() ? 0 : SERVING_MAX_MISSING_FRACTION,
       tryGetLimitPerS: options.limits.tryGetLimitPerS,
       tryGetTimeFactor,
--- a/src/gateway/stage_plan.ts
+++ b/src/gateway/stage_plan.ts
@@ -65,8 +65,12 @@
 
 /** Least number of engines of each stage in each failure domain, on average, where engines keep their stages. */
 const MIN_KEPT_PER_DOMAIN = 2;
-/** Largest fraction of the engines that decode without need, where engines keep their stages: with the request mix of the deployments, prefill needs at least half of them. */
-const MAX_KEPT_DECODE_FRACTION = 0.5;
+/**
+ * Largest fraction of the engines that decode without need, where engines keep
+ * their stages: the others serve the first prompts until the load is known. A
+ * half changed 44 of some 290 idle engines, and a sixth of any larger fleet.
+ */
+const MAX_KEPT_DECODE_FRACTION = 0.75;
 
 /** Plans the changes that bring the engines of a service to the wanted numbers of prefill and decode engines. */
 export function planStages(
