Capacity: compare engines to their mean without waits

Cause: an engine's ratio is measured without its wait, but was compared to the service's factor of predictions, which includes the error of predicted waits. Where waits were longer than predicted, that factor rose, equal engines therefore looked fast (0.51 to 0.89), and their factors cancelled the correction: 183 ms were observed where 126 ms were predicted. Prompts were admitted that came too late.

Change: the factors of engines are relative to the mean ratio of the service's engines, without waits. A sample of the service's factor keeps the engine's own factor in its prediction, so that predictions are correct on average whatever the engines' factors are.

--- a/src/gateway/assumed_end.ts
+++ b/src/gateway/assumed_end.ts
@@ -15,6 +15,6 @@
 ): void {
   const server = context.state.tryGetUsable(serverId);
   if (server === undefined || endsInMs < MIN_CONFIRMING_MS) return;
-  const ratio = factor ?? context.speeds.getPrefillFactor(server.service);
+  const ratio = factor ?? context.speeds.getEngineFactor(server.service);
   context.capacities.recordSample(server, {ratio, load: 0});
 }
--- a/src/gateway/engine_speed_estimator.ts
+++ b/src/gateway/engine_speed_estimator.ts
@@ -28,8 +28,16 @@
   recordPrefill(service: string, nominalMs: number, observedMs: number): void;
   /** Records how long a completed stream occupied its slot, in milliseconds. */
   recordRun(service: string, route: string, runMs: number): void;
-  /** Returns the ratio of observed to nominal prefill time; 1 when nothing was measured. */
+  /** Returns the ratio of observed to predicted time of prompts, including their waits, in terms of nominal speeds; 1 when nothing was measured. */
   getPrefillFactor(service: string): number;
+  /** Records the ratio of observed to nominal time of a prompt without its wait. */
+  recordEngineRatio(service: string, ratio: number): void;
+  /**
+   * Returns the mean ratio of observed to nominal time of the service's engines
+   * without waits, to which the factor of each engine is relative. Until enough
+   * samples are recorded, it is the factor that includes the waits.
+   */
+  getEngineFactor(service: string): number;
   listEstimates(): SpeedEstimates[];
   /** Adopts another node's estimates where this node has recorded too few samples. */
   addEstimates(estimates: readonly SpeedEstimates[]): void;
@@ -43,6 +51,10 @@
 
 interface ServiceSpeeds {
   readonly prefill: DecayingRatio;
+  /** Sum of the engines' ratios without waits over their number. */
+  readonly engines: DecayingRatio;
+  /** Number of recorded ratios without waits. */
+  engineSamples: number;
   /** Total slot time of streams over their number, by route. */
   readonly runs: Map<string, DecayingRatio>;
   /** Number of recorded prefill samples. */
@@ -61,7 +73,7 @@
 const ASSUMED_RUN_MS = 100;
 /** Largest factor by which one sample may deviate from the estimate, so that a stalled engine doesn't determine the estimate for all. */
 const MAX_DEVIATION = 2;
-/** Minimum number of recorded samples for outliers to be bounded. */
+/** Minimum number of recorded samples for outliers to be bounded, and for the mean of the engines to be used. */
 const MIN_OUTLIER_SAMPLES = 5;
 
 /** Creates an estimator that starts from the nominal speeds. */
@@ -84,6 +96,18 @@
       addDecayed(getRun(service, route), runMs, 1);
     },
     getPrefillFactor,
+    recordEngineRatio: (service, ratio) => {
+      const speeds = getSpeeds(service);
+      addBoundedSample(speeds.engines, ratio, 1, speeds.engineSamples);
+      speeds.engineSamples++;
+    },
+    getEngineFactor: service => {
+      const speeds = services.get(service);
+      const isKnown =
+        speeds !== undefined && speeds.engineSamples >= MIN_OUTLIER_SAMPLES;
+      const factor = isKnown ? computeRatio(speeds.engines) : undefined;
+      return factor ?? getPrefillFactor(service);
+    },
     listEstimates: () => [...services].map(formatEstimates),
     addEstimates,
   };
@@ -120,6 +144,8 @@
     if (known !== undefined) return known;
     const created = {
       prefill: {observed: 0, expected: 0},
+      engines: {observed: 0, expected: 0},
+      engineSamples: 0,
       runs: new Map<string, DecayingRatio>(),
       samples: 0,
     };
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -126,7 +126,7 @@
     logger,
     getServiceFactor: service => {
       const isEngine = state.tryGetService(service)?.engine !== undefined;
-      return isEngine ? speeds.getPrefillFactor(service) : 1;
+      return isEngine ? speeds.getEngineFactor(service) : 1;
     },
     onChanged: metrics.recordCapacityChange,
     isEnabled: options.learnsServerSpeeds ?? true,
--- a/src/gateway/prefill_sample.ts
+++ b/src/gateway/prefill_sample.ts
@@ -6,8 +6,8 @@
 export interface EndedPrefill {
   readonly service: string;
   readonly placement: PrefillPlacement;
-  /** Ratio of predicted to nominal time in the placement. */
-  readonly factor: number;
+  /** Ratio of predicted to nominal time of the engine's service; that of the engine is this times the placement's. */
+  readonly serviceFactor: number;
   /** Duration of the call, in milliseconds. */
   readonly observedMs: number;
   /** Time since the engine is known to have begun with the prompt, in milliseconds; undefined when unknown. */
@@ -27,8 +27,8 @@
 export function tryCreatePrefillSample(
   ended: EndedPrefill,
 ): PrefillSample | undefined {
-  const {service, placement, factor, observedMs} = ended;
-  const sheetMs = (placement.waitMs + placement.prefillMs) / factor;
+  const {service, placement, serviceFactor, observedMs} = ended;
+  const sheetMs = (placement.waitMs + placement.prefillMs) / serviceFactor;
   if (sheetMs < MIN_SAMPLE_MS) return undefined;
   return {
     service,
@@ -41,11 +41,12 @@
 /** Compares the time that the engine took for this prompt alone. Wait times depend on other nodes' prompts, of which this node knows only those announced. */
 function createRatio({
   placement,
-  factor,
+  serviceFactor,
   observedMs,
   sinceStartMs = observedMs,
 }: EndedPrefill): Pick<PrefillSample, 'ratio' | 'load'> {
-  const nominalMs = placement.prefillMs / factor;
+  const nominalMs =
+    placement.prefillMs / (placement.timeFactor * serviceFactor);
   const ownMs = Math.min(observedMs - ROUND_TRIP_MS, sinceStartMs);
   if (nominalMs < MIN_RATIO_MS || ownMs <= 0) return {};
   const {load} = placement;
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -347,7 +347,7 @@
     return tryCreatePrefillSample({
       service,
       placement,
-      factor: placement.timeFactor * context.speeds.getPrefillFactor(service),
+      serviceFactor: context.speeds.getPrefillFactor(service),
       observedMs,
       sinceStartMs: startMs === undefined ? undefined : nowMs - startMs,
     });
--- a/src/gateway/stream_records.ts
+++ b/src/gateway/stream_records.ts
@@ -40,6 +40,7 @@
   const server = trackers.state.tryGetUsable(serverId);
   if (server !== undefined && ratio !== undefined) {
     trackers.capacities.recordSample(server, {ratio, load});
+    trackers.speeds.recordEngineRatio(service, ratio);
   }
   trackers.speeds.recordPrefill(service, sheetMs, observedMs);
 }
@@ -99,7 +100,7 @@
   }
 
   function formatFactor(timeFactor: number): number {
-    const factor = timeFactor * context.speeds.getPrefillFactor(task.service);
+    const factor = timeFactor * context.speeds.getEngineFactor(task.service);
     return Math.round(factor * 100) / 100;
   }
 
--- a/test/explain/random_fleet.ts
+++ b/test/explain/random_fleet.ts
@@ -132,7 +132,7 @@
     clock,
     logger,
     getServiceFactor: service =>
-      service.startsWith('llm') ? speeds.getPrefillFactor(service) : 1,
+      service.startsWith('llm') ? speeds.getEngineFactor(service) : 1,
     onChanged: metrics.recordCapacityChange,
   });
   const prefillQueues = createPrefillQueues(job =>
--- a/test/gateway/stream_records.test.ts
+++ b/test/gateway/stream_records.test.ts
@@ -1,16 +1,20 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {createServerCapacities} from '../../src/capacity';
 import {createEngineSpeedEstimator} from '../../src/gateway/engine_speed_estimator';
 import type {FlowContext} from '../../src/gateway/flow_context';
 import type {PeerMessage} from '../../src/gateway/peer_messages';
 import {createPrefillQueues} from '../../src/gateway/prefill_queues';
 import {createPrefixDirectory} from '../../src/gateway/prefix_directory';
 import {createStreamCounts} from '../../src/gateway/stream_counts';
-import {createStreamRecords} from '../../src/gateway/stream_records';
+import {
+  createStreamRecords,
+  recordPrefillSample,
+} from '../../src/gateway/stream_records';
 import type {Route} from '../../src/gateway/types';
 import {createVirtualClock} from '../../src/runtime';
 import {tryCreatePrefillSample} from '../../src/gateway/prefill_sample';
-import {createEntry, ENGINE_LIMITS} from './support';
+import {createEntry, ENGINE_LIMITS, SILENT_LOGGER} from './support';
 
 const MODEL = {
   promptTokens: 1_500,
@@ -99,7 +103,7 @@
     timeFactor: 1.4,
     load: 0,
   };
-  const ended = {service: 'llm', placement, factor: 1.4};
+  const ended = {service: 'llm', placement, serviceFactor: 1};
   const compute = (observedMs: number, sinceStartMs?: number) =>
     tryCreatePrefillSample({...ended, observedMs, sinceStartMs});
   assert.equal(compute(900, 140)?.ratio, 1.4);
@@ -113,3 +117,49 @@
     undefined,
   );
 });
+
+test('waits that are longer than predicted do not make equal engines look fast', async () => {
+  // Every engine's factor was relative to one that includes the error of the waits: predicted 126 ms, observed 183 ms.
+  const clock = createVirtualClock();
+  const speeds = createEngineSpeedEstimator();
+  const capacities = createServerCapacities({
+    clock,
+    logger: SILENT_LOGGER,
+    getServiceFactor: speeds.getEngineFactor,
+  });
+  const server = createEntry({id: 'p1', service: 'llm'});
+  const trackers = {
+    health: {recordSuccess: () => undefined},
+    state: {tryGetUsable: () => server},
+    speeds,
+    capacities,
+  } as unknown as FlowContext;
+  for (let index = 0; index < 60; index++) {
+    const sample = {service: 'llm', sheetMs: 100, observedMs: 200, ratio: 0.5};
+    recordPrefillSample(trackers, server.id, sample);
+    await clock.advance(50);
+  }
+  assert.ok(Math.abs(speeds.getPrefillFactor('llm') - 2) < 0.01);
+  assert.equal(capacities.getRelativeFactor(server, 0), 1);
+});
+
+test('predictions of an engine that differs from its service are correct on average', () => {
+  // The wait and the prefill of the prediction already have the engine's factor.
+  const placement = {
+    server: createEntry({id: 'p1'}),
+    waitMs: 280,
+    prefillMs: 140,
+    cachedTokens: 0,
+    timeFactor: 1.4,
+    load: 0,
+  };
+  const sample = tryCreatePrefillSample({
+    service: 'llm',
+    placement,
+    serviceFactor: 2,
+    observedMs: 425,
+    sinceStartMs: 140,
+  });
+  assert.equal(sample?.sheetMs, 210);
+  assert.equal(sample?.observedMs, 420);
+});
