Capacity: count only what exceeds the uncertainty of a sample

Cause: a prefill's beginning is known to some 10 ms, the end of the one before as another node announced it. Prefills of 28 ms at equal engines gave factors of 0.68 to 1.32.

Change: a sample states the uncertainty of its ratio where it is 0.05 or more. What exceeds it counts for the engine; the mean of the service's engines takes the ratio as measured.

A server that has become four times slower is still found with prefills of 28 ms (test).

--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -72,6 +72,8 @@
   readonly observedMs: number;
   /** Ratio of the observed to the nominal time of the prefill without its wait; absent for short ones. */
   readonly ratio?: number;
+  /** Uncertainty of `ratio`; absent when small. */
+  readonly ratioError?: number;
   /** Prompts in the engine's queue as a fraction of its slots; absent when few. */
   readonly load?: number;
 }
--- a/src/gateway/prefill_sample.ts
+++ b/src/gateway/prefill_sample.ts
@@ -20,6 +20,10 @@
 const MIN_SAMPLE_MS = 40;
 /** Shortest prefill by nominal speeds of which the time without its wait is measured, in milliseconds: the end of the one before is known to some milliseconds. */
 const MIN_RATIO_MS = 60;
+/** Uncertainty of a prefill's time without its wait, in milliseconds: the beginning is known by the end of the one before as another node announced it, and engines read prompts in pieces. */
+const START_ERROR_MS = 10;
+/** Smallest uncertainty that is stated in a sample. */
+const MIN_STATED_ERROR = 0.05;
 /** Smallest load that is stated in a sample, as a fraction of the engine's slots; most engines prefill few prompts at once. */
 const MIN_STATED_LOAD = 0.1;
 
@@ -44,14 +48,16 @@
   serviceFactor,
   observedMs,
   sinceStartMs = observedMs,
-}: EndedPrefill): Pick<PrefillSample, 'ratio' | 'load'> {
+}: EndedPrefill): Pick<PrefillSample, 'ratio' | 'ratioError' | 'load'> {
   const nominalMs =
     placement.prefillMs / (placement.timeFactor * serviceFactor);
   const ownMs = Math.min(observedMs - ROUND_TRIP_MS, sinceStartMs);
   if (nominalMs < MIN_RATIO_MS || ownMs <= 0) return {};
   const {load} = placement;
+  const error = START_ERROR_MS / nominalMs;
   return {
     ratio: computeRounded(ownMs / nominalMs),
+    ...(error < MIN_STATED_ERROR ? {} : {ratioError: computeRounded(error)}),
     ...(load < MIN_STATED_LOAD ? {} : {load: computeRounded(load)}),
   };
 }
--- a/src/gateway/stream_records.ts
+++ b/src/gateway/stream_records.ts
@@ -35,11 +35,24 @@
   serverId: string,
   sample: PrefillSample,
 ): void {
-  const {service, sheetMs, observedMs, ratio, load = 0} = sample;
+  const {
+    service,
+    sheetMs,
+    observedMs,
+    ratio,
+    ratioError = 0,
+    load = 0,
+  } = sample;
   trackers.health.recordSuccess(serverId);
   const server = trackers.state.tryGetUsable(serverId);
   if (server !== undefined && ratio !== undefined) {
-    trackers.capacities.recordSample(server, {ratio, load});
+    // Only what exceeds the uncertainty counts as a deviation of the engine.
+    const usual = trackers.speeds.getEngineFactor(service);
+    const certain =
+      usual +
+      Math.sign(ratio - usual) *
+        Math.max(0, Math.abs(ratio - usual) - ratioError);
+    trackers.capacities.recordSample(server, {ratio: certain, load});
     trackers.speeds.recordEngineRatio(service, ratio);
   }
   trackers.speeds.recordPrefill(service, sheetMs, observedMs);
--- a/test/gateway/stream_records.test.ts
+++ b/test/gateway/stream_records.test.ts
@@ -11,7 +11,7 @@
   createStreamRecords,
   recordPrefillSample,
 } from '../../src/gateway/stream_records';
-import type {Route} from '../../src/gateway/types';
+import type {BackendEntry, Route} from '../../src/gateway/types';
 import {createVirtualClock} from '../../src/runtime';
 import {tryCreatePrefillSample} from '../../src/gateway/prefill_sample';
 import {createEntry, ENGINE_LIMITS, SILENT_LOGGER} from './support';
@@ -163,3 +163,52 @@
   assert.equal(sample?.sheetMs, 210);
   assert.equal(sample?.observedMs, 420);
 });
+
+test('the uncertain beginning of short prefills does not make equal engines differ', async () => {
+  // Prefills of 28 ms, measured with an error of 10 ms, gave equal engines factors of 0.7 to 1.3.
+  const clock = createVirtualClock();
+  const speeds = createEngineSpeedEstimator();
+  const capacities = createServerCapacities({
+    clock,
+    logger: SILENT_LOGGER,
+    getServiceFactor: speeds.getEngineFactor,
+  });
+  const placement = {
+    waitMs: 0,
+    prefillMs: 28,
+    cachedTokens: 0,
+    timeFactor: 1,
+    load: 0,
+  };
+  const servers = ['early', 'late', 'slow'].map(id =>
+    createEntry({id, service: 'llm'}),
+  );
+  const trackers = {
+    health: {recordSuccess: () => undefined},
+    state: {tryGetUsable: (id: string) => servers.find(item => item.id === id)},
+    speeds,
+    capacities,
+  } as unknown as FlowContext;
+  const record = (server: BackendEntry, ownMs: number) => {
+    const sample = tryCreatePrefillSample({
+      service: 'llm',
+      placement: {...placement, server},
+      serviceFactor: 0.25,
+      observedMs: ownMs + 5,
+      sinceStartMs: ownMs,
+    });
+    assert.ok(sample?.ratio !== undefined);
+    recordPrefillSample(trackers, server.id, sample);
+  };
+  const [early, late, slow] = servers;
+  for (let index = 0; index < 200; index++) {
+    record(early, 21);
+    record(late, 35);
+    if (index % 10 === 0) record(slow, index < 100 ? 28 : 112);
+    await clock.advance(50);
+  }
+  assert.equal(capacities.getRelativeFactor(early, 0), 1);
+  assert.equal(capacities.getRelativeFactor(late, 0), 1);
+  // A server that has become four times slower is still found.
+  assert.ok(capacities.getRelativeFactor(slow, 0) > 2.5);
+});
