Read long answers in turns, so that a flood of them delays no quick caller

Cause: the runtime reads up to 2 MiB from each socket in one turn of the event loop. With 1,000 answers of 4 MB to slow readers, a request of a quick caller took 1,148 to 1,330 ms in the median and 3,670 to 3,792 ms at the 99th percentile (2.1 ms without the flood). In addition, the HTTP library's copies of the headers kept the first 64 KiB of each answer until its end: with all 1,000 callers at once, the process took 256 MB.

Change: where the settings state a memory limit, a socket of a long answer asks the kernel for more only when it is its turn; two parts of 64 KiB are read in a turn of the event loop. Waiting answers hold nothing. The headers are dropped once they are read. The look-up of an engine's kvTokens moves from gateway.ts to the fleet's state.

--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -1,6 +1,7 @@
 /** A connection to a backend server, which undici opens when it is used. */
 import type {Socket} from 'node:net';
 import {buildConnector, Client} from 'undici';
+import type {ReadTurns} from '../memory';
 import type {ProcessLink} from './process_proofs';
 import {createStatusLineCheck, type StatusLineCheck} from './status_line_check';
 import type {BackendEntry} from './types';
@@ -35,6 +36,8 @@
   /** Returns the number of a socket that has been opened. */
   readonly countOpened: () => number;
   readonly onClose: () => void;
+  /** Spreads the reading of long answers; without it, the runtime reads them as fast as they come. */
+  readonly turns?: ReadTurns | undefined;
 }
 
 /** How long before its server's stated keep-alive time-out a connection is closed, in milliseconds. */
@@ -46,6 +49,8 @@
 export function createConnection(options: ConnectionOptions): Connection {
   const {server} = options;
   const statusLines = createStatusLineCheck();
+  /** Bytes received of the present answer. */
+  let receivedBytes = 0;
   const connector = buildConnector({timeout: options.connectTimeoutMs});
   const client = new Client(`http://${server.host}:${server.port}`, {
     connect: (connectOptions, callback) => {
@@ -75,7 +80,10 @@
     acceptedAtMs: undefined,
     isUnframed: false,
     hasInvalidAnswer: false,
-    expectAnswer: statusLines.expectAnswer,
+    expectAnswer: () => {
+      receivedBytes = 0;
+      statusLines.expectAnswer();
+    },
   };
   return connection;
 
@@ -86,9 +94,18 @@
     connection.acceptedAtMs = undefined;
     connection.isUnframed = false;
     connection.hasInvalidAnswer = false;
-    checkStatusLines(socket, statusLines, () => {
-      connection.hasInvalidAnswer = true;
+    checkStatusLines(socket, {
+      isValid: chunk => {
+        receivedBytes += chunk.length;
+        return statusLines.isValid(chunk);
+      },
+      onInvalid: () => {
+        connection.hasInvalidAnswer = true;
+      },
     });
+    if (options.turns !== undefined) {
+      readInTurns(socket, options.turns, () => receivedBytes);
+    }
     let isOpen = true;
     const recordClose = () => {
       if (!isOpen) return;
@@ -105,19 +122,34 @@
 /** Ends the connection at bytes that are no answer, before undici reads them. */
 function checkStatusLines(
   socket: Socket,
-  statusLines: StatusLineCheck,
-  onInvalid: () => void,
+  {
+    isValid,
+    onInvalid,
+  }: Pick<StatusLineCheck, 'isValid'> & {readonly onInvalid: () => void},
 ): void {
   const read = socket.read.bind(socket);
   socket.read = (size?: number) => {
     const chunk = read(size) as Buffer | null;
-    if (chunk === null || statusLines.isValid(chunk)) return chunk;
+    if (chunk === null || isValid(chunk)) return chunk;
     onInvalid();
     socket.destroy(new Error('answer has no valid status line'));
     return null;
   };
 }
 
+/** Lets the socket ask the kernel for more of an answer when it is its turn; until then, nothing more of it is held here. */
+function readInTurns(
+  socket: Socket,
+  turns: ReadTurns,
+  getReceivedBytes: () => number,
+): void {
+  const read = socket._read.bind(socket);
+  socket._read = size =>
+    turns.submit(getReceivedBytes(), () => {
+      if (!socket.destroyed) read(size);
+    });
+}
+
 /**
  * Detects that a connection was reset. undici treats a reset as the end of an
  * answer without a length, so the listeners run before those of undici. A reset
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -1,4 +1,5 @@
 /** HTTP connections to backend servers: each carries one request at a time and is reused when idle. */
+import type {ReadTurns} from '../memory';
 import {createSystemClock} from '../runtime';
 import type {Clock} from '../runtime/types';
 import type {Dispatcher} from 'undici';
@@ -44,6 +45,8 @@
   ) => void;
   /** Checks that show whether a process lives; without them, only other requests can. */
   readonly checks?: ProcessChecks;
+  /** Spreads the reading of long answers over the turns of the event loop. */
+  readonly turns?: ReadTurns | undefined;
 }
 
 /** Time-out if the options give none: many round trips of a few milliseconds between failure domains, and no longer than the shortest latency objective. */
@@ -215,6 +218,7 @@
       idleTimeoutMs: options.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS,
       countOpened: () => ++openedCount,
       onClose: witness.update,
+      turns: options.turns,
     });
   }
 
--- a/src/gateway/fleet_state.ts
+++ b/src/gateway/fleet_state.ts
@@ -32,6 +32,8 @@
   /** Lists the servers of a service that accept new requests. */
   listUsable(service: string): readonly BackendEntry[];
   tryGetUsable(id: string): BackendEntry | undefined;
+  /** Returns the size of an engine's KV cache, in tokens; 0 when it is unknown. */
+  getKvTokens(id: string): number;
   listEntries(): BackendEntry[];
   /** Counts the model engines that accept new requests. */
   countEngines(): number;
@@ -62,7 +64,7 @@
     getConfig: () => config,
     getRoutes: () => routes,
     tryGetAccounts: () => accounts,
-    tryGetService: name => config?.services.find(item => item.name === name),
+    tryGetService,
     applyConfig,
     applyChanges,
     replaceEntries,
@@ -72,9 +74,12 @@
     retainLeaving,
     recordLeaving,
     listUsable: service => usable.get(service) ?? [],
-    tryGetUsable: id => {
-      const entry = entries.get(id) ?? retained.get(id);
-      return entry === undefined || isLeaving(entry) ? undefined : entry;
+    tryGetUsable,
+    getKvTokens: id => {
+      const service = tryGetUsable(id)?.service;
+      return service === undefined
+        ? 0
+        : (tryGetService(service)?.engine?.kvTokens ?? 0);
     },
     listEntries: () => [...entries.values()],
     countEngines: () => engineCount,
@@ -82,6 +87,15 @@
     getDigest: () => (digest ??= computeDigest(entries)),
   };
 
+  function tryGetService(name: string): BackendService | undefined {
+    return config?.services.find(item => item.name === name);
+  }
+
+  function tryGetUsable(id: string): BackendEntry | undefined {
+    const entry = entries.get(id) ?? retained.get(id);
+    return entry === undefined || isLeaving(entry) ? undefined : entry;
+  }
+
   function applyConfig(next: GatewayConfig): boolean {
     if (config !== undefined && next.version <= config.version) return false;
     config = next;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -184,6 +184,7 @@
       });
     },
     clock,
+    turns: memory.turns,
     checks: createProcessChecks({protocol, state, pauses, limits}),
   });
   const health = createHealthTracker({
@@ -293,7 +294,9 @@
     logger,
     isStateCurrent,
   });
-  const prefixes = scaling.observePrefixes(createPrefixDirectory(getKvTokens));
+  const prefixes = scaling.observePrefixes(
+    createPrefixDirectory(state.getKvTokens),
+  );
   const stages = createStageControl({
     nodeName: self.name,
     state,
@@ -564,13 +567,6 @@
     limits.retainOnly(listedIds);
   }
 
-  function getKvTokens(serverId: string): number {
-    const entry = state.tryGetUsable(serverId);
-    const service =
-      entry === undefined ? undefined : state.tryGetService(entry.service);
-    return service?.engine?.kvTokens ?? 0;
-  }
-
   /** Returns the learned time factors for the metrics. */
   function listTimeFactors() {
     return state
--- a/src/gateway/held_memory.ts
+++ b/src/gateway/held_memory.ts
@@ -6,7 +6,9 @@
   computeMemoryLimits,
   createAnswerBudget,
   createBodyBudget,
+  createReadTurns,
   NO_MEMORY_LIMITS,
+  type ReadTurns,
   type UnreadReason,
 } from '../memory';
 import type {Clock, Timer} from '../runtime/types';
@@ -17,6 +19,8 @@
   readonly bodies: BodyBudget;
   /** Absent without a memory limit: answers then wait at their servers, and callers are never ended. */
   readonly answers?: AnswerBudget;
+  /** Absent without a memory limit. */
+  readonly turns: ReadTurns | undefined;
   /** Logs and counts a caller that was ended because it did not take its answer. */
   recordUnread(unread: UnreadAnswer): void;
   start(): void;
@@ -63,7 +67,18 @@
     memoryMb === undefined ? undefined : createAnswerBudget({clock, limits});
   let timer: Timer | undefined;
   let hasPressure = false;
+  const turns = createReadTurns(setImmediate);
   return {
+    turns:
+      memoryMb === undefined
+        ? undefined
+        : {
+            ...turns,
+            submit: (receivedBytes, read) => {
+              turns.submit(receivedBytes, read);
+              checkPressure();
+            },
+          },
     bodies: {
       ...bodies,
       add: refuse => {
@@ -117,7 +132,7 @@
     const answerPart = (answers?.getHeldBytes() ?? 0) / limits.answerBytes;
     const isLow =
       Math.max(bodyPart, answerPart) < PRESSURE_FRACTION &&
-      (answers?.count() ?? 0) < PRESSURE_CALLERS;
+      turns.count() + (answers?.count() ?? 0) < PRESSURE_CALLERS;
     if (isLow) return;
     hasPressure = true;
     logger.log('info', 'much memory is held for slow callers', {
--- a/src/gateway/open_call.ts
+++ b/src/gateway/open_call.ts
@@ -170,7 +170,7 @@
       }
       return;
     }
-    const rawHeaders = listRawHeaders(started);
+    const rawHeaders = takeRawHeaders(started);
     const {method} = request;
     if (isBodyForbidden(status) && hasBodyHeader(method, status, rawHeaders)) {
       failInvalid(`answer ${status} states a body`);
@@ -252,7 +252,9 @@
   return {verdict: Verdict.MayHaveRun, reason: 'mismatch', message};
 }
 
-function listRawHeaders(controller: Dispatcher.DispatchController): string[] {
+/** Copies the headers and drops those of the library, which are parts of the first chunk of the answer and would keep all of it, up to 64 KiB, until the answer ends. */
+function takeRawHeaders(controller: Dispatcher.DispatchController): string[] {
   const raw = controller.rawHeaders;
+  Object.assign(controller, {rawHeaders: []});
   return Array.isArray(raw) ? raw.map(item => item.toString('latin1')) : [];
 }
--- a/test/memory/budgets.test.ts
+++ b/test/memory/budgets.test.ts
@@ -6,6 +6,7 @@
   computeReadLimitMs,
   createAnswerBudget,
   createBodyBudget,
+  createReadTurns,
   createByteCollector,
   type SlowAnswer,
 } from '../../src/memory';
@@ -157,3 +158,24 @@
   assert.equal(limitMs(1_000, 100), 14_000);
   assert.equal(limitMs(300, 700), 15_600);
 });
+
+test('long answers are read a few parts at a turn, medium ones first, and short ones at once', () => {
+  const turns: Array<() => void> = [];
+  const reads: string[] = [];
+  const {submit, count} = createReadTurns(callback => turns.push(callback));
+  for (let index = 0; index < 3; index++) {
+    submit(1_000_000, () => reads.push('long'));
+  }
+  for (let index = 0; index < 4; index++) {
+    submit(200_000, () => reads.push('medium'));
+  }
+  submit(1_000, () => reads.push('short'));
+  assert.deepEqual(reads.splice(0), ['short']);
+  // Guards against many answers that are read in one turn, and against long ones that are never read.
+  for (let turn = 0; turn < 3; turn++) {
+    assert.equal(turns.length, 1);
+    turns.shift()?.();
+    assert.ok(reads.splice(0).includes('long'), String(turn));
+  }
+  assert.equal(count() + turns.length, 0);
+});
--- a/test/platform/slow_peers.ts
+++ b/test/platform/slow_peers.ts
@@ -31,6 +31,10 @@
 export async function startSlowSystem(options: {
   readonly memoryMb?: number;
   readonly routes?: Readonly<Record<string, unknown>>;
+  /** Flags of Node.js for the process. */
+  readonly nodeFlags?: readonly string[];
+  /** Port of a further server, which answers the requests to `/order/`. */
+  readonly orderPort?: number;
 }): Promise<SlowSystem> {
   const directory = mkdtempSync(join(tmpdir(), 'anvilstack-'));
   const program = join(directory, 'gateway.cjs');
@@ -39,7 +43,7 @@
   const ports = await listFreePorts(4);
   const [server, getAnswering] = await startServer();
   const {port} = server.address() as AddressInfo;
-  publishState(store, port, options.routes ?? {});
+  publishState(store, port, options.routes ?? {}, options.orderPort);
   const limits =
     options.memoryMb === undefined
       ? '[limits]'
@@ -51,9 +55,13 @@
       .replace('[limits]', limits)
       .replace('maxFds = 1000', 'maxFds = 10000'),
   );
-  const child: ChildProcess = spawn(process.execPath, [program], {
-    env: {PATH: process.env['PATH'], ANVILSTACK_NODE_FILE: path},
-  });
+  const child: ChildProcess = spawn(
+    process.execPath,
+    [...(options.nodeFlags ?? []), program],
+    {
+      env: {PATH: process.env['PATH'], ANVILSTACK_NODE_FILE: path},
+    },
+  );
   let log = '';
   child.stdout?.on('data', chunk => (log += String(chunk)));
   child.stderr?.on('data', chunk => (log += String(chunk)));
@@ -88,17 +96,22 @@
   store: {put: (topic: string, key: string, value: string) => void},
   port: number,
   routeChanges: Readonly<Record<string, unknown>>,
+  orderPort?: number,
 ): void {
   const config = JSON.parse(buildConfig(1)) as {
-    routes: object[];
+    routes: Array<{name: string}>;
     services: object[];
     limits: object;
   };
   config.routes = config.routes.map(route => ({
     ...route,
-    service: 'app',
+    service:
+      orderPort !== undefined && route.name === 'order' ? 'orders' : 'app',
     ...routeChanges,
   }));
+  if (orderPort !== undefined) {
+    config.services.push({...config.services[0], name: 'orders'});
+  }
   config.services = config.services.map(item => ({...item, maxConns: 5_000}));
   config.limits = {...config.limits, maxBodyBytes: 4_194_304};
   store.put('keyed.op', 'config', JSON.stringify(config));
@@ -114,6 +127,10 @@
     born: 1_700_000_000_000,
   };
   store.put('keyed.servers', 'app-1', JSON.stringify(entry));
+  if (orderPort === undefined) return;
+  const address = `127.0.0.1:${orderPort}`;
+  const orders = {...entry, service: 'orders', address};
+  store.put('keyed.servers', 'orders-1', JSON.stringify(orders));
 }
 
 async function startServer() {
@@ -142,11 +159,16 @@
   return [server, () => answering] as const;
 }
 
-function sendBytes(response: ServerResponse, part: Buffer, bytes: number) {
+/** Sends `bytes` bytes in parts as fast as they are taken. */
+export function sendBytes(
+  response: ServerResponse,
+  part: Buffer,
+  bytes: number,
+): void {
   let left = bytes;
   const send = () => {
     while (left > 0 && !response.destroyed) {
-      const next = part === CHUNK ? part.subarray(0, left) : part;
+      const next = part === EVENT ? part : part.subarray(0, left);
       left -= next.length;
       if (!response.write(next) && left > 0) {
         response.once('drain', send);
@@ -165,6 +187,7 @@
   path: string,
   bodyBytes: number | 'chunked' = 0,
   deadlineMs = 60_000,
+  connection: 'keep-alive' | 'close' = 'keep-alive',
 ): string {
   requestCount++;
   return [
@@ -172,6 +195,7 @@
     'Host: desk.example',
     `Anvilstack-Request-Id: slow-${requestCount}`,
     `Anvilstack-Deadline-Ms: ${deadlineMs}`,
+    `Connection: ${connection}`,
     bodyBytes === 'chunked'
       ? 'Transfer-Encoding: chunked'
       : `Content-Length: ${bodyBytes}`,
