Explain command: call the node by the client that operators' commands use

Cause: the command explain had an HTTP request of its own beside the operator client. It took any JSON object with status 200 for an explanation and failed with an exception when it was formatted, and it printed 'undefined' for a refusal without a reason.

Change: one client. Its new call 'load' posts a question and checks the answer against a schema, with the time-out of 'read'; the token is optional.

--- a/src/cli/explain_command.ts
+++ b/src/cli/explain_command.ts
@@ -1,14 +1,12 @@
 /** `anvilstack explain`. */
 import {Command, Option} from 'clipanion';
 import {Err, Ok, type Result} from 'ts-results';
-import {request} from 'undici';
 import {createMessage, type Message, messages} from '../diagnostics';
-import {EXPLAIN_PATH, type Explanation, formatExplanation} from '../explain';
+import {EXPLAIN_PATH, formatExplanation} from '../explain';
 import {ExitCode} from './exit_code';
+import {createOperatorClient} from './operator_client';
 import {printJson, printMessages} from './output';
-
-/** Time-out of the question, in milliseconds. */
-const TIMEOUT_MS = 5_000;
+import {explanationSchema} from './response_schemas';
 
 /** Shows where a gateway would send a request now, and why. */
 export class ExplainCommand extends Command {
@@ -73,7 +71,8 @@
       printMessages(this.context.stderr, [body.val]);
       return ExitCode.Usage;
     }
-    const answer = await send(this.node, body.val);
+    const client = createOperatorClient({address: `http://${this.node}`});
+    const answer = await client.load(EXPLAIN_PATH, body.val, explanationSchema);
     if (answer.err) {
       printMessages(this.context.stderr, [answer.val]);
       return ExitCode.Failed;
@@ -121,44 +120,6 @@
   }
 }
 
-async function send(
-  node: string,
-  body: object,
-): Promise<Result<Explanation, Message>> {
-  try {
-    const response = await request(`http://${node}${EXPLAIN_PATH}`, {
-      method: 'POST',
-      body: JSON.stringify(body),
-      headers: {'content-type': 'application/json'},
-      signal: AbortSignal.timeout(TIMEOUT_MS),
-    });
-    const answer = parseJson(await response.body.text());
-    if (answer === undefined) {
-      const reason = `status ${response.statusCode}`;
-      return Err(
-        createMessage(messages.UnexpectedNodeResponse, [node, reason]),
-      );
-    }
-    if (response.statusCode === 200) return Ok(answer as Explanation);
-    const {error} = answer as {error?: unknown};
-    return Err(createMessage(messages.RequestRefused, [node, String(error)]));
-  } catch (error) {
-    const {code} = error as {code?: unknown};
-    const reason = typeof code === 'string' ? code : String(error);
-    return Err(createMessage(messages.NodeUnreachable, [node, reason]));
-  }
-}
-
-/** Returns the JSON object in a text; undefined when there is none. */
-function parseJson(text: string): object | undefined {
-  try {
-    const value: unknown = JSON.parse(text);
-    return typeof value === 'object' && value !== null ? value : undefined;
-  } catch {
-    return undefined;
-  }
-}
-
 function parseCount(text: string | undefined): number | undefined {
   return text !== undefined && /^\d+$/.test(text) ? Number(text) : undefined;
 }
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -1,4 +1,4 @@
-/** HTTP client of a node's operators listener. */
+/** HTTP client of a node's operators listener, or of a gateway's control listener. */
 import {Err, Ok, type Result} from 'ts-results';
 import {request} from 'undici';
 import {z} from 'zod';
@@ -6,10 +6,11 @@
 
 /** Options of a client. */
 export interface OperatorClientOptions {
-  /** Base URL of the operators listener. */
+  /** Base URL of the listener. */
   readonly address: string;
-  readonly token: string;
-  /** Timeout of `read`, in milliseconds. */
+  /** The operator's token; requests carry none when omitted. */
+  readonly token?: string;
+  /** Timeout of `read` and `load`, in milliseconds. */
   readonly timeoutMs?: number;
 }
 
@@ -24,6 +25,12 @@
   readonly address: string;
   /** Gets a resource; every status other than 200 is a failure. */
   read<T>(path: string, schema: z.ZodType<T>): Promise<Result<T, Message>>;
+  /** Posts a question and loads its answer; every status other than 200 is a failure. */
+  load<T>(
+    path: string,
+    body: unknown,
+    schema: z.ZodType<T>,
+  ): Promise<Result<T, Message>>;
   /** Deletes a resource; the caller handles all statuses other than 401 and 403. */
   remove(path: string): Promise<Result<OperatorResponse, Message>>;
   /** Posts a JSON body; the caller handles all statuses other than 401 and 403. */
@@ -44,13 +51,28 @@
 ): OperatorClient {
   const {address, token} = options;
   const timeoutMs = options.timeoutMs ?? DEFAULT_READ_TIMEOUT_MS;
-  return {address, read, send, remove};
+  return {address, read, load, send, remove};
 
   async function read<T>(
     path: string,
     schema: z.ZodType<T>,
   ): Promise<Result<T, Message>> {
-    const answer = await call('GET', path, undefined, timeoutMs);
+    return parseAnswer(await call('GET', path, undefined, timeoutMs), schema);
+  }
+
+  async function load<T>(
+    path: string,
+    body: unknown,
+    schema: z.ZodType<T>,
+  ): Promise<Result<T, Message>> {
+    const text = JSON.stringify(body);
+    return parseAnswer(await call('POST', path, text, timeoutMs), schema);
+  }
+
+  function parseAnswer<T>(
+    answer: Result<OperatorResponse, Message>,
+    schema: z.ZodType<T>,
+  ): Result<T, Message> {
     if (answer.err) return answer;
     if (answer.val.status !== 200) {
       return Err(
@@ -92,7 +114,7 @@
         method,
         body,
         headers: {
-          authorization: `Bearer ${token}`,
+          ...(token === undefined ? {} : {authorization: `Bearer ${token}`}),
           'content-type': 'application/json',
         },
         signal: AbortSignal.timeout(callTimeoutMs),
--- a/src/cli/response_schemas.ts
+++ b/src/cli/response_schemas.ts
@@ -1,5 +1,6 @@
-/** Schemas of the operators listener's responses, with the fields that the commands read. */
+/** Schemas of the responses of the operators and control listeners, with the fields that the commands read. */
 import {z} from 'zod';
+import type {Explanation} from '../explain';
 
 export const templateRowSchema = z.looseObject({
   client_account: z.string(),
@@ -79,5 +80,30 @@
   }),
 );
 
+const candidateSchema = z.looseObject({
+  id: z.string(),
+  failureDomain: z.string(),
+  isChosen: z.boolean(),
+  healthyChance: z.number(),
+  pausedMs: z.number(),
+  timeFactor: z.number(),
+});
+
+const targetSchema = z.looseObject({
+  service: z.string(),
+  fraction: z.number(),
+  outcomes: z.array(z.looseObject({kind: z.string()})),
+  isComplete: z.boolean(),
+  candidates: z.array(candidateSchema),
+});
+
+/** Checks the fields without which an explanation cannot be printed; both ends share the type. */
+export const explanationSchema = z.looseObject({
+  node: z.string(),
+  stateAgeMs: z.number().nullable(),
+  configVersion: z.number(),
+  targets: z.array(targetSchema),
+}) as unknown as z.ZodType<Explanation>;
+
 export type Fleet = z.infer<typeof fleetSchema>;
 export type FleetVm = z.infer<typeof vmSchema>;
