Explain requests on the nodes of the product's own interface, and so on the demo

Cause: anvilstack explain was answered by gateways only. A running demo, which consists of nodes with the product's own interface, refused it with 404.

Change: the operators listener answers POST /explain for operators with the right to read. The model is named in the path, /v1/chat/completions?model=NAME, since the command has no body. The command sends the operator's token if there is one, takes a URL as well as HOST:PORT, and prints the same table. The demo prints a command to try.

The texts of the gateway's table change in one line, for outcomes that were not looked at.

--- a/src/cli/explain_command.ts
+++ b/src/cli/explain_command.ts
@@ -5,28 +5,40 @@
 import {EXPLAIN_PATH, formatExplanation} from '../explain';
 import {ExitCode} from './exit_code';
 import {createOperatorClient} from './operator_client';
+import {readToken} from './operator_command';
 import {printJson, printMessages} from './output';
 import {explanationSchema} from './response_schemas';
 
-/** Shows where a gateway would send a request now, and why. */
+/** Shows where a gateway or a node would send a request now, and why. */
 export class ExplainCommand extends Command {
   static override paths = [['explain']];
   static override usage = Command.Usage({
     category: 'Fleet',
-    description: 'Shows where a gateway would send a request now, and why.',
+    description:
+      'Shows where a gateway or a node would send a request now, and why.',
     details:
-      'The gateway answers by what it knows, without sending the request and without any other effect. The account is given by its name, never by a key.',
+      'The gateway or node answers by what it knows, without sending the request and without any other effect. The account is given by its name, never by a key. A node, such as one of the demo, is asked at its operators listener with the token of an operator; its model requests name the model in the path.',
     examples: [
       [
         'Explain a prompt of 1,200 tokens',
         'anvilstack explain --node 127.0.0.1:7101 --host desk.example --path /ask/ --tokens 1200,300 --parts intro:1000,own:200',
       ],
+      [
+        'Explain a model request to a node of the demo',
+        'anvilstack explain --node 127.0.0.1:8201 --host demo --path /v1/chat/completions?model=summary --account studio --tokens 5,8',
+      ],
     ],
   });
 
   node = Option.String('--node', {
     required: true,
-    description: 'Control address of the gateway, HOST:PORT',
+    description:
+      'Control address of the gateway, or address of the operators listener of a node: HOST:PORT or a URL',
+  });
+
+  tokenFile = Option.String('--token-file', {
+    description:
+      "File with the operator's token for a node; the default is the value of ANVILSTACK_TOKEN",
   });
 
   host = Option.String('--host', {
@@ -71,7 +83,15 @@
       printMessages(this.context.stderr, [body.val]);
       return ExitCode.Usage;
     }
-    const client = createOperatorClient({address: `http://${this.node}`});
+    const token = readToken(this);
+    if (token.err && token.val.definition !== messages.TokenMissing) {
+      printMessages(this.context.stderr, [token.val]);
+      return ExitCode.Usage;
+    }
+    const client = createOperatorClient({
+      address: createAddress(this.node),
+      ...(token.ok ? {token: token.val} : {}),
+    });
     const answer = await client.load(EXPLAIN_PATH, body.val, explanationSchema);
     if (answer.err) {
       printMessages(this.context.stderr, [answer.val]);
@@ -83,7 +103,7 @@
   }
 
   private buildBody(): Result<object, Message> {
-    if (!URL.canParse(`http://${this.node}`)) {
+    if (!URL.canParse(createAddress(this.node))) {
       return refuseOption('--node', 'must be HOST:PORT');
     }
     const tokens = this.tokens?.split(',').map(parseCount);
@@ -120,6 +140,10 @@
   }
 }
 
+function createAddress(node: string): string {
+  return /^https?:\/\//.test(node) ? node.replace(/\/$/, '') : `http://${node}`;
+}
+
 function parseCount(text: string | undefined): number | undefined {
   return text !== undefined && /^\d+$/.test(text) ? Number(text) : undefined;
 }
--- a/src/cli/operator_command.ts
+++ b/src/cli/operator_command.ts
@@ -1,6 +1,6 @@
 /** Base class of the commands that call the operators listener of a running node. */
 import {readFileSync} from 'node:fs';
-import {Command, Option} from 'clipanion';
+import {type BaseContext, Command, Option} from 'clipanion';
 import {Err, Ok, type Result} from 'ts-results';
 import {createMessage, type Message, messages} from '../diagnostics';
 import {ExitCode} from './exit_code';
@@ -63,7 +63,7 @@
 
   /** Creates a client of another node, with the same token. */
   protected createClient(address: string): OperatorClient {
-    const token = this.getToken();
+    const token = readToken(this);
     return createOperatorClient({address, token: token.ok ? token.val : ''});
   }
 
@@ -83,17 +83,24 @@
         ]),
       );
     }
-    return this.getToken().map(token =>
+    return readToken(this).map(token =>
       addresses.map(address => createOperatorClient({address, token})),
     );
   }
+}
 
-  private getToken(): Result<string, Message> {
-    if (this.tokenFile !== undefined) return readTokenFile(this.tokenFile);
-    const token = this.context.env['ANVILSTACK_TOKEN'] ?? '';
-    if (token === '') return Err(createMessage(messages.TokenMissing));
-    return Ok(token);
-  }
+/** Reads the operator's token from the file or the environment of a command. */
+export function readToken({
+  tokenFile,
+  context,
+}: {
+  readonly tokenFile: string | undefined;
+  readonly context: Pick<BaseContext, 'env'>;
+}): Result<string, Message> {
+  if (tokenFile !== undefined) return readTokenFile(tokenFile);
+  const token = context.env['ANVILSTACK_TOKEN'] ?? '';
+  if (token === '') return Err(createMessage(messages.TokenMissing));
+  return Ok(token);
 }
 
 function readTokenFile(file: string): Result<string, Message> {
--- a/src/demo/demo.ts
+++ b/src/demo/demo.ts
@@ -64,7 +64,7 @@
     const results = await replayTrace(cluster, examples, clock, print);
     const hasSucceeded = printOutcome(results, cluster, print);
     if (options.waitForEnd !== undefined) {
-      printAddresses(cluster, examples[0].apiKey, print);
+      printAddresses(cluster, examples[0], print);
       await options.waitForEnd();
     }
     return hasSucceeded && text !== '';
@@ -186,7 +186,7 @@
 
 function printAddresses(
   cluster: Cluster,
-  apiKey: string,
+  {template, apiKey}: ExampleTemplate,
   print: (line: string) => void,
 ): void {
   const operators = cluster.nodes.map(node => node.operatorAddress).join(',');
@@ -199,6 +199,10 @@
   print(
     `ANVILSTACK_NODE=${operators} ANVILSTACK_TOKEN=${cluster.operatorToken} build/anvilstack fleet`,
   );
+  print('Ask a node where it would send a request, and why:');
+  print(
+    `ANVILSTACK_TOKEN=${cluster.operatorToken} build/anvilstack explain --node ${cluster.nodes[0].operatorAddress} --host demo --path '/v1/chat/completions?model=${MODELS[0]}' --account ${template.client_account} --tokens 5,8`,
+  );
 }
 
 async function readCompletion(
--- a/src/entry/caller_app.ts
+++ b/src/entry/caller_app.ts
@@ -12,7 +12,7 @@
 import {parseCallerOptions} from './caller_options';
 import {createCompletionResponse} from './completion_response';
 import {type CompletionRequest, parseCompletion} from './completion_schema';
-import {createErrorResponse} from './error_response';
+import {createErrorResponse, createNotReadyFailure} from './error_response';
 import {tryReadBody} from './read_body';
 import type {ResumeService} from './resume_service';
 import type {CallerOptions, ModelInput, RequestPipeline} from './types';
@@ -39,8 +39,6 @@
 }
 
 const DEFAULT_MAX_BODY_BYTES = 8 * 1_024 * 1_024;
-/** Retry delay given to callers that a node refuses because it is not ready, in milliseconds. */
-const NOT_READY_RETRY_AFTER_MS = 500;
 /** Estimated characters of prompt text per token. */
 const CHARACTERS_PER_TOKEN = 4;
 /** Request headers that are forwarded to plain services. */
@@ -188,11 +186,7 @@
     event: H3Event,
     requestId: string,
   ): Promise<Result<CallerRequest, RequestFailure>> {
-    if (!isReady()) {
-      return fail(FailureKind.Unavailable, 'the node is not ready', {
-        retryAfterMs: NOT_READY_RETRY_AFTER_MS,
-      });
-    }
+    if (!isReady()) return Err(createNotReadyFailure());
     const {headers} = event.req;
     const account = tryGetAccount(getConfig(), headers.get('authorization'));
     if (account === undefined) {
--- a/src/entry/error_response.ts
+++ b/src/entry/error_response.ts
@@ -1,5 +1,5 @@
 /** Maps a failure to the HTTP response for the caller. */
-import {FailureKind, type RequestFailure} from '../verdict';
+import {createFailure, FailureKind, type RequestFailure} from '../verdict';
 
 const STATUS_OF_KIND: Readonly<Record<FailureKind, number>> = {
   [FailureKind.BadRequest]: 400,
@@ -35,6 +35,21 @@
   [FailureKind.Cancelled]: 'cancelled',
 };
 
+/** Retry delay given to callers that a node refuses because it is not ready, in milliseconds. */
+const NOT_READY_RETRY_AFTER_MS = 500;
+
+/** Creates the failure of requests to a node that does not know the state in force or drains. */
+export function createNotReadyFailure(): RequestFailure {
+  return createFailure(FailureKind.Unavailable, 'the node is not ready', {
+    retryAfterMs: NOT_READY_RETRY_AFTER_MS,
+  });
+}
+
+/** Returns the HTTP status of a failure. */
+export function getFailureStatus(kind: FailureKind): number {
+  return STATUS_OF_KIND[kind];
+}
+
 /** Returns the JSON body of the error. */
 export function getErrorBody(
   failure: RequestFailure,
@@ -67,7 +82,7 @@
   }
   if (failure.verdict !== 'not-run') headers.set('x-should-retry', 'false');
   return new Response(getErrorBody(failure, requestId), {
-    status: STATUS_OF_KIND[failure.kind],
+    status: getFailureStatus(failure.kind),
     headers,
   });
 }
--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -9,6 +9,11 @@
 export type {OperatorAppOptions} from './operator_app';
 export {createRequestPipeline} from './pipeline';
 export type {RequestPipelineOptions} from './pipeline';
+export {createRequestExplainer} from './request_explainer';
+export type {
+  RequestExplainer,
+  RequestExplainerOptions,
+} from './request_explainer';
 export {createResumeService} from './resume_service';
 export type {ResumeService, ResumeServiceOptions} from './resume_service';
 export {createTraceRecorder} from './trace_recorder';
@@ -22,6 +27,7 @@
   ModelInput,
   RequestInput,
   RequestPipeline,
+  RequestPreview,
   RequestSummary,
   SelectServers,
   ServiceInput,
--- a/src/entry/operator_app.ts
+++ b/src/entry/operator_app.ts
@@ -8,6 +8,7 @@
   type LogLevel,
   type TimelineEvent,
 } from '../diagnostics';
+import {EXPLAIN_PATH, parseExplainRequest} from '../explain';
 import type {ProgressRow} from '../planning/move';
 import type {
   ConfigEntry,
@@ -18,6 +19,7 @@
 import {selectEvents} from './event_filter';
 import {createJsonResponse, readJson} from './json_response';
 import {type Operator, OperatorRight, tryGetOperator} from './operator_access';
+import type {RequestExplainer} from './request_explainer';
 import {addTemplateRoutes} from './template_routes';
 import type {TraceRecorder} from './trace_recorder';
 
@@ -44,6 +46,8 @@
   /** Returns the progress of each client account's move. */
   readonly listProgress: () => readonly ProgressRow[];
   readonly setLogLevel: (level: LogLevel) => void;
+  /** Explains a request; without an effect. */
+  readonly explain: RequestExplainer;
 }
 
 const logLevelSchema = z.strictObject({level: z.enum(LOG_LEVELS)});
@@ -56,6 +60,7 @@
       createJsonResponse(500, {error: 'the request could not be handled'}),
   });
   app.use('/operators/**', checkAccess);
+  app.use(EXPLAIN_PATH, checkAccess);
   addTemplateRoutes(app, {
     config,
     writer: options.configWriter,
@@ -76,6 +81,7 @@
     requests: recorder.list(),
   }));
   app.post('/operators/log_level', setLogLevel);
+  app.post(EXPLAIN_PATH, answerExplain);
   app.all('/**', () => createJsonResponse(404, {error: 'no such route'}));
   return app;
 
@@ -121,6 +127,15 @@
     return {...nodeFields, missing, events: selectEvents(merged, query)};
   }
 
+  async function answerExplain(event: H3Event): Promise<Response> {
+    const answer = parseExplainRequest(await event.req.text()).andThen(
+      options.explain,
+    );
+    return answer.ok
+      ? createJsonResponse(200, answer.val)
+      : createJsonResponse(400, {error: answer.val});
+  }
+
   async function setLogLevel(event: H3Event): Promise<Response> {
     const parsed = logLevelSchema.safeParse(await readJson(event));
     if (!parsed.success) {
@@ -134,7 +149,9 @@
 }
 
 function getNeededRight(event: H3Event): OperatorRight {
-  if (event.req.method === 'GET') return OperatorRight.Read;
+  const isRead =
+    event.req.method === 'GET' || event.url.pathname === EXPLAIN_PATH;
+  if (isRead) return OperatorRight.Read;
   return event.url.pathname.startsWith('/operators/templates')
     ? OperatorRight.Change
     : OperatorRight.Administer;
--- a/src/entry/pipeline.ts
+++ b/src/entry/pipeline.ts
@@ -12,13 +12,20 @@
   ServiceDispatcher,
 } from '../routing';
 import type {Clock} from '../runtime';
-import type {ServerSelector} from '../state';
-import {createFailure, FailureKind, type RequestFailure} from '../verdict';
+import type {ServerSelector, Template} from '../state';
+import type {RequestFailure} from '../verdict';
 import {type AdmittedRequest, createAdmittedRequest} from './admitted_request';
 import {claimRequest, settleFailure} from './claim_request';
 import {createClaimedModelRun} from './claimed_model';
 import {createFallbackRun, isUnserved} from './fallback';
 import {createOpenRequests} from './open_requests';
+import {
+  createLimitFailure,
+  createModelRequest,
+  createRequestPreview,
+  getFleetLimits,
+  tryGetAccessFailure,
+} from './request_preview';
 import {createSummarySink, createServiceSummary} from './summary';
 import type {
   ModelInput,
@@ -26,6 +33,7 @@
   RequestPipeline,
   RequestSummary,
   SelectServers,
+  ServerChoice,
   ServiceInput,
   ServiceResult,
 } from './types';
@@ -40,13 +48,12 @@
   readonly limiter?: AccountLimiter;
   /** Selects the servers of a request; the template's `engines` selector when omitted. */
   readonly selectServers?: SelectServers;
+  /** As `selectServers` for a random number from 0 to 1 (excluded), without an effect. */
+  readonly predictServers?: (template: Template, draw: number) => ServerChoice;
   /** Called once for each request, when it has ended. */
   readonly onSummary?: (summary: RequestSummary) => void;
 }
 
-/** Retry delay given to callers that a draining node refuses, in milliseconds. */
-const DRAIN_RETRY_AFTER_MS = 100;
-
 /** Creates the pipeline of one node. */
 export function createRequestPipeline(
   options: RequestPipelineOptions,
@@ -57,6 +64,15 @@
   const onSummary = options.onSummary ?? (() => undefined);
   const openRequests = createOpenRequests();
   return {
+    preview: createRequestPreview({
+      clock,
+      dispatcher,
+      services,
+      limiter: options.limiter,
+      predictServers:
+        options.predictServers ?? (({engines}) => ({servers: engines})),
+      isDraining: openRequests.isDraining,
+    }),
     runModel,
     runService,
     getOpenCount: openRequests.getCount,
@@ -77,7 +93,7 @@
         onSummary(summary);
       },
     });
-    const admission = checkAdmission(input, input.template.models, input.model);
+    const admission = checkAdmission(input);
     if (admission.err) {
       sink.onFailure(admission.val);
       return createClosedHandle();
@@ -121,26 +137,7 @@
     request: AdmittedRequest<ModelInput>,
     sink: AnswerSink,
   ): RequestHandle {
-    const {input, classification} = request;
-    return dispatcher.submit(
-      {
-        requestId: input.options.requestId,
-        clientAccount: input.template.client_account,
-        model: input.model,
-        prompt: input.prompt,
-        promptTokens: input.promptTokens,
-        maxTokens: input.maxTokens,
-        deadlineAtMs: request.deadlineAtMs,
-        urgent: classification.urgent,
-        priority: request.priority,
-        idempotent: classification.idempotent,
-        prefixHashes: input.prefixHashes,
-        prefixTokens: input.prefixTokens,
-        engines,
-        weight: input.template.limits.weight,
-      },
-      sink,
-    );
+    return dispatcher.submit(createModelRequest(request, engines), sink);
   }
 
   async function runService(
@@ -163,11 +160,7 @@
     signal?: AbortSignal,
   ): Promise<Result<ServiceResult, RequestFailure>> {
     const {input} = request;
-    const admission = checkAdmission(
-      input,
-      input.template.services,
-      input.service,
-    );
+    const admission = checkAdmission(input);
     if (admission.err) return Err(admission.val);
     try {
       return request.needsClaim
@@ -238,36 +231,17 @@
    */
   function checkAdmission(
     input: RequestInput,
-    allowed: readonly string[],
-    target: string,
   ): Result<() => void, RequestFailure> {
-    if (openRequests.isDraining()) {
-      return Err(
-        createFailure(FailureKind.Unavailable, 'the node is draining', {
-          retryAfterMs: DRAIN_RETRY_AFTER_MS,
-        }),
-      );
-    }
-    const {client_account: account, limits} = input.template;
-    if (!allowed.includes(target)) {
-      const text = `client account ${account} may not use ${input.kind} ${target}`;
-      return Err(createFailure(FailureKind.Forbidden, text));
-    }
+    const failure = tryGetAccessFailure(input, openRequests.isDraining());
+    if (failure !== undefined) return Err(failure);
     const admission = options.limiter?.tryAdmit(
-      account,
-      {
-        requestsPerS: limits.requests_per_s,
-        burst: limits.burst,
-        maxConcurrent: limits.max_concurrent,
-      },
+      input.template.client_account,
+      getFleetLimits(input.template),
       clock.getMonotonicMs(),
     );
     if (admission === undefined) return Ok(() => undefined);
     if (admission.kind === 'admitted') return Ok(admission.release);
-    const {reason, retryAfterMs} = admission;
-    return Err(
-      createFailure(FailureKind.LimitExceeded, reason, {retryAfterMs}),
-    );
+    return Err(createLimitFailure(admission));
   }
 }
 
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -1,7 +1,12 @@
 /** Types of the entry folder: requests of callers, and the pipeline that answers them. */
 import type {Result} from 'ts-results';
 import type {ServiceAnswer} from '../backends';
-import type {AnswerSink, RequestHandle} from '../routing';
+import type {
+  AnswerSink,
+  PredictedDispatch,
+  RequestHandle,
+  ServerView,
+} from '../routing';
 import type {ServerSelector, Template} from '../state';
 import type {RequestFailure, Verdict} from '../verdict';
 
@@ -92,8 +97,17 @@
   requestId: string,
 ) => ServerChoice;
 
+/** What a pipeline would do with a request now. */
+export interface RequestPreview {
+  /** Predicts what becomes of the request, without an effect; `getRandom` stands for the random numbers. */
+  predict(input: RequestInput, getRandom: () => number): PredictedDispatch;
+  /** Lists the servers, and why the request cannot be sent to some of them. */
+  listServerViews(input: RequestInput): readonly ServerView[];
+}
+
 /** Answers requests: classification, admission, claim, then routing. */
 export interface RequestPipeline {
+  readonly preview: RequestPreview;
   runModel(input: ModelInput, sink: AnswerSink): RequestHandle;
   runService(
     input: ServiceInput,
--- a/src/explain/format.ts
+++ b/src/explain/format.ts
@@ -41,7 +41,9 @@
     ...outcomes.map(formatOutcome),
   ];
   if (!isComplete) {
-    lines.push('other outcomes are possible: many servers have just returned');
+    lines.push(
+      'other outcomes are possible: not all random choices were looked at',
+    );
   }
   if (exceededShare !== undefined) {
     const covered = Math.round(exceededShare.fraction * 100);
--- a/src/explain/index.ts
+++ b/src/explain/index.ts
@@ -7,6 +7,7 @@
   type ExplainResponder,
 } from './responder';
 export type {
+  CandidateExplanation,
   Explanation,
   ExplainContext,
   ExplainOptions,
--- a/src/explain/types.ts
+++ b/src/explain/types.ts
@@ -96,7 +96,7 @@
   readonly fraction: number;
   /** All outcomes that random choices can lead to, the one without chance first. */
   readonly outcomes: readonly Outcome[];
-  /** False when so many servers return from an ejection that not all combinations were looked at. */
+  /** False when not all random choices were looked at, such as those among many servers that return from an ejection. */
   readonly isComplete: boolean;
   /** Absent without accounts, or when the share covers the prompt. */
   readonly exceededShare?: ShareExplanation;
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -147,6 +147,7 @@
     services,
     claims: createMeteredLedger(claims, result => metrics.recordClaim(result)),
     selectServers: moves.traffic.selectServers,
+    predictServers: moves.traffic.predictServers,
     onSummary: summary => {
       moves.traffic.addEnded(summary);
       metrics.recordRequest(summary);
--- a/src/node/node_listeners.ts
+++ b/src/node/node_listeners.ts
@@ -3,6 +3,7 @@
 import {
   createCallerApp,
   createOperatorApp,
+  createRequestExplainer,
   createResumeService,
   type RequestPipeline,
   type ResumeService,
@@ -86,6 +87,12 @@
     collectPeerEvents: peers.reads.collectEvents,
     listProgress: control.moves.listProgress,
     setLogLevel: logger.setLevel,
+    explain: createRequestExplainer({
+      node: settings.node.id,
+      config: streams.config.follower,
+      isReady: options.isReady,
+      preview: options.pipeline.preview,
+    }),
     getFleet: () => getFleetStatus(options),
   });
   return openListener({
--- a/src/planning/move/traffic.ts
+++ b/src/planning/move/traffic.ts
@@ -30,6 +30,8 @@
 export interface MoveTraffic {
   /** Selects the servers of a request; called once per request. */
   selectServers(template: Template, requestId: string): MoveServers;
+  /** Selects the servers for a random number from 0 to 1 (excluded), without counting a request. */
+  predictServers(template: Template, draw: number): MoveServers;
   /** Counts a request that has ended; called once per request. */
   addEnded(request: EndedRequest): void;
   getWindow(clientAccount: string, windowMs: number): AccountWindow;
@@ -57,7 +59,12 @@
     isCounted: index.isMoving,
   });
   const openAtOrigin = new Map<string, () => void>();
-  return {selectServers, addEnded, getWindow: windows.getWindow};
+  return {
+    selectServers,
+    predictServers,
+    addEnded,
+    getWindow: windows.getWindow,
+  };
 
   function selectServers(template: Template, requestId: string): MoveServers {
     if (template.move === undefined) return {servers: template.engines};
@@ -71,6 +78,13 @@
     return selectMoveServers({template, progress, draw: options.getRandom()});
   }
 
+  function predictServers(template: Template, draw: number): MoveServers {
+    const {move, engines, client_account: account} = template;
+    if (move === undefined) return {servers: engines};
+    const progress = tryGetProgress(account);
+    return selectMoveServers({template, progress, draw});
+  }
+
   function addEnded(request: EndedRequest): void {
     openAtOrigin.get(request.requestId)?.();
     openAtOrigin.delete(request.requestId);
--- a/src/routing/account_limiter.ts
+++ b/src/routing/account_limiter.ts
@@ -30,6 +30,9 @@
       readonly retryAfterMs: number;
     };
 
+/** A refusal by the limits. */
+export type LimitRefusal = Extract<Admission, {readonly kind: 'refused'}>;
+
 /** Usage of a client account at this node, for digests to other nodes. */
 export interface AccountUsage {
   readonly clientAccount: string;
@@ -44,6 +47,12 @@
     limits: FleetLimits,
     nowMs: number,
   ): Admission;
+  /** Returns the refusal that a request would get now, without counting it. */
+  tryPredictRefusal(
+    clientAccount: string,
+    limits: FleetLimits,
+    nowMs: number,
+  ): LimitRefusal | undefined;
   /** Lists the `count` client accounts with the most requests per second at this node. */
   listHeaviest(count: number, nowMs: number): readonly AccountUsage[];
   /** Returns the number of client accounts held. */
@@ -85,7 +94,12 @@
 ): AccountLimiter {
   const {overcommitFactor, capacity} = {...DEFAULTS, ...options};
   const accounts = new Map<string, AccountState>();
-  return {tryAdmit, listHeaviest, getSize: () => accounts.size};
+  return {
+    tryAdmit,
+    tryPredictRefusal,
+    listHeaviest,
+    getSize: () => accounts.size,
+  };
 
   function tryAdmit(
     clientAccount: string,
@@ -95,6 +109,31 @@
     const share = getNodeShare(clientAccount, limits);
     const state = getState(clientAccount, limits, share, nowMs);
     updateTokens(state, limits, share, nowMs);
+    const refusal = tryGetRefusal(state, limits, share);
+    if (refusal !== undefined) return refusal;
+    state.tokens--;
+    state.concurrent++;
+    state.rate += 1_000 / RATE_TIME_CONSTANT_MS;
+    return {kind: 'admitted', release: createRelease(state)};
+  }
+
+  function tryPredictRefusal(
+    clientAccount: string,
+    limits: FleetLimits,
+    nowMs: number,
+  ): LimitRefusal | undefined {
+    const share = getNodeShare(clientAccount, limits);
+    const known = accounts.get(clientAccount);
+    const copy = {...(known ?? createState(limits, share, nowMs))};
+    updateTokens(copy, limits, share, nowMs);
+    return tryGetRefusal(copy, limits, share);
+  }
+
+  function tryGetRefusal(
+    state: AccountState,
+    limits: FleetLimits,
+    share: number,
+  ): LimitRefusal | undefined {
     if (state.concurrent >= Math.max(1, limits.maxConcurrent * share)) {
       return {
         kind: 'refused',
@@ -110,10 +149,7 @@
         retryAfterMs: Math.ceil((1 - state.tokens) / ratePerMs),
       };
     }
-    state.tokens--;
-    state.concurrent++;
-    state.rate += 1_000 / RATE_TIME_CONSTANT_MS;
-    return {kind: 'admitted', release: createRelease(state)};
+    return undefined;
   }
 
   /** Returns the share of the fleet-wide limits that this node grants, 0 to 1. */
@@ -134,12 +170,7 @@
   ): AccountState {
     const known = accounts.get(clientAccount);
     if (known !== undefined) return known;
-    const created: AccountState = {
-      tokens: getNodeBurst(limits, share),
-      updatedAtMs: nowMs,
-      concurrent: 0,
-      rate: 0,
-    };
+    const created = createState(limits, share, nowMs);
     accounts.set(clientAccount, created);
     if (accounts.size > capacity) sweepIdle(nowMs);
     return created;
@@ -185,6 +216,15 @@
   }
 }
 
+function createState(
+  limits: FleetLimits,
+  share: number,
+  nowMs: number,
+): AccountState {
+  const tokens = getNodeBurst(limits, share);
+  return {tokens, updatedAtMs: nowMs, concurrent: 0, rate: 0};
+}
+
 /**
  * Returns the burst that a node grants. Random balancing sends more than its share to a node
  * by chance, so two standard deviations of a Poisson count and one request are added.
--- a/src/routing/choice.ts
+++ b/src/routing/choice.ts
@@ -102,14 +102,11 @@
       const prediction = tryPredict(context, engine, cachedTokens);
       if (prediction === undefined) return;
       compared++;
-      const lateMs = Math.max(
-        0,
-        prediction.completionMs - context.timeToDeadlineMs,
-      );
       const score =
-        (prediction.completionMs +
-          latenessWeight * lateMs +
-          prefillWeight * prediction.prefillMs) *
+        computeScore(prediction, context.timeToDeadlineMs, {
+          latenessWeight,
+          prefillWeight,
+        }) *
         (1 + jitter * context.getRandom());
       if (score >= bestScore) return;
       bestScore = score;
@@ -119,6 +116,23 @@
   };
 }
 
+/** Returns the score of an engine without its random increase; lower is better. */
+export function computeScore(
+  prediction: Prediction,
+  timeToDeadlineMs: number,
+  weights: {
+    readonly latenessWeight: number;
+    readonly prefillWeight: number;
+  } = PREDICTED_DEFAULTS,
+): number {
+  const lateMs = Math.max(0, prediction.completionMs - timeToDeadlineMs);
+  return (
+    prediction.completionMs +
+    weights.latenessWeight * lateMs +
+    weights.prefillWeight * prediction.prefillMs
+  );
+}
+
 /** Creates the round-robin baseline: takes the usable engines in turn. */
 export function createRoundRobinChoice(): ChooseEngine {
   let turn = 0;
@@ -167,7 +181,7 @@
 }
 
 /** Returns how much slower an engine is than the average of its role; 1 if it is not or unknown. */
-function getSlowdown(engine: EngineEntry): number {
+export function getSlowdown(engine: EngineEntry): number {
   const {health, load} = engine;
   if (health.samples < MIN_SLOWDOWN_SAMPLES || load.roleLoad === undefined)
     return 1;
--- a/src/routing/dispatcher.ts
+++ b/src/routing/dispatcher.ts
@@ -2,6 +2,7 @@
 import type {BackendFailure, BackendServer, EngineEnd} from '../backends';
 import {createFailure, FailureKind, type RequestFailure} from '../verdict';
 import {createAttemptRunner} from './attempts';
+import {createDispatchPreview} from './dispatch_preview';
 import {type DispatcherOptions, resolveOptions} from './dispatcher_options';
 import {createEngineTable, type EngineEntry} from './engine_table';
 import {createEngineMonitor} from './engine_monitor';
@@ -53,7 +54,7 @@
     onEnd: handleEnd,
     onFailure: handleFailure,
   });
-  const placement = createPlacement({
+  const placementOptions = {
     host,
     table,
     prefixes,
@@ -62,7 +63,8 @@
     limits: resolved.engineLimits,
     kvTransferMsPerToken: resolved.kvTransferMsPerToken,
     kvTransferCostWeight: resolved.kvTransferCostWeight,
-  });
+  };
+  const placement = createPlacement(placementOptions);
   const scheduler = createRequestScheduler(
     {
       clock,
@@ -77,7 +79,14 @@
   );
   const counts = {requests: 0, attempts: 0, retries: 0, refused: 0};
   let isDraining = false;
+  const preview = createDispatchPreview({
+    placement: placementOptions,
+    scheduler,
+    outputEstimate,
+    isDraining: () => isDraining,
+  });
   return {
+    ...preview,
     submit,
     updateServers,
     updateReport: report => {
--- a/src/routing/ejection.ts
+++ b/src/routing/ejection.ts
@@ -42,8 +42,15 @@
 
 /** Ejects and returns the servers of one group: the engines, or the servers of one service. */
 export interface Ejector {
-  /** Returns whether a request may be sent to the server now; random while the server returns. */
-  isUsable(health: ServerHealth, nowMs: number): boolean;
+  /**
+   * Returns whether a request may be sent to the server now; random while the server returns, by
+   * the group's random numbers unless others are given.
+   */
+  isUsable(
+    health: ServerHealth,
+    nowMs: number,
+    getRandom?: () => number,
+  ): boolean;
   /** Returns the probability that `isUsable` returns true, 0 to 1. */
   getUsableChance(health: ServerHealth, nowMs: number): number;
   /**
@@ -111,9 +118,14 @@
   let medianSlowdown = 1;
   return {isUsable, getUsableChance, recordFailure, recordSuccess};
 
-  function isUsable(health: ServerHealth, nowMs: number): boolean {
+  function isUsable(
+    health: ServerHealth,
+    nowMs: number,
+    getOwnRandom = getRandom,
+  ): boolean {
     const chance = getUsableChance(health, nowMs);
-    return chance === 0 || chance === 1 ? chance === 1 : getRandom() < chance;
+    if (chance === 0 || chance === 1) return chance === 1;
+    return getOwnRandom() < chance;
   }
 
   function getUsableChance(health: ServerHealth, nowMs: number): number {
--- a/src/routing/engine_table.ts
+++ b/src/routing/engine_table.ts
@@ -47,6 +47,8 @@
 export interface EngineTable {
   /** Returns the pool, with its lists up to date. */
   getPool(model: string, selector: ServerSelector): EnginePool;
+  /** Returns the pool as `getPool` does; one that is not held is created and not retained. */
+  findPool(model: string, selector: ServerSelector): EnginePool;
   /** Updates the lists of a pool if the table has changed, and returns the pool. */
   updatePool(pool: EnginePool): EnginePool;
   /** Returns whether the engine is ready and belongs to the pool. */
@@ -80,6 +82,7 @@
   let version = 1;
   return {
     getPool,
+    findPool,
     updatePool,
     isMember: (pool, engine) => isEligible(engine, pool),
     tryGet: engine => engines.get(engine),
@@ -102,7 +105,7 @@
   }
 
   function getPool(model: string, selector: ServerSelector): EnginePool {
-    const key = `${model}\n${getSelectorKey(selector)}`;
+    const key = getPoolKey(model, selector);
     const known = pools.get(key);
     if (known !== undefined) return updatePool(known);
     if (pools.size >= MAX_POOLS) pools.clear();
@@ -111,6 +114,15 @@
     return updatePool(pool);
   }
 
+  function findPool(model: string, selector: ServerSelector): EnginePool {
+    const known = pools.get(getPoolKey(model, selector));
+    return updatePool(known ?? createPool(model, selector));
+  }
+
+  function getPoolKey(model: string, selector: ServerSelector): string {
+    return `${model}\n${getSelectorKey(selector)}`;
+  }
+
   function getSelectorKey(selector: ServerSelector): string {
     const known = keys.get(selector);
     if (known !== undefined) return known;
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -7,6 +7,7 @@
   AccountUsage,
   Admission,
   FleetLimits,
+  LimitRefusal,
   PeerUsage,
 } from './account_limiter';
 export {
@@ -30,8 +31,10 @@
   DispatcherHost,
   LocalEngineWork,
   ModelRequest,
+  PredictedDispatch,
   RequestHandle,
   RoutingEvent,
+  ServerView,
 } from './types';
 export {createServiceDispatcher} from './service_dispatcher';
 export type {
--- a/src/routing/placement.ts
+++ b/src/routing/placement.ts
@@ -5,16 +5,20 @@
 import {hasStoppedReporting} from './engine_load';
 import type {EngineEntry, EnginePool, EngineTable} from './engine_table';
 import {type EngineLimits, hasCapacity, type Job} from './estimate';
+import {Obstacle} from './obstacle';
 import type {OpenRequest} from './open_request';
 import type {PrefixIndex} from './prefix_index';
 import type {DispatcherHost} from './types';
 
 /** Options of a placement. */
 export interface PlacementOptions {
-  readonly host: DispatcherHost;
+  readonly host: Pick<
+    DispatcherHost,
+    'clock' | 'getRandom' | 'tryGetDigestWork'
+  >;
   readonly table: EngineTable;
   readonly prefixes: PrefixIndex;
-  readonly ejector: Ejector;
+  readonly ejector: Pick<Ejector, 'isUsable'>;
   readonly choose: ChooseEngine;
   readonly limits: EngineLimits;
   /** Time to move the KV cache of one token between engines, in milliseconds. */
@@ -44,6 +48,13 @@
     entry: OpenRequest,
     constraints: PlanConstraints,
   ): EstimatedPlan | undefined;
+  /** Returns why the request cannot be sent to the engine now; undefined when it can. */
+  tryGetObstacle(
+    entry: OpenRequest,
+    engine: EngineEntry,
+    job: Job,
+    needsCapacity: boolean,
+  ): Obstacle | undefined;
   /** Chooses the decode engine for a request whose KV cache a prefill engine holds for export. */
   tryPlanDecode(entry: OpenRequest): AttemptPlan | undefined;
 }
@@ -53,7 +64,18 @@
 /** Creates a placement. */
 export function createPlacement(options: PlacementOptions): Placement {
   const {host, table, prefixes, ejector, choose, limits} = options;
-  return {tryPlan, tryPlanDecode};
+  return {
+    tryPlan,
+    tryPlanDecode,
+    tryGetObstacle: (entry, engine, job, needsCapacity) =>
+      findObstacle(
+        entry,
+        engine,
+        job,
+        needsCapacity,
+        host.clock.getMonotonicMs(),
+      ),
+  };
 
   function tryPlan(
     entry: OpenRequest,
@@ -161,30 +183,34 @@
       timeToDeadlineMs: entry.request.deadlineAtMs - nowMs,
       getRandom: host.getRandom,
       canUse: engine =>
-        canUse(entry, engine, job, constraints.needsCapacity, nowMs),
+        findObstacle(entry, engine, job, constraints.needsCapacity, nowMs) ===
+        undefined,
       tryGetDigestWork: engine => host.tryGetDigestWork?.(engine.server.id),
     };
     return choose(context);
   }
 
-  function canUse(
+  function findObstacle(
     entry: OpenRequest,
     engine: EngineEntry,
     job: Job,
     needsCapacity: boolean,
     nowMs: number,
-  ): boolean {
-    if (entry.triedEngines?.has(engine.server.id)) return false;
+  ): Obstacle | undefined {
+    if (entry.triedEngines?.has(engine.server.id)) return Obstacle.Tried;
     const {report} = engine.load;
-    if (report === undefined || nowMs < engine.refusedUntilMs) return false;
-    if (hasStoppedReporting(engine.load, nowMs)) return false;
+    if (report === undefined) return Obstacle.NoReport;
+    if (nowMs < engine.refusedUntilMs) return Obstacle.Refused;
+    if (hasStoppedReporting(engine.load, nowMs)) return Obstacle.Silent;
     if (needsCapacity) {
       const digestWork = host.tryGetDigestWork?.(engine.server.id);
       if (!hasCapacity(engine.load, report, job, {nowMs, limits, digestWork})) {
-        return false;
+        return Obstacle.Full;
       }
     }
-    return ejector.isUsable(engine.health, nowMs);
+    return ejector.isUsable(engine.health, nowMs)
+      ? undefined
+      : Obstacle.Ejected;
   }
 
   function listCandidates(
--- a/src/routing/pool_queues.ts
+++ b/src/routing/pool_queues.ts
@@ -37,6 +37,8 @@
 /** The queues of a node. */
 export interface PoolQueues<T extends WaitingItem> {
   add(item: T, nowMs: number): AddResult<T>;
+  /** Returns whether `add` would add the request. */
+  canAdd(item: T): boolean;
   /** Removes a request that starts. */
   take(item: T, nowMs: number): void;
   /** Removes a request that does not start. */
@@ -64,6 +66,7 @@
   let tokens = 0;
   return {
     add,
+    canAdd: item => hasFreeRoom(item) || tryFindEvicted(item) !== undefined,
     take,
     remove,
     listQueues: () => queues.values(),
@@ -73,7 +76,7 @@
   };
 
   function add(item: T, nowMs: number): AddResult<T> {
-    if (size < maxRequests && tokens + item.tokens <= maxTokens) {
+    if (hasFreeRoom(item)) {
       addItem(item, nowMs);
       return {kind: 'added'};
     }
@@ -84,6 +87,10 @@
     return {kind: 'replaced', evicted};
   }
 
+  function hasFreeRoom(item: T): boolean {
+    return size < maxRequests && tokens + item.tokens <= maxTokens;
+  }
+
   /**
    * Returns the request to evict for a new one: the last of the client account with the most
    * queued tokens per weight, if that is more than the new request has by itself. An account
--- a/src/routing/request_scheduler.ts
+++ b/src/routing/request_scheduler.ts
@@ -4,13 +4,14 @@
  */
 import type {Clock} from '../runtime';
 import type {RequestFailure} from '../verdict';
-import {createOverloadedFailure, tryGetDeadlineRefusal} from './admission';
+import {createOverloadedFailure} from './admission';
 import type {ResolvedOptions} from './dispatcher_options';
 import type {EngineEntry, EngineTable} from './engine_table';
 import type {OpenRequest} from './open_request';
 import type {EstimatedPlan, Placement} from './placement';
-import {createWaitingRequest, type WaitingRequest} from './waiting_request';
 import {createPoolQueues, type PoolQueue} from './pool_queues';
+import {chooseStart, chooseSubmission, type Submission} from './submission';
+import type {WaitingRequest} from './waiting_request';
 
 /** What the scheduler uses from the dispatcher. */
 export interface RequestSchedulerHost {
@@ -28,6 +29,8 @@
 export interface RequestScheduler {
   /** Starts, queues or refuses a request. */
   submit(entry: OpenRequest): void;
+  /** Returns what `submit` would do with the plans of `view`, without an effect. */
+  predictSubmission(entry: OpenRequest, view: Placement): Submission;
   /** Removes a request from the queue, if it is queued. */
   remove(entry: OpenRequest): void;
   /** Starts queued requests after an engine may have gained free capacity. */
@@ -46,55 +49,57 @@
   const items = new Map<OpenRequest, WaitingRequest>();
   return {
     submit,
+    predictSubmission,
     remove,
     onCapacityChange,
     getWaitingCount: poolQueues.getSize,
   };
 
   function submit(entry: OpenRequest): void {
-    const queue = poolQueues.tryGetQueue(entry.pool);
-    if (queue === undefined || !options.isQueueing) {
-      const plan = placement.tryPlan(entry, {
-        needsCapacity: options.isQueueing,
-      });
-      if (plan !== undefined) return startOrRefuse(entry, plan);
+    const submission = chooseFor(entry, placement);
+    switch (submission.kind) {
+      case 'start':
+        return host.startAttempt(entry, submission.plan);
+      case 'refuse':
+        return host.refuse(entry, submission.failure);
+      case 'wait':
+        return addWaiting(entry, submission.item, submission.waitMs);
     }
-    addWaiting(entry);
   }
 
-  function startOrRefuse(entry: OpenRequest, plan: EstimatedPlan): void {
-    const refusal = getRefusal(entry, 0, plan);
-    if (refusal === undefined) host.startAttempt(entry, plan);
-    else host.refuse(entry, refusal);
+  function predictSubmission(entry: OpenRequest, view: Placement): Submission {
+    const submission = chooseFor(entry, view);
+    const isAlone = poolQueues.tryGetQueue(entry.pool) === undefined;
+    if (submission.kind !== 'wait' || !isAlone) return submission;
+    // A request that is alone in its queue is planned once more at once, as `startWaiting` does.
+    const plan = view.tryPlan(entry, {needsCapacity: options.isQueueing});
+    return plan === undefined ? submission : chooseFirst(entry, plan);
   }
 
-  function getRefusal(
-    entry: OpenRequest,
-    waitMs: number,
-    plan: EstimatedPlan,
-  ): RequestFailure | undefined {
-    if (!options.isQueueing) return undefined;
-    return tryGetDeadlineRefusal({
-      waitMs,
-      completionMs: plan.completionMs,
-      timeToDeadlineMs: entry.request.deadlineAtMs - clock.getMonotonicMs(),
+  function chooseFor(entry: OpenRequest, view: Placement): Submission {
+    return chooseSubmission(entry, {
+      placement: view,
+      poolQueues,
+      isQueueing: options.isQueueing,
+      nowMs: clock.getMonotonicMs(),
+    });
+  }
+
+  /** Starts or refuses a request that no other request of its pool precedes. */
+  function chooseFirst(entry: OpenRequest, plan: EstimatedPlan) {
+    return chooseStart(entry, plan, {
+      isQueueing: options.isQueueing,
+      nowMs: clock.getMonotonicMs(),
     });
   }
 
-  function addWaiting(entry: OpenRequest): void {
+  function addWaiting(
+    entry: OpenRequest,
+    item: WaitingRequest,
+    waitMs: number,
+  ): void {
     const nowMs = clock.getMonotonicMs();
-    const estimate = placement.tryPlan(entry, {needsCapacity: false});
-    const item = createWaitingRequest(entry, estimate, nowMs);
-    const waitMs = poolQueues.predictWaitMs(item);
-    const refusal = estimate && getRefusal(entry, waitMs, estimate);
-    if (refusal !== undefined) return host.refuse(entry, refusal);
     const result = poolQueues.add(item, nowMs);
-    if (result.kind === 'full') {
-      return host.refuse(
-        entry,
-        createOverloadedFailure('the queue is full', waitMs),
-      );
-    }
     items.set(entry, item);
     setLatestStartTimer(entry, item, nowMs);
     host.onWait(entry, waitMs);
@@ -162,11 +167,11 @@
         freedEngine,
       });
       if (plan === undefined) return;
-      const refusal = getRefusal(entry, 0, plan);
+      const start = chooseFirst(entry, plan);
       items.delete(entry);
-      if (refusal !== undefined) {
+      if (start.kind === 'refuse') {
         poolQueues.remove(item);
-        host.refuse(entry, refusal);
+        host.refuse(entry, start.failure);
         continue;
       }
       poolQueues.take(item, clock.getMonotonicMs());
--- a/src/routing/service_dispatcher.ts
+++ b/src/routing/service_dispatcher.ts
@@ -20,7 +20,7 @@
 import type {EjectionCause, EjectionOptions} from './ejection';
 import {createRetryBudget, type RetryBudgetOptions} from './retry_budget';
 import {createServiceTable, type ServiceEntry} from './service_table';
-import type {RoutingEvent} from './types';
+import type {PredictedDispatch, RoutingEvent, ServerView} from './types';
 
 /** A call of a plain service. */
 export interface ServiceCall extends Omit<ServiceRequest, 'timeoutMs'> {
@@ -56,6 +56,18 @@
     call: ServiceCall,
     signal?: AbortSignal,
   ): Promise<Result<ServiceAnswer, RequestFailure>>;
+  /**
+   * Predicts where `call` would send a call now, without an effect. `getRandom` stands for the
+   * random numbers; limits of client accounts are not checked.
+   */
+  predictDispatch(
+    call: Pick<ServiceCall, 'service' | 'servers'>,
+    getRandom: () => number,
+  ): PredictedDispatch;
+  /** Lists the servers of a service, and why some of them cannot be called. */
+  listServerViews(
+    call: Pick<ServiceCall, 'service' | 'servers'>,
+  ): readonly ServerView[];
   /** Replaces the set of backend servers. */
   updateServers(servers: readonly BackendServer[]): void;
   /** Returns the number of calls in flight. */
@@ -63,6 +75,7 @@
 }
 
 const MAX_ATTEMPTS = 3;
+const NONE_TRIED: ReadonlySet<ServiceEntry> = new Set();
 const UNAVAILABLE_RETRY_AFTER_MS = 1_000;
 
 /** Creates a dispatcher that knows no servers yet. */
@@ -79,6 +92,8 @@
   let openCount = 0;
   return {
     call,
+    predictDispatch,
+    listServerViews: ({service, servers}) => table.listViews(service, servers),
     updateServers: table.updateServers,
     getOpenCount: () => openCount,
   };
@@ -108,6 +123,19 @@
     }
   }
 
+  function predictDispatch(
+    {service, servers}: Pick<ServiceCall, 'service' | 'servers'>,
+    getRandom: () => number,
+  ): PredictedDispatch {
+    const entry = table.tryChoose(service, servers, NONE_TRIED, getRandom);
+    if (entry !== undefined) return {kind: 'send', serverId: entry.server.id};
+    const text = getMessage(FailureKind.Unavailable, service, undefined);
+    const failure = createFailure(FailureKind.Unavailable, text, {
+      retryAfterMs: UNAVAILABLE_RETRY_AFTER_MS,
+    });
+    return {kind: 'refuse', failure};
+  }
+
   async function runAttempts(
     request: ServiceCall,
     signal: AbortSignal | undefined,
--- a/src/routing/service_table.ts
+++ b/src/routing/service_table.ts
@@ -12,6 +12,7 @@
 } from './ejection';
 import {isHealthFailure} from './retrying';
 import {isSelected} from './selector';
+import type {ServerView} from './types';
 
 /** State of a server of a plain service as known to this node. */
 export interface ServiceEntry {
@@ -32,12 +33,18 @@
 
 /** The servers of all plain services. */
 export interface ServiceTable {
-  /** Chooses the one with fewer calls in flight of two random servers that have not been tried. */
+  /**
+   * Chooses the one with fewer calls in flight of two random servers that have not been tried.
+   * `getRandom` replaces the table's random numbers.
+   */
   tryChoose(
     service: string,
     selector: ServerSelector,
     tried: ReadonlySet<ServiceEntry>,
+    getRandom?: () => number,
   ): ServiceEntry | undefined;
+  /** Lists the servers of a service, and why some of them cannot be called. */
+  listViews(service: string, selector: ServerSelector): readonly ServerView[];
   recordSuccess(
     entry: ServiceEntry,
     durationMs: number,
@@ -62,14 +69,15 @@
 
 /** Creates an empty table. */
 export function createServiceTable(options: ServiceTableOptions): ServiceTable {
-  const {clock, getRandom} = options;
+  const {clock} = options;
   const pools = new Map<string, ServicePool>();
-  return {tryChoose, recordSuccess, recordFailure, updateServers};
+  return {tryChoose, listViews, recordSuccess, recordFailure, updateServers};
 
   function tryChoose(
     service: string,
     selector: ServerSelector,
     tried: ReadonlySet<ServiceEntry>,
+    getRandom = options.getRandom,
   ): ServiceEntry | undefined {
     const pool = pools.get(service);
     if (pool === undefined) return undefined;
@@ -81,12 +89,34 @@
         isSelected(entry.server, selector),
     );
     const usable = listed.filter(entry =>
-      pool.ejector.isUsable(entry.health, nowMs),
+      pool.ejector.isUsable(entry.health, nowMs, getRandom),
     );
     // If every server is ejected, one that may fail is better than none.
     return tryChooseLessBusy(usable.length > 0 ? usable : listed, getRandom);
   }
 
+  function listViews(
+    service: string,
+    selector: ServerSelector,
+  ): readonly ServerView[] {
+    const pool = pools.get(service);
+    if (pool === undefined) return [];
+    const nowMs = clock.getMonotonicMs();
+    return [...pool.entries.values()].map(({server, health, inFlight}) => {
+      const healthyChance = pool.ejector.getUsableChance(health, nowMs);
+      const cause = findObstacle(server, selector, healthyChance);
+      return {
+        id: server.id,
+        failureDomain: server.failureDomain,
+        healthyChance,
+        pausedMs: 0,
+        slowdown: 1,
+        openCount: inFlight,
+        ...(cause === undefined ? {} : {cause}),
+      };
+    });
+  }
+
   function recordSuccess(
     entry: ServiceEntry,
     durationMs: number,
@@ -128,7 +158,7 @@
     const entries = new Map<string, ServiceEntry>();
     const ejector = createEjector(
       () => [...entries.values()].map(entry => entry.health),
-      getRandom,
+      options.getRandom,
       options.ejection,
     );
     const created: ServicePool = {entries, ejector, averageMs: 0};
@@ -137,6 +167,16 @@
   }
 }
 
+function findObstacle(
+  server: BackendServer,
+  selector: ServerSelector,
+  healthyChance: number,
+): string | undefined {
+  if (server.isLeaving) return 'is leaving';
+  if (!isSelected(server, selector)) return 'not for this client account';
+  return healthyChance === 0 ? 'ejected after failures' : undefined;
+}
+
 function updateServer(pool: ServicePool, server: BackendServer): void {
   const known = pool.entries.get(server.id);
   if (known !== undefined) {
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -5,6 +5,7 @@
   EngineClient,
   EngineEnd,
   EngineReport,
+  EngineRole,
   TokenBatch,
 } from '../backends';
 import type {Clock} from '../runtime';
@@ -111,6 +112,40 @@
   readonly decodeTokens: number;
 }
 
+/** What a dispatcher would do with a request now. */
+export type PredictedDispatch =
+  | {readonly kind: 'send'; readonly serverId: string}
+  | {
+      readonly kind: 'wait';
+      /** Predicted wait, and the longest that can still meet the deadline, in milliseconds. */
+      readonly waitMs: number;
+      readonly budgetMs: number;
+    }
+  | {readonly kind: 'refuse'; readonly failure: RequestFailure};
+
+/** A backend server as a dispatcher sees it for one request. */
+export interface ServerView {
+  readonly id: string;
+  readonly failureDomain: string;
+  /** Absent for plain services, and for engines that have not reported. */
+  readonly role?: EngineRole;
+  /** Probability that the health filter lets it pass, 0 to 1. */
+  readonly healthyChance: number;
+  /** Time for which it gets no requests because it refused one, in milliseconds. */
+  readonly pausedMs: number;
+  /** Learned time relative to the average of its role; at least 1. */
+  readonly slowdown: number;
+  /** Requests known to be at the server. */
+  readonly openCount: number;
+  /** Why the request cannot be sent to it now; absent when it can. */
+  readonly cause?: string;
+  /** Predicted times in milliseconds; absent where there is nothing to predict from. */
+  readonly waitMs?: number;
+  readonly prefillMs?: number;
+  /** Absent where servers are compared by their open requests; lower is better. */
+  readonly score?: number;
+}
+
 /** Dispatches model requests to engines. */
 export interface Dispatcher {
   /**
@@ -118,6 +153,16 @@
    * cancelled.
    */
   submit(request: ModelRequest, sink: AnswerSink): RequestHandle;
+  /**
+   * Predicts what `submit` would do now, without an effect. `getRandom` stands for the random
+   * numbers; limits of client accounts are not checked, and `choose` must hold no state.
+   */
+  predictDispatch(
+    request: ModelRequest,
+    getRandom: () => number,
+  ): PredictedDispatch;
+  /** Lists all engines, and why the request cannot be sent to some of them. */
+  listServerViews(request: ModelRequest): readonly ServerView[];
   /** Replaces the set of backend servers. */
   updateServers(servers: readonly BackendServer[]): void;
   /** Applies a load report of an engine; one that is older than the last is ignored. */
--- a/test/entry/caller_app.test.ts
+++ b/test/entry/caller_app.test.ts
@@ -56,6 +56,10 @@
         Ok({status: 200, contentType: 'text/plain', body: '', verdict: 'ran'}),
       );
     },
+    preview: {
+      predict: () => assert.fail('a request is not predicted'),
+      listServerViews: () => [],
+    },
     getOpenCount: () => 0,
     drain: () => Promise.resolve(),
   };
--- a/test/entry/operator_app.test.ts
+++ b/test/entry/operator_app.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import {getKeyDigest} from '../../src/accounts';
 import {test} from 'node:test';
+import {Err} from 'ts-results';
 import {createEventRing} from '../../src/diagnostics';
 import {
   createOperatorApp,
@@ -81,6 +82,7 @@
     getFleet: () => ({}),
     listProgress: () => [],
     setLogLevel: level => void levels.push(level),
+    explain: () => Err('path: none'),
   });
   return {app, clock, events, recorder, levels};
 }
--- a/test/support/routing_fleet.ts
+++ b/test/support/routing_fleet.ts
@@ -40,6 +40,8 @@
   readonly nodes?: number;
   readonly engines?: number;
   readonly seed?: number;
+  /** Replaces the random numbers of the dispatchers. */
+  readonly getRandom?: () => number;
   readonly reportLagMs?: number;
   readonly reportIntervalMs?: number;
   readonly engine?: Partial<EngineModelOptions>;
@@ -134,7 +136,7 @@
   options: RoutingFleetOptions = {},
 ): RoutingFleet {
   const clock = createVirtualClock();
-  const getRandom = createRandom(options.seed ?? 1);
+  const getRandom = options.getRandom ?? createRandom(options.seed ?? 1);
   const lagMs = options.reportLagMs ?? 500;
   const intervalMs = options.reportIntervalMs ?? 500;
   const events: RoutingEvent[] = [];
