--- a/src/cli/explain_command.ts
+++ b/src/cli/explain_command.ts
@@ -1,34 +1,44 @@
 /** `anvilstack explain`. */
 import {Command, Option} from 'clipanion';
 import {Err, Ok, type Result} from 'ts-results';
-import {request} from 'undici';
 import {createMessage, type Message, messages} from '../diagnostics';
-import {EXPLAIN_PATH, type Explanation, formatExplanation} from '../explain';
+import {EXPLAIN_PATH, formatExplanation} from '../explain';
 import {ExitCode} from './exit_code';
+import {createOperatorClient} from './operator_client';
+import {readToken} from './operator_command';
 import {printJson, printMessages} from './output';
+import {explanationSchema} from './response_schemas';
 
-/** Time-out of the question, in milliseconds. */
-const TIMEOUT_MS = 5_000;
-
-/** Shows where a gateway would send a request now, and why. */
+/** Shows where a gateway or a node would send a request now, and why. */
 export class ExplainCommand extends Command {
   static override paths = [['explain']];
   static override usage = Command.Usage({
     category: 'Fleet',
-    description: 'Shows where a gateway would send a request now, and why.',
+    description:
+      'Shows where a gateway or a node would send a request now, and why.',
     details:
-      'The gateway answers by what it knows, without sending the request and without any other effect. The account is given by its name, never by a key.',
+      'The gateway or node answers by what it knows, without sending the request and without any other effect. The account is given by its name, never by a key. A node, such as one of the demo, is asked at its operators listener with the token of an operator; its model requests name the model in the path.',
     examples: [
       [
         'Explain a prompt of 1,200 tokens',
         'anvilstack explain --node 127.0.0.1:7101 --host desk.example --path /ask/ --tokens 1200,300 --parts intro:1000,own:200',
       ],
+      [
+        'Explain a model request to a node of the demo',
+        'anvilstack explain --node 127.0.0.1:8201 --host demo --path /v1/chat/completions?model=summary --account studio --tokens 5,8',
+      ],
     ],
   });
 
   node = Option.String('--node', {
     required: true,
-    description: 'Control address of the gateway, HOST:PORT',
+    description:
+      'Control address of the gateway, or address of the operators listener of a node: HOST:PORT or a URL',
+  });
+
+  tokenFile = Option.String('--token-file', {
+    description:
+      "File with the operator's token for a node; the default is the value of ANVILSTACK_TOKEN",
   });
 
   host = Option.String('--host', {
@@ -73,7 +83,16 @@
       printMessages(this.context.stderr, [body.val]);
       return ExitCode.Usage;
     }
-    const answer = await send(this.node, body.val);
+    const token = readToken(this);
+    if (token.err && token.val.definition !== messages.TokenMissing) {
+      printMessages(this.context.stderr, [token.val]);
+      return ExitCode.Usage;
+    }
+    const client = createOperatorClient({
+      address: createAddress(this.node),
+      ...(token.ok ? {token: token.val} : {}),
+    });
+    const answer = await client.load(EXPLAIN_PATH, body.val, explanationSchema);
     if (answer.err) {
       printMessages(this.context.stderr, [answer.val]);
       return ExitCode.Failed;
@@ -84,7 +103,7 @@
   }
 
   private buildBody(): Result<object, Message> {
-    if (!URL.canParse(`http://${this.node}`)) {
+    if (!URL.canParse(createAddress(this.node))) {
       return refuseOption('--node', 'must be HOST:PORT');
     }
     const tokens = this.tokens?.split(',').map(parseCount);
@@ -121,42 +140,8 @@
   }
 }
 
-async function send(
-  node: string,
-  body: object,
-): Promise<Result<Explanation, Message>> {
-  try {
-    const response = await request(`http://${node}${EXPLAIN_PATH}`, {
-      method: 'POST',
-      body: JSON.stringify(body),
-      headers: {'content-type': 'application/json'},
-      signal: AbortSignal.timeout(TIMEOUT_MS),
-    });
-    const answer = parseJson(await response.body.text());
-    if (answer === undefined) {
-      const reason = `status ${response.statusCode}`;
-      return Err(
-        createMessage(messages.UnexpectedNodeResponse, [node, reason]),
-      );
-    }
-    if (response.statusCode === 200) return Ok(answer as Explanation);
-    const {error} = answer as {error?: unknown};
-    return Err(createMessage(messages.RequestRefused, [node, String(error)]));
-  } catch (error) {
-    const {code} = error as {code?: unknown};
-    const reason = typeof code === 'string' ? code : String(error);
-    return Err(createMessage(messages.NodeUnreachable, [node, reason]));
-  }
-}
-
-/** Returns the JSON object in a text; undefined when there is none. */
-function parseJson(text: string): object | undefined {
-  try {
-    const value: unknown = JSON.parse(text);
-    return typeof value === 'object' && value !== null ? value : undefined;
-  } catch {
-    return undefined;
-  }
+function createAddress(node: string): string {
+  return /^https?:\/\//.test(node) ? node.replace(/\/$/, '') : `http://${node}`;
 }
 
 function parseCount(text: string | undefined): number | undefined {
