Treat a 204 or 304 as invalid when bytes come with its head

Cause: a 204 with a body that no header states was passed on to the caller as 204, and only then did the surplus bytes end the connection. A 204 that states its body was a failure already.

Change: the check of status lines looks at the bytes that come with the head of an answer without a body; other bytes than line ends make it invalid. Bytes that come later still end the connection.

--- a/src/gateway/status_line_check.ts
+++ b/src/gateway/status_line_check.ts
@@ -8,17 +8,28 @@
 export interface StatusLineCheck {
   /** Expects an answer, after a request was sent. */
   expectAnswer(): void;
-  /** Returns false when the bytes received hold a status line that is none; bytes after the final head are not looked at. */
+  /**
+   * Returns false when the bytes received hold a status line that is none, or bytes after the head
+   * of an answer that has no body; other bytes after the final head are not looked at.
+   */
   isValid(chunk: Buffer): boolean;
 }
 
 /** What the check reads next. */
-const State = {Line: 'line', Head: 'head', Done: 'done'} as const;
+const State = {
+  Line: 'line',
+  Head: 'head',
+  /** The rest of the bytes that came with the head of an answer without a body. */
+  Bodiless: 'bodiless',
+  Done: 'done',
+} as const;
 type State = (typeof State)[keyof typeof State];
 
 /** Statuses are 100 to 599; nothing asks to go on with a body (100) or for a change of protocol (101). */
 const STATUS_LINE = /^HTTP\/1\.[01] (?!10[01])[1-5]\d\d(?: |\r|\n)/;
 const VERSIONS = ['HTTP/1.1 ', 'HTTP/1.0 '];
+/** Answers with these statuses have no body; bytes that come with their heads are one that no header states. */
+const BODILESS_LINE = /^HTTP\/1\.[01] (?:204|304)/;
 const INTERIM_LINE = /^HTTP\/1\.[01] 1/;
 /** Length of `HTTP/1.1 200` and the byte after it. */
 const LINE_BYTES = 13;
@@ -43,8 +54,12 @@
     for (const byte of chunk) {
       if (state === State.Done) return true;
       if (state === State.Head) readHeadByte(byte);
-      else if (!readLineByte(byte)) return false;
+      else if (state === State.Bodiless) {
+        if (byte !== CR && byte !== LF) return false;
+      } else if (!readLineByte(byte)) return false;
     }
+    // The answer has been passed on by the time at which further bytes come.
+    if (state === State.Bodiless) state = State.Done;
     return true;
   }
 
@@ -70,7 +85,13 @@
     if (byte === CR) return;
     lineEnds = byte === LF ? lineEnds + 1 : 0;
     if (lineEnds < 2) return;
-    state = INTERIM_LINE.test(line) ? State.Line : State.Done;
+    state = getNextState(line);
     line = '';
   }
 }
+
+/** Returns what follows the head with this status line. */
+function getNextState(line: string): State {
+  if (INTERIM_LINE.test(line)) return State.Line;
+  return BODILESS_LINE.test(line) ? State.Bodiless : State.Done;
+}
--- a/test/gateway/invalid_answers.test.ts
+++ b/test/gateway/invalid_answers.test.ts
@@ -84,6 +84,30 @@
   });
 }
 
+for (const head of [
+  'HTTP/1.1 204 No Content\r\n',
+  'HTTP/1.1 304 Not Modified\r\n',
+  'HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 204 No Content\r\n',
+]) {
+  // Guards against passing on the answer of a server that means its body to be read.
+  test(`an answer without a body is a failure when bytes come with its head: ${JSON.stringify(head)}`, async () => {
+    for (const [rest, isValid] of [
+      ['part', false],
+      ['\r\npart', false],
+      ['\r\n', true],
+      ['', true],
+    ] as const) {
+      const text = `${head}Anvilstack-Response-Seal: seal\r\n\r\n${rest}`;
+      const server = await startRawServer(socket => socket.write(text));
+      const connections = createConnections();
+      const outcome = await sendCall(connections, server.entry);
+      connections.close();
+      server.close();
+      assert.equal(outcome.failure === undefined, isValid, rest);
+    }
+  });
+}
+
 test('a 304 to HEAD may state the transfer coding that an answer to GET would have', async () => {
   const server = await startRawServer(socket =>
     socket.write(
