Decide in one place when a node leaves a duty to others

Cause: the rule that a node whose calls fail for 2 s gives up for 10 s was written twice. The grant of usage reports went on counting when the platform answered with 409 in between, so that a node which reached the platform gave up its duties. The succession of server orders began to count anew at 'limited', which is also what a call held back at the node ends with.

Change: call_failures.ts has the rule. 'fenced' and 'none-available' are answers, 'limited', 'expired' and 'lapsed' show nothing.

--- a/src/duties/duty_grant.ts
+++ b/src/duties/duty_grant.ts
@@ -2,6 +2,7 @@
 import {Err, Ok, type Result} from 'ts-results';
 import type {Logger} from '../diagnostics/log';
 import type {Clock} from '../runtime/types';
+import {createCallFailures, YIELD_MS} from './call_failures';
 import type {Authority, Denial, DutyFailure, Grant} from './types';
 
 /** The grant of a duty at this node. */
@@ -24,21 +25,16 @@
   readonly onGranted?: (grant: Grant) => void;
 }
 
-/** Time for which calls may fail before this node gives up the duties, and for how long it does, in milliseconds: another node may reach the platform. */
-const MAX_FAILING_MS = 2_000;
-const RELEASE_MS = 10_000;
-
 /** Creates the grant of a duty that this node does not hold yet. */
 export function createDutyGrant(options: DutyGrantOptions): DutyGrant {
   const {authority, clock, logger} = options;
   let grant: Grant | undefined;
-  /** When the calls began to fail; undefined after a success. */
-  let failingSinceMs: number | undefined;
+  const failures = createCallFailures();
   return {
     tryGet,
     tryGetLatest: () => grant,
     recordSuccess: () => {
-      failingSinceMs = undefined;
+      failures.recordEnd('success', clock.getMonotonicMs());
     },
     recordFailure,
   };
@@ -46,7 +42,7 @@
   async function tryGet(): Promise<Result<Grant, Denial>> {
     if (grant?.isValid() === true) return Ok(grant);
     // A grant under which no call succeeded is not renewed: the other nodes count from the last grant.
-    if (failingSinceMs !== undefined) {
+    if (failures.isFailing()) {
       release('no call succeeded until the grant ended');
       return Err({reason: 'released', message: 'calls to the platform fail'});
     }
@@ -58,26 +54,18 @@
   }
 
   function recordFailure(failure: DutyFailure): void {
-    switch (failure.kind) {
-      case 'fenced':
-        grant = undefined;
-        return;
-      case 'unavailable':
-        failingSinceMs ??= clock.getMonotonicMs();
-        if (clock.getMonotonicMs() - failingSinceMs < MAX_FAILING_MS) return;
-        release(failure.message);
-        return;
-      default:
-    }
+    if (failure.kind === 'fenced') grant = undefined;
+    const isOver = failures.recordEnd(failure.kind, clock.getMonotonicMs());
+    if (isOver) release(failure.message);
   }
 
   function release(cause: string): void {
     grant = undefined;
-    failingSinceMs = undefined;
-    authority.release(RELEASE_MS);
+    failures.clear();
+    authority.release(YIELD_MS);
     logger.log('warn', 'duties given up: calls to the platform fail', {
       cause,
-      forMs: RELEASE_MS,
+      forMs: YIELD_MS,
     });
   }
 }
--- a/src/scaling/scaling.ts
+++ b/src/scaling/scaling.ts
@@ -21,7 +21,8 @@
   type ServiceScaler,
   type ServiceView,
 } from './service_scaler';
-import {createSuccession, YIELD_MS} from './succession';
+import {YIELD_MS} from '../duties/call_failures';
+import {createSuccession} from './succession';
 import type {
   DomainState,
   ListedServer,
--- a/src/scaling/succession.ts
+++ b/src/scaling/succession.ts
@@ -1,4 +1,5 @@
 /** Decides whether this node sends the orders, or leaves them to another node. */
+import {createCallFailures, YIELD_MS} from '../duties/call_failures';
 import {PLANNER_COUNT} from '../planning/planner_count';
 import type {OrderOutcome} from './send_orders';
 
@@ -42,10 +43,6 @@
 const LOST_RETRY_MS = 200;
 /** Delay after the platform refused a call because of too many, in milliseconds. */
 const LIMITED_RETRY_MS = 200;
-/** How long calls must fail for this node to leave the orders to others, in milliseconds. */
-const MAX_FAILING_MS = 2_000;
-/** How long this node then leaves them to others, in milliseconds. */
-export const YIELD_MS = 10_000;
 
 /** Creates the succession of a node that has just started. */
 export function createSuccession(options: SuccessionOptions): Succession {
@@ -53,7 +50,7 @@
   let pausedUntilMs = 0;
   /** Until when this node leaves the orders to others. */
   let yieldedUntilMs = 0;
-  let failingSinceMs: number | undefined;
+  const failures = createCallFailures();
   let isDenied = false;
   return {
     canAct,
@@ -97,7 +94,8 @@
     switch (outcome) {
       case 'unavailable':
       case 'unknown':
-        return recordUnavailable(nowMs);
+        pausedUntilMs = nowMs + RETRY_MS;
+        break;
       case 'limited':
         pausedUntilMs = nowMs + LIMITED_RETRY_MS;
         break;
@@ -105,19 +103,10 @@
         // Another holder has a higher number; its orders come first.
         yieldedUntilMs = nowMs + options.leaseMs;
         break;
-      case 'lapsed':
-        return false;
     }
-    failingSinceMs = undefined;
-    return false;
-  }
-
-  function recordUnavailable(nowMs: number): boolean {
-    failingSinceMs ??= nowMs;
-    pausedUntilMs = nowMs + RETRY_MS;
-    if (nowMs - failingSinceMs < MAX_FAILING_MS) return false;
-    failingSinceMs = undefined;
-    yieldedUntilMs = nowMs + YIELD_MS;
-    return true;
+    const end = outcome === 'ordered' ? 'success' : outcome;
+    const isOver = failures.recordEnd(end, nowMs);
+    if (isOver) yieldedUntilMs = nowMs + YIELD_MS;
+    return isOver;
   }
 }
