Judge in one place which process gave a report

Cause: the check of late engines and the check after an answer without a length read the start of the process from a report by rules of their own. The second took an entry without a start for one of another process, and a 421, with which another server answers at the address, for no statement.

Change: parseReportAnswer says listed, other or unstated, for both.

--- a/src/gateway/engine_liveness.ts
+++ b/src/gateway/engine_liveness.ts
@@ -7,6 +7,7 @@
 import type {Connections} from './connections';
 import {sendControlCall, type ControlResponse} from './control_call';
 import type {GatewayMetrics} from './gateway_metrics';
+import {parseReportAnswer, ReportedProcess} from './reported_process';
 import type {HealthTracker} from './server_health';
 import type {ServerLimits} from './server_limits';
 import type {ServerPauses} from './server_pauses';
@@ -72,8 +73,6 @@
 const TICK_MS = 50;
 /** Time after which the call is given up, in milliseconds; the ticks decide before, unless this process was held up. */
 const CALL_TIMEOUT_MS = 1_000;
-/** Status 421: the server at the address is not the one that was asked. */
-const STATUS_MISDIRECTED = 421;
 
 const UNKNOWN: LivenessCheck = {state: Liveness.Unknown};
 const SILENT: LivenessCheck = {state: Liveness.Silent};
@@ -165,17 +164,8 @@
     answer: ControlResponse | undefined,
   ): LivenessCheck {
     if (answer === undefined) return SILENT;
-    if (answer.status === STATUS_MISDIRECTED) {
-      return {state: Liveness.Replaced};
-    }
-    const report =
-      answer.status === 200 ? protocol.parseReport(answer.body) : undefined;
-    const startedAtMs = report?.startedAtMs ?? 0;
-    const isReplaced =
-      startedAtMs > 0 &&
-      server.startedAtMs > 0 &&
-      startedAtMs !== server.startedAtMs;
-    if (isReplaced) return {state: Liveness.Replaced};
+    const {process, report} = parseReportAnswer(server, answer, protocol);
+    if (process === ReportedProcess.Other) return {state: Liveness.Replaced};
     const waitingCount = report?.waitingCount;
     return {
       state: Liveness.Alive,
--- a/src/gateway/process_check.ts
+++ b/src/gateway/process_check.ts
@@ -1,6 +1,7 @@
 /** Checks with which a backend server is asked for a sign of its process. */
 import type {FleetState} from './fleet_state';
 import {CheckResult} from './process_proofs';
+import {parseReportAnswer, ReportedProcess} from './reported_process';
 import type {ServerLimits} from './server_limits';
 import type {ServerPauses} from './server_pauses';
 import type {BackendEntry, BackendProtocol, ControlCall} from './types';
@@ -41,6 +42,12 @@
   readonly limits: Pick<ServerLimits, 'canSend' | 'isLimited'>;
 }
 
+const RESULTS: Readonly<Record<ReportedProcess, CheckResult>> = {
+  [ReportedProcess.Listed]: CheckResult.SameProcess,
+  [ReportedProcess.Other]: CheckResult.OtherProcess,
+  [ReportedProcess.Unstated]: CheckResult.Nothing,
+};
+
 /** Creates the builder of checks. */
 export function createProcessChecks(
   options: ProcessChecksOptions,
@@ -84,15 +91,10 @@
     status: number,
     body: Buffer,
   ): CheckResult {
-    const report = status === 200 ? protocol.parseReport(body) : undefined;
-    if (report === undefined) return CheckResult.Nothing;
-    if (report.startedAtMs === 0) {
-      statingServices.delete(server.service);
-      return CheckResult.Nothing;
-    }
-    statingServices.add(server.service);
-    return report.startedAtMs === server.startedAtMs
-      ? CheckResult.SameProcess
-      : CheckResult.OtherProcess;
+    const answer = {status, body};
+    const {process, report} = parseReportAnswer(server, answer, protocol);
+    if (report?.startedAtMs === 0) statingServices.delete(server.service);
+    else if (report !== undefined) statingServices.add(server.service);
+    return RESULTS[process];
   }
 }
