Read topics of the store to their end in one place

Cause: grants of authority and records of usage were read to the end of their topics by loops of their own. That of the grants took a page without records for the end, and failed when records expired between two pages; that of the usage records went on for ever with a store that lost its offsets again and again, and kept records that the store had lost. Neither noticed a new era between two pages, whose offsets are given out again.

--- a/src/platform/fleet_store.ts
+++ b/src/platform/fleet_store.ts
@@ -16,11 +16,8 @@
 import {tryParseConfig} from './operator_config';
 import {tryParseEntry} from './server_entry';
 import type {NewestRecords, StoreClient} from './store_client';
-import {
-  encodeKeyedRecord,
-  type RecordPage,
-  tryDecodeKeyedRecord,
-} from './store_records';
+import {encodeKeyedRecord, tryDecodeKeyedRecord} from './store_records';
+import {readToEnd} from './topic_reader';
 import {
   tryGetFields,
   tryGetNumber,
@@ -141,24 +138,15 @@
   async function readAuthority(
     fromOffset = 0,
   ): Promise<Result<AuthorityState, StoreFailure>> {
-    let read = await client.read(Topic.Authority, fromOffset, 0);
-    // Older grants may have expired; the newest one decides, so the first retained offset will do.
-    if (read.err && read.val.firstOffset !== undefined) {
-      read = await client.read(Topic.Authority, read.val.firstOffset, 0);
-    }
-    // The store may return fewer records than there are.
-    const records: Buffer[] = [];
-    while (read.ok && isCutShort(read.val)) {
-      records.push(...read.val.records);
-      read = await client.read(Topic.Authority, read.val.nextOffset, 0);
-    }
-    return read.map(page => {
-      const grant = tryFindGrant([...records, ...page.records]);
+    const read = await readToEnd(client, Topic.Authority, fromOffset);
+    return read.map(({records, endOffset, era}) => {
+      // The newest grant decides, so it does not matter if older ones have expired.
+      const grant = tryFindGrant(records);
       return {
-        endOffset: page.nextOffset,
+        endOffset,
         ...(grant === undefined ? {} : {holder: grant.holder}),
-        era: page.era,
-        mayLackGrants: (grant?.era ?? 0) < page.era,
+        era,
+        mayLackGrants: (grant?.era ?? 0) < era,
       };
     });
   }
@@ -209,10 +197,6 @@
   }
 }
 
-function isCutShort({records, nextOffset, endOffset}: RecordPage): boolean {
-  return records.length > 0 && nextOffset < endOffset;
-}
-
 function createConfigPage(
   text: string | undefined,
   nextOffset: number,
--- a/src/platform/usage_store.ts
+++ b/src/platform/usage_store.ts
@@ -1,8 +1,9 @@
 /** Maps the records of usage reports to a topic of the platform's store. */
-import {Err, Ok, type Result} from 'ts-results';
+import type {Result} from 'ts-results';
 import type {UsagePage, UsageRecord, UsageStore} from '../gateway';
 import type {StoreFailure} from '../gateway';
 import type {StoreClient} from './store_client';
+import {readToEnd} from './topic_reader';
 import {tryGetFields, tryGetWhole, tryParseJson} from './wire_decode';
 
 const USAGE_TOPIC = 'usage';
@@ -16,25 +17,11 @@
   async function readUsage(
     fromOffset: number,
   ): Promise<Result<UsagePage, StoreFailure>> {
-    const records: UsageRecord[] = [];
-    let offset = fromOffset;
-    for (;;) {
-      const read = await client.read(USAGE_TOPIC, offset, 0);
-      if (read.err) {
-        const {firstOffset} = read.val;
-        // Older records have expired, or the store has lost the offset; reading goes on where it can.
-        if (firstOffset === undefined || firstOffset === offset) return read;
-        offset = firstOffset;
-        continue;
-      }
-      const {nextOffset, endOffset} = read.val;
-      records.push(
-        ...read.val.records.flatMap(record => tryParseRecord(record) ?? []),
-      );
-      if (nextOffset >= endOffset) return Ok({records, endOffset: nextOffset});
-      if (nextOffset === offset) return createStuckError();
-      offset = nextOffset;
-    }
+    const read = await readToEnd(client, USAGE_TOPIC, fromOffset);
+    return read.map(({records, endOffset}) => ({
+      records: records.flatMap(record => tryParseRecord(record) ?? []),
+      endOffset,
+    }));
   }
 
   async function appendUsage(
@@ -67,11 +54,3 @@
     counts: counts as Readonly<Record<string, number>>,
   };
 }
-
-function createStuckError(): Err<StoreFailure> {
-  return Err({
-    kind: 'malformed',
-    mayHaveTakenEffect: false,
-    message: 'the store states a later end but returns no record',
-  });
-}
