Soak: early answers and invalid statuses as kinds of faults

Cause: early answers and invalid statuses were tested by raw servers only, not together with kills, pauses, restarts and retries.

Change: each run shows ten false answers, drawn apart from the other faults so that seeds keep those: a 200 without a length that begins while the request is still being written and is reset within its body, by a plain and by a stream service, and eight of 000, 099, 101, 600, 999, HTTP/0.9 200 and 204 with a body. One in 16 requests of the usual callers has a body of 1 MB. The callers of the test see 101, 000 and 099, which they took for interim answers or a closed connection. The body of a request that is answered early is not compared, since the server does not read it. The proxy before a server resets the connection of an early answer on the server's word: a reset that arrives together with data looks to it like an orderly end, which it passed on.

--- a/test/platform/server_standin.ts
+++ b/test/platform/server_standin.ts
@@ -5,6 +5,11 @@
   type ServerResponse,
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
+import {
+  type FalseAnswer,
+  formatFalseAnswer,
+  isFalseAnswer,
+} from './false_answers';
 import type {LimitChange} from './limit_check';
 import type {StoreStandin} from './store_standin';
 
@@ -15,6 +20,8 @@
   readonly path: string;
   readonly headers: IncomingMessage['headers'];
   readonly body: string;
+  /** True when the server answered before it had read the body, which is then empty here. */
+  readonly isEarly?: boolean;
   /** On the monotonic clock, in milliseconds. */
   readonly atMs: number;
 }
@@ -47,7 +54,8 @@
  * `error-on-resume` resets streams midway and fails the requests that resume them.
  * `answer-twice` writes each answer twice in a row, `answer-late` writes it once more
  * when the connection gets its next request. `exit` ends the process right after a
- * complete answer, `unframed-exit` after one without a length.
+ * complete answer, `unframed-exit` after one without a length. `false_answers.ts`
+ * describes the others.
  */
 export type ServerFault =
   | 'none'
@@ -72,7 +80,8 @@
   | 'answer-twice'
   | 'answer-late'
   | 'exit'
-  | 'unframed-exit';
+  | 'unframed-exit'
+  | FalseAnswer;
 
 /** A running stand-in. */
 export interface ServerStandin {
@@ -144,6 +153,8 @@
   readonly port: number;
   /** Forwards later connections to this loopback port. */
   openTo(targetPort: number): Promise<void>;
+  /** Resets the connection whose side at the server has this remote port. */
+  resetConnection(targetRemotePort: number): void;
   stopListening(): void;
 }
 
@@ -155,6 +166,10 @@
 /** Time from the beginning of an answer to the crash that a deadly part causes, in milliseconds. */
 const CRASH_DELAY_MS = 40;
 const ENDLESS_CHUNK = Buffer.alloc(65_536, 'x');
+/** Time from an early answer to the reset of its connection, in milliseconds. */
+const EARLY_RESET_MS = 5;
+/** Paths of the gateway's own calls. */
+const OWN_CALL = /^\/(report|healthz|order|kv-handle\/.*)$/;
 /** Time for which a server is down after a crash of `unframed-crash`, in milliseconds. */
 const CRASH_DOWN_MS = 1_000;
 
@@ -197,6 +212,9 @@
       parts: listPartIds(request),
     });
     if (fault === 'dark') return;
+    if (fault === 'early' && !OWN_CALL.test(request.url ?? '')) {
+      return answerEarly(request);
+    }
     if (isLeaving) response.setHeader('Server-Leaving', '1');
     if (limit !== undefined) sendLimit(response, limit);
     // A request whose connection breaks before its end is not run.
@@ -373,14 +391,7 @@
     response: ServerResponse,
     body: string,
   ): void {
-    const received: ReceivedRequest = {
-      id: String(request.headers['anvilstack-request-id']),
-      method: request.method ?? '',
-      path: request.url ?? '',
-      headers: request.headers,
-      body,
-      atMs: performance.now(),
-    };
+    const received = createReceived(request, body);
     if (fault === 'full' || (fault === 'no-kv' && hasKvSource(received))) {
       if (fault === 'no-kv') fault = 'none';
       response.writeHead(503, {'Anvilstack-Not-Executed': '1'});
@@ -407,6 +418,32 @@
     setTimeout(() => sendAnswer(response, received), workMs);
   }
 
+  /** Answers a request whose body is not read, and resets the connection within the body of the answer. */
+  function answerEarly(request: IncomingMessage): void {
+    const received = createReceived(request, '');
+    const isPrefill = received.headers['anvilstack-stage'] === 'prefill';
+    (isPrefill ? prefills : runs).push({...received, isEarly: true});
+    const {socket} = request;
+    const {remotePort = 0} = socket;
+    socket.write(createFalseText('early', received));
+    setTimeout(() => {
+      if (!socket.destroyed) options.link?.resetConnection(remotePort);
+      socket.resetAndDestroy();
+    }, EARLY_RESET_MS);
+  }
+
+  /** Creates an answer with the headers of a sound one and a body that is none. */
+  function createFalseText(kind: FalseAnswer, received: ReceivedRequest) {
+    const headers = {
+      'Anvilstack-Request-Id': received.id,
+      'Anvilstack-Response-Seal': `seal-of-${id}`,
+      ...(stage === undefined ? {} : {'Content-Type': 'text/event-stream'}),
+    };
+    const body =
+      stage === undefined ? `${id} did ` : `${formatEvents(1, 1)}id: 2\ndata: `;
+    return formatFalseAnswer(kind, headers, body);
+  }
+
   function sendLateAnswer(socket: Socket | null): void {
     const copy = socket === null ? undefined : lateAnswers.get(socket);
     if (socket === null || copy === undefined) return;
@@ -461,6 +498,10 @@
       response.socket?.resetAndDestroy();
       return;
     }
+    if (isFalseAnswer(fault)) {
+      response.socket?.write(createFalseText(fault, received));
+      return;
+    }
     const headers: Record<string, string> = {
       'Anvilstack-Request-Id': fault === 'other-id' ? 'other' : received.id,
       'Anvilstack-Response-Seal': `seal-of-${id}`,
@@ -587,6 +628,10 @@
       response.socket?.resetAndDestroy();
       return;
     }
+    if (isFalseAnswer(fault)) {
+      response.socket?.write(createFalseText(fault, received));
+      return;
+    }
     response.end(
       JSON.stringify({
         transferHandle: `h-${received.id}`,
@@ -624,6 +669,20 @@
   }
 }
 
+function createReceived(
+  request: IncomingMessage,
+  body: string,
+): ReceivedRequest {
+  return {
+    id: String(request.headers['anvilstack-request-id']),
+    method: request.method ?? '',
+    path: request.url ?? '',
+    headers: request.headers,
+    body,
+    atMs: performance.now(),
+  };
+}
+
 /** Formats a whole answer with a length. */
 function formatAnswer(
   headers: Readonly<Record<string, string>>,
--- a/test/platform/system.ts
+++ b/test/platform/system.ts
@@ -317,6 +317,13 @@
         response.on('error', () => finish(false));
       },
     );
+    // Status 101 comes as another event, which would otherwise look like a closed connection.
+    request.on('upgrade', ({statusCode, headers}, socket) => {
+      socket.destroy();
+      const elapsedMs = performance.now() - startedAt;
+      const status = statusCode ?? 0;
+      resolve({status, headers, body: '', isComplete: true, elapsedMs});
+    });
     request.on('error', error => {
       if (options.abortAfterMs === undefined) return reject(error);
       resolve({
--- a/test/soak/raw_connection.ts
+++ b/test/soak/raw_connection.ts
@@ -91,7 +91,7 @@
       if (parsed === undefined) return;
       pending = pending.slice(parsed.usedBytes);
       const {status, headers, body} = parsed.answer;
-      if (status >= 200) pushAnswer(status, headers, body, true);
+      if (!isInterim(status)) pushAnswer(status, headers, body, true);
     }
   }
 
@@ -146,7 +146,7 @@
   headers: Readonly<Record<string, string>>,
   isAtEnd: boolean,
 ): Body {
-  if (status < 200 || status === 204) {
+  if (isInterim(status) || status === 204) {
     return {text: '', usedBytes: start, isComplete: true};
   }
   if (headers['transfer-encoding'] === 'chunked') {
@@ -158,6 +158,11 @@
   return {text: text.slice(start, end), usedBytes: end, isComplete};
 }
 
+/** Returns whether another answer follows; 101 ends HTTP on the connection, and callers ask for no other protocol. */
+function isInterim(status: number): boolean {
+  return status >= 100 && status < 200 && status !== 101;
+}
+
 function parseChunks(text: string, start: number): Body {
   let body = '';
   let position = start;
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -1,6 +1,7 @@
 /** Random schedule of the faults of a run, determined by its seed. */
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {FALSE_ANSWERS, type FalseAnswer} from '../platform/false_answers';
 import type {ServerFault} from '../platform/server_standin';
 import type {StoreFault} from '../platform/store_standin';
 import type {ProxyMode} from './tcp_proxy';
@@ -102,6 +103,13 @@
   'unframed-cut',
   'endless',
 ];
+const INVALID_STATUSES = FALSE_ANSWERS.filter(kind => kind !== 'early');
+/** Answers with an invalid status that a run shows, by plain and stream services in turn. */
+const STATUS_FAULTS = 8;
+/** With this offset, the runs of CI show each false answer by plain and by stream services. */
+const FALSE_SEED_OFFSET = 8_000_000;
+const HOSTILE_FALSE_OFFSET = 500;
+const FALSE_SEED_STRIDE = 1_000;
 const LINK_MODES: ProxyMode[] = [
   'reset',
   'hold',
@@ -182,6 +190,38 @@
   }));
 }
 
+/** Creates the source of a run's false answers. */
+export function createFalseDraw(seed: number, isHostile: boolean): Draw {
+  const offset = FALSE_SEED_OFFSET + (isHostile ? HOSTILE_FALSE_OFFSET : 0);
+  return createDraw(seed * FALSE_SEED_STRIDE + offset);
+}
+
+/** Draws early answers of a plain and of a stream service, and answers with an invalid status; drawn apart from the others, so that a seed keeps those. The servers of plain services come first. */
+export function buildFalseAnswers(options: {
+  readonly draw: Draw;
+  readonly runDurationMs: number;
+  readonly servers: number;
+  readonly plainServers: number;
+}): TimedFault[] {
+  const {draw, runDurationMs, servers, plainServers} = options;
+  const statuses = Array.from({length: STATUS_FAULTS}, (_, index) =>
+    createFalse(INVALID_STATUSES[draw(INVALID_STATUSES.length)], index % 2),
+  );
+  return [createFalse('early', 0), createFalse('early', 1), ...statuses];
+
+  function createFalse(fault: FalseAnswer, serviceIndex: number): TimedFault {
+    const server =
+      serviceIndex === 0
+        ? draw(plainServers)
+        : plainServers + draw(servers - plainServers);
+    return {
+      atMs: draw(runDurationMs),
+      durationMs: MIN_FAULT_MS + draw(MAX_FAULT_MS - MIN_FAULT_MS),
+      fault: {kind: 'server', server, fault},
+    };
+  }
+}
+
 /** Draws the faults of links, signals and restarts of a hostile run, which overlap with the other faults. */
 export function buildHostileFaults(options: {
   readonly draw: Draw;
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -31,10 +31,12 @@
   buildAnswerFaults,
   buildHostileFaults,
   buildDeadlyPart,
+  buildFalseAnswers,
   buildLimits,
   buildSchedule,
   buildStoreReturns,
   createDraw,
+  createFalseDraw,
   type Draw,
   type TimedDeadlyPart,
   type TimedFault,
@@ -74,6 +76,8 @@
 
 const DEFAULT_DURATION_MS = 6_000;
 const SERVER_COUNT = 8;
+/** The first servers are those of the plain service. */
+const PLAIN_SERVER_COUNT = 3;
 const ROUTE_NAMES = ['look', 'order', 'ask', 'resume'] as const;
 /** Documented bound within which all nodes serve again after the last fault, in milliseconds. */
 const RECOVERY_BOUND_MS = 12_000;
@@ -95,16 +99,23 @@
 const LINK_SEED_OFFSET = 6_000_000;
 /** The returns of the store from a copy take the seeds from here on. */
 const COPY_SEED_OFFSET = 7_000_000;
+/** The long uploads take the seeds from here on. */
+const UPLOAD_SEED_OFFSET = 9_000_000;
 const SEED_STRIDE = 1_000;
-/** Limits of hostile runs: a head that does not arrive is given up while slow requests still run. */
-const HOSTILE_CONFIG = {
-  limits: {
+/** One of so many requests has a body of this length: more than the buffers of a loopback connection take while the server does not read, so that it is still being written when an early answer comes. */
+const UPLOAD_ONE_IN = 16;
+const UPLOAD_BYTES = 1_000_000;
+const SHORT_BODY = 'a prompt';
+const LONG_BODY = 'u'.repeat(UPLOAD_BYTES);
+/** Limits of a run: a head that does not arrive is given up, in hostile ones while slow requests still run. */
+function createLimits(isHostile: boolean) {
+  return {
     maxHeaderBytes: 8_192,
-    maxBodyBytes: 100_000,
-    headerTimeoutMs: 400,
+    maxBodyBytes: UPLOAD_BYTES,
+    headerTimeoutMs: isHostile ? 400 : 1_000,
     idleTimeoutMs: 5_000,
-  },
-};
+  };
+}
 /** Time after a hostile run in which a request that was refused may still run, in milliseconds. */
 const SETTLE_MS = 2_000;
 /** One of so many requests of a hostile run takes up to this time, in milliseconds. */
@@ -122,7 +133,7 @@
   const {seed, isHostile = false} = options;
   const draw = createDraw(seed);
   const store = await startStoreStandin();
-  const configChanges = isHostile ? HOSTILE_CONFIG : {};
+  const configChanges = {limits: createLimits(isHostile)};
   store.put('keyed.op', 'config', buildConfig(1, configChanges));
   const proxy = await startTcpProxy({targetPort: store.port});
   const links = isHostile ? await startLinks(seed) : [];
@@ -167,6 +178,11 @@
       draw: createDraw(options.seed + COPY_SEED_OFFSET),
       ...scheduleOptions,
     }),
+    ...buildFalseAnswers({
+      draw: createFalseDraw(seed, isHostile),
+      plainServers: PLAIN_SERVER_COUNT,
+      ...scheduleOptions,
+    }),
     ...(isHostile
       ? buildHostileFaults({
           draw: createDraw(seed + HOSTILE_SEED_OFFSET),
@@ -185,6 +201,7 @@
     draw: deadlyDraw,
     runDurationMs: durationMs,
   });
+  const uploadDraw = createDraw(seed + UPLOAD_SEED_OFFSET);
   let isOver = false;
   const workDraw = createDraw(seed + CALLER_SEED_OFFSET);
   const startedAtDate = new Date().toISOString();
@@ -197,6 +214,8 @@
       draw,
       isOver: () => isOver,
       deadlyDraw,
+      chooseBody: () =>
+        uploadDraw(UPLOAD_ONE_IN) === 0 ? LONG_BODY : SHORT_BODY,
       chooseHeaders: () => (isHostile ? chooseWork(workDraw) : {}),
     }),
   );
@@ -359,6 +378,7 @@
   readonly draw: Draw;
   readonly deadlyDraw: Draw;
   readonly isOver: () => boolean;
+  readonly chooseBody: () => string;
   /** Chooses further headers of a request. */
   readonly chooseHeaders: () => Readonly<Record<string, string>>;
 }
@@ -372,12 +392,19 @@
     const id = `c${index}-${count}`;
     const isModel = kind === 'ask' || kind === 'resume';
     const sentAtMs = performance.now();
-    const request = {id, kind, node: node.name, sentAtMs, body: 'a prompt'};
+    const request = {
+      id,
+      kind,
+      node: node.name,
+      sentAtMs,
+      body: options.chooseBody(),
+    };
     const place = requests.push(request) - 1;
     const answer = await sendAsCaller(node.callersPort, {
       path: `/${kind}/${id}`,
       id,
       agent,
+      body: request.body,
       abortAfterMs: 4_000,
       headers: options.chooseHeaders(),
       ...(isModel
--- a/test/soak/tcp_proxy.ts
+++ b/test/soak/tcp_proxy.ts
@@ -29,6 +29,8 @@
   setMode(mode: ProxyMode): void;
   /** Forwards later connections to this loopback port, and listens again if that was stopped. */
   openTo(targetPort: number): Promise<void>;
+  /** Resets the connection whose side at the target has this remote port. A reset that arrives together with data looks like an orderly end to the proxy, which would pass that on. */
+  resetConnection(targetRemotePort: number): void;
   /** Refuses later connections; open ones stay. */
   stopListening(): void;
   close(): void;
@@ -70,6 +72,8 @@
   let targetPort = options.targetPort ?? 0;
   let mode: ProxyMode = 'pass';
   const sockets = new Set<Socket>();
+  /** Both sides of a connection, by the port of the proxy's side at the target. */
+  const pairs = new Map<number, readonly Socket[]>();
   const server = createServer({allowHalfOpen: true}, clientSocket => {
     const targetSocket = connect({
       port: targetPort,
@@ -81,6 +85,11 @@
       socket.setNoDelay(true);
       socket.on('close', () => sockets.delete(socket));
     }
+    targetSocket.on('connect', () => {
+      const {localPort = 0} = targetSocket;
+      pairs.set(localPort, [clientSocket, targetSocket]);
+      targetSocket.on('close', () => pairs.delete(localPort));
+    });
     sendOnward(clientSocket, targetSocket, 'to-target');
     sendOnward(targetSocket, clientSocket, 'to-client');
   });
@@ -97,6 +106,11 @@
       targetPort = nextPort;
       if (!server.listening) await listen(port);
     },
+    resetConnection: targetRemotePort => {
+      for (const socket of pairs.get(targetRemotePort) ?? []) {
+        socket.resetAndDestroy();
+      }
+    },
     stopListening: () => {
       if (server.listening) server.close();
     },
--- a/test/soak/violations.ts
+++ b/test/soak/violations.ts
@@ -89,10 +89,10 @@
       const isSame =
         run.method === 'POST' &&
         run.path === `/${request.kind}/${run.id}` &&
-        run.body === body;
+        (run.isEarly === true || run.body === body);
       if (isSame && request.isWhole !== false) continue;
       violations.push(
-        `UNASKED: ${run.id} ran at ${server.id} at ${atText} as ${run.method} ${run.path} with the body '${run.body}', ${request.isWhole === false ? 'which was not sent whole' : `but it is '${body}'`}`,
+        `UNASKED: ${run.id} ran at ${server.id} at ${atText} as ${run.method} ${run.path} with the body '${run.body.slice(0, MAX_SHOWN_BODY)}', ${request.isWhole === false ? 'which was not sent whole' : `but it is '${body.slice(0, MAX_SHOWN_BODY)}'`}`,
       );
     }
     violations.push(...listOrderViolations(server));
@@ -146,6 +146,11 @@
   if (mayRepeat && runCount > 2)
     violations.push(`BUDGET: ${id} ran on ${runCount} servers`);
   if (answer === undefined) return violations;
+  // A caller that got no head has neither a status nor headers.
+  const hasHead = answer.status !== 0 || Object.keys(answer.headers).length > 0;
+  if (hasHead && !isKnownStatus(answer.status)) {
+    violations.push(`STATUS: ${id} got the status ${answer.status}`);
+  }
   if (!mayRepeat && NOT_RUN_STATUSES.has(answer.status) && runCount > 0) {
     violations.push(
       `REFUSED: ${id} was refused with ${answer.status}, but ran`,
@@ -157,6 +162,11 @@
   return violations;
 }
 
+/** Returns whether gateways or sound servers answer with a status: the servers of this test send no other below 400 than 200. */
+function isKnownStatus(status: number): boolean {
+  return status === 200 || (status >= 400 && status <= 599);
+}
+
 /** Lists answers on the connection of a request that are not its own, and requests that got none. */
 function listConnectionViolations(
   request: SoakRequest,
