--- a/test/platform/server_standin.ts
+++ b/test/platform/server_standin.ts
@@ -153,6 +153,8 @@
   readonly port: number;
   /** Forwards later connections to this loopback port. */
   openTo(targetPort: number): Promise<void>;
+  /** Resets the connection whose side at the server has this remote port. */
+  resetConnection(targetRemotePort: number): void;
   stopListening(): void;
 }
 
@@ -421,8 +423,13 @@
     const received = createReceived(request, '');
     const isPrefill = received.headers['anvilstack-stage'] === 'prefill';
     (isPrefill ? prefills : runs).push({...received, isEarly: true});
-    request.socket.write(createFalseText('early', received));
-    setTimeout(() => request.socket.resetAndDestroy(), EARLY_RESET_MS);
+    const {socket} = request;
+    const {remotePort = 0} = socket;
+    socket.write(createFalseText('early', received));
+    setTimeout(() => {
+      if (!socket.destroyed) options.link?.resetConnection(remotePort);
+      socket.resetAndDestroy();
+    }, EARLY_RESET_MS);
   }
 
   /** Creates an answer with the headers of a sound one and a body that is none. */
