--- a/test/platform/quick_callers.test.ts
+++ b/test/platform/quick_callers.test.ts
@@ -1,4 +1,9 @@
-/** Quick callers of one real process while it relays long answers to slow readers. */
+/**
+ * Quick callers of one real process while it relays long answers to slow
+ * readers: statuses, memory, and which callers are ended. Their times depend on
+ * the load of the machine and are only printed; `read_turns.test.ts` checks
+ * what they wait for.
+ */
 import assert from 'node:assert/strict';
 import {test, type TestContext} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -9,12 +14,14 @@
 
 /** Memory of the smallest VMs, in MB. */
 const MEMORY_MB = 202;
-/** Long beside what a busy machine adds; without turns, the 99th percentile was 3.7 s. */
+/** Long beside what a busy machine adds, so that no quick request is refused for it. */
 const OBJECTIVE_MS = 1_000;
 /** Long answers in each flood; 1,000 in the trials of docs/design/slow_readers.md. */
 const ANSWER_COUNT = Number(process.env['ANVILSTACK_FLOOD_ANSWERS'] ?? 500);
-/** Requests of the quick callers during a flood, at most. */
-const MAX_COUNT = 500;
+/** Requests of the quick callers during a flood, at least, unless all its answers have been relayed. */
+const QUICK_COUNT = 500;
+/** Requests after which callers that exhaust the budget must have been ended. */
+const MAX_COUNT = 3_000;
 /** Interval between the quick callers' requests, in milliseconds. */
 const INTERVAL_MS = 10;
 /** The flags of deploy/system.toml. */
@@ -24,9 +31,7 @@
   '--sparkplug',
 ];
 /** Times without the flood are measured over this number of requests. */
-const CALM_COUNT = 60;
-/** Time that the median may grow in addition to its double, in milliseconds. */
-const MEDIAN_SLACK_MS = 50;
+const CALM_COUNT = 20;
 
 /** Sends short requests at fixed times while `isGoingOn`, whether or not the ones before have been answered; returns their times in order of size, in milliseconds. */
 async function collectQuickTimes(
@@ -53,7 +58,7 @@
   return {times: times.sort((left, right) => left - right), maxMemoryMb};
 }
 
-/** Checks the times of quick callers, and the memory, beside callers of long answers. */
+/** Checks that quick callers are served beside callers of long answers, the memory, and which callers are ended. */
 async function checkFlood(
   context: TestContext,
   answerBytes: number,
@@ -83,7 +88,10 @@
   });
   const flood = await collectQuickTimes(
     system,
-    count => result === undefined && count < MAX_COUNT,
+    count =>
+      result === undefined &&
+      (count < QUICK_COUNT ||
+        (!isReading && !isExhausted(system.getLog()) && count < MAX_COUNT)),
   );
   const metrics = await system.readMetrics();
   server.stop();
@@ -98,13 +106,17 @@
   context.diagnostic(
     `median ${calmMs} ms without and ${medianMs} ms during the flood, 99th percentile ${lateMs} ms, longest ${getQuantile(flood.times, 1)} ms of ${flood.times.length}; ${flood.maxMemoryMb} MB; ${result?.receivedBytes} bytes relayed; ${ended} callers ended`,
   );
-  assert.ok(medianMs <= 2 * calmMs + MEDIAN_SLACK_MS, `median ${medianMs} ms`);
-  assert.ok(lateMs < OBJECTIVE_MS, `99th percentile ${lateMs} ms`);
   assert.ok(flood.maxMemoryMb < MEMORY_MB, `${flood.maxMemoryMb} MB`);
   // Otherwise the budget was not exhausted, or callers that read were ended.
   assert.equal(ended === 0, isReading);
 }
 
+/** Returns whether half of the callers have been ended, however long that takes on a busy machine: with 202 MB, the budget holds the answers of fewer than 200 callers that read nothing. */
+function isExhausted(log: string): boolean {
+  const ended = log.split('caller does not take its answer').length - 1;
+  return ended >= ANSWER_COUNT / 2;
+}
+
 /** Returns a quantile of sorted times, to a tenth of a millisecond. */
 function getQuantile(times: readonly number[], part: number): number {
   const time =
@@ -114,9 +126,9 @@
 
 // The threads of the flood run this file, too.
 if (isMainThread) {
-  test('a flood of long answers to slow readers holds up no quick caller', context =>
+  test('quick callers are served within the memory limit beside a flood of long answers to slow readers', context =>
     checkFlood(context, 4_000_000, true));
-  test('callers that exhaust the budget for answers hold up no quick caller', context =>
+  test('quick callers are served within the memory limit beside callers that exhaust the budget for answers', context =>
     checkFlood(context, 8_000_000, false));
 } else {
   runFloodRole();
--- a/test/platform/slow_peers.ts
+++ b/test/platform/slow_peers.ts
@@ -92,7 +92,8 @@
   };
 }
 
-function publishState(
+/** Publishes the server at `port` for all services or, with `orderPort`, for all but that of the requests to `/order/`. */
+export function publishState(
   store: {put: (topic: string, key: string, value: string) => void},
   port: number,
   routeChanges: Readonly<Record<string, unknown>>,
--- a/test/platform/system.ts
+++ b/test/platform/system.ts
@@ -133,6 +133,8 @@
   readonly bounds?: string;
   /** Port of the platform's interface for duties, with windows of a second; absent when there are none. */
   readonly dutyPort?: number;
+  /** Memory limit of each node, in MB; absent when there is none. */
+  readonly memoryMb?: number;
 }): Promise<TestSystem> {
   const store = await startStoreStandin();
   if (options.hasConfig !== false)
@@ -165,10 +167,14 @@
     const name = `front-${nodes.length + 1}`;
     const ports = await listFreePorts(4);
     const text =
-      buildSettings(name, ports, storePort, seeds).replace(
-        '[bounds]',
-        `[bounds]\n${options.bounds ?? ''}`,
-      ) +
+      buildSettings(name, ports, storePort, seeds)
+        .replace('[bounds]', `[bounds]\n${options.bounds ?? ''}`)
+        .replace(
+          '[limits]',
+          options.memoryMb === undefined
+            ? '[limits]'
+            : `[limits]\nmemoryMb = ${options.memoryMb}`,
+        ) +
       (options.dutyPort === undefined
         ? ''
         : buildDutySettings(options.dutyPort));
