Serve callers that waited as told first

A node now remembers whom it told when to retry, by account, prompt and deadline. Within a rank and share class, prompts of callers that waited go first, and new ones wait behind them. While engines are short, callers that return early are refused with `retried-early` and the rest of their time. Only active with client accounts.

--- a/src/explain/prompt_admission.ts
+++ b/src/explain/prompt_admission.ts
@@ -65,6 +65,12 @@
       })
     : undefined;
   const isOverShare = exceededShare !== undefined;
+  const claim = {
+    rank: caller.rank,
+    account: caller.accountName,
+    isOverShare,
+    service: prompt.service,
+  };
   const times = {route, elapsedMs: 0, remainingMs: caller.limitMs, workMs};
   const admission = chooseAdmission({
     ...times,
@@ -75,6 +81,9 @@
 
   function predict(): Outcome {
     if (admission === Admission.Wait) return predictWait();
+    const mustYield =
+      caller.hasAccounts && context.waitingPrompts.mustYield(claim);
+    if (admission === Admission.Send && mustYield) return predictWait();
     if (admission === Admission.Refuse || placement === undefined) {
       return refuse((placement?.waitMs ?? 0) + (placement?.prefillMs ?? 0));
     }
@@ -92,9 +101,7 @@
   function predictWait(): Outcome {
     const budgetMs = getSendBudgetMs(times);
     const predictedWaitMs = context.waitingPrompts.predictWaitMs(
-      caller.hasAccounts
-        ? {rank: caller.rank, account: caller.accountName, isOverShare}
-        : undefined,
+      caller.hasAccounts ? claim : undefined,
     );
     if (predictedWaitMs > budgetMs) return refuse(predictedWaitMs);
     return {kind: 'wait', predictedWaitMs, budgetMs};
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -42,6 +42,8 @@
     source: string,
     account?: string,
   ): void;
+  /** Records the return of a caller that this node refused. */
+  recordReturn(outcome: 'as-told' | 'early'): void;
   /** Adds a gauge whose value is read when the metrics are rendered. */
   addGauge(name: string, help: string, read: GaugeSpec['read']): void;
   render(): string;
@@ -125,6 +127,10 @@
     name: 'anvilstack_gateway_account_share_refusals_total',
     help: 'Prompts refused because their account exceeds its share, by account; accounts after the first 16 are one.',
   });
+  const returns = metrics.addCounter({
+    name: 'anvilstack_gateway_returned_callers_total',
+    help: 'Callers that were refused at this node and sent their prompt again, by whether they waited as told.',
+  });
   const labelledAccounts = new Set<string>();
   return {
     recordBodyRefused: () => refusedBodies.add(1, {}),
@@ -156,6 +162,7 @@
         account: labelledAccounts.has(account) ? account : OTHER_ACCOUNTS,
       });
     },
+    recordReturn: outcome => returns.add(1, {outcome}),
     addGauge: (name, help, read) => metrics.addGauge({name, help, read}),
     render: metrics.render,
   };
--- a/src/gateway/prompt_share.ts
+++ b/src/gateway/prompt_share.ts
@@ -1,5 +1,10 @@
 /** The place of one model request among the client accounts; without accounts, requests are served as they come. */
-import {computeSpreadRetryMs, type KnownShare} from '../shares';
+import {hash} from 'node:crypto';
+import {
+  type CallerAttempt,
+  computeSpreadRetryMs,
+  type KnownShare,
+} from '../shares';
 import type {FlowContext} from './flow_context';
 import type {RequestTask} from './request_task';
 import {computeRetryAfterMs, MIN_RETRY_AFTER_MS} from './stream_admission';
@@ -13,6 +18,12 @@
   /** Records that the prompt waits or was refused because engines are busy. */
   recordShortage(): void;
   isOverShare(): boolean;
+  /** True when the prompt has to leave the next engine to a waiting one whose caller waited as told. */
+  mustYield(): boolean;
+  /** Returns the time that a caller that came back early has left to wait, in milliseconds, while engines are short: otherwise it would try more often than those that wait. */
+  tryGetEarlyMs(): number | undefined;
+  /** Records that the caller was told to retry after a time, in milliseconds. */
+  recordTold(retryAfterMs: number): void;
   getClaim(): PromptClaim & {readonly workMs: number};
   /** Predicts how long the prompt would wait at this node, in milliseconds. */
   predictWaitMs(): number;
@@ -22,19 +33,23 @@
 
 /** Reason of a refusal because other accounts use less than their shares. */
 export const SHARE_REASON = 'account-share';
+/** Reason of a refusal because the caller did not wait as it was told. */
+export const EARLY_REASON = 'retried-early';
 export const BUSY_REASON = 'engines are busy';
 
 /** Creates the share of a request. */
 export function createPromptShare(
   context: Pick<
     FlowContext,
-    'shares' | 'waitingPrompts' | 'metrics' | 'getRandom'
+    'clock' | 'shares' | 'waitingPrompts' | 'metrics' | 'getRandom'
   >,
   task: RequestTask,
 ): PromptShare {
   const {shares, waitingPrompts, metrics} = context;
   let workMs: number | undefined;
   let exceeded: KnownShare | undefined;
+  let hasWaited = false;
+  let earlyMs: number | undefined;
   return {
     recordWork,
     recordStart: () => {
@@ -44,6 +59,12 @@
       if (task.hasAccounts()) shares.recordShortage();
     },
     isOverShare,
+    mustYield: () =>
+      task.hasAccounts() &&
+      !task.exchange.hasAnswerBegun() &&
+      waitingPrompts.mustYield(getClaim()),
+    tryGetEarlyMs: () => earlyMs,
+    recordTold,
     getClaim,
     predictWaitMs: () =>
       waitingPrompts.predictWaitMs(task.hasAccounts() ? getClaim() : undefined),
@@ -54,6 +75,7 @@
     if (workMs !== undefined) return;
     workMs = predictedMs;
     if (!task.hasAccounts()) return;
+    recordReturn();
     const {rank, account} = getClaim();
     const work = {account, rank, workMs};
     shares.recordArrival(work);
@@ -66,6 +88,31 @@
     });
   }
 
+  function recordReturn(): void {
+    const known = shares.told.tryTake(
+      createAttempt(task),
+      context.clock.getMonotonicMs(),
+    );
+    if (known === undefined) return;
+    hasWaited = known.hasWaited;
+    if (known.lateMs < 0 && !hasWaited && shares.isShort()) {
+      earlyMs = Math.max(MIN_RETRY_AFTER_MS, -known.lateMs);
+    }
+    metrics.recordReturn(hasWaited ? 'as-told' : 'early');
+    task.log('refused caller returned', {
+      hasWaited,
+      lateMs: Math.round(known.lateMs),
+      isRefused: earlyMs !== undefined,
+      account: task.account?.name,
+    });
+  }
+
+  function recordTold(retryAfterMs: number): void {
+    if (!task.hasAccounts() || task.exchange.hasAnswerBegun()) return;
+    const nowMs = context.clock.getMonotonicMs();
+    shares.told.record(createAttempt(task), retryAfterMs, nowMs);
+  }
+
   /** A request whose answer has begun is not held back: its caller would lose the part that it has. */
   function isOverShare(): boolean {
     return exceeded !== undefined && !task.exchange.hasAnswerBegun();
@@ -76,6 +123,8 @@
       rank: task.rank,
       account: task.account?.name ?? '',
       isOverShare: isOverShare(),
+      hasWaited,
+      service: task.service,
       workMs: workMs ?? 0,
     };
   }
@@ -114,6 +163,20 @@
   }
 }
 
+/** What the caller asks for is the same at each of its attempts, unlike its request id. */
+function createAttempt(task: RequestTask): CallerAttempt {
+  const {method, target, request, receivedAtMs} = task.exchange;
+  const {model, deadlineMs} = request;
+  const asked = [task.route.name, method, target, model];
+  return {
+    account: task.account?.name ?? '',
+    key: hash('sha256', JSON.stringify(asked), 'base64url'),
+    ...(deadlineMs === undefined
+      ? {}
+      : {deadlineAtMs: receivedAtMs + deadlineMs}),
+  };
+}
+
 function formatShare(share: KnownShare): Readonly<Record<string, unknown>> {
   const {account, fraction, source, ageMs, arrivedMs, startedMs} = share;
   return {
--- a/src/gateway/stream_flow.ts
+++ b/src/gateway/stream_flow.ts
@@ -15,8 +15,8 @@
 import {type PrefillCall, startPrefillCall} from './prefill_call';
 import {tryCreatePrefillSample} from './prefill_sample';
 import {createPromptGate} from './prompt_gate';
-import {createPromptShare} from './prompt_share';
-import type {RequestTask} from './request_task';
+import {createPromptShare, EARLY_REASON} from './prompt_share';
+import {DEFAULT_RETRY_AFTER_MS, type RequestTask} from './request_task';
 import {formatFailure} from './server_call';
 import {
   Admission,
@@ -142,6 +142,11 @@
     share.recordWork(
       predictEngineMs(context, {service, route, engine, model, placement}),
     );
+    const earlyMs = share.tryGetEarlyMs();
+    if (earlyMs !== undefined) {
+      task.fail(getVerdict(), EARLY_REASON, earlyMs);
+      return true;
+    }
     const admission = chooseAdmission({
       ...getAdmissionTimes(),
       isOverShare: share.isOverShare(),
@@ -150,6 +155,7 @@
     });
     if (placement !== undefined) recordDemand(placement);
     if (admission === Admission.Wait) return false;
+    if (admission === Admission.Send && share.mustYield()) return false;
     if (admission === Admission.Refuse || placement === undefined) {
       refuse((placement?.waitMs ?? 0) + (placement?.prefillMs ?? 0));
       return true;
@@ -201,18 +207,24 @@
 
   function refuse(predictedMs: number): void {
     const {reason, retryAfterMs} = share.refuse(predictedMs);
-    task.fail(getVerdict(), reason, retryAfterMs);
+    fail(reason, retryAfterMs);
   }
 
   /** Ends the request. When pauses or limits hold back all engines, the caller may retry after the shortest wait. */
   function failWithoutEngine(): void {
     const retryAfterMs = engines.tryGetRetryAfterMs();
-    task.fail(getVerdict(), 'no engine is available', retryAfterMs);
+    fail('no engine is available', retryAfterMs);
   }
 
   function failWithoutDecodeEngine(): void {
     const retryAfterMs = engines.tryGetRetryAfterMs(EngineStage.Decode);
-    task.fail(getVerdict(), 'no decode engine is available', retryAfterMs);
+    fail('no decode engine is available', retryAfterMs);
+  }
+
+  function fail(reason: string, retryAfterMs = DEFAULT_RETRY_AFTER_MS): void {
+    const verdict = getVerdict();
+    if (verdict === Verdict.NotRun) share.recordTold(retryAfterMs);
+    task.fail(verdict, reason, retryAfterMs);
   }
 
   function sendPrefill(placement: PrefillPlacement): void {
@@ -317,6 +329,8 @@
       ...share.getClaim(),
       // The prompt has been prefilled: its work is done, and an engine's memory waits for it.
       isOverShare: false,
+      // Prompts that wait for a prefill engine do not have to yield to it.
+      service: '',
       workMs: 0,
       expiresAtMs: clock.getMonotonicMs() + getBudgetMs(),
       tryStart: () => {
--- a/src/gateway/waiting_prompts.ts
+++ b/src/gateway/waiting_prompts.ts
@@ -1,6 +1,6 @@
 /**
  * Queue of prompts that wait at this node until an engine's own queue is short enough, by rank,
- * then by start-time fair queueing over client accounts, then by arrival. Without accounts,
+ * then callers that were refused and waited as told, then by start-time fair queueing over client accounts, then by arrival. Without accounts,
  * all prompts belong to one, whose start tags never decrease.
  */
 import type {Clock, Timer} from '../runtime/types';
@@ -14,6 +14,10 @@
   readonly account: string;
   /** True when the prompt exceeds its account's share: it comes after all others of its rank. */
   readonly isOverShare: boolean;
+  /** True when its caller was refused before and waited as told: it comes before others of its rank and share class. */
+  readonly hasWaited?: boolean;
+  /** Name of its service, whose engines it waits for. */
+  readonly service?: string;
 }
 
 /** A waiting prompt. */
@@ -32,6 +36,8 @@
   /** Adds a prompt; returns a function that removes it. */
   add(prompt: WaitingPrompt): () => void;
   count(): number;
+  /** True when a prompt has to leave the next engine to a waiting one of its service, rank and share class, whose caller waited as told. */
+  mustYield(claim: PromptClaim): boolean;
   /** Predicts how long a prompt added now will wait, from the interval between the latest starts or the time since then in which none succeeded, in milliseconds; behind all others if it has no claim. */
   predictWaitMs(claim?: PromptClaim): number;
 }
@@ -69,6 +75,8 @@
   const prompts: QueuedPrompt[] = [];
   /** By rank: within each, accounts share on their own. */
   const tagsByRank = new Map<number, StartTags>();
+  /** Numbers of prompts whose callers waited as told, by `formatClass`. */
+  const waitedCounts = new Map<string, number>();
   let timer: Timer | undefined;
   /** When a prompt was last started, or when the first one was added to the empty queue if that is later. */
   let lastStartMs = 0;
@@ -78,6 +86,8 @@
   return {
     add,
     count: () => prompts.length,
+    mustYield: claim =>
+      claim.hasWaited !== true && waitedCounts.has(formatClass(claim)),
     predictWaitMs,
   };
 
@@ -89,6 +99,7 @@
     tags.add(prompt.account, startTag, prompt.workMs);
     const queued = {prompt, startTag};
     prompts.splice(findPlace(prompt, startTag), 0, queued);
+    recordWaited(prompt, 1);
     timer ??= schedule();
     return () => {
       remove(queued);
@@ -119,10 +130,19 @@
     const index = prompts.indexOf(queued);
     if (index < 0) return false;
     prompts.splice(index, 1);
+    recordWaited(queued.prompt, -1);
     if (prompts.length === 0) tagsByRank.clear();
     return true;
   }
 
+  function recordWaited(claim: PromptClaim, change: number): void {
+    if (claim.hasWaited !== true) return;
+    const key = formatClass(claim);
+    const count = (waitedCounts.get(key) ?? 0) + change;
+    if (count === 0) waitedCounts.delete(key);
+    else waitedCounts.set(key, count);
+  }
+
   /** Advances virtual time by a prompt that starts, unless prompts of its rank with earlier tags go on waiting. */
   function advanceTags(queued: QueuedPrompt): void {
     const {rank} = queued.prompt;
@@ -204,5 +224,11 @@
 ): number {
   if (left.rank !== right.rank) return left.rank - right.rank;
   if (left.isOverShare !== right.isOverShare) return left.isOverShare ? 1 : -1;
+  const leftWaited = left.hasWaited === true;
+  if (leftWaited !== (right.hasWaited === true)) return leftWaited ? -1 : 1;
   return leftTag - rightTag;
 }
+
+function formatClass({service, rank, isOverShare}: PromptClaim): string {
+  return `${rank} ${isOverShare} ${service ?? ''}`;
+}
--- a/src/shares/account_shares.ts
+++ b/src/shares/account_shares.ts
@@ -9,6 +9,7 @@
 import {computeSharePlan} from './plan_shares';
 import type {AccountShare, AccountWork, SharePlan, ShareReport} from './types';
 import {createSizeLimits} from './size_limits';
+import {createToldCallers, type ToldCallers} from './told_callers';
 import {createWorkMeter, type WorkMeter} from './work_meter';
 
 /** Where a node's knowledge of the shares comes from. */
@@ -24,6 +25,8 @@
 
 /** The shares at one node. */
 export interface AccountShares {
+  /** The callers that this node refused. */
+  readonly told: ToldCallers;
   start(): void;
   /** Records the predicted work of a prompt that arrived. */
   recordArrival(work: AccountWork): void;
@@ -31,6 +34,8 @@
   recordStart(workMs: number): void;
   /** Records that a prompt waits or was refused because engines are busy. */
   recordShortage(): void;
+  /** True when prompts waited or were refused in the last seconds. */
+  isShort(): boolean;
   /** Returns the share of a prompt's account when it does not cover the prompt; called once for each prompt. */
   tryGetExceeded(work: AccountWork): KnownShare | undefined;
   /** Returns what `tryGetExceeded` would return for a prompt that arrives now, without recording it. */
@@ -86,10 +91,12 @@
   let invalidCount = 0;
   let timer: Timer | undefined;
   return {
+    told: createToldCallers(),
     start: runPlanning,
     recordArrival: work => meter.recordArrival(work, getNowMs()),
     recordStart: workMs => meter.recordStart(workMs, getNowMs()),
     recordShortage: () => meter.recordShortage(getNowMs()),
+    isShort: () => meter.isShort(getNowMs()),
     tryGetExceeded,
     predictExceeded,
     tryCreateReport,
--- a/src/shares/index.ts
+++ b/src/shares/index.ts
@@ -7,4 +7,10 @@
 export {computeSharePlan, MAX_SHARES} from './plan_shares';
 export {computeSpreadRetryMs} from './retry_after';
 export {createStartTags, type StartTags} from './start_tags';
+export {
+  type CallerAttempt,
+  createToldCallers,
+  type KnownReturn,
+  type ToldCallers,
+} from './told_callers';
 export type {AccountShare, AccountWork, SharePlan, ShareReport} from './types';
--- a/src/shares/retry_after.ts
+++ b/src/shares/retry_after.ts
@@ -1,4 +1,5 @@
 /** Spreads the retries of refused callers. */
+import {MAX_REMAINING_FRACTION} from './told_callers';
 
 /** Inputs to the time after which a refused caller may retry; times are in milliseconds. */
 export interface RetrySpread {
@@ -11,9 +12,6 @@
   readonly random: number;
 }
 
-/** Fraction of the remaining time that callers wait at most before they retry. */
-const MAX_REMAINING_FRACTION = 1 / 3;
-
 /** Returns a random time, in milliseconds, up to the one at which there is room: callers that were told the same time would return together. */
 export function computeSpreadRetryMs(spread: RetrySpread): number {
   const {predictedMs, remainingMs, minMs, random} = spread;
--- a/test/gateway/waiting_prompts.test.ts
+++ b/test/gateway/waiting_prompts.test.ts
@@ -118,6 +118,31 @@
   assert.equal(waiting.count(), 0);
 });
 
+// Guards against new callers that overtake those that were refused and waited as told.
+test('callers that waited as told go first within their rank and share class', async () => {
+  const {clock, started, add, setEngineFree, waiting} = createList(0);
+  const waited = {hasWaited: true, service: 'ask'};
+  add('over, waited', {...waited, isOverShare: true});
+  add('new', {service: 'ask'});
+  add('waited', waited);
+  add('urgent', {rank: 0, service: 'ask'});
+  const claim = {rank: 1, account: '', isOverShare: false, service: 'ask'};
+  const yields = () => [
+    waiting.mustYield(claim),
+    waiting.mustYield({...claim, isOverShare: true}),
+    waiting.mustYield({...claim, hasWaited: true}),
+    waiting.mustYield({...claim, rank: 0}),
+    waiting.mustYield({...claim, service: 'other'}),
+  ];
+  assert.deepEqual(yields(), [true, true, false, false, false]);
+  setEngineFree(true);
+  await clock.advance(16);
+  assert.deepEqual(yields(), [false, true, false, false, false]);
+  await clock.advance(16);
+  assert.deepEqual(started, ['urgent', 'waited', 'new', 'over, waited']);
+  assert.equal(waiting.mustYield({...claim, isOverShare: true}), false);
+});
+
 test('the number of nodes that start a prompt in one interval is limited by the number of engines', async () => {
   // With 8 engines, 4 starts are allowed per interval. The random number is always 0.5, so that nodes start a prompt in a fleet of 7 but not in one of 10.
   const few = createList(6);
--- a/test/platform/client_accounts.test.ts
+++ b/test/platform/client_accounts.test.ts
@@ -1,10 +1,12 @@
 import assert from 'node:assert/strict';
 import {Agent} from 'node:http';
 import {after, test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {listFreePorts} from '../support/program';
 import type {ServerStandin} from './server_standin';
 import {
   buildConfig,
+  type CallerAnswer,
   type CallerOptions,
   isNodeReady,
   loadSnapshot,
@@ -230,3 +232,35 @@
     async () => (await getStatuses()) === '401,401,404,200,200',
   );
 });
+
+// Guards against a flow that refuses a prompt without remembering its caller, or forgets to ask.
+test('a caller that retries a refused prompt before it was told to is refused again', async () => {
+  const {system} = await startAccounts();
+  let startedAtMs = 0;
+  const send = () => {
+    const deadlineMs = 950 - Math.round(performance.now() - startedAtMs);
+    const big = {tokens: '99000,3', parts: 'aa:80000,bb:19000', deadlineMs};
+    return system.send(addKey(KEY, {path: '/ask/x', ...big}));
+  };
+  const getToldMs = ({headers}: CallerAnswer) =>
+    Number(headers['retry-after']) * 1_000;
+  for (;;) {
+    startedAtMs = performance.now();
+    const refused = await send();
+    const refusedAtMs = performance.now();
+    const early = await send();
+    // On a busy machine the second attempt may not have been early.
+    if (performance.now() - refusedAtMs >= getToldMs(refused)) continue;
+    await sleep(getToldMs(early));
+    const answers = [refused, early, await send()];
+    assert.deepEqual(
+      answers.map(({status, body}) => [status, body.trim()]),
+      [
+        [503, 'engines are busy (not-run)'],
+        [503, 'retried-early (not-run)'],
+        [503, 'engines are busy (not-run)'],
+      ],
+    );
+    return;
+  }
+});
--- a/test/shares/overload.test.ts
+++ b/test/shares/overload.test.ts
@@ -55,6 +55,21 @@
   assert.ok(after.served > before.served - 0.01);
 });
 
+// Guards against callers that are served more often because they retry at once.
+for (const seed of [1, 2]) {
+  test(`callers that retry early are served no more often than those that wait as told (seed ${seed})`, async () => {
+    const runGain = async (hasMemory: boolean): Promise<number> => {
+      const options = {seed, isUniform: true, impatient: 0.3, hasMemory};
+      const all = {...options, hasAccounts: true, durationMs: DURATION_MS};
+      const {patient, impatient} = await runOverload(all);
+      return impatient.served / impatient.sent - patient.served / patient.sent;
+    };
+    // Otherwise callers in the model gain nothing that could be taken from them.
+    assert.ok((await runGain(false)) > 0.1);
+    assert.ok((await runGain(true)) < 0.015);
+  });
+}
+
 test('more urgent accounts are served first, and none is starved', async () => {
   const {after} = await runBoth({isUniform: true, getRank: index => index % 3});
   const [urgent, usual, late] = [0, 1, 2].map(rank =>
--- a/test/shares/overload_model.ts
+++ b/test/shares/overload_model.ts
@@ -39,6 +39,10 @@
   /** Rank of an account. */
   readonly getRank?: (account: number) => number;
   readonly durationMs?: number;
+  /** Fraction of callers that retry after 50 ms, whatever they were told. */
+  readonly impatient?: number;
+  /** False when nodes forget which callers they have refused. */
+  readonly hasMemory?: boolean;
 }
 
 /** Requests of one account, without its callers' retries. */
@@ -54,6 +58,8 @@
 }
 
 interface Request {
+  readonly key: string;
+  readonly isPatient: boolean;
   readonly account: number;
   readonly workMs: number;
   readonly deadlineAtMs: number;
@@ -90,13 +96,13 @@
 /** Requests sent before this time are not counted, in milliseconds. */
 const WARM_UP_MS = 10_000;
 const MAX_HOME_NODES = 4;
+const IMPATIENT_RETRY_MS = 50;
 
 /** Runs the model and returns the results by account. */
-export async function runOverload(
-  options: OverloadOptions,
-): Promise<{results: AccountResult[]; planBytes: number[]}> {
+export async function runOverload(options: OverloadOptions) {
   const {nodes = 12, engines = 10, accounts = 78, load = 1.3} = options;
   const {zipf = 1, flooding = 5, durationMs = 40_000} = options;
+  const hasMemory = options.hasAccounts && options.hasMemory !== false;
   const {getRank = () => 1, hasMessages = true, isUniform = false} = options;
   const generator = xoroshiro128plus(options.seed);
   const getRandom = () => uniformFloat64(generator);
@@ -116,6 +122,9 @@
     ),
   );
   const planBytes: number[] = [];
+  /** Requests of callers that wait as told, and of those that do not. */
+  const patient = {sent: 0, served: 0};
+  const impatient = {sent: 0, served: 0};
   const fleet = Array.from({length: nodes}, (_, index) => createNode(index));
   const weights = results.map(
     (_, index) =>
@@ -125,7 +134,7 @@
   const meanGapMs = MEAN_WORK_MS / (load * engines);
   scheduleArrival();
   await clock.runUntil(durationMs);
-  return {results, planBytes};
+  return {results, planBytes, patient, impatient};
 
   /** Node `index`; the first five plan, and read reports that are up to 0.5 s old. */
   function createNode(index: number) {
@@ -169,7 +178,9 @@
   function scheduleArrival(): void {
     clock.schedule(-Math.log(1 - getRandom()) * meanGapMs, () => {
       const nowMs = clock.getMonotonicMs();
-      const request = {
+      const request: Request = {
+        key: String(nowMs),
+        isPatient: !options.impatient || getRandom() >= options.impatient,
         account: chooseAccount(),
         workMs: isUniform
           ? MEAN_WORK_MS
@@ -181,6 +192,7 @@
       const result = results[request.account];
       if (request.isCounted) {
         result.sent++;
+        (request.isPatient ? patient : impatient).sent++;
         result.workMs += request.workMs;
       }
       sendAttempt(request);
@@ -204,12 +216,20 @@
     const isOverShare =
       options.hasAccounts &&
       shares.tryGetExceeded({account, rank, workMs}) !== undefined;
+    const known = hasMemory
+      ? shares.told.tryTake({...request, account}, receivedAtMs)
+      : undefined;
     const claim = {
       rank,
+      hasWaited: known?.hasWaited === true,
       account: options.hasAccounts ? account : '',
       isOverShare,
     };
     if (options.hasAccounts) shares.recordArrival({account, rank, workMs});
+    if (known !== undefined && known.lateMs < -1 && shares.isShort()) {
+      retry(-known.lateMs);
+      return;
+    }
     const getTimes = () => ({
       route: ROUTE,
       elapsedMs: clock.getMonotonicMs() - receivedAtMs,
@@ -248,6 +268,7 @@
         refuse(waitMs + workMs);
         return true;
       }
+      if (hasMemory && waiting.mustYield(claim)) return false;
       shares.recordStart(workMs);
       const endMs = nowMs + waitMs + workMs;
       engineFreeAtMs[engineFreeAtMs.indexOf(freeAtMs)] = endMs;
@@ -259,6 +280,7 @@
       if (!request.isCounted) return;
       const result = results[request.account];
       result.served++;
+      (request.isPatient ? patient : impatient).served++;
       if (elapsedMs <= ROUTE.objectiveMs) result.onTime++;
     }
 
@@ -272,8 +294,20 @@
             random: getRandom(),
           })
         : Math.min(computeRetryAfterMs(ROUTE, predictedMs), remainingMs / 3);
-      if (remainingMs - retryAfterMs < workMs) return;
-      clock.schedule(retryAfterMs, () => sendAttempt(request));
+      const nowMs = clock.getMonotonicMs();
+      if (hasMemory) {
+        shares.told.record({...request, account}, retryAfterMs, nowMs);
+      }
+      retry(retryAfterMs);
+    }
+
+    function retry(retryAfterMs: number): void {
+      const remainingMs = request.deadlineAtMs - clock.getMonotonicMs();
+      const waitMs = request.isPatient
+        ? Math.min(retryAfterMs, remainingMs / 3)
+        : IMPATIENT_RETRY_MS;
+      if (remainingMs - waitMs < workMs) return;
+      clock.schedule(waitMs, () => sendAttempt(request));
     }
   }
 }
--- a/test/shares/prompt_share.test.ts
+++ b/test/shares/prompt_share.test.ts
@@ -4,12 +4,16 @@
 import {createGatewayMetrics} from '../../src/gateway/gateway_metrics';
 import {createPromptShare} from '../../src/gateway/prompt_share';
 import type {RequestTask} from '../../src/gateway/request_task';
+import {createVirtualClock} from '../../src/runtime';
+import {createToldCallers, type ToldCallers} from '../../src/shares';
 import type {PromptClaim} from '../../src/gateway/waiting_prompts';
 
 function createShare(options: {
   hasAccounts: boolean;
   isCovered?: boolean;
   hasAnswerBegun?: boolean;
+  told?: ToldCallers;
+  nowMs?: number;
 }) {
   const lines: string[] = [];
   const calls: string[] = [];
@@ -17,9 +21,17 @@
   const metrics = createGatewayMetrics();
   const task = {
     rank: 2,
-    route: {objectiveMs: 400},
+    route: {name: 'ask', objectiveMs: 400},
     account: {name: 'large'},
-    exchange: {hasAnswerBegun: () => options.hasAnswerBegun === true},
+    service: 'ask',
+    exchange: {
+      hasAnswerBegun: () => options.hasAnswerBegun === true,
+      method: 'POST',
+      target: '/ask/',
+      // The time left that the caller states decreases.
+      request: {deadlineMs: 9_000 - (options.nowMs ?? 0)},
+      receivedAtMs: options.nowMs ?? 0,
+    },
     hasAccounts: () => options.hasAccounts,
     getRemainingMs: () => 3_000,
     log: (message: string) => lines.push(message),
@@ -28,15 +40,22 @@
     {
       metrics,
       getRandom: () => 0.5,
+      clock: {
+        ...createVirtualClock(),
+        getMonotonicMs: () => options.nowMs ?? 0,
+      },
       waitingPrompts: {
         add: () => () => undefined,
         count: () => 0,
+        mustYield: claim => claim.hasWaited !== true,
         predictWaitMs: claim => {
           claims.push(claim);
           return 0;
         },
       },
       shares: {
+        told: options.told ?? createToldCallers(),
+        isShort: () => true,
         start: () => undefined,
         stop: () => undefined,
         handlePlan: () => undefined,
@@ -111,6 +130,31 @@
   assert.deepEqual(calls, []);
 });
 
+// Guards against callers that are served more often because they retry at once.
+test('a caller that waited as told goes first, one that came early is refused', () => {
+  const told = createToldCallers();
+  const send = (nowMs: number) => {
+    const {share, lines} = createShare({hasAccounts: true, told, nowMs});
+    share.recordWork(80);
+    return {share, returned: lines.includes('refused caller returned')};
+  };
+  const first = send(0);
+  first.share.recordTold(800);
+  const early = send(100);
+  assert.equal(early.share.tryGetEarlyMs(), 700);
+  early.share.recordTold(800);
+  const patient = send(900);
+  const all = [first, early, patient];
+  assert.deepEqual(
+    all.map(item => item.returned),
+    [false, true, true],
+  );
+  assert.deepEqual(
+    all.map(({share}) => share.mustYield()),
+    [true, true, false],
+  );
+});
+
 test('at most 16 accounts are labels of the metrics', () => {
   const metrics = createGatewayMetrics();
   for (let index = 0; index < 40; index++) {
