--- a/src/explain/prompt_admission.ts
+++ b/src/explain/prompt_admission.ts
@@ -65,6 +65,12 @@
       })
     : undefined;
   const isOverShare = exceededShare !== undefined;
+  const claim = {
+    rank: caller.rank,
+    account: caller.accountName,
+    isOverShare,
+    service: prompt.service,
+  };
   const times = {route, elapsedMs: 0, remainingMs: caller.limitMs, workMs};
   const admission = chooseAdmission({
     ...times,
@@ -75,6 +81,9 @@
 
   function predict(): Outcome {
     if (admission === Admission.Wait) return predictWait();
+    const mustYield =
+      caller.hasAccounts && context.waitingPrompts.mustYield(claim);
+    if (admission === Admission.Send && mustYield) return predictWait();
     if (admission === Admission.Refuse || placement === undefined) {
       return refuse((placement?.waitMs ?? 0) + (placement?.prefillMs ?? 0));
     }
@@ -92,9 +101,7 @@
   function predictWait(): Outcome {
     const budgetMs = getSendBudgetMs(times);
     const predictedWaitMs = context.waitingPrompts.predictWaitMs(
-      caller.hasAccounts
-        ? {rank: caller.rank, account: caller.accountName, isOverShare}
-        : undefined,
+      caller.hasAccounts ? claim : undefined,
     );
     if (predictedWaitMs > budgetMs) return refuse(predictedWaitMs);
     return {kind: 'wait', predictedWaitMs, budgetMs};
@@ -134,7 +141,11 @@
   );
 }
 
-function computeSpread(predictedMs: number, remainingMs: number): MsRange {
+/** Returns the range of the time after which a refused caller may retry, in milliseconds. */
+export function computeSpread(
+  predictedMs: number,
+  remainingMs: number,
+): MsRange {
   const spread = {predictedMs, remainingMs, minMs: MIN_RETRY_AFTER_MS};
   return {
     min: computeSpreadRetryMs({...spread, random: 0}),
