--- a/src/explain/explain_stream.ts
+++ b/src/explain/explain_stream.ts
@@ -65,7 +65,13 @@
           : [],
       ),
       passedIds: new Set(first.passed.map(({id}) => id)),
-      getDetail: server => buildDetail(server, first.scored, chosen),
+      getDetail: server =>
+        buildDetail(
+          server,
+          first.scored,
+          chosen,
+          first.view.prefillQueues.isFull(server.id, first.nowMs),
+        ),
     }),
     ...(chosen?.placement.server.stage === EngineStage.Prefill
       ? {decode: first.listDecode(chosen.placement)}
@@ -81,6 +87,7 @@
     const possible = listPossible(prefill, direct, input.handoffMs);
     return {
       view,
+      nowMs: input.nowMs,
       passed: input.engines,
       scored: [...prefill, ...direct],
       possible,
@@ -199,9 +206,12 @@
   server: BackendEntry,
   scored: readonly ScoredPlacement[],
   chosen: ScoredPlacement | undefined,
+  isFull: boolean,
 ): CandidateDetail {
   const found = scored.find(item => item.placement.server.id === server.id);
-  if (found === undefined) return {cause: 'its queue is full'};
+  if (found === undefined) {
+    return {cause: isFull ? 'its queue is full' : 'left to other nodes'};
+  }
   const {waitMs, prefillMs, cachedTokens, timeFactor} = found.placement;
   return {
     waitMs,
--- a/src/gateway/engine_affinity.ts
+++ b/src/gateway/engine_affinity.ts
@@ -3,11 +3,14 @@
  * computes the same assignment, so that prompts reach the engines that have
  * cached their parts even after the nodes have restarted.
  */
+import type {PromptScope} from '../announcements';
 import {getRendezvousWeight} from '../runtime/rendezvous';
 import type {BackendEntry} from './types';
 
 /** Affinity of prompt parts and nodes to engines. */
 export interface EngineAffinity {
+  /** Selects the engines that this node considers for a prefill among those of one service and stage. */
+  selectConsidered(engines: readonly BackendEntry[]): readonly BackendEntry[];
   /** Returns the id of the part's home engine, the one with the highest weight, or undefined without engines. */
   tryFindHome(
     partId: string,
@@ -24,10 +27,13 @@
 /** Maximum number of memoized weights: several times the number of pairs of a day's parts and the engines of a large fleet. */
 const MAX_WEIGHTS = 50_000;
 
-/** Creates an affinity that memoizes the weights. */
-export function createEngineAffinity(): EngineAffinity {
+/** Creates an affinity that memoizes the weights; without a scope, the node considers all engines. */
+export function createEngineAffinity(
+  scope?: Pick<PromptScope, 'selectEngines'>,
+): EngineAffinity {
   const weights = new Map<string, string>();
   return {
+    selectConsidered: engines => scope?.selectEngines(engines) ?? engines,
     tryFindHome: (partId, engines) => {
       let best: string | undefined;
       let bestWeight = '';
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -137,6 +137,7 @@
   const streams = createStreamCounts();
   const peers = createPeers({
     self,
+    engines: state,
     logger,
     clock,
     getRandom,
@@ -268,7 +269,7 @@
     leaseMs: settings.bounds.leaseMs,
   });
   const isStateCurrent = () => follower.getAgeMs() < MAX_PLANNING_AGE_MS;
-  const duties = createGatewayDuties({
+  const {usage, client: dutyClient} = createGatewayDuties({
     ...(options.duties === undefined ? {} : {platform: options.duties}),
     ...(settings.duties === undefined ? {} : {settings: settings.duties}),
     nodeName: self.name,
@@ -280,10 +281,9 @@
     getRandom,
     getEra: store.getEra,
   });
-  const {usage} = duties;
   const scaling = createServerScaling({
     settings,
-    dutyClient: duties.client,
+    dutyClient,
     authority,
     state,
     demand,
@@ -335,7 +335,7 @@
     serviceTimes,
     prefillQueues,
     prefixes,
-    affinity: createEngineAffinity(),
+    affinity: createEngineAffinity(peers.promptScope),
     isHomeCacheWarm: !settings.isFirstStart,
     streams,
     demand,
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -62,6 +62,8 @@
 export interface OverdueMessage {
   readonly kind: 'overdue';
   readonly jobId: string;
+  /** Engine that prefills the prompt; absent in messages of earlier versions. */
+  readonly serverId?: string;
 }
 
 /** The time that the prefill of a prompt took, including its wait. */
@@ -89,6 +91,8 @@
   readonly decodeId?: string;
   /** Expected run time of its stream, in milliseconds. */
   readonly runMs?: number;
+  /** True when the stream takes up so much of the decode engine that all nodes need to know; otherwise absent. */
+  readonly isLongRun?: true;
 }
 
 /** A server failed in a way that concerns the other nodes. */
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -1,5 +1,10 @@
 /** Sends and receives datagrams to and from the other nodes. */
 import {createSocket, type Socket} from 'node:dgram';
+import {
+  createPromptScope,
+  type EngineList,
+  type PromptScope,
+} from '../announcements';
 import type {Logger} from '../diagnostics/log';
 import {collectBy} from '../runtime/collect_by';
 import type {Clock} from '../runtime/types';
@@ -13,6 +18,8 @@
 
 /** The other nodes. */
 export interface Peers {
+  /** Decides which nodes are notified of a prompt at an engine. */
+  readonly promptScope: PromptScope;
   open(): Promise<void>;
   /** Adds or updates a node; returns true when it is new or its host has changed. */
   add(node: NodeRecord): boolean;
@@ -25,7 +32,7 @@
   /** Counts the nodes whose names are lower than this node's. */
   countLowerNames(): number;
   tryFind(name: string): NodeRecord | undefined;
-  /** Sends a message to every known node; other failure domains that are large receive it through some of their nodes, which relay it. */
+  /** Sends a message to every known node, or to those in the scope of the prompt that it is about; other failure domains that are large receive it through some of their nodes, which relay it. */
   notify(message: PeerMessage): void;
   send(node: NodeRecord, message: PeerMessage): void;
   close(): void;
@@ -34,6 +41,8 @@
 /** Options of `createPeers`. */
 export interface PeersOptions {
   readonly self: NodeRecord;
+  /** The listed engines; without them, all nodes are notified of every prompt. */
+  readonly engines?: EngineList;
   readonly logger: Logger;
   readonly clock: Clock;
   readonly getRandom: () => number;
@@ -42,6 +51,10 @@
 
 /** Address family of the nodes. */
 const IP_FAMILY = 4;
+const NO_ENGINES: EngineList = {
+  listUsable: () => [],
+  tryGetUsable: () => undefined,
+};
 
 /** Creates the peers; `open` creates and binds the socket. */
 export function createPeers(options: PeersOptions): Peers {
@@ -54,9 +67,15 @@
     clock,
     getRandom,
   });
+  const promptScope = createPromptScope({
+    self,
+    engines: options.engines ?? NO_ENGINES,
+    countPeers: () => nodes.size,
+  });
   let socket: Socket | undefined;
   let malformedCount = 0;
   return {
+    promptScope,
     open,
     add,
     list: () => [...nodes.values()],
@@ -134,7 +153,7 @@
   function notify(message: PeerMessage): void {
     if (nodes.size === 0) return;
     const {direct, relays} = relayChoice.choose(
-      getNodesByDomain(),
+      listReceivers(message),
       message.kind,
     );
     const datagram = encodeMessage(message);
@@ -144,10 +163,27 @@
     for (const node of relays) sendDatagram(node, relayedDatagram);
   }
 
+  /** Collects the nodes that a message concerns by failure domain. */
+  function listReceivers(
+    message: PeerMessage,
+  ): ReadonlyMap<string, readonly NodeRecord[]> {
+    const domains = getNodesByDomain();
+    const serverId = tryGetPromptServer(message);
+    if (serverId === undefined) return domains;
+    const receivers = promptScope.selectNodes(serverId, [...nodes.values()]);
+    if (receivers.length === nodes.size) return domains;
+    return collectBy(receivers, node => node.failureDomain);
+  }
+
   /** Relays a message from another failure domain to the nodes of this one. */
   function sendToLocalDomain(message: PeerMessage): void {
     const datagram = encodeMessage({...message, isForPassing: undefined});
-    for (const node of listSameDomain()) sendDatagram(node, datagram);
+    const serverId = tryGetPromptServer(message);
+    const receivers =
+      serverId === undefined
+        ? listSameDomain()
+        : promptScope.selectNodes(serverId, listSameDomain());
+    for (const node of receivers) sendDatagram(node, datagram);
   }
 
   function send(node: NodeRecord, message: PeerMessage): void {
@@ -160,6 +196,20 @@
   }
 }
 
+/** Returns the engine of the prompt that a message is about, if only the nodes that consider the engine need the message. */
+function tryGetPromptServer(message: PeerMessage): string | undefined {
+  switch (message.kind) {
+    case 'placed':
+    case 'overdue':
+      return message.serverId;
+    case 'read':
+      // Any node may choose the decode engine, and one of these streams delays the next.
+      return message.isLongRun === true ? undefined : message.serverId;
+    default:
+      return undefined;
+  }
+}
+
 /** Replaces the DNS lookup that the socket would make for each datagram: hosts of nodes are IP addresses. */
 function resolveAddress(
   address: string,
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -148,16 +148,17 @@
   return direct.score < prefill.score + handoffMs ? direct : prefill;
 }
 
-/** Lists the placements at the engines of a stage whose queues are not full, with their scores. */
+/** Lists the placements at the engines of a stage that this node considers and whose queues are not full, with their scores. */
 export function listScored(
   input: PlacementInput,
   stage: EngineStage,
 ): readonly ScoredPlacement[] {
-  const engines = input.engines.filter(
+  const usable = input.engines.filter(
     server =>
       server.stage === stage &&
       !input.prefillQueues.isFull(server.id, input.nowMs),
   );
+  const engines = input.affinity.selectConsidered(usable);
   const shared = listSharedParts(input.request);
   const homeId = tryFindHome(input, shared, engines);
   return engines.map((server): ScoredPlacement => {
--- a/src/gateway/stream_records.ts
+++ b/src/gateway/stream_records.ts
@@ -1,4 +1,5 @@
 /** Records which engines prefill and decode a request, and notifies the other nodes. */
+import {MIN_SCOPED_PEERS} from '../announcements';
 import type {Timer} from '../runtime/types';
 import {computeTransferMs} from './engine_costs';
 import type {FlowContext} from './flow_context';
@@ -22,10 +23,8 @@
   recordEnd(decodeId: string): void;
 }
 
-/** Minimum number of other nodes in a large fleet, where short prefills, and prefills that end as predicted, are not announced: each node would receive messages about more requests. */
-const LARGE_FLEET_NODES = 32;
-/** Shortest prefill that is announced in a large fleet, in milliseconds: a fifth of the shortest latency objective. */
-const MIN_ANNOUNCED_PREFILL_MS = 60;
+/** Shortest prefill that is announced in a large fleet, in milliseconds. Many prompts of 20 to 60 ms that nobody knows of cost more goodput than their messages (docs/design/prompt_messages.md); shorter ones add little to a queue. */
+const MIN_ANNOUNCED_PREFILL_MS = 20;
 /** Shortest run time of a stream, divided by the number of the engine's slots, for which the stream is announced in a large fleet, in milliseconds: waiting for its slot would exceed an objective. */
 const MIN_ANNOUNCED_RUN_MS = 100;
 
@@ -73,7 +72,7 @@
     costMs = placement.prefillMs;
     assumedEndMs = undefined;
     const nowMs = context.clock.getMonotonicMs();
-    const isLargeFleet = context.countPeers() >= LARGE_FLEET_NODES;
+    const isLargeFleet = context.countPeers() >= MIN_SCOPED_PEERS;
     isAnnounced =
       placement.prefillMs >= MIN_ANNOUNCED_PREFILL_MS ||
       isLongRun ||
@@ -110,7 +109,11 @@
       endsInMs + PREFILL_END_TOLERANCE_MS,
       () => {
         assumedEndMs = undefined;
-        notify({kind: 'overdue', jobId});
+        notify({
+          kind: 'overdue',
+          jobId,
+          ...(serverId === undefined ? {} : {serverId}),
+        });
       },
     );
   }
@@ -147,6 +150,7 @@
         isRead: true,
         decodeId,
         runMs,
+        ...(isLongRun ? {isLongRun: true} : {}),
         ...(sample === undefined ? {} : {sample}),
       });
     }
--- a/test/gateway/fleet_start_model.ts
+++ b/test/gateway/fleet_start_model.ts
@@ -197,6 +197,10 @@
     const listDomains = () =>
       collectBy(known.values(), node => node.failureDomain);
     return {
+      promptScope: {
+        selectEngines: engines => engines,
+        selectNodes: (_serverId, nodes) => nodes,
+      },
       open: () => Promise.resolve(),
       close: () => undefined,
       add: node => {
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -2,6 +2,7 @@
 import {createSocket, type Socket} from 'node:dgram';
 import {test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
+import type {EngineList, EnginePlace} from '../../src/announcements';
 import {createPeers, type Peers} from '../../src/gateway/peers';
 import type {PeerMessage} from '../../src/gateway/peer_messages';
 import type {NodeRecord} from '../../src/gateway';
@@ -39,6 +40,7 @@
 async function openPeers(
   nodes: readonly FakeNode[],
   onMessage: (message: PeerMessage) => void = () => undefined,
+  engines?: EngineList,
 ): Promise<{peers: Peers; port: number}> {
   const reserved = await openNode('a');
   const port = reserved.record.peerPort;
@@ -49,6 +51,7 @@
     clock: createSystemClock(),
     getRandom: Math.random,
     onMessage,
+    ...(engines === undefined ? {} : {engines}),
   });
   await peers.open();
   for (const node of nodes) peers.add(node.record);
@@ -133,3 +136,42 @@
   peers.close();
   for (const node of otherDomain) node.socket.close();
 });
+
+// Guards against messages about prompts to nodes that do not consider the engine, also by relays.
+test('in a large fleet, a message about a prompt is sent and relayed only to nodes that consider the engine', async () => {
+  const sameDomain = await openNodes('a', 20);
+  const otherDomain = await openNodes('b', 20);
+  const engines = Array.from({length: 60}, (_, index): EnginePlace => ({
+    id: `engine-${index}`,
+    service: 'llm',
+    failureDomain: index % 2 === 0 ? 'a' : 'b',
+    stage: 'prefill',
+  }));
+  const {peers, port} = await openPeers(
+    [...sameDomain, ...otherDomain],
+    undefined,
+    {
+      listUsable: () => engines,
+      tryGetUsable: id => engines.find(engine => engine.id === id),
+    },
+  );
+  const message = {...READ_MESSAGE, serverId: 'engine-0'};
+  const records = sameDomain.map(({record}) => record);
+  const expected = new Set(peers.promptScope.selectNodes('engine-0', records));
+  assert.ok(expected.size > 0 && expected.size < 15, `${expected.size}`);
+  peers.notify(message);
+  await waitForArrivals();
+  for (const {record, received} of sameDomain) {
+    assert.equal(received.length, expected.has(record) ? 1 : 0);
+  }
+  assert.ok(countReceived(otherDomain) < 10);
+  const passed = JSON.stringify({...message, isForPassing: true});
+  otherDomain[0].socket.send(Buffer.from(passed), port, '127.0.0.1');
+  await waitForArrivals();
+  assert.equal(countReceived(sameDomain), 2 * expected.size);
+  peers.notify(SUSPECT_MESSAGE);
+  await waitForArrivals();
+  assert.equal(countReceived(sameDomain), 2 * expected.size + 20);
+  peers.close();
+  for (const node of [...sameDomain, ...otherDomain]) node.socket.close();
+});
