Log messages of an unknown form between nodes once

Cause: each datagram that is no known message was logged; a fleet of another version sends thousands.

Change: the first one is logged, all are ignored. The test failed before: three datagrams gave three lines.

--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -73,7 +73,7 @@
     countPeers: () => nodes.size,
   });
   let socket: Socket | undefined;
-  let malformedCount = 0;
+  let isUnknownLogged = false;
   return {
     promptScope,
     open,
@@ -107,12 +107,13 @@
         options.onMessage(message);
         return;
       }
-      malformedCount++;
+      // Logged once: a fleet of another version sends many of them.
+      if (isUnknownLogged) return;
+      isUnknownLogged = true;
       options.logger.log(
         'warn',
         'received a datagram that is not a peer message',
         {
-          malformedCount,
           bytes: datagram.length,
         },
       );
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -6,6 +6,7 @@
 import {createPeers, type Peers} from '../../src/gateway/peers';
 import type {PeerMessage} from '../../src/gateway/peer_messages';
 import type {NodeRecord} from '../../src/gateway';
+import {createLogger} from '../../src/diagnostics/log';
 import {createSystemClock} from '../../src/runtime/system_clock';
 import {SILENT_LOGGER} from './support';
 
@@ -41,13 +42,14 @@
   nodes: readonly FakeNode[],
   onMessage: (message: PeerMessage) => void = () => undefined,
   engines?: EngineList,
+  logger = SILENT_LOGGER,
 ): Promise<{peers: Peers; port: number}> {
   const reserved = await openNode('a');
   const port = reserved.record.peerPort;
   await new Promise<void>(resolve => reserved.socket.close(() => resolve()));
   const peers = createPeers({
     self: {...reserved.record, name: 'self', failureDomain: 'a'},
-    logger: SILENT_LOGGER,
+    logger,
     clock: createSystemClock(),
     getRandom: Math.random,
     onMessage,
@@ -175,3 +177,24 @@
   peers.close();
   for (const node of [...sameDomain, ...otherDomain]) node.socket.close();
 });
+
+// Guards against a log that a fleet of another version fills.
+test('messages of an unknown form are logged once and ignored', async () => {
+  const lines: string[] = [];
+  const handled: PeerMessage[] = [];
+  const {peers, port} = await openPeers(
+    [],
+    message => handled.push(message),
+    undefined,
+    createLogger({node: 'self', write: line => lines.push(line)}),
+  );
+  const {socket} = await openNode('a');
+  for (const text of ['{"kind":"announced"}', '{"kind":"announced"}', '?']) {
+    socket.send(Buffer.from(text), port, '127.0.0.1');
+  }
+  await waitForArrivals();
+  assert.equal(lines.length, 1);
+  assert.equal(handled.length, 0);
+  peers.close();
+  socket.close();
+});
