Report measured engines to the planning nodes of a large fleet

Cause: a planning node is notified of the prompts of a dozen engines only, so that it would plan stages with the speeds of these alone.

Measured: the tests of the report and of what becomes of it, which fail without; no run of a fleet yet.

--- a/src/capacity/index.ts
+++ b/src/capacity/index.ts
@@ -8,7 +8,7 @@
 } from './server_capacities';
 export {createServiceTimes} from './service_times';
 export type {ServiceTimes} from './service_times';
-export {MAX_TOLD_SERVERS} from './told_factors';
+export {isToldFactor, MAX_TOLD_SERVERS} from './told_factors';
 export type {
   CapacityEstimate,
   CapacitySample,
--- a/src/capacity/server_capacities.ts
+++ b/src/capacity/server_capacities.ts
@@ -30,6 +30,8 @@
   getEstimate(server: ServerIdentity): CapacityEstimate;
   /** Lists up to `count` measured servers that differ from their service, in turn. */
   listFactors(count: number): ToldFactor[];
+  /** Lists up to `count` servers that were measured here recently, also those that are as fast as their service. */
+  listMeasured(count: number): ToldFactor[];
   /** Adopts factors that another node told; malformed ones are ignored. */
   addFactors(factors: unknown): void;
   remove(serverId: string): void;
@@ -91,6 +93,7 @@
         : getEstimate(record, timeFactor, clock.getMonotonicMs());
     },
     listFactors,
+    listMeasured,
     addFactors: factors => {
       if (isEnabled) told.add(factors, clock.getMonotonicMs());
     },
@@ -125,19 +128,28 @@
 
   function listFactors(count: number): ToldFactor[] {
     const nowMs = clock.getMonotonicMs();
-    return told.select([...records.values()].flatMap(formatFactor), count);
-
-    function formatFactor(record: ListedRecord): ToldFactor[] {
-      const isRecent = nowMs - record.lastSampleMs <= MAX_TOLD_AGE_MS;
-      if (!isRecent || !isMeasured(record)) {
-        return [];
-      }
-      const {id, service, startedAtMs} = record.identity;
-      const assumed = getServiceFactor(service);
-      const {timeFactor, relativeFactor} = getEstimate(record, assumed, nowMs);
-      if (relativeFactor === 1) return [];
-      return [[id, startedAtMs, Math.round(timeFactor * 100) / 100]];
-    }
+    const factors = [...records.values()].flatMap(record => {
+      const assumed = getServiceFactor(record.identity.service);
+      const isEqual = getEstimate(record, assumed, nowMs).relativeFactor === 1;
+      return isEqual ? [] : formatMeasured(record, nowMs);
+    });
+    return told.select(factors, count);
+  }
+
+  function listMeasured(count: number): ToldFactor[] {
+    const nowMs = clock.getMonotonicMs();
+    return [...records.values()]
+      .flatMap(record => formatMeasured(record, nowMs))
+      .slice(0, count);
+  }
+
+  function formatMeasured(record: ListedRecord, nowMs: number): ToldFactor[] {
+    const isRecent = nowMs - record.lastSampleMs <= MAX_TOLD_AGE_MS;
+    if (!isRecent || !isMeasured(record)) return [];
+    const {id, service, startedAtMs} = record.identity;
+    const assumed = getServiceFactor(service);
+    const {timeFactor} = getEstimate(record, assumed, nowMs);
+    return [[id, startedAtMs, Math.round(timeFactor * 100) / 100]];
   }
 
   /** Returns the record of a server's present process. */
--- a/src/capacity/told_factors.ts
+++ b/src/capacity/told_factors.ts
@@ -67,7 +67,8 @@
   };
 }
 
-function isToldFactor(value: unknown): value is ToldFactor {
+/** True for an id, a start and a factor within its bounds: anyone can send datagrams. */
+export function isToldFactor(value: unknown): value is ToldFactor {
   if (!Array.isArray(value) || value.length !== 3) return false;
   const [id, startedAtMs, timeFactor] = value as unknown[];
   return (
--- a/src/gateway/fleet_demand.ts
+++ b/src/gateway/fleet_demand.ts
@@ -1,4 +1,6 @@
 /** Collects the work that arrives at all nodes on the few nodes that plan the engines' stages. */
+import {MIN_SCOPED_PEERS} from '../announcements';
+import type {ToldFactor} from '../capacity';
 import {PLANNER_COUNT} from '../planning/planner_count';
 import {
   addStageDemands,
@@ -40,6 +42,8 @@
   readonly peers: Pick<Peers, 'count' | 'listFirst' | 'send'>;
   /** Creates this node's report on the work of its accounts; undefined when there is nothing to report. */
   readonly tryCreateAccountReport?: () => ShareReport | undefined;
+  /** Lists up to `count` engines that this node has measured. */
+  readonly listMeasured?: (count: number) => readonly ToldFactor[];
   /** Present when servers are ordered. */
   readonly scaling?: {
     readonly failureDomain: string;
@@ -55,6 +59,8 @@
 const REPORT_EXPIRY_INTERVALS = 3;
 /** Time constant of the demand by which servers are ordered, in milliseconds: as long as a server takes to start. */
 const RECENT_TIME_CONSTANT_MS = 5_000;
+/** Maximum number of engines in a report: more than a node considers on average, 0.6 KB. */
+const MAX_REPORTED_ENGINES = 16;
 const MS_PER_S = 1_000;
 
 /** Creates a fleet demand without any recorded work. */
@@ -93,10 +99,25 @@
     const message = createMessage();
     if (message.services.length === 0) return;
     const accounts = options.tryCreateAccountReport?.();
-    const report = accounts === undefined ? message : {...message, accounts};
+    const timeFactors = listTimeFactors();
+    const report = {
+      ...message,
+      ...(accounts === undefined ? {} : {accounts}),
+      ...(timeFactors.length === 0 ? {} : {timeFactors}),
+    };
     for (const node of peers.listFirst(PLANNER_COUNT)) peers.send(node, report);
   }
 
+  /** Lists what the planning nodes cannot measure where they are notified of some prompts only. They themselves report nothing: what they were told would come back to them. */
+  function listTimeFactors(): readonly ToldFactor[] {
+    if (peers.count() < MIN_SCOPED_PEERS) return [];
+    const last = peers.listFirst(PLANNER_COUNT).at(-1);
+    const isPlanner = last === undefined || options.nodeName < last.name;
+    return isPlanner
+      ? []
+      : (options.listMeasured?.(MAX_REPORTED_ENGINES) ?? []);
+  }
+
   function createMessage(): DemandMessage {
     const services = listDemand(meter);
     const recent = listDemand(recentMeter);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -150,12 +150,7 @@
     fetch: loadSnapshotFrom,
   });
   const serviceTimes = createServiceTimes({clock, countPeers: peers.count});
-  const reach = createPeerReach({
-    nodeName: self.name,
-    clock,
-    getRandom,
-    peers,
-  });
+  const reach = createPeerReach({nodeName: self.name, clock, getRandom, peers});
   const limits = createServerLimits({
     nodeName: self.name,
     clock,
@@ -239,6 +234,7 @@
     clock,
     peers,
     tryCreateAccountReport: () => shares.tryCreateReport(),
+    listMeasured: capacities.listMeasured,
     ...(isScaling
       ? {
           scaling: {
--- a/src/gateway/peer_message_handler.ts
+++ b/src/gateway/peer_message_handler.ts
@@ -18,6 +18,7 @@
 import type {Peers} from './peers';
 import type {PrefillQueues} from './prefill_queues';
 import type {PrefixDirectory} from './prefix_directory';
+import {recordReportedFactors} from './reported_factors';
 import type {HealthTracker} from './server_health';
 import type {ServerLimits} from './server_limits';
 import type {ServerScaling} from './server_scaling';
@@ -120,6 +121,7 @@
         return;
       case 'demand':
         options.demand.handle(message);
+        recordReportedFactors(options, message.timeFactors);
         return;
       case 'account-shares':
         options.shares.handlePlan(message.from, message.plan);
--- a/src/gateway/peer_messages.ts
+++ b/src/gateway/peer_messages.ts
@@ -119,6 +119,8 @@
   readonly recent?: RecentDemand;
   /** Work by client account; absent without accounts and while engines suffice. */
   readonly accounts?: ShareReport;
+  /** Engines measured by the sender, in fleets in which a planning node is notified of few prompts. */
+  readonly timeFactors?: readonly ToldFactor[];
 }
 
 /** The client accounts that exceed their shares; sent while engines are short. */
--- a/test/gateway/fleet_demand.test.ts
+++ b/test/gateway/fleet_demand.test.ts
@@ -8,8 +8,11 @@
 import type {DemandMessage, PeerMessage} from '../../src/gateway/peer_messages';
 import type {NodeRecord} from '../../src/gateway/types';
 import {NO_STAGE_DEMAND} from '../../src/planning/stage_demand';
+import {createServerCapacities} from '../../src/capacity';
+import {createFleetState} from '../../src/gateway/fleet_state';
+import {recordReportedFactors} from '../../src/gateway/reported_factors';
 import {createVirtualClock} from '../../src/runtime';
-import {ENGINE_LIMITS} from './support';
+import {createEntry, ENGINE_LIMITS, SILENT_LOGGER} from './support';
 
 const WORK = {...NO_STAGE_DEMAND, readMs: 100, slotMs: 640};
 
@@ -18,12 +21,14 @@
   scaling?: FleetDemandOptions['scaling'],
   tryCreateAccountReport: FleetDemandOptions['tryCreateAccountReport'] = () =>
     undefined,
+  nodeName = 'front-9',
 ) {
   const clock = createVirtualClock();
   const sent: Array<{to: string; message: PeerMessage}> = [];
   const demand = createFleetDemand({
-    nodeName: 'front-9',
+    nodeName,
     clock,
+    listMeasured: () => [['p1', 1, 0.7]],
     ...(scaling === undefined ? {} : {scaling}),
     tryCreateAccountReport,
     peers: {
@@ -160,3 +165,48 @@
   );
   assert.deepEqual(demand.listAccountReports(), []);
 });
+
+// Guards against stage plans of a large fleet that know only the engines that the planning node uses itself.
+test('in a large fleet, nodes report the engines that they have measured to the planning nodes', async () => {
+  for (const [nodes, name, isReported] of [
+    [14, 'front-9', false],
+    [60, 'front-9', true],
+    [60, 'front-2', false],
+  ] as const) {
+    const {clock, demand, sent} = createNode(nodes, undefined, undefined, name);
+    demand.record('llm', WORK);
+    demand.start();
+    await clock.advance(10);
+    assert.equal(sent.length, 5);
+    for (const {message} of sent) {
+      assert.equal('timeFactors' in message, isReported);
+    }
+    demand.stop();
+  }
+});
+
+// Guards against engines that the planning nodes take for unmeasured, and against invalid or outdated reports.
+test('reported factors count as measured by the planning node, unless the engine has restarted', async () => {
+  const clock = createVirtualClock();
+  const state = createFleetState();
+  const [known, restarted] = ['p1', 'p2'].map(id =>
+    createEntry({id, startedAtMs: 1}),
+  );
+  for (const entry of [known, restarted]) {
+    state.applyChanges([{id: entry.id, entry}], 0);
+  }
+  const capacities = createServerCapacities({
+    clock,
+    logger: SILENT_LOGGER,
+    getServiceFactor: () => 1,
+  });
+  for (let step = 0; step < 8; step++) {
+    const factors = [['p1', 1, 0.7], ['p2', 9, 0.7], ['p3', 1, 0.7], 5];
+    recordReportedFactors({state, capacities}, factors);
+    recordReportedFactors({state, capacities}, 'invalid');
+    await clock.advance(250);
+  }
+  assert.ok(capacities.getEstimate(known).isKnown);
+  assert.ok(Math.abs(capacities.getRelativeFactor(known, 0) - 0.7) < 0.01);
+  assert.equal(capacities.getEstimate(restarted).isKnown, false);
+});
