--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -137,6 +137,7 @@
   const streams = createStreamCounts();
   const peers = createPeers({
     self,
+    engines: state,
     logger,
     clock,
     getRandom,
@@ -149,12 +150,7 @@
     fetch: loadSnapshotFrom,
   });
   const serviceTimes = createServiceTimes({clock, countPeers: peers.count});
-  const reach = createPeerReach({
-    nodeName: self.name,
-    clock,
-    getRandom,
-    peers,
-  });
+  const reach = createPeerReach({nodeName: self.name, clock, getRandom, peers});
   const limits = createServerLimits({
     nodeName: self.name,
     clock,
@@ -239,6 +235,7 @@
     clock,
     peers,
     tryCreateAccountReport: () => shares.tryCreateReport(),
+    listMeasured: capacities.listMeasured,
     ...(isScaling
       ? {
           scaling: {
@@ -269,7 +266,7 @@
     leaseMs: settings.bounds.leaseMs,
   });
   const isStateCurrent = () => follower.getAgeMs() < MAX_PLANNING_AGE_MS;
-  const duties = createGatewayDuties({
+  const {usage, client: dutyClient} = createGatewayDuties({
     ...(options.duties === undefined ? {} : {platform: options.duties}),
     ...(settings.duties === undefined ? {} : {settings: settings.duties}),
     nodeName: self.name,
@@ -281,10 +278,9 @@
     getRandom,
     getEra: store.getEra,
   });
-  const {usage} = duties;
   const scaling = createServerScaling({
     settings,
-    dutyClient: duties.client,
+    dutyClient,
     authority,
     state,
     demand,
@@ -338,7 +334,7 @@
     serviceTimes,
     prefillQueues,
     prefixes,
-    affinity: createEngineAffinity(),
+    affinity: createEngineAffinity(peers.promptScope),
     isHomeCacheWarm: !settings.isFirstStart,
     streams,
     demand,
