Count engines, digest prompts and estimate servers only where needed

Cause: found in the read-through. Each message about a prompt counted all engines of its service again; each prompt of a client account was digested to look up whether its caller had been refused, also where no caller had been; and the list of servers to tell estimated each server twice, also those without recent samples.

Change: the counts are kept for as long as the list of engines is the same; without refused callers nothing is digested, and a prompt is digested once; one function collects measured servers for both lists.

Behaviour is unchanged; the tests of announcements, shares, capacity and explain pass.

--- a/src/announcements/prompt_scope.ts
+++ b/src/announcements/prompt_scope.ts
@@ -7,7 +7,7 @@
 import {getRendezvousWeight} from '../runtime/rendezvous';
 import {
   computeFraction,
-  countEngines,
+  createEngineCounts,
   type EngineCounts,
 } from './scope_fractions';
 import type {EngineList, EnginePlace, NodePlace, ScopeSize} from './types';
@@ -54,6 +54,7 @@
   /** Positions of nodes at engines, from 0 to 1, by engine and node. */
   const positions = new Map<string, Map<string, number>>();
   let positionCount = 0;
+  const countEngines = createEngineCounts();
   return {selectEngines, selectNodes};
 
   function selectEngines<Engine extends EnginePlace>(
--- a/src/announcements/scope_fractions.ts
+++ b/src/announcements/scope_fractions.ts
@@ -4,18 +4,37 @@
 /** Number of engines of one service and stage by failure domain. */
 export type EngineCounts = ReadonlyMap<string, number>;
 
-/** Counts the engines of a stage in each failure domain. */
-export function countEngines(
+/** Returns the engines of a stage by failure domain. */
+export type CountEngines = (
   engines: readonly EnginePlace[],
   stage: string | undefined,
-): EngineCounts {
-  const counts = new Map<string, number>();
-  for (const engine of engines) {
-    if (engine.stage !== stage) continue;
-    const {failureDomain} = engine;
+) => EngineCounts;
+
+/** Creates a function that counts each list of engines once: a list is replaced when an engine changes, and every message about a prompt asks for its counts. */
+export function createEngineCounts(): CountEngines {
+  const known = new WeakMap<
+    readonly EnginePlace[],
+    ReadonlyMap<string | undefined, EngineCounts>
+  >();
+  return (engines, stage) => {
+    const byStage = known.get(engines) ?? countEngines(engines);
+    known.set(engines, byStage);
+    return byStage.get(stage) ?? NO_ENGINES;
+  };
+}
+
+const NO_ENGINES: EngineCounts = new Map();
+
+function countEngines(
+  engines: readonly EnginePlace[],
+): ReadonlyMap<string | undefined, EngineCounts> {
+  const byStage = new Map<string | undefined, Map<string, number>>();
+  for (const {stage, failureDomain} of engines) {
+    const counts = byStage.get(stage) ?? new Map<string, number>();
+    byStage.set(stage, counts);
     counts.set(failureDomain, (counts.get(failureDomain) ?? 0) + 1);
   }
-  return counts;
+  return byStage;
 }
 
 /**
--- a/src/capacity/server_capacities.ts
+++ b/src/capacity/server_capacities.ts
@@ -127,29 +127,29 @@
   }
 
   function listFactors(count: number): ToldFactor[] {
-    const nowMs = clock.getMonotonicMs();
-    const factors = [...records.values()].flatMap(record => {
-      const assumed = getServiceFactor(record.identity.service);
-      const isEqual = getEstimate(record, assumed, nowMs).relativeFactor === 1;
-      return isEqual ? [] : formatMeasured(record, nowMs);
-    });
-    return told.select(factors, count);
+    return told.select(
+      collectMeasured(({relativeFactor}) => relativeFactor !== 1),
+      count,
+    );
   }
 
   function listMeasured(count: number): ToldFactor[] {
-    const nowMs = clock.getMonotonicMs();
-    return [...records.values()]
-      .flatMap(record => formatMeasured(record, nowMs))
-      .slice(0, count);
+    return collectMeasured(() => true).slice(0, count);
   }
 
-  function formatMeasured(record: ListedRecord, nowMs: number): ToldFactor[] {
-    const isRecent = nowMs - record.lastSampleMs <= MAX_TOLD_AGE_MS;
-    if (!isRecent || !isMeasured(record)) return [];
-    const {id, service, startedAtMs} = record.identity;
-    const assumed = getServiceFactor(service);
-    const {timeFactor} = getEstimate(record, assumed, nowMs);
-    return [[id, startedAtMs, Math.round(timeFactor * 100) / 100]];
+  /** Collects the factors of the servers that were measured recently and are included. */
+  function collectMeasured(
+    isIncluded: (estimate: CapacityEstimate) => boolean,
+  ): ToldFactor[] {
+    const nowMs = clock.getMonotonicMs();
+    return [...records.values()].flatMap((record): ToldFactor[] => {
+      const isRecent = nowMs - record.lastSampleMs <= MAX_TOLD_AGE_MS;
+      if (!isRecent || !isMeasured(record)) return [];
+      const {id, service, startedAtMs} = record.identity;
+      const estimate = getEstimate(record, getServiceFactor(service), nowMs);
+      if (!isIncluded(estimate)) return [];
+      return [[id, startedAtMs, Math.round(estimate.timeFactor * 100) / 100]];
+    });
   }
 
   /** Returns the record of a server's present process. */
--- a/src/gateway/prompt_share.ts
+++ b/src/gateway/prompt_share.ts
@@ -50,6 +50,7 @@
   let exceeded: KnownShare | undefined;
   let hasWaited = false;
   let earlyMs: number | undefined;
+  let attempt: CallerAttempt | undefined;
   return {
     recordWork,
     recordStart: () => {
@@ -89,8 +90,10 @@
   }
 
   function recordReturn(): void {
+    // Without it, every prompt would be digested.
+    if (shares.told.count() === 0) return;
     const known = shares.told.tryTake(
-      createAttempt(task),
+      getAttempt(),
       context.clock.getMonotonicMs(),
     );
     if (known === undefined) return;
@@ -110,7 +113,11 @@
   function recordTold(retryAfterMs: number): void {
     if (!task.hasAccounts() || task.exchange.hasAnswerBegun()) return;
     const nowMs = context.clock.getMonotonicMs();
-    shares.told.record(createAttempt(task), retryAfterMs, nowMs);
+    shares.told.record(getAttempt(), retryAfterMs, nowMs);
+  }
+
+  function getAttempt(): CallerAttempt {
+    return (attempt ??= createAttempt(task));
   }
 
   /** A request whose answer has begun is not held back: its caller would lose the part that it has. */
