Prompt messages and samples: say what is meant in one expression

Cause: found in the read-through. Whether a message has a scope was derived by comparing two maps for identity, the part of a ratio beyond its uncertainty by sign and absolute value, and two tests built the same estimates.

Change: a message without a scope yields undefined; the ratio is limited to its range of uncertainty; the tests share their set-up and keep their assertions. Nothing to measure: behaviour is unchanged, apart from rounding in the last digit of a ratio.

--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -153,11 +153,11 @@
 
   function notify(message: PeerMessage): void {
     if (nodes.size === 0) return;
-    const receivers = listReceivers(message);
+    const scoped = tryCollectScoped(message);
     const {direct, relays} = relayChoice.choose(
-      receivers,
+      scoped ?? getNodesByDomain(),
       message.kind,
-      receivers !== getNodesByDomain(),
+      scoped !== undefined,
     );
     const datagram = encodeMessage(message);
     for (const node of direct) sendDatagram(node, datagram);
@@ -166,15 +166,14 @@
     for (const node of relays) sendDatagram(node, relayedDatagram);
   }
 
-  /** Collects the nodes that a message concerns by failure domain. */
-  function listReceivers(
+  /** Collects the nodes that a message concerns by failure domain; undefined when it concerns all. */
+  function tryCollectScoped(
     message: PeerMessage,
-  ): ReadonlyMap<string, readonly NodeRecord[]> {
-    const domains = getNodesByDomain();
+  ): ReadonlyMap<string, readonly NodeRecord[]> | undefined {
     const serverId = tryGetPromptServer(message);
-    if (serverId === undefined) return domains;
+    if (serverId === undefined) return undefined;
     const receivers = promptScope.selectNodes(serverId, [...nodes.values()]);
-    if (receivers.length === nodes.size) return domains;
+    if (receivers.length === nodes.size) return undefined;
     return collectBy(receivers, node => node.failureDomain);
   }
 
--- a/src/gateway/stream_records.ts
+++ b/src/gateway/stream_records.ts
@@ -47,10 +47,10 @@
   if (server !== undefined && ratio !== undefined) {
     // Only what exceeds the uncertainty counts as a deviation of the engine.
     const usual = trackers.speeds.getEngineFactor(service);
-    const certain =
-      usual +
-      Math.sign(ratio - usual) *
-        Math.max(0, Math.abs(ratio - usual) - ratioError);
+    const certain = Math.min(
+      ratio + ratioError,
+      Math.max(ratio - ratioError, usual),
+    );
     trackers.capacities.recordSample(server, {ratio: certain, load});
     trackers.speeds.recordEngineRatio(service, ratio);
   }
--- a/test/gateway/stream_records.test.ts
+++ b/test/gateway/stream_records.test.ts
@@ -118,8 +118,8 @@
   );
 });
 
-test('waits that are longer than predicted do not make equal engines look fast', async () => {
-  // Every engine's factor was relative to one that includes the error of the waits: predicted 126 ms, observed 183 ms.
+/** Creates the estimates of a node and the engines of a service that they are of. */
+function createTrackers(ids: readonly string[]) {
   const clock = createVirtualClock();
   const speeds = createEngineSpeedEstimator();
   const capacities = createServerCapacities({
@@ -127,13 +127,20 @@
     logger: SILENT_LOGGER,
     getServiceFactor: speeds.getEngineFactor,
   });
-  const server = createEntry({id: 'p1', service: 'llm'});
+  const servers = ids.map(id => createEntry({id, service: 'llm'}));
   const trackers = {
     health: {recordSuccess: () => undefined},
-    state: {tryGetUsable: () => server},
+    state: {tryGetUsable: (id: string) => servers.find(item => item.id === id)},
     speeds,
     capacities,
   } as unknown as FlowContext;
+  return {clock, speeds, capacities, trackers, servers};
+}
+
+test('waits that are longer than predicted do not make equal engines look fast', async () => {
+  // Every engine's factor was relative to one that includes the error of the waits: predicted 126 ms, observed 183 ms.
+  const {clock, speeds, capacities, trackers, servers} = createTrackers(['p1']);
+  const [server] = servers;
   for (let index = 0; index < 60; index++) {
     const sample = {service: 'llm', sheetMs: 100, observedMs: 200, ratio: 0.5};
     recordPrefillSample(trackers, server.id, sample);
@@ -166,13 +173,11 @@
 
 test('the uncertain beginning of short prefills does not make equal engines differ', async () => {
   // Prefills of 28 ms, measured with an error of 10 ms, gave equal engines factors of 0.7 to 1.3.
-  const clock = createVirtualClock();
-  const speeds = createEngineSpeedEstimator();
-  const capacities = createServerCapacities({
-    clock,
-    logger: SILENT_LOGGER,
-    getServiceFactor: speeds.getEngineFactor,
-  });
+  const {clock, capacities, trackers, servers} = createTrackers([
+    'early',
+    'late',
+    'slow',
+  ]);
   const placement = {
     waitMs: 0,
     prefillMs: 28,
@@ -180,15 +185,6 @@
     timeFactor: 1,
     load: 0,
   };
-  const servers = ['early', 'late', 'slow'].map(id =>
-    createEntry({id, service: 'llm'}),
-  );
-  const trackers = {
-    health: {recordSuccess: () => undefined},
-    state: {tryGetUsable: (id: string) => servers.find(item => item.id === id)},
-    speeds,
-    capacities,
-  } as unknown as FlowContext;
   const record = (server: BackendEntry, ownMs: number) => {
     const sample = tryCreatePrefillSample({
       service: 'llm',
