--- a/review/common-2/store.mjs
+++ b/review/common-2/store.mjs
@@ -3,6 +3,10 @@
 
 /** Starts the store at an address. */
 export async function startStore(host, port) {
+  let era = 0;
+  let isAway = false;
+  /** When each record was appended, by topic, on the monotonic clock. */
+  const times = new Map();
   const topics = new Map();
   const waiters = new Set();
   const getTopic = name => {
@@ -10,7 +14,7 @@
     return topics.get(name);
   };
   const server = await serve(host, port, handle);
-  return {port: server.port, close: server.close, put, remove, topics};
+  return {port: server.port, close: server.close, put, remove, topics, rollBack, setAway};
 
   /** Writes a value under a key, as the operator and the servers do. */
   function put(topic, key, value) {
@@ -23,14 +27,37 @@
     append(topic, [Buffer.concat([Buffer.from([name.length]), name])]);
   }
 
+  /** Drops what was appended in the last `ms`; the era rises by one. */
+  function rollBack(ms) {
+    const sinceMs = performance.now() - ms;
+    for (const [topic, log] of topics) {
+      const kept = times.get(topic)?.filter(atMs => atMs < sinceMs) ?? [];
+      log.length = kept.length;
+      times.set(topic, kept);
+    }
+    era++;
+    for (const wake of [...waiters]) wake();
+  }
+
+  /** While the store is away, it answers no call. */
+  function setAway(next) {
+    isAway = next;
+  }
+
   function append(topic, records) {
     getTopic(topic).push(...records);
+    if (!times.has(topic)) times.set(topic, []);
+    times.get(topic).push(...records.map(() => performance.now()));
     for (const wake of [...waiters]) wake();
   }
 
   async function handle(request, connection) {
     const topic = request.query.get('topic');
-    const json = (status, value) => connection.write(format(status, {'Content-Type': 'application/json'}, JSON.stringify(value)));
+    const answer = (status, headers, body) => {
+      if (!isAway) connection.write(format(status, {...headers, 'Store-Era': era}, body));
+    };
+    const json = (status, value) => answer(status, {'Content-Type': 'application/json'}, JSON.stringify(value));
+    if (isAway) return;
     switch (request.path) {
       case '/log-append': {
         const records = [];
@@ -54,6 +81,7 @@
         const log = getTopic(topic);
         if (from > log.length) return json(410, {first: 0});
         if (from === log.length && waitMs > 0) await waitForRecord(topic, from, waitMs);
+        if (from > log.length) return json(410, {first: 0});
         const head = Buffer.alloc(16);
         head.writeBigUInt64BE(BigInt(log.length), 0);
         const parts = [head];
@@ -62,7 +90,7 @@
           size.writeUInt32BE(record.length);
           parts.push(size, record);
         }
-        return connection.write(format(200, {'Content-Type': 'application/octet-stream'}, Buffer.concat(parts)));
+        return answer(200, {'Content-Type': 'application/octet-stream'}, Buffer.concat(parts));
       }
       case '/log-newest': {
         await delay(2);
@@ -83,7 +111,7 @@
   function waitForRecord(topic, from, waitMs) {
     return new Promise(resolve => {
       const wake = () => {
-        if (getTopic(topic).length <= from) return;
+        if (getTopic(topic).length === from) return;
         stop();
       };
       const stop = () => {
